--- /dev/null
+++ b/packages/core/src/mod.ts
@@ -0,0 +1,2 @@
+/** Placeholder. */
+export {};
