--- /dev/null
+++ b/packages/protocol/src/backend/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Messages between entry hosts and backend servers.
+ *
+ * @module
+ */
+export * from "./announcement.ts";
+export * from "./order.ts";
--- /dev/null
+++ b/packages/protocol/src/errors/catalogue.ts
@@ -0,0 +1,178 @@
+/**
+ * The catalogue of refusals that callers and operators see.
+ *
+ * @module
+ */
+import type * as types from "./types.ts";
+
+/** The request is malformed. */
+export const INVALID_REQUEST = {
+  name: "invalid-request",
+  title: "The request is not valid",
+  status: 400,
+  outcome: "not-run",
+  hint: "Correct the request as the detail says and send it again.",
+} as const satisfies types.Definition;
+
+/** The bearer key is missing, unknown or withdrawn. */
+export const KEY_REFUSED = {
+  name: "key-refused",
+  title: "The key is unknown or withdrawn",
+  status: 401,
+  outcome: "not-run",
+  hint: "Send a key of the workspace as `Authorization: Bearer KEY`.",
+} as const satisfies types.Definition;
+
+/** The key is valid, but its rights do not cover the call. */
+export const NOT_ALLOWED = {
+  name: "not-allowed",
+  title: "The caller has no right to do this",
+  status: 403,
+  outcome: "not-run",
+  hint: "Ask an operator which services and rights were granted.",
+} as const satisfies types.Definition;
+
+/** The model, service, route or answer does not exist for this workspace. */
+export const NOT_FOUND = {
+  name: "not-found",
+  title: "There is no such model, route or answer",
+  status: 404,
+  outcome: "not-run",
+  hint: "List the models with `GET /v1/models`.",
+} as const satisfies types.Definition;
+
+/** The caller was too slow to send its request. */
+export const REQUEST_TIMEOUT = {
+  name: "request-timeout",
+  title: "The request was not received in time",
+  status: 408,
+  outcome: "not-run",
+  hint: "Send the whole request without pauses.",
+} as const satisfies types.Definition;
+
+/** An idempotency key was reused with another request. */
+export const IDEMPOTENCY_CONFLICT = {
+  name: "idempotency-conflict",
+  title: "The idempotency key belongs to another request",
+  status: 409,
+  outcome: "not-run",
+  hint: "Use a new idempotency key for each distinct request.",
+} as const satisfies types.Definition;
+
+/** The first try under this idempotency key has no known outcome. */
+export const OUTCOME_UNKNOWN = {
+  name: "outcome-unknown",
+  title: "The outcome of the first try is not known",
+  status: 409,
+  outcome: "may-have-run",
+  hint: "Check the effect by other means before sending a new request.",
+} as const satisfies types.Definition;
+
+/** The first try under this idempotency key is still running. */
+export const STILL_RUNNING = {
+  name: "still-running",
+  title: "The first try under this idempotency key is still running",
+  status: 409,
+  outcome: "may-have-run",
+  hint: "Send the same request again later to get its answer.",
+} as const satisfies types.Definition;
+
+/** Another change was accepted on the same base version. */
+export const VERSION_CONFLICT = {
+  name: "version-conflict",
+  title: "Another change came first",
+  status: 409,
+  outcome: "not-run",
+  hint: "Read the version in force, merge the change and publish again.",
+} as const satisfies types.Definition;
+
+/** The body or the headers exceed a limit. */
+export const TOO_LARGE = {
+  name: "too-large",
+  title: "The request is too large",
+  status: 413,
+  outcome: "not-run",
+  hint: "Send a smaller request.",
+} as const satisfies types.Definition;
+
+/** The request was in flight when several backend servers crashed. */
+export const QUARANTINED = {
+  name: "quarantined",
+  title: "The request is quarantined",
+  status: 422,
+  outcome: "not-run",
+  hint:
+    "Backend servers crashed while running it. Change it, or ask an operator to release it.",
+} as const satisfies types.Definition;
+
+/** The workspace's rate or burst is used up. */
+export const RATE_EXCEEDED = {
+  name: "rate-exceeded",
+  title: "The workspace's rate is used up",
+  status: 429,
+  outcome: "not-run",
+  hint: "Send it again after the time in `Retry-After`.",
+} as const satisfies types.Definition;
+
+/** A fault of the host itself. */
+export const INTERNAL = {
+  name: "internal",
+  title: "The host met an unexpected fault",
+  status: 500,
+  outcome: "may-have-run",
+  hint: "Report the request id to an operator.",
+} as const satisfies types.Definition;
+
+/** The backend server failed after it may have started the request. */
+export const BACKEND_FAILED = {
+  name: "backend-failed",
+  title: "The backend server failed while it had the request",
+  status: 502,
+  outcome: "may-have-run",
+  hint: "Check the effect before sending the request again.",
+} as const satisfies types.Definition;
+
+/** No capacity became free in the time of the tier. */
+export const NO_CAPACITY = {
+  name: "no-capacity",
+  title: "There is no capacity in the time of this tier",
+  status: 503,
+  outcome: "not-run",
+  hint: "Send it again later, or use a tier with a longer wait.",
+} as const satisfies types.Definition;
+
+/** The host has not heard from a leader recently enough. */
+export const NOT_CURRENT = {
+  name: "not-current",
+  title: "The host has no current state",
+  status: 503,
+  outcome: "not-run",
+  hint: "Send it again; the balancer will choose another host.",
+} as const satisfies types.Definition;
+
+/** The host is shutting down. */
+export const DRAINING = {
+  name: "draining",
+  title: "The host is shutting down",
+  status: 503,
+  outcome: "not-run",
+  hint: "Send it again; the balancer will choose another host.",
+} as const satisfies types.Definition;
+
+/** The deadline of the tier passed after dispatch. */
+export const DEADLINE_EXCEEDED = {
+  name: "deadline-exceeded",
+  title: "The answer did not come within the time of the tier",
+  status: 504,
+  outcome: "may-have-run",
+  hint: "Use a tier with a longer wait.",
+} as const satisfies types.Definition;
+
+/** The request's deadline passed before it reached a backend server. */
+export const NOT_STARTED_IN_TIME = {
+  name: "not-started-in-time",
+  title: "The request could not be started within the time of the tier",
+  status: 504,
+  outcome: "not-run",
+  hint: "Send it again later, or use a tier with a longer wait.",
+} as const satisfies types.Definition;
--- /dev/null
+++ b/packages/protocol/src/errors/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The error catalogue and the error classes of every process.
+ *
+ * @module
+ */
+export * from "./catalogue.ts";
+export * from "./refusal.ts";
+export * from "./step_error.ts";
+export * from "./types.ts";
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -1,2 +1,8 @@
-/** Placeholder. */
-export {};
+/**
+ * Schemas, messages and the error catalogue shared by every process.
+ *
+ * @module
+ */
+export * as backend from "./backend/mod.ts";
+export * as configuration from "./configuration/mod.ts";
+export * as errors from "./errors/mod.ts";
