--- /dev/null
+++ b/packages/protocol/src/state/command.ts
@@ -0,0 +1,198 @@
+import * as v from "valibot";
+import * as backend from "../backend/mod.ts";
+import * as configuration from "../configuration/mod.ts";
+
+/** Largest answer kept for replay, in characters. */
+export const ANSWER_LENGTH = 4 * 1024 * 1024;
+
+const Index = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+const Text = v.pipe(v.string(), v.maxLength(1_024));
+const Digest = v.pipe(v.string(), v.regex(/^[0-9a-f]{16,128}$/));
+
+/** Who made a change, and under which id a resend is recognised. */
+const changeFields = {
+  operator: Text,
+  changeId: Text,
+};
+
+/** An answer as it is replayed to a resend, or collected from a deferred tier. */
+export const Answer = v.object({
+  status: v.pipe(v.number(), v.integer(), v.minValue(100), v.maxValue(599)),
+  contentType: Text,
+  body: v.pipe(v.string(), v.maxLength(ANSWER_LENGTH)),
+  /** What a caller may conclude. */
+  outcome: v.picklist(["not-run", "may-have-run", "ran"]),
+});
+export type Answer = v.InferOutput<typeof Answer>;
+
+/** A request as it is stored for later execution. */
+export const StoredRequest = v.object({
+  workspace: backend.Name,
+  service: backend.Name,
+  /** `service/model[:adapter]`; absent for plain services. */
+  model: v.optional(backend.ModelReference),
+  method: Text,
+  path: Text,
+  contentType: Text,
+  body: v.pipe(v.string(), v.maxLength(ANSWER_LENGTH)),
+  tier: backend.Name,
+  /** Whether it may run more than once. */
+  idempotent: v.boolean(),
+});
+export type StoredRequest = v.InferOutput<typeof StoredRequest>;
+
+/** A change of the replicated state. */
+export const Command = v.variant("kind", [
+  /** Replaces the configuration if `base` is the version in force. */
+  v.object({
+    kind: v.literal("publish"),
+    ...changeFields,
+    base: Index,
+    configuration: configuration.Configuration,
+  }),
+  v.object({
+    kind: v.literal("grant-key"),
+    ...changeFields,
+    keyId: backend.Name,
+    /** SHA-256 of the key, in hexadecimal. */
+    digest: Digest,
+    workspace: backend.Name,
+    label: Text,
+  }),
+  v.object({
+    kind: v.literal("withdraw-key"),
+    ...changeFields,
+    keyId: backend.Name,
+  }),
+  v.object({
+    kind: v.literal("withdraw-failure-domain"),
+    ...changeFields,
+    failureDomain: backend.Name,
+  }),
+  v.object({
+    kind: v.literal("restore-failure-domain"),
+    ...changeFields,
+    failureDomain: backend.Name,
+  }),
+  v.object({
+    kind: v.literal("release-quarantine"),
+    ...changeFields,
+    fingerprint: Digest,
+  }),
+  /** Records a membership change in the audit trail. */
+  v.object({
+    kind: v.literal("note-membership"),
+    ...changeFields,
+    detail: Text,
+  }),
+  /** Decides that a backend server holds a model; its index is the fence. */
+  v.object({
+    kind: v.literal("decide-replica"),
+    server: backend.Name,
+    incarnation: backend.Name,
+    failureDomain: backend.Name,
+    model: backend.ModelReference,
+    version: backend.Name,
+    bytes: backend.Bytes,
+    kvBytes: backend.Bytes,
+  }),
+  /** Decides that a replica is unloaded; its index is the fence. */
+  v.object({
+    kind: v.literal("decide-unload"),
+    replica: Index,
+  }),
+  /** Removes a replica whose server reports it gone, or is gone itself. */
+  v.object({
+    kind: v.literal("forget-replica"),
+    replica: Index,
+    reason: v.picklist(["unloaded", "server-gone", "refused", "turned-cold"]),
+  }),
+  /** Claims the right to run a non-idempotent request. */
+  v.object({
+    kind: v.literal("open-claim"),
+    workspace: backend.Name,
+    /** Digest of the caller's idempotency key. */
+    key: Digest,
+    /** Digest of method, path and body. */
+    request: Digest,
+    host: backend.Name,
+    hostIncarnation: backend.Name,
+  }),
+  /** Records the answer of a claimed request. */
+  v.object({
+    kind: v.literal("close-claim"),
+    workspace: backend.Name,
+    key: Digest,
+    host: backend.Name,
+    hostIncarnation: backend.Name,
+    answer: Answer,
+  }),
+  /** Gives a claim back because nothing of the request ran. */
+  v.object({
+    kind: v.literal("release-claim"),
+    workspace: backend.Name,
+    key: Digest,
+    host: backend.Name,
+    hostIncarnation: backend.Name,
+  }),
+  /** Ends what a lost host had open: its claims and its deferred work. */
+  v.object({
+    kind: v.literal("lose-host"),
+    host: backend.Name,
+    hostIncarnation: backend.Name,
+  }),
+  /** Accepts a deferred request. */
+  v.object({
+    kind: v.literal("accept-deferred"),
+    id: Digest,
+    request: StoredRequest,
+    /** Time allowed from acceptance, in milliseconds. */
+    maxWaitMs: v.pipe(v.number(), v.integer(), v.minValue(1)),
+    /** Digest of the caller's idempotency key: a resend gets the same id. */
+    key: v.optional(Digest),
+  }),
+  /** Hands deferred requests to a host for execution. */
+  v.object({
+    kind: v.literal("assign-deferred"),
+    ids: v.pipe(v.array(Digest), v.maxLength(256)),
+    host: backend.Name,
+    hostIncarnation: backend.Name,
+  }),
+  /** Takes back deferred requests of which nothing ran. */
+  v.object({
+    kind: v.literal("return-deferred"),
+    id: Digest,
+    host: backend.Name,
+    hostIncarnation: backend.Name,
+  }),
+  v.object({
+    kind: v.literal("finish-deferred"),
+    id: Digest,
+    host: backend.Name,
+    hostIncarnation: backend.Name,
+    answer: Answer,
+  }),
+  v.object({
+    kind: v.literal("cancel-deferred"),
+    id: Digest,
+    workspace: backend.Name,
+  }),
+  v.object({
+    kind: v.literal("quarantine"),
+    fingerprint: Digest,
+    workspace: backend.Name,
+    model: Text,
+    durationMs: v.pipe(v.number(), v.integer(), v.minValue(1)),
+  }),
+  /** Lets time pass: expires claims, answers, quarantines and deadlines. */
+  v.object({ kind: v.literal("advance-time") }),
+]);
+export type Command = v.InferOutput<typeof Command>;
+
+/** A command with the time at which the leader took it. */
+export const StampedCommand = v.object({
+  /** Milliseconds since the epoch; never decreases along the log. */
+  timeMs: v.pipe(v.number(), v.integer(), v.minValue(0)),
+  command: Command,
+});
+export type StampedCommand = v.InferOutput<typeof StampedCommand>;
