--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -1,2 +1,6 @@
-/** Placeholder. */
-export {};
+/**
+ * Pure decisions of Ebonypath.
+ *
+ * @module
+ */
+export * as replication from "./replication/mod.ts";
--- /dev/null
+++ b/packages/core/src/replication/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * A replicated log after the published Raft algorithm, without input or output.
+ *
+ * A {@link Replica} is given inputs and a monotonic clock value and answers
+ * with effects. Its owner writes, sends and applies what the effects say.
+ *
+ * @module
+ */
+
+export * from "./formation.ts";
+export * from "./types.ts";
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -6,4 +6,5 @@
 export * as backend from "./backend/mod.ts";
 export * as configuration from "./configuration/mod.ts";
 export * as errors from "./errors/mod.ts";
+export * as replication from "./replication/mod.ts";
 export * as state from "./state/mod.ts";
