--- /dev/null
+++ b/packages/protocol/src/control/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Messages between hosts and the leader of the replicated state.
+ *
+ * @module
+ */
+export * from "./exchange.ts";
+export * from "./feed.ts";
