Call other hosts by JSON-RPC and find the leader

Cause: every host needs the leader, and open connections may go silent. Change: RpcServer and RpcClient over kept-alive HTTP, with a deadline a call and connections dropped when it is missed; LeaderClient follows hints and repeats only what may be repeated.

--- /dev/null
+++ b/packages/daemon/src/fleet/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Links between the hosts of a fleet.
+ *
+ * @module
+ */
+export * from "./errors.ts";
+export * from "./leader_client.ts";
+export * from "./rpc_client.ts";
+export * from "./rpc_server.ts";
--- /dev/null
+++ b/packages/daemon/src/security/mod.ts
@@ -0,0 +1,60 @@
+/**
+ * Bearer tokens, digests and comparisons that leak no timing.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import * as crypto from "node:crypto";
+
+const BEARER = /^Bearer +([\x21-\x7e]{1,512})$/i;
+
+/**
+ * Returns the token of an `Authorization: Bearer` header, or null.
+ *
+ * @example
+ * ```ts
+ * bearerToken("Bearer abc"); // "abc"
+ * ```
+ */
+export function bearerToken(header: string | undefined): string | null {
+  if (header === undefined) return null;
+  return BEARER.exec(header)?.[1] ?? null;
+}
+
+/**
+ * SHA-256 of a text, in hexadecimal.
+ *
+ * @example
+ * ```ts
+ * digest("abc").length; // 64
+ * ```
+ */
+export function digest(text: string): string {
+  return crypto.createHash("sha256").update(text).digest("hex");
+}
+
+/**
+ * Compares two secrets in a time that does not depend on where they differ.
+ *
+ * @example
+ * ```ts
+ * equalSecrets("abc", "abc"); // true
+ * ```
+ */
+export function equalSecrets(left: string, right: string): boolean {
+  const one = crypto.createHash("sha256").update(left).digest();
+  const other = crypto.createHash("sha256").update(right).digest();
+  return crypto.timingSafeEqual(one, other);
+}
+
+/**
+ * A fresh random identifier of `bytes` bytes, in hexadecimal.
+ *
+ * @example
+ * ```ts
+ * randomId(16).length; // 32
+ * ```
+ */
+export function randomId(bytes: number): string {
+  return Buffer.from(crypto.randomBytes(bytes)).toString("hex");
+}
--- /dev/null
+++ b/packages/daemon/test/fleet/rpc_test.ts
@@ -0,0 +1,120 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+import { expect } from "chai";
+import * as v from "valibot";
+import * as fleet from "../../src/fleet/mod.ts";
+
+const SECRET = "fleet-secret-for-tests";
+
+interface Listener {
+  readonly address: string;
+  close(): Promise<void>;
+}
+
+async function listen(rpc: fleet.RpcServer): Promise<Listener> {
+  const server = http.createServer((request, response) => {
+    rpc.handle(request, response).catch(() => response.destroy());
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const port = (server.address() as net.AddressInfo).port;
+  return {
+    address: `127.0.0.1:${port}`,
+    close: () =>
+      new Promise((resolve) => {
+        server.closeAllConnections();
+        server.close(() => resolve());
+      }),
+  };
+}
+
+function namedServer(name: string, leader: string | null): fleet.RpcServer {
+  const rpc = new fleet.RpcServer(SECRET);
+  rpc.addMethod("fleet.name", v.object({}), () => {
+    if (leader === name) return name;
+    throw new fleet.NotLeader("fleet.name", name, leader);
+  });
+  return rpc;
+}
+
+describe("fleet links", () => {
+  it("answers a call and refuses a wrong secret", async () => {
+    const listener = await listen(namedServer("a", "a"));
+    await using good = new fleet.RpcClient({ secret: SECRET });
+    await using bad = new fleet.RpcClient({ secret: "wrong" });
+    expect(await good.call(listener.address, "fleet.name", {}, 2_000)).to.equal(
+      "a",
+    );
+    const error = await bad.call(listener.address, "fleet.name", {}, 2_000)
+      .catch((cause: unknown) => cause);
+    expect(error).to.be.instanceOf(fleet.RemoteError);
+    await listener.close();
+  });
+
+  it("names the parameter that does not fit", async () => {
+    const rpc = new fleet.RpcServer(SECRET);
+    rpc.addMethod("fleet.add", v.object({ left: v.number() }), () => 1);
+    const listener = await listen(rpc);
+    await using client = new fleet.RpcClient({ secret: SECRET });
+    const error = await client.call(
+      listener.address,
+      "fleet.add",
+      { left: "x" },
+      2_000,
+    ).catch((cause: unknown) => cause);
+    expect(error).to.be.instanceOf(fleet.RemoteError);
+    expect((error as Error).message).to.contain("left");
+    await listener.close();
+  });
+
+  it("tells an unanswered call from one that was not sent", async () => {
+    const rpc = new fleet.RpcServer(SECRET);
+    rpc.addMethod("fleet.wait", v.object({}), () => new Promise(() => {}));
+    const listener = await listen(rpc);
+    await using client = new fleet.RpcClient({ secret: SECRET });
+    const unanswered = await client.call(
+      listener.address,
+      "fleet.wait",
+      {},
+      100,
+    ).catch((cause: unknown) => cause);
+    expect(unanswered).to.be.instanceOf(fleet.OutcomeUnknown);
+    await listener.close();
+    const unsent = await client.call(listener.address, "fleet.wait", {}, 2_000)
+      .catch((cause: unknown) => cause);
+    expect(unsent).to.be.instanceOf(fleet.Unreachable);
+  });
+
+  it("follows the hint of a host that does not lead", async () => {
+    const leading = await listen(namedServer("leader", "leader"));
+    const follower = new fleet.RpcServer(SECRET);
+    follower.addMethod("fleet.name", v.object({}), () => {
+      throw new fleet.NotLeader("fleet.name", "follower", leading.address);
+    });
+    const following = await listen(follower);
+    await using client = new fleet.RpcClient({ secret: SECRET });
+    const leader = new fleet.LeaderClient(client, [following.address]);
+    const limits = { attemptMs: 1_000, totalMs: 3_000, repeatable: true };
+    expect(await leader.call("fleet.name", {}, limits)).to.equal("leader");
+    expect(leader.leader).to.equal(leading.address);
+    await leading.close();
+    await following.close();
+  });
+
+  it("does not repeat a call that must not run twice", async () => {
+    const calls: string[] = [];
+    const caller: fleet.Caller = {
+      call: (peer, method) => {
+        calls.push(peer);
+        throw new fleet.OutcomeUnknown(method, peer, "no answer");
+      },
+    };
+    const leader = new fleet.LeaderClient(caller, ["one", "two"]);
+    const limits = { attemptMs: 100, totalMs: 1_000, repeatable: false };
+    const error = await leader.call("state.propose", {}, limits)
+      .catch((cause: unknown) => cause);
+    expect(error).to.be.instanceOf(fleet.OutcomeUnknown);
+    expect(calls).to.deep.equal(["one"]);
+  });
+});
