--- /dev/null
+++ b/packages/core/src/limits/types.ts
@@ -0,0 +1,84 @@
+/**
+ * Types and time limits of leased shares.
+ *
+ * @module
+ */
+
+import type * as protocol from "@ebonypath/protocol";
+
+/** How long a share lives after the leader granted it, in milliseconds. */
+export const SHARE_LIFETIME_MS = 3000;
+
+/** How often a holder renews its shares, in milliseconds. */
+export const SHARE_RENEWAL_MS = 1000;
+
+/** Shortest time between two exchanges of one pool, in milliseconds. */
+export const URGENT_RENEWAL_MS = 50;
+
+/** Longest that a request may run on a backend server, in milliseconds. */
+export const LONGEST_REQUEST_MS = 600_000;
+
+/** Largest deviation of a host's clock from true time, as a fraction. */
+export const CLOCK_DRIFT = 0.01;
+
+/**
+ * Part of a granted lifetime that a holder uses. A holder whose clock is slow
+ * by `CLOCK_DRIFT` then still ends before a leader whose clock is fast by it.
+ */
+export const HOLDER_LIFETIME_FRACTION = 0.98;
+
+/** Part of a rate at which buckets refill, so that a fast clock keeps it. */
+export const REFILL_FRACTION = 1 - CLOCK_DRIFT;
+
+/** Rate and burst of a workspace's token bucket. */
+export type BucketLimit = {
+  /** Tokens per second. */
+  readonly rate: number;
+  /** Tokens. */
+  readonly burst: number;
+};
+
+/** Tokens set aside for one request until it is settled. */
+export type Reservation = {
+  readonly pool: string;
+  readonly id: number;
+  /** Tokens reserved. */
+  readonly tokens: number;
+};
+
+/** What came of an attempt to reserve tokens. */
+export type ReserveResult =
+  | { readonly kind: "reserved"; readonly reservation: Reservation }
+  /** The share lacks tokens now; the request may wait for more. */
+  | { readonly kind: "wait" }
+  /** No share can ever hold so many tokens. */
+  | { readonly kind: "over-burst"; readonly burst: number };
+
+/** One running request's claim on a backend server. */
+export type Slot = {
+  readonly server: string;
+  readonly id: number;
+  /** When the request must have ended, in the holder's monotonic clock. */
+  readonly deadline: number;
+};
+
+/** What came of an attempt to take a slot. */
+export type AcquireResult =
+  | { readonly kind: "acquired"; readonly slot: Slot }
+  /** No slot is free in the share; the request may wait for one. */
+  | { readonly kind: "wait" };
+
+/** How a request to a backend server ended, as the ramp-up judges it. */
+export type SlotOutcome =
+  | "succeeded"
+  | "refused"
+  | "failed"
+  | "slow"
+  /** Says nothing about the server, as when the caller went away. */
+  | "neutral";
+
+/** What entry hosts observed of one backend server since the last look. */
+export type ObservedOutcomes = {
+  readonly server: string;
+  readonly outcomes: protocol.limits.ServerOutcomes;
+};
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
+export * as limits from "./limits/mod.ts";
 export * as replication from "./replication/mod.ts";
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -7,5 +7,7 @@
 export * as configuration from "./configuration/mod.ts";
 export * as control from "./control/mod.ts";
 export * as errors from "./errors/mod.ts";
+export * as limits from "./limits/mod.ts";
 export * as replication from "./replication/mod.ts";
 export * as state from "./state/mod.ts";
+export * as suspicion from "./suspicion/mod.ts";
