--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -11,3 +11,5 @@
 export * as replication from "./replication/mod.ts";
 export * as state from "./state/mod.ts";
 export * as suspicion from "./suspicion/mod.ts";
+export * as settings from "./settings/mod.ts";
+export * as toml from "./toml/mod.ts";
