--- /dev/null
+++ b/packages/daemon/src/log/log.ts
@@ -0,0 +1,46 @@
+import debug from "debug";
+import process from "node:process";
+import * as format from "./format.ts";
+
+const ROOT = "ebonypath";
+const DEFAULT_NAMESPACES = `${ROOT}:*`;
+
+/** Writes an event of one part of the daemon. */
+export type Log = (event: string, fields?: format.Fields) => void;
+
+/**
+ * Gives the log of one part of the daemon, under `ebonypath:PART`.
+ *
+ * @example
+ * ```ts
+ * const log = createLog("feed");
+ * log("connected", { peer: "127.0.0.1:7001" });
+ * ```
+ */
+export function createLog(part: string): Log {
+  const write = debug(`${ROOT}:${part}`);
+  return (event, fields = {}) => {
+    if (write.enabled) write("%s", format.formatLine(event, fields));
+  };
+}
+
+/**
+ * Turns the logs on, unless the variable `DEBUG` chooses which to write.
+ * Lines go to the standard error stream.
+ *
+ * @example
+ * ```ts
+ * enableLogs();
+ * ```
+ */
+export function enableLogs(): void {
+  debug.formatArgs = formatArguments;
+  if (process.env["DEBUG"] === undefined) debug.enable(DEFAULT_NAMESPACES);
+}
+
+/** Puts time and part in front as pairs, without colours. */
+function formatArguments(this: debug.Debugger, args: unknown[]): void {
+  const part = this.namespace.slice(ROOT.length + 1);
+  const time = new Date().toISOString();
+  args[0] = `time=${time} part=${part} ${String(args[0])}`;
+}
--- /dev/null
+++ b/packages/daemon/src/log/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Logs: one line of key=value pairs for each event.
+ *
+ * @module
+ */
+export * from "./format.ts";
+export * from "./log.ts";
--- /dev/null
+++ b/packages/daemon/src/settings/load.ts
@@ -0,0 +1,144 @@
+import * as fs from "node:fs/promises";
+import * as path from "node:path";
+import * as protocol from "@ebonypath/protocol";
+import * as secret from "./secret.ts";
+
+/** An operator with the token that names it. */
+export interface Operator {
+  readonly name: string;
+  readonly token: string;
+  readonly rights: readonly protocol.settings.Right[];
+}
+
+/** TLS material of one listener, in PEM. */
+export interface Certificate {
+  readonly certificate: string;
+  readonly key: string;
+  /** When set, clients must show a certificate signed by it. */
+  readonly authority: string | undefined;
+}
+
+/** A listener that may speak TLS. */
+export type ListenerName = "callers" | "backends" | "operators" | "fleet";
+
+/** A checked settings file with the contents of the files that it names. */
+export interface LoadedSettings {
+  readonly settings: protocol.settings.Settings;
+  readonly fleetSecret: string;
+  readonly joinToken: string | undefined;
+  readonly operators: readonly Operator[];
+  readonly certificates: ReadonlyMap<ListenerName, Certificate>;
+}
+
+/**
+ * Loads a settings file, its secrets and its certificates.
+ *
+ * @throws {protocol.settings.SettingsError} with every problem found.
+ * @example
+ * ```ts
+ * const loaded = await loadSettings("/etc/ebonypath/host.toml");
+ * ```
+ */
+export async function loadSettings(file: string): Promise<LoadedSettings> {
+  const text = await readText(file);
+  const settings = protocol.settings.parseSettings(text, path.resolve(file));
+  const findings: protocol.toml.Finding[] = [];
+
+  const readSecret = async (name: string, where: string) => {
+    const result = await secret.readSecret(name, file, where);
+    if (result.kind === "value") return result.value;
+    findings.push(result.finding);
+    return "";
+  };
+
+  const { secrets } = settings;
+  const fleetSecret = await readSecret(secrets.fleetFile, "secrets.fleet_file");
+  const joinToken = secrets.joinTokenFile === undefined
+    ? undefined
+    : await readSecret(secrets.joinTokenFile, "secrets.join_token_file");
+  const operators: Operator[] = [];
+  for (
+    const [index, { name, tokenFile, rights }] of settings.operators.entries()
+  ) {
+    const token = await readSecret(tokenFile, `operators[${index}].token_file`);
+    operators.push({ name, token, rights });
+  }
+  findings.push(...findEqualTokens(operators, file));
+  const certificates = await loadCertificates(settings.tls, file, findings);
+  if (findings.length > 0) {
+    throw new protocol.settings.SettingsError(findings);
+  }
+  return { settings, fleetSecret, joinToken, operators, certificates };
+}
+
+async function readText(file: string): Promise<string> {
+  try {
+    return await fs.readFile(file, "utf8");
+  } catch (error) {
+    const code = (error as NodeJS.ErrnoException).code ?? "unknown error";
+    throw new protocol.settings.SettingsError([{
+      file,
+      path: "file",
+      reason: `can't be read: ${code}`,
+      hint: "name an existing file with --settings",
+    }]);
+  }
+}
+
+/** The audit trail names operators by token, so no two may share one. */
+function findEqualTokens(
+  operators: readonly Operator[],
+  file: string,
+): protocol.toml.Finding[] {
+  const seen = new Map<string, string>();
+  const findings: protocol.toml.Finding[] = [];
+  for (const [index, { name, token }] of operators.entries()) {
+    const other = seen.get(token);
+    if (other !== undefined && token !== "") {
+      findings.push({
+        file,
+        path: `operators[${index}].token_file`,
+        reason: `holds the token of operator ${other}`,
+        hint: "give each operator a token of its own",
+      });
+    }
+    seen.set(token, name);
+  }
+  return findings;
+}
+
+async function loadCertificates(
+  tls: protocol.settings.Tls,
+  file: string,
+  findings: protocol.toml.Finding[],
+): Promise<Map<ListenerName, Certificate>> {
+  const certificates = new Map<ListenerName, Certificate>();
+  for (
+    const listener of ["callers", "backends", "operators", "fleet"] as const
+  ) {
+    const files = tls[listener];
+    if (files === undefined) continue;
+    const read = async (name: string, key: string) => {
+      try {
+        return await fs.readFile(name, "utf8");
+      } catch (error) {
+        const code = (error as NodeJS.ErrnoException).code ?? "unknown error";
+        findings.push({
+          file,
+          path: `tls.${listener}.${key}`,
+          reason: `${name} can't be read: ${code}`,
+          hint: "name a readable file in PEM",
+        });
+        return "";
+      }
+    };
+    certificates.set(listener, {
+      certificate: await read(files.certificateFile, "certificate_file"),
+      key: await read(files.keyFile, "key_file"),
+      authority: files.caFile === undefined
+        ? undefined
+        : await read(files.caFile, "ca_file"),
+    });
+  }
+  return certificates;
+}
--- /dev/null
+++ b/packages/daemon/src/settings/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Loading of the settings file and of the secrets that it names.
+ *
+ * @module
+ */
+export * from "./load.ts";
+export * from "./secret.ts";
