--- /dev/null
+++ b/packages/core/src/replication/election.ts
@@ -0,0 +1,212 @@
+/**
+ * Pre-votes, votes and the election timeout.
+ *
+ * @module
+ */
+
+import type { Context } from "./context.ts";
+import { hasQuorum, isMember, isVoter } from "./membership.ts";
+import type { Message } from "./types.ts";
+
+type Request = Extract<Message, { kind: "preVote" | "vote" }>;
+type PreVote = Extract<Message, { kind: "preVote" }>;
+type Vote = Extract<Message, { kind: "vote" }>;
+type PreVoteReply = Extract<Message, { kind: "preVoteReply" }>;
+type VoteReply = Extract<Message, { kind: "voteReply" }>;
+
+/** Elects a leader and answers those who ask to be one. */
+export class Election {
+  #context: Context;
+  #isLeaderHeld: () => boolean;
+  #onWon: () => void;
+  #granted = new Set<string>();
+  #ownVoteSequence = 0;
+
+  constructor(
+    context: Context,
+    isLeaderHeld: () => boolean,
+    onWon: () => void,
+  ) {
+    this.#context = context;
+    this.#isLeaderHeld = isLeaderHeld;
+    this.#onWon = onWon;
+  }
+
+  /** Starts an election when no leader was heard for too long. */
+  tick(): void {
+    const context = this.#context;
+    if (context.role === "leader" || !this.#isEligible()) {
+      return;
+    }
+    const alone = context.memberships.isAlwaysAlone(context.self);
+    const startsAlone = alone && context.role === "follower";
+    if (startsAlone || context.now >= context.electionDeadline) {
+      this.#startPreVote();
+    }
+  }
+
+  /** Counts the own vote once it is synced. */
+  persisted(sequence: number): void {
+    if (
+      this.#context.role === "candidate" && sequence >= this.#ownVoteSequence
+    ) {
+      this.#granted.add(this.#context.self);
+      this.#finishVote();
+    }
+  }
+
+  /** Answers whether this replica would vote for the sender. */
+  preVote(from: string, message: PreVote): void {
+    const context = this.#context;
+    const granted = message.term > context.term && !this.#isLeaderHeld() &&
+      this.#isUpToDate(message);
+    context.reply(from, {
+      kind: "preVoteReply",
+      term: context.term,
+      requestTerm: message.term,
+      granted,
+    });
+  }
+
+  /** Answers a request for a vote. */
+  vote(from: string, message: Vote): void {
+    const context = this.#context;
+    const held = !message.transfer && this.#isLeaderHeld();
+    if (message.term > context.term && !held) {
+      context.becomeFollower(message.term, null);
+    }
+    const granted = message.term === context.term && !held &&
+      this.#isVoteFree(from) && this.#isUpToDate(message);
+    if (granted) {
+      this.#grant(from);
+    }
+    context.reply(from, { kind: "voteReply", term: context.term, granted });
+  }
+
+  /** Counts an answer to a pre-vote. */
+  preVoteReply(from: string, message: PreVoteReply): void {
+    const context = this.#context;
+    if (message.term > context.term) {
+      this.#adoptTerm(from, message.term);
+      return;
+    }
+    const current = context.role === "preCandidate" &&
+      message.requestTerm === context.term + 1;
+    if (current && message.granted) {
+      this.#granted.add(from);
+      this.#finishPreVote();
+    }
+  }
+
+  /** Counts an answer to a request for a vote. */
+  voteReply(from: string, message: VoteReply): void {
+    const context = this.#context;
+    if (message.term > context.term) {
+      this.#adoptTerm(from, message.term);
+      return;
+    }
+    const current = context.role === "candidate" &&
+      message.term === context.term;
+    if (current && message.granted) {
+      this.#granted.add(from);
+      this.#finishVote();
+    }
+  }
+
+  /** Asks for votes at once, on the wish of the present leader. */
+  timeoutNow(from: string, term: number): void {
+    const context = this.#context;
+    const follows = context.role === "follower" && context.leader === from;
+    if (follows && term === context.term && this.#isEligible()) {
+      this.#startVote(true);
+    }
+  }
+
+  #isEligible(): boolean {
+    const { memberships, self } = this.#context;
+    return isVoter(memberships.current, self);
+  }
+
+  #adoptTerm(from: string, term: number): void {
+    if (isMember(this.#context.memberships.current, from)) {
+      this.#context.becomeFollower(term, null);
+    }
+  }
+
+  #grant(candidate: string): void {
+    const context = this.#context;
+    if (context.vote === null) {
+      context.setHardState(context.term, candidate);
+    }
+    context.becomeFollower(context.term, context.leader);
+  }
+
+  #isVoteFree(candidate: string): boolean {
+    const { vote } = this.#context;
+    return vote === null || vote === candidate;
+  }
+
+  #isUpToDate(request: Request): boolean {
+    const { log } = this.#context;
+    if (request.lastTerm !== log.lastTerm) {
+      return request.lastTerm > log.lastTerm;
+    }
+    return request.lastIndex >= log.lastIndex;
+  }
+
+  #startPreVote(): void {
+    const context = this.#context;
+    context.role = "preCandidate";
+    context.leader = null;
+    context.resetElectionDeadline();
+    this.#granted = new Set([context.self]);
+    this.#sendToVoters({
+      kind: "preVote",
+      term: context.term + 1,
+      lastIndex: context.log.lastIndex,
+      lastTerm: context.log.lastTerm,
+    });
+    this.#finishPreVote();
+  }
+
+  #startVote(transfer: boolean): void {
+    const context = this.#context;
+    context.role = "candidate";
+    context.leader = null;
+    context.resetElectionDeadline();
+    context.setHardState(context.term + 1, context.self);
+    this.#granted = new Set();
+    this.#ownVoteSequence = context.durability.lastSequence;
+    this.#sendToVoters({
+      kind: "vote",
+      term: context.term,
+      lastIndex: context.log.lastIndex,
+      lastTerm: context.log.lastTerm,
+      transfer,
+    });
+  }
+
+  #sendToVoters(message: Message): void {
+    const context = this.#context;
+    for (const { id } of context.memberships.current.voters) {
+      if (id !== context.self) {
+        context.reply(id, message);
+      }
+    }
+  }
+
+  #finishPreVote(): void {
+    if (hasQuorum(this.#context.memberships.current, this.#granted)) {
+      this.#startVote(false);
+    }
+  }
+
+  #finishVote(): void {
+    const context = this.#context;
+    const won = context.role === "candidate" &&
+      hasQuorum(context.memberships.current, this.#granted);
+    if (won) {
+      this.#onWon();
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/replication/log.ts
@@ -0,0 +1,137 @@
+/**
+ * The part of the log that a replica holds in memory.
+ *
+ * @module
+ */
+
+import type { Entry, Payload } from "./types.ts";
+
+const FIXED_PAYLOAD_SIZE = 64;
+const MEMBER_SIZE = 128;
+
+/** Approximate size of a payload in bytes, for limits on memory and messages. */
+export function payloadSize(payload: Payload): number {
+  switch (payload.kind) {
+    case "noop":
+      return FIXED_PAYLOAD_SIZE;
+    case "command":
+      return FIXED_PAYLOAD_SIZE + payload.data.length;
+    case "membership": {
+      const { voters, learners } = payload.membership;
+      return FIXED_PAYLOAD_SIZE +
+        MEMBER_SIZE * (voters.length + learners.length);
+    }
+    default: {
+      const unexpected: never = payload;
+      throw new TypeError(`unexpected payload ${JSON.stringify(unexpected)}`);
+    }
+  }
+}
+
+/** Entries after a base, without gaps. The base itself holds only its term. */
+export class Log {
+  #baseIndex: number;
+  #baseTerm: number;
+  #entries: Entry[];
+
+  constructor(baseIndex: number, baseTerm: number, entries: Entry[]) {
+    this.#baseIndex = baseIndex;
+    this.#baseTerm = baseTerm;
+    this.#entries = [];
+    this.append(entries);
+  }
+
+  /** Index of the last entry that was compacted. */
+  get baseIndex(): number {
+    return this.#baseIndex;
+  }
+
+  /** Index of the last entry. */
+  get lastIndex(): number {
+    return this.#baseIndex + this.#entries.length;
+  }
+
+  /** Term of the last entry. */
+  get lastTerm(): number {
+    return this.#entries.at(-1)?.term ?? this.#baseTerm;
+  }
+
+  /** Term at an index; undefined when it's compacted or not yet written. */
+  termAt(index: number): number | undefined {
+    if (index === this.#baseIndex) {
+      return this.#baseTerm;
+    }
+    return this.#entries[index - this.#baseIndex - 1]?.term;
+  }
+
+  /** Entries from `from` up to and with `to`. */
+  slice(from: number, to: number): Entry[] {
+    const start = from - this.#baseIndex - 1;
+    return this.#entries.slice(start, to - this.#baseIndex);
+  }
+
+  /** Entries from `from` on within limits, one at least when there is one. */
+  batch(from: number, maximumEntries: number, maximumBytes: number): Entry[] {
+    const batch: Entry[] = [];
+    let bytes = 0;
+    let position = from - this.#baseIndex - 1;
+    while (batch.length < maximumEntries) {
+      const entry = this.#entries[position];
+      if (entry === undefined) {
+        break;
+      }
+      bytes += payloadSize(entry.payload);
+      if (batch.length > 0 && bytes > maximumBytes) {
+        break;
+      }
+      batch.push(entry);
+      position += 1;
+    }
+    return batch;
+  }
+
+  /** Adds entries that follow the last one. */
+  append(entries: Entry[]): void {
+    for (const entry of entries) {
+      if (entry.index !== this.lastIndex + 1) {
+        throw new RangeError(
+          `entry ${entry.index} does not follow ${this.lastIndex}`,
+        );
+      }
+      this.#entries.push(entry);
+    }
+  }
+
+  /** Removes the entries from `index` on. */
+  truncateFrom(index: number): void {
+    this.#entries.length = index - this.#baseIndex - 1;
+  }
+
+  /** Removes the entries up to and with `index`. */
+  compact(index: number): void {
+    const term = this.termAt(index);
+    if (term === undefined) {
+      return;
+    }
+    this.#entries = this.#entries.slice(index - this.#baseIndex);
+    this.#baseIndex = index;
+    this.#baseTerm = term;
+  }
+
+  /** Replaces the whole log by a base. */
+  reset(index: number, term: number): void {
+    this.#entries = [];
+    this.#baseIndex = index;
+    this.#baseTerm = term;
+  }
+
+  /** Last index before `index` whose term differs from that at `index`. */
+  endOfEarlierTerm(index: number): number {
+    const term = this.termAt(index);
+    let earlier = index;
+    while (earlier > this.#baseIndex && this.termAt(earlier) === term) {
+      earlier -= 1;
+    }
+    return earlier;
+  }
+}
--- /dev/null
+++ b/packages/core/src/replication/membership.ts
@@ -0,0 +1,186 @@
+/**
+ * Memberships in the order of the log, and quorums over them.
+ *
+ * @module
+ */
+
+import type {
+  Entry,
+  Member,
+  Membership,
+  MembershipChange,
+  Refusal,
+} from "./types.ts";
+
+/** The membership of a replica that belongs to no group yet. */
+export const NO_MEMBERS: Membership = Object.freeze({
+  voters: [],
+  learners: [],
+});
+
+type MembershipRecord = { index: number; membership: Membership };
+
+/** Number of voters that decide. */
+export function quorumSize(membership: Membership): number {
+  return Math.floor(membership.voters.length / 2) + 1;
+}
+
+/** Whether an id belongs to a voter. */
+export function isVoter(membership: Membership, id: string): boolean {
+  return membership.voters.some((member) => member.id === id);
+}
+
+/** All members, voters first. */
+export function allMembers(membership: Membership): Member[] {
+  return [...membership.voters, ...membership.learners];
+}
+
+/** Whether an id belongs to a member. */
+export function isMember(membership: Membership, id: string): boolean {
+  return allMembers(membership).some((member) => member.id === id);
+}
+
+/** Whether the given ids hold a quorum of the voters. */
+export function hasQuorum(membership: Membership, ids: Set<string>): boolean {
+  const count = membership.voters.filter(({ id }) => ids.has(id)).length;
+  return count >= quorumSize(membership);
+}
+
+/**
+ * The largest value that a quorum of voters has reached.
+ *
+ * @example
+ * ```ts
+ * const index = quorumValue(membership, (id) => matchIndex.get(id) ?? 0);
+ * ```
+ */
+export function quorumValue(
+  membership: Membership,
+  valueOf: (id: string) => number,
+): number {
+  const values = membership.voters.map(({ id }) => valueOf(id));
+  values.sort((left, right) => right - left);
+  return values[quorumSize(membership) - 1] ?? -Infinity;
+}
+
+/** Makes the membership that a change leads to, or says why it can't be. */
+export function changedMembership(
+  membership: Membership,
+  change: MembershipChange,
+): Membership | Refusal {
+  switch (change.kind) {
+    case "addLearner":
+      return withLearner(membership, change.member);
+    case "promote":
+      return withPromoted(membership, change.id);
+    case "remove":
+      return without(membership, change.id);
+    default: {
+      const unexpected: never = change;
+      throw new TypeError(`unexpected change ${JSON.stringify(unexpected)}`);
+    }
+  }
+}
+
+function withLearner(
+  membership: Membership,
+  member: Member,
+): Membership | Refusal {
+  if (isMember(membership, member.id)) {
+    return "alreadyMember";
+  }
+  return { ...membership, learners: [...membership.learners, member] };
+}
+
+function withPromoted(
+  membership: Membership,
+  id: string,
+): Membership | Refusal {
+  const member = membership.learners.find((learner) => learner.id === id);
+  if (member === undefined) {
+    return isVoter(membership, id) ? "alreadyMember" : "unknownMember";
+  }
+  return {
+    voters: [...membership.voters, member],
+    learners: membership.learners.filter((learner) => learner.id !== id),
+  };
+}
+
+function without(membership: Membership, id: string): Membership | Refusal {
+  if (!isMember(membership, id)) {
+    return "unknownMember";
+  }
+  const voters = membership.voters.filter((voter) => voter.id !== id);
+  if (voters.length === 0) {
+    return "lastVoter";
+  }
+  const learners = membership.learners.filter((learner) => learner.id !== id);
+  return { voters, learners };
+}
+
+/** The memberships that the log holds. The latest one is in effect. */
+export class MembershipHistory {
+  #records: MembershipRecord[];
+
+  constructor(index: number, membership: Membership, entries: Entry[]) {
+    this.#records = [{ index, membership }];
+    this.append(entries);
+  }
+
+  /** The membership in effect. */
+  get current(): Membership {
+    return this.#latest.membership;
+  }
+
+  /** Index of the entry that brought the membership in effect. */
+  get currentIndex(): number {
+    return this.#latest.index;
+  }
+
+  /** Whether every membership held here has just this one voter. */
+  isAlwaysAlone(id: string): boolean {
+    const formed = this.#records.filter(({ membership }) =>
+      membership !== NO_MEMBERS
+    );
+    return formed.length > 0 &&
+      formed.every(({ membership }) =>
+        membership.voters.length === 1 && membership.voters[0]?.id === id
+      );
+  }
+
+  /** Takes up the memberships among new entries. */
+  append(entries: Entry[]): void {
+    for (const { index, payload } of entries) {
+      if (payload.kind === "membership") {
+        this.#records.push({ index, membership: payload.membership });
+      }
+    }
+  }
+
+  /** Forgets the memberships from `index` on. */
+  truncateFrom(index: number): void {
+    this.#records = this.#records.filter((record) => record.index < index);
+  }
+
+  /** The membership after the entry at `index`. */
+  at(index: number): Membership {
+    const record = this.#records.findLast((record) => record.index <= index);
+    return record?.membership ?? NO_MEMBERS;
+  }
+
+  /** Forgets the memberships before the one after `index`. */
+  compact(index: number): void {
+    const base = { index, membership: this.at(index) };
+    const later = this.#records.filter((record) => record.index > index);
+    this.#records = [base, ...later];
+  }
+
+  /** Replaces all by one membership. */
+  reset(index: number, membership: Membership): void {
+    this.#records = [{ index, membership }];
+  }
+
+  get #latest(): MembershipRecord {
+    return this.#records.at(-1) ?? { index: 0, membership: NO_MEMBERS };
+  }
+}
--- /dev/null
+++ b/packages/core/src/replication/membership_change.ts
@@ -0,0 +1,70 @@
+/**
+ * Changes of the membership, one at a time.
+ *
+ * @module
+ */
+
+import type { Context } from "./context.ts";
+import type { Leadership } from "./leadership.ts";
+import { changedMembership } from "./membership.ts";
+import type { Membership, MembershipChange, Refusal } from "./types.ts";
+
+/** Appends a changed membership, or says why it can't be changed now. */
+export function changeMembership(
+  context: Context,
+  leadership: Leadership,
+  id: number,
+  change: MembershipChange,
+): void {
+  const result = decide(context, leadership, change);
+  const { leader, log, term } = context;
+  if (typeof result === "string") {
+    const outcome = { kind: "refused", id, reason: result, leader } as const;
+    context.emit({ kind: "outcome", outcome });
+    return;
+  }
+  const index = log.lastIndex + 1;
+  context.emit({
+    kind: "outcome",
+    outcome: { kind: "appended", id, index, term },
+  });
+  leadership.append([{ kind: "membership", membership: result }]);
+}
+
+function decide(
+  context: Context,
+  leadership: Leadership,
+  change: MembershipChange,
+): Membership | Refusal {
+  const refusal = leadership.refusal(1, 0);
+  if (refusal !== null) {
+    return refusal;
+  }
+  const { memberships, commitIndex } = context;
+  const isSettled = memberships.currentIndex <= commitIndex &&
+    leadership.hasCommittedInTerm;
+  if (!isSettled) {
+    return "changePending";
+  }
+  const result = changedMembership(memberships.current, change);
+  const isPromotion = typeof result !== "string" && change.kind === "promote";
+  if (isPromotion && !isCaughtUp(context, leadership, change.id)) {
+    return "notCaughtUp";
+  }
+  return result;
+}
+
+function isCaughtUp(
+  { log, now, settings }: Context,
+  leadership: Leadership,
+  id: string,
+): boolean {
+  const progress = leadership.progressOf(id);
+  if (progress === undefined) {
+    return false;
+  }
+  const behind = log.lastIndex - progress.matchIndex;
+  const silentMs = now - progress.answeredSentAt;
+  return behind <= settings.catchUpEntries &&
+    silentMs <= settings.electionTimeoutMinimumMs;
+}
--- a/packages/core/src/replication/mod.ts
+++ b/packages/core/src/replication/mod.ts
@@ -8,4 +8,12 @@
  */
 
 export * from "./formation.ts";
+export {
+  allMembers,
+  isMember,
+  isVoter,
+  NO_MEMBERS,
+  quorumSize,
+} from "./membership.ts";
+export { Replica } from "./replica.ts";
 export * from "./types.ts";
--- /dev/null
+++ b/packages/core/src/replication/replica.ts
@@ -0,0 +1,367 @@
+/**
+ * One replica of the log: it dispatches inputs and collects effects.
+ *
+ * @module
+ */
+
+import { Context } from "./context.ts";
+import { Election } from "./election.ts";
+import { Follower } from "./follower.ts";
+import { Leadership } from "./leadership.ts";
+import { changeMembership } from "./membership_change.ts";
+import { isMember } from "./membership.ts";
+import { SnapshotReceiver } from "./snapshot_receiver.ts";
+import type {
+  Effect,
+  Input,
+  Membership,
+  Message,
+  Options,
+  Role,
+  SnapshotMetadata,
+} from "./types.ts";
+
+type LeaderMessage = Extract<
+  Message,
+  { kind: "append" | "heartbeat" | "snapshotPart" }
+>;
+type LeaderReply = Extract<
+  Message,
+  { kind: "appendReply" | "heartbeatReply" | "snapshotReply" }
+>;
+
+/**
+ * One replica of the replicated log.
+ *
+ * It has no clock, timer, disk or socket. Its owner calls {@link Replica.step}
+ * with inputs and a monotonic clock and carries out the effects in order.
+ *
+ * @example
+ * ```ts
+ * const replica = new Replica({
+ *   self: "c1-5f2a",
+ *   hardState: { term: 1, vote: null },
+ *   snapshot: null,
+ *   entries,
+ *   random: Math.random,
+ *   now: performance.now(),
+ * });
+ * for (const effect of replica.step({ kind: "tick" }, performance.now())) {
+ *   carryOut(effect);
+ * }
+ * ```
+ */
+export class Replica {
+  #context: Context;
+  #election: Election;
+  #follower: Follower;
+  #leadership: Leadership;
+  #snapshots: SnapshotReceiver;
+  #reported = "";
+
+  constructor(options: Options) {
+    const context = new Context(options);
+    this.#context = context;
+    this.#leadership = new Leadership(context);
+    this.#follower = new Follower(context);
+    this.#snapshots = new SnapshotReceiver(context);
+    this.#election = new Election(
+      context,
+      () => this.#isLeaderHeld(),
+      () => this.#leadership.start(),
+    );
+  }
+
+  /** Id of this replica. */
+  get self(): string {
+    return this.#context.self;
+  }
+
+  /** What this replica does at present. */
+  get role(): Role {
+    return this.#context.role;
+  }
+
+  /** Id of the leader, when one is known. */
+  get leader(): string | null {
+    return this.#context.leader;
+  }
+
+  /** The present term. */
+  get term(): number {
+    return this.#context.term;
+  }
+
+  /** Index up to which entries are known to be committed. */
+  get commitIndex(): number {
+    return this.#context.commitIndex;
+  }
+
+  /** Index up to which entries were handed out to be applied. */
+  get appliedIndex(): number {
+    return this.#context.appliedIndex;
+  }
+
+  /** Index of the last entry. */
+  get lastIndex(): number {
+    return this.#context.log.lastIndex;
+  }
+
+  /** The membership in effect, which may not be committed yet. */
+  get membership(): Membership {
+    return this.#context.memberships.current;
+  }
+
+  /** Index of the entry that brought the membership in effect. */
+  get membershipIndex(): number {
+    return this.#context.memberships.currentIndex;
+  }
+
+  /** The latest snapshot. */
+  get snapshot(): SnapshotMetadata | null {
+    return this.#context.snapshot;
+  }
+
+  /** Whether a part of a snapshot is on the way to another replica. */
+  get sendingSnapshot(): boolean {
+    return this.#leadership.sendingSnapshot;
+  }
+
+  /** Whether leadership is being handed to another replica. */
+  get transferring(): boolean {
+    return this.#leadership.transferring;
+  }
+
+  /**
+   * Clock value until which no other replica can be elected, as far as known at
+   * the last step; -Infinity when there is no such promise.
+   */
+  get leaseUntil(): number {
+    return this.#leadership.leaseUntil;
+  }
+
+  /**
+   * Whether this replica leads, has committed an entry of its term and no other
+   * replica can lead at `now`. Ask at the moment of use.
+   */
+  hasLease(now: number): boolean {
+    return this.#context.role === "leader" &&
+      this.#leadership.hasCommittedInTerm && now < this.leaseUntil;
+  }
+
+  /** Index up to which a replica is known to hold the leader's log. */
+  matchIndexOf(id: string): number | null {
+    return this.#leadership.progressOf(id)?.matchIndex ?? null;
+  }
+
+  /**
+   * Milliseconds since the send of the last message that a replica answered;
+   * null when this replica doesn't lead or had no answer.
+   */
+  silenceOf(id: string, now: number): number | null {
+    const sentAt = this.#leadership.progressOf(id)?.answeredSentAt;
+    const known = sentAt !== undefined && Number.isFinite(sentAt);
+    return known ? now - sentAt : null;
+  }
+
+  /** The membership after the entry at `index`. */
+  membershipAt(index: number): Membership {
+    return this.#context.memberships.at(index);
+  }
+
+  /** Term of the entry at `index`, when it's still held. */
+  termAt(index: number): number | null {
+    return this.#context.log.termAt(index) ?? null;
+  }
+
+  /** Takes one input at a monotonic clock value, in milliseconds. */
+  step(input: Input, now: number): Effect[] {
+    const context = this.#context;
+    context.now = Math.max(context.now, now);
+    this.#take(input);
+    this.#leadership.advanceCommit();
+    context.applyCommitted();
+    this.#reportStatus();
+    return context.takeEffects();
+  }
+
+  #take(input: Input): void {
+    switch (input.kind) {
+      case "tick":
+        this.#leadership.tick();
+        this.#election.tick();
+        return;
+      case "message":
+        this.#message(input.from, input.message);
+        return;
+      case "propose":
+        this.#leadership.propose(input.proposals);
+        return;
+      case "persisted":
+        this.#persisted(input.sequence);
+        return;
+      case "snapshotTaken":
+        this.#snapshotTaken(input.snapshot);
+        return;
+      case "snapshotPart": {
+        const progress = this.#leadership.progressOf(input.to);
+        if (progress !== undefined) {
+          this.#leadership.snapshots.part(progress, input);
+        }
+        return;
+      }
+      case "changeMembership":
+        changeMembership(
+          this.#context,
+          this.#leadership,
+          input.id,
+          input.change,
+        );
+        return;
+      case "transferLeadership":
+        this.#leadership.transferTo(input.to);
+        return;
+      default: {
+        const unexpected: never = input;
+        throw new TypeError(`unexpected input ${JSON.stringify(unexpected)}`);
+      }
+    }
+  }
+
+  #message(from: string, message: Message): void {
+    switch (message.kind) {
+      case "preVote":
+        this.#election.preVote(from, message);
+        return;
+      case "vote":
+        this.#election.vote(from, message);
+        return;
+      case "preVoteReply":
+        this.#election.preVoteReply(from, message);
+        return;
+      case "voteReply":
+        this.#election.voteReply(from, message);
+        return;
+      case "append":
+      case "heartbeat":
+      case "snapshotPart":
+        this.#leaderMessage(from, message);
+        return;
+      case "appendReply":
+      case "heartbeatReply":
+      case "snapshotReply":
+        this.#leaderReply(from, message);
+        return;
+      case "timeoutNow":
+        this.#election.timeoutNow(from, message.term);
+        return;
+      default: {
+        const unexpected: never = message;
+        throw new TypeError(`unexpected message ${JSON.stringify(unexpected)}`);
+      }
+    }
+  }
+
+  #leaderMessage(from: string, message: LeaderMessage): void {
+    const context = this.#context;
+    if (message.term < context.term) {
+      this.#refuseEarlierLeader(from, message.sentAt);
+      return;
+    }
+    if (message.term > context.term) {
+      context.becomeFollower(message.term, from);
+    }
+    if (context.role === "leader") {
+      throw new Error(`${from} and ${context.self} lead term ${context.term}`);
+    }
+    context.hearLeader(from);
+    switch (message.kind) {
+      case "append":
+        this.#follower.append(from, message);
+        return;
+      case "heartbeat":
+        this.#follower.heartbeat(from, message);
+        return;
+      case "snapshotPart":
+        this.#snapshots.part(from, message);
+        return;
+      default: {
+        const unexpected: never = message;
+        throw new TypeError(`unexpected message ${JSON.stringify(unexpected)}`);
+      }
+    }
+  }
+
+  #refuseEarlierLeader(from: string, sentAt: number): void {
+    const { term } = this.#context;
+    this.#context.reply(from, { kind: "heartbeatReply", term, sentAt });
+  }
+
+  #leaderReply(from: string, message: LeaderReply): void {
+    const context = this.#context;
+    const { memberships, term, now } = context;
+    const progress = this.#leadership.progressOf(from);
+    if (message.term > term && isMember(memberships.current, from)) {
+      context.becomeFollower(message.term, null);
+      return;
+    }
+    if (message.term !== term || progress === undefined) {
+      return;
+    }
+    progress.answered(message.sentAt, now);
+    switch (message.kind) {
+      case "appendReply":
+        this.#leadership.appendReply(from, message);
+        return;
+      case "heartbeatReply":
+        return;
+      case "snapshotReply":
+        this.#leadership.snapshots.reply(progress, message);
+        return;
+      default: {
+        const unexpected: never = message;
+        throw new TypeError(`unexpected message ${JSON.stringify(unexpected)}`);
+      }
+    }
+  }
+
+  #persisted(sequence: number): void {
+    const context = this.#context;
+    for (const send of context.durability.finish(sequence)) {
+      context.emit(send);
+    }
+    this.#election.persisted(sequence);
+  }
+
+  /** Entries just behind the snapshot stay for followers a little behind. */
+  #snapshotTaken(snapshot: SnapshotMetadata): void {
+    const context = this.#context;
+    const previous = context.snapshot?.index ?? 0;
+    if (snapshot.index <= previous || snapshot.index > context.appliedIndex) {
+      return;
+    }
+    context.snapshot = snapshot;
+    const index = snapshot.index - context.settings.retainedEntries;
+    if (index > context.log.baseIndex) {
+      context.log.compact(index);
+      context.memberships.compact(index);
+    }
+  }
+
+  #isLeaderHeld(): boolean {
+    const { role, now, lastLeaderContact, settings } = this.#context;
+    if (role === "leader") {
+      return now < this.leaseUntil;
+    }
+    return now - lastLeaderContact < settings.electionTimeoutMinimumMs;
+  }
+
+  #reportStatus(): void {
+    const { role, term, leader } = this.#context;
+    const status = `${role} ${term} ${leader}`;
+    if (status !== this.#reported) {
+      this.#reported = status;
+      this.#context.emit({ kind: "status", role, term, leader });
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/replication/snapshot_receiver.ts
@@ -0,0 +1,122 @@
+/**
+ * Collects the parts of a snapshot and installs it.
+ *
+ * @module
+ */
+
+import type { Context } from "./context.ts";
+import type { Message, SnapshotMetadata } from "./types.ts";
+
+const BASE64_GROUP_CHARACTERS = 4;
+const BASE64_GROUP_BYTES = 3;
+
+type SnapshotPart = Extract<Message, { kind: "snapshotPart" }>;
+type Incoming = { snapshot: SnapshotMetadata; offset: number; parts: string[] };
+
+/** The receiving end of a snapshot. Parts are taken in order. */
+export class SnapshotReceiver {
+  #context: Context;
+  #incoming: Incoming | null = null;
+
+  constructor(context: Context) {
+    this.#context = context;
+  }
+
+  /** Takes a part, answers where to go on, and installs a whole snapshot. */
+  part(from: string, message: SnapshotPart): void {
+    const context = this.#context;
+    const { snapshot, sentAt } = message;
+    if (snapshot.index <= context.commitIndex) {
+      this.#incoming = null;
+      this.#acknowledge(from, sentAt);
+      return;
+    }
+    if (snapshot.bytes > context.settings.snapshotBytes) {
+      return;
+    }
+    const incoming = this.#incomingFor(snapshot);
+    const size = base64Size(message.data);
+    if (message.offset === incoming.offset) {
+      incoming.parts.push(message.data);
+      incoming.offset += size;
+      if (incoming.offset >= snapshot.bytes) {
+        this.#install(incoming);
+        this.#acknowledge(from, sentAt);
+        return;
+      }
+    }
+    context.reply(from, {
+      kind: "snapshotReply",
+      term: context.term,
+      index: snapshot.index,
+      offset: incoming.offset,
+      sentAt,
+    });
+  }
+
+  #incomingFor(snapshot: SnapshotMetadata): Incoming {
+    const present = this.#incoming;
+    const isSame = present !== null &&
+      present.snapshot.index === snapshot.index &&
+      present.snapshot.term === snapshot.term &&
+      present.snapshot.bytes === snapshot.bytes;
+    if (isSame) {
+      return present;
+    }
+    this.#incoming = { snapshot, offset: 0, parts: [] };
+    return this.#incoming;
+  }
+
+  #acknowledge(from: string, sentAt: number): void {
+    const { term, commitIndex, durability } = this.#context;
+    const reply: Message = {
+      kind: "appendReply",
+      term,
+      success: true,
+      previousIndex: commitIndex,
+      matchIndex: commitIndex,
+      sentAt,
+    };
+    if (commitIndex > durability.durableIndex) {
+      this.#context.sendAfterSync(from, reply);
+    } else {
+      this.#context.reply(from, reply);
+    }
+  }
+
+  #install({ snapshot, parts }: Incoming): void {
+    const context = this.#context;
+    const { log, memberships, durability } = context;
+    const { index, term, membership } = snapshot;
+    const keepEntries = log.termAt(index) === term;
+    this.#incoming = null;
+    if (keepEntries) {
+      log.compact(index);
+      memberships.compact(index);
+    } else {
+      log.reset(index, term);
+      memberships.reset(index, membership);
+      durability.truncateFrom(1);
+    }
+    context.snapshot = snapshot;
+    context.commitIndex = index;
+    context.appliedIndex = index;
+    const sequence = durability.begin(index, {
+      changesHardState: false,
+      installs: true,
+    });
+    context.emit({
+      kind: "installSnapshot",
+      sequence,
+      snapshot,
+      parts,
+      keepEntries,
+    });
+    context.emitMembership();
+  }
+}
+
+function base64Size(data: string): number {
+  const padding = data.endsWith("==") ? 2 : data.endsWith("=") ? 1 : 0;
+  return data.length / BASE64_GROUP_CHARACTERS * BASE64_GROUP_BYTES - padding;
+}
--- /dev/null
+++ b/packages/core/src/replication/snapshot_sender.ts
@@ -0,0 +1,98 @@
+/**
+ * Sends the parts of a snapshot to a replica whose next entry is compacted.
+ *
+ * @module
+ */
+
+import type { Context } from "./context.ts";
+import type { Progress, SnapshotTransfer } from "./progress.ts";
+import type { Input, Message, SnapshotMetadata } from "./types.ts";
+
+type SnapshotReply = Extract<Message, { kind: "snapshotReply" }>;
+type SnapshotPart = Extract<Input, { kind: "snapshotPart" }>;
+
+/** One part is on the way at a time; a silent one is read and sent again. */
+export class SnapshotSender {
+  #context: Context;
+
+  constructor(context: Context) {
+    this.#context = context;
+  }
+
+  /** Keeps the replica's trust and the transfer going. */
+  heartbeat(progress: Progress): void {
+    const { term, now, snapshot, settings } = this.#context;
+    this.#context.send(progress.id, { kind: "heartbeat", term, sentAt: now });
+    if (snapshot === null) {
+      return;
+    }
+    const transfer = this.#transferOf(progress);
+    const isCurrent = transfer?.index === snapshot.index;
+    if (transfer === null || !isCurrent) {
+      this.#restart(progress, snapshot);
+    } else if (now - transfer.requestedAt >= settings.snapshotRetryMs) {
+      transfer.requestedAt = now;
+      this.#read(progress, transfer);
+    }
+  }
+
+  /** Sends a part that the owner has read. */
+  part(progress: Progress, part: SnapshotPart): void {
+    const { snapshot, term, now } = this.#context;
+    const transfer = this.#transferOf(progress);
+    const wanted = snapshot !== null && transfer !== null &&
+      part.index === snapshot.index && part.index === transfer.index &&
+      part.offset === transfer.offset;
+    if (wanted) {
+      this.#context.send(progress.id, {
+        kind: "snapshotPart",
+        term,
+        snapshot,
+        offset: part.offset,
+        data: part.data,
+        sentAt: now,
+      });
+    }
+  }
+
+  /** Asks for the next part. */
+  reply(progress: Progress, message: SnapshotReply): void {
+    const { snapshot, now } = this.#context;
+    const transfer = this.#transferOf(progress);
+    const isCurrent = transfer?.index === message.index &&
+      snapshot?.index === message.index;
+    if (transfer === null || !isCurrent || snapshot === null) {
+      return;
+    }
+    const isNew = message.offset !== transfer.offset;
+    if (isNew && message.offset < snapshot.bytes) {
+      transfer.offset = message.offset;
+      transfer.requestedAt = now;
+      this.#read(progress, transfer);
+    }
+  }
+
+  #transferOf(progress: Progress): SnapshotTransfer | null {
+    return progress.feed.kind === "snapshot" ? progress.feed.transfer : null;
+  }
+
+  #restart(progress: Progress, snapshot: SnapshotMetadata): void {
+    const transfer = {
+      index: snapshot.index,
+      offset: 0,
+      requestedAt: this.#context.now,
+    };
+    progress.feed = { kind: "snapshot", transfer };
+    this.#read(progress, transfer);
+  }
+
+  #read(progress: Progress, transfer: SnapshotTransfer): void {
+    this.#context.emit({
+      kind: "readSnapshotPart",
+      to: progress.id,
+      index: transfer.index,
+      offset: transfer.offset,
+      length: this.#context.settings.snapshotPartBytes,
+    });
+  }
+}
