Add the replicated state machine and the view that entry hosts follow

Every voter has to reach the same state from the same log, and entry hosts need a part of it that never goes back.

Claims and deferred requests are state machines of their own: a late close or finish after the loss of a host is still recorded, because the work did run and nobody else was let in. Commands of the owner may name the claim or the assignment that they mean, so that a late resend cannot end a later one. An incarnation that was declared lost gets no new claims.

The schemas gain these optional fields, the result host-lost, the index of an assignment, and two refusals: answer-not-kept and cancelled.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -1,7 +1,8 @@
 /**
- * Pure decisions of Ebonypath.
+ * Pure decisions of Ebonypath: no input or output, no timers, no clock.
  *
  * @module
  */
 export * as limits from "./limits/mod.ts";
 export * as replication from "./replication/mod.ts";
+export * as state from "./state/mod.ts";
--- /dev/null
+++ b/packages/core/src/state/results.ts
@@ -0,0 +1,49 @@
+import * as protocol from "@ebonypath/protocol";
+import type * as types from "./types.ts";
+
+type CommandResult = protocol.state.CommandResult;
+type Answer = protocol.state.Answer;
+
+/** The change is made. */
+export function done(index: number): CommandResult {
+  return { kind: "done", index };
+}
+
+/** The command contradicts the state or itself. */
+export function invalid(reason: string): CommandResult {
+  return { kind: "invalid", reason };
+}
+
+/** What the command names does not exist, or belongs to another owner. */
+export function notFound(reason: string): CommandResult {
+  return { kind: "not-found", reason };
+}
+
+/** A bound is reached. */
+export function full(reason: string): CommandResult {
+  return { kind: "full", reason };
+}
+
+/** Wraps a result that changes no view. */
+export function quiet(result: CommandResult): types.Applied {
+  return { result, changes: [] };
+}
+
+/** Renders a refusal as an answer that can be stored and replayed. */
+export function refusal(
+  definition: protocol.errors.Definition,
+  detail: string,
+): Answer {
+  const refused = new protocol.errors.Refusal(definition, detail);
+  return {
+    status: definition.status,
+    contentType: "application/problem+json",
+    body: JSON.stringify(refused.toProblem()),
+    outcome: definition.outcome,
+  };
+}
+
+/** Whether two owners are the same process. */
+export function sameOwner(a: types.Owner, b: types.Owner): boolean {
+  return a.host === b.host && a.hostIncarnation === b.hostIncarnation;
+}
--- /dev/null
+++ b/packages/core/src/state/versions.ts
@@ -0,0 +1,97 @@
+import type * as protocol from "@ebonypath/protocol";
+import * as results from "./results.ts";
+import type * as types from "./types.ts";
+import * as validation from "./validation.ts";
+
+type Configuration = protocol.configuration.Configuration;
+type Command<Kind> = Extract<protocol.state.Command, { kind: Kind }>;
+
+/** A published configuration. */
+export interface Version {
+  /** Log index that published it; 0 for the empty one at the beginning. */
+  readonly version: number;
+  readonly operator: string;
+  readonly timeMs: number;
+  readonly configuration: Configuration;
+}
+
+const EMPTY: Version = {
+  version: 0,
+  operator: "",
+  timeMs: 0,
+  configuration: { workspaces: [], services: [] },
+};
+
+/** The configuration in force and the versions before it. */
+export class Versions {
+  readonly #limits: types.Limits;
+  /** Oldest first; the last one is in force. */
+  #versions: Version[];
+  #workspaces = new Map<string, protocol.configuration.Workspace>();
+
+  constructor(limits: types.Limits, saved: readonly Version[] = [EMPTY]) {
+    this.#limits = limits;
+    this.#versions = [...saved];
+    this.#indexWorkspaces();
+  }
+
+  current(): Version {
+    return this.#versions.at(-1) ?? EMPTY;
+  }
+
+  get(version: number): Version | undefined {
+    return this.#versions.find((known) => known.version === version);
+  }
+
+  /** The versions that a rollback can name, oldest first. */
+  list(): readonly Version[] {
+    return this.#versions;
+  }
+
+  workspace(name: string): protocol.configuration.Workspace | undefined {
+    return this.#workspaces.get(name);
+  }
+
+  publish(
+    command: Command<"publish">,
+    position: types.Position,
+  ): types.Applied {
+    const current = this.current();
+    if (command.base !== current.version) {
+      return results.quiet({
+        kind: "version-conflict",
+        version: current.version,
+        operator: current.operator,
+        timeMs: current.timeMs,
+      });
+    }
+    const [problem] = validation.validate(command.configuration);
+    if (problem !== undefined) {
+      const reason = `${problem.path}: ${problem.reason}`;
+      return results.quiet(results.invalid(reason));
+    }
+    return this.#put(command, position);
+  }
+
+  toSnapshot(): Version[] {
+    return [...this.#versions];
+  }
+
+  #put(command: Command<"publish">, position: types.Position): types.Applied {
+    const { configuration, operator } = command;
+    const version = position.index;
+    const timeMs = position.timeMs;
+    this.#versions.push({ version, operator, timeMs, configuration });
+    if (this.#versions.length > this.#limits.versions) this.#versions.shift();
+    this.#indexWorkspaces();
+    return {
+      result: results.done(version),
+      changes: [{ kind: "configuration", version, configuration }],
+    };
+  }
+
+  #indexWorkspaces(): void {
+    const { workspaces } = this.current().configuration;
+    this.#workspaces = new Map(workspaces.map((item) => [item.name, item]));
+  }
+}
--- /dev/null
+++ b/packages/core/test/state/state_test.ts
@@ -0,0 +1,227 @@
+import { expect } from "chai";
+import * as fc from "fast-check";
+import type * as protocol from "@ebonypath/protocol";
+import * as state from "../../src/state/mod.ts";
+import * as fixtures from "./fixtures.ts";
+
+type Command = protocol.state.Command;
+
+const SEED = 20_261_204;
+const HOSTS = [fixtures.OWNER, fixtures.OTHER];
+const DIGESTS = ["1", "2", "3"].map((digit) => digit.repeat(64));
+
+function command(): fc.Arbitrary<Command> {
+  const owner = fc.constantFrom(...HOSTS);
+  const digest = fc.constantFrom(...DIGESTS);
+  const number = fc.integer({ min: 0, max: 60 });
+  const change = fc.record({
+    operator: fc.constantFrom("ann", "bo"),
+    changeId: fc.constantFrom("c1", "c2", "c3", "c4", "c5", "c6"),
+  });
+  return fc.tuple(
+    fc.integer({ min: 0, max: 17 }),
+    owner,
+    digest,
+    number,
+    change,
+  )
+    .map(([choice, host, id, index, who]): Command => {
+      const workspace = "web";
+      const key = id;
+      const answer = fixtures.ANSWER;
+      const keyId = `k${index % 5}`;
+      const failureDomain = `d${index % 3}`;
+      const kinds: Command[] = [
+        {
+          kind: "publish",
+          ...who,
+          base: index,
+          configuration: fixtures.CONFIGURATION,
+        },
+        { kind: "grant-key", ...who, keyId, digest: id, workspace, label: "" },
+        { kind: "withdraw-key", ...who, keyId },
+        { kind: "withdraw-failure-domain", ...who, failureDomain },
+        { kind: "restore-failure-domain", ...who, failureDomain },
+        { kind: "release-quarantine", ...who, fingerprint: id },
+        {
+          kind: "quarantine",
+          fingerprint: id,
+          workspace,
+          model: "m",
+          durationMs: 50,
+        },
+        {
+          kind: "decide-replica",
+          server: `s${index % 4}`,
+          incarnation: "i",
+          failureDomain,
+          model: "advice/size",
+          version: "1",
+          bytes: 1,
+          kvBytes: 1,
+        },
+        { kind: "decide-unload", replica: index },
+        { kind: "forget-replica", replica: index, reason: "unloaded" },
+        {
+          kind: "open-claim",
+          workspace,
+          key,
+          request: id,
+          attempt: keyId,
+          ...host,
+        },
+        { kind: "close-claim", workspace, key, answer, ...host },
+        { kind: "release-claim", workspace, key, ...host },
+        {
+          ...fixtures.accept(keyId.replace("k", "a"), index % 2 === 0),
+          maxWaitMs: 40,
+        },
+        {
+          kind: "assign-deferred",
+          ids: [fixtures.accept("a1").id, fixtures.accept("a2").id],
+          ...host,
+        },
+        {
+          kind: "finish-deferred",
+          id: fixtures.accept(keyId.replace("k", "a")).id,
+          answer,
+          ...host,
+        },
+        { kind: "lose-host", host: host.host, hostIncarnation: keyId },
+        { kind: "advance-time" },
+      ];
+      return kinds[choice] ?? { kind: "advance-time" };
+    });
+}
+
+describe("replicated state", () => {
+  it(`is the same after snapshot and replay (seed ${SEED})`, () => {
+    const entry = fc.record({
+      timeMs: fc.integer({ min: 0, max: 400 }),
+      command: command(),
+    });
+    const log = fc.array(entry, { minLength: 1, maxLength: 120 });
+    fc.assert(
+      fc.property(log, fc.nat(), (entries, cutAt) => {
+        const first: protocol.state.StampedCommand = {
+          timeMs: 0,
+          command: {
+            kind: "publish",
+            operator: "ann",
+            changeId: "c0",
+            base: 0,
+            configuration: fixtures.CONFIGURATION,
+          },
+        };
+        const all = [first, ...entries];
+        const cut = cutAt % all.length;
+        const whole = new state.State();
+        let resumed = new state.State();
+        const view = new state.View();
+        all.forEach((stamped, i) => {
+          if (i === cut) {
+            resumed = state.State.fromSnapshot(resumed.toSnapshot());
+          }
+          const expected = whole.apply(i + 1, stamped);
+          expect(resumed.apply(i + 1, stamped)).to.deep.equal(expected);
+          view.apply(i + 1, expected.changes);
+        });
+        expect(resumed.toSnapshot()).to.equal(whole.toSnapshot());
+        expect(sorted(view.toFleetView())).to.deep.equal(sorted(whole.view()));
+        const trail = state.verifyAudit(whole.audit(0, 1_000));
+        expect(trail.kind).to.equal("valid");
+      }),
+      { seed: SEED, numRuns: 200 },
+    );
+  });
+
+  it("gives a resent change its first result", () => {
+    const log = new fixtures.Log();
+    const first = log.publish("c1");
+    log.publish("c2", 1);
+    expect(log.publish("c1")).to.deep.equal(first);
+    expect(log.state.audit(0, 10)).to.have.length(2);
+    const reused = log.apply({
+      kind: "withdraw-key",
+      operator: "ann",
+      changeId: "c1",
+      keyId: "k",
+    });
+    expect(reused.kind).to.equal("invalid");
+  });
+
+  it("tells the loser of a race who won", () => {
+    const log = new fixtures.Log();
+    log.publish("c1");
+    expect(log.publish("c2")).to.deep.equal({
+      kind: "version-conflict",
+      version: 1,
+      operator: "ann",
+      timeMs: 1_000,
+    });
+  });
+
+  it("keeps the newest versions for rollback", () => {
+    const log = new fixtures.Log({ versions: 2 });
+    for (let base = 0; base < 3; base++) log.publish(`c${base}`, base);
+    expect(log.state.versions().map(({ version }) => version))
+      .to.deep.equal([2, 3]);
+    expect(log.state.configuration(1)).to.equal(undefined);
+  });
+
+  it("refuses references to unknown workspaces", () => {
+    const [, staff] = fixtures.CONFIGURATION.workspaces;
+    const problems = state.validate({
+      ...fixtures.CONFIGURATION,
+      workspaces: staff === undefined ? [] : [staff, staff],
+    });
+    expect(problems.map(({ path }) => path)).to.deep.equal([
+      "workspaces.staff",
+      "services.advice.workspaces.web",
+      "services.orders.workspaces.web",
+    ]);
+  });
+
+  it("does not let time go back", () => {
+    const log = new fixtures.Log();
+    log.wait(1_000);
+    log.wait(-1_500);
+    expect(log.state.timeMs).to.equal(2_000);
+  });
+
+  it("detects each kind of tampering with the audit trail", () => {
+    const log = new fixtures.Log();
+    for (let base = 0; base < 4; base++) log.publish(`c${base}`, base);
+    const trail = log.state.audit(0, 10);
+    const altered = trail.with(1, { ...at(trail, 1), operator: "eve" });
+    const cases = [
+      altered,
+      trail.toSpliced(1, 1),
+      [at(trail, 1), at(trail, 0), at(trail, 2)],
+    ];
+    expect(state.verifyAudit(trail).kind).to.equal("valid");
+    for (const entries of cases) {
+      expect(state.verifyAudit(entries).kind).to.equal("broken");
+    }
+    const beheaded = trail.slice(1);
+    expect(state.verifyAudit(beheaded, state.FIRST_DIGEST).kind)
+      .to.equal("broken");
+  });
+});
+
+function at<Item>(items: readonly Item[], index: number): Item {
+  const item = items[index];
+  if (item === undefined) throw new Error(`no item ${index}`);
+  return item;
+}
+
+function sorted(view: protocol.state.FleetView): unknown {
+  const text = (item: unknown) => JSON.stringify(item);
+  return {
+    version: view.version,
+    configuration: view.configuration,
+    keys: view.keys.map(text).sort(),
+    domains: view.withdrawnFailureDomains.toSorted(),
+    quarantines: view.quarantines.map(text).sort(),
+  };
+}
--- /dev/null
+++ b/packages/core/test/state/view_test.ts
@@ -0,0 +1,73 @@
+import { expect } from "chai";
+import * as state from "../../src/state/mod.ts";
+import * as fixtures from "./fixtures.ts";
+
+describe("view of an entry host", () => {
+  function followed(): { log: fixtures.Log; view: state.View } {
+    const log = new fixtures.Log();
+    log.publish();
+    log.apply({
+      kind: "grant-key",
+      operator: "ann",
+      changeId: "c1",
+      keyId: "k1",
+      digest: fixtures.KEY,
+      workspace: "web",
+      label: "",
+    });
+    const view = new state.View();
+    view.reset(log.state.view());
+    return { log, view };
+  }
+
+  it("finds keys by digest until they are withdrawn", () => {
+    const { log, view } = followed();
+    expect(view.key(fixtures.KEY)?.workspace).to.equal("web");
+    const { changes } = log.applied({
+      kind: "withdraw-key",
+      operator: "ann",
+      changeId: "c2",
+      keyId: "k1",
+    });
+    view.apply(3, changes);
+    expect(view.key(fixtures.KEY)).to.equal(undefined);
+  });
+
+  it("never goes back", () => {
+    const { log, view } = followed();
+    const old = log.state.view();
+    const { changes } = log.applied({
+      kind: "withdraw-key",
+      operator: "ann",
+      changeId: "c2",
+      keyId: "k1",
+    });
+    expect(view.apply(3, changes)).to.equal(true);
+    expect(view.reset(old)).to.equal(false);
+    expect(view.apply(2, [])).to.equal(false);
+    expect(view.key(fixtures.KEY)).to.equal(undefined);
+  });
+
+  it("resolves models, adapters, routes and tiers", () => {
+    const { catalogue } = followed().view;
+    expect(catalogue.model("advice/size:retail")?.base)
+      .to.equal("advice/size");
+    expect(catalogue.model("advice/size:none")).to.equal(undefined);
+    expect(catalogue.modelsOf("staff")).to.deep.equal([]);
+    expect(catalogue.route("orders", "GET", "/items/7")?.route.idempotent)
+      .to.equal(true);
+    expect(catalogue.route("orders", "PUT", "/items")).to.equal(undefined);
+    expect(catalogue.tier("orders")?.name).to.equal("now");
+    expect(catalogue.tier("orders", "none")).to.equal(undefined);
+  });
+
+  it("resumes followers from the log of changes", () => {
+    const log = new state.ViewLog(5, 2);
+    for (const index of [6, 7, 8]) {
+      log.add(index, [{ kind: "quarantine-ended", fingerprint: "f" }]);
+    }
+    expect(log.since(5)).to.equal(undefined);
+    expect(log.since(6)?.map(({ index }) => index)).to.deep.equal([7, 8]);
+    expect(log.since(8)).to.deep.equal([]);
+  });
+});
--- a/packages/protocol/src/errors/catalogue.ts
+++ b/packages/protocol/src/errors/catalogue.ts
@@ -77,6 +77,24 @@
   hint: "Send the same request again later to get its answer.",
 } as const satisfies types.Definition;
 
+/** The request ran, but its answer is too large to be kept for a replay. */
+export const ANSWER_NOT_KEPT = {
+  name: "answer-not-kept",
+  title: "The request ran, but its answer was not kept",
+  status: 409,
+  outcome: "ran",
+  hint: "Check the effect by other means; do not send the request again.",
+} as const satisfies types.Definition;
+
+/** The caller cancelled the request. */
+export const CANCELLED = {
+  name: "cancelled",
+  title: "The request was cancelled",
+  status: 409,
+  outcome: "not-run",
+  hint: "Send a new request if it is wanted after all.",
+} as const satisfies types.Definition;
+
 /** Another change was accepted on the same base version. */
 export const VERSION_CONFLICT = {
   name: "version-conflict",
--- a/packages/protocol/src/state/command.ts
+++ b/packages/protocol/src/state/command.ts
@@ -117,12 +117,16 @@
     request: Digest,
     host: backend.Name,
     hostIncarnation: backend.Name,
+    /** Made by the host for each try: a resend of one proposal succeeds again. */
+    attempt: v.optional(Text),
   }),
   /** Records the answer of a claimed request. */
   v.object({
     kind: v.literal("close-claim"),
     workspace: backend.Name,
     key: Digest,
+    /** Index that `claimed` returned; keeps late resends off later claims. */
+    claim: v.optional(Index),
     host: backend.Name,
     hostIncarnation: backend.Name,
     answer: Answer,
@@ -132,6 +136,8 @@
     kind: v.literal("release-claim"),
     workspace: backend.Name,
     key: Digest,
+    /** Index that `claimed` returned; keeps late resends off later claims. */
+    claim: v.optional(Index),
     host: backend.Name,
     hostIncarnation: backend.Name,
   }),
@@ -162,12 +168,16 @@
   v.object({
     kind: v.literal("return-deferred"),
     id: Digest,
+    /** Index that `assigned` returned; keeps late resends off later ones. */
+    assignment: v.optional(Index),
     host: backend.Name,
     hostIncarnation: backend.Name,
   }),
   v.object({
     kind: v.literal("finish-deferred"),
     id: Digest,
+    /** Index that `assigned` returned; keeps late resends off later ones. */
+    assignment: v.optional(Index),
     host: backend.Name,
     hostIncarnation: backend.Name,
     answer: Answer,
--- a/packages/protocol/src/state/result.ts
+++ b/packages/protocol/src/state/result.ts
@@ -35,6 +35,13 @@
     deadlineMs: v.number(),
   }),
   /** The ids that were handed out; others had ended. */
-  v.object({ kind: v.literal("assigned"), ids: v.array(v.string()) }),
+  v.object({
+    kind: v.literal("assigned"),
+    ids: v.array(v.string()),
+    /** The assignment: the log index of the command. */
+    index: Index,
+  }),
+  /** The host incarnation was declared lost: it has to take a new one. */
+  v.object({ kind: v.literal("host-lost") }),
 ]);
 export type CommandResult = v.InferOutput<typeof CommandResult>;
