--- /dev/null
+++ b/packages/protocol/src/configuration/difference.ts
@@ -0,0 +1,130 @@
+import * as errors from "../errors/mod.ts";
+import type * as types from "./types.ts";
+
+/** A value of a configuration field, as it is shown to operators. */
+export type Value = string | number | boolean;
+
+type Fields = Readonly<Record<string, Value>>;
+
+/** What one version of the configuration has and another has not. */
+export type Difference =
+  | {
+    readonly kind: "added";
+    /** For instance `workspace web` or `model advice/fitting`. */
+    readonly subject: string;
+    readonly fields: Fields;
+  }
+  | { readonly kind: "removed"; readonly subject: string }
+  | {
+    readonly kind: "changed";
+    readonly subject: string;
+    readonly field: string;
+    readonly before: Value;
+    readonly after: Value;
+  };
+
+/**
+ * Lists what has to change for `before` to become `after`.
+ *
+ * @example
+ * ```ts
+ * for (const difference of diffConfiguration(inForce, wanted)) {
+ *   console.log(renderDifference(difference));
+ * }
+ * ```
+ */
+export function diffConfiguration(
+  before: types.Configuration,
+  after: types.Configuration,
+): Difference[] {
+  const old = flatten(before);
+  const wanted = flatten(after);
+  const differences: Difference[] = [];
+  for (const [subject, fields] of wanted) {
+    const oldFields = old.get(subject);
+    if (oldFields === undefined) {
+      differences.push({ kind: "added", subject, fields });
+    } else {
+      differences.push(...diffFields(subject, oldFields, fields));
+    }
+  }
+  for (const subject of old.keys()) {
+    if (!wanted.has(subject)) differences.push({ kind: "removed", subject });
+  }
+  return differences;
+}
+
+/**
+ * Renders a difference as one line that starts with `+`, `-` or `~`.
+ *
+ * @example
+ * ```ts
+ * renderDifference({ kind: "removed", subject: "tier advice/later" }); // "- tier advice/later"
+ * ```
+ */
+export function renderDifference(difference: Difference): string {
+  switch (difference.kind) {
+    case "added": {
+      const fields = Object.entries(difference.fields)
+        .map(([field, value]) => ` ${field}=${value}`);
+      return `+ ${difference.subject}${fields.join("")}`;
+    }
+    case "removed":
+      return `- ${difference.subject}`;
+    case "changed": {
+      const { subject, field, before, after } = difference;
+      return `~ ${subject} ${field}: ${before} -> ${after}`;
+    }
+    default:
+      return errors.assertNever(difference);
+  }
+}
+
+function diffFields(
+  subject: string,
+  old: Fields,
+  wanted: Fields,
+): Difference[] {
+  const differences: Difference[] = [];
+  for (const [field, after] of Object.entries(wanted)) {
+    const before = old[field];
+    if (before === undefined || before === after) continue;
+    differences.push({ kind: "changed", subject, field, before, after });
+  }
+  return differences;
+}
+
+function flatten(configuration: types.Configuration): Map<string, Fields> {
+  const subjects = new Map<string, Fields>();
+  for (const { name, ...fields } of configuration.workspaces) {
+    subjects.set(`workspace ${name}`, fields);
+  }
+  for (const service of configuration.services) {
+    flattenService(service, subjects);
+  }
+  return subjects;
+}
+
+function flattenService(
+  service: types.Service,
+  subjects: Map<string, Fields>,
+): void {
+  subjects.set(`service ${service.name}`, {
+    kind: service.kind,
+    workspaces: [...service.workspaces].sort().join(","),
+    tiers: service.tiers.map(({ name }) => name).join(","),
+  });
+  for (const { name, adapters, ...fields } of service.models) {
+    const model = `${service.name}/${name}`;
+    subjects.set(`model ${model}`, fields);
+    for (const { name, ...fields } of adapters) {
+      subjects.set(`adapter ${model}:${name}`, fields);
+    }
+  }
+  for (const { method, path, ...fields } of service.routes) {
+    subjects.set(`route ${service.name} ${method} ${path}`, fields);
+  }
+  for (const { name, ...fields } of service.tiers) {
+    subjects.set(`tier ${service.name}/${name}`, fields);
+  }
+}
--- a/packages/protocol/src/configuration/mod.ts
+++ b/packages/protocol/src/configuration/mod.ts
@@ -3,4 +3,6 @@
  *
  * @module
  */
+export * from "./check.ts";
+export * from "./difference.ts";
 export * from "./types.ts";
--- a/packages/protocol/src/toml/decode.ts
+++ b/packages/protocol/src/toml/decode.ts
@@ -138,6 +138,10 @@
   if (issue.received === "undefined") {
     return { file, path, reason: "is missing", hint: missingHint(issue) };
   }
+  if (issue.type === "regex") {
+    const reason = `is ${issue.received}, which has the wrong form`;
+    return { file, path, reason, hint: `it must match ${issue.expected}` };
+  }
   const [reason, hint] = splitMessage(issue);
   return { file, path, reason, hint };
 }
