Add a fake backend server, a fault proxy and a launcher

Tests, the quickstart and the benchmark need backend servers that misbehave on request, links that fail on request and real processes under control.

--- /dev/null
+++ b/packages/testing/src/launcher/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Real processes under the control of a test.
+ *
+ * @module
+ */
+export * from "./process.ts";
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -1,2 +1,11 @@
-/** Placeholder. */
-export {};
+/**
+ * Fakes, fault injection and process control for tests and benchmarks.
+ *
+ * @module
+ */
+export * as clock from "./clock.ts";
+export * as fakeBackend from "./fake_backend/mod.ts";
+export * as faultProxy from "./fault_proxy/mod.ts";
+export * as freePort from "./free_port.ts";
+export * as launcher from "./launcher/mod.ts";
+export * as wait from "./wait.ts";
