--- /dev/null
+++ b/packages/daemon/src/operators/handler.ts
@@ -0,0 +1,198 @@
+import * as http from "node:http";
+import * as protocol from "@ebonypath/protocol";
+import type * as log from "../log/mod.ts";
+import * as security from "../security/mod.ts";
+import * as authorization from "./authorization.ts";
+import * as body from "./body.ts";
+import type * as access from "./control_access.ts";
+import * as outcome from "./outcome.ts";
+import * as routes from "./routes.ts";
+
+const { errors } = protocol;
+
+const REQUEST_ID_BYTES = 8;
+
+/** What the operators' interface works on. */
+export interface OperatorsOptions {
+  readonly operators: readonly authorization.Operator[];
+  readonly control: access.ControlAccess;
+  readonly limits: body.BodyLimits;
+  /** Whether the process is sound; false makes the platform replace it. */
+  readonly isAlive: () => boolean;
+  /** Renders the metrics in the text format of Prometheus. */
+  readonly renderMetrics: () => Promise<string>;
+  readonly log: log.Log;
+}
+
+/** Handles one request; never rejects. */
+export type Handler = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => Promise<void>;
+
+/**
+ * Creates the handler of the operators' listener.
+ *
+ * @example
+ * ```ts
+ * const server = http.createServer(createOperatorsHandler(options));
+ * ```
+ */
+export function createOperatorsHandler(options: OperatorsOptions): Handler {
+  return async (request, response) => {
+    const requestId = security.randomId(REQUEST_ID_BYTES);
+    response.setHeader("ebonypath-request-id", requestId);
+    try {
+      await handle(options, request, response);
+    } catch (error) {
+      const refusal = outcome.toRefusal(error);
+      logRefusal(options.log, request, refusal, requestId);
+      sendRefusal(request, response, refusal, requestId);
+    }
+  };
+}
+
+async function handle(
+  options: OperatorsOptions,
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Promise<void> {
+  const url = parseUrl(request.url ?? "/");
+  if (url.pathname === "/livez") {
+    const alive = options.isAlive();
+    send(
+      response,
+      alive ? 200 : 503,
+      "text/plain",
+      alive ? "ok\n" : "failed\n",
+    );
+    return;
+  }
+  if (url.pathname === "/metrics") {
+    const metrics = await options.renderMetrics();
+    send(response, 200, "text/plain; version=0.0.4; charset=utf-8", metrics);
+    return;
+  }
+  const { operators, control, limits } = options;
+  const header = request.headers.authorization;
+  const operator = authorization.authenticate(operators, header);
+  const { route, parameters } = findRoute(request, response, url.pathname);
+  authorization.requireRight(operator, route.right);
+  const query = url.searchParams;
+  const call = { request, operator, control, limits, parameters, query };
+  const answer = await route.run(call);
+  if (route.method !== "GET") {
+    const { method, path } = route;
+    options.log("change", { operator: operator.name, method, path });
+  }
+  send(response, 200, "application/json", `${JSON.stringify(answer)}\n`);
+}
+
+function parseUrl(target: string): URL {
+  try {
+    return new URL(target, "http://operators");
+  } catch {
+    throw body.invalid("the request target is malformed");
+  }
+}
+
+interface Match {
+  readonly route: routes.Route;
+  readonly parameters: readonly string[];
+}
+
+function findRoute(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  path: string,
+): Match {
+  const matches = routes.ROUTES.flatMap((route) => {
+    const parameters = matchPath(route.path, path);
+    return parameters === undefined ? [] : [{ route, parameters }];
+  });
+  const match = matches.find(({ route }) => route.method === request.method);
+  if (match !== undefined) return match;
+  if (matches.length === 0) {
+    throw new errors.Refusal(errors.NO_SUCH_ITEM, `there is no ${path}`);
+  }
+  const allowed = matches.map(({ route }) => route.method).join(", ");
+  response.setHeader("allow", allowed);
+  throw new errors.Refusal(errors.METHOD_REFUSED, `${path} allows ${allowed}`);
+}
+
+function matchPath(pattern: string, path: string): string[] | undefined {
+  const wanted = pattern.split("/");
+  const segments = path.split("/");
+  if (wanted.length !== segments.length) return undefined;
+  const parameters: string[] = [];
+  for (const [index, segment] of segments.entries()) {
+    if (wanted[index]?.startsWith(":")) parameters.push(decode(segment));
+    else if (wanted[index] !== segment) return undefined;
+  }
+  return parameters;
+}
+
+function decode(segment: string): string {
+  try {
+    return decodeURIComponent(segment);
+  } catch {
+    throw body.invalid("the path is not encoded correctly");
+  }
+}
+
+function logRefusal(
+  log: log.Log,
+  request: http.IncomingMessage,
+  refusal: protocol.errors.Refusal,
+  requestId: string,
+): void {
+  const cause = refusal.cause;
+  log("refusal", {
+    requestId,
+    method: request.method,
+    path: request.url?.split("?")[0],
+    reason: refusal.definition.name,
+    outcome: refusal.outcome,
+    detail: refusal.message,
+    step: refusal.step,
+    peer: refusal.peer,
+    cause: cause instanceof Error ? cause : undefined,
+  });
+}
+
+function sendRefusal(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  refusal: protocol.errors.Refusal,
+  requestId: string,
+): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  const { status } = refusal.definition;
+  if (status === 401) response.setHeader("www-authenticate", "Bearer");
+  // A body that was not read to its end makes the connection unusable.
+  if (!request.complete) response.setHeader("connection", "close");
+  response.setHeader("ebonypath-outcome", refusal.outcome);
+  const problem = {
+    ...refusal.toProblem(requestId),
+    ...(refusal instanceof outcome.VersionConflict
+      ? { winner: refusal.winner }
+      : {}),
+  };
+  const text = `${JSON.stringify(problem)}\n`;
+  send(response, status, "application/problem+json", text);
+}
+
+function send(
+  response: http.ServerResponse,
+  status: number,
+  contentType: string,
+  text: string,
+): void {
+  response.statusCode = status;
+  response.setHeader("content-type", contentType);
+  response.setHeader("cache-control", "no-store");
+  response.end(text);
+}
--- /dev/null
+++ b/packages/daemon/src/operators/outcome.ts
@@ -0,0 +1,76 @@
+import * as protocol from "@ebonypath/protocol";
+import * as fleet from "../fleet/mod.ts";
+
+const { errors } = protocol;
+
+/** A publishing that lost against another one. */
+export class VersionConflict extends errors.Refusal {
+  readonly winner: NonNullable<protocol.operators.Problem["winner"]>;
+
+  constructor(winner: VersionConflict["winner"]) {
+    const time = new Date(winner.timeMs).toISOString();
+    const author = winner.operator === "" ? "nobody" : winner.operator;
+    super(
+      errors.VERSION_CONFLICT,
+      `version ${winner.version} by ${author} at ${time} is in force`,
+    );
+    this.winner = winner;
+  }
+}
+
+/**
+ * Gives the log index of an accepted change.
+ *
+ * @throws {protocol.errors.Refusal} when the change was not made.
+ * @example
+ * ```ts
+ * const index = indexOf(await control.propose(command));
+ * ```
+ */
+export function indexOf(
+  result:
+    | protocol.state.CommandResult
+    | protocol.operators.MemberChangeResult,
+): number {
+  switch (result.kind) {
+    case "done":
+      return result.index;
+    case "version-conflict": {
+      const { version, operator, timeMs } = result;
+      throw new VersionConflict({ version, operator, timeMs });
+    }
+    case "invalid":
+      throw new errors.Refusal(errors.INVALID_REQUEST, result.reason);
+    case "not-found":
+      throw new errors.Refusal(errors.NO_SUCH_ITEM, result.reason);
+    case "full":
+      throw new errors.Refusal(errors.STATE_FULL, result.reason);
+    case "refused":
+      throw new errors.Refusal(errors.MEMBER_CHANGE_REFUSED, result.reason);
+    default:
+      throw new TypeError(`a change was answered with ${result.kind}`);
+  }
+}
+
+/**
+ * Turns any error of a call into a refusal that says truly whether the change
+ * may have been made.
+ *
+ * @example
+ * ```ts
+ * respondRefusal(response, toRefusal(error));
+ * ```
+ */
+export function toRefusal(error: unknown): protocol.errors.Refusal {
+  if (error instanceof errors.Refusal) return error;
+  if (error instanceof errors.StepError) {
+    const { step, peer } = error;
+    const notSent = error instanceof fleet.Unreachable ||
+      error instanceof fleet.NotLeader;
+    const definition = notSent ? errors.NO_LEADER : errors.CHANGE_UNKNOWN;
+    const options = { step, peer, cause: error };
+    return new errors.Refusal(definition, error.message, options);
+  }
+  const options = { cause: error };
+  return new errors.Refusal(errors.INTERNAL, "unexpected fault", options);
+}
--- /dev/null
+++ b/packages/daemon/src/operators/routes.ts
@@ -0,0 +1,238 @@
+import type * as http from "node:http";
+import * as protocol from "@ebonypath/protocol";
+import * as v from "valibot";
+import type * as authorization from "./authorization.ts";
+import * as body from "./body.ts";
+import type * as access from "./control_access.ts";
+import * as outcome from "./outcome.ts";
+
+const { operators: api } = protocol;
+
+/** Most entries on one page of the audit trail. */
+export const AUDIT_PAGE_ENTRIES = 500;
+
+/** One authenticated call. */
+export interface Call {
+  readonly request: http.IncomingMessage;
+  readonly operator: authorization.Operator;
+  readonly control: access.ControlAccess;
+  readonly limits: body.BodyLimits;
+  /** Decoded segments that the route names with `:`. */
+  readonly parameters: readonly string[];
+  readonly query: URLSearchParams;
+}
+
+/** One entry of the interface. */
+export interface Route {
+  readonly method: "GET" | "POST" | "DELETE";
+  /** Path segments; those that start with `:` take any value. */
+  readonly path: string;
+  readonly right: protocol.settings.Right;
+  readonly run: (call: Call) => Promise<unknown>;
+}
+
+/** The whole operators' interface. */
+export const ROUTES: readonly Route[] = [
+  read("/v1/configuration", ({ control }) => readConfiguration(control)),
+  read("/v1/configuration/:version", readVersion),
+  change("POST", "/v1/configuration", "publish", publish),
+  read("/v1/keys", listKeys),
+  change("POST", "/v1/keys", "operate", grantKey),
+  change("DELETE", "/v1/keys/:id", "operate", withdrawKey),
+  read("/v1/failure-domains", listFailureDomains),
+  change(
+    "POST",
+    "/v1/failure-domains/:name/withdraw",
+    "operate",
+    (call) => moveFailureDomain(call, "withdraw-failure-domain"),
+  ),
+  change(
+    "POST",
+    "/v1/failure-domains/:name/restore",
+    "operate",
+    (call) => moveFailureDomain(call, "restore-failure-domain"),
+  ),
+  read("/v1/members", ({ control }) => control.members()),
+  change("POST", "/v1/members/add", "operate", addMember),
+  change("POST", "/v1/members/remove", "operate", removeMember),
+  change("POST", "/v1/members/replace", "operate", replaceMember),
+  read("/v1/status", ({ control }) => control.status()),
+  read("/v1/hosts", async ({ control }) => ({ hosts: await control.hosts() })),
+  read("/v1/audit", readAudit),
+  read("/v1/quarantine", listQuarantines),
+  change("DELETE", "/v1/quarantine/:fingerprint", "operate", release),
+];
+
+function read(path: string, run: Route["run"]): Route {
+  return { method: "GET", path, right: "read", run };
+}
+
+function change(
+  method: "POST" | "DELETE",
+  path: string,
+  right: protocol.settings.Right,
+  run: Route["run"],
+): Route {
+  return { method, path, right, run };
+}
+
+async function readConfiguration(
+  control: access.ControlAccess,
+  version?: number,
+): Promise<protocol.operators.PublishedVersion> {
+  const published = await control.configuration(version);
+  if (published !== undefined) return published;
+  throw new protocol.errors.Refusal(
+    protocol.errors.NO_SUCH_ITEM,
+    `version ${version ?? "in force"} is not kept`,
+  );
+}
+
+function readVersion(call: Call): Promise<unknown> {
+  const version = Number(parameter(call, 0));
+  if (!Number.isSafeInteger(version) || version < 0) {
+    throw body.invalid("the version is not a whole number");
+  }
+  return readConfiguration(call.control, version);
+}
+
+async function publish(call: Call): Promise<protocol.operators.Changed> {
+  const wanted = await body.readJson(call.request, api.Publish, call.limits);
+  const flaws = protocol.configuration.checkConfiguration(wanted.configuration);
+  if (flaws.length > 0) {
+    const told = flaws.map(({ service, path, reason }) =>
+      `${service === undefined ? "" : `${service}: `}${path} ${reason}`
+    );
+    throw body.invalid(told.join("; "));
+  }
+  return propose(call, { kind: "publish", ...author(call), ...wanted });
+}
+
+async function listKeys(call: Call): Promise<protocol.operators.Keys> {
+  const { keys } = await call.control.view();
+  return {
+    keys: keys.map(({ id, workspace, label, grantedMs }) => ({
+      id,
+      workspace,
+      label,
+      grantedMs,
+    })),
+  };
+}
+
+async function grantKey(call: Call): Promise<protocol.operators.Changed> {
+  const wanted = await body.readJson(call.request, api.GrantKey, call.limits);
+  return propose(call, { kind: "grant-key", ...author(call), ...wanted });
+}
+
+function withdrawKey(call: Call): Promise<protocol.operators.Changed> {
+  const keyId = nameParameter(call, 0);
+  const changeId = changeIdOf(call);
+  return propose(call, {
+    kind: "withdraw-key",
+    ...author(call),
+    changeId,
+    keyId,
+  });
+}
+
+async function listFailureDomains(
+  call: Call,
+): Promise<protocol.operators.FailureDomains> {
+  const { withdrawnFailureDomains } = await call.control.view();
+  return { withdrawn: withdrawnFailureDomains };
+}
+
+async function moveFailureDomain(
+  call: Call,
+  kind: "withdraw-failure-domain" | "restore-failure-domain",
+): Promise<protocol.operators.Changed> {
+  const failureDomain = nameParameter(call, 0);
+  const { changeId } = await body.readJson(
+    call.request,
+    api.Change,
+    call.limits,
+  );
+  return propose(call, { kind, ...author(call), changeId, failureDomain });
+}
+
+async function addMember(call: Call): Promise<protocol.operators.Changed> {
+  const wanted = await body.readJson(call.request, api.AddMember, call.limits);
+  return changeMembers(call, { kind: "add", ...author(call), ...wanted });
+}
+
+async function removeMember(call: Call): Promise<protocol.operators.Changed> {
+  const { request, limits } = call;
+  const wanted = await body.readJson(request, api.RemoveMember, limits);
+  return changeMembers(call, { kind: "remove", ...author(call), ...wanted });
+}
+
+async function replaceMember(call: Call): Promise<protocol.operators.Changed> {
+  const { request, limits } = call;
+  const wanted = await body.readJson(request, api.ReplaceMember, limits);
+  return changeMembers(call, { kind: "replace", ...author(call), ...wanted });
+}
+
+async function readAudit(call: Call): Promise<protocol.operators.AuditPage> {
+  const after = Number(call.query.get("after") ?? 0);
+  if (!Number.isSafeInteger(after) || after < 0) {
+    throw body.invalid("after is not a whole number");
+  }
+  const entries = await call.control.auditPage(after, AUDIT_PAGE_ENTRIES + 1);
+  const page = entries.slice(0, AUDIT_PAGE_ENTRIES);
+  return { entries: page, more: entries.length > page.length };
+}
+
+async function listQuarantines(
+  call: Call,
+): Promise<protocol.operators.Quarantines> {
+  const { quarantines } = await call.control.view();
+  return { quarantines };
+}
+
+function release(call: Call): Promise<protocol.operators.Changed> {
+  const fingerprint = parameter(call, 0);
+  if (!/^[0-9a-f]{16,128}$/.test(fingerprint)) {
+    throw body.invalid("the fingerprint is not in hexadecimal");
+  }
+  const changeId = changeIdOf(call);
+  const kind = "release-quarantine";
+  return propose(call, { kind, ...author(call), changeId, fingerprint });
+}
+
+function author(call: Call): { operator: string } {
+  return { operator: call.operator.name };
+}
+
+async function propose(
+  call: Call,
+  command: access.OperatorCommand,
+): Promise<protocol.operators.Changed> {
+  const result = await call.control.propose(command);
+  return { index: outcome.indexOf(result) };
+}
+
+async function changeMembers(
+  call: Call,
+  change: access.MemberChange,
+): Promise<protocol.operators.Changed> {
+  const result = await call.control.changeMembers(change);
+  return { index: outcome.indexOf(result) };
+}
+
+function parameter(call: Call, position: number): string {
+  return call.parameters[position] ?? "";
+}
+
+function nameParameter(call: Call, position: number): string {
+  const name = parameter(call, position);
+  if (v.is(protocol.backend.Name, name)) return name;
+  throw body.invalid("the name in the path has characters that names lack");
+}
+
+/** Calls without a body carry their change id as a query parameter. */
+function changeIdOf(call: Call): string {
+  const changeId = call.query.get("change_id") ?? "";
+  if (v.is(api.ChangeId, changeId)) return changeId;
+  throw body.invalid("the query parameter change_id is missing or malformed");
+}
--- a/packages/protocol/src/errors/mod.ts
+++ b/packages/protocol/src/errors/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./catalogue.ts";
+export * from "./operator_catalogue.ts";
 export * from "./refusal.ts";
 export * from "./step_error.ts";
 export * from "./types.ts";
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -8,6 +8,7 @@
 export * as control from "./control/mod.ts";
 export * as errors from "./errors/mod.ts";
 export * as limits from "./limits/mod.ts";
+export * as operators from "./operators/mod.ts";
 export * as replication from "./replication/mod.ts";
 export * as serviceFile from "./service_file/mod.ts";
 export * as settings from "./settings/mod.ts";
--- /dev/null
+++ b/packages/protocol/src/operators/request.ts
@@ -0,0 +1,80 @@
+import * as v from "valibot";
+import * as backend from "../backend/mod.ts";
+import * as configuration from "../configuration/mod.ts";
+
+/** Longest change id, in characters. */
+const CHANGE_ID_LENGTH = 128;
+const ADDRESS_LENGTH = 512;
+const LABEL_LENGTH = 256;
+
+/** Recognises a resend: the same id gets the result of the first try. */
+export const ChangeId = v.pipe(
+  v.string(),
+  v.regex(/^[A-Za-z0-9._-]+$/),
+  v.maxLength(CHANGE_ID_LENGTH),
+);
+
+/** Identity of a member of the replicated state. */
+export const MemberId = v.pipe(
+  v.string(),
+  v.regex(/^[\x21-\x7e]+$/),
+  v.maxLength(CHANGE_ID_LENGTH),
+);
+
+const Address = v.pipe(
+  v.string(),
+  v.regex(/^[0-9A-Fa-f.:[\]]+:\d{1,5}$/),
+  v.maxLength(ADDRESS_LENGTH),
+);
+
+/** Body of `POST /v1/configuration`. */
+export const Publish = v.strictObject({
+  /** Version that the change was made on. */
+  base: v.pipe(v.number(), v.safeInteger(), v.minValue(0)),
+  changeId: ChangeId,
+  configuration: configuration.Configuration,
+});
+export type Publish = v.InferOutput<typeof Publish>;
+
+/**
+ * Body of `POST /v1/keys`. The key is made by the operator's program and only
+ * its digest is sent, so that a resend carries the same key.
+ */
+export const GrantKey = v.strictObject({
+  changeId: ChangeId,
+  keyId: backend.Name,
+  /** SHA-256 of the key, in hexadecimal. */
+  digest: v.pipe(v.string(), v.regex(/^[0-9a-f]{64}$/)),
+  workspace: backend.Name,
+  label: v.optional(v.pipe(v.string(), v.maxLength(LABEL_LENGTH)), ""),
+});
+export type GrantKey = v.InferOutput<typeof GrantKey>;
+
+/** Body of changes that need nothing but their address. */
+export const Change = v.strictObject({ changeId: ChangeId });
+export type Change = v.InferOutput<typeof Change>;
+
+/** Body of `POST /v1/members/add`. */
+export const AddMember = v.strictObject({
+  changeId: ChangeId,
+  /** Fleet address of the new control host. */
+  address: Address,
+});
+export type AddMember = v.InferOutput<typeof AddMember>;
+
+/** Body of `POST /v1/members/remove`. */
+export const RemoveMember = v.strictObject({
+  changeId: ChangeId,
+  id: MemberId,
+});
+export type RemoveMember = v.InferOutput<typeof RemoveMember>;
+
+/** Body of `POST /v1/members/replace`. */
+export const ReplaceMember = v.strictObject({
+  changeId: ChangeId,
+  /** The member that leaves once the new one has caught up. */
+  id: MemberId,
+  /** Fleet address of the new control host. */
+  address: Address,
+});
+export type ReplaceMember = v.InferOutput<typeof ReplaceMember>;
