Divide limits among hosts by leased shares

One leader and many holders: token buckets of workspaces and slots of backend servers are divided into shares that expire. The leader counts, for each holder, the larger of what it reported and what it was last offered, so a lost, late or repeated message never makes two holders of one token.

--- /dev/null
+++ b/packages/core/src/limits/holder.ts
@@ -0,0 +1,198 @@
+/**
+ * All shares of one entry host.
+ *
+ * @module
+ */
+
+import type * as protocol from "@ebonypath/protocol";
+import { BucketShare, type WaitingTokens } from "./bucket_share.ts";
+import { SlotShare, type WaitingSlots } from "./slot_share.ts";
+import {
+  type AcquireResult,
+  MAX_POOLS,
+  type Reservation,
+  type ReserveResult,
+  type Slot,
+  type SlotOutcome,
+} from "./types.ts";
+
+/** Pools and servers whose shares an accepted grant changed. */
+export type AcceptedShares = {
+  readonly pools: readonly string[];
+  readonly servers: readonly string[];
+};
+
+/**
+ * The shares of one entry host, and the reports by which it renews them.
+ *
+ * Every clock value is the host's monotonic clock in milliseconds. A report is
+ * to be sent once: after a lost answer, or for another leader, a new one is
+ * made.
+ *
+ * @example
+ * ```ts
+ * const holder = new ShareHolder("entry-1/7f3a");
+ * holder.setWaitingTokens("shop", { tokens: 300, head: 300, since: now });
+ * const report = holder.report(now);
+ * if (report !== undefined) {
+ *   holder.accept(await exchangeWithLeader(report), clock.now());
+ * }
+ * const result = holder.reserve("shop", 300, clock.now());
+ * ```
+ */
+export class ShareHolder {
+  readonly #holder: string;
+  readonly #buckets = new Map<string, BucketShare>();
+  readonly #slots = new Map<string, SlotShare>();
+  #exchange = 0;
+
+  /** @param holder Identity of this process, new with each start. */
+  constructor(holder: string) {
+    this.#holder = holder;
+  }
+
+  /** Tokens that requests of `pool` can reserve now. */
+  availableTokens(pool: string, now: number): number {
+    return this.#buckets.get(pool)?.available(now) ?? 0;
+  }
+
+  /** Requests that can be started on `server` now. */
+  availableSlots(server: string, now: number): number {
+    return this.#slots.get(server)?.available(now) ?? 0;
+  }
+
+  /** Requests of this host that run on `server`. */
+  runningOn(server: string): number {
+    return this.#slots.get(server)?.running ?? 0;
+  }
+
+  /**
+   * Sets aside tokens for a request, before it is dispatched. Requests that
+   * must wait are made known by `setWaitingTokens`; the caller keeps their
+   * order by asking for the one at the head of its queue alone.
+   */
+  reserve(pool: string, tokens: number, now: number): ReserveResult {
+    return this.#buckets.get(pool)?.reserve(tokens, now) ?? { kind: "wait" };
+  }
+
+  /** Consumes part of a reservation, as when a stream has brought tokens. */
+  consume(reservation: Reservation, tokens: number, now: number): void {
+    this.#buckets.get(reservation.pool)?.consume(reservation, tokens, now);
+  }
+
+  /**
+   * Ends a reservation; what the request did not use becomes available again.
+   *
+   * @param used Tokens used beyond those already told to `consume`.
+   */
+  settle(reservation: Reservation, used: number, now: number): void {
+    this.#buckets.get(reservation.pool)?.settle(reservation, used, now);
+  }
+
+  /** Takes a slot of `server` for a request that ends by `deadline`. */
+  acquireSlot(server: string, deadline: number, now: number): AcquireResult {
+    return this.#slots.get(server)?.acquire(deadline, now) ?? { kind: "wait" };
+  }
+
+  /** Gives a slot back, with what the request showed of the server. */
+  releaseSlot(slot: Slot, outcome: SlotOutcome): void {
+    this.#slots.get(slot.server)?.release(slot, outcome);
+  }
+
+  /** Sets which requests of `pool` wait for tokens; nothing if none does. */
+  setWaitingTokens(pool: string, waiting: WaitingTokens | undefined): void {
+    if (waiting !== undefined && !this.#buckets.has(pool)) {
+      addBounded(this.#buckets, pool, new BucketShare(pool));
+    }
+    this.#buckets.get(pool)?.setWaiting(waiting);
+  }
+
+  /** Sets which requests wait for a slot of `server`; nothing if none does. */
+  setWaitingSlots(server: string, waiting: WaitingSlots | undefined): void {
+    if (waiting !== undefined && !this.#slots.has(server)) {
+      addBounded(this.#slots, server, new SlotShare(server));
+    }
+    this.#slots.get(server)?.setWaiting(waiting);
+  }
+
+  /** When the next report is due, or nothing if there is nothing to report. */
+  nextReportAt(now: number): number | undefined {
+    this.#forgetIdle(now);
+    let next: number | undefined;
+    for (const share of this.#all()) {
+      next = Math.min(share.dueAt(now), next ?? Infinity);
+    }
+    return next;
+  }
+
+  /** Makes the report of all shares that are due, if there are any. */
+  report(now: number): protocol.limits.ShareReport | undefined {
+    this.#forgetIdle(now);
+    const buckets = dueOf(this.#buckets, now);
+    const slots = dueOf(this.#slots, now);
+    if (buckets.length === 0 && slots.length === 0) {
+      return undefined;
+    }
+    const exchange = ++this.#exchange;
+    return {
+      holder: this.#holder,
+      exchange,
+      buckets: buckets.map((share) => share.report(exchange, now)),
+      slots: slots.map((share) => share.report(exchange, now)),
+    };
+  }
+
+  /** Applies the answer to a report as far as it is still current. */
+  accept(
+    answer: protocol.limits.ShareGrant,
+    now: number,
+  ): AcceptedShares {
+    const id = { term: answer.term, exchange: answer.exchange };
+    const pools = answer.buckets
+      .filter((grant) => this.#buckets.get(grant.pool)?.accept(grant, id, now))
+      .map((grant) => grant.pool);
+    const servers = answer.slots
+      .filter((grant) => this.#slots.get(grant.server)?.accept(grant, id, now))
+      .map((grant) => grant.server);
+    return { pools, servers };
+  }
+
+  /** Gives up all that is not in use; the next report tells the leader. */
+  handOver(now: number): void {
+    for (const share of this.#all()) {
+      share.handOver(now);
+    }
+  }
+
+  *#all(): Generator<BucketShare | SlotShare> {
+    yield* this.#buckets.values();
+    yield* this.#slots.values();
+  }
+
+  #forgetIdle(now: number): void {
+    for (const shares of [this.#buckets, this.#slots]) {
+      for (const [name, share] of shares) {
+        if (share.isIdle(now)) {
+          shares.delete(name);
+        }
+      }
+    }
+  }
+}
+
+function dueOf<Share extends BucketShare | SlotShare>(
+  shares: ReadonlyMap<string, Share>,
+  now: number,
+): Share[] {
+  return [...shares.values()].filter((share) => share.dueAt(now) <= now);
+}
+
+function addBounded<Share>(
+  shares: Map<string, Share>,
+  name: string,
+  share: Share,
+): void {
+  if (shares.size < MAX_POOLS) {
+    shares.set(name, share);
+  }
+}
--- /dev/null
+++ b/packages/core/src/limits/leader.ts
@@ -0,0 +1,187 @@
+/**
+ * All pools of the fleet, as the leader divides them.
+ *
+ * @module
+ */
+
+import type * as protocol from "@ebonypath/protocol";
+import { BucketPool } from "./bucket_pool.ts";
+import { SlotPool } from "./slot_pool.ts";
+import {
+  type BucketLimit,
+  MAX_POOLS,
+  type ObservedOutcomes,
+  SHARE_LIFETIME_MS,
+} from "./types.ts";
+
+const NO_LIMIT: BucketLimit = { rate: 0, burst: 0 };
+
+/** How a leader begins. */
+export type LeadershipStart = {
+  /** Term of the leadership; greater than that of every earlier leader. */
+  readonly term: number;
+  /** No leader before this one has granted shares. */
+  readonly isFirst?: boolean;
+};
+
+/**
+ * Divides every limit of the fleet among entry hosts.
+ *
+ * Every clock value is the host's monotonic clock in milliseconds. The caller
+ * checks that its leadership is valid before it takes leadership, and again
+ * before it sends an answer.
+ *
+ * @example
+ * ```ts
+ * const leader = new ShareLeader();
+ * leader.takeLeadership({ term: 4 }, now);
+ * leader.setBucket("shop", { rate: 200, burst: 1000 }, now);
+ * const answer = leader.exchange(report, now);
+ * ```
+ */
+export class ShareLeader {
+  readonly #buckets = new Map<string, BucketPool>();
+  readonly #slots = new Map<string, SlotPool>();
+  readonly #removed = new Set<string>();
+  #term = 0;
+  #adoptsUntil = 0;
+
+  /**
+   * Begins to lead with no pools. For one share lifetime, shares of earlier
+   * leaders are adopted and nothing is granted beyond them. Their holders count
+   * their lifetime from earlier and shorter, so they have ended by then.
+   */
+  takeLeadership(start: LeadershipStart, now: number): void {
+    this.#buckets.clear();
+    this.#slots.clear();
+    this.#removed.clear();
+    this.#term = start.term;
+    this.#adoptsUntil = start.isFirst ? now : now + SHARE_LIFETIME_MS;
+  }
+
+  /**
+   * Adds a pool or changes its limit.
+   *
+   * @param level Tokens that a new pool holds at first. A pool that may have
+   *   existed before starts empty, whatever the level.
+   */
+  setBucket(pool: string, limit: BucketLimit, now: number, level = 0): void {
+    this.#removed.delete(pool);
+    const known = this.#buckets.get(pool);
+    if (known !== undefined) {
+      known.setLimit(limit, now);
+      return;
+    }
+    if (this.#buckets.size < MAX_POOLS) {
+      const start = { adoptsUntil: this.#adoptsUntil, level };
+      this.#buckets.set(pool, new BucketPool(pool, limit, start, now));
+    }
+  }
+
+  /** Ends a pool; shares of it end as their holders renew them or expire. */
+  removeBucket(pool: string, now: number): void {
+    this.#buckets.get(pool)?.setLimit(NO_LIMIT, now);
+    this.#removed.add(pool);
+  }
+
+  /**
+   * Adds a backend server or changes its limit.
+   *
+   * @param server Name and incarnation of the server.
+   * @param running Requests that a new server says it runs.
+   */
+  setSlots(server: string, limit: number, now: number, running = 0): void {
+    const known = this.#slots.get(server);
+    if (known !== undefined) {
+      known.setLimit(limit);
+      return;
+    }
+    if (this.#slots.size < MAX_POOLS) {
+      const start = { adoptsUntil: this.#adoptsUntil, running };
+      this.#slots.set(server, new SlotPool(server, limit, start, now));
+    }
+  }
+
+  /** Takes in how many requests a server itself says it runs. */
+  observeRunning(server: string, running: number, now: number): void {
+    this.#slots.get(server)?.observeRunning(running, now);
+  }
+
+  /** Ends a backend server's pool, once the server is known to be gone. */
+  removeSlots(server: string): void {
+    this.#slots.delete(server);
+  }
+
+  /** Answers one holder's report. */
+  exchange(
+    report: protocol.limits.ShareReport,
+    now: number,
+  ): protocol.limits.ShareGrant {
+    const id = { term: this.#term, exchange: report.exchange };
+    const buckets = report.buckets
+      .map((one) =>
+        this.#buckets.get(one.pool)?.exchange(report.holder, one, id, now)
+      )
+      .filter(isPresent);
+    const slots = report.slots
+      .map((one) => this.#exchangeSlots(report.holder, one, id, now))
+      .filter(isPresent);
+    return { ...id, buckets, slots };
+  }
+
+  /** A server that is still unknown when all have reported is gone. */
+  #exchangeSlots(
+    holder: string,
+    report: protocol.limits.SlotReport,
+    id: protocol.limits.GrantId,
+    now: number,
+  ): protocol.limits.SlotGrant | undefined {
+    const { server } = report;
+    const pool = this.#slots.get(server);
+    if (pool !== undefined) {
+      return pool.exchange(holder, report, id, now);
+    }
+    return now < this.#adoptsUntil
+      ? undefined
+      : { server, slots: 0, lifetimeMs: SHARE_LIFETIME_MS };
+  }
+
+  /** Takes back expired shares and forgets pools that have ended. */
+  expire(now: number): void {
+    for (const pool of this.#buckets.values()) {
+      pool.advance(now);
+    }
+    for (const pool of this.#slots.values()) {
+      pool.advance(now);
+    }
+    for (const name of this.#removed) {
+      if (!this.#buckets.get(name)?.isInUse) {
+        this.#buckets.delete(name);
+        this.#removed.delete(name);
+      }
+    }
+  }
+
+  /** Returns how requests ended since the previous call, for the ramp-up. */
+  takeOutcomes(): ObservedOutcomes[] {
+    return [...this.#slots].map(([server, pool]) => ({
+      server,
+      outcomes: pool.takeOutcomes(),
+    }));
+  }
+
+  /** Part of a pool's limit that holders have or may have. */
+  countedTokens(pool: string): BucketLimit | undefined {
+    const counted = this.#buckets.get(pool)?.counted();
+    return counted && { rate: counted.rate, burst: counted.capacity };
+  }
+
+  /** Slots of a server that are or may be in use. */
+  countedSlots(server: string): number | undefined {
+    return this.#slots.get(server)?.counted();
+  }
+}
+
+function isPresent<Value>(value: Value | undefined): value is Value {
+  return value !== undefined;
+}
--- /dev/null
+++ b/packages/core/src/limits/ledger.ts
@@ -0,0 +1,231 @@
+/**
+ * The leader's record of which holder may use which part of one pool.
+ *
+ * For each holder the leader knows the share that the holder last reported and
+ * at most one newer offer. Whether the offer arrived shows in the holder's next
+ * report, since a holder ignores a grant once it has sent a later report. Until
+ * then the larger of the two counts, so a reduction frees nothing before it is
+ * acknowledged or expired.
+ *
+ * @module
+ */
+
+import type * as protocol from "@ebonypath/protocol";
+import { SHARE_LIFETIME_MS } from "./types.ts";
+
+/** Most holders that one pool keeps; reports of further ones are not answered. */
+export const MAX_HOLDERS = 1024;
+
+/** A part of a pool. */
+export type Amount = {
+  /** Tokens, or slots. */
+  readonly capacity: number;
+  /** Tokens per second; zero for slots. */
+  readonly rate: number;
+};
+
+/** A share that a holder reports, or one that the leader offers. */
+export type Share = {
+  readonly id: protocol.limits.GrantId;
+  readonly amount: Amount;
+};
+
+/** A grant that may not have reached its holder. */
+export type Offer = Share & {
+  /** Tokens that move to the holder with the grant. */
+  readonly level: number;
+};
+
+/** What the ledger keeps about one holder. */
+export type Entry = {
+  /** Number of the latest report. */
+  readonly exchange: number;
+  readonly expiresAt: number;
+  readonly held?: Share;
+  readonly offered?: Offer;
+  /** Capacity in use without a live share. */
+  readonly unleased: number;
+};
+
+/** How a report relates to what the ledger knew. */
+export type Receipt =
+  /** An old or repeated report, or one holder too many: not to be answered. */
+  | { readonly kind: "ignored" }
+  /** The holder has no live share. */
+  | { readonly kind: "unleased" }
+  /** The share was granted by an earlier leader and now counts here. */
+  | { readonly kind: "adopted"; readonly share: Share }
+  /** The holder goes on with its share; `returned` tokens never reached it. */
+  | {
+    readonly kind: "continued";
+    readonly share: Share;
+    readonly returned: number;
+  };
+
+const NOTHING: Amount = { capacity: 0, rate: 0 };
+
+/** Holders and their parts of one pool, as one leader knows them. */
+export class Ledger {
+  readonly #entries = new Map<string, Entry>();
+  readonly #adoptsUntil: number;
+  #unknown: Amount;
+
+  /**
+   * @param unknown Part of the pool that holders may have from earlier leaders.
+   * @param adoptsUntil When the last share of an earlier leader has expired.
+   */
+  constructor(unknown: Amount, adoptsUntil: number) {
+    this.#unknown = unknown;
+    this.#adoptsUntil = adoptsUntil;
+  }
+
+  /** Holders that have or may have a share. */
+  get entries(): ReadonlyMap<string, Entry> {
+    return this.#entries;
+  }
+
+  /** Part that unreported shares of earlier leaders may still use. */
+  get unknown(): Amount {
+    return this.#unknown;
+  }
+
+  /** Part of the pool that must be taken as in use by holders. */
+  counted(): Amount {
+    let { capacity, rate } = this.#unknown;
+    for (const entry of this.#entries.values()) {
+      const amount = countedOf(entry);
+      capacity += amount.capacity;
+      rate += amount.rate;
+    }
+    return { capacity, rate };
+  }
+
+  /** Forgets expired shares and returns them. */
+  expire(now: number): Map<string, Entry> {
+    const expired = new Map<string, Entry>();
+    for (const [holder, entry] of this.#entries) {
+      if (entry.expiresAt <= now) {
+        expired.set(holder, entry);
+        this.#entries.delete(holder);
+      }
+    }
+    return expired;
+  }
+
+  /**
+   * Ends the time in which shares of earlier leaders are adopted, once the last
+   * of them has expired. Returns the part that no holder reported.
+   */
+  closeAdoption(now: number): Amount {
+    if (now < this.#adoptsUntil) {
+      return NOTHING;
+    }
+    const unknown = this.#unknown;
+    this.#unknown = NOTHING;
+    return unknown;
+  }
+
+  /**
+   * Records a report. The amount of `share` is the holder's word and is
+   * believed as far as it does not exceed what the leader counts for it.
+   *
+   * @param unleased Capacity in use even if the share is not live.
+   */
+  receive(
+    holder: string,
+    exchange: number,
+    share: Share | undefined,
+    unleased: number,
+    now: number,
+  ): Receipt {
+    const known = this.#entries.get(holder);
+    if (known !== undefined && exchange <= known.exchange) {
+      return { kind: "ignored" };
+    }
+    if (known === undefined && this.#entries.size >= MAX_HOLDERS) {
+      return { kind: "ignored" };
+    }
+    const receipt = this.#classify(known, share, now);
+    const live = receipt.kind === "adopted" || receipt.kind === "continued";
+    this.#entries.set(holder, {
+      exchange,
+      expiresAt: now + SHARE_LIFETIME_MS,
+      unleased: live ? 0 : unleased,
+      ...(live ? { held: receipt.share } : {}),
+    });
+    return receipt;
+  }
+
+  /** Records what the leader answers to the latest report of `holder`. */
+  offer(holder: string, offer: Offer): void {
+    const entry = this.#entries.get(holder);
+    if (entry !== undefined) {
+      this.#entries.set(holder, { ...entry, offered: offer });
+    }
+  }
+
+  #classify(
+    known: Entry | undefined,
+    share: Share | undefined,
+    now: number,
+  ): Receipt {
+    if (share === undefined) {
+      return { kind: "unleased" };
+    }
+    const offered = known?.offered;
+    if (offered !== undefined && sameGrant(offered.id, share.id)) {
+      return { kind: "continued", share: atMost(share, known!), returned: 0 };
+    }
+    if (known?.held !== undefined && sameGrant(known.held.id, share.id)) {
+      const returned = offered?.level ?? 0;
+      return { kind: "continued", share: atMost(share, known), returned };
+    }
+    if (now >= this.#adoptsUntil) {
+      return { kind: "unleased" };
+    }
+    const before = known === undefined ? NOTHING : countedOf(known);
+    this.#unknown = {
+      capacity: Math.max(
+        0,
+        this.#unknown.capacity -
+          Math.max(0, share.amount.capacity - before.capacity),
+      ),
+      rate: Math.max(
+        0,
+        this.#unknown.rate - Math.max(0, share.amount.rate - before.rate),
+      ),
+    };
+    return { kind: "adopted", share };
+  }
+}
+
+/** What the leader must count for one holder. */
+export function countedOf(entry: Entry): Amount {
+  const held = entry.held?.amount ?? { capacity: entry.unleased, rate: 0 };
+  const offered = entry.offered;
+  if (offered === undefined) {
+    return held;
+  }
+  return {
+    capacity: Math.max(held.capacity + offered.level, offered.amount.capacity),
+    rate: Math.max(held.rate, offered.amount.rate),
+  };
+}
+
+function atMost(share: Share, known: Entry): Share {
+  const most = countedOf(known);
+  return {
+    id: share.id,
+    amount: {
+      capacity: Math.min(share.amount.capacity, most.capacity),
+      rate: Math.min(share.amount.rate, most.rate),
+    },
+  };
+}
+
+function sameGrant(
+  a: protocol.limits.GrantId,
+  b: protocol.limits.GrantId,
+): boolean {
+  return a.term === b.term && a.exchange === b.exchange;
+}
--- /dev/null
+++ b/packages/core/src/limits/slot_pool.ts
@@ -0,0 +1,242 @@
+/**
+ * The leader's side of one backend server's concurrency limit.
+ *
+ * @module
+ */
+
+import type * as protocol from "@ebonypath/protocol";
+import { divideWhole, type WholeClaim } from "./division.ts";
+import { countedOf, Ledger, type Share } from "./ledger.ts";
+import { CLOCK_DRIFT, LONGEST_REQUEST_MS, SHARE_LIFETIME_MS } from "./types.ts";
+
+/** Age at which a server's report of its load may still be out of date. */
+const OBSERVATION_LAG_MS = 3000;
+
+/** Slots in use at a server by a holder that the leader cannot hear. */
+type Stray = {
+  /** Absent for holders that this leader has never heard. */
+  readonly holder: string | undefined;
+  readonly exchange: number;
+  slots: number;
+  /** Since when no further request can begin. */
+  readonly since: number;
+  /** When the longest of its requests must have ended. */
+  readonly until: number;
+};
+
+type Situation = {
+  readonly running: number;
+  readonly peak: number;
+  readonly waiting: number;
+  readonly waitingMs: number;
+  readonly horizonMs: number;
+  readonly outcomes: protocol.limits.ServerOutcomes;
+};
+
+/** How a pool begins. */
+export type SlotStart = {
+  /** When the last share of an earlier leader has expired. */
+  readonly adoptsUntil: number;
+  /** Requests that the server says it runs. */
+  readonly running: number;
+};
+
+const NO_OUTCOMES = { succeeded: 0, refused: 0, failed: 0, slow: 0 };
+
+/** One backend server's slots, divided among holders. */
+export class SlotPool {
+  readonly #name: string;
+  readonly #ledger: Ledger;
+  readonly #situations = new Map<string, Situation>();
+  #strays: Stray[] = [];
+  #limit: number;
+  #outcomes: protocol.limits.ServerOutcomes = { ...NO_OUTCOMES };
+
+  /** Creates the pool as of `now`. */
+  constructor(name: string, limit: number, start: SlotStart, now: number) {
+    const adopts = now < start.adoptsUntil;
+    this.#name = name;
+    this.#limit = limit;
+    this.#ledger = new Ledger(
+      { capacity: adopts ? limit : 0, rate: 0 },
+      start.adoptsUntil,
+    );
+    if (!adopts) {
+      this.#addStray(undefined, start.running, now + LONGEST_REQUEST_MS, now);
+    }
+  }
+
+  /** Requests that the server may run at once, as new grants have it. */
+  get limit(): number {
+    return this.#limit;
+  }
+
+  /** Whether any holder may still have a share or a running request. */
+  get isInUse(): boolean {
+    return this.#ledger.entries.size > 0;
+  }
+
+  /** Slots that must be taken as in use. */
+  counted(): number {
+    const stray = this.#strays.reduce((total, { slots }) => total + slots, 0);
+    return this.#ledger.counted().capacity + stray;
+  }
+
+  /**
+   * Changes the limit. A reduction is in force once the holders have
+   * acknowledged smaller shares or theirs have expired.
+   */
+  setLimit(limit: number): void {
+    this.#limit = limit;
+  }
+
+  /**
+   * Takes in how many requests the server itself runs. Requests of holders that
+   * the leader cannot hear are among them, and no new ones can have begun since
+   * their shares expired.
+   */
+  observeRunning(running: number, now: number): void {
+    this.advance(now);
+    let most = running;
+    for (const stray of this.#strays) {
+      if (now >= stray.since + OBSERVATION_LAG_MS) {
+        stray.slots = Math.min(stray.slots, most);
+        most -= stray.slots;
+      }
+    }
+  }
+
+  /** Takes back what expired shares had, but for requests that may still run. */
+  advance(now: number): void {
+    const unreported = this.#ledger.closeAdoption(now).capacity;
+    this.#addStray(undefined, unreported, now + LONGEST_REQUEST_MS, now);
+    for (const [holder, entry] of this.#ledger.expire(now)) {
+      const horizonMs = this.#situations.get(holder)!.horizonMs;
+      const until = entry.expiresAt + horizonMs * (1 + 2 * CLOCK_DRIFT);
+      const { capacity } = countedOf(entry);
+      this.#addStray(holder, capacity, until, now, entry.exchange);
+      this.#situations.delete(holder);
+    }
+    this.#strays = this.#strays.filter(({ slots, until }) =>
+      slots > 0 && until > now
+    );
+  }
+
+  /**
+   * Takes in one holder's report and answers with its share, or with nothing
+   * if the report is out of date.
+   *
+   * @param id Identifies the grant: the leader's term and the exchange.
+   */
+  exchange(
+    holder: string,
+    report: protocol.limits.SlotReport,
+    id: protocol.limits.GrantId,
+    now: number,
+  ): protocol.limits.SlotGrant | undefined {
+    this.advance(now);
+    const stray = this.#strays.find((one) => one.holder === holder);
+    if (stray !== undefined && id.exchange <= stray.exchange) {
+      return undefined;
+    }
+    const receipt = this.#ledger.receive(
+      holder,
+      id.exchange,
+      shareOf(report),
+      report.slots,
+      now,
+    );
+    if (receipt.kind === "ignored") {
+      return undefined;
+    }
+    if (stray !== undefined) {
+      stray.slots = 0;
+    } else if (receipt.kind === "unleased") {
+      this.#attribute(report.slots);
+    }
+    this.#collectOutcomes(holder, report.outcomes);
+    this.#situations.set(holder, report);
+    const slots = this.#target(holder, report);
+    this.#ledger.offer(holder, {
+      id,
+      amount: { capacity: slots, rate: 0 },
+      level: 0,
+    });
+    return { server: this.#name, slots, lifetimeMs: SHARE_LIFETIME_MS };
+  }
+
+  /** Returns how requests ended since the previous call. */
+  takeOutcomes(): protocol.limits.ServerOutcomes {
+    const outcomes = this.#outcomes;
+    this.#outcomes = { ...NO_OUTCOMES };
+    return outcomes;
+  }
+
+  #target(holder: string, report: protocol.limits.SlotReport): number {
+    const holders = [...this.#situations.keys()];
+    const stray = this.#strays.reduce((total, { slots }) => total + slots, 0);
+    const parts = divideWhole(
+      this.#limit - stray,
+      [...this.#situations.values()].map(claimOf),
+    );
+    const free = Math.max(0, Math.floor(this.#limit) - this.counted());
+    return Math.min(parts[holders.indexOf(holder)]!, report.slots + free);
+  }
+
+  /** Takes requests that a holder reports out of those of unknown holders. */
+  #attribute(slots: number): void {
+    let rest = slots;
+    for (const stray of this.#strays) {
+      if (stray.holder === undefined) {
+        const part = Math.min(rest, stray.slots);
+        stray.slots -= part;
+        rest -= part;
+      }
+    }
+  }
+
+  #addStray(
+    holder: string | undefined,
+    slots: number,
+    until: number,
+    now: number,
+    exchange = 0,
+  ): void {
+    if (slots > 0) {
+      this.#strays.push({ holder, exchange, slots, since: now, until });
+    }
+  }
+
+  #collectOutcomes(
+    holder: string,
+    totals: protocol.limits.ServerOutcomes,
+  ): void {
+    const before = this.#situations.get(holder)?.outcomes ?? totals;
+    const sum = this.#outcomes;
+    this.#outcomes = {
+      succeeded: sum.succeeded + growth(before.succeeded, totals.succeeded),
+      refused: sum.refused + growth(before.refused, totals.refused),
+      failed: sum.failed + growth(before.failed, totals.failed),
+      slow: sum.slow + growth(before.slow, totals.slow),
+    };
+  }
+}
+
+/** How much a running total grew; a holder may have begun it anew. */
+function growth(before: number, after: number): number {
+  return Math.max(0, after - before);
+}
+
+function shareOf(report: protocol.limits.SlotReport): Share | undefined {
+  const { grant, slots } = report;
+  return grant === undefined
+    ? undefined
+    : { id: grant, amount: { capacity: slots, rate: 0 } };
+}
+
+function claimOf(situation: Situation): WholeClaim {
+  const { running, peak, waiting, waitingMs } = situation;
+  const want = running + waiting;
+  const stock = peak > 0 ? Math.max(want, peak + 1) : want;
+  return { want, stock, ageMs: waitingMs };
+}
--- /dev/null
+++ b/packages/core/src/limits/slot_share.ts
@@ -0,0 +1,195 @@
+/**
+ * The holder's side of one backend server's concurrency limit.
+ *
+ * @module
+ */
+
+import type * as protocol from "@ebonypath/protocol";
+import {
+  type AcquireResult,
+  HOLDER_LIFETIME_FRACTION,
+  LONGEST_REQUEST_MS,
+  type Slot,
+  type SlotOutcome,
+} from "./types.ts";
+import { Renewal, type Urgency } from "./renewal.ts";
+
+/** Length of the two periods over which the peak is kept. */
+const PEAK_PERIOD_MS = 5000;
+
+/** Requests that wait for a slot of one server at this host. */
+export type WaitingSlots = {
+  readonly count: number;
+  /** When the oldest of them began to wait. */
+  readonly since: number;
+};
+
+type Lease = {
+  readonly grant: protocol.limits.GrantId;
+  readonly slots: number;
+  readonly expiresAt: number;
+};
+
+/**
+ * One host's share of a backend server's slots. Requests that run keep counting
+ * when the share shrinks or expires.
+ */
+export class SlotShare {
+  readonly #server: string;
+  readonly #running = new Set<Slot>();
+  readonly #outcomes = { succeeded: 0, refused: 0, failed: 0, slow: 0 };
+  #lease: Lease | undefined;
+  #waiting: WaitingSlots | undefined;
+  #peak = { startedAt: 0, current: 0, previous: 0 };
+  #slotsInReport = 0;
+  /** The leader may count slots for this host. */
+  #mayCount = false;
+  #waitingInReport = 0;
+  readonly #renewal = new Renewal();
+
+  constructor(server: string) {
+    this.#server = server;
+  }
+
+  /** Requests that run now. */
+  get running(): number {
+    return this.#running.size;
+  }
+
+  /** Requests that may still be started now. */
+  available(now: number): number {
+    return Math.max(0, this.#slots(now) - this.#running.size);
+  }
+
+  /** Whether nothing is held, running or wanted, so that it can be forgotten. */
+  isIdle(now: number): boolean {
+    return this.#slots(now) === 0 && this.#running.size === 0 &&
+      this.#waiting === undefined && this.#recentPeak(now) === 0 &&
+      !this.#mayCount;
+  }
+
+  /** When the leader should next hear of this share. */
+  dueAt(now: number): number {
+    return this.#renewal.dueAt(this.#urgency(now));
+  }
+
+  /** Gives up all slots that no request uses, as when the host shuts down. */
+  handOver(): void {
+    this.#waiting = undefined;
+    this.#peak = { startedAt: 0, current: 0, previous: 0 };
+    if (this.#lease !== undefined) {
+      this.#lease = { ...this.#lease, slots: 0 };
+    }
+  }
+
+  /** Sets which requests wait for a slot, for the next report. */
+  setWaiting(waiting: WaitingSlots | undefined): void {
+    this.#waiting = waiting;
+  }
+
+  /**
+   * Takes a slot for one request.
+   *
+   * @param deadline When the request ends at the latest. A later one than
+   *   `LONGEST_REQUEST_MS` from now is brought forward; the caller must end the
+   *   request by the deadline of the slot.
+   */
+  acquire(deadline: number, now: number): AcquireResult {
+    if (this.available(now) === 0) {
+      return { kind: "wait" };
+    }
+    const slot: Slot = {
+      server: this.#server,
+      deadline: Math.min(deadline, now + LONGEST_REQUEST_MS),
+    };
+    this.#running.add(slot);
+    this.#recentPeak(now);
+    return { kind: "acquired", slot };
+  }
+
+  /** Gives a slot back. Giving it back again has no effect. */
+  release(slot: Slot, outcome: SlotOutcome): void {
+    if (this.#running.delete(slot) && outcome !== "neutral") {
+      this.#outcomes[outcome]++;
+    }
+  }
+
+  /** Describes the share for the exchange with this number. */
+  report(exchange: number, now: number): protocol.limits.SlotReport {
+    const slots = this.#slots(now);
+    this.#renewal.begin(exchange, now);
+    this.#mayCount = true;
+    this.#slotsInReport = Math.max(slots, this.#running.size);
+    this.#waitingInReport = this.#waiting?.count ?? 0;
+    return {
+      server: this.#server,
+      ...(this.#lease === undefined ? {} : { grant: this.#lease.grant }),
+      slots: this.#slotsInReport,
+      running: this.#running.size,
+      horizonMs: this.#horizonMs(slots, now),
+      peak: this.#recentPeak(now),
+      waiting: this.#waiting?.count ?? 0,
+      waitingMs: Math.max(0, now - (this.#waiting?.since ?? now)),
+      outcomes: { ...this.#outcomes },
+    };
+  }
+
+  /** Applies a grant if it answers the latest report and is not out of date. */
+  accept(
+    grant: protocol.limits.SlotGrant,
+    id: protocol.limits.GrantId,
+    now: number,
+  ): boolean {
+    const reportedAt = this.#renewal.end(id.exchange);
+    if (reportedAt === undefined) {
+      return false;
+    }
+    const expiresAt = reportedAt +
+      grant.lifetimeMs * HOLDER_LIFETIME_FRACTION;
+    if (now >= expiresAt) {
+      return false;
+    }
+    this.#lease = { grant: id, slots: grant.slots, expiresAt };
+    this.#mayCount = grant.slots > 0 || this.#slotsInReport > 0;
+    return true;
+  }
+
+  #urgency(now: number): Urgency {
+    const waiting = this.#waiting?.count ?? 0;
+    const isShort = this.available(now) < waiting;
+    if (isShort && waiting > this.#waitingInReport) {
+      return "at-once";
+    }
+    const inUse = Math.max(this.#slots(now), this.#running.size);
+    return isShort || inUse < this.#slotsInReport ? "soon" : "renewal";
+  }
+
+  #slots(now: number): number {
+    if (this.#lease !== undefined && now >= this.#lease.expiresAt) {
+      this.#lease = undefined;
+    }
+    return this.#lease?.slots ?? 0;
+  }
+
+  /** A request that is yet to start under this share may run longest. */
+  #horizonMs(slots: number, now: number): number {
+    if (slots > 0) {
+      return LONGEST_REQUEST_MS;
+    }
+    let latest = now;
+    for (const slot of this.#running) {
+      latest = Math.max(latest, slot.deadline);
+    }
+    return latest - now;
+  }
+
+  #recentPeak(now: number): number {
+    const periods = Math.floor((now - this.#peak.startedAt) / PEAK_PERIOD_MS);
+    if (periods > 0) {
+      const previous = periods === 1 ? this.#peak.current : 0;
+      this.#peak = { startedAt: now, current: 0, previous };
+    }
+    this.#peak.current = Math.max(this.#peak.current, this.#running.size);
+    return Math.max(this.#peak.current, this.#peak.previous);
+  }
+}
--- a/packages/core/src/limits/types.ts
+++ b/packages/core/src/limits/types.ts
@@ -9,12 +9,18 @@
 /** How long a share lives after the leader granted it, in milliseconds. */
 export const SHARE_LIFETIME_MS = 3000;
 
-/** How often a holder renews its shares, in milliseconds. */
+/** How often a holder renews its shares. */
 export const SHARE_RENEWAL_MS = 1000;
 
-/** Shortest time between two exchanges of one pool, in milliseconds. */
+/** How often a holder reports a share for which requests wait. */
 export const URGENT_RENEWAL_MS = 50;
 
+/** How long a holder waits for the answer to a report before the next one. */
+export const EXCHANGE_TIMEOUT_MS = 500;
+
+/** Most pools, and most servers, that one host or leader keeps. */
+export const MAX_POOLS = 4096;
+
 /** Longest that a request may run on a backend server, in milliseconds. */
 export const LONGEST_REQUEST_MS = 600_000;
 
@@ -41,7 +47,6 @@
 /** Tokens set aside for one request until it is settled. */
 export type Reservation = {
   readonly pool: string;
-  readonly id: number;
   /** Tokens reserved. */
   readonly tokens: number;
 };
@@ -57,7 +62,6 @@
 /** One running request's claim on a backend server. */
 export type Slot = {
   readonly server: string;
-  readonly id: number;
   /** When the request must have ended, in the holder's monotonic clock. */
   readonly deadline: number;
 };
--- a/packages/protocol/src/limits/mod.ts
+++ b/packages/protocol/src/limits/mod.ts
@@ -94,8 +94,12 @@
   running: Count,
   /** Longest time that any request may still run, in milliseconds. */
   horizonMs: Quantity,
+  /** Most requests that ran at once in recent seconds. */
+  peak: Count,
   /** Requests that wait for a slot of this server. */
   waiting: Count,
+  /** How long the oldest of them has waited, in milliseconds. */
+  waitingMs: Quantity,
   outcomes: ServerOutcomes,
 });
 
@@ -140,8 +144,6 @@
 /** A share of a backend server's slots, as the leader grants it. */
 export const SlotGrant = v.object({
   server: Name,
-  /** Grant that this one continues; absent when it starts a new share. */
-  continues: v.optional(GrantId),
   slots: Count,
   lifetimeMs: Quantity,
 });
