Speak with backend servers in one module

Dispatch, orders and announcements of backend servers stand in one folder, so that another dialect can stand beside it. Announcements need the join token and an address in the allowed ranges.

Contract tests run against the fake and against raw sockets, with the fault cases in tables.

--- /dev/null
+++ b/packages/daemon/src/backend/announcement_listener.ts
@@ -0,0 +1,189 @@
+/**
+ * Takes the announcements of backend servers.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type * as http from "node:http";
+import { backend, errors, settings } from "@ebonypath/protocol";
+import * as v from "valibot";
+import * as security from "../security/mod.ts";
+
+/** Path of announcements. */
+const PATH = "/v1/backend-servers/announcements";
+/** Largest announcement, in bytes. */
+const BODY_BYTES = 1_024 * 1_024;
+/** Longest time to receive an announcement, in milliseconds. */
+const BODY_TIMEOUT_MS = 5_000;
+
+/** Limits of the listener's HTTP server. */
+export const SERVER_OPTIONS: http.ServerOptions = {
+  maxHeaderSize: 16 * 1_024,
+  headersTimeout: 5_000,
+  requestTimeout: 10_000,
+  connectionsCheckingInterval: 1_000,
+};
+
+/** What the listener needs of its host. */
+export interface AnnouncementListenerOptions {
+  readonly joinToken: string;
+  /** Ranges in which the address of a backend server may lie. */
+  readonly allowedAddresses: readonly string[];
+  /** Whether the host follows a leader. */
+  readonly isCurrent: () => boolean;
+  readonly onAnnouncement: (announcement: backend.Announcement) => void;
+  /** Longest time to receive an announcement, in milliseconds. */
+  readonly bodyTimeoutMs?: number;
+}
+
+/** Handles a request of a backend server. */
+export type AnnouncementHandler = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => Promise<void>;
+
+/**
+ * Creates the request handler of the announcement listener. It never rejects;
+ * refusals are problem documents.
+ *
+ * @example
+ * ```ts
+ * const handler = createAnnouncementHandler(options);
+ * http.createServer(SERVER_OPTIONS, (request, response) => {
+ *   void handler(request, response);
+ * });
+ * ```
+ */
+export function createAnnouncementHandler(
+  options: AnnouncementListenerOptions,
+): AnnouncementHandler {
+  const isAllowed = settings.matchAddresses(options.allowedAddresses);
+  return async (request, response) => {
+    try {
+      authorize(request, options.joinToken);
+      const text = await readBody(
+        request,
+        options.bodyTimeoutMs ?? BODY_TIMEOUT_MS,
+      );
+      const announcement = parse(text);
+      checkAddress(announcement.address, isAllowed);
+      if (!options.isCurrent()) {
+        throw new errors.Refusal(
+          errors.NOT_CURRENT,
+          "announce yourself at another host",
+          { retryAfterSeconds: 1 },
+        );
+      }
+      options.onAnnouncement(announcement);
+      response.writeHead(204).end();
+    } catch (error) {
+      refuse(response, error);
+    }
+  };
+}
+
+function authorize(request: http.IncomingMessage, joinToken: string): void {
+  const path = request.url?.split("?")[0];
+  if (path !== PATH || request.method !== "POST") {
+    throw new errors.Refusal(errors.NOT_FOUND, `use POST ${PATH}`);
+  }
+  const token = security.bearerToken(request.headers.authorization);
+  if (token === null || !security.equalSecrets(token, joinToken)) {
+    throw new errors.Refusal(errors.KEY_REFUSED, "the join token is wrong");
+  }
+}
+
+async function readBody(
+  request: http.IncomingMessage,
+  timeoutMs: number,
+): Promise<string> {
+  if (Number(request.headers["content-length"] ?? 0) > BODY_BYTES) {
+    throw new errors.Refusal(errors.TOO_LARGE, `more than ${BODY_BYTES} bytes`);
+  }
+  const late = timeout(timeoutMs);
+  const body = collect(request);
+  // Nobody waits for a body that is late.
+  body.catch(() => {});
+  try {
+    return await Promise.race([body, late.promise]);
+  } finally {
+    clearTimeout(late.timer);
+  }
+}
+
+function timeout(ms: number) {
+  let timer: NodeJS.Timeout | undefined;
+  const promise = new Promise<never>((_, reject) => {
+    const detail = `the body took more than ${ms} ms`;
+    timer = setTimeout(() => {
+      reject(new errors.Refusal(errors.REQUEST_TIMEOUT, detail));
+    }, ms);
+  });
+  return { promise, timer };
+}
+
+async function collect(request: http.IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > BODY_BYTES) {
+      const detail = `more than ${BODY_BYTES} bytes`;
+      throw new errors.Refusal(errors.TOO_LARGE, detail);
+    }
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
+
+function parse(text: string): backend.Announcement {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    throw new errors.Refusal(errors.INVALID_REQUEST, "the body is not JSON");
+  }
+  const result = v.safeParse(backend.Announcement, value);
+  if (result.success) return result.output;
+  const [issue] = result.issues;
+  const path = v.getDotPath(issue) ?? "body";
+  throw new errors.Refusal(
+    errors.INVALID_REQUEST,
+    `${path}: ${issue.message}`,
+  );
+}
+
+/** The address must be an origin with an IP number in an allowed range. */
+function checkAddress(
+  address: string,
+  isAllowed: (ip: string) => boolean,
+): void {
+  const url = new URL(address);
+  const ip = url.hostname.replace(/^\[|\]$/g, "");
+  const isOrigin = address === url.origin || address === `${url.origin}/`;
+  const isHttp = url.protocol === "http:" || url.protocol === "https:";
+  if (!isHttp || !isOrigin || !isAllowed(ip)) {
+    throw new errors.Refusal(
+      errors.INVALID_REQUEST,
+      "address: must be an origin with an IP number in an allowed range",
+    );
+  }
+}
+
+function refuse(response: http.ServerResponse, error: unknown): void {
+  if (response.destroyed || response.headersSent) return;
+  const refusal = error instanceof errors.Refusal
+    ? error
+    : new errors.Refusal(errors.INTERNAL, "the announcement was not taken");
+  const body = JSON.stringify(refusal.toProblem());
+  response.writeHead(refusal.definition.status, {
+    "content-type": "application/problem+json",
+    "content-length": Buffer.byteLength(body),
+    // The rest of a body that was not read must not become a request.
+    "connection": "close",
+    ...(refusal.retryAfterSeconds === undefined
+      ? {}
+      : { "retry-after": String(refusal.retryAfterSeconds) }),
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/packages/daemon/src/backend/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * The dialect that backend servers speak: announcements, orders, inference.
+ *
+ * @module
+ */
+export * from "./announcement_listener.ts";
+export * from "./event_stream.ts";
+export { InferenceClient } from "./inference_client.ts";
+export * from "./order_client.ts";
+export type * from "./types.ts";
--- /dev/null
+++ b/packages/daemon/test/backend/raw_server.ts
@@ -0,0 +1,46 @@
+import { once } from "node:events";
+import * as net from "node:net";
+
+/** A server that answers every connection with the same raw bytes. */
+export class RawServer {
+  /** Bytes that arrived. */
+  received = "";
+  readonly #server: net.Server;
+  readonly #sockets = new Set<net.Socket>();
+
+  /** `close` ends the connection after the answer. */
+  constructor(answer: string, close = false) {
+    this.#server = net.createServer((socket) => {
+      this.#sockets.add(socket);
+      socket.on("error", () => {});
+      socket.on("data", (chunk) => {
+        this.received += chunk.toString();
+        if (close) socket.end(answer);
+        else socket.write(answer);
+      });
+    });
+  }
+
+  get address(): string {
+    const { port } = this.#server.address() as net.AddressInfo;
+    return `http://127.0.0.1:${port}`;
+  }
+
+  /** Whether the first connection has ended. */
+  get isFirstClosed(): boolean {
+    const [first] = this.#sockets;
+    return first?.destroyed === true;
+  }
+
+  async start(): Promise<this> {
+    this.#server.listen(0, "127.0.0.1");
+    await once(this.#server, "listening");
+    return this;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const socket of this.#sockets) socket.destroy();
+    this.#server.close();
+    await once(this.#server, "close");
+  }
+}
--- a/packages/testing/src/fake_backend/engine.ts
+++ b/packages/testing/src/fake_backend/engine.ts
@@ -91,10 +91,7 @@
       sendEvent(response, completion.renderToken(answer, token));
       if (faults.silentStreams) return await silence(signal);
     }
-    if (faults.cutStreams) {
-      response.destroy();
-      return;
-    }
+    if (faults.cutStreams) return await cut(response);
     for (const event of completion.renderEnd(answer)) {
       sendEvent(response, event);
     }
@@ -117,6 +114,14 @@
   response.write(`data: ${JSON.stringify(event)}\n\n`);
 }
 
+/** Cuts a stream after all that was written has gone out. */
+async function cut(response: http.ServerResponse): Promise<void> {
+  await new Promise<void>((resolve) => {
+    response.write(": cut\n\n", () => resolve());
+  });
+  response.destroy();
+}
+
 async function pause(ms: number, signal: AbortSignal): Promise<void> {
   signal.throwIfAborted();
   if (ms > 0) await timers.setTimeout(ms, undefined, { signal });
