--- a/packages/protocol/src/settings/parse.ts
+++ b/packages/protocol/src/settings/parse.ts
@@ -85,13 +85,13 @@
 function checkInitialVoters(settings: types.Settings): Problem[] {
   const problems: Problem[] = [];
   const { initialVoters } = settings.control;
-  const own = settings.listen.fleet;
+  const own = types.fleetAddress(settings.listen);
   const where = "control.initial_voters";
   if (!initialVoters.includes(own)) {
     problems.push({
       path: where,
       reason: `does not list this host's own address ${own}`,
-      hint: "list listen.fleet of every voter of the first formation",
+      hint: "list the fleet address of every voter of the first formation",
     });
   }
   if (new Set(initialVoters).size !== initialVoters.length) {
--- a/packages/protocol/src/settings/types.ts
+++ b/packages/protocol/src/settings/types.ts
@@ -82,9 +82,23 @@
   operators: Endpoint,
   /** Links between the system's own processes. */
   fleet: Endpoint,
+  /** Address under which other hosts reach `fleet`, where it differs. */
+  fleetAdvertised: v.optional(Endpoint),
 });
 export type Listen = v.InferOutput<typeof Listen>;
 
+/**
+ * Returns the address under which other hosts reach a host.
+ *
+ * @example
+ * ```ts
+ * const own = fleetAddress(settings.listen);
+ * ```
+ */
+export function fleetAddress(listen: Listen): string {
+  return listen.fleetAdvertised ?? listen.fleet;
+}
+
 /** Where the replicated state is found. */
 export const Control = v.strictObject({
   /** Fleet addresses of control hosts to start from. */
--- a/packages/protocol/test/settings/parse_test.ts
+++ b/packages/protocol/test/settings/parse_test.ts
@@ -160,6 +160,15 @@
     });
   }
 
+  it("knows the voter by its advertised address", () => {
+    const behindProxy = VALID.replace(
+      'fleet = "127.0.0.1:7001"',
+      'fleet = "0.0.0.0:7101"\nfleet_advertised = "127.0.0.1:7001"',
+    );
+    const { listen } = settings.parseSettings(behindProxy, "/etc/host.toml");
+    expect(settings.fleetAddress(listen)).to.equal("127.0.0.1:7001");
+  });
+
   it("lists every problem at once", () => {
     const text = VALID.replace('"host-1"', "17").replace('"fd-1"', "18");
     expect(findingsOf(text)).to.have.length(2);
--- a/packages/testing/src/fault_proxy/mod.ts
+++ b/packages/testing/src/fault_proxy/mod.ts
@@ -16,9 +16,36 @@
   readonly target: string;
   /** Port to listen on; 0 chooses one. */
   readonly port?: number;
+  /** Chooses the link of a new connection by the port of its client. */
+  readonly linkOf?: (clientPort: number) => Promise<Link | undefined>;
+}
+
+/** Both directions of a link. */
+export interface Link {
+  /** Bytes from clients to the target. */
+  readonly toTarget: direction.Direction;
+  /** Bytes from the target to clients. */
+  readonly toClient: direction.Direction;
+}
+
+/**
+ * Creates a link without faults.
+ *
+ * @example
+ * ```ts
+ * const link = createLink();
+ * link.toTarget.hold();
+ * ```
+ */
+export function createLink(): Link {
+  return {
+    toTarget: new direction.Direction(),
+    toClient: new direction.Direction(),
+  };
 }
 
 interface Connection {
+  readonly link: Link;
   readonly client: net.Socket;
   readonly target: net.Socket;
   readonly pipes: {
@@ -29,10 +56,8 @@
 
 /** A running proxy; faults may be changed at any time. */
 export class FaultProxy {
-  /** Bytes from clients to the target. */
-  readonly toTarget = new direction.Direction();
-  /** Bytes from the target to clients. */
-  readonly toClient = new direction.Direction();
+  /** The link of connections that `linkOf` gives none. */
+  readonly link: Link = createLink();
   /** Connections that were accepted. */
   accepted = 0;
   readonly #options: FaultProxyOptions;
@@ -54,6 +79,16 @@
     return `127.0.0.1:${this.#port}`;
   }
 
+  /** Bytes from clients to the target. */
+  get toTarget(): direction.Direction {
+    return this.link.toTarget;
+  }
+
+  /** Bytes from the target to clients. */
+  get toClient(): direction.Direction {
+    return this.link.toClient;
+  }
+
   get openConnections(): number {
     return this.#connections.size;
   }
@@ -63,7 +98,7 @@
     if (this.#server !== undefined) return;
     const server = net.createServer(
       { allowHalfOpen: true, noDelay: true },
-      (client) => this.#connect(client),
+      (client) => void this.#accept(client),
     );
     server.listen(this.#port, "127.0.0.1");
     await once(server, "listening");
@@ -77,17 +112,17 @@
     this.#server = undefined;
   }
 
-  /** Resets every open connection. */
-  cutAll(): void {
-    for (const { client, target } of [...this.#connections]) {
+  /** Resets every open connection, or those of one link. */
+  cutAll(link?: Link): void {
+    for (const { client, target } of this.#openOn(link)) {
       client.resetAndDestroy();
       target.resetAndDestroy();
     }
   }
 
   /** Makes open connections silent both ways for good; new ones work. */
-  blackholeOpen(): void {
-    for (const { pipes } of this.#connections) {
+  blackholeOpen(link?: Link): void {
+    for (const { pipes } of this.#openOn(link)) {
       pipes.toTarget.blackhole();
       pipes.toClient.blackhole();
     }
@@ -118,8 +153,19 @@
     if (server?.listening) await once(server, "close");
   }
 
-  #connect(client: net.Socket): void {
+  #openOn(link: Link | undefined): Connection[] {
+    const open = [...this.#connections];
+    return link === undefined ? open : open.filter((one) => one.link === link);
+  }
+
+  async #accept(client: net.Socket): Promise<void> {
     this.accepted += 1;
+    client.on("error", () => {});
+    const link = await this.#options.linkOf?.(client.remotePort ?? 0);
+    if (!client.destroyed) this.#connect(client, link ?? this.link);
+  }
+
+  #connect(client: net.Socket, link: Link): void {
     const [host, port] = this.#options.target.split(":");
     const target = net.connect({
       host: host as string,
@@ -128,10 +174,10 @@
       noDelay: true,
     });
     const pipes = {
-      toTarget: new pipe.Pipe(client, target, this.toTarget),
-      toClient: new pipe.Pipe(target, client, this.toClient),
+      toTarget: new pipe.Pipe(client, target, link.toTarget),
+      toClient: new pipe.Pipe(target, client, link.toClient),
     };
-    const connection: Connection = { client, target, pipes };
+    const connection: Connection = { link, client, target, pipes };
     this.#connections.add(connection);
     const close = () => this.#close(connection);
     for (const socket of [client, target]) {
