Check the replicated log under seeded interleavings

It found one fault: a leader cut off with the uncommitted entry of its own removal never stood for election again, and refused the shorter logs of the others, so that the loss of one more voter stopped the group. A voter whose removal is not committed now stands for election.

EBONYPATH_SEED and EBONYPATH_RUNS choose the long mode.

--- a/packages/core/src/replication/election.ts
+++ b/packages/core/src/replication/election.ts
@@ -122,9 +122,14 @@
     }
   }
 
+  /**
+   * A voter whose removal isn't committed is still needed: it may hold the
+   * longest log of a quorum that can't be formed without its vote.
+   */
   #isEligible(): boolean {
-    const { memberships, self } = this.#context;
-    return isVoter(memberships.current, self);
+    const { memberships, self, commitIndex } = this.#context;
+    return isVoter(memberships.current, self) ||
+      isVoter(memberships.at(commitIndex), self);
   }
 
   #adoptTerm(from: string, term: number): void {
--- /dev/null
+++ b/packages/core/test/replication/checker.ts
@@ -0,0 +1,109 @@
+/**
+ * The promises of the replicated log, checked over all replicas of a run.
+ *
+ * @module
+ */
+
+import type * as replication from "../../src/replication/mod.ts";
+
+/** Collects what every replica of a run did and refuses contradictions. */
+export class Checker {
+  steps = 0;
+  highestCommit = 0;
+  #leaders = new Map<number, string>();
+  #entries = new Map<string, string>();
+  #committedTerms = new Map<number, number>();
+  #digests = new Map<number, string>([[0, ""]]);
+
+  /**
+   * One leader per term, it holds every committed entry, and nobody else holds
+   * a lease when it is elected.
+   */
+  leader(replica: replication.Replica, holders: string[]): void {
+    if (holders.some((holder) => holder !== replica.self)) {
+      throw new Error(`${replica.self} elected during lease of ${holders}`);
+    }
+    const present = this.#leaders.get(replica.term) ?? replica.self;
+    this.#leaders.set(replica.term, replica.self);
+    if (present !== replica.self) {
+      throw new Error(`${present} and ${replica.self} lead ${replica.term}`);
+    }
+    for (const [index, term] of this.#committedTerms) {
+      const own = replica.termAt(index);
+      if (own !== null && own !== term || index > replica.lastIndex) {
+        throw new Error(`leader ${replica.self} lost committed entry ${index}`);
+      }
+    }
+  }
+
+  /** Log matching: index and term determine an entry and its predecessor. */
+  written(entries: replication.Entry[], previousTerm: number | null): void {
+    let before = previousTerm;
+    for (const { index, term, payload } of entries) {
+      const key = `${index}:${term}`;
+      const content = JSON.stringify([before, payload]);
+      const present = this.#entries.get(key) ?? content;
+      this.#entries.set(key, present);
+      if (present !== content) {
+        throw new Error(`entry ${key} is ${present} and ${content}`);
+      }
+      before = term;
+    }
+  }
+
+  /** A committed entry never changes. */
+  committed(replica: replication.Replica, from: number): void {
+    for (let index = from + 1; index <= replica.commitIndex; index += 1) {
+      const term = replica.termAt(index);
+      const present = this.#committedTerms.get(index) ?? term;
+      if (term !== null && term !== present) {
+        throw new Error(`${replica.self} changed committed entry ${index}`);
+      }
+      if (term !== null) {
+        this.#committedTerms.set(index, term);
+      }
+    }
+    this.highestCommit = Math.max(this.highestCommit, replica.commitIndex);
+  }
+
+  /** Equal sequences of applied entries; returns the state's new digest. */
+  applied(state: State, entries: replication.Entry[]): State {
+    let { index, digest } = state;
+    for (const entry of entries) {
+      if (entry.index !== index + 1) {
+        throw new Error(`entry ${entry.index} applied after ${index}`);
+      }
+      index = entry.index;
+      digest = shortHash(digest + JSON.stringify(entry));
+      this.state({ index, digest });
+    }
+    return { index, digest };
+  }
+
+  /** Every state of one index is the same. */
+  state({ index, digest }: State): void {
+    const present = this.#digests.get(index) ?? digest;
+    this.#digests.set(index, present);
+    if (present !== digest) {
+      throw new Error(`states at ${index} differ`);
+    }
+  }
+
+  /** No two replicas hold a lease at the same time. */
+  leases(holders: string[]): void {
+    if (holders.length > 1) {
+      throw new Error(`leases held by ${holders.join(" and ")}`);
+    }
+  }
+}
+
+/** Stand-in for the state machine: the digest of all applied entries. */
+export type State = { index: number; digest: string };
+
+function shortHash(text: string): string {
+  let hash = 0x811c9dc5;
+  for (let position = 0; position < text.length; position += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(position), 0x01000193) >>> 0;
+  }
+  return hash.toString(16).padStart(8, "0");
+}
--- /dev/null
+++ b/packages/core/test/replication/event.ts
@@ -0,0 +1,24 @@
+/**
+ * What can happen to a group of replicas.
+ *
+ * @module
+ */
+
+/** One thing that happens to a group. Numbers pick among what is there. */
+export type Event =
+  | { kind: "run"; ms: number }
+  | { kind: "propose"; node: number; count: number }
+  | { kind: "loss"; share: number }
+  | { kind: "cut"; from: number; to: number; both: boolean }
+  | { kind: "isolate"; node: number }
+  | { kind: "heal" }
+  | { kind: "crash"; node: number }
+  | { kind: "restart"; node: number }
+  | { kind: "reboot"; node: number }
+  | { kind: "pause"; node: number; ms: number }
+  | { kind: "loseDisk"; node: number }
+  | { kind: "snapshot" }
+  | { kind: "transfer"; node: number }
+  | { kind: "addLearner"; node: number }
+  | { kind: "promote"; node: number }
+  | { kind: "remove"; node: number };
--- /dev/null
+++ b/packages/core/test/replication/interleavings_test.ts
@@ -0,0 +1,106 @@
+import * as fc from "fast-check";
+import { expect } from "chai";
+import process from "node:process";
+import { Cluster } from "./cluster.ts";
+import type { Event } from "./event.ts";
+
+const CI_SEEDS = [11, 12, 13, 14];
+const CI_RUNS = 60;
+const LONG_MODE_MS = 24 * 60 * 60 * 1000;
+
+const node = fc.nat(9);
+const ms = fc.oneof(
+  fc.integer({ min: 10, max: 200 }),
+  fc.integer({ min: 400, max: 2000 }),
+);
+const settle: fc.Arbitrary<Event> = fc.record({
+  kind: fc.constant("run" as const),
+  ms,
+});
+const propose: fc.Arbitrary<Event> = fc.record({
+  kind: fc.constant("propose" as const),
+  node,
+  count: fc.integer({ min: 1, max: 9 }),
+});
+
+function onNode<K extends string>(kind: K) {
+  return fc.record({ kind: fc.constant(kind), node });
+}
+
+function event(value: Event): fc.Arbitrary<Event> {
+  return fc.constant(value);
+}
+
+const fault: fc.Arbitrary<Event> = fc.oneof(
+  { weight: 2, arbitrary: onNode("crash") },
+  { weight: 2, arbitrary: onNode("restart") },
+  { weight: 2, arbitrary: onNode("reboot") },
+  { weight: 2, arbitrary: onNode("isolate") },
+  { weight: 1, arbitrary: onNode("loseDisk") },
+  { weight: 1, arbitrary: onNode("transfer") },
+  { weight: 1, arbitrary: onNode("addLearner") },
+  { weight: 2, arbitrary: onNode("promote") },
+  { weight: 2, arbitrary: onNode("remove") },
+  { weight: 1, arbitrary: event({ kind: "snapshot" }) },
+  { weight: 4, arbitrary: event({ kind: "heal" }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant("pause" as const), node, ms }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("cut" as const),
+      from: node,
+      to: node,
+      both: fc.boolean(),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("loss" as const),
+      share: fc.constantFrom(0.05, 0.2, 0.5),
+    }),
+  },
+);
+
+const run = fc.record({
+  seed: fc.integer(),
+  size: fc.constantFrom(3, 4, 5),
+  events: fc.array(
+    fc.oneof(
+      { arbitrary: settle, weight: 4 },
+      { arbitrary: propose, weight: 4 },
+      { arbitrary: fault, weight: 6 },
+    ),
+    { minLength: 40, maxLength: 80, size: "max" },
+  ),
+});
+
+function check(seed: number, numRuns: number): number {
+  let steps = 0;
+  const property = fc.property(run, ({ seed, size, events }) => {
+    const cluster = new Cluster(seed, size);
+    cluster.happen({ kind: "run", ms: 2000 });
+    events.forEach((event) => cluster.happen(event));
+    cluster.recover();
+    steps += cluster.checker.steps;
+  });
+  fc.assert(property, { seed, numRuns });
+  return steps;
+}
+
+describe("replication under interleavings", () => {
+  const seed = process.env["EBONYPATH_SEED"];
+  const runs = Number(process.env["EBONYPATH_RUNS"] ?? CI_RUNS);
+  const seeds = seed === undefined ? CI_SEEDS : [Number(seed)];
+  for (const seed of seeds) {
+    it(`keeps its promises, seed ${seed}, ${runs} runs`, function () {
+      if (runs > CI_RUNS) {
+        this.timeout(LONG_MODE_MS);
+      }
+      expect(check(seed, runs)).to.be.greaterThan(1000);
+    });
+  }
+});
--- /dev/null
+++ b/packages/core/test/replication/node.ts
@@ -0,0 +1,300 @@
+/**
+ * One replica with a disk that can forget unsynced writes.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import * as replication from "../../src/replication/mod.ts";
+import type { Checker, State } from "./checker.ts";
+
+const SYNC_MS = 10;
+const SLOW_SYNC_MS = 400;
+const SLOW_SYNC_CHANCE = 0.05;
+const PART_BYTES = 16;
+
+type Write =
+  | Extract<replication.Effect, { kind: "persist" | "installSnapshot" }>
+  | { kind: "save"; saved: SavedSnapshot };
+type SavedSnapshot = { metadata: replication.SnapshotMetadata; data: Buffer };
+type PendingWrite = { write: Write; syncedAt: number };
+type Disk = {
+  hardState: replication.HardState;
+  snapshot: SavedSnapshot | null;
+  entries: replication.Entry[];
+};
+
+/** What a node shares with its run. */
+export type Surroundings = {
+  random: () => number;
+  checker: Checker;
+  /** Longest election timeout in milliseconds. */
+  electionTimeoutMaximumMs: number;
+  /** Ids of the replicas that hold a lease. */
+  leaseHolders: () => string[];
+  send: (from: string, to: string, message: replication.Message) => void;
+};
+
+/** One replica, its disk and its clock. */
+export class Node {
+  readonly id: string;
+  readonly clockRate: number;
+  replica: replication.Replica | null = null;
+  pausedUntil = 0;
+  state: State = { index: 0, digest: "" };
+  #disk: Disk = {
+    hardState: { term: 0, vote: null },
+    snapshot: null,
+    entries: [],
+  };
+  #pending: PendingWrite[] = [];
+  #inputs: replication.Input[] = [];
+  #surroundings: Surroundings;
+
+  constructor(id: string, clockRate: number, surroundings: Surroundings) {
+    this.id = id;
+    this.clockRate = clockRate;
+    this.#surroundings = surroundings;
+  }
+
+  /** Writes the records of a first formation. */
+  form(membership: replication.Membership): void {
+    const { hardState, entries } = replication.formation(membership);
+    this.#disk = { hardState, snapshot: null, entries };
+    this.#surroundings.checker.written(entries, 0);
+  }
+
+  /** Starts from the disk. */
+  start(time: number): void {
+    const { snapshot, hardState, entries } = this.#disk;
+    const base = snapshot?.metadata.index ?? 0;
+    this.#pending = [];
+    this.#inputs = [];
+    this.state = snapshot === null
+      ? { index: 0, digest: "" }
+      : JSON.parse(snapshot.data.toString());
+    this.replica = new replication.Replica({
+      self: this.id,
+      hardState: { ...hardState },
+      snapshot: snapshot?.metadata ?? null,
+      entries: entries.filter(({ index }) => index > base),
+      random: this.#surroundings.random,
+      now: this.clock(time),
+      settings: {
+        electionTimeoutMaximumMs: this.#surroundings.electionTimeoutMaximumMs,
+        appendEntries: 3,
+        inflightAppends: 3,
+        snapshotPartBytes: PART_BYTES,
+        retainedEntries: 2,
+        catchUpEntries: 4,
+      },
+    });
+  }
+
+  /** Stops; an unknown part of the unsynced writes reached the disk. */
+  crash(): void {
+    const count = this.#pending.length + 1;
+    const reached = Math.floor(this.#surroundings.random() * count);
+    for (const { write } of this.#pending.slice(0, reached)) {
+      this.#write(write);
+    }
+    this.#pending = [];
+    this.replica = null;
+  }
+
+  /** This node's monotonic clock. */
+  clock(time: number): number {
+    return time * this.clockRate;
+  }
+
+  /** Whether this node acts at a time. */
+  isRunning(time: number): boolean {
+    return this.replica !== null && time >= this.pausedUntil;
+  }
+
+  /** Asks for a snapshot of the applied state. */
+  takeSnapshot(time: number): void {
+    const { index } = this.state;
+    const term = this.replica?.termAt(index) ?? null;
+    const known = this.replica?.snapshot?.index ?? 0;
+    if (this.replica === null || term === null || index <= known) {
+      return;
+    }
+    const membership = this.replica.membershipAt(index);
+    const data = Buffer.from(JSON.stringify(this.state));
+    const metadata = { index, term, membership, bytes: data.length };
+    this.#enqueue({ kind: "save", saved: { metadata, data } }, time);
+  }
+
+  /** Finishes the syncs that are due and ticks. */
+  run(time: number): void {
+    while (this.#inputs.length > 0) {
+      this.step(this.#inputs.shift() as replication.Input, time);
+    }
+    while (this.#pending[0] !== undefined) {
+      const { write, syncedAt } = this.#pending[0];
+      if (syncedAt > time) {
+        break;
+      }
+      this.#pending.shift();
+      this.#write(write);
+      this.#synced(write, time);
+    }
+    this.step({ kind: "tick" }, time);
+  }
+
+  /** Gives the replica one input and carries out the effects. */
+  step(input: replication.Input, time: number): void {
+    const { replica } = this;
+    if (replica === null) {
+      return;
+    }
+    const { checker } = this.#surroundings;
+    const committed = replica.commitIndex;
+    const effects = replica.step(input, this.clock(time));
+    checker.steps += 1;
+    checker.committed(replica, committed);
+    for (const effect of effects) {
+      this.#carryOut(effect, time);
+    }
+  }
+
+  #carryOut(effect: replication.Effect, time: number): void {
+    const { checker } = this.#surroundings;
+    const replica = this.replica as replication.Replica;
+    switch (effect.kind) {
+      case "persist": {
+        const first = effect.entries[0]?.index ?? 0;
+        checker.written(effect.entries, replica.termAt(first - 1));
+        this.#enqueue(effect, time);
+        return;
+      }
+      case "installSnapshot":
+        this.#enqueue(effect, time);
+        return;
+      case "send":
+        this.#surroundings.send(this.id, effect.to, effect.message);
+        return;
+      case "apply":
+        this.state = checker.applied(this.state, effect.entries);
+        return;
+      case "status":
+        if (effect.role === "leader") {
+          checker.leader(replica, this.#surroundings.leaseHolders());
+        }
+        return;
+      case "readSnapshotPart":
+        this.#readPart(effect);
+        return;
+      case "outcome":
+      case "membership":
+        return;
+      default: {
+        const unexpected: never = effect;
+        throw new TypeError(`unexpected effect ${JSON.stringify(unexpected)}`);
+      }
+    }
+  }
+
+  #readPart(
+    { to, index, offset, length }: Extract<
+      replication.Effect,
+      { kind: "readSnapshotPart" }
+    >,
+  ): void {
+    const { snapshot } = this.#disk;
+    if (snapshot?.metadata.index === index) {
+      const part = snapshot.data.subarray(offset, offset + length);
+      const data = part.toString("base64");
+      this.#inputs.push({ kind: "snapshotPart", to, index, offset, data });
+    }
+  }
+
+  #enqueue(write: Write, time: number): void {
+    const { random } = this.#surroundings;
+    const longest = random() < SLOW_SYNC_CHANCE ? SLOW_SYNC_MS : SYNC_MS;
+    const earliest = this.#pending.at(-1)?.syncedAt ?? 0;
+    const syncedAt = Math.max(earliest, time + random() * longest);
+    this.#pending.push({ write, syncedAt });
+  }
+
+  #synced(write: Write, time: number): void {
+    switch (write.kind) {
+      case "persist":
+        this.step({ kind: "persisted", sequence: write.sequence }, time);
+        return;
+      case "installSnapshot": {
+        const { sequence } = write;
+        const data = this.#disk.snapshot?.data.toString() ?? "";
+        const state: State = JSON.parse(data);
+        if (state.index < this.state.index) {
+          throw new Error(`${this.id} went back to ${state.index}`);
+        }
+        this.#surroundings.checker.state(state);
+        this.state = state;
+        this.step({ kind: "persisted", sequence }, time);
+        return;
+      }
+      case "save": {
+        const snapshot = write.saved.metadata;
+        this.step({ kind: "snapshotTaken", snapshot }, time);
+        return;
+      }
+      default: {
+        const unexpected: never = write;
+        throw new TypeError(`unexpected write ${JSON.stringify(unexpected)}`);
+      }
+    }
+  }
+
+  #write(write: Write): void {
+    switch (write.kind) {
+      case "persist":
+        this.#writeRecords(write);
+        return;
+      case "installSnapshot": {
+        const parts = write.parts.map((part) => Buffer.from(part, "base64"));
+        const data = Buffer.concat(parts);
+        const saved = { metadata: write.snapshot, data };
+        this.#writeSnapshot(saved, write.keepEntries);
+        return;
+      }
+      case "save":
+        this.#writeSnapshot(write.saved, true);
+        return;
+      default: {
+        const unexpected: never = write;
+        throw new TypeError(`unexpected write ${JSON.stringify(unexpected)}`);
+      }
+    }
+  }
+
+  #writeRecords(
+    { hardState, truncateFrom, entries }: Extract<Write, { kind: "persist" }>,
+  ): void {
+    const disk = this.#disk;
+    disk.hardState = hardState ?? disk.hardState;
+    if (truncateFrom !== null) {
+      disk.entries = disk.entries.filter(({ index }) => index < truncateFrom);
+    }
+    const last = disk.entries.at(-1)?.index ??
+      disk.snapshot?.metadata.index ?? 0;
+    const first = entries[0]?.index ?? last + 1;
+    if (first !== last + 1) {
+      throw new Error(`${this.id} wrote entry ${first} after ${last}`);
+    }
+    disk.entries = [...disk.entries, ...entries];
+  }
+
+  #writeSnapshot(saved: SavedSnapshot, keepEntries: boolean): void {
+    const disk = this.#disk;
+    const { index } = saved.metadata;
+    if (index <= (disk.snapshot?.metadata.index ?? 0)) {
+      return;
+    }
+    disk.snapshot = saved;
+    disk.entries = keepEntries
+      ? disk.entries.filter((entry) => entry.index > index)
+      : [];
+  }
+}
