Send a change of members only once

A change of members is not recognised when it comes again, so a resend after a lost answer could be refused although the first try had been made. The command line now stops after the first try of unknown outcome and says where to look, and waits 45 s for a new member to catch up.

--- a/packages/cli/src/cli/members/mod.ts
+++ b/packages/cli/src/cli/members/mod.ts
@@ -12,6 +12,9 @@
 import * as input from "../input.ts";
 import type * as types from "../types.ts";
 
+/** Time for a new member to catch up, in milliseconds. */
+const CHANGE_TIMEOUT_MS = 45_000;
+
 const options = [input.CHANGE_ID];
 
 /** The commands. */
@@ -94,13 +97,36 @@
 ): Promise<exitCode.ExitCode> {
   const client = await context.client();
   const path = `/v1/members/${action}`;
-  const request: clients.Request = { method: "POST", path, body };
-  const { index } = await client.change(request);
+  const request: clients.Request = {
+    method: "POST",
+    path,
+    body,
+    timeoutMs: CHANGE_TIMEOUT_MS,
+    isRepeatable: false,
+  };
+  const { index } = await send(client, request);
   context.output.lines(title);
   context.output.result({ index });
   return exitCode.OK;
 }
 
+/** A second try could meet the members already changed by the first one. */
+async function send(
+  client: clients.Client,
+  request: clients.Request,
+): Promise<protocol.operators.Changed> {
+  try {
+    return await client.change(request);
+  } catch (error) {
+    if (!(error instanceof failure.OutcomeUnknownError)) throw error;
+    throw new failure.OutcomeUnknownError(
+      error.message,
+      "look at `ebonypath members status` before you try again",
+      error,
+    );
+  }
+}
+
 function memberId(text: string | undefined): string {
   if (v.is(protocol.operators.MemberId, text)) return text;
   throw new failure.UsageError(
--- a/packages/cli/src/client/transport.ts
+++ b/packages/cli/src/client/transport.ts
@@ -10,6 +10,10 @@
   readonly method: "GET" | "POST" | "DELETE";
   readonly path: string;
   readonly body?: unknown;
+  /** Time for one try; the transport's own by default, in milliseconds. */
+  readonly timeoutMs?: number;
+  /** Whether servers recognise a resend; true unless it says otherwise. */
+  readonly isRepeatable?: boolean;
 }
 
 /** What became of one call at one server. */
@@ -34,8 +38,6 @@
         timeout: CONNECT_TIMEOUT_MS,
         ...(authority === undefined ? {} : { ca: authority }),
       },
-      headersTimeout: timeoutMs,
-      bodyTimeout: timeoutMs,
       // A connection that went silent is not met twice.
       pipelining: 0,
     });
@@ -50,6 +52,7 @@
    * ```
    */
   async send(server: string, request: Request): Promise<Reply> {
+    const timeoutMs = request.timeoutMs ?? this.#timeoutMs;
     try {
       const response = await undici.request(server + request.path, {
         method: request.method,
@@ -61,7 +64,9 @@
         },
         body: request.body === undefined ? null : JSON.stringify(request.body),
         dispatcher: this.#agent,
-        signal: AbortSignal.timeout(this.#timeoutMs),
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+        signal: AbortSignal.timeout(timeoutMs),
       });
       const text = await readText(response.body);
       return parse(response.statusCode, text);
--- a/packages/cli/test/program_test.ts
+++ b/packages/cli/test/program_test.ts
@@ -319,6 +319,16 @@
     expect(bodies[1]).to.deep.equal(bodies[0]);
   });
 
+  it("sends a change of members once when its outcome is unknown", async () => {
+    const answers = { "POST /v1/members/remove": ["cut"] } as const;
+    await using first = await fake.FakeServer.start(answers);
+    await using second = await fake.FakeServer.start(answers);
+    const result = await run(["members", "remove", "m-1"], [first, second]);
+    expect(result.exit).to.equal(3);
+    expect(result.error).to.contain("look at `ebonypath members status`");
+    expect(first.requests.length + second.requests.length).to.equal(1);
+  });
+
   it("shows a granted key once and sends only its digest", async () => {
     await using server = await fake.FakeServer.start({
       "POST /v1/keys": [ACCEPTED],
