Decide on the leader which backend server holds which model

Loads, unloads, adoption of undecided models and forgetting of decisions are planned by a pure module from announcements, demand and the committed decisions; its soft state is dropped with the leadership.

A decision is ordered once, by the leader that made it; it is forgotten only when an announcement that was made after the end of every order for it does not list it. Deciding an unload again raises its fence.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -4,5 +4,6 @@
  * @module
  */
 export * as limits from "./limits/mod.ts";
+export * as placement from "./placement/mod.ts";
 export * as replication from "./replication/mod.ts";
 export * as state from "./state/mod.ts";
--- /dev/null
+++ b/packages/core/src/placement/fleet.ts
@@ -0,0 +1,120 @@
+import type * as protocol from "@ebonypath/protocol";
+import * as types from "./types.ts";
+
+/** Most backend servers that are remembered. */
+const MAX_SERVERS = 20_000;
+
+/** A backend server as its newest announcement shows it. */
+export interface Server {
+  readonly announcement: protocol.backend.Announcement;
+  /** When its incarnation was heard first, and last. */
+  readonly firstHeardMs: number;
+  readonly heardMs: number;
+}
+
+/**
+ * The announcements that this leader has heard.
+ *
+ * An announcement is under way for at most `ANNOUNCEMENT_DELAY_MS`. So one of
+ * another incarnation is older than the known one only within that time of
+ * the first hearing, and is ignored then; a live process announces again.
+ */
+export class Fleet {
+  readonly #servers = new Map<string, Server>();
+
+  /** Takes an announcement; false if it is older than the known one. */
+  hear(
+    announcement: protocol.backend.Announcement,
+    nowMs: number,
+  ): boolean {
+    const known = this.#servers.get(announcement.id);
+    if (known === undefined) return this.#add(announcement, nowMs);
+    if (known.announcement.incarnation === announcement.incarnation) {
+      if (announcement.sequence <= known.announcement.sequence) return false;
+      const heard = { ...known, announcement, heardMs: nowMs };
+      this.#servers.set(announcement.id, heard);
+      return true;
+    }
+    if (nowMs - known.firstHeardMs <= types.ANNOUNCEMENT_DELAY_MS) return false;
+    return this.#add(announcement, nowMs);
+  }
+
+  get(id: string): Server | undefined {
+    return this.#servers.get(id);
+  }
+
+  /** All servers in the order of their ids. */
+  list(): Server[] {
+    return [...this.#servers.values()].sort((a, b) =>
+      a.announcement.id < b.announcement.id ? -1 : 1
+    );
+  }
+
+  /** The server, if it announces itself under this incarnation. */
+  incarnation(id: string, incarnation: string): Server | undefined {
+    const server = this.#servers.get(id);
+    return server?.announcement.incarnation === incarnation
+      ? server
+      : undefined;
+  }
+
+  /** Whether an incarnation has ended for certain. */
+  isReplaced(id: string, incarnation: string): boolean {
+    const server = this.#servers.get(id);
+    if (server === undefined) return false;
+    if (server.announcement.incarnation === incarnation) return false;
+    const span = server.heardMs - server.firstHeardMs;
+    return span > types.ANNOUNCEMENT_DELAY_MS;
+  }
+
+  /** Removes servers that have been silent for long. */
+  expire(nowMs: number): void {
+    for (const [id, { heardMs }] of this.#servers) {
+      if (nowMs - heardMs > types.FORGET_SILENT_MS) this.#servers.delete(id);
+    }
+  }
+
+  #add(
+    announcement: protocol.backend.Announcement,
+    nowMs: number,
+  ): boolean {
+    const isNew = !this.#servers.has(announcement.id);
+    if (isNew && this.#servers.size >= MAX_SERVERS) return false;
+    const server = { announcement, firstHeardMs: nowMs, heardMs: nowMs };
+    this.#servers.set(announcement.id, server);
+    return true;
+  }
+}
+
+/** Whether an announcement lists a version of a model. */
+export function lists(
+  server: Server,
+  model: string,
+  version: string,
+): boolean {
+  return listed(server, model, version) !== undefined;
+}
+
+/** What an announcement says of a version of a model. */
+export function listed(
+  server: Server,
+  model: string,
+  version: string,
+): protocol.backend.LoadedModel | undefined {
+  return server.announcement.loaded.find((item) =>
+    item.model === model && item.version === version
+  );
+}
+
+/** Where a server would load a version of a model from. */
+export function placeOf(
+  server: Server,
+  model: string,
+  version: string,
+): types.Place {
+  const places = server.announcement.cached
+    .filter((item) => item.model === model && item.version === version)
+    .map((item) => item.place);
+  if (places.includes("memory")) return "memory";
+  return places.includes("disk") ? "disk" : "store";
+}
--- /dev/null
+++ b/packages/core/src/placement/placement.ts
@@ -0,0 +1,194 @@
+import type * as protocol from "@ebonypath/protocol";
+import * as arrivals from "./arrivals.ts";
+import * as backoff from "./backoff.ts";
+import * as context from "./context.ts";
+import * as demand from "./demand.ts";
+import * as dispatch from "./dispatch.ts";
+import * as estimates from "./estimates.ts";
+import * as fleet from "./fleet.ts";
+import * as orders from "./orders.ts";
+import * as planner from "./planner.ts";
+import * as proposals from "./proposals.ts";
+import * as scene from "./scene.ts";
+import * as storeGate from "./store_gate.ts";
+import * as types from "./types.ts";
+import * as upkeep from "./upkeep.ts";
+
+/**
+ * Decides which backend server holds which model, on the leader.
+ *
+ * It holds soft state only: a new leader starts with a new instance and the
+ * committed decisions. Each action of `plan` is carried out once: proposals
+ * are reported back with `settle`, orders with `answer`.
+ *
+ * @example
+ * ```ts
+ * const placement = new Placement(leadership);
+ * placement.hear(announcement, nowMs);
+ * placement.report("host-1", demands, nowMs);
+ * for (const action of placement.plan(facts)) carryOut(action);
+ * ```
+ */
+export class Placement {
+  readonly #servers = new fleet.Fleet();
+  readonly #demand = new demand.DemandTable();
+  readonly #proposals = new proposals.Proposals();
+  readonly #memory: context.Memory;
+  #deferred: readonly demand.Need[] = [];
+  #scene: scene.Scene | undefined;
+
+  constructor(
+    leadership: orders.Leadership,
+    store: storeGate.StoreLimits = storeGate.DEFAULT_STORE_LIMITS,
+  ) {
+    this.#memory = {
+      orders: new orders.Orders(leadership),
+      estimates: new estimates.Estimates(),
+      gate: new storeGate.StoreGate(store, leadership.sinceMs),
+      arrivals: new arrivals.Arrivals(),
+      backoff: new backoff.Backoff(),
+      reservations: new Map(),
+    };
+  }
+
+  /** Takes an announcement; false if a newer one is known. */
+  hear(
+    announcement: protocol.backend.Announcement,
+    nowMs: number,
+  ): boolean {
+    return this.#servers.hear(announcement, nowMs);
+  }
+
+  /** Takes what one host wants; it replaces the host's earlier report. */
+  report(
+    host: string,
+    demands: readonly protocol.control.Demand[],
+    nowMs: number,
+  ): void {
+    this.#demand.report(host, demands, nowMs);
+    for (const { target, arrivals } of demands) {
+      this.#memory.arrivals.observe(types.baseOf(target), arrivals, nowMs);
+      if (types.isAdapter(target)) {
+        this.#memory.arrivals.observe(target, arrivals, nowMs);
+      }
+    }
+  }
+
+  /** Drops the report of a host that was lost. */
+  removeHost(host: string): void {
+    this.#demand.remove(host);
+  }
+
+  /** Takes the models that deferred requests want; it replaces earlier ones. */
+  wantDeferred(needs: readonly demand.Need[]): void {
+    this.#deferred = needs;
+  }
+
+  /** The next proposals and orders. */
+  plan(facts: types.Facts): types.Action[] {
+    const { orders } = this.#memory;
+    this.#servers.expire(facts.nowMs);
+    this.#proposals.retain(facts.replicas);
+    orders.retain(facts.replicas, facts.nowMs);
+    const seen = new scene.Scene(facts, this.#servers, orders, this.#proposals);
+    this.#scene = seen;
+    const needs = this.#needs(facts.nowMs);
+    const round = new context.Context(seen, this.#memory, needs);
+    const actions = [
+      ...upkeep.planForgetting(round),
+      ...upkeep.planAdoption(round),
+      ...this.#decide(round),
+    ];
+    const fresh = actions.filter((action) => this.#isNew(action));
+    return [...fresh, ...dispatch.planOrders(round)];
+  }
+
+  /** The entry of a proposal was applied, or certainly never will be. */
+  settle(proposal: proposals.Proposal): void {
+    this.#proposals.settle(proposal);
+  }
+
+  /** Takes the answer to an order; undefined if it was lost. */
+  answer(
+    sent: types.Dispatch,
+    result: protocol.backend.OrderResult | undefined,
+    nowMs: number,
+  ): void {
+    const { order, replica, server } = sent;
+    const { backoff } = this.#memory;
+    const loaded = this.#memory.orders.end(
+      replica,
+      order.fence,
+      result,
+      nowMs,
+    );
+    if (loaded !== undefined) {
+      this.#learn(loaded, nowMs);
+      backoff.succeed(server, order.model);
+      return;
+    }
+    const failed = result === undefined || result.kind === "refused" &&
+        result.reason !== "stale-fence";
+    if (failed && orders.isLoad(order.kind)) {
+      backoff.fail(server, order.model, nowMs);
+    }
+  }
+
+  /** Models and adapters of a server that may be used, by the last plan. */
+  ready(server: string): string[] {
+    const known = this.#servers.get(server);
+    if (known === undefined || this.#scene === undefined) return [];
+    return this.#scene.on(known)
+      .filter(({ replica, status }) =>
+        status.kind === "loaded" && replica.unloadIndex === undefined
+      )
+      .map(({ replica }) => replica.model);
+  }
+
+  /** The servers that were heard, in the order of their ids. */
+  servers(): fleet.Server[] {
+    return this.#servers.list();
+  }
+
+  /** Expected load time of a model on its best place, in milliseconds. */
+  loadMs(model: string, version: string, bytes: number): number {
+    const { estimates } = this.#memory;
+    const times = this.#servers.list().map((server) =>
+      estimates.load(fleet.placeOf(server, model, version), bytes)
+    );
+    return times.length === 0
+      ? estimates.load("store", bytes)
+      : Math.min(...times);
+  }
+
+  #needs(nowMs: number): demand.Need[] {
+    const byTarget = new Map<string, demand.Need>();
+    for (const need of [...this.#demand.needs(nowMs), ...this.#deferred]) {
+      const known = byTarget.get(need.target);
+      byTarget.set(need.target, demand.sum(known, need));
+    }
+    return [...byTarget.values()].sort(demand.byUrgency);
+  }
+
+  #decide(round: context.Context): types.Action[] {
+    const unloading = upkeep.planUnloading(round);
+    const needed = planner.planNeeds(round);
+    if (needed.length > 0) return [...unloading, ...needed];
+    return [...unloading, ...planner.planPrefetch(round)];
+  }
+
+  #isNew(action: types.Action): boolean {
+    return action.kind !== "order" && this.#proposals.add(action);
+  }
+
+  #learn(loaded: orders.Outstanding, nowMs: number): void {
+    const { estimates, gate } = this.#memory;
+    const durationMs = nowMs - loaded.sentMs;
+    if (loaded.kind === "load-adapter") {
+      estimates.observeAdapter(durationMs);
+      return;
+    }
+    if (loaded.place === "store") gate.observe(durationMs, loaded.expectedMs);
+    estimates.observe(loaded.place, loaded.bytes, durationMs);
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/scene.ts
@@ -0,0 +1,199 @@
+import type * as protocol from "@ebonypath/protocol";
+import type * as state from "../state/mod.ts";
+import * as fleet from "./fleet.ts";
+import * as ledger from "./ledger.ts";
+import type * as orders from "./orders.ts";
+import type * as proposals from "./proposals.ts";
+import * as status from "./status.ts";
+import * as types from "./types.ts";
+
+/** A replica with its status. */
+export interface Placed {
+  readonly replica: state.Replica;
+  readonly status: status.Status;
+}
+
+/** Memory kept free on a server for a model that waits for an eviction. */
+export interface Reservation {
+  readonly model: string;
+  readonly server: string;
+  readonly incarnation: string;
+  readonly bytes: number;
+  readonly untilMs: number;
+}
+
+/** Everything that one round of planning looks at. */
+export class Scene {
+  readonly facts: types.Facts;
+  readonly placed: readonly Placed[];
+  /** Servers that may get new replicas. */
+  readonly usable: readonly fleet.Server[];
+  readonly #servers: fleet.Fleet;
+  readonly #orders: orders.Orders;
+  /** Decisions that are proposed, with those of this round. */
+  readonly #targets: types.Target[];
+  /** Replicas whose unloading is proposed, with those of this round. */
+  readonly #unloads: Set<number>;
+  readonly #byServer = new Map<string, Placed[]>();
+  readonly #byModel = new Map<string, Placed[]>();
+
+  constructor(
+    facts: types.Facts,
+    servers: fleet.Fleet,
+    known: orders.Orders,
+    pending: proposals.Proposals,
+  ) {
+    this.facts = facts;
+    this.#servers = servers;
+    this.#orders = known;
+    this.#targets = pending.targets();
+    this.#unloads = pending.unloads();
+    this.placed = facts.replicas.map((replica) => ({
+      replica,
+      status: status.statusOf(replica, servers, known, facts.nowMs),
+    }));
+    for (const placed of this.placed) {
+      const { replica } = placed;
+      push(this.#byServer, types.incarnationName(replica), placed);
+      push(this.#byModel, replica.model, placed);
+    }
+    this.usable = servers.list().filter((server) => this.#isUsable(server));
+  }
+
+  get nowMs(): number {
+    return this.facts.nowMs;
+  }
+
+  servers(): fleet.Server[] {
+    return this.#servers.list();
+  }
+
+  serverOf(target: types.Target | state.Replica): fleet.Server | undefined {
+    return this.#servers.incarnation(target.server, target.incarnation);
+  }
+
+  /** Counts a proposal of this round. */
+  add(action: types.Action): void {
+    if (action.kind === "unload") this.#unloads.add(action.replica);
+    if (action.kind === "decide" || action.kind === "adopt") {
+      this.#targets.push(action);
+    }
+  }
+
+  /** Whether a replica is being unloaded, or is about to be. */
+  isUnloading(replica: state.Replica): boolean {
+    return replica.unloadIndex !== undefined ||
+      this.#unloads.has(replica.index);
+  }
+
+  /** Replicas decided for the present incarnation of a server. */
+  on(server: fleet.Server): readonly Placed[] {
+    const { id, incarnation } = server.announcement;
+    return this.#byServer.get(`${id}/${incarnation}`) ?? [];
+  }
+
+  /** Replicas of a model or adapter, of all versions. */
+  of(model: string): readonly Placed[] {
+    return this.#byModel.get(model) ?? [];
+  }
+
+  /** Proposed decisions of a model that are not committed. */
+  proposed(model: string): types.Target[] {
+    return this.#targets.filter((target) => target.model === model);
+  }
+
+  /** Bytes of a server that nothing is decided or proposed for. */
+  freeBytes(server: fleet.Server): number {
+    const { id, incarnation, memoryBytes } = server.announcement;
+    const replicas = this.on(server).map(({ replica }) => replica);
+    const targets = this.#targets.filter((target) =>
+      target.server === id && target.incarnation === incarnation
+    );
+    const gone = this.#orders.forgottenOn(server);
+    const committed = ledger.committedBytes(server, replicas, targets, gone);
+    return memoryBytes - committed;
+  }
+
+  /** What is decided or proposed for a server incarnation. */
+  decidedFor(
+    id: string,
+    incarnation: string,
+  ): (types.Target | state.Replica)[] {
+    const targets = this.#targets.filter((target) =>
+      target.server === id && target.incarnation === incarnation
+    );
+    const placed = this.#byServer.get(`${id}/${incarnation}`) ?? [];
+    return [...placed.map(({ replica }) => replica), ...targets];
+  }
+
+  /** Whether a server holds a version of a model, or is about to. */
+  holds(server: fleet.Server, model: string, version: string): boolean {
+    const { id, incarnation } = server.announcement;
+    const isDecided = this.decidedFor(id, incarnation).some((item) =>
+      item.model === model && item.version === version
+    );
+    if (isDecided) return true;
+    const name = types.versionedName(model, version);
+    return fleet.lists(server, model, version) &&
+      !this.#orders.forgottenOn(server).has(name);
+  }
+
+  /** Decisions that are proposed and not committed. */
+  targets(): readonly types.Target[] {
+    return this.#targets;
+  }
+
+  /** Whether a replica serves demand now or will do so shortly. */
+  isLive(placed: Placed): boolean {
+    const { replica, status } = placed;
+    if (this.isUnloading(replica) || !isPromising(status)) return false;
+    const server = this.serverOf(replica);
+    if (server === undefined || !this.takesWork(server)) return false;
+    return this.versionOf(replica.model) === replica.version;
+  }
+
+  /** The configured version of a model or an adapter. */
+  versionOf(reference: string): string | undefined {
+    const resolved = this.facts.catalogue.model(reference);
+    return resolved?.adapter?.version ?? resolved?.model.version;
+  }
+
+  /** Whether a server is neither leaving nor in a withdrawn failure domain. */
+  takesWork(server: fleet.Server): boolean {
+    const { leaving, failureDomain } = server.announcement;
+    return !leaving && !this.facts.withdrawnFailureDomains.has(failureDomain);
+  }
+
+  #isUsable(server: fleet.Server): boolean {
+    return server.announcement.kind === "engine" && this.takesWork(server) &&
+      this.nowMs - server.heardMs <= types.FRESH_MS;
+  }
+}
+
+/** Whether a server may hold the models of a service. */
+export function serves(
+  announcement: protocol.backend.Announcement,
+  service: string,
+): boolean {
+  return announcement.services.includes(service);
+}
+
+/** Whether a replica is in memory or expected to be there shortly. */
+function isPromising(shown: status.Status): boolean {
+  switch (shown.kind) {
+    case "pending":
+    case "loading":
+    case "loaded":
+      return true;
+    case "unknown":
+      return shown.promising;
+    default:
+      return false;
+  }
+}
+
+function push(map: Map<string, Placed[]>, key: string, item: Placed): void {
+  const items = map.get(key);
+  if (items === undefined) map.set(key, [item]);
+  else items.push(item);
+}
--- /dev/null
+++ b/packages/core/src/placement/types.ts
@@ -0,0 +1,106 @@
+import type * as protocol from "@ebonypath/protocol";
+import type * as state from "../state/mod.ts";
+
+/** Longest time for which an announcement may be under way, in milliseconds. */
+export const ANNOUNCEMENT_DELAY_MS = 2_000;
+/** Age from which an announcement is too old to base a decision on. */
+export const FRESH_MS = 3_000;
+/** Silence after which the replicas of a server serve no demand. */
+export const SILENT_MS = 5_000;
+/** Silence after which the decisions about a server are forgotten. */
+export const FORGET_SILENT_MS = 24 * 60 * 60 * 1_000;
+/** Longest time until a backend server receives an order that was sent. */
+export const ORDER_DELIVERY_MS = 2_000;
+/** Longest execution time of an order, in milliseconds. */
+export const MAX_ORDER_MS = 120_000;
+
+/** Why a replica is unloaded. */
+export type UnloadReason =
+  | "evicted"
+  | "idle"
+  | "outdated"
+  | "surplus"
+  | "fence"
+  | "unknown-model";
+
+/** Which replica is decided, and where. */
+export interface Target {
+  readonly server: string;
+  readonly incarnation: string;
+  readonly failureDomain: string;
+  readonly model: string;
+  readonly version: string;
+  readonly bytes: number;
+  readonly kvBytes: number;
+}
+
+/** An order that has to be sent to a backend server. */
+export interface Dispatch {
+  readonly kind: "order";
+  readonly replica: number;
+  readonly server: string;
+  readonly address: string;
+  readonly order: protocol.backend.Order;
+}
+
+/** A step that the leader takes: a proposal for the log, or an order. */
+export type Action =
+  /** Propose `decide-replica` for a replica that will be loaded. */
+  | ({ readonly kind: "decide" } & Target)
+  /** Propose `decide-replica` for a model that the server holds undecided. */
+  | ({ readonly kind: "adopt" } & Target)
+  /** Propose `decide-unload`. */
+  | {
+    readonly kind: "unload";
+    readonly replica: number;
+    readonly reason: UnloadReason;
+  }
+  /** Propose `forget-replica`. */
+  | {
+    readonly kind: "forget";
+    readonly replica: number;
+    readonly reason: "unloaded" | "server-gone" | "refused" | "turned-cold";
+  }
+  | Dispatch;
+
+/** What the leader knows when it plans. */
+export interface Facts {
+  /** Monotonic clock of the leader, in milliseconds. */
+  readonly nowMs: number;
+  readonly catalogue: state.Catalogue;
+  /** The committed decisions. */
+  readonly replicas: readonly state.Replica[];
+  readonly withdrawnFailureDomains: ReadonlySet<string>;
+  /**
+   * Requests of a model and its adapters that run on a server now, over all
+   * hosts. Without it a replica of a model in use is unloaded only when its
+   * server runs nothing.
+   */
+  readonly runningOn?: (server: string, model: string) => number;
+}
+
+/** Where a checkpoint is loaded from. */
+export type Place = "memory" | "disk" | "store";
+
+/** Whether a reference names an adapter. */
+export function isAdapter(reference: string): boolean {
+  return reference.includes(":");
+}
+
+/** The reference of the base model. */
+export function baseOf(reference: string): string {
+  const colon = reference.indexOf(":");
+  return colon < 0 ? reference : reference.slice(0, colon);
+}
+
+/** The name of one start of a server. */
+export function incarnationName(
+  { server, incarnation }: Pick<Target, "server" | "incarnation">,
+): string {
+  return `${server}/${incarnation}`;
+}
+
+/** The name of one version of a model. */
+export function versionedName(model: string, version: string): string {
+  return `${model}@${version}`;
+}
--- a/packages/core/src/state/replicas.ts
+++ b/packages/core/src/state/replicas.ts
@@ -17,7 +17,7 @@
   readonly version: string;
   readonly bytes: number;
   readonly kvBytes: number;
-  /** Log index of the decision to unload: the fence of the unload. */
+  /** Log index of the newest decision to unload: the fence of the unload. */
   readonly unloadIndex: number | undefined;
 }
 
@@ -66,13 +66,14 @@
     return results.done(position.index);
   }
 
+  /** Decides an unload; deciding it again raises its fence. */
   unload(
     command: Command<"decide-unload">,
     position: types.Position,
   ): CommandResult {
     const replica = this.#byIndex.get(command.replica);
     if (replica === undefined) return unknownReplica(command.replica);
-    const unloadIndex = replica.unloadIndex ?? position.index;
+    const unloadIndex = position.index;
     this.#byIndex.set(replica.index, { ...replica, unloadIndex });
     return results.done(unloadIndex);
   }
