--- a/packages/core/src/replication/election.ts
+++ b/packages/core/src/replication/election.ts
@@ -123,13 +123,14 @@
   }
 
   /**
-   * A voter whose removal isn't committed is still needed: it may hold the
-   * longest log of a quorum that can't be formed without its vote.
+   * A voter whose removal isn't known to be committed is still needed: it may
+   * hold the longest log of a quorum that can't be formed without its vote.
    */
   #isEligible(): boolean {
     const { memberships, self, commitIndex } = this.#context;
+    const isSettled = memberships.currentIndex <= commitIndex;
     return isVoter(memberships.current, self) ||
-      isVoter(memberships.at(commitIndex), self);
+      (!isSettled && isVoter(memberships.previous, self));
   }
 
   #adoptTerm(from: string, term: number): void {
--- a/packages/core/src/replication/membership.ts
+++ b/packages/core/src/replication/membership.ts
@@ -137,6 +137,11 @@
     return this.#latest.index;
   }
 
+  /** The membership before the one in effect, as far as it's held here. */
+  get previous(): Membership {
+    return this.#records.at(-2)?.membership ?? NO_MEMBERS;
+  }
+
   /** Whether every membership held here has just this one voter. */
   isAlwaysAlone(id: string): boolean {
     const formed = this.#records.filter(({ membership }) =>
--- /dev/null
+++ b/packages/daemon/src/storage/errors.ts
@@ -0,0 +1,42 @@
+import * as protocol from "@ebonypath/protocol";
+
+/** Step of the store at which an error arose. */
+export type StorageStep =
+  | "open"
+  | "read"
+  | "write"
+  | "sync"
+  | "rename"
+  | "remove"
+  | "truncate"
+  | "save snapshot"
+  | "closed";
+
+/** A file operation failed. The store refuses everything from then on. */
+export class StorageError extends protocol.errors.StepError {
+  override readonly name: string = "StorageError";
+  /** The file or folder that was worked on. */
+  readonly file: string;
+
+  constructor(
+    step: StorageStep,
+    file: string,
+    message: string,
+    cause?: unknown,
+  ) {
+    super(`storage ${step}`, file, message, cause);
+    this.file = file;
+  }
+}
+
+/** A file holds something that was never written there. */
+export class DamageError extends StorageError {
+  override readonly name = "DamageError";
+  /** Byte in the file at which the damage begins. */
+  readonly offset: number;
+
+  constructor(file: string, offset: number, message: string) {
+    super("read", file, `damaged at byte ${offset}: ${message}`);
+    this.offset = offset;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/storage/file_disk.ts
@@ -0,0 +1,101 @@
+/**
+ * The file operations of a store on the real disk.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import * as fs from "node:fs/promises";
+import * as path from "node:path";
+import type { Disk, DiskFile } from "./types.ts";
+
+/** An open file of the real disk. */
+class OpenFile implements DiskFile {
+  #handle: fs.FileHandle;
+
+  constructor(handle: fs.FileHandle) {
+    this.#handle = handle;
+  }
+
+  async write(data: Uint8Array): Promise<number> {
+    const { bytesWritten } = await this.#handle.write(data);
+    return bytesWritten;
+  }
+
+  async sync(): Promise<void> {
+    await this.#handle.datasync();
+  }
+
+  async close(): Promise<void> {
+    await this.#handle.close();
+  }
+}
+
+/**
+ * The real disk.
+ *
+ * @example
+ * ```ts
+ * const store = await openStore("/var/lib/ebonypath", {
+ *   name: "c1",
+ *   disk: new FileDisk(),
+ * });
+ * ```
+ */
+export class FileDisk implements Disk {
+  async makeFolder(folder: string): Promise<void> {
+    const first = await fs.mkdir(folder, { recursive: true });
+    if (first !== undefined) {
+      await this.syncFolder(path.dirname(first));
+    }
+  }
+
+  async list(folder: string): Promise<string[]> {
+    return await fs.readdir(folder);
+  }
+
+  async read(file: string): Promise<Buffer | null> {
+    try {
+      return await fs.readFile(file);
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code === "ENOENT") {
+        return null;
+      }
+      throw error;
+    }
+  }
+
+  async readPart(
+    file: string,
+    offset: number,
+    length: number,
+  ): Promise<Buffer> {
+    await using handle = await fs.open(file, "r");
+    const part = Buffer.alloc(length);
+    const { bytesRead } = await handle.read(part, 0, length, offset);
+    return part.subarray(0, bytesRead);
+  }
+
+  async append(file: string): Promise<DiskFile> {
+    return new OpenFile(await fs.open(file, "a"));
+  }
+
+  async truncate(file: string, length: number): Promise<void> {
+    await using handle = await fs.open(file, "r+");
+    await handle.truncate(length);
+    await handle.sync();
+  }
+
+  async rename(from: string, to: string): Promise<void> {
+    await fs.rename(from, to);
+  }
+
+  async remove(file: string): Promise<void> {
+    await fs.rm(file, { force: true });
+  }
+
+  async syncFolder(folder: string): Promise<void> {
+    await using handle = await fs.open(folder, "r");
+    await handle.sync();
+  }
+}
--- a/packages/daemon/src/storage/mod.ts
+++ b/packages/daemon/src/storage/mod.ts
@@ -4,4 +4,7 @@
  * @module
  */
 
+export * from "./errors.ts";
+export { FileDisk } from "./file_disk.ts";
+export { openStore } from "./store.ts";
 export * from "./types.ts";
--- /dev/null
+++ b/packages/daemon/test/storage/faulty_disk.ts
@@ -0,0 +1,80 @@
+/**
+ * A disk whose operations fail on demand and whose power can be cut.
+ *
+ * @module
+ */
+
+import type { Buffer } from "node:buffer";
+import * as storage from "../../src/storage/mod.ts";
+
+/** An operation that fails from now on. */
+export type Fault =
+  | { kind: "none" }
+  | { kind: "write"; code: string }
+  | { kind: "shortWrite" }
+  | { kind: "sync"; code: string }
+  | { kind: "rename"; code: string }
+  | { kind: "syncFolder"; code: string };
+
+function failure(code: string): Error {
+  return Object.assign(new Error(`${code}: injected`), { code });
+}
+
+/** The real disk with faults; it knows which bytes of a file were synced. */
+export class FaultyDisk extends storage.FileDisk {
+  fault: Fault = { kind: "none" };
+  syncs = 0;
+  #lengths = new Map<string, { written: number; synced: number }>();
+
+  override async append(file: string): Promise<storage.DiskFile> {
+    const open = await super.append(file);
+    const content = await super.read(file);
+    const size = content?.length ?? 0;
+    const length = { written: size, synced: size };
+    this.#lengths.set(file, length);
+    return {
+      write: async (data: Uint8Array) => {
+        if (this.fault.kind === "write") {
+          throw failure(this.fault.code);
+        }
+        const isShort = this.fault.kind === "shortWrite";
+        const part = isShort ? data.subarray(0, data.length / 2) : data;
+        const written = await open.write(part);
+        length.written += written;
+        return written;
+      },
+      sync: async () => {
+        if (this.fault.kind === "sync") {
+          throw failure(this.fault.code);
+        }
+        this.syncs += 1;
+        await open.sync();
+        length.synced = length.written;
+      },
+      close: () => open.close(),
+    };
+  }
+
+  override async rename(from: string, to: string): Promise<void> {
+    if (this.fault.kind === "rename") {
+      throw failure(this.fault.code);
+    }
+    await super.rename(from, to);
+  }
+
+  override async syncFolder(folder: string): Promise<void> {
+    if (this.fault.kind === "syncFolder") {
+      throw failure(this.fault.code);
+    }
+    await super.syncFolder(folder);
+  }
+
+  /** Takes away what was written to a file and not synced. */
+  async cutPower(file: string): Promise<Buffer | null> {
+    const length = this.#lengths.get(file);
+    if (length !== undefined) {
+      await super.truncate(file, length.synced);
+    }
+    return await super.read(file);
+  }
+}
