--- /dev/null
+++ b/packages/core/src/deferred/types.ts
@@ -0,0 +1,51 @@
+import type * as placement from "../placement/mod.ts";
+import type * as state from "../state/mod.ts";
+
+/** Requests that one host may have assigned at once. */
+export const MAX_ASSIGNED_PER_HOST = 16;
+
+/** An entry host that executes deferred requests. */
+export interface Host extends state.Owner {
+  /** Requests that it runs or queues, of all tiers. */
+  readonly load: number;
+}
+
+/** What the fleet can do for one model, adapter or plain service now. */
+export interface Capacity {
+  /** Whether a replica is in memory and usable. */
+  readonly loaded: boolean;
+  /** Requests that it can take beyond those that run or wait. */
+  readonly spare: number;
+  /** Expected time to load it, in milliseconds. */
+  readonly loadMs: number;
+  /** Expected duration of one request, in milliseconds. */
+  readonly requestMs: number;
+  /** Requests that run at once where it is loaded. */
+  readonly concurrency: number;
+}
+
+/** What the planner looks at. */
+export interface Facts {
+  /** Monotonic clock of the leader, in milliseconds. */
+  readonly nowMs: number;
+  /** Log time, in milliseconds: deadlines of deferred requests use it. */
+  readonly timeMs: number;
+  readonly waiting: readonly state.Waiting[];
+  readonly assigned: readonly state.Assigned[];
+  /** Hosts that are current and not draining. */
+  readonly hosts: readonly Host[];
+  /** `target` is `service/model[:adapter]` or the name of a plain service. */
+  readonly capacityOf: (target: string) => Capacity;
+}
+
+/** Requests for one host: an `assign-deferred` to propose. */
+export interface Assignment extends state.Owner {
+  readonly ids: readonly string[];
+}
+
+/** What to do about deferred requests. */
+export interface Plan {
+  readonly assignments: readonly Assignment[];
+  /** Models to load, for `Placement.wantDeferred`. */
+  readonly needs: readonly placement.Need[];
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * as deferred from "./deferred/mod.ts";
 export * as limits from "./limits/mod.ts";
 export * as placement from "./placement/mod.ts";
 export * as replication from "./replication/mod.ts";
--- /dev/null
+++ b/packages/core/test/placement/store_gate_test.ts
@@ -0,0 +1,45 @@
+import { expect } from "chai";
+import * as placement from "../../src/placement/mod.ts";
+
+describe("gate of the weight store", () => {
+  const limits = placement.DEFAULT_STORE_LIMITS;
+
+  it("admits at most four starts in any second and four loads at once", () => {
+    const gate = new placement.StoreGate(limits, 0);
+    const starts: number[] = [];
+    for (let nowMs = 0; nowMs < 5_000; nowMs += 10) {
+      if (!gate.admits(0, nowMs)) continue;
+      gate.start(nowMs);
+      starts.push(nowMs);
+    }
+    starts.forEach((startMs, place) => {
+      const fifth = starts[place + 4] ?? Infinity;
+      expect(fifth - startMs).to.be.at.least(1_000);
+    });
+    expect(starts).to.have.length(16);
+    expect(gate.admits(4, 9_000)).to.equal(false);
+    expect(gate.admits(3, 9_000)).to.equal(true);
+  });
+
+  it("runs fewer loads at once while the store is slow", () => {
+    const gate = new placement.StoreGate(limits, 0);
+    for (let i = 0; i < 10; i++) gate.observe(3_000, 1_000);
+    expect(gate.slots).to.equal(1);
+    for (let i = 0; i < 12; i++) gate.observe(1_000, 1_000);
+    expect(gate.slots).to.equal(4);
+  });
+
+  it("estimates the wait behind other loads", () => {
+    const gate = new placement.StoreGate(limits, -1_000);
+    expect(gate.waitMs(3, 500, 0)).to.equal(0);
+    expect(gate.waitMs(4, 500, 0)).to.equal(500);
+    expect(gate.waitMs(9, 500, 0)).to.equal(1_000);
+  });
+
+  it("learns the speed of each place", () => {
+    const estimates = new placement.Estimates();
+    for (let i = 0; i < 30; i++) estimates.observe("disk", 1e9, 5_000);
+    expect(estimates.load("disk", 1e9)).to.be.closeTo(5_000, 50);
+    expect(estimates.load("store", 1e9)).to.be.closeTo(1_020, 1);
+  });
+});
--- a/packages/core/test/placement/world.ts
+++ b/packages/core/test/placement/world.ts
@@ -74,6 +74,7 @@
   readonly #options: Options;
   readonly #random: () => number;
   #catalogue: state.Catalogue;
+  readonly #demands = new Map<string, protocol.control.Demand>();
   #events: Event[] = [];
   #term = 0;
   #index = 0;
@@ -98,14 +99,12 @@
     this.#catalogue = new state.Catalogue(configuration);
   }
 
+  /** Sets what a host wants; it is reported until it is set again. */
   demand(host: string, target: string, waiting: number, running = 0): void {
-    const demand = { target, waiting, running, arrivals: waiting };
     const earliestDeadlineMs = 30_000;
-    this.placement.report(
-      host,
-      waiting + running === 0 ? [] : [{ ...demand, earliestDeadlineMs }],
-      this.nowMs,
-    );
+    const demand = { target, waiting, running, earliestDeadlineMs };
+    this.#demands.set(host, { ...demand, arrivals: waiting });
+    this.#report();
   }
 
   /** Runs until `untilMs`; stops at the first violation. */
@@ -185,7 +184,15 @@
     this.#after(1_000, () => this.#announce(server));
   }
 
+  #report(): void {
+    for (const [host, demand] of this.#demands) {
+      this.placement.report(host, [demand], this.nowMs);
+      this.#demands.set(host, { ...demand, arrivals: 0 });
+    }
+  }
+
   #tick(): void {
+    this.#report();
     const facts = {
       nowMs: this.nowMs,
       catalogue: this.#catalogue,
