Keep the ports of test hosts over restarts; let plain fakes serve /orders

A restarted test host came back on other ports, which no balancer would see. A plain fake took the path /orders for orders of the fleet, although a plain service loads nothing and may have such a route of its own.

--- a/packages/testing/src/fake_backend/fake_backend.ts
+++ b/packages/testing/src/fake_backend/fake_backend.ts
@@ -233,7 +233,10 @@
     const path = request.url ?? "/";
     if (path === "/livez") return httpBody.sendJson(response, 200, {});
     const body = await httpBody.readText(request);
-    if (path === "/orders") return await this.#orders.handle(body, response);
+    // A plain service loads nothing; `/orders` is a path like any other there.
+    if (path === "/orders" && this.#options.kind !== "plain") {
+      return await this.#orders.handle(body, response);
+    }
     const call = receivedCall(request, body);
     this.journal.addCall(call);
     if (!this.#admit(call, response)) return;
--- a/packages/testing/src/launcher/fleet.ts
+++ b/packages/testing/src/launcher/fleet.ts
@@ -28,6 +28,8 @@
 }
 
 const MAX_DEFAULT_VOTERS = 3;
+/** Ports of a host: four listeners, and a proxy before the last one. */
+const LISTENERS = 5;
 const FAILURE_DOMAINS = ["fd-1", "fd-2", "fd-3", "fd-4"];
 /** Limits that keep tests short, in milliseconds. */
 const LIMITS = { "drain_delay_ms": 100, "drain_timeout_ms": 10_000 };
@@ -123,11 +125,12 @@
   const secrets = await settingsFile.writeSecrets(folder);
   const count = options.hosts;
   const voterCount = options.voters ?? Math.min(count, MAX_DEFAULT_VOTERS);
-  const ports = await freePort.freePorts(2 * count);
-  const listens = addresses(ports.slice(0, count));
-  const advertised = options.withLinks
-    ? addresses(ports.slice(count))
-    : listens;
+  const ports = await freePort.freePorts(LISTENERS * count);
+  const column = (number: number) =>
+    addresses(ports.slice(number * count, (number + 1) * count));
+  const [callers, backends, operators] = [column(0), column(1), column(2)];
+  const listens = column(3);
+  const advertised = options.withLinks ? column(4) : listens;
   const voters = advertised.slice(0, voterCount);
   const domains = options.failureDomains ?? FAILURE_DOMAINS;
   const hosts: fleetHost.FleetHost[] = [];
@@ -136,6 +139,9 @@
       name: `host-${index + 1}`,
       failureDomain: domains[index % domains.length] as string,
       isControl: index < voterCount,
+      callers: callers[index] as string,
+      backends: backends[index] as string,
+      operators: operators[index] as string,
       fleet,
       fleetAdvertised: advertised[index] as string,
       controlHosts: voters,
--- a/packages/testing/src/launcher/settings_file.ts
+++ b/packages/testing/src/launcher/settings_file.ts
@@ -19,6 +19,9 @@
   readonly name: string;
   readonly failureDomain: string;
   readonly isControl: boolean;
+  readonly callers: string;
+  readonly backends: string;
+  readonly operators: string;
   /** Where the host listens for other hosts. */
   readonly fleet: string;
   /** Address under which other hosts reach it. */
@@ -63,9 +66,9 @@
     `roles = ${JSON.stringify(roles)}`,
     ...host.isControl ? [`data_folder = "data/${host.name}"`] : [],
     "[listen]",
-    'callers = "127.0.0.1:0"',
-    'backends = "127.0.0.1:0"',
-    'operators = "127.0.0.1:0"',
+    `callers = "${host.callers}"`,
+    `backends = "${host.backends}"`,
+    `operators = "${host.operators}"`,
     `fleet = "${host.fleet}"`,
     `fleet_advertised = "${host.fleetAdvertised}"`,
     "[control]",
