--- a/packages/testing/src/launcher/settings_file.ts
+++ b/packages/testing/src/launcher/settings_file.ts
@@ -4,6 +4,8 @@
 
 /** Permissions of files that hold secrets. */
 const SECRET_MODE = 0o600;
+/** Any free port of loopback. */
+const ANY_PORT = "127.0.0.1:0";
 /** Random bytes of a secret. */
 const SECRET_BYTES = 16;
 
@@ -19,9 +21,10 @@
   readonly name: string;
   readonly failureDomain: string;
   readonly isControl: boolean;
-  readonly callers: string;
-  readonly backends: string;
-  readonly operators: string;
+  /** Listeners; any free port of 127.0.0.1 by default. */
+  readonly callers?: string;
+  readonly backends?: string;
+  readonly operators?: string;
   /** Where the host listens for other hosts. */
   readonly fleet: string;
   /** Address under which other hosts reach it. */
@@ -66,9 +69,9 @@
     `roles = ${JSON.stringify(roles)}`,
     ...host.isControl ? [`data_folder = "data/${host.name}"`] : [],
     "[listen]",
-    `callers = "${host.callers}"`,
-    `backends = "${host.backends}"`,
-    `operators = "${host.operators}"`,
+    `callers = "${host.callers ?? ANY_PORT}"`,
+    `backends = "${host.backends ?? ANY_PORT}"`,
+    `operators = "${host.operators ?? ANY_PORT}"`,
     `fleet = "${host.fleet}"`,
     `fleet_advertised = "${host.fleetAdvertised}"`,
     "[control]",
