--- a/packages/core/src/placement/context.ts
+++ b/packages/core/src/placement/context.ts
@@ -29,6 +29,7 @@
   readonly needs: readonly demand.Need[];
   /** Needs of models together with their adapters. */
   readonly baseNeeds: ReadonlyMap<string, demand.Need>;
+  readonly #loaded = new Map<string, scene.Placed[]>();
 
   constructor(
     seen: scene.Scene,
@@ -52,6 +53,17 @@
       : this.baseNeeds.get(reference);
   }
 
+  /** Replicas of a model that are in memory and serve demand. */
+  loadedReplicas(model: string): readonly scene.Placed[] {
+    const known = this.#loaded.get(model);
+    if (known !== undefined) return known;
+    const loaded = this.scene.of(model).filter((placed) =>
+      placed.status.kind === "loaded" && this.scene.isLive(placed)
+    );
+    this.#loaded.set(model, loaded);
+    return loaded;
+  }
+
   /** Expected load time on a server, in milliseconds. */
   loadMs(
     server: fleet.Server,
--- a/packages/core/src/placement/proposals.ts
+++ b/packages/core/src/placement/proposals.ts
@@ -28,6 +28,7 @@
 
   /** Drops proposals whose effect shows in the committed decisions. */
   retain(replicas: readonly state.Replica[]): void {
+    if (this.#byName.size === 0) return;
     const decided = new Set(replicas.map(targetName));
     for (const [name, proposal] of this.#byName) {
       const target = targetOf(proposal);
--- a/packages/core/src/placement/upkeep.ts
+++ b/packages/core/src/placement/upkeep.ts
@@ -95,7 +95,7 @@
   if (version === undefined) return "unknown-model";
   const needed = round.needOf(replica.model) !== undefined;
   if (version !== replica.version) {
-    const replaced = loadedReplicas(round, replica.model).length > 0;
+    const replaced = round.loadedReplicas(replica.model).length > 0;
     return replaced || !needed ? "outdated" : undefined;
   }
   if (isSurplus(round, placed)) return "surplus";
@@ -121,17 +121,9 @@
   const { model } = placed.replica;
   if (types.isAdapter(model)) return false;
   const most = round.scene.facts.catalogue.model(model)?.model.maxReplicas;
-  const loaded = loadedReplicas(round, model);
-  return most !== undefined && loaded.indexOf(placed) >= most;
-}
-
-function loadedReplicas(
-  round: context.Context,
-  model: string,
-): scene.Placed[] {
-  return round.scene.of(model).filter((placed) =>
-    placed.status.kind === "loaded" && round.scene.isLive(placed)
-  );
+  const loaded = round.loadedReplicas(model);
+  if (most === undefined || loaded.length <= most) return false;
+  return loaded.indexOf(placed) >= most;
 }
 
 function unload(
--- a/packages/core/src/state/deferred.ts
+++ b/packages/core/src/state/deferred.ts
@@ -1,60 +1,18 @@
 import * as protocol from "@ebonypath/protocol";
 import * as audit from "./audit.ts";
+import * as answers from "./deferred_answers.ts";
+import * as deferredTypes from "./deferred_types.ts";
 import * as results from "./results.ts";
 import * as types from "./types.ts";
 
 type Answer = protocol.state.Answer;
 type CommandResult = protocol.state.CommandResult;
 type StoredRequest = protocol.state.StoredRequest;
+type Deferred = deferredTypes.Deferred;
+type Waiting = deferredTypes.Waiting;
+type Assigned = deferredTypes.Assigned;
 type Command<Kind> = Extract<protocol.state.Command, { kind: Kind }>;
 
-/** The assignment of a deferred request to a host; `index` tells them apart. */
-export interface Assignment extends types.Owner {
-  readonly index: number;
-}
-
-/** Where a deferred request stands. */
-export type DeferredPhase =
-  | { readonly kind: "waiting"; readonly request: StoredRequest }
-  | {
-    readonly kind: "assigned";
-    readonly request: StoredRequest;
-    readonly assignment: Assignment;
-  }
-  | {
-    readonly kind: "ended";
-    readonly endedMs: number;
-    readonly answer: Answer;
-    /** The owner that may still report what happened. */
-    readonly assignment: Assignment | undefined;
-  };
-
-/** A deferred request and, when it ended, its answer. */
-export interface Deferred {
-  readonly id: string;
-  readonly workspace: string;
-  readonly key: string | undefined;
-  readonly requestDigest: string;
-  readonly idempotent: boolean;
-  readonly acceptedMs: number;
-  readonly deadlineMs: number;
-  /** The caller wants no answer any more. */
-  readonly cancelled: boolean;
-  /** A host was lost while it had the request. */
-  readonly mayHaveRun: boolean;
-  readonly phase: DeferredPhase;
-}
-
-/** A deferred request that is not assigned. */
-export type Waiting = Deferred & {
-  readonly phase: Extract<DeferredPhase, { kind: "waiting" }>;
-};
-
-/** A deferred request that is assigned to a host. */
-export type Assigned = Deferred & {
-  readonly phase: Extract<DeferredPhase, { kind: "assigned" }>;
-};
-
 /** Deferred requests from acceptance to the end of their answers' retention. */
 export class DeferredRequests {
   readonly #limits: types.Limits;
@@ -78,12 +36,12 @@
 
   /** Requests that wait for an assignment, the longest accepted first. */
   waiting(): Waiting[] {
-    return [...this.#live.values()].filter(isWaiting);
+    return [...this.#live.values()].filter(deferredTypes.isWaiting);
   }
 
   /** Requests assigned to any host. */
   assigned(): Assigned[] {
-    return [...this.#live.values()].filter(isAssigned);
+    return [...this.#live.values()].filter(deferredTypes.isAssigned);
   }
 
   accept(
@@ -176,7 +134,7 @@
       return results.notFound("there is no such deferred request");
     }
     if (item.phase.kind === "waiting") {
-      this.#end(item, cancelledAnswer(item), position.timeMs);
+      this.#end(item, answers.cancelledAnswer(item), position.timeMs);
     } else if (item.phase.kind === "assigned") {
       this.#set({ ...item, cancelled: true });
     }
@@ -191,7 +149,7 @@
       if (item.idempotent) {
         this.#takeBack(suspect, item.phase.request, timeMs);
       } else {
-        this.#end(suspect, unknownAnswer("its host was lost"), timeMs);
+        this.#end(suspect, answers.unknownAnswer("its host was lost"), timeMs);
       }
     }
   }
@@ -240,16 +198,18 @@
     let next = Infinity;
     for (const item of [...this.#live.values()]) {
       if (item.deadlineMs > timeMs) next = Math.min(next, item.deadlineMs);
-      else this.#end(item, overdueAnswer(item), timeMs);
+      else this.#end(item, answers.overdueAnswer(item), timeMs);
     }
     this.#nextDeadlineMs = next;
   }
 
   #takeBack(item: Deferred, request: StoredRequest, timeMs: number): void {
-    if (item.cancelled) return this.#end(item, cancelledAnswer(item), timeMs);
+    if (item.cancelled) {
+      return this.#end(item, answers.cancelledAnswer(item), timeMs);
+    }
     const waiting: Deferred = { ...item, phase: { kind: "waiting", request } };
     if (item.deadlineMs <= timeMs) {
-      return this.#end(waiting, overdueAnswer(waiting), timeMs);
+      return this.#end(waiting, answers.overdueAnswer(waiting), timeMs);
     }
     this.#set(waiting);
   }
@@ -313,14 +273,6 @@
   }
 }
 
-function isWaiting(item: Deferred): item is Waiting {
-  return item.phase.kind === "waiting";
-}
-
-function isAssigned(item: Deferred): item is Assigned {
-  return item.phase.kind === "assigned";
-}
-
 function accepted(item: Deferred): CommandResult {
   return { kind: "deferred", id: item.id, deadlineMs: item.deadlineMs };
 }
@@ -330,7 +282,7 @@
 }
 
 function holds(
-  assignment: Assignment,
+  assignment: deferredTypes.Assignment,
   command: Command<"return-deferred"> | Command<"finish-deferred">,
 ): boolean {
   const named = command.assignment ?? assignment.index;
@@ -341,20 +293,3 @@
   return item.phase.kind === "ended" &&
     item.phase.answer.outcome !== "may-have-run";
 }
-
-function unknownAnswer(detail: string): Answer {
-  return results.refusal(protocol.errors.OUTCOME_UNKNOWN, detail);
-}
-
-function cancelledAnswer(item: Deferred): Answer {
-  if (item.mayHaveRun) return unknownAnswer("it was cancelled after a start");
-  return results.refusal(protocol.errors.CANCELLED, "cancelled by the caller");
-}
-
-function overdueAnswer(item: Deferred): Answer {
-  const started = item.mayHaveRun || item.phase.kind === "assigned";
-  const definition = started
-    ? protocol.errors.DEADLINE_EXCEEDED
-    : protocol.errors.NOT_STARTED_IN_TIME;
-  return results.refusal(definition, "the deadline of the tier has passed");
-}
--- a/packages/core/src/state/mod.ts
+++ b/packages/core/src/state/mod.ts
@@ -11,17 +11,10 @@
 } from "./audit.ts";
 export * from "./catalogue.ts";
 export { type Claim, type Phase } from "./claims.ts";
-export {
-  type Assigned,
-  type Assignment,
-  type Deferred,
-  type DeferredPhase,
-  type Waiting,
-} from "./deferred.ts";
+export * from "./deferred_types.ts";
 export { type Replica } from "./replicas.ts";
 export * from "./state.ts";
 export * from "./types.ts";
 export * from "./validation.ts";
 export { type Version } from "./versions.ts";
 export * from "./view.ts";
-export * from "./view_log.ts";
--- a/packages/core/src/state/snapshot.ts
+++ b/packages/core/src/state/snapshot.ts
@@ -2,7 +2,7 @@
 import type * as audit from "./audit.ts";
 import type * as changeLog from "./change_log.ts";
 import type * as claims from "./claims.ts";
-import type * as deferred from "./deferred.ts";
+import type * as deferred from "./deferred_types.ts";
 import type * as keys from "./keys.ts";
 import type * as replicas from "./replicas.ts";
 import type * as versions from "./versions.ts";
