--- a/packages/core/src/limits/leader.ts
+++ b/packages/core/src/limits/leader.ts
@@ -166,7 +166,7 @@
   takeOutcomes(): ObservedOutcomes[] {
     return [...this.#slots].map(([server, pool]) => ({
       server,
-      outcomes: pool.takeOutcomes(),
+      ...pool.takeOutcomes(),
     }));
   }
 
--- a/packages/core/src/limits/slot_pool.ts
+++ b/packages/core/src/limits/slot_pool.ts
@@ -7,7 +7,12 @@
 import type * as protocol from "@ebonypath/protocol";
 import { divideWhole, type WholeClaim } from "./division.ts";
 import { countedOf, type Entry, Ledger, type Share } from "./ledger.ts";
-import { CLOCK_DRIFT, LONGEST_REQUEST_MS, SHARE_LIFETIME_MS } from "./types.ts";
+import {
+  CLOCK_DRIFT,
+  LONGEST_REQUEST_MS,
+  type ObservedOutcomes,
+  SHARE_LIFETIME_MS,
+} from "./types.ts";
 
 /** Age at which a server's report of its load may still be out of date. */
 const OBSERVATION_LAG_MS = 2000;
@@ -173,10 +178,14 @@
   }
 
   /** Returns how requests ended since the previous call. */
-  takeOutcomes(): protocol.limits.ServerOutcomes {
+  takeOutcomes(): Omit<ObservedOutcomes, "server"> {
     const outcomes = this.#outcomes;
     this.#outcomes = { ...NO_OUTCOMES };
-    return outcomes;
+    let running = 0;
+    for (const { peak } of this.#situations.values()) {
+      running += peak;
+    }
+    return { outcomes, running: Math.min(running, this.#limit) };
   }
 
   #target(holder: string, report: protocol.limits.SlotReport): number {
--- a/packages/core/src/limits/types.ts
+++ b/packages/core/src/limits/types.ts
@@ -85,4 +85,6 @@
 export type ObservedOutcomes = {
   readonly server: string;
   readonly outcomes: protocol.limits.ServerOutcomes;
+  /** Most requests that ran at once in recent seconds. */
+  readonly running: number;
 };
--- /dev/null
+++ b/packages/core/src/ramp/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * How many requests a backend server that is fresh, back in service or without
+ * its caches may run at once.
+ *
+ * @module
+ */
+export * from "./ramp.ts";
