Keep an attempt that was given up from opening its claim late

Cause: a host whose open-claim had no known outcome gives the claim back; the open-claim may still arrive afterwards and would stay open with nobody running it, and a late release could free a later claim of the same host. Change: release-claim names the attempt, and bars it where nothing is held.

--- a/packages/core/src/state/claims.ts
+++ b/packages/core/src/state/claims.ts
@@ -119,7 +119,8 @@
     position: types.Position,
   ): CommandResult {
     const claim = this.#owned(command);
-    if (claim === undefined || claim.phase.kind === "answered") {
+    if (claim === undefined) return this.#bar(command, position);
+    if (claim.phase.kind === "answered") {
       return results.notFound("the host does not hold this claim");
     }
     if (claim.phase.kind !== "released") {
@@ -175,6 +176,30 @@
     return { kind: "claimed", index: position.index };
   }
 
+  /** Keeps a late `open-claim` of an attempt that was given up from opening. */
+  #bar(
+    command: Command<"release-claim">,
+    position: types.Position,
+  ): CommandResult {
+    const held = this.get(command.workspace, command.key);
+    const isFree = held === undefined || held.phase.kind === "released";
+    if (command.attempt === undefined || !isFree) {
+      return results.notFound("the host does not hold this claim");
+    }
+    if (held !== undefined) this.#remove(held);
+    this.#put({
+      index: position.index,
+      workspace: command.workspace,
+      key: command.key,
+      request: "",
+      host: command.host,
+      hostIncarnation: command.hostIncarnation,
+      attempt: command.attempt,
+      phase: { kind: "released", sinceMs: position.timeMs },
+    });
+    return results.done(position.index);
+  }
+
   #reclaim(
     released: Claim,
     command: Command<"open-claim">,
@@ -194,7 +219,10 @@
     if (claim === undefined) return undefined;
     if (!results.sameOwner(claim, command)) return undefined;
     const named = command.claim ?? claim.index;
-    return named === claim.index ? claim : undefined;
+    if (named !== claim.index) return undefined;
+    if (command.kind === "close-claim") return claim;
+    const attempt = command.attempt ?? claim.attempt;
+    return attempt === claim.attempt ? claim : undefined;
   }
 
   #bounded(answer: protocol.state.Answer): protocol.state.Answer {
--- a/packages/core/test/state/claims_test.ts
+++ b/packages/core/test/state/claims_test.ts
@@ -81,6 +81,25 @@
     expect(open(log).kind).to.equal("not-found");
   });
 
+  it("keeps an attempt that was given up from opening late", () => {
+    const log = new fixtures.Log();
+    const release = {
+      kind: "release-claim",
+      workspace,
+      key,
+      attempt: "t1",
+      ...fixtures.OWNER,
+    } as const;
+    expect(log.apply(release).kind).to.equal("done");
+    expect(log.apply(fixtures.openClaim(fixtures.OWNER, "t1")).kind)
+      .to.equal("not-found");
+    expect(log.apply(fixtures.openClaim(fixtures.OWNER, "t2")).kind)
+      .to.equal("claimed");
+    expect(log.apply(release).kind).to.equal("not-found");
+    expect(log.apply(fixtures.openClaim(fixtures.OWNER, "t3")).kind)
+      .to.equal("claim-running");
+  });
+
   it("keeps a late release off a later claim of the same host", () => {
     const log = new fixtures.Log();
     open(log);
--- a/packages/protocol/src/state/command.ts
+++ b/packages/protocol/src/state/command.ts
@@ -138,6 +138,11 @@
     key: Digest,
     /** Index that `claimed` returned; keeps late resends off later claims. */
     claim: v.optional(Index),
+    /**
+     * Attempt whose `open-claim` had no known outcome; an `open-claim` of this
+     * attempt that arrives later opens nothing.
+     */
+    attempt: v.optional(Text),
     host: backend.Name,
     hostIncarnation: backend.Name,
   }),
