--- a/packages/protocol/src/control/exchange.ts
+++ b/packages/protocol/src/control/exchange.ts
@@ -1,6 +1,11 @@
 import * as v from "valibot";
 import * as backend from "../backend/mod.ts";
+import * as limits from "../limits/mod.ts";
 import * as state from "../state/mod.ts";
+import * as suspicion from "../suspicion/mod.ts";
+
+/** Most models and services that one exchange may mention. */
+const LISTED_TARGETS = 20_000;
 
 const Count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 
@@ -25,17 +30,6 @@
 });
 export type Demand = v.InferOutput<typeof Demand>;
 
-/** How requests to one backend server ended since the previous exchange. */
-export const ServerOutcomes = v.object({
-  server: backend.Name,
-  incarnation: backend.Name,
-  succeeded: Count,
-  refused: Count,
-  failed: Count,
-  slow: Count,
-});
-export type ServerOutcomes = v.InferOutput<typeof ServerOutcomes>;
-
 /** A deferred request handed to a host for execution. */
 export const Assignment = v.object({
   id: v.string(),
@@ -44,3 +38,77 @@
   remainingMs: v.number(),
 });
 export type Assignment = v.InferOutput<typeof Assignment>;
+
+/** What a host tells the leader, about once a second and on need. */
+export const ExchangeRequest = v.object({
+  host: HostIdentity,
+  roles: v.array(v.string()),
+  /** Version of the configuration in force at the host. */
+  version: Count,
+  /** Whether the host starts new work. */
+  current: v.boolean(),
+  /** Log index up to which the host has applied the feed; -1 for none. */
+  appliedIndex: v.pipe(v.number(), v.safeInteger(), v.minValue(-1)),
+  /** It finishes what it has and takes no new work. */
+  draining: v.boolean(),
+  /** Absent when no share is due. */
+  shares: v.optional(limits.ShareReport),
+  demand: v.pipe(v.array(Demand), v.maxLength(LISTED_TARGETS)),
+  suspicions: v.pipe(
+    v.array(suspicion.SuspicionReport),
+    v.maxLength(LISTED_TARGETS),
+  ),
+  /** Deferred requests that the host can take now. */
+  deferredCapacity: Count,
+});
+export type ExchangeRequest = v.InferOutput<typeof ExchangeRequest>;
+
+/** The leader's answer, given under its lease. */
+export const ExchangeResponse = v.object({
+  term: Count,
+  /** Log index of the latest change of the view. */
+  viewIndex: Count,
+  shares: v.optional(limits.ShareGrant),
+  watched: v.array(suspicion.WatchedFingerprint),
+  assignments: v.array(Assignment),
+});
+export type ExchangeResponse = v.InferOutput<typeof ExchangeResponse>;
+
+/** JSON-RPC method of the exchange. */
+export const EXCHANGE_METHOD = "control.exchange";
+/** JSON-RPC method that proposes a {@link state.Command}. */
+export const PROPOSE_METHOD = "control.propose";
+/** JSON-RPC method that passes on announcements of backend servers. */
+export const ANNOUNCE_METHOD = "control.announce";
+/** JSON-RPC method that reads a deferred request. */
+export const ANSWER_METHOD = "control.answer";
+
+/** Parameters of {@link PROPOSE_METHOD}. */
+export const ProposeRequest = v.object({ command: state.Command });
+export type ProposeRequest = v.InferOutput<typeof ProposeRequest>;
+
+/** Parameters of {@link ANNOUNCE_METHOD}. */
+export const AnnounceRequest = v.object({
+  announcements: v.pipe(v.array(backend.Announcement), v.maxLength(1_024)),
+});
+export type AnnounceRequest = v.InferOutput<typeof AnnounceRequest>;
+
+/** Parameters of {@link ANSWER_METHOD}. */
+export const AnswerRequest = v.object({
+  id: v.pipe(v.string(), v.maxLength(128)),
+  workspace: backend.Name,
+});
+export type AnswerRequest = v.InferOutput<typeof AnswerRequest>;
+
+/** How far a deferred request has come. */
+export const DeferredStatus = v.variant("kind", [
+  v.object({ kind: v.literal("unknown") }),
+  v.object({
+    kind: v.literal("pending"),
+    /** Whether a host runs it now. */
+    running: v.boolean(),
+    remainingMs: v.number(),
+  }),
+  v.object({ kind: v.literal("ended"), answer: state.Answer }),
+]);
+export type DeferredStatus = v.InferOutput<typeof DeferredStatus>;
--- a/packages/protocol/src/control/feed.ts
+++ b/packages/protocol/src/control/feed.ts
@@ -46,6 +46,11 @@
     index: Index,
     changes: v.array(state.ViewChange),
   }),
+  /** Replaces the list of backend servers. */
+  v.object({
+    kind: v.literal("all-servers"),
+    servers: v.array(ServerStatus),
+  }),
   v.object({
     kind: v.literal("servers"),
     changed: v.array(ServerStatus),
--- a/packages/protocol/src/control/mod.ts
+++ b/packages/protocol/src/control/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from "./exchange.ts";
 export * from "./feed.ts";
+export * from "./query.ts";
