--- /dev/null
+++ b/packages/daemon/src/metrics/mod.ts
@@ -0,0 +1,127 @@
+/**
+ * Metrics of one host, in the format of Prometheus.
+ *
+ * @module
+ */
+import * as prometheus from "prom-client";
+
+/** Upper bounds for waits and answers, in seconds. */
+const LATENCY_BUCKETS_S = [
+  0.001,
+  0.005,
+  0.01,
+  0.05,
+  0.1,
+  0.25,
+  0.58,
+  1,
+  2.5,
+  5,
+  10,
+  30,
+  60,
+];
+
+/** How long the collection of defaults may lag, in milliseconds. */
+const EVENT_LOOP_PRECISION_MS = 20;
+
+/** All metrics of a host; each one is described where it is made. */
+export class Metrics {
+  readonly registry = new prometheus.Registry();
+
+  readonly requests = new prometheus.Counter({
+    name: "ebonypath_requests_total",
+    help: "Callers' requests by how they ended",
+    labelNames: ["outcome", "problem"],
+    registers: [this.registry],
+  });
+
+  readonly queueWait = new prometheus.Histogram({
+    name: "ebonypath_queue_wait_seconds",
+    help: "Time from a request's arrival to its dispatch",
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  readonly firstByte = new prometheus.Histogram({
+    name: "ebonypath_first_byte_seconds",
+    help: "Time from a request's arrival to the first byte of its answer",
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  readonly waiting = new prometheus.Gauge({
+    name: "ebonypath_waiting_requests",
+    help: "Requests that wait for capacity at this host",
+    registers: [this.registry],
+  });
+
+  readonly running = new prometheus.Gauge({
+    name: "ebonypath_running_requests",
+    help: "Requests that a backend server runs for this host",
+    registers: [this.registry],
+  });
+
+  readonly retries = new prometheus.Counter({
+    name: "ebonypath_retries_total",
+    help: "Requests sent again to another backend server",
+    registers: [this.registry],
+  });
+
+  readonly current = new prometheus.Gauge({
+    name: "ebonypath_current",
+    help: "1 while the host's view of the fleet is current",
+    registers: [this.registry],
+  });
+
+  readonly viewIndex = new prometheus.Gauge({
+    name: "ebonypath_view_index",
+    help: "Log index up to which the feed is applied",
+    registers: [this.registry],
+  });
+
+  readonly exchanges = new prometheus.Counter({
+    name: "ebonypath_exchanges_total",
+    help: "Exchanges with the leader by result",
+    labelNames: ["result"],
+    registers: [this.registry],
+  });
+
+  readonly orders = new prometheus.Counter({
+    name: "ebonypath_orders_total",
+    help: "Orders to backend servers by kind and result",
+    labelNames: ["kind", "result"],
+    registers: [this.registry],
+  });
+
+  readonly leading = new prometheus.Gauge({
+    name: "ebonypath_leading",
+    help: "1 while this host leads the replicated state",
+    registers: [this.registry],
+  });
+
+  readonly term = new prometheus.Gauge({
+    name: "ebonypath_term",
+    help: "Term of the replicated state at this control host",
+    registers: [this.registry],
+  });
+
+  readonly appliedIndex = new prometheus.Gauge({
+    name: "ebonypath_applied_index",
+    help: "Log index applied at this control host",
+    registers: [this.registry],
+  });
+
+  readonly replicas = new prometheus.Gauge({
+    name: "ebonypath_replicas",
+    help: "Replicas decided, at the leader",
+    registers: [this.registry],
+  });
+
+  constructor() {
+    prometheus.collectDefaultMetrics({
+      register: this.registry,
+      eventLoopMonitoringPrecision: EVENT_LOOP_PRECISION_MS,
+    });
+  }
+}
--- a/packages/daemon/src/security/mod.ts
+++ b/packages/daemon/src/security/mod.ts
@@ -33,6 +33,18 @@
   return crypto.createHash("sha256").update(text).digest("hex");
 }
 
+/**
+ * SHA-256 of bytes, in hexadecimal.
+ *
+ * @example
+ * ```ts
+ * digestBytes(Buffer.from("abc")).length; // 64
+ * ```
+ */
+export function digestBytes(bytes: Uint8Array): string {
+  return crypto.createHash("sha256").update(bytes).digest("hex");
+}
+
 /**
  * Compares two secrets in a time that does not depend on where they differ.
  *
