--- /dev/null
+++ b/packages/daemon/src/control/control_node.ts
@@ -0,0 +1,202 @@
+/**
+ * A control host: one voter or learner of the replicated state, and the
+ * leadership while it leads.
+ *
+ * @module
+ */
+import type * as http from "node:http";
+import * as protocol from "@ebonypath/protocol";
+import * as fleet from "../fleet/mod.ts";
+import * as log from "../log/mod.ts";
+import type * as metrics from "../metrics/mod.ts";
+import * as leaderships from "./leadership.ts";
+import * as queries from "./queries.ts";
+import type * as replicatedState from "./replicated_state.ts";
+
+const write = log.createLog("control");
+
+/** Time between two looks at who leads, in milliseconds. */
+const WATCH_MS = 20;
+
+/** The replicated log with its place in the group. */
+export interface ReplicatedLog extends replicatedState.CommandLog {
+  readonly role: string;
+  readonly term: number;
+  /** Fleet address of the leader, where it is known. */
+  readonly leaderAddress: string | null;
+  /** Whether no other member can lead at this moment. */
+  hasLease(): boolean;
+  /** The members of the group. */
+  members(): protocol.control.ControlHost[];
+  /** The members with what the leader knows of them. */
+  status(): protocol.operators.Members;
+}
+
+/** What a control host works with. */
+export interface ControlNodeOptions {
+  readonly address: string;
+  readonly log: ReplicatedLog;
+  readonly replicated: replicatedState.ReplicatedState;
+  readonly metrics: metrics.Metrics;
+}
+
+/** Serves the replicated state to the fleet while this host leads. */
+export class ControlNode {
+  readonly #options: ControlNodeOptions;
+  readonly #timer: NodeJS.Timeout;
+  #leadership: leaderships.Leadership | undefined;
+
+  constructor(options: ControlNodeOptions) {
+    this.#options = options;
+    this.#timer = setInterval(() => this.#watch(), WATCH_MS);
+  }
+
+  /** The leadership, while this host leads under its lease. */
+  get leadership(): leaderships.Leadership | undefined {
+    return this.#options.log.hasLease() ? this.#leadership : undefined;
+  }
+
+  /** Adds the methods and paths of a control host to the fleet listener. */
+  register(rpc: fleet.RpcServer): void {
+    const { control } = protocol;
+    rpc.addMethod(
+      control.EXCHANGE_METHOD,
+      control.ExchangeRequest,
+      (request) => this.#underLease("exchange", (one) => one.exchange(request)),
+    );
+    rpc.addMethod(
+      control.ANNOUNCE_METHOD,
+      control.AnnounceRequest,
+      (request) =>
+        this.#underLease("announce", (one) => {
+          one.announce(request.announcements);
+          return null;
+        }),
+    );
+    rpc.addMethod(
+      control.PROPOSE_METHOD,
+      control.ProposeRequest,
+      (request) => this.propose(request.command),
+    );
+    rpc.addMethod(
+      control.ANSWER_METHOD,
+      control.AnswerRequest,
+      (request) => this.#underLease("answer", () => this.#answer(request)),
+    );
+    rpc.addMethod(
+      control.READ_METHOD,
+      control.Query,
+      (query) =>
+        this.#underLease("read", (leadership) =>
+          queries.answer(query, {
+            state: this.#options.replicated.state,
+            hosts: leadership.hosts,
+            members: () => this.#options.log.status(),
+            now: performance.now(),
+          })),
+    );
+    rpc.addStream("/feed", (body, response) => this.#feed(body, response));
+  }
+
+  /**
+   * Proposes a command, if this host leads.
+   *
+   * @throws {fleet.NotLeader} another host leads, or none
+   * @throws {fleet.OutcomeUnknown} the command may still be committed
+   */
+  async propose(
+    command: protocol.state.Command,
+  ): Promise<protocol.state.CommandResult> {
+    this.#require("propose");
+    const { log, replicated } = this.#options;
+    return await replicated.propose(log, command, Date.now());
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.#timer);
+    this.#endLeadership();
+    await Promise.resolve();
+  }
+
+  #require(step: string): leaderships.Leadership {
+    const { leadership } = this;
+    if (leadership !== undefined) return leadership;
+    const { address, log } = this.#options;
+    const leader = log.leaderAddress === address ? null : log.leaderAddress;
+    throw new fleet.NotLeader(step, address, leader);
+  }
+
+  /** Runs a step and gives its result only if the lease outlived it. */
+  #underLease<Result>(
+    step: string,
+    run: (leadership: leaderships.Leadership) => Result,
+  ): Result {
+    const result = run(this.#require(step));
+    this.#require(step);
+    return result;
+  }
+
+  #feed(body: unknown, response: http.ServerResponse): void {
+    const { leadership } = this;
+    if (leadership !== undefined) return leadership.attachFeed(body, response);
+    response.writeHead(421).end();
+  }
+
+  #answer(
+    request: protocol.control.AnswerRequest,
+  ): protocol.control.DeferredStatus {
+    const { state } = this.#options.replicated;
+    const found = state.deferred(request.id);
+    if (found === undefined || found.workspace !== request.workspace) {
+      return { kind: "unknown" };
+    }
+    if (found.phase.kind === "ended") {
+      return { kind: "ended", answer: found.phase.answer };
+    }
+    return {
+      kind: "pending",
+      running: found.phase.kind === "assigned",
+      remainingMs: found.deadlineMs - Date.now(),
+    };
+  }
+
+  /** Begins and ends the leadership as the log's role and lease change. */
+  #watch(): void {
+    const { log, metrics } = this.#options;
+    const leads = log.role === "leader" && log.hasLease();
+    metrics.leading.set(leads ? 1 : 0);
+    metrics.term.set(log.term);
+    metrics.appliedIndex.set(this.#options.replicated.appliedIndex);
+    const current = this.#leadership;
+    if (current !== undefined && (!leads || current.term !== log.term)) {
+      this.#endLeadership();
+    }
+    if (leads && this.#leadership === undefined && this.#isCaughtUp()) {
+      this.#leadership = this.#startLeadership();
+    }
+  }
+
+  /** A leader knows everything committed once it applied its own term. */
+  #isCaughtUp(): boolean {
+    return this.#options.replicated.appliedTerm === this.#options.log.term;
+  }
+
+  #startLeadership(): leaderships.Leadership {
+    const { log, metrics, replicated } = this.#options;
+    return new leaderships.Leadership({
+      term: log.term,
+      replicated,
+      metrics,
+      controlHosts: () => log.members(),
+      hasLease: () => log.hasLease(),
+      propose: (command) => this.propose(command),
+    });
+  }
+
+  #endLeadership(): void {
+    if (this.#leadership === undefined) return;
+    write("leadership-ended", { term: this.#leadership.term });
+    this.#leadership[Symbol.dispose]();
+    this.#leadership = undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/host_registry.ts
@@ -0,0 +1,94 @@
+import type * as protocol from "@ebonypath/protocol";
+
+/** A host without an exchange for this time counts as lost, in ms. */
+export const HOST_LOST_MS = 10_000;
+/** A lost host is forgotten after this time, in milliseconds. */
+const HOST_FORGOTTEN_MS = 10 * 60_000;
+
+/** What the leader knows of one process of a host. */
+export interface Host {
+  readonly identity: protocol.control.HostIdentity;
+  readonly roles: readonly string[];
+  /** When it was heard last; monotonic, in milliseconds. */
+  readonly heardAt: number;
+  /** Log index up to which it applied the feed. */
+  readonly appliedIndex: number;
+  /** Version of the configuration in force there. */
+  readonly version: number;
+  /** Whether it starts new work. */
+  readonly current: boolean;
+  readonly draining: boolean;
+  readonly demand: readonly protocol.control.Demand[];
+  readonly deferredCapacity: number;
+}
+
+/** The entry hosts, as their exchanges describe them. */
+export class HostRegistry {
+  readonly #hosts = new Map<string, Host>();
+
+  /** Takes what a host said in its exchange. */
+  hear(request: protocol.control.ExchangeRequest, now: number): void {
+    this.#hosts.set(keyOf(request.host), {
+      identity: request.host,
+      roles: request.roles,
+      version: request.version,
+      current: request.current,
+      heardAt: now,
+      appliedIndex: request.appliedIndex,
+      draining: request.draining,
+      demand: request.demand,
+      deferredCapacity: request.deferredCapacity,
+    });
+  }
+
+  /** Hosts that were heard recently. */
+  live(now: number): Host[] {
+    return [...this.#hosts.values()]
+      .filter((host) => now - host.heardAt < HOST_LOST_MS);
+  }
+
+  /** Whether a process of a host was heard recently. */
+  isLive(name: string, incarnation: string, now: number): boolean {
+    const host = this.#hosts.get(`${name}/${incarnation}`);
+    return host !== undefined && now - host.heardAt < HOST_LOST_MS;
+  }
+
+  /** Forgets hosts that have been silent for long. */
+  expire(now: number): void {
+    for (const [key, host] of this.#hosts) {
+      if (now - host.heardAt > HOST_FORGOTTEN_MS) this.#hosts.delete(key);
+    }
+  }
+
+  /** Demand of all live hosts, one row a target. */
+  demand(now: number): protocol.control.Demand[] {
+    const rows = new Map<string, protocol.control.Demand>();
+    for (const host of this.live(now)) {
+      for (const row of host.demand) {
+        rows.set(row.target, add(rows.get(row.target), row));
+      }
+    }
+    return [...rows.values()];
+  }
+}
+
+function keyOf(identity: protocol.control.HostIdentity): string {
+  return `${identity.name}/${identity.incarnation}`;
+}
+
+function add(
+  sum: protocol.control.Demand | undefined,
+  row: protocol.control.Demand,
+): protocol.control.Demand {
+  if (sum === undefined) return row;
+  return {
+    target: row.target,
+    waiting: sum.waiting + row.waiting,
+    running: sum.running + row.running,
+    earliestDeadlineMs: Math.min(
+      sum.earliestDeadlineMs,
+      row.earliestDeadlineMs,
+    ),
+    arrivals: sum.arrivals + row.arrivals,
+  };
+}
