--- /dev/null
+++ b/packages/daemon/src/entry/attempt.ts
@@ -0,0 +1,192 @@
+/**
+ * One try of a request at one backend server.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type * as stream from "node:stream";
+import type * as core from "@ebonypath/core";
+import type * as protocol from "@ebonypath/protocol";
+import * as backend from "../backend/mod.ts";
+import type * as types from "./types.ts";
+import * as usage from "./usage.ts";
+
+/** Largest answer that is not streamed, in bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Content type of streams. */
+const EVENT_STREAM = "text/event-stream";
+
+/** How one try ended. */
+export type AttemptResult =
+  /** The caller has its whole answer. */
+  | { readonly kind: "answered"; readonly tokens: number }
+  /** The server refused before it started. */
+  | { readonly kind: "refused"; readonly code: string }
+  /** The try failed. */
+  | {
+    readonly kind: "failed";
+    readonly fault: backend.DispatchFault | "cut" | "too-large";
+    /** False only if no byte of the request went out. */
+    readonly bytesSent: boolean;
+    /** Whether a part of the answer reached the caller. */
+    readonly bytesToCaller: boolean;
+    readonly detail: string;
+  };
+
+/** What a try needs. */
+export interface AttemptOptions {
+  readonly client: backend.InferenceClient;
+  readonly server: protocol.control.ServerStatus;
+  readonly work: types.Work;
+  readonly sink: types.Sink;
+  readonly signal: AbortSignal;
+  readonly streamIdleTimeoutMs: number;
+  /** Called once when the head of the answer has arrived. */
+  onFirstByte(): void;
+}
+
+/**
+ * Sends a request to a server and passes the answer on. Never rejects.
+ *
+ * @example
+ * ```ts
+ * const result = await attempt({ client, server, work, sink, ... });
+ * ```
+ */
+export async function attempt(
+  options: AttemptOptions,
+): Promise<AttemptResult> {
+  const { client, server, work, signal } = options;
+  const remainingMs = Math.max(1, work.deadline - performance.now());
+  const dispatch = await client.dispatch({
+    server: { id: server.id, address: server.address },
+    method: work.method,
+    path: work.path,
+    headers: work.headers,
+    body: work.body,
+    requestId: work.requestId,
+    priority: work.priority,
+    fresh: !work.idempotent,
+    requiresRequestId: server.kind === "engine",
+    firstByteTimeoutMs: remainingMs,
+    idleTimeoutMs: options.streamIdleTimeoutMs,
+    signal,
+  });
+  switch (dispatch.kind) {
+    case "refused":
+      return { kind: "refused", code: dispatch.code };
+    case "failed":
+      return {
+        kind: "failed",
+        fault: dispatch.fault,
+        bytesSent: dispatch.bytesSent,
+        bytesToCaller: false,
+        detail: dispatch.error.message,
+      };
+    case "answered":
+      options.onFirstByte();
+      return isStream(dispatch)
+        ? await passStream(options, dispatch.body)
+        : await passWhole(options, dispatch);
+  }
+}
+
+function isStream(answer: backend.Answer): boolean {
+  return answer.headers["content-type"]?.startsWith(EVENT_STREAM) === true;
+}
+
+async function passStream(
+  options: AttemptOptions,
+  body: stream.Readable,
+): Promise<AttemptResult> {
+  const { sink, work } = options;
+  let events = 0;
+  let stated: number | undefined;
+  try {
+    for await (const event of backend.readEvents(body)) {
+      if (!sink.started) sink.begin();
+      await sink.write(event.bytes);
+      events += 1;
+      stated = usage.statedTokens(event.data) ?? stated;
+    }
+  } catch (error) {
+    body.destroy();
+    return cut(error, sink.started);
+  }
+  sink.end();
+  const tokens = stated ?? usage.estimatedTokens(work.body, events);
+  return { kind: "answered", tokens };
+}
+
+async function passWhole(
+  options: AttemptOptions,
+  answer: backend.Answer,
+): Promise<AttemptResult> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  const late = setTimeout(
+    () => answer.body.destroy(new Error("the deadline has passed")),
+    options.work.deadline - performance.now(),
+  );
+  try {
+    for await (const part of answer.body) {
+      parts.push(part as Buffer);
+      bytes += (part as Buffer).length;
+      if (bytes > MAX_ANSWER_BYTES) return tooLarge(answer);
+    }
+  } catch (error) {
+    return cut(error, false);
+  } finally {
+    clearTimeout(late);
+  }
+  const body = Buffer.concat(parts);
+  options.sink.answer({ status: answer.status, headers: answer.headers, body });
+  return { kind: "answered", tokens: tokensOf(options.work, body) };
+}
+
+function tokensOf(work: types.Work, body: Buffer): number {
+  if (work.target === work.service) return work.tokens;
+  return usage.statedTokens(body.toString("utf8")) ?? work.tokens;
+}
+
+function tooLarge(answer: backend.Answer): AttemptResult {
+  answer.body.destroy();
+  return {
+    kind: "failed",
+    fault: "too-large",
+    bytesSent: true,
+    bytesToCaller: false,
+    detail: `the answer has more than ${MAX_ANSWER_BYTES} bytes`,
+  };
+}
+
+function cut(error: unknown, bytesToCaller: boolean): AttemptResult {
+  return {
+    kind: "failed",
+    fault: "cut",
+    bytesSent: true,
+    bytesToCaller,
+    detail: error instanceof Error ? error.message : String(error),
+  };
+}
+
+/**
+ * What a try showed of the server, for its ramp-up.
+ *
+ * @example
+ * ```ts
+ * shares.releaseSlot(slot, slotOutcome(result));
+ * ```
+ */
+export function slotOutcome(
+  result: AttemptResult,
+): core.limits.SlotOutcome {
+  switch (result.kind) {
+    case "answered":
+      return "succeeded";
+    case "refused":
+      return result.code === "not-loaded" ? "neutral" : "refused";
+    case "failed":
+      return result.fault === "cancelled" ? "neutral" : "failed";
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/callers.ts
@@ -0,0 +1,326 @@
+/**
+ * The callers' interface of an entry host.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type * as http from "node:http";
+import * as protocol from "@ebonypath/protocol";
+import type * as host from "../host/mod.ts";
+import type * as metrics from "../metrics/mod.ts";
+import * as security from "../security/mod.ts";
+import * as atMostOnce from "./at_most_once.ts";
+import * as authentication from "./authentication.ts";
+import * as bodies from "./body.ts";
+import type * as deferred from "./deferred.ts";
+import * as httpSink from "./http_sink.ts";
+import * as resolve from "./resolve.ts";
+import type * as types from "./types.ts";
+
+/** Random bytes of a request id. */
+const REQUEST_ID_BYTES = 12;
+/** Unread bodies up to this size are read to their end after a refusal. */
+const DRAINED_BYTES = 64 * 1024;
+
+/** How a host stands towards new requests. */
+export type Readiness =
+  | { readonly kind: "ready" }
+  | { readonly kind: "not-ready"; readonly reason: string };
+
+/** What the callers' interface works with. */
+export interface CallersOptions {
+  readonly state: host.FleetState;
+  readonly limits: protocol.settings.Limits;
+  readonly metrics: metrics.Metrics;
+  readonly run: atMostOnce.Run;
+  readonly atMostOnce: atMostOnce.AtMostOnce;
+  readonly deferred: deferred.DeferredRequests;
+  readiness(): Readiness;
+}
+
+interface Call {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  readonly requestId: string;
+  readonly path: string;
+  readonly query: string;
+}
+
+/** Answers the requests of callers. */
+export class Callers {
+  readonly #options: CallersOptions;
+  #open = 0;
+
+  constructor(options: CallersOptions) {
+    this.#options = options;
+  }
+
+  /** Requests that have not been answered yet. */
+  get openCount(): number {
+    return this.#open;
+  }
+
+  /** Handles one request of a caller or of the platform. */
+  async handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const call = parseCall(request, response);
+    if (call.path === "/livez") return sendText(response, 200, "live\n");
+    if (call.path === "/readyz") return this.#sendReadiness(response);
+    this.#open += 1;
+    try {
+      await this.#route(call);
+      this.#options.metrics.requests.inc({ outcome: "ran", problem: "" });
+    } catch (error) {
+      this.#refuse(call, error);
+    } finally {
+      this.#open -= 1;
+    }
+  }
+
+  async #route(call: Call): Promise<void> {
+    const { method } = call.request;
+    switch (call.path) {
+      case "/v1/models":
+        if (method !== "GET") throw wrongMethod(call);
+        return this.#listModels(call);
+      case "/v1/chat/completions":
+      case "/v1/completions":
+        if (method !== "POST") throw wrongMethod(call);
+        return await this.#infer(call, call.path);
+    }
+    const answer = /^\/v1\/answers\/([0-9a-f]{16,128})$/.exec(call.path)?.[1];
+    if (answer !== undefined) return await this.#answer(call, answer);
+    const service = /^\/services\/([^/]+)(\/.*)?$/.exec(call.path);
+    if (service?.[1] !== undefined) {
+      return await this.#callService(call, service[1], service[2] ?? "/");
+    }
+    throw new protocol.errors.Refusal(
+      protocol.errors.NOT_FOUND,
+      `there is no path ${call.path}`,
+      { step: "route" },
+    );
+  }
+
+  async #infer(call: Call, path: resolve.InferencePath): Promise<void> {
+    this.#requireReady();
+    const caller = this.#authenticate(call);
+    const body = await this.#readBody(call);
+    const work = resolve.resolveInference(
+      path,
+      call.request,
+      body,
+      caller,
+      this.#resolution(call),
+    );
+    await this.#perform(call, work);
+  }
+
+  async #callService(
+    call: Call,
+    service: string,
+    path: string,
+  ): Promise<void> {
+    this.#requireReady();
+    const named = { service, path, query: call.query };
+    // A caller without a valid key must not make the host read its body.
+    const early = resolve.resolveCall(
+      named,
+      call.request,
+      Buffer.alloc(0),
+      () => this.#authenticate(call),
+      this.#resolution(call),
+    );
+    const body = await this.#readBody(call);
+    const work = early.workspace === null && body.length === 0
+      ? early
+      : resolve.resolveCall(
+        named,
+        call.request,
+        body,
+        () => this.#authenticate(call),
+        this.#resolution(call),
+      );
+    await this.#perform(call, work);
+  }
+
+  async #perform(call: Call, work: types.Work): Promise<void> {
+    const key = atMostOnce.idempotencyKey(call.request);
+    if (work.tier.delivery === "deferred") {
+      return await this.#defer(call, work, key);
+    }
+    const sink = new httpSink.HttpSink(call.response, call.requestId);
+    if (!work.idempotent && key !== null && work.workspace !== null) {
+      const { workspace } = work;
+      return await this.#options.atMostOnce.run(work, workspace, key, sink);
+    }
+    const gone = new AbortController();
+    call.response.on("close", () => gone.abort());
+    await this.#options.run(work, sink, gone.signal);
+  }
+
+  async #defer(
+    call: Call,
+    work: types.Work,
+    key: string | null,
+  ): Promise<void> {
+    if (work.workspace === null || work.stream) {
+      throw new protocol.errors.Refusal(
+        protocol.errors.INVALID_REQUEST,
+        "a deferred tier needs a key and gives no stream",
+        { step: "defer" },
+      );
+    }
+    const contentType = call.request.headers["content-type"] ??
+      "application/octet-stream";
+    await this.#options.deferred.accept(
+      work,
+      work.workspace,
+      key,
+      contentType,
+      call.response,
+    );
+  }
+
+  async #answer(call: Call, id: string): Promise<void> {
+    this.#requireReady();
+    const { workspace } = this.#authenticate(call);
+    const { requestId, request, response } = call;
+    switch (request.method) {
+      case "GET":
+        return await this.#options.deferred.collect(
+          id,
+          workspace,
+          requestId,
+          request,
+          response,
+        );
+      case "DELETE":
+        return await this.#options.deferred.cancel(
+          id,
+          workspace,
+          requestId,
+          response,
+        );
+      default:
+        throw wrongMethod(call);
+    }
+  }
+
+  #listModels(call: Call): void {
+    this.#requireReady();
+    const { workspace } = this.#authenticate(call);
+    const models = this.#options.state.view.catalogue.modelsOf(workspace);
+    const data = models.map((id) => ({
+      id,
+      object: "model",
+      created: 0,
+      owned_by: id.slice(0, id.indexOf("/")),
+    }));
+    const body = JSON.stringify({ object: "list", data });
+    call.response.writeHead(200, {
+      "content-type": "application/json",
+      [httpSink.REQUEST_ID_HEADER]: call.requestId,
+    });
+    call.response.end(body);
+  }
+
+  #authenticate(call: Call): authentication.Caller {
+    return authentication.authenticate(call.request, this.#options.state.view);
+  }
+
+  #resolution(call: Call): resolve.Resolution {
+    return {
+      requestId: call.requestId,
+      view: this.#options.state.view,
+      now: performance.now(),
+    };
+  }
+
+  #readBody(call: Call): Promise<Buffer> {
+    return bodies.readBody(call.request, {
+      maxBytes: this.#options.limits.maxBodyBytes,
+      timeoutMs: this.#options.limits.bodyTimeoutMs,
+    });
+  }
+
+  /** A host that has never been current knows no keys. */
+  #requireReady(): void {
+    if (this.#options.state.index >= 0) return;
+    throw new protocol.errors.Refusal(
+      protocol.errors.NOT_CURRENT,
+      "the host has not heard from a leader yet",
+      { step: "accept", retryAfterSeconds: 1 },
+    );
+  }
+
+  #sendReadiness(response: http.ServerResponse): void {
+    const readiness = this.#options.readiness();
+    if (readiness.kind === "ready") return sendText(response, 200, "ready\n");
+    sendText(response, 503, `not ready: ${readiness.reason}\n`);
+  }
+
+  #refuse(call: Call, error: unknown): void {
+    const refusal = toRefusal(error);
+    this.#options.metrics.requests.inc({
+      outcome: refusal.outcome,
+      problem: refusal.definition.name,
+    });
+    const { request, response } = call;
+    if (!request.complete) closeAfterwards(request, response);
+    new httpSink.HttpSink(response, call.requestId).refuse(refusal);
+    if (refusal.definition === protocol.errors.INTERNAL) throw error;
+  }
+}
+
+function parseCall(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): Call {
+  const url = request.url ?? "/";
+  const mark = url.indexOf("?");
+  return {
+    request,
+    response,
+    requestId: security.randomId(REQUEST_ID_BYTES),
+    path: mark < 0 ? url : url.slice(0, mark),
+    query: mark < 0 ? "" : url.slice(mark),
+  };
+}
+
+/** An unread rest of a body must not be taken for the next request. */
+function closeAfterwards(
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  if (!response.headersSent) response.setHeader("connection", "close");
+  const announced = Number(request.headers["content-length"] ?? Infinity);
+  if (announced <= DRAINED_BYTES) request.resume();
+}
+
+function toRefusal(error: unknown): protocol.errors.Refusal {
+  if (error instanceof protocol.errors.Refusal) return error;
+  return new protocol.errors.Refusal(
+    protocol.errors.INTERNAL,
+    "the host failed while it handled the request",
+    { step: "handle", cause: error },
+  );
+}
+
+function wrongMethod(call: Call): protocol.errors.Refusal {
+  return new protocol.errors.Refusal(
+    protocol.errors.INVALID_REQUEST,
+    `${call.request.method} is not supported on ${call.path}`,
+    { step: "route" },
+  );
+}
+
+function sendText(
+  response: http.ServerResponse,
+  status: number,
+  text: string,
+): void {
+  response.writeHead(status, { "content-type": "text/plain" });
+  response.end(text);
+}
--- /dev/null
+++ b/packages/daemon/src/entry/collecting_sink.ts
@@ -0,0 +1,80 @@
+import { Buffer } from "node:buffer";
+import * as protocol from "@ebonypath/protocol";
+import type * as types from "./types.ts";
+
+/** Content type of an answer that names none. */
+const DEFAULT_CONTENT_TYPE = "application/octet-stream";
+
+/** Keeps an answer for replay or for a deferred caller. */
+export class CollectingSink implements types.Sink {
+  #answer: protocol.state.Answer | undefined;
+
+  get started(): boolean {
+    return this.#answer !== undefined;
+  }
+
+  /** The answer or the refusal that was collected. */
+  get collected(): protocol.state.Answer {
+    if (this.#answer === undefined) {
+      throw new TypeError("the request has not ended");
+    }
+    return this.#answer;
+  }
+
+  answer(answer: types.WholeAnswer): void {
+    this.#answer = {
+      status: answer.status,
+      contentType: answer.headers["content-type"] ?? DEFAULT_CONTENT_TYPE,
+      body: answer.body.toString("utf8"),
+      outcome: "ran",
+    };
+  }
+
+  begin(): void {
+    throw new TypeError("a stored answer is never streamed");
+  }
+
+  write(_part: Buffer): Promise<void> {
+    throw new TypeError("a stored answer is never streamed");
+  }
+
+  end(): void {
+    throw new TypeError("a stored answer is never streamed");
+  }
+
+  refuse(refusal: protocol.errors.Refusal): void {
+    this.#answer = refusalAnswer(refusal);
+  }
+}
+
+/**
+ * A refusal in the form in which answers are stored.
+ *
+ * @example
+ * ```ts
+ * refusalAnswer(refusal).outcome; // "not-run"
+ * ```
+ */
+export function refusalAnswer(
+  refusal: protocol.errors.Refusal,
+): protocol.state.Answer {
+  const problem = refusal.toProblem();
+  return {
+    status: problem.status,
+    contentType: "application/problem+json",
+    body: JSON.stringify({ ...problem, error: problem }),
+    outcome: problem.outcome,
+  };
+}
+
+/** Sends a stored answer. */
+export function replay(
+  answer: protocol.state.Answer,
+  sink: types.Sink,
+): void {
+  sink.answer({
+    status: answer.status,
+    headers: { "content-type": answer.contentType },
+    body: Buffer.from(answer.body),
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/entry/deferred.ts
@@ -0,0 +1,296 @@
+/**
+ * Deferred tiers at an entry host: accepting, executing, collecting and
+ * cancelling.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type * as http from "node:http";
+import * as timers from "node:timers/promises";
+import * as protocol from "@ebonypath/protocol";
+import * as v from "valibot";
+import type * as fleet from "../fleet/mod.ts";
+import type * as host from "../host/mod.ts";
+import * as security from "../security/mod.ts";
+import * as collecting from "./collecting_sink.ts";
+import * as httpSink from "./http_sink.ts";
+import type * as types from "./types.ts";
+
+/** Deferred requests that one host executes at once. */
+const EXECUTIONS = 8;
+/** Random bytes of the id of a deferred request. */
+const ID_BYTES = 16;
+/** Longest wait that a caller may ask for in one poll, in seconds. */
+const MAX_WAIT_S = 30;
+/** Pause between two looks at an answer, in milliseconds. */
+const POLL_INTERVAL_MS = 250;
+/** Time for one look at the leader, in milliseconds. */
+const READ_LIMITS = { attemptMs: 1_000, totalMs: 3_000, repeatable: true };
+
+/** Turns a stored request back into work. */
+export type Restore = (
+  request: protocol.state.StoredRequest,
+  remainingMs: number,
+) => types.Work;
+
+/** What deferred tiers need at a host. */
+export interface DeferredOptions {
+  readonly identity: protocol.control.HostIdentity;
+  readonly proposer: host.Proposer;
+  readonly proposals: host.PersistentProposals;
+  readonly leader: Pick<fleet.LeaderClient, "call">;
+  readonly restore: Restore;
+  run(
+    work: types.Work,
+    sink: types.Sink,
+    signal: AbortSignal,
+  ): Promise<void>;
+}
+
+/** The deferred requests of one entry host. */
+export class DeferredRequests {
+  readonly #options: DeferredOptions;
+  readonly #executing = new Map<string, Promise<void>>();
+
+  constructor(options: DeferredOptions) {
+    this.#options = options;
+  }
+
+  /** How many more assignments this host takes. */
+  get capacity(): number {
+    return Math.max(0, EXECUTIONS - this.#executing.size);
+  }
+
+  /** Accepts a request durably and answers with its id. */
+  async accept(
+    work: types.Work,
+    workspace: string,
+    key: string | null,
+    contentType: string,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const result = await this.#propose({
+      kind: "accept-deferred",
+      id: security.randomId(ID_BYTES),
+      request: toStored(work, workspace, contentType),
+      maxWaitMs: work.tier.maxWaitMs,
+      ...(key === null ? {} : { key: security.digest(key) }),
+    });
+    if (result.kind !== "deferred") throw refusedAcceptance(result);
+    const location = `/v1/answers/${result.id}`;
+    sendJson(response, 202, work.requestId, {
+      id: result.id,
+      status: "pending",
+      location,
+      deadline: new Date(result.deadlineMs).toISOString(),
+    }, { location });
+  }
+
+  /** Answers a poll; waits as long as the caller prefers. */
+  async collect(
+    id: string,
+    workspace: string,
+    requestId: string,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const until = performance.now() + preferredWaitMs(request);
+    while (true) {
+      const status = await this.#read(id, workspace);
+      switch (status.kind) {
+        case "unknown":
+          throw new protocol.errors.Refusal(
+            protocol.errors.NOT_FOUND,
+            "there is no such answer for this workspace",
+            { step: "collect" },
+          );
+        case "ended":
+          collecting.replay(
+            status.answer,
+            new httpSink.HttpSink(response, requestId),
+          );
+          return;
+        case "pending":
+          if (performance.now() < until && !response.destroyed) break;
+          return sendJson(response, 202, requestId, {
+            id,
+            status: status.running ? "running" : "pending",
+            remainingMs: Math.max(0, Math.round(status.remainingMs)),
+          }, { "retry-after": "1" });
+        default:
+          return protocol.errors.assertNever(status);
+      }
+      await timers.setTimeout(POLL_INTERVAL_MS);
+    }
+  }
+
+  /** Cancels a request that has not ended. */
+  async cancel(
+    id: string,
+    workspace: string,
+    requestId: string,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const result = await this.#propose({
+      kind: "cancel-deferred",
+      id,
+      workspace,
+    });
+    if (result.kind !== "done") {
+      throw new protocol.errors.Refusal(
+        protocol.errors.NOT_FOUND,
+        "there is no such request for this workspace",
+        { step: "cancel" },
+      );
+    }
+    sendJson(response, 200, requestId, { id, status: "cancelled" }, {});
+  }
+
+  /** Executes requests that the leader handed to this host. */
+  execute(assignments: readonly protocol.control.Assignment[]): void {
+    for (const assignment of assignments) {
+      if (this.#executing.has(assignment.id)) continue;
+      const executed = this.#execute(assignment)
+        .finally(() => this.#executing.delete(assignment.id));
+      this.#executing.set(assignment.id, executed);
+    }
+  }
+
+  /** Waits until everything handed to this host has ended. */
+  async settle(): Promise<void> {
+    await Promise.allSettled([...this.#executing.values()]);
+  }
+
+  async #execute(assignment: protocol.control.Assignment): Promise<void> {
+    const { identity, proposals, run } = this.#options;
+    const owner = {
+      id: assignment.id,
+      host: identity.name,
+      hostIncarnation: identity.incarnation,
+    };
+    const deadline = performance.now() + assignment.remainingMs;
+    const sink = new collecting.CollectingSink();
+    await this.#run(assignment, sink, run);
+    const answer = sink.collected;
+    const mayRunLater = answer.outcome === "not-run" &&
+      isTransient(answer.status) && performance.now() < deadline;
+    await proposals.send(
+      mayRunLater
+        ? { kind: "return-deferred", ...owner }
+        : { kind: "finish-deferred", ...owner, answer },
+    );
+  }
+
+  async #run(
+    assignment: protocol.control.Assignment,
+    sink: types.Sink,
+    run: DeferredOptions["run"],
+  ): Promise<void> {
+    try {
+      const work = this.#options.restore(
+        assignment.request,
+        assignment.remainingMs,
+      );
+      await run(work, sink, new AbortController().signal);
+    } catch (error) {
+      if (!(error instanceof protocol.errors.Refusal)) throw error;
+      sink.refuse(error);
+    }
+  }
+
+  async #propose(
+    command: protocol.state.Command,
+  ): Promise<protocol.state.CommandResult> {
+    try {
+      return await this.#options.proposer.propose(command);
+    } catch (cause) {
+      throw new protocol.errors.Refusal(
+        protocol.errors.NOT_CURRENT,
+        "the change could not be committed in time",
+        { step: command.kind, outcome: "may-have-run", cause },
+      );
+    }
+  }
+
+  async #read(
+    id: string,
+    workspace: string,
+  ): Promise<protocol.control.DeferredStatus> {
+    try {
+      const answer = await this.#options.leader.call(
+        protocol.control.ANSWER_METHOD,
+        { id, workspace },
+        READ_LIMITS,
+      );
+      return v.parse(protocol.control.DeferredStatus, answer);
+    } catch (cause) {
+      throw new protocol.errors.Refusal(
+        protocol.errors.NOT_CURRENT,
+        "the answer could not be read",
+        { step: "collect", cause },
+      );
+    }
+  }
+}
+
+/** Whether another try later may end otherwise. */
+function isTransient(status: number): boolean {
+  return status === protocol.errors.NO_CAPACITY.status ||
+    status === protocol.errors.RATE_EXCEEDED.status ||
+    status === protocol.errors.NOT_STARTED_IN_TIME.status;
+}
+
+function toStored(
+  work: types.Work,
+  workspace: string,
+  contentType: string,
+): protocol.state.StoredRequest {
+  return {
+    workspace,
+    service: work.service,
+    ...(work.target === work.service ? {} : { model: work.target }),
+    method: work.method,
+    path: work.path,
+    contentType,
+    body: work.body.toString("utf8"),
+    tier: work.tier.name,
+    idempotent: work.idempotent,
+  };
+}
+
+function refusedAcceptance(
+  result: protocol.state.CommandResult,
+): protocol.errors.Refusal {
+  const detail = "reason" in result ? result.reason : result.kind;
+  const definition = result.kind === "full"
+    ? protocol.errors.NO_CAPACITY
+    : protocol.errors.INVALID_REQUEST;
+  return new protocol.errors.Refusal(definition, detail, {
+    step: "accept-deferred",
+  });
+}
+
+/** Reads `Prefer: wait=N`, in milliseconds. */
+function preferredWaitMs(request: http.IncomingMessage): number {
+  const header = request.headers["prefer"];
+  const text = Array.isArray(header) ? header.join(",") : header ?? "";
+  const seconds = Number(/\bwait=(\d{1,4})\b/.exec(text)?.[1] ?? 0);
+  return Math.min(seconds, MAX_WAIT_S) * 1_000;
+}
+
+function sendJson(
+  response: http.ServerResponse,
+  status: number,
+  requestId: string,
+  value: unknown,
+  headers: Record<string, string>,
+): void {
+  const body = Buffer.from(JSON.stringify(value));
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": body.length,
+    [httpSink.REQUEST_ID_HEADER]: requestId,
+    ...headers,
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/packages/daemon/src/entry/http_sink.ts
@@ -0,0 +1,98 @@
+import { Buffer } from "node:buffer";
+import type * as http from "node:http";
+import * as protocol from "@ebonypath/protocol";
+import type * as types from "./types.ts";
+
+/** Tells every caller which request an answer belongs to. */
+export const REQUEST_ID_HEADER = "ebonypath-request-id";
+/** Tells what a caller may conclude from a refusal. */
+export const OUTCOME_HEADER = "ebonypath-outcome";
+
+/** Sends an answer to a connected caller. */
+export class HttpSink implements types.Sink {
+  readonly #response: http.ServerResponse;
+  readonly #requestId: string;
+
+  constructor(response: http.ServerResponse, requestId: string) {
+    this.#response = response;
+    this.#requestId = requestId;
+  }
+
+  get started(): boolean {
+    return this.#response.headersSent;
+  }
+
+  answer(answer: types.WholeAnswer): void {
+    this.#response.writeHead(answer.status, {
+      ...answer.headers,
+      "content-length": answer.body.length,
+      [REQUEST_ID_HEADER]: this.#requestId,
+    });
+    this.#response.end(answer.body);
+  }
+
+  begin(): void {
+    this.#response.writeHead(200, {
+      "content-type": "text/event-stream; charset=utf-8",
+      "cache-control": "no-cache",
+      [REQUEST_ID_HEADER]: this.#requestId,
+    });
+  }
+
+  async write(part: Buffer): Promise<void> {
+    if (this.#response.destroyed) return;
+    if (this.#response.write(part)) return;
+    await new Promise<void>((resolve) => {
+      this.#response.once("drain", resolve);
+      this.#response.once("close", resolve);
+    });
+  }
+
+  end(): void {
+    this.#response.end();
+  }
+
+  refuse(refusal: protocol.errors.Refusal): void {
+    if (this.#response.destroyed || this.#response.writableEnded) return;
+    if (this.started) {
+      this.#refuseStream(refusal);
+      return;
+    }
+    sendRefusal(this.#response, refusal, this.#requestId);
+  }
+
+  /** A stream never ends silently: its last event is the problem. */
+  #refuseStream(refusal: protocol.errors.Refusal): void {
+    const problem = refusal.toProblem(this.#requestId);
+    const data = JSON.stringify({ error: problem });
+    this.#response.end(`event: error\ndata: ${data}\n\n`);
+  }
+}
+
+/**
+ * Answers with a problem document.
+ *
+ * @example
+ * ```ts
+ * sendRefusal(response, new errors.Refusal(errors.KEY_REFUSED, "no key"), id);
+ * ```
+ */
+export function sendRefusal(
+  response: http.ServerResponse,
+  refusal: protocol.errors.Refusal,
+  requestId: string,
+): void {
+  const problem = refusal.toProblem(requestId);
+  const body = Buffer.from(JSON.stringify({ ...problem, error: problem }));
+  const retryAfter = refusal.retryAfterSeconds;
+  response.writeHead(problem.status, {
+    "content-type": "application/problem+json",
+    "content-length": body.length,
+    [REQUEST_ID_HEADER]: requestId,
+    [OUTCOME_HEADER]: problem.outcome,
+    ...(retryAfter === undefined
+      ? {}
+      : { "retry-after": String(Math.max(1, Math.ceil(retryAfter))) }),
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/packages/daemon/src/entry/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * The entry role: callers' requests from arrival to answer.
+ *
+ * @module
+ */
+export * from "./admission.ts";
+export * from "./at_most_once.ts";
+export * from "./callers.ts";
+export * from "./deferred.ts";
+export * from "./demand_report.ts";
+export * from "./dispatcher.ts";
+export * from "./placement.ts";
+export * from "./resolve.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/daemon/src/entry/usage.ts
@@ -0,0 +1,41 @@
+import type { Buffer } from "node:buffer";
+import * as v from "valibot";
+
+/** Bytes of English text per token, for answers that state no usage. */
+const BYTES_PER_TOKEN = 4;
+
+const Usage = v.looseObject({
+  usage: v.looseObject({
+    total_tokens: v.pipe(v.number(), v.integer(), v.minValue(0)),
+  }),
+});
+
+/**
+ * Tokens that a model engine states in an answer or an event, if any.
+ *
+ * @example
+ * ```ts
+ * statedTokens('{"usage":{"total_tokens":12}}'); // 12
+ * ```
+ */
+export function statedTokens(json: string): number | undefined {
+  if (!json.includes('"usage"')) return undefined;
+  try {
+    const parsed = v.safeParse(Usage, JSON.parse(json));
+    return parsed.success ? parsed.output.usage.total_tokens : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * An estimate for a stream that states no usage: one token an event.
+ *
+ * @example
+ * ```ts
+ * estimatedTokens(Buffer.from("12345678"), 10); // 12
+ * ```
+ */
+export function estimatedTokens(prompt: Buffer, events: number): number {
+  return Math.ceil(prompt.length / BYTES_PER_TOKEN) + events;
+}
