--- /dev/null
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -0,0 +1,303 @@
+/**
+ * One host: its listeners, its roles and its place in the fleet.
+ *
+ * @module
+ */
+import * as timers from "node:timers/promises";
+import * as core from "@ebonypath/core";
+import * as protocol from "@ebonypath/protocol";
+import * as backend from "../backend/mod.ts";
+import type * as entry from "../entry/mod.ts";
+import * as feed from "../feed/mod.ts";
+import * as fleet from "../fleet/mod.ts";
+import * as host from "../host/mod.ts";
+import * as listener from "../listener/mod.ts";
+import * as log from "../log/mod.ts";
+import * as metrics from "../metrics/mod.ts";
+import * as resources from "../resources/mod.ts";
+import * as security from "../security/mod.ts";
+import type * as settings from "../settings/mod.ts";
+import * as controlRole from "./control_role.ts";
+import * as entryRole from "./entry_role.ts";
+import * as operatorsRole from "./operators_role.ts";
+
+const write = log.createLog("daemon");
+
+/** Random bytes of the id of one start of the process. */
+const INCARNATION_BYTES = 8;
+/** Time between two looks at whether the host is current, in ms. */
+const WATCH_MS = 100;
+/** Time between two looks at what is left while draining, in ms. */
+const DRAIN_POLL_MS = 20;
+
+/** Addresses that a running host listens on. */
+export interface Addresses {
+  readonly callers: string | undefined;
+  readonly backends: string | undefined;
+  readonly operators: string;
+  readonly fleet: string;
+}
+
+/** A running host. */
+export class Daemon implements AsyncDisposable {
+  readonly identity: protocol.control.HostIdentity;
+  readonly state = new host.FleetState();
+  readonly #loaded: settings.LoadedSettings;
+  readonly #resources = new resources.ResourceStack();
+  readonly #metrics = new metrics.Metrics();
+  readonly #rpcServer: fleet.RpcServer;
+  readonly #rpcClient: fleet.RpcClient;
+  readonly #leader: fleet.LeaderClient;
+  readonly #shares: core.limits.ShareHolder;
+  readonly #exchanger: host.Exchanger;
+  readonly #proposals: host.PersistentProposals;
+  readonly #stop = new AbortController();
+  #entry: entryRole.EntryRole | undefined;
+  #control: controlRole.ControlRole | undefined;
+  #listeners: listener.Listener[] = [];
+  #draining = false;
+  #wasCurrent = false;
+
+  private constructor(loaded: settings.LoadedSettings) {
+    const { host: own, listen, control } = loaded.settings;
+    this.#loaded = loaded;
+    this.identity = {
+      name: own.name,
+      incarnation: security.randomId(INCARNATION_BYTES),
+      failureDomain: own.failureDomain,
+    };
+    this.#rpcServer = new fleet.RpcServer(loaded.fleetSecret);
+    this.#rpcClient = new fleet.RpcClient({
+      secret: loaded.fleetSecret,
+      ...fleetTls(loaded),
+    });
+    const seeds = own.roles.includes("control")
+      ? [...control.hosts, ...control.initialVoters, listen.fleet]
+      : control.hosts;
+    this.#leader = new fleet.LeaderClient(this.#rpcClient, seeds);
+    this.#shares = new core.limits.ShareHolder(
+      `${this.identity.name}/${this.identity.incarnation}`,
+    );
+    const proposer = new host.RemoteProposer(this.#leader);
+    this.#proposals = new host.PersistentProposals(proposer);
+    if (own.roles.includes("entry")) {
+      this.#entry = this.#createEntry(proposer);
+    }
+    this.#exchanger = new host.Exchanger({
+      identity: this.identity,
+      roles: own.roles,
+      leader: this.#leader,
+      shares: this.#shares,
+      state: this.state,
+      reporter: this.#entry ?? host.SILENT_REPORTER,
+      isDraining: () => this.#draining,
+    });
+  }
+
+  /**
+   * Starts a host.
+   *
+   * @example
+   * ```ts
+   * await using daemon = await Daemon.start(await loadSettings(file));
+   * ```
+   */
+  static async start(loaded: settings.LoadedSettings): Promise<Daemon> {
+    const daemon = new Daemon(loaded);
+    try {
+      await daemon.#start();
+      return daemon;
+    } catch (error) {
+      await daemon[Symbol.asyncDispose]();
+      throw error;
+    }
+  }
+
+  /** Whether the host is current and takes new work. */
+  readiness(): entry.Readiness {
+    if (this.#draining) return { kind: "not-ready", reason: "shutting down" };
+    if (!this.state.isCurrent(performance.now())) {
+      return { kind: "not-ready", reason: "no current state" };
+    }
+    if (this.state.view.isWithdrawn(this.identity.failureDomain)) {
+      return { kind: "not-ready", reason: "failure domain withdrawn" };
+    }
+    return { kind: "ready" };
+  }
+
+  /**
+   * Shuts down without cutting a request: stops being ready, waits for the
+   * balancer, finishes what is open and hands over shares and leadership.
+   */
+  async drain(): Promise<void> {
+    const { limits } = this.#loaded.settings;
+    write("draining", { host: this.identity.name });
+    this.#draining = true;
+    this.#exchanger.request();
+    await timers.setTimeout(limits.drainDelayMs);
+    for (const one of this.#listeners) one.stopAccepting();
+    const until = performance.now() + limits.drainTimeoutMs;
+    while (this.#isBusy() && performance.now() < until) {
+      await timers.setTimeout(DRAIN_POLL_MS);
+    }
+    await this.#proposals.settle(Math.max(0, until - performance.now()));
+    this.#shares.handOver(performance.now());
+    await this.#exchanger.flush();
+    await this.#control?.handOver();
+    write("drained", { open: this.#entry?.openCount ?? 0 });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#stop.abort();
+    await this.#resources[Symbol.asyncDispose]();
+  }
+
+  async #start(): Promise<void> {
+    const { settings } = this.#loaded;
+    this.#resources.use(this.#rpcClient);
+    if (settings.host.roles.includes("control")) {
+      this.#control = this.#resources.use(
+        await controlRole.ControlRole.start({
+          loaded: this.#loaded,
+          rpcServer: this.#rpcServer,
+          metrics: this.#metrics,
+        }),
+      );
+    }
+    await this.#listen(
+      "fleet",
+      settings.listen.fleet,
+      (request, response) => this.#rpcServer.handle(request, response),
+    );
+    await this.#startEntry();
+    await this.#listen(
+      "operators",
+      settings.listen.operators,
+      operatorsRole.createHandler({
+        loaded: this.#loaded,
+        identity: this.identity,
+        leader: this.#leader,
+        state: this.state,
+        metrics: this.#metrics,
+        isCurrent: () => this.state.isCurrent(performance.now()),
+      }),
+    );
+    this.#follow();
+  }
+
+  async #startEntry(): Promise<void> {
+    const { joinToken, settings } = this.#loaded;
+    const role = this.#entry;
+    if (role === undefined) return;
+    this.#resources.use(role);
+    const { listen, backends } = settings;
+    if (listen.callers !== undefined) {
+      await this.#listen(
+        "callers",
+        listen.callers,
+        (request, response) => role.callers.handle(request, response),
+      );
+    }
+    if (listen.backends === undefined || joinToken === undefined) return;
+    const relay = this.#resources.use(
+      new host.AnnouncementRelay(this.#leader),
+    );
+    await this.#listen(
+      "backends",
+      listen.backends,
+      backend.createAnnouncementHandler({
+        joinToken,
+        allowedAddresses: backends?.allowedAddresses ?? [],
+        isCurrent: () => this.state.isCurrent(performance.now()),
+        onAnnouncement: (announcement) => relay.add(announcement),
+      }),
+    );
+  }
+
+  /** Follows the leader: exchanges, feed and what depends on them. */
+  #follow(): void {
+    this.#resources.use(this.#exchanger);
+    this.#resources.use(this.#proposals);
+    this.#exchanger.on("answered", (answer) => this.#onAnswered(answer));
+    this.state.on("change", () => {
+      this.#leader.setControlHosts(this.state.controlHosts);
+      this.#metrics.viewIndex.set(this.state.index);
+    });
+    const watch = setInterval(() => this.#watch(), WATCH_MS);
+    this.#resources.defer(() => clearInterval(watch));
+    void feed.followFeed({
+      host: this.identity.name,
+      rpc: this.#rpcClient,
+      leader: this.#leader,
+      index: () => this.state.index,
+      apply: (event) => this.state.apply(event),
+    }, this.#stop.signal);
+    this.#exchanger.start();
+  }
+
+  #onAnswered(answer: protocol.control.ExchangeResponse): void {
+    this.#metrics.exchanges.inc({ result: "answered" });
+    this.#entry?.deferred.execute(answer.assignments);
+    this.#entry?.pump();
+  }
+
+  #watch(): void {
+    const isCurrent = this.state.isCurrent(performance.now());
+    this.#metrics.current.set(isCurrent ? 1 : 0);
+    if (isCurrent === this.#wasCurrent) return;
+    this.#wasCurrent = isCurrent;
+    write(isCurrent ? "ready" : "not-current", { index: this.state.index });
+    this.#entry?.pump();
+  }
+
+  #createEntry(proposer: host.Proposer): entryRole.EntryRole {
+    return new entryRole.EntryRole({
+      identity: this.identity,
+      settings: this.#loaded.settings,
+      state: this.state,
+      leader: this.#leader,
+      shares: this.#shares,
+      metrics: this.#metrics,
+      proposer,
+      proposals: this.#proposals,
+      requestExchange: () => this.#exchanger.request(),
+      readiness: () => this.readiness(),
+    });
+  }
+
+  async #listen(
+    name: settings.ListenerName,
+    endpoint: string,
+    handler: listener.Handler,
+  ): Promise<void> {
+    const started = await listener.listen({
+      name,
+      endpoint,
+      limits: this.#loaded.settings.limits,
+      certificate: this.#loaded.certificates.get(name),
+      handler,
+    });
+    this.#resources.use(started);
+    if (name === "callers") this.#listeners.push(started);
+  }
+
+  #isBusy(): boolean {
+    return this.#entry !== undefined && this.#entry.openCount > 0;
+  }
+}
+
+/** TLS of the links to other hosts: the fleet's authority and own key. */
+function fleetTls(
+  loaded: settings.LoadedSettings,
+): Pick<fleet.RpcClientOptions, "tls"> {
+  const own = loaded.certificates.get("fleet");
+  if (own === undefined) return {};
+  const { authority, certificate, key } = own;
+  return {
+    tls: {
+      cert: certificate,
+      key,
+      ...(authority === undefined ? {} : { ca: authority }),
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -0,0 +1,151 @@
+/**
+ * The entry role of a host: the callers' interface and what serves it.
+ *
+ * @module
+ */
+import type * as core from "@ebonypath/core";
+import * as protocol from "@ebonypath/protocol";
+import * as backend from "../backend/mod.ts";
+import * as entry from "../entry/mod.ts";
+import type * as fleet from "../fleet/mod.ts";
+import * as host from "../host/mod.ts";
+import type * as metrics from "../metrics/mod.ts";
+import * as security from "../security/mod.ts";
+
+/** Random bytes of the request id of a deferred execution. */
+const REQUEST_ID_BYTES = 12;
+
+/** What the entry role shares with the rest of its host. */
+export interface EntryRoleOptions {
+  readonly identity: protocol.control.HostIdentity;
+  readonly settings: protocol.settings.Settings;
+  readonly state: host.FleetState;
+  readonly leader: fleet.LeaderClient;
+  readonly shares: core.limits.ShareHolder;
+  readonly metrics: metrics.Metrics;
+  readonly proposer: host.Proposer;
+  readonly proposals: host.PersistentProposals;
+  requestExchange(): void;
+  readiness(): entry.Readiness;
+}
+
+/** Serves callers at one host. */
+export class EntryRole implements host.Reporter, AsyncDisposable {
+  readonly callers: entry.Callers;
+  readonly atMostOnce: entry.AtMostOnce;
+  readonly deferred: entry.DeferredRequests;
+  readonly #admission: entry.Admission;
+  readonly #placement: entry.PlacementQueue;
+  readonly #dispatcher: entry.Dispatcher;
+  readonly #client = new backend.InferenceClient();
+  readonly #demand: entry.DemandReport;
+  readonly #options: EntryRoleOptions;
+
+  constructor(options: EntryRoleOptions) {
+    const { identity, metrics, proposals, proposer, shares, state } = options;
+    const { limits } = options.settings;
+    const requestExchange = () => options.requestExchange();
+    this.#options = options;
+    this.#admission = new entry.Admission(shares, requestExchange);
+    this.#placement = new entry.PlacementQueue({
+      state,
+      shares,
+      requestExchange,
+    });
+    this.#dispatcher = new entry.Dispatcher({
+      state,
+      shares,
+      admission: this.#admission,
+      placement: this.#placement,
+      client: this.#client,
+      metrics,
+      streamIdleTimeoutMs: limits.streamIdleTimeoutMs,
+    });
+    this.#demand = new entry.DemandReport(
+      this.#admission,
+      this.#placement,
+      this.#dispatcher,
+    );
+    const run = this.#run.bind(this);
+    this.atMostOnce = new entry.AtMostOnce({
+      identity,
+      proposer,
+      proposals,
+      run,
+    });
+    this.deferred = new entry.DeferredRequests({
+      identity,
+      proposer,
+      proposals,
+      leader: options.leader,
+      restore: this.#restore.bind(this),
+      run,
+    });
+    this.callers = new entry.Callers({
+      state,
+      limits,
+      metrics,
+      run,
+      atMostOnce: this.atMostOnce,
+      deferred: this.deferred,
+      readiness: () => options.readiness(),
+    });
+    state.on("change", () => this.pump());
+  }
+
+  /** Requests that have not ended. */
+  get openCount(): number {
+    return this.callers.openCount + this.#dispatcher.running.size +
+      this.atMostOnce.activeCount;
+  }
+
+  /** Serves what waits, after shares, servers or freshness have changed. */
+  pump(): void {
+    this.#admission.pump();
+    this.#placement.pump();
+    this.#options.metrics.running.set(this.#dispatcher.running.size);
+  }
+
+  demand(): protocol.control.Demand[] {
+    return this.#demand.take(performance.now());
+  }
+
+  takeSuspicions(): protocol.suspicion.SuspicionReport[] {
+    return [];
+  }
+
+  returnSuspicions(_reports: protocol.suspicion.SuspicionReport[]): void {}
+
+  deferredCapacity(): number {
+    return this.deferred.capacity;
+  }
+
+  /** Waits until everything accepted here has ended. */
+  async settle(): Promise<void> {
+    await this.deferred.settle();
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#client[Symbol.asyncDispose]();
+  }
+
+  async #run(
+    work: entry.Work,
+    sink: entry.Sink,
+    signal: AbortSignal,
+  ): Promise<void> {
+    this.#demand.arrived(work.target);
+    await this.#dispatcher.run(work, sink, signal);
+  }
+
+  #restore(
+    stored: protocol.state.StoredRequest,
+    remainingMs: number,
+  ): entry.Work {
+    return entry.resolveStored(stored, remainingMs, {
+      requestId: security.randomId(REQUEST_ID_BYTES),
+      view: this.#options.state.view,
+      now: performance.now(),
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/daemon/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * The daemon as a whole.
+ *
+ * @module
+ */
+export * from "./daemon.ts";
