Move models in use out of withdrawn failure domains ahead of need

A model in frequent use whose only replica stands in a withdrawn failure domain, or on a leaving server, was loaded elsewhere only when the next request came: prefetching took the old replica for a present one. It now counts only where it stays usable.

Placement tells what the fleet can do for a target, for the planner of deferred requests.

--- a/packages/core/src/deferred/types.ts
+++ b/packages/core/src/deferred/types.ts
@@ -10,18 +10,10 @@
   readonly load: number;
 }
 
-/** What the fleet can do for one model, adapter or plain service now. */
-export interface Capacity {
-  /** Whether a replica is in memory and usable. */
-  readonly loaded: boolean;
-  /** Requests that it can take beyond those that run or wait. */
-  readonly spare: number;
-  /** Expected time to load it, in milliseconds. */
-  readonly loadMs: number;
+/** What the fleet can do for one target now. */
+export interface Capacity extends placement.Capacity {
   /** Expected duration of one request, in milliseconds. */
   readonly requestMs: number;
-  /** Requests that run at once where it is loaded. */
-  readonly concurrency: number;
 }
 
 /** What the planner looks at. */
--- a/packages/core/src/placement/context.ts
+++ b/packages/core/src/placement/context.ts
@@ -29,6 +29,7 @@
   readonly needs: readonly demand.Need[];
   /** Needs of models together with their adapters. */
   readonly baseNeeds: ReadonlyMap<string, demand.Need>;
+  readonly #needs: ReadonlyMap<string, demand.Need>;
   readonly #loaded = new Map<string, scene.Placed[]>();
 
   constructor(
@@ -40,6 +41,7 @@
     this.memory = memory;
     this.needs = needs;
     this.baseNeeds = demand.baseNeeds(needs);
+    this.#needs = new Map(needs.map((need) => [need.target, need]));
   }
 
   get nowMs(): number {
@@ -49,7 +51,7 @@
   /** The need of a model with its adapters, or of one adapter. */
   needOf(reference: string): demand.Need | undefined {
     return types.isAdapter(reference)
-      ? this.needs.find(({ target }) => target === reference)
+      ? this.#needs.get(reference)
       : this.baseNeeds.get(reference);
   }
 
--- a/packages/core/src/placement/mod.ts
+++ b/packages/core/src/placement/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./arrivals.ts";
+export { type Capacity } from "./capacity.ts";
 export * from "./commands.ts";
 export { DemandTable, type Need } from "./demand.ts";
 export * from "./estimates.ts";
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -1,6 +1,7 @@
 import type * as protocol from "@ebonypath/protocol";
 import * as arrivals from "./arrivals.ts";
 import * as backoff from "./backoff.ts";
+import * as capacity from "./capacity.ts";
 import * as context from "./context.ts";
 import * as demand from "./demand.ts";
 import * as dispatch from "./dispatch.ts";
@@ -108,7 +109,11 @@
     this.#proposals.settle(proposal);
   }
 
-  /** Takes the answer to an order; undefined if it was lost. */
+  /**
+   * Takes the answer to an order; undefined if it was lost. Where no byte of
+   * the order went out, `refused` with the reason `failed` saves the wait for
+   * the end of the order.
+   */
   answer(
     sent: types.Dispatch,
     result: protocol.backend.OrderResult | undefined,
@@ -150,15 +155,10 @@
     return this.#servers.list();
   }
 
-  /** Expected load time of a model on its best place, in milliseconds. */
-  loadMs(model: string, version: string, bytes: number): number {
-    const { estimates } = this.#memory;
-    const times = this.#servers.list().map((server) =>
-      estimates.load(fleet.placeOf(server, model, version), bytes)
-    );
-    return times.length === 0
-      ? estimates.load("store", bytes)
-      : Math.min(...times);
+  /** What the fleet can do for a target; undefined before the first plan. */
+  capacity(target: string): capacity.Capacity | undefined {
+    if (this.#scene === undefined) return undefined;
+    return capacity.capacityOf(this.#scene, this.#memory.estimates, target);
   }
 
   #needs(nowMs: number): demand.Need[] {
--- a/packages/core/src/placement/planner.ts
+++ b/packages/core/src/placement/planner.ts
@@ -158,9 +158,7 @@
   if (resolved === undefined || resolved.adapter !== undefined) {
     return undefined;
   }
-  const live = round.scene.of(model)
-    .some(({ replica }) => replica.version === resolved.model.version);
-  if (live || round.scene.proposed(model).length > 0) return undefined;
+  if (isPresent(round, model, resolved.model.version)) return undefined;
   if (round.needOf(model) !== undefined) return undefined;
   const wanted = wantedModel(model, resolved, false);
   const chosen = choice.choose(round, wanted, round.scene.usable);
@@ -172,6 +170,20 @@
   return { action: decisionOf(wanted, chosen.server.announcement), value };
 }
 
+/** Whether a model is decided or proposed where it stays usable. */
+function isPresent(
+  round: context.Context,
+  model: string,
+  version: string,
+): boolean {
+  if (round.scene.proposed(model).length > 0) return true;
+  return round.scene.of(model).some(({ replica }) => {
+    if (replica.version !== version) return false;
+    const server = round.scene.serverOf(replica);
+    return server === undefined || round.scene.takesWork(server);
+  });
+}
+
 function wantedModel(
   reference: string,
   { model, service }: state.ResolvedModel,
--- a/packages/core/test/placement/placement_test.ts
+++ b/packages/core/test/placement/placement_test.ts
@@ -192,6 +192,17 @@
     });
   }
 
+  it("moves a model in frequent use out of a withdrawn failure domain", () => {
+    const world = worldOf();
+    world.run(3_000);
+    load(world, "advice/d");
+    for (let i = 0; i < 20; i++) load(world, "advice/d");
+    const first = holders(world, "advice/d")[0] === "s0" ? 0 : 1;
+    world.withdrawn.add(`d${first}`);
+    const moved = () => holders(world, "advice/d").includes(`s${1 - first}`);
+    expect(world.runUntil(moved)).to.equal(true);
+  });
+
   it("decides again when a server dies during a load", () => {
     const world = worldOf({ sizes: { a: 8 } });
     world.run(3_000);
@@ -263,4 +274,15 @@
     expect(world.placement.ready(world.state.replicas()[0]?.server ?? ""))
       .to.deep.equal(["advice/a"]);
   });
+
+  it("says what the fleet can do for a model", () => {
+    const world = worldOf({ servers: [cachedOn("advice/b", "disk")] });
+    world.run(1_000);
+    load(world, "advice/a");
+    expect(world.placement.capacity("advice/a"))
+      .to.deep.include({ loaded: true, spare: 4, concurrency: 4, loadMs: 0 });
+    const other = world.placement.capacity("advice/b");
+    expect(other).to.include({ loaded: false, spare: 0 });
+    expect(other?.loadMs).to.be.closeTo(1_520, 1);
+  });
 });
