Queue waiting requests fairly between workspaces

Start-time fair queueing by tokens between workspaces, urgency of the tier first, the earliest deadline within a tier. A request that has used up four fifths of its time counts as most urgent, so that no tier is starved. Bounded per workspace and overall; a request that cannot be dispatched in time is refused when it arrives.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -6,6 +6,7 @@
 export * as deferred from "./deferred/mod.ts";
 export * as limits from "./limits/mod.ts";
 export * as placement from "./placement/mod.ts";
+export * as queue from "./queue/mod.ts";
 export * as ramp from "./ramp/mod.ts";
 export * as replication from "./replication/mod.ts";
 export * as state from "./state/mod.ts";
--- /dev/null
+++ b/packages/core/src/queue/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Requests that wait at one entry host.
+ *
+ * @module
+ */
+export * from "./fair_queue.ts";
+export * from "./types.ts";
