Tell which hosts own work and whether time is due

An assignment carries its log index, so that a host executes each one once even if an exchange's answer is late.

--- a/packages/core/src/state/claims.ts
+++ b/packages/core/src/state/claims.ts
@@ -74,6 +74,22 @@
     );
   }
 
+  /** Owners of the open claims, one for each claim. */
+  openOwners(): types.Owner[] {
+    return [...this.#open.values()];
+  }
+
+  /** Whether `expire` would change anything. */
+  isDue(timeMs: number): boolean {
+    const [open] = this.#open.values();
+    const [ended] = this.#ended.values();
+    const isOpenDue = open !== undefined &&
+      open.phase.sinceMs + OPEN_LIMIT_MS <= timeMs;
+    const isEndedDue = ended !== undefined &&
+      ended.phase.sinceMs + types.RETENTION_MS <= timeMs;
+    return isOpenDue || isEndedDue;
+  }
+
   open(
     command: Command<"open-claim">,
     position: types.Position,
--- a/packages/core/src/state/deferred.ts
+++ b/packages/core/src/state/deferred.ts
@@ -154,6 +154,14 @@
     }
   }
 
+  /** Whether `expire` would change anything. */
+  isDue(timeMs: number): boolean {
+    if (timeMs >= this.#nextDeadlineMs) return true;
+    const [ended] = this.#ended.values();
+    return ended?.phase.kind === "ended" &&
+      ended.phase.endedMs + types.RETENTION_MS <= timeMs;
+  }
+
   /** Ends requests whose deadline has passed; forgets old answers. */
   expire(timeMs: number): void {
     if (timeMs >= this.#nextDeadlineMs) this.#endOverdue(timeMs);
--- a/packages/core/src/state/quarantines.ts
+++ b/packages/core/src/state/quarantines.ts
@@ -52,6 +52,11 @@
     };
   }
 
+  /** Whether `expire` would end anything. */
+  isDue(timeMs: number): boolean {
+    return this.list().some(({ untilMs }) => untilMs <= timeMs);
+  }
+
   /** Ends the quarantines whose time is over. */
   expire(timeMs: number): ViewChange[] {
     return this.list()
--- a/packages/core/src/state/state.ts
+++ b/packages/core/src/state/state.ts
@@ -2,6 +2,7 @@
 import type * as audit from "./audit.ts";
 import type * as claims from "./claims.ts";
 import type * as deferred from "./deferred_types.ts";
+import * as catalogue from "./catalogue.ts";
 import * as operatorChanges from "./operator_changes.ts";
 import * as parts from "./parts.ts";
 import type * as replicas from "./replicas.ts";
@@ -25,6 +26,9 @@
   readonly #parts: parts.Parts;
   #index: number;
   #timeMs: number;
+  #catalogue = catalogue.EMPTY;
+  /** Version that the catalogue was made of; none at first. */
+  #indexedVersion = -1;
 
   constructor(
     limits: types.Limits = types.DEFAULT_LIMITS,
@@ -114,6 +118,16 @@
     return this.#parts.versions.current();
   }
 
+  /** Indexes of the version in force. */
+  catalogue(): catalogue.Catalogue {
+    const { version, configuration } = this.current();
+    if (version !== this.#indexedVersion) {
+      this.#indexedVersion = version;
+      this.#catalogue = new catalogue.Catalogue(configuration);
+    }
+    return this.#catalogue;
+  }
+
   /** One of the newest published versions. */
   configuration(version: number): versions.Version | undefined {
     return this.#parts.versions.get(version);
@@ -167,6 +181,26 @@
     );
   }
 
+  /** Host processes that hold claims or deferred requests. */
+  owners(): types.Owner[] {
+    const owners = [
+      ...this.#parts.claims.openOwners(),
+      ...this.#parts.deferred.assigned().map(({ phase }) => phase.assignment),
+    ];
+    const byName = new Map(owners.map(({ host, hostIncarnation }) => [
+      `${host}/${hostIncarnation}`,
+      { host, hostIncarnation },
+    ]));
+    return [...byName.values()];
+  }
+
+  /** Whether `advance-time` at `timeMs` would end anything. */
+  isTimeDue(timeMs: number): boolean {
+    const { claims, deferred, quarantines } = this.#parts;
+    return claims.isDue(timeMs) || deferred.isDue(timeMs) ||
+      quarantines.isDue(timeMs);
+  }
+
   isLost(owner: types.Owner): boolean {
     return this.#parts.lostHosts.has(owner);
   }
--- a/packages/protocol/src/control/exchange.ts
+++ b/packages/protocol/src/control/exchange.ts
@@ -33,6 +33,8 @@
 /** A deferred request handed to a host for execution. */
 export const Assignment = v.object({
   id: v.string(),
+  /** Log index of the assignment: a host executes each one once. */
+  assignment: Count,
   request: state.StoredRequest,
   /** Time left until its deadline when the leader answered, in ms. */
   remainingMs: v.number(),
