Place models, ramp servers up and hand out deferred work while leading

Cause: models were not loaded, every server got its full concurrency at once. Change: the placement planner is driven over the log and the order client, a ramp-up per server sets its slots, and deferred requests are assigned.

--- /dev/null
+++ b/packages/daemon/src/control/deferred_driver.ts
@@ -0,0 +1,155 @@
+/**
+ * Hands deferred requests to hosts for execution.
+ *
+ * @module
+ */
+import * as core from "@ebonypath/core";
+import type * as protocol from "@ebonypath/protocol";
+import * as log from "../log/mod.ts";
+import type * as hostRegistry from "./host_registry.ts";
+import type * as replicatedState from "./replicated_state.ts";
+import type * as serverTable from "./server_table.ts";
+
+const write = log.createLog("deferred");
+
+/** Expected duration of one request, in milliseconds. */
+const REQUEST_MS = 5_000;
+/** Assignments in one exchange: it must stay small. */
+const ASSIGNMENTS_PER_EXCHANGE = 8;
+
+/** What the planning of deferred requests needs of the leadership. */
+export interface DeferredDriverOptions {
+  readonly replicated: replicatedState.ReplicatedState;
+  readonly placement: core.placement.Placement;
+  readonly servers: serverTable.ServerTable;
+  readonly hosts: hostRegistry.HostRegistry;
+  propose(
+    command: protocol.state.Command,
+  ): Promise<protocol.state.CommandResult>;
+}
+
+/** Drives the planner of deferred requests for one term of leadership. */
+export class DeferredDriver {
+  readonly #options: DeferredDriverOptions;
+  #isProposing = false;
+
+  constructor(options: DeferredDriverOptions) {
+    this.#options = options;
+  }
+
+  /** Plans once; assignments are committed before hosts hear of them. */
+  run(now: number): void {
+    const { hosts, placement, replicated } = this.#options;
+    if (this.#isProposing) return;
+    const { state } = replicated;
+    const waiting = state.pendingDeferred();
+    if (waiting.length === 0) {
+      placement.wantDeferred([]);
+      return;
+    }
+    const demand = new Map(
+      hosts.demand(now).map((row) => [row.target, row]),
+    );
+    const plan = core.deferred.plan({
+      nowMs: now,
+      timeMs: Date.now(),
+      waiting,
+      assigned: state.assignedDeferred(),
+      hosts: hosts.live(now)
+        .filter((host) =>
+          host.current && !host.draining && host.deferredCapacity > 0
+        )
+        .map(toPlannedHost),
+      capacityOf: (target) => this.#capacityOf(target, demand.get(target)),
+    });
+    placement.wantDeferred(plan.needs);
+    void this.#assign(plan.assignments);
+  }
+
+  /** Requests that were handed to a host and that it does not run yet. */
+  assignmentsOf(
+    identity: protocol.control.HostIdentity,
+  ): protocol.control.Assignment[] {
+    const owner = {
+      host: identity.name,
+      hostIncarnation: identity.incarnation,
+    };
+    return this.#options.replicated.state.assignedDeferred(owner)
+      .slice(0, ASSIGNMENTS_PER_EXCHANGE)
+      .map((item) => ({
+        id: item.id,
+        assignment: item.phase.assignment.index,
+        request: item.phase.request,
+        remainingMs: item.deadlineMs - Date.now(),
+      }));
+  }
+
+  async #assign(
+    assignments: readonly core.deferred.Assignment[],
+  ): Promise<void> {
+    if (assignments.length === 0) return;
+    this.#isProposing = true;
+    try {
+      await Promise.all(assignments.map((assignment) =>
+        this.#options.propose({
+          kind: "assign-deferred",
+          ids: [...assignment.ids],
+          host: assignment.host,
+          hostIncarnation: assignment.hostIncarnation,
+        })
+      ));
+    } catch (error) {
+      write("not-assigned", {
+        error: error instanceof Error ? error : String(error),
+      });
+    } finally {
+      this.#isProposing = false;
+    }
+  }
+
+  #capacityOf(
+    target: string,
+    demand: protocol.control.Demand | undefined,
+  ): core.deferred.Capacity {
+    const able = this.#options.servers.statuses().filter((server) =>
+      server.usable && serves(server, target)
+    );
+    const concurrency = able.reduce((sum, server) => sum + server.limit, 0);
+    const busy = (demand?.running ?? 0) + (demand?.waiting ?? 0);
+    return {
+      loaded: able.length > 0,
+      spare: Math.max(0, concurrency - busy),
+      loadMs: this.#loadMs(target),
+      requestMs: REQUEST_MS,
+      concurrency: Math.max(1, concurrency),
+    };
+  }
+
+  #loadMs(target: string): number {
+    const { placement, replicated } = this.#options;
+    const resolved = replicated.state.catalogue().model(target);
+    if (resolved === undefined) return 0;
+    const { model } = resolved;
+    return placement.loadMs(resolved.base, model.version, model.bytes);
+  }
+}
+
+function toPlannedHost(host: hostRegistry.Host): core.deferred.Host {
+  return {
+    host: host.identity.name,
+    hostIncarnation: host.identity.incarnation,
+    load: host.demand.reduce(
+      (sum, row) => sum + row.waiting + row.running,
+      0,
+    ),
+  };
+}
+
+function serves(
+  server: protocol.control.ServerStatus,
+  target: string,
+): boolean {
+  return target.includes("/")
+    ? server.ready.includes(target)
+    : server.kind === "plain" && server.services.includes(target);
+}
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -6,19 +6,25 @@
  */
 import type * as http from "node:http";
 import * as core from "@ebonypath/core";
-import * as protocol from "@ebonypath/protocol";
+import type * as protocol from "@ebonypath/protocol";
 import * as feed from "../feed/mod.ts";
 import * as fleet from "../fleet/mod.ts";
 import * as log from "../log/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
+import * as buckets from "./bucket_table.ts";
+import * as deferredDriver from "./deferred_driver.ts";
 import * as hostRegistry from "./host_registry.ts";
+import * as placementDriver from "./placement_driver.ts";
 import type * as replicatedState from "./replicated_state.ts";
 import * as servers from "./server_table.ts";
+import * as upkeep from "./upkeep.ts";
 
 const write = log.createLog("leadership");
 
 /** Time between two looks at what is due, in milliseconds. */
 const TICK_MS = 50;
+/** Time for which demand is collected before it is planned for, in ms. */
+const COALESCING_MS = 10;
 /** Time between two heartbeats of the feed, in milliseconds. */
 const HEARTBEAT_MS = 500;
 
@@ -37,29 +43,49 @@
 }
 
 /** The soft state of one term of leadership. */
-export class Leadership {
+export class Leadership implements Disposable {
   readonly hosts = new hostRegistry.HostRegistry();
-  readonly servers: servers.ServerTable;
   readonly #options: LeadershipOptions;
   readonly #shares = new core.limits.ShareLeader();
+  readonly #buckets = new buckets.BucketTable(this.#shares);
+  readonly #placement: placementDriver.PlacementDriver;
+  readonly #servers: servers.ServerTable;
+  readonly #deferred: deferredDriver.DeferredDriver;
+  readonly #upkeep: upkeep.Upkeep;
   readonly #publisher: feed.FeedPublisher;
   readonly #timer: NodeJS.Timeout;
+  #soon: NodeJS.Timeout | undefined;
   #heartbeatAt = 0;
-  #configuredVersion = -1;
 
   constructor(options: LeadershipOptions) {
-    this.#options = options;
     const now = performance.now();
+    const { replicated } = options;
+    this.#options = options;
     this.#shares.takeLeadership({ term: options.term }, now);
-    this.servers = new servers.ServerTable(this.#shares);
+    this.#placement = new placementDriver.PlacementDriver(options, now);
+    const { placement } = this.#placement;
+    this.#servers = new servers.ServerTable(this.#shares, placement);
+    this.#deferred = new deferredDriver.DeferredDriver({
+      replicated,
+      placement,
+      servers: this.#servers,
+      hosts: this.hosts,
+      propose: options.propose,
+    });
+    this.#upkeep = new upkeep.Upkeep({
+      replicated,
+      hosts: this.hosts,
+      propose: options.propose,
+      startedAt: now,
+    });
     this.#publisher = new feed.FeedPublisher({
       term: () => options.term,
-      view: () => options.replicated.state.view(),
-      servers: () => this.servers.statuses(),
+      view: () => replicated.state.view(),
+      servers: () => this.#servers.statuses(),
       controlHosts: options.controlHosts,
-      changes: () => options.replicated.changes,
+      changes: () => replicated.changes,
     });
-    options.replicated.on("changes", this.#onChanges);
+    replicated.on("changes", this.#onChanges);
     this.#timer = setInterval(() => this.#tick(), TICK_MS);
     write("started", { term: options.term });
     this.#tick();
@@ -80,16 +106,22 @@
     request: protocol.control.ExchangeRequest,
   ): protocol.control.ExchangeResponse {
     const { replicated, term } = this.#options;
+    const { host } = request;
     if (request.appliedIndex > replicated.appliedIndex) {
-      throw new fleet.RemoteError(
+      throw new fleet.OutcomeUnknown(
         "exchange",
-        request.host.name,
+        host.name,
         "the host is ahead of the replicated state",
-        fleet.OUTCOME_UNKNOWN_CODE,
       );
     }
     const now = performance.now();
     this.hosts.hear(request, now);
+    this.#placement.placement.report(
+      `${host.name}/${host.incarnation}`,
+      request.demand,
+      now,
+    );
+    if (request.demand.some((row) => row.waiting > 0)) this.#planSoon();
     const shares = request.shares === undefined
       ? {}
       : { shares: this.#shares.exchange(request.shares, now) };
@@ -98,7 +130,7 @@
       viewIndex: replicated.changes.index,
       ...shares,
       watched: [],
-      assignments: [],
+      assignments: this.#deferred.assignmentsOf(host),
     };
   }
 
@@ -106,15 +138,18 @@
   announce(announcements: readonly protocol.backend.Announcement[]): void {
     const now = performance.now();
     for (const announcement of announcements) {
-      this.servers.hear(announcement, now);
+      if (!this.#placement.placement.hear(announcement, now)) continue;
+      this.#servers.hear(announcement, now);
     }
-    this.#publishServers(now);
+    this.#planSoon();
   }
 
   /** Ends the leadership: the hosts look for the next leader. */
   [Symbol.dispose](): void {
     clearInterval(this.#timer);
+    clearTimeout(this.#soon);
     this.#options.replicated.off("changes", this.#onChanges);
+    this.#placement[Symbol.dispose]();
     this.#publisher[Symbol.dispose]();
     write("ended", { term: this.#options.term });
   }
@@ -128,46 +163,37 @@
       index,
       changes: [...changes],
     });
-    this.#publishServers(performance.now());
+    this.#planSoon();
   };
 
+  /** Plans once for all that arrives within a short time. */
+  #planSoon(): void {
+    this.#soon ??= setTimeout(() => {
+      this.#soon = undefined;
+      if (this.#options.hasLease()) this.#plan(performance.now());
+    }, COALESCING_MS);
+  }
+
   #tick(): void {
     if (!this.#options.hasLease()) return;
     const now = performance.now();
-    this.#configureBuckets(now);
+    this.#buckets.configure(this.#options.replicated.state.current(), now);
     this.#shares.expire(now);
     this.hosts.expire(now);
-    this.#publishServers(now);
+    this.#upkeep.run(now);
+    this.#deferred.run(now);
+    this.#plan(now);
     if (now - this.#heartbeatAt < HEARTBEAT_MS) return;
     this.#heartbeatAt = now;
     this.#publisher.heartbeat();
   }
 
-  #publishServers(now: number): void {
+  #plan(now: number): void {
     const { state } = this.#options.replicated;
-    const difference = this.servers.update(
-      new Set(state.withdrawnFailureDomains()),
-      now,
-    );
+    this.#placement.run(now);
+    const withdrawn = new Set(state.withdrawnFailureDomains());
+    const difference = this.#servers.update(withdrawn, now);
     if (difference.changed.length + difference.removed.length === 0) return;
     this.#publisher.publish({ kind: "servers", ...difference });
   }
-
-  /** Keeps the token buckets at what the workspaces bought. */
-  #configureBuckets(now: number): void {
-    const { version, configuration } = this.#options.replicated.state
-      .current();
-    if (version === this.#configuredVersion) return;
-    const kept = new Set(configuration.workspaces.map((one) => one.name));
-    for (const name of this.#buckets) {
-      if (!kept.has(name)) this.#shares.removeBucket(name, now);
-    }
-    for (const { name, rate, burst } of configuration.workspaces) {
-      this.#shares.setBucket(name, { rate, burst }, now, burst);
-    }
-    this.#buckets = kept;
-    this.#configuredVersion = version;
-  }
-
-  #buckets: ReadonlySet<string> = new Set();
 }
--- a/packages/daemon/src/control/server_table.ts
+++ b/packages/daemon/src/control/server_table.ts
@@ -1,6 +1,8 @@
-import type * as core from "@ebonypath/core";
+import * as core from "@ebonypath/core";
 import type * as protocol from "@ebonypath/protocol";
-import * as registry from "./server_registry.ts";
+
+/** A server without an announcement for this time gets no work, in ms. */
+export const SERVER_SILENT_MS = 3_500;
 
 /** What changed since the hosts were told last. */
 export interface Difference {
@@ -8,66 +10,115 @@
   readonly removed: string[];
 }
 
+interface Row {
+  readonly pool: string;
+  readonly ramp: core.ramp.Ramp;
+  status: protocol.control.ServerStatus;
+}
+
 /** The backend servers as hosts are told of them, with their slot pools. */
 export class ServerTable {
   readonly #shares: core.limits.ShareLeader;
-  readonly #registry = new registry.ServerRegistry();
-  readonly #statuses = new Map<string, protocol.control.ServerStatus>();
-  readonly #pools = new Map<string, string>();
+  readonly #placement: core.placement.Placement;
+  readonly #rows = new Map<string, Row>();
 
-  constructor(shares: core.limits.ShareLeader) {
+  constructor(
+    shares: core.limits.ShareLeader,
+    placement: core.placement.Placement,
+  ) {
     this.#shares = shares;
-  }
-
-  /** The announced servers. */
-  list(): registry.Server[] {
-    return this.#registry.list();
+    this.#placement = placement;
   }
 
   /** All servers as hosts know them. */
   statuses(): protocol.control.ServerStatus[] {
-    return [...this.#statuses.values()];
+    return [...this.#rows.values()].map((row) => row.status);
+  }
+
+  /** A server as hosts know it. */
+  status(id: string): protocol.control.ServerStatus | undefined {
+    return this.#rows.get(id)?.status;
   }
 
-  /** Takes an announcement. */
+  /** Takes an announcement into the server's slot pool. */
   hear(announcement: protocol.backend.Announcement, now: number): void {
-    const heard = this.#registry.hear(announcement, now);
-    if (heard === "outdated") return;
-    const pool = poolOf(announcement);
-    const former = this.#pools.get(announcement.id);
-    if (former !== undefined && former !== pool) {
-      this.#shares.removeSlots(former);
-    }
-    this.#pools.set(announcement.id, pool);
-    this.#shares.setSlots(
-      pool,
-      announcement.concurrency,
-      now,
-      announcement.running,
-    );
-    this.#shares.observeRunning(pool, announcement.running, now);
+    const row = this.#rows.get(announcement.id);
+    if (row?.pool !== poolOf(announcement)) return;
+    row.ramp.announce(announcement.concurrency);
+    this.#shares.observeRunning(row.pool, announcement.running, now);
   }
 
-  /** Renders the servers anew and tells what has changed. */
+  /** Takes in how requests ended, and renders the servers anew. */
   update(withdrawn: ReadonlySet<string>, now: number): Difference {
-    const removed = this.#registry.expire(now);
-    for (const id of removed) this.#remove(id);
+    this.#observe(now);
     const changed: protocol.control.ServerStatus[] = [];
-    for (const server of this.#registry.list()) {
-      const status = statusOf(server, withdrawn, now);
-      const known = this.#statuses.get(status.id);
-      if (known !== undefined && isEqual(known, status)) continue;
-      this.#statuses.set(status.id, status);
-      changed.push(status);
+    const present = new Set<string>();
+    for (const server of this.#placement.servers()) {
+      present.add(server.announcement.id);
+      const status = this.#refresh(server, withdrawn, now);
+      if (status !== undefined) changed.push(status);
     }
+    const removed = [...this.#rows.keys()].filter((id) => !present.has(id));
+    for (const id of removed) this.#remove(id);
     return { changed, removed };
   }
 
+  #observe(now: number): void {
+    const byPool = new Map(
+      this.#shares.takeOutcomes().map((one) => [one.server, one]),
+    );
+    for (const row of this.#rows.values()) {
+      const seen = byPool.get(row.pool);
+      if (seen !== undefined) row.ramp.observe(seen, now);
+      this.#shares.setSlots(row.pool, row.ramp.limit, now);
+    }
+  }
+
+  /** Returns the server's status if it has changed. */
+  #refresh(
+    server: core.placement.Server,
+    withdrawn: ReadonlySet<string>,
+    now: number,
+  ): protocol.control.ServerStatus | undefined {
+    const { announcement } = server;
+    const former = this.#rows.get(announcement.id);
+    const row = former?.pool === poolOf(announcement)
+      ? former
+      : this.#start(server, former);
+    const status = statusOf(server, {
+      ready: this.#placement.ready(announcement.id),
+      limit: row.ramp.limit,
+      usable: isUsable(server, withdrawn, now),
+    });
+    if (row === former && isEqual(former.status, status)) return undefined;
+    if (status.usable && former?.status.usable === false) row.ramp.restart();
+    row.status = status;
+    return status;
+  }
+
+  /** A new server, or a new start of a known one: it warms up first. */
+  #start(server: core.placement.Server, former: Row | undefined): Row {
+    const { announcement } = server;
+    if (former !== undefined) this.#shares.removeSlots(former.pool);
+    const row = {
+      pool: poolOf(announcement),
+      ramp: new core.ramp.Ramp({ announced: announcement.concurrency }),
+      status: statusOf(server, { ready: [], limit: 0, usable: false }),
+    };
+    this.#rows.set(announcement.id, row);
+    this.#shares.setSlots(
+      row.pool,
+      row.ramp.limit,
+      server.heardMs,
+      announcement.running,
+    );
+    return row;
+  }
+
   #remove(id: string): void {
-    this.#statuses.delete(id);
-    const pool = this.#pools.get(id);
-    if (pool !== undefined) this.#shares.removeSlots(pool);
-    this.#pools.delete(id);
+    const row = this.#rows.get(id);
+    this.#rows.delete(id);
+    if (row !== undefined) this.#shares.removeSlots(row.pool);
   }
 }
 
@@ -75,10 +126,20 @@
   return `${announcement.id}/${announcement.incarnation}`;
 }
 
-function statusOf(
-  server: registry.Server,
+function isUsable(
+  server: core.placement.Server,
   withdrawn: ReadonlySet<string>,
   now: number,
+): boolean {
+  const { announcement } = server;
+  if (announcement.leaving) return false;
+  if (withdrawn.has(announcement.failureDomain)) return false;
+  return now - server.heardMs < SERVER_SILENT_MS;
+}
+
+function statusOf(
+  server: core.placement.Server,
+  own: { ready: string[]; limit: number; usable: boolean },
 ): protocol.control.ServerStatus {
   const { announcement } = server;
   return {
@@ -88,11 +149,9 @@
     failureDomain: announcement.failureDomain,
     kind: announcement.kind,
     services: announcement.services,
-    ready: announcement.loaded.map((loaded) => loaded.model),
-    limit: announcement.concurrency,
     running: announcement.running,
     queued: announcement.queued,
-    usable: registry.isUsable(server, withdrawn, now),
+    ...own,
   };
 }
 
--- a/packages/daemon/src/entry/deferred.ts
+++ b/packages/daemon/src/entry/deferred.ts
@@ -18,6 +18,8 @@
 
 /** Deferred requests that one host executes at once. */
 const EXECUTIONS = 8;
+/** Executed assignments remembered against answers that arrive late. */
+const REMEMBERED_ASSIGNMENTS = 10_000;
 /** Random bytes of the id of a deferred request. */
 const ID_BYTES = 16;
 /** Longest wait that a caller may ask for in one poll, in seconds. */
@@ -51,6 +53,8 @@
 export class DeferredRequests {
   readonly #options: DeferredOptions;
   readonly #executing = new Map<string, Promise<void>>();
+  /** Log indexes with ids of assignments that were taken, oldest first. */
+  readonly #taken = new Set<string>();
 
   constructor(options: DeferredOptions) {
     this.#options = options;
@@ -149,7 +153,7 @@
   /** Executes requests that the leader handed to this host. */
   execute(assignments: readonly protocol.control.Assignment[]): void {
     for (const assignment of assignments) {
-      if (this.#executing.has(assignment.id)) continue;
+      if (!this.#take(assignment)) continue;
       const executed = this.#execute(assignment)
         .finally(() => this.#executing.delete(assignment.id));
       this.#executing.set(assignment.id, executed);
@@ -161,10 +165,23 @@
     await Promise.allSettled([...this.#executing.values()]);
   }
 
+  /** Whether an assignment is new: an answer may be late or come twice. */
+  #take(assignment: protocol.control.Assignment): boolean {
+    const name = `${assignment.assignment}/${assignment.id}`;
+    if (this.#taken.has(name)) return false;
+    this.#taken.add(name);
+    if (this.#taken.size > REMEMBERED_ASSIGNMENTS) {
+      const [oldest] = this.#taken;
+      if (oldest !== undefined) this.#taken.delete(oldest);
+    }
+    return true;
+  }
+
   async #execute(assignment: protocol.control.Assignment): Promise<void> {
     const { identity, proposals, run } = this.#options;
     const owner = {
       id: assignment.id,
+      assignment: assignment.assignment,
       host: identity.name,
       hostIncarnation: identity.incarnation,
     };
