--- a/packages/daemon/src/control/deferred_driver.ts
+++ b/packages/daemon/src/control/deferred_driver.ts
@@ -14,6 +14,8 @@
 
 /** Expected duration of one request, in milliseconds. */
 const REQUEST_MS = 5_000;
+/** Capacity of a target of which nothing is known yet. */
+const NO_CAPACITY = { loaded: false, spare: 0, concurrency: 1, loadMs: 0 };
 /** Assignments in one exchange: it must stay small. */
 const ASSIGNMENTS_PER_EXCHANGE = 8;
 
@@ -107,30 +109,18 @@
     }
   }
 
+  /** What placement expects, within what servers bear while they warm up. */
   #capacityOf(
     target: string,
     demand: protocol.control.Demand | undefined,
   ): core.deferred.Capacity {
-    const able = this.#options.servers.statuses().filter((server) =>
-      server.usable && serves(server, target)
-    );
-    const concurrency = able.reduce((sum, server) => sum + server.limit, 0);
+    const known = this.#options.placement.capacity(target) ?? NO_CAPACITY;
+    const limit = this.#options.servers.statuses()
+      .filter((server) => server.usable && serves(server, target))
+      .reduce((sum, server) => sum + server.limit, 0);
     const busy = (demand?.running ?? 0) + (demand?.waiting ?? 0);
-    return {
-      loaded: able.length > 0,
-      spare: Math.max(0, concurrency - busy),
-      loadMs: this.#loadMs(target),
-      requestMs: REQUEST_MS,
-      concurrency: Math.max(1, concurrency),
-    };
-  }
-
-  #loadMs(target: string): number {
-    const { placement, replicated } = this.#options;
-    const resolved = replicated.state.catalogue().model(target);
-    if (resolved === undefined) return 0;
-    const { model } = resolved;
-    return placement.loadMs(resolved.base, model.version, model.bytes);
+    const spare = Math.max(0, Math.min(known.spare, limit - busy));
+    return { ...known, spare, requestMs: REQUEST_MS };
   }
 }
 
