--- a/packages/core/src/placement/orders.ts
+++ b/packages/core/src/placement/orders.ts
@@ -2,6 +2,7 @@
 import type * as state from "../state/mod.ts";
 import * as fleet from "./fleet.ts";
 import * as forgotten from "./forgotten.ts";
+import * as tracks from "./track.ts";
 import * as types from "./types.ts";
 
 /** When this leader began, and what it has to wait out. */
@@ -14,55 +15,10 @@
   readonly inheritedUpTo: number;
 }
 
-/** An order whose effect is not known yet. */
-export interface Outstanding {
-  readonly kind: protocol.backend.Order["kind"];
-  readonly fence: number;
-  readonly place: types.Place;
-  readonly bytes: number;
-  readonly expectedMs: number;
-  readonly sentMs: number;
-  /** The server has given it up by then. */
-  readonly endsMs: number;
-  /** Its answer was lost. */
-  readonly lost: boolean;
-}
-
-/** What this leader knows about one replica beyond the committed decision. */
-export interface Track {
-  readonly replica: state.Replica;
-  /** Set while an order may still take effect. */
-  outstanding: Outstanding | undefined;
-  /** Whether this leader has sent a load. */
-  ordered: boolean;
-  /**
-   * Announcements made from here on show the effect of every load order;
-   * undefined while one may still take effect at an unknown time.
-   */
-  settledMs: number | undefined;
-  /** The server answered that the load is complete. */
-  answeredLoaded: boolean;
-  /** The server refused the load. */
-  refused: boolean;
-  /** The server answered that the replica is not loaded any more. */
-  answeredUnloaded: boolean;
-  /** An announcement has shown the effect of the load order. */
-  proven: boolean;
-  /** When the decision to unload was seen first. */
-  unloadSeenMs: number | undefined;
-  /** No order is sent before this time. */
-  notBeforeMs: number;
-  /** The server refused an unload with this fence as too old. */
-  staleFence: number;
-}
-
-/** Pause after a failed unload, in milliseconds. */
-const RETRY_MS = 1_000;
-
 /** Orders of this leader and their known effects, by replica. */
 export class Orders {
   readonly #leadership: Leadership;
-  readonly #tracks = new Map<number, Track>();
+  readonly #tracks = new Map<number, tracks.Track>();
   /** Highest fence sent, by server and incarnation. */
   readonly #fences = new Map<string, number>();
   readonly #forgotten = new forgotten.Forgotten();
@@ -72,25 +28,13 @@
   }
 
   /** The track of a replica; it exists as long as the decision. */
-  track(replica: state.Replica): Track {
+  track(replica: state.Replica): tracks.Track {
     const known = this.#tracks.get(replica.index);
     if (known !== undefined) return known;
-    const inherited = replica.index <= this.#leadership.inheritedUpTo;
-    const track: Track = {
-      replica,
-      outstanding: undefined,
-      ordered: false,
-      settledMs: inherited
-        ? this.#leadership.ordersAllowedFromMs
-        : this.#leadership.sinceMs,
-      answeredLoaded: false,
-      refused: false,
-      answeredUnloaded: false,
-      proven: false,
-      unloadSeenMs: undefined,
-      notBeforeMs: 0,
-      staleFence: 0,
-    };
+    const settledMs = this.isInherited(replica)
+      ? this.#leadership.ordersAllowedFromMs
+      : this.#leadership.sinceMs;
+    const track = tracks.create(replica, settledMs);
     this.#tracks.set(replica.index, track);
     return track;
   }
@@ -137,13 +81,8 @@
   }
 
   /** Records an order that is about to be sent. */
-  send(replica: state.Replica, outstanding: Outstanding): void {
-    const track = this.track(replica);
-    track.outstanding = outstanding;
-    if (isLoad(outstanding.kind)) {
-      track.ordered = true;
-      track.settledMs = undefined;
-    }
+  send(replica: state.Replica, outstanding: tracks.Outstanding): void {
+    tracks.send(this.track(replica), outstanding);
     const name = types.incarnationName(replica);
     const highest = this.#fences.get(name) ?? 0;
     this.#fences.set(name, Math.max(highest, outstanding.fence));
@@ -158,7 +97,7 @@
     fence: number,
     result: protocol.backend.OrderResult | undefined,
     nowMs: number,
-  ): Outstanding | undefined {
+  ): tracks.Outstanding | undefined {
     const track = this.#tracks.get(replica);
     const outstanding = track?.outstanding;
     if (track === undefined || outstanding?.fence !== fence) return undefined;
@@ -166,84 +105,37 @@
       track.outstanding = { ...outstanding, lost: true };
       return undefined;
     }
-    track.outstanding = undefined;
-    if (!isLoad(outstanding.kind)) {
-      endUnload(track, outstanding.fence, result, nowMs);
+    if (!tracks.isLoad(outstanding.kind)) {
+      tracks.endUnload(track, fence, result, nowMs);
       return undefined;
     }
-    if (result.kind === "done") {
-      track.settledMs = nowMs;
-      track.answeredLoaded = true;
-      return outstanding;
-    }
-    track.settledMs = nowMs;
-    track.refused = true;
-    return undefined;
+    tracks.endLoad(track, result, nowMs);
+    return result.kind === "done" ? outstanding : undefined;
   }
 
   /** Learns from the newest announcement of the replica's incarnation. */
   observe(replica: state.Replica, server: fleet.Server, nowMs: number): void {
     const track = this.track(replica);
-    this.#expire(track, nowMs);
-    const isListed = fleet.lists(server, replica.model, replica.version);
-    if (!isListed) return;
-    if (this.#provesLoad(replica, track, server.heardMs)) {
-      if (track.outstanding !== undefined && isLoad(track.outstanding.kind)) {
-        track.outstanding = undefined;
-      }
-      track.settledMs ??= server.heardMs;
-      track.settledMs = Math.min(track.settledMs, server.heardMs);
-      track.proven = true;
-    }
+    tracks.expire(track, nowMs);
+    const { heardMs } = server;
+    const isShown = fleet.lists(server, replica.model, replica.version) &&
+      heardMs >= this.#provenFromMs(replica, track);
+    if (isShown) tracks.prove(track, heardMs);
   }
 
   /**
-   * Whether an announcement heard at `heardMs` that lists the model shows the
-   * effect of the load order, and not an earlier replica of the same model.
+   * Time from which an announcement that lists the model shows the effect of
+   * the load order, and not an earlier replica of the same model.
    */
-  #provesLoad(
-    replica: state.Replica,
-    track: Track,
-    heardMs: number,
-  ): boolean {
-    const sentMs = track.outstanding !== undefined &&
-        isLoad(track.outstanding.kind)
-      ? track.outstanding.sentMs
-      : track.answeredLoaded
-      ? track.settledMs
-      : undefined;
-    const fromMs = sentMs ??
-      (this.isInherited(replica) ? this.#leadership.sinceMs : undefined);
-    if (fromMs === undefined) return false;
-    return heardMs >= fromMs + types.ANNOUNCEMENT_DELAY_MS;
-  }
-
-  /** An order past its end takes effect no more. */
-  #expire(track: Track, nowMs: number): void {
-    const outstanding = track.outstanding;
-    if (outstanding === undefined || nowMs < outstanding.endsMs) return;
-    track.outstanding = undefined;
-    if (isLoad(outstanding.kind)) track.settledMs = outstanding.endsMs;
-    else track.notBeforeMs = outstanding.endsMs + types.ANNOUNCEMENT_DELAY_MS;
+  #provenFromMs(replica: state.Replica, track: tracks.Track): number {
+    return this.#loadSentMs(replica, track) + types.ANNOUNCEMENT_DELAY_MS;
   }
-}
-
-/** Whether an order brings something into memory. */
-export function isLoad(kind: protocol.backend.Order["kind"]): boolean {
-  return kind === "load" || kind === "load-adapter";
-}
 
-function endUnload(
-  track: Track,
-  fence: number,
-  result: protocol.backend.OrderResult,
-  nowMs: number,
-): void {
-  if (result.kind === "done" || result.reason === "not-loaded") {
-    track.answeredUnloaded = true;
-  } else if (result.reason === "stale-fence") {
-    track.staleFence = fence;
-  } else {
-    track.notBeforeMs = nowMs + RETRY_MS;
+  /** A time at or after the sending of the load; infinite if none was sent. */
+  #loadSentMs(replica: state.Replica, track: tracks.Track): number {
+    const load = tracks.outstandingLoad(track);
+    if (load !== undefined) return load.sentMs;
+    if (track.answeredLoaded) return track.settledMs ?? Infinity;
+    return this.isInherited(replica) ? this.#leadership.sinceMs : Infinity;
   }
 }
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -12,6 +12,7 @@
 import * as proposals from "./proposals.ts";
 import * as scene from "./scene.ts";
 import * as storeGate from "./store_gate.ts";
+import * as tracks from "./track.ts";
 import * as types from "./types.ts";
 import * as upkeep from "./upkeep.ts";
 
@@ -134,7 +135,7 @@
     }
     const failed = result === undefined || result.kind === "refused" &&
         result.reason !== "stale-fence";
-    if (failed && orders.isLoad(order.kind)) {
+    if (failed && tracks.isLoad(order.kind)) {
       backoff.fail(server, order.model, nowMs);
     }
   }
@@ -181,7 +182,7 @@
     return action.kind !== "order" && this.#proposals.add(action);
   }
 
-  #learn(loaded: orders.Outstanding, nowMs: number): void {
+  #learn(loaded: tracks.Outstanding, nowMs: number): void {
     const { estimates, gate } = this.#memory;
     const durationMs = nowMs - loaded.sentMs;
     if (loaded.kind === "load-adapter") {
--- a/packages/core/src/placement/status.ts
+++ b/packages/core/src/placement/status.ts
@@ -1,6 +1,7 @@
 import type * as state from "../state/mod.ts";
 import * as fleet from "./fleet.ts";
 import * as orders from "./orders.ts";
+import * as tracks from "./track.ts";
 import * as types from "./types.ts";
 
 /** Time within which a load of an earlier leader is expected to complete. */
@@ -57,7 +58,7 @@
 function isListed(
   replica: state.Replica,
   server: fleet.Server,
-  track: orders.Track,
+  track: tracks.Track,
   known: orders.Orders,
 ): boolean {
   const { model, version } = replica;
@@ -75,12 +76,12 @@
 function unlistedStatus(
   replica: state.Replica,
   server: fleet.Server,
-  track: orders.Track,
+  track: tracks.Track,
   known: orders.Orders,
   nowMs: number,
 ): Status {
   const outstanding = track.outstanding;
-  if (outstanding !== undefined && orders.isLoad(outstanding.kind)) {
+  if (outstanding !== undefined && tracks.isLoad(outstanding.kind)) {
     if (!outstanding.lost) return { kind: "loading" };
     return { kind: "unknown", promising: false };
   }
@@ -97,7 +98,7 @@
 }
 
 /** Whether the announcement proves that the replica is not in memory. */
-function isAbsent(server: fleet.Server, track: orders.Track): boolean {
+function isAbsent(server: fleet.Server, track: tracks.Track): boolean {
   if (track.settledMs === undefined) return false;
   if (track.refused) return true;
   return server.heardMs >= track.settledMs + types.ANNOUNCEMENT_DELAY_MS;
@@ -105,7 +106,7 @@
 
 function reasonOf(
   replica: state.Replica,
-  track: orders.Track,
+  track: tracks.Track,
 ): "unloaded" | "refused" | "turned-cold" {
   if (replica.unloadIndex !== undefined) return "unloaded";
   const wasLoaded = track.answeredLoaded || track.proven;
