--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -9,4 +9,5 @@
 export * as queue from "./queue/mod.ts";
 export * as ramp from "./ramp/mod.ts";
 export * as replication from "./replication/mod.ts";
+export * as routing from "./routing/mod.ts";
 export * as state from "./state/mod.ts";
--- /dev/null
+++ b/packages/core/src/routing/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Choice of a backend server for a request, and of what follows a failure.
+ *
+ * @module
+ */
+export * from "./choice.ts";
+export * from "./outlier.ts";
+export * from "./prefix_hints.ts";
+export * from "./retry.ts";
+export * from "./retry_budget.ts";
