--- a/packages/core/src/replication/log.ts
+++ b/packages/core/src/replication/log.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import * as protocol from "@ebonypath/protocol";
 import type { Entry, Payload } from "./types.ts";
 
 const FIXED_PAYLOAD_SIZE = 64;
@@ -21,10 +22,8 @@
       return FIXED_PAYLOAD_SIZE +
         MEMBER_SIZE * (voters.length + learners.length);
     }
-    default: {
-      const unexpected: never = payload;
-      throw new TypeError(`unexpected payload ${JSON.stringify(unexpected)}`);
-    }
+    default:
+      protocol.errors.assertNever(payload);
   }
 }
 
--- a/packages/core/src/replication/membership.ts
+++ b/packages/core/src/replication/membership.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import * as protocol from "@ebonypath/protocol";
 import type {
   Entry,
   Member,
@@ -75,10 +76,8 @@
       return withPromoted(membership, change.id);
     case "remove":
       return without(membership, change.id);
-    default: {
-      const unexpected: never = change;
-      throw new TypeError(`unexpected change ${JSON.stringify(unexpected)}`);
-    }
+    default:
+      protocol.errors.assertNever(change);
   }
 }
 
--- a/packages/core/src/replication/progress.ts
+++ b/packages/core/src/replication/progress.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import * as protocol from "@ebonypath/protocol";
 /** How far a snapshot has been sent to a replica. */
 export type SnapshotTransfer = {
   index: number;
@@ -63,10 +64,8 @@
           lastIndex > this.matchIndex
         );
         break;
-      default: {
-        const unexpected: never = this.feed;
-        throw new TypeError(`unexpected feed ${JSON.stringify(unexpected)}`);
-      }
+      default:
+        protocol.errors.assertNever(this.feed);
     }
   }
 
--- a/packages/core/src/replication/replica.ts
+++ b/packages/core/src/replication/replica.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import * as protocol from "@ebonypath/protocol";
 import { Context } from "./context.ts";
 import { Election } from "./election.ts";
 import { Follower } from "./follower.ts";
@@ -221,10 +222,8 @@
       case "transferLeadership":
         this.#leadership.transferTo(input.to);
         return;
-      default: {
-        const unexpected: never = input;
-        throw new TypeError(`unexpected input ${JSON.stringify(unexpected)}`);
-      }
+      default:
+        protocol.errors.assertNever(input);
     }
   }
 
@@ -255,10 +254,8 @@
       case "timeoutNow":
         this.#election.timeoutNow(from, message.term);
         return;
-      default: {
-        const unexpected: never = message;
-        throw new TypeError(`unexpected message ${JSON.stringify(unexpected)}`);
-      }
+      default:
+        protocol.errors.assertNever(message);
     }
   }
 
@@ -285,10 +282,8 @@
       case "snapshotPart":
         this.#snapshots.part(from, message);
         return;
-      default: {
-        const unexpected: never = message;
-        throw new TypeError(`unexpected message ${JSON.stringify(unexpected)}`);
-      }
+      default:
+        protocol.errors.assertNever(message);
     }
   }
 
@@ -318,10 +313,8 @@
       case "snapshotReply":
         this.#leadership.snapshots.reply(progress, message);
         return;
-      default: {
-        const unexpected: never = message;
-        throw new TypeError(`unexpected message ${JSON.stringify(unexpected)}`);
-      }
+      default:
+        protocol.errors.assertNever(message);
     }
   }
 
--- a/packages/core/test/replication/cluster.ts
+++ b/packages/core/test/replication/cluster.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import * as protocol from "@ebonypath/protocol";
 import * as replication from "../../src/replication/mod.ts";
 import { Checker } from "./checker.ts";
 import type { Event } from "./event.ts";
@@ -132,10 +133,8 @@
       case "remove":
         this.#remove(event.node);
         return;
-      default: {
-        const unexpected: never = event;
-        throw new TypeError(`unexpected event ${JSON.stringify(unexpected)}`);
-      }
+      default:
+        protocol.errors.assertNever(event);
     }
   }
 
--- a/packages/core/test/replication/node.ts
+++ b/packages/core/test/replication/node.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import * as protocol from "@ebonypath/protocol";
 import { Buffer } from "node:buffer";
 import * as replication from "../../src/replication/mod.ts";
 import type { Checker, State } from "./checker.ts";
@@ -189,10 +190,8 @@
       case "outcome":
       case "membership":
         return;
-      default: {
-        const unexpected: never = effect;
-        throw new TypeError(`unexpected effect ${JSON.stringify(unexpected)}`);
-      }
+      default:
+        protocol.errors.assertNever(effect);
     }
   }
 
@@ -240,10 +239,8 @@
         this.step({ kind: "snapshotTaken", snapshot }, time);
         return;
       }
-      default: {
-        const unexpected: never = write;
-        throw new TypeError(`unexpected write ${JSON.stringify(unexpected)}`);
-      }
+      default:
+        protocol.errors.assertNever(write);
     }
   }
 
@@ -262,10 +259,8 @@
       case "save":
         this.#writeSnapshot(write.saved, true);
         return;
-      default: {
-        const unexpected: never = write;
-        throw new TypeError(`unexpected write ${JSON.stringify(unexpected)}`);
-      }
+      default:
+        protocol.errors.assertNever(write);
     }
   }
 
--- /dev/null
+++ b/packages/daemon/src/replication/errors.ts
@@ -0,0 +1,19 @@
+import type { replication } from "@ebonypath/core";
+import * as protocol from "@ebonypath/protocol";
+
+/** Too many entries wait for their commit; nothing was appended. */
+export class Overloaded extends protocol.errors.StepError {
+  override readonly name = "Overloaded";
+}
+
+/** A change of the membership was refused; nothing was appended. */
+export class ChangeRefused extends protocol.errors.StepError {
+  override readonly name = "ChangeRefused";
+  /** Why the change was refused. */
+  readonly reason: replication.Refusal;
+
+  constructor(step: string, peer: string, reason: replication.Refusal) {
+    super(step, peer, reason);
+    this.reason = reason;
+  }
+}
--- a/packages/daemon/src/replication/types.ts
+++ b/packages/daemon/src/replication/types.ts
@@ -6,6 +6,7 @@
 
 import type { replication } from "@ebonypath/core";
 import type { Buffer } from "node:buffer";
+import type * as storage from "../storage/mod.ts";
 
 /** Where an applied command stands in the log. */
 export type Position = { index: number; term: number };
@@ -32,3 +33,23 @@
 export interface Transport extends AsyncDisposable {
   send(to: replication.Member, messages: replication.Message[]): void;
 }
+
+/** What a driver owns and is told. */
+export type DriverOptions = {
+  /** This replica as the others reach it; the id is that of the store. */
+  self: replication.Member;
+  store: storage.Store;
+  machine: StateMachine;
+  transport: Transport;
+  /** Called once, when the store has failed. The process must end. */
+  onFailure: (error: unknown) => void;
+  /** Monotonic clock in milliseconds. */
+  clock?: () => number;
+  /** Source of random numbers in [0, 1). */
+  random?: () => number;
+  settings?: Partial<replication.Settings>;
+  /** Applied entries after which a snapshot is taken. */
+  snapshotEntries?: number;
+  /** Time after which a proposal ends in `OutcomeUnknown`, in milliseconds. */
+  proposalTimeoutMs?: number;
+};
--- a/packages/daemon/test/storage/store_test.ts
+++ b/packages/daemon/test/storage/store_test.ts
@@ -165,8 +165,8 @@
           : store.persist({ entries: [entry(3)] }),
         store.persist({ hardState: { term: 9, vote: null } }),
       ];
-      const first = await failureOf(waiting[0] as Promise<void>);
-      await Promise.allSettled(waiting);
+      const [result] = await Promise.allSettled(waiting);
+      const first = result?.status === "rejected" ? result.reason : null;
       expect(first).to.be.instanceOf(storage.StorageError);
       disk.fault = { kind: "none" };
       const later = [
