--- a/packages/core/test/replication/cluster.ts
+++ b/packages/core/test/replication/cluster.ts
@@ -11,8 +11,8 @@
 import { Node, type Surroundings } from "./node.ts";
 
 const STEP_MS = 10;
-const CLOCK_DRIFT = 0.045;
-const DELAY_MS = 20;
+const CLOCK_DRIFT = 0.05;
+const DELAY_MS = { short: 2, long: 20 };
 const LONG_DELAY_MS = 3000;
 const LONG_DELAY_CHANCE = 0.02;
 const DUPLICATE_CHANCE = 0.03;
@@ -50,6 +50,7 @@
   #network: Envelope[] = [];
   #cuts = new Set<string>();
   #loss = 0;
+  #delayMs = DELAY_MS.long;
   #time = 0;
   #generation = 0;
   #proposal = 0;
@@ -65,6 +66,9 @@
       leaseHolders: () => this.#leaseHolders(),
       send: (from, to, message) => this.#send(from, to, message),
     };
+    if (this.#random() < 0.5) {
+      this.#delayMs = DELAY_MS.short;
+    }
     for (let slot = 0; slot < size + SPARE_NODES; slot += 1) {
       this.#nodes.push(this.#newNode(slot));
     }
@@ -158,7 +162,8 @@
 
   #newNode(slot: number): Node {
     this.#generation += 1;
-    const clockRate = 1 + (this.#random() * 2 - 1) * CLOCK_DRIFT;
+    const isFast = this.#random() < 0.5;
+    const clockRate = isFast ? 1 + CLOCK_DRIFT : 1 - CLOCK_DRIFT;
     const id = `n${slot}-${this.#generation}`;
     return new Node(id, clockRate, this.#surroundings);
   }
@@ -222,7 +227,7 @@
     const copies = this.#random() < DUPLICATE_CHANCE ? 2 : 1;
     for (let copy = 0; copy < copies; copy += 1) {
       const isLong = this.#random() < LONG_DELAY_CHANCE;
-      const delay = this.#random() * (isLong ? LONG_DELAY_MS : DELAY_MS);
+      const delay = this.#random() * (isLong ? LONG_DELAY_MS : this.#delayMs);
       const deliverAt = this.#time + delay;
       this.#network.push({
         from,
--- a/packages/daemon/src/replication/driver.ts
+++ b/packages/daemon/src/replication/driver.ts
@@ -169,10 +169,15 @@
       return Promise.reject(new fleet.NotLeader(step, this.self.id, null));
     }
     const { id, result } = this.#addProposal(step);
+    const proposal = { id, data };
+    if (this.#options.groupCommit === false) {
+      this.#step({ kind: "propose", proposals: [proposal] });
+      return result;
+    }
     if (this.#queued.length === 0) {
       timers.setImmediate(() => this.#flushProposals());
     }
-    this.#queued.push({ id, data });
+    this.#queued.push(proposal);
     return result;
   }
 
--- a/packages/daemon/src/replication/types.ts
+++ b/packages/daemon/src/replication/types.ts
@@ -50,6 +50,8 @@
   settings?: Partial<replication.Settings>;
   /** Applied entries after which a snapshot is taken. */
   snapshotEntries?: number;
+  /** Whether proposals of one turn are appended together; true by default. */
+  groupCommit?: boolean;
   /** Time after which a proposal ends in `OutcomeUnknown`, in milliseconds. */
   proposalTimeoutMs?: number;
 };
--- a/packages/daemon/test/replication/host.ts
+++ b/packages/daemon/test/replication/host.ts
@@ -75,6 +75,7 @@
       machine: this.machine,
       transport: this.#transport,
       onFailure: (error) => this.failure = error,
+      groupCommit: options.groupCommit ?? true,
       snapshotEntries: options.snapshotEntries ?? 10_000,
     });
     this.rpc = new fleet.RpcServer(SECRET);
--- a/packages/daemon/test/replication/replica_process.ts
+++ b/packages/daemon/test/replication/replica_process.ts
@@ -1,7 +1,8 @@
 /**
  * A replica in a process of its own, for tests that kill it.
  *
- * Arguments: folder, name, port, and the addresses of all initial voters.
+ * Arguments: folder, name, port, whether to commit in groups, and the addresses
+ * of all initial voters.
  *
  * @module
  */
@@ -15,8 +16,10 @@
 
 const ASK_TIMEOUT_MS = 500;
 
-const [folder = "", name = "", port = "", ...addresses] = process.argv.slice(2);
-const host = await Host.open({ folder, name, port: Number(port) });
+const [folder = "", name = "", port = "", group = "", ...addresses] = process
+  .argv.slice(2);
+const groupCommit = group !== "single";
+const host = await Host.open({ folder, name, port: Number(port), groupCommit });
 const client = new fleet.RpcClient({ secret: SECRET });
 const { METHOD_IDENTITY, identitySchema } = protocol.replication;
 
@@ -26,9 +29,30 @@
   v.object({ data: v.string() }),
   ({ data }) => host.driver.propose(data),
 );
+host.rpc.addMethod(
+  "test.load",
+  v.object({ callers: v.number(), seconds: v.number(), bytes: v.number() }),
+  ({ callers, seconds, bytes }) => load(callers, seconds, bytes),
+);
 host.rpc.addMethod("test.commands", v.object({}), () => host.machine.commands);
 host.rpc.addMethod("test.leads", v.object({}), () => host.driver.hasLease());
 
+/** Latencies in milliseconds of all commits of some concurrent callers. */
+async function load(callers: number, seconds: number, bytes: number) {
+  const latencies: number[] = [];
+  const data = "x".repeat(bytes);
+  const end = performance.now() + seconds * 1_000;
+  const run = async () => {
+    while (performance.now() < end) {
+      const start = performance.now();
+      await host.driver.propose(data);
+      latencies.push(performance.now() - start);
+    }
+  };
+  await Promise.all(Array.from({ length: callers }, run));
+  return latencies.sort((left, right) => left - right);
+}
+
 async function ask(address: string): Promise<protocol.replication.Identity> {
   const answer = await client.call(
     address,
