Check configurations in one place

The replicated state and the command line each had checks of their own, which differed: a publishing could pass one and fail the other. Both now use the checks of protocol, which also refuse a workspace named twice by a service and a route with a * inside.

--- a/packages/core/src/state/mod.ts
+++ b/packages/core/src/state/mod.ts
@@ -15,6 +15,5 @@
 export { type Replica } from "./replicas.ts";
 export * from "./state.ts";
 export * from "./types.ts";
-export * from "./validation.ts";
 export { type Version } from "./versions.ts";
 export * from "./view.ts";
--- a/packages/core/src/state/versions.ts
+++ b/packages/core/src/state/versions.ts
@@ -1,7 +1,6 @@
-import type * as protocol from "@ebonypath/protocol";
+import * as protocol from "@ebonypath/protocol";
 import * as results from "./results.ts";
 import type * as types from "./types.ts";
-import * as validation from "./validation.ts";
 
 type Configuration = protocol.configuration.Configuration;
 type Command<Kind> = Extract<protocol.state.Command, { kind: Kind }>;
@@ -65,9 +64,10 @@
         timeMs: current.timeMs,
       });
     }
-    const [problem] = validation.validate(command.configuration);
-    if (problem !== undefined) {
-      const reason = `${problem.path}: ${problem.reason}`;
+    const { configuration } = protocol;
+    const [flaw] = configuration.checkConfiguration(command.configuration);
+    if (flaw !== undefined) {
+      const reason = configuration.renderFlaw(flaw);
       return results.quiet(results.invalid(reason));
     }
     return this.#put(command, position);
--- a/packages/core/test/state/state_test.ts
+++ b/packages/core/test/state/state_test.ts
@@ -170,16 +170,23 @@
   });
 
   it("refuses references to unknown workspaces", () => {
+    const log = new fixtures.Log();
     const [, staff] = fixtures.CONFIGURATION.workspaces;
-    const problems = state.validate({
-      ...fixtures.CONFIGURATION,
-      workspaces: staff === undefined ? [] : [staff, staff],
+    const result = log.apply({
+      kind: "publish",
+      operator: "ann",
+      changeId: "c1",
+      base: 0,
+      configuration: {
+        ...fixtures.CONFIGURATION,
+        workspaces: staff === undefined ? [] : [staff],
+      },
+    });
+    expect(result).to.deep.equal({
+      kind: "invalid",
+      reason: 'advice: service.workspaces names the unknown workspace "web"',
     });
-    expect(problems.map(({ path }) => path)).to.deep.equal([
-      "workspaces.staff",
-      "services.advice.workspaces.web",
-      "services.orders.workspaces.web",
-    ]);
+    expect(log.state.current().version).to.equal(0);
   });
 
   it("does not let time go back", () => {
--- a/packages/daemon/src/operators/routes.ts
+++ b/packages/daemon/src/operators/routes.ts
@@ -100,9 +100,7 @@
   const wanted = await body.readJson(call.request, api.Publish, call.limits);
   const flaws = protocol.configuration.checkConfiguration(wanted.configuration);
   if (flaws.length > 0) {
-    const told = flaws.map(({ service, path, reason }) =>
-      `${service === undefined ? "" : `${service}: `}${path} ${reason}`
-    );
+    const told = flaws.map(protocol.configuration.renderFlaw);
     throw body.invalid(told.join("; "));
   }
   return propose(call, { kind: "publish", ...author(call), ...wanted });
--- a/packages/protocol/src/configuration/check.ts
+++ b/packages/protocol/src/configuration/check.ts
@@ -36,9 +36,23 @@
   ];
 }
 
+/**
+ * Renders a flaw as one line, without its hint.
+ *
+ * @example
+ * ```ts
+ * checkConfiguration(configuration).map(renderFlaw);
+ * ```
+ */
+export function renderFlaw({ service, path, reason }: Flaw): string {
+  const place = service === undefined ? path : `${service}: ${path}`;
+  return `${place} ${reason}`;
+}
+
 function checkNames(service: types.Service): Flaw[] {
   const flaws: Flaw[] = [];
   const lists: [path: string, names: string[]][] = [
+    ["service.workspaces", service.workspaces],
     ["models", service.models.map(({ name }) => name)],
     ["tiers", service.tiers.map(({ name }) => name)],
     ["routes", service.routes.map(({ method, path }) => `${method} ${path}`)],
@@ -94,6 +108,11 @@
     const hint = 'remove them, or set kind = "model"';
     flaws.push(flaw("models", "stand in a service of kind plain", hint));
   }
+  for (const { path } of service.routes) {
+    if (!path.slice(0, -1).includes("*")) continue;
+    const hint = "put the * at the end";
+    flaws.push(flaw("routes", `have "${path}" with a * inside`, hint));
+  }
   return flaws;
 }
 
