Measure overhead and cost of control with real hosts

Cause: nothing measured the system as a whole. Change: a benchmark package with open-loop load from seeded arrivals, latencies by hdr-histogram-js, use of processes from their metrics and /proc, fitted slopes, and reports with plots that echarts draws as SVG on the server. Two experiments: overhead (against going direct) and control-cost (by servers, hosts, adapters, workspaces or changes).

--- /dev/null
+++ b/packages/benchmark/src/harness/caller.ts
@@ -0,0 +1,74 @@
+import * as undici from "undici";
+
+/** Longest wait for an answer, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 40_000;
+const CONNECTIONS = 512;
+
+/** How a request ended. */
+export interface Answer {
+  /** 0 where no answer came. */
+  readonly status: number;
+  /** `outcome` of a refusal. */
+  readonly outcome: string | undefined;
+  readonly text: string;
+}
+
+/** What is sent besides the path. */
+export interface Sending {
+  readonly method?: "GET" | "POST";
+  readonly body?: object;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** Calls one origin as a workspace does. */
+export class Caller {
+  readonly #pool: undici.Pool;
+  readonly #headers: Readonly<Record<string, string>>;
+  #sent = 0;
+
+  constructor(origin: string, key: string) {
+    this.#pool = new undici.Pool(origin, { connections: CONNECTIONS });
+    this.#headers = {
+      "authorization": `Bearer ${key}`,
+      "content-type": "application/json",
+    };
+  }
+
+  /** Sends a request and waits for the whole answer; never throws. */
+  async send(path: string, sending: Sending = {}): Promise<Answer> {
+    const { method = "POST", body, headers } = sending;
+    try {
+      const answer = await this.#pool.request({
+        method,
+        path,
+        headers: { ...this.#headers, ...headers },
+        body: body === undefined ? null : JSON.stringify(body),
+        signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
+      });
+      const text = await answer.body.text();
+      const outcome = answer.headers["ebonypath-outcome"];
+      return {
+        status: answer.statusCode,
+        outcome: typeof outcome === "string" ? outcome : undefined,
+        text,
+      };
+    } catch (error) {
+      return { status: 0, outcome: undefined, text: String(error) };
+    }
+  }
+
+  /** Asks a model for a short answer. */
+  async chat(model: string, maxTokens = 4): Promise<Answer> {
+    this.#sent += 1;
+    const content = `question ${this.#sent}`;
+    const message = { role: "user", content };
+    return await this.send("/v1/chat/completions", {
+      body: { model, messages: [message], "max_tokens": maxTokens },
+      headers: { "x-request-id": `bench-${this.#sent}` },
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#pool.destroy();
+  }
+}
--- /dev/null
+++ b/packages/benchmark/src/measure/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Load, latencies, use of processes and slopes.
+ *
+ * @module
+ */
+export * from "./arrivals.ts";
+export * from "./latency.ts";
+export * from "./load.ts";
+export * from "./slope.ts";
+export * from "./usage.ts";
--- /dev/null
+++ b/packages/benchmark/src/report/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Reports with plots.
+ *
+ * @module
+ */
+export * from "./chart.ts";
+export * from "./page.ts";
