Queue fairly, choose servers by load and prefix, and pace retries

Cause: requests waited first come first served per target; a refusal after a try that may have run could say not-run; retries were bounded by count alone. Change: the fair queue, the choice of servers, outlier ejection and the retry decision of core. Beyond the budget retries are slowed down, not refused. Conclusion: once a try may have run, every later refusal says so.

--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -50,6 +50,7 @@
     this.#placement = new entry.PlacementQueue({
       state,
       shares,
+      maxQueue: limits.maxQueue,
       requestExchange,
     });
     this.#dispatcher = new entry.Dispatcher({
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as timers from "node:timers/promises";
-import type * as core from "@ebonypath/core";
+import * as core from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
 import type * as backend from "../backend/mod.ts";
 import type * as host from "../host/mod.ts";
@@ -18,8 +18,8 @@
 
 const write = log.createLog("dispatch");
 
-/** Tries of one request that may have reached a server. */
-const MAX_ATTEMPTS = 3;
+/** Pause of a retry that exceeds the budget, in milliseconds. */
+const BUDGET_PAUSE_MS = 50;
 /** First pause before a server is tried a second time, in milliseconds. */
 const FIRST_PAUSE_MS = 20;
 /** Longest pause before a server is tried again, in milliseconds. */
@@ -46,6 +46,7 @@
 export class Dispatcher {
   readonly #options: DispatcherOptions;
   readonly #running = new Set<Running>();
+  readonly #budget = new core.routing.RetryBudget(performance.now());
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -111,31 +112,61 @@
     signal: AbortSignal,
     arrivedAt: number,
   ): Promise<number> {
-    const excluded = new Set<string>();
-    let sent = 0;
-    for (let number = 1;; number += 1) {
-      const { placement } = this.#options;
-      const placed = await placement.place(work, excluded, signal);
-      const result = await this.#attempt(
-        work,
-        placed,
-        sink,
-        signal,
-        arrivedAt,
+    const tried = new Set<string>();
+    let mayHaveRun = false;
+    this.#budget.deposit();
+    try {
+      for (let attempt = 1;; attempt += 1) {
+        const placed = await this.#options.placement.place(work, tried, signal);
+        const result = await this.#attempt(
+          work,
+          placed,
+          sink,
+          signal,
+          arrivedAt,
+        );
+        if (result.kind === "answered") return result.tokens;
+        const { id } = placed.server;
+        logFailure(work, id, attempt, result);
+        mayHaveRun = await this.#awaitRetry(
+          { work, result, mayHaveRun, attempt },
+          id,
+        );
+        this.#options.metrics.retries.inc();
+        if (tried.has(id)) await pause(attempt);
+        tried.add(id);
+      }
+    } catch (error) {
+      throw mayHaveRun ? withoutCertainty(error) : error;
+    }
+  }
+
+  /**
+   * Waits until the failed request may be tried again; resolves with whether
+   * it may have run. Retries beyond the budget are slowed down, not refused:
+   * a failure domain that is lost takes many requests with it at once.
+   *
+   * @throws {protocol.errors.Refusal} the request must not be sent again
+   */
+  async #awaitRetry(failed: FailedTry, peer: string): Promise<boolean> {
+    while (true) {
+      const decision = core.routing.decideRetry(
+        describeFailure(failed),
+        this.#budget,
+        performance.now(),
       );
-      if (result.kind === "answered") return result.tokens;
-      write("attempt-failed", {
-        request: work.requestId,
-        server: placed.server.id,
-        attempt: number,
-        result: result.kind,
-        detail: result.kind === "failed" ? result.detail : result.code,
-      });
-      if (result.kind === "failed" && result.bytesSent) sent += 1;
-      requireRetry(work, placed.server.id, result, sent);
-      this.#options.metrics.retries.inc();
-      if (excluded.has(placed.server.id)) await pause(number);
-      excluded.add(placed.server.id);
+      switch (decision.kind) {
+        case "retry":
+          return decision.mayHaveRun;
+        case "refuse":
+          if (decision.reason === "budget") break;
+          throw refuseRetry(failed, peer, decision.outcome, decision.reason);
+        case "stream-error":
+          throw refuseRetry(failed, peer, decision.outcome, "stream");
+        default:
+          return protocol.errors.assertNever(decision);
+      }
+      await timers.setTimeout(BUDGET_PAUSE_MS);
     }
   }
 
@@ -165,6 +196,7 @@
           metrics.firstByte.observe((performance.now() - arrivedAt) / 1_000),
       });
       outcome = attempts.slotOutcome(result);
+      this.#judge(placed.server.id, outcome);
       return result;
     } finally {
       this.#running.delete(running);
@@ -173,6 +205,25 @@
     }
   }
 
+  /** Tells the outlier detection how a try ended. */
+  #judge(server: string, outcome: core.limits.SlotOutcome): void {
+    const { outliers } = this.#options.placement;
+    switch (outcome) {
+      case "succeeded":
+        outliers.succeeded(server);
+        return;
+      case "failed":
+        outliers.failed(server, performance.now());
+        return;
+      case "refused":
+      case "slow":
+      case "neutral":
+        return;
+      default:
+        protocol.errors.assertNever(outcome);
+    }
+  }
+
   /** The key may have been withdrawn while the request waited. */
   #checkKey(work: types.Work): void {
     if (work.keyDigest === null) return;
@@ -191,28 +242,78 @@
   }
 }
 
-/** @throws {protocol.errors.Refusal} the request must not be sent again */
-function requireRetry(
-  work: types.Work,
-  server: string,
-  result: Exclude<attempts.AttemptResult, { kind: "answered" }>,
-  sent: number,
-): void {
-  const mayHaveRun = result.kind === "failed" && result.bytesSent;
-  const mayRepeat = !mayHaveRun ||
-    (work.idempotent && !result.bytesToCaller && result.fault !== "cancelled");
-  const isInTime = performance.now() < work.deadline;
-  if (mayRepeat && isInTime && sent < MAX_ATTEMPTS) return;
+/** Once a try may have run, no later refusal may say that nothing ran. */
+function withoutCertainty(error: unknown): unknown {
+  if (!(error instanceof protocol.errors.Refusal)) return error;
+  if (error.outcome !== "not-run") return error;
+  return new protocol.errors.Refusal(error.definition, error.message, {
+    outcome: "may-have-run",
+    step: error.step ?? "dispatch",
+    cause: error,
+  });
+}
+
+interface FailedTry {
+  readonly work: types.Work;
+  readonly result: FailedResult;
+  /** An earlier try may have run. */
+  readonly mayHaveRun: boolean;
+  /** Number of this try; the first one is 1. */
+  readonly attempt: number;
+}
+
+type FailedResult = Exclude<attempts.AttemptResult, { kind: "answered" }>;
+
+function describeFailure(failed: FailedTry): core.routing.FailedAttempt {
+  const { attempt, mayHaveRun, result, work } = failed;
+  const isRefusal = result.kind === "refused";
+  const bytesSent = isRefusal || result.bytesSent;
+  return {
+    isIdempotent: work.idempotent,
+    bytesSent,
+    refusedBeforeStart: isRefusal,
+    bytesToCaller: !isRefusal && result.bytesToCaller,
+    mayHaveRunBefore: mayHaveRun,
+    // Tries that did not start at a server are bounded by the deadline alone.
+    attempt: bytesSent && !isRefusal ? attempt : 1,
+    deadline: work.deadline,
+    // The same server is tried again, after a pause, where it stands alone.
+    hasAlternative: isRefusal || result.fault !== "cancelled",
+  };
+}
+
+function refuseRetry(
+  failed: FailedTry,
+  peer: string,
+  outcome: protocol.errors.Outcome,
+  reason: core.routing.NoRetryReason | "stream",
+): protocol.errors.Refusal {
+  const { result } = failed;
   const detail = result.kind === "failed"
     ? result.detail
     : `refused: ${result.code}`;
-  throw new protocol.errors.Refusal(
-    definitionOf(mayHaveRun, isInTime),
+  return new protocol.errors.Refusal(
+    definitionOf(outcome === "may-have-run", reason !== "deadline"),
     detail,
-    { step: "dispatch", peer: server },
+    { outcome, step: "dispatch", peer },
   );
 }
 
+function logFailure(
+  work: types.Work,
+  server: string,
+  attempt: number,
+  result: FailedResult,
+): void {
+  write("attempt-failed", {
+    request: work.requestId,
+    server,
+    attempt,
+    result: result.kind,
+    detail: result.kind === "failed" ? result.detail : result.code,
+  });
+}
+
 function pause(attempt: number): Promise<void> {
   return timers.setTimeout(
     Math.min(FIRST_PAUSE_MS * 2 ** attempt, LONGEST_PAUSE_MS),
--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type * as core from "@ebonypath/core";
+import * as core from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
 import type * as host from "../host/mod.ts";
 import * as admission from "./admission.ts";
@@ -28,10 +28,17 @@
 export interface PlacementOptions {
   readonly state: host.FleetState;
   readonly shares: SlotShares;
+  /** Most requests that may wait at this host. */
+  readonly maxQueue: number;
   /** Asks the leader for shares and loads, soon. */
   requestExchange(): void;
 }
 
+/** Weight of requests on open routes, which have no workspace. */
+const OPEN_ROUTE_WEIGHT = 1;
+/** Urgency of the queue for each priority of a backend server. */
+const HIGHEST_PRIORITY = 2;
+
 interface Waiter {
   readonly work: types.Work;
   /** Servers on which earlier tries failed. */
@@ -44,19 +51,26 @@
 /** Gives waiting requests to servers as slots become free. */
 export class PlacementQueue {
   readonly #options: PlacementOptions;
-  readonly #lanes = new Map<string, Waiter[]>();
+  readonly #queue: core.queue.FairQueue;
+  /** The waiting requests by their id. */
+  readonly #waiters = new Map<string, Waiter>();
+  readonly #hints = new core.routing.PrefixHints();
+  /** Servers that fail for this host. */
+  readonly outliers = new core.routing.OutlierDetector();
   /** Servers that were told to the shares as waited for. */
   #waitedFor = new Set<string>();
 
   constructor(options: PlacementOptions) {
     this.#options = options;
+    this.#queue = new core.queue.FairQueue({
+      ...core.queue.DEFAULT_BOUNDS,
+      overall: options.maxQueue,
+    });
   }
 
   /** Works that wait for a slot. */
   *waiting(): Generator<types.Work> {
-    for (const lane of this.#lanes.values()) {
-      for (const waiter of lane) yield waiter.work;
-    }
+    for (const waiter of this.#waiters.values()) yield waiter.work;
   }
 
   /**
@@ -70,9 +84,10 @@
     signal: AbortSignal,
   ): Promise<Placement> {
     const now = performance.now();
-    const lane = this.#laneOf(work.target);
+    this.#enqueue(work, now);
     const entered = new Promise<Placement>((resolve, reject) => {
-      lane.push({ work, excluded, since: now, resolve, reject });
+      const waiter = { work, excluded, since: now, resolve, reject };
+      this.#waiters.set(work.requestId, waiter);
     });
     const timer = setTimeout(
       () => this.#remove(work, this.#refusalOf(work)),
@@ -94,40 +109,93 @@
   pump(): void {
     const now = performance.now();
     if (!this.#options.state.isCurrent(now)) return;
-    for (const [target, lane] of this.#lanes) {
-      this.#placeLane(lane, now);
-      if (lane.length === 0) this.#lanes.delete(target);
-    }
+    while (this.#placeNext(now));
     this.#publish();
   }
 
-  #placeLane(lane: Waiter[], now: number): void {
-    let index = 0;
-    while (index < lane.length) {
-      const waiter = lane[index];
-      const placement = waiter && this.#tryPlace(waiter, now);
-      if (waiter === undefined || placement === undefined) {
-        index += 1;
-        continue;
+  #enqueue(work: types.Work, now: number): void {
+    const { catalogue } = this.#options.state.view;
+    const workspace = work.workspace ?? "";
+    const weight = catalogue.workspace(workspace)?.weight ??
+      OPEN_ROUTE_WEIGHT;
+    const request = {
+      id: work.requestId,
+      workspace,
+      weight,
+      tokens: work.tokens,
+      urgency: HIGHEST_PRIORITY - work.priority,
+      queuedAt: now,
+      deadline: work.deadline,
+    };
+    const result = this.#queue.add(request, 0, now);
+    if (result.kind !== "queued") throw refusedEntry(work, result.kind);
+  }
+
+  /** Places the next request in fair order; false when none can be placed. */
+  #placeNext(now: number): boolean {
+    /** Targets for which no server has room in this round. */
+    const blocked = new Set<string>();
+    let placed: { waiter: Waiter; placement: Placement } | undefined;
+    this.#queue.take((request) => {
+      const waiter = this.#waiters.get(request.id);
+      if (waiter === undefined || blocked.has(waiter.work.target)) {
+        return "next-request";
       }
-      lane.splice(index, 1);
-      waiter.resolve(placement);
-    }
+      const placement = this.#tryPlace(waiter, now);
+      if (placement === undefined) {
+        blocked.add(waiter.work.target);
+        return "next-request";
+      }
+      placed = { waiter, placement };
+      return "take";
+    }, now);
+    if (placed === undefined) return false;
+    this.#waiters.delete(placed.waiter.work.requestId);
+    placed.waiter.resolve(placed.placement);
+    return true;
   }
 
   #tryPlace(waiter: Waiter, now: number): Placement | undefined {
     const { shares } = this.#options;
-    const free = this.#candidates(waiter)
-      .filter((server) => shares.availableSlots(slotPool(server), now) > 0)
-      .sort((left, right) => this.#load(left) - this.#load(right));
-    const [server] = free;
+    const free = this.#candidates(waiter).filter((server) =>
+      shares.availableSlots(slotPool(server), now) > 0
+    );
+    const server = this.#choose(waiter, free, now);
     if (server === undefined) return undefined;
     const taken = shares.acquireSlot(
       slotPool(server),
       waiter.work.deadline,
       now,
     );
-    return taken.kind === "acquired" ? { server, slot: taken.slot } : undefined;
+    if (taken.kind !== "acquired") return undefined;
+    const { affinity } = waiter.work;
+    if (affinity !== null) this.#hints.add(affinity, server.id, now);
+    return { server, slot: taken.slot };
+  }
+
+  #choose(
+    waiter: Waiter,
+    free: readonly protocol.control.ServerStatus[],
+    now: number,
+  ): protocol.control.ServerStatus | undefined {
+    const { affinity } = waiter.work;
+    const candidates = free.map((server) => ({
+      server: server.id,
+      failureDomain: server.failureDomain,
+      inFlight: this.#options.shares.runningOn(slotPool(server)),
+      queued: server.queued,
+      limit: server.limit,
+    }));
+    const choice = core.routing.choose({
+      candidates: this.outliers.withoutEjected(candidates, now),
+      ...(affinity === null ? {} : {
+        prefixKey: affinity,
+        cachedAt: this.#hints.serversWith(affinity, now),
+      }),
+      triedDomains: domainsOf(waiter.excluded, this.#options.state),
+      random: Math.random,
+    });
+    return free.find((server) => server.id === choice?.server);
   }
 
   /** Servers that may run the work now; the excluded ones only if need be. */
@@ -141,27 +209,18 @@
     return others.length > 0 ? others : able;
   }
 
-  #load(server: protocol.control.ServerStatus): number {
-    const running = this.#options.shares.runningOn(slotPool(server));
-    return (running + server.queued) / Math.max(1, server.limit);
-  }
-
   /** Tells the shares which servers are waited for. */
   #publish(): void {
     const { shares } = this.#options;
     const waited = new Map<string, { count: number; since: number }>();
-    let isWaiting = false;
-    for (const lane of this.#lanes.values()) {
-      for (const waiter of lane) {
-        isWaiting = true;
-        for (const server of this.#candidates(waiter)) {
-          const pool = slotPool(server);
-          const row = waited.get(pool);
-          waited.set(pool, {
-            count: (row?.count ?? 0) + 1,
-            since: Math.min(row?.since ?? Infinity, waiter.since),
-          });
-        }
+    for (const waiter of this.#waiters.values()) {
+      for (const server of this.#candidates(waiter)) {
+        const pool = slotPool(server);
+        const row = waited.get(pool);
+        waited.set(pool, {
+          count: (row?.count ?? 0) + 1,
+          since: Math.min(row?.since ?? Infinity, waiter.since),
+        });
       }
     }
     for (const pool of this.#waitedFor) {
@@ -169,27 +228,18 @@
     }
     for (const [pool, row] of waited) shares.setWaitingSlots(pool, row);
     this.#waitedFor = new Set(waited.keys());
-    if (isWaiting) this.#options.requestExchange();
+    if (this.#waiters.size > 0) this.#options.requestExchange();
   }
 
   #remove(work: types.Work, refusal: protocol.errors.Refusal): void {
-    const lane = this.#lanes.get(work.target) ?? [];
-    const index = lane.findIndex((waiter) => waiter.work === work);
-    if (index < 0) return;
-    const [waiter] = lane.splice(index, 1);
-    if (lane.length === 0) this.#lanes.delete(work.target);
-    waiter?.reject(refusal);
+    const waiter = this.#waiters.get(work.requestId);
+    if (waiter === undefined) return;
+    this.#waiters.delete(work.requestId);
+    this.#queue.remove(work.requestId);
+    waiter.reject(refusal);
     this.#publish();
   }
 
-  #laneOf(target: string): Waiter[] {
-    const known = this.#lanes.get(target);
-    if (known !== undefined) return known;
-    const lane: Waiter[] = [];
-    this.#lanes.set(target, lane);
-    return lane;
-  }
-
   #refusalOf(work: types.Work): protocol.errors.Refusal {
     const isCurrent = this.#options.state.isCurrent(performance.now());
     const definition = isCurrent
@@ -205,6 +255,27 @@
   }
 }
 
+function domainsOf(
+  servers: ReadonlySet<string>,
+  state: host.FleetState,
+): Set<string> {
+  const domains = [...servers]
+    .map((id) => state.servers.get(id)?.failureDomain)
+    .filter((domain) => domain !== undefined);
+  return new Set(domains);
+}
+
+function refusedEntry(
+  work: types.Work,
+  kind: "full" | "workspace-full" | "too-late",
+): protocol.errors.Refusal {
+  return new protocol.errors.Refusal(
+    protocol.errors.NO_CAPACITY,
+    `the queue took no request for ${work.target}: ${kind}`,
+    { step: "place", retryAfterSeconds: RETRY_AFTER_S },
+  );
+}
+
 /**
  * Name of the pool of a server's slots: each start of a server has its own.
  *
--- a/packages/daemon/src/entry/resolve.ts
+++ b/packages/daemon/src/entry/resolve.ts
@@ -24,8 +24,10 @@
 ] as const;
 /** Tiers that wait at most this long are urgent, in milliseconds. */
 const URGENT_WAIT_MS = 5_000;
-/** Length of the prompt prefix that decides cache affinity, in characters. */
+/** Length of the prompt prefix that decides cache affinity, in bytes. */
 const AFFINITY_LENGTH = 512;
+/** Length of the name of a prompt prefix, in characters. */
+const AFFINITY_NAME_LENGTH = 16;
 
 const TokenCount = v.pipe(v.number(), v.integer(), v.minValue(1));
 
@@ -97,7 +99,7 @@
     tier,
     deadline: resolution.now + tier.maxWaitMs,
     fingerprint: fingerprintOf(caller.workspace, parsed.model, body),
-    affinity: body.toString("utf8", 0, AFFINITY_LENGTH),
+    affinity: affinityOf(parsed.model, body),
   };
 }
 
@@ -212,6 +214,13 @@
   return passed;
 }
 
+/** A short name of the beginning of the prompt: hints must stay small. */
+function affinityOf(model: string, body: Buffer): string {
+  return security.digest(
+    `${model}\n${body.toString("utf8", 0, AFFINITY_LENGTH)}`,
+  ).slice(0, AFFINITY_NAME_LENGTH);
+}
+
 function fingerprintOf(
   workspace: string,
   target: string,
