Keep the state in the replicated log, on disk, with several voters

Cause: the control role kept a log of one voter in memory. Change: the role opens its store, drives its replica, forms the group with the initial voters, and adds, removes and replaces members at the leader; SIGTERM hands the leadership over. Hosts tell the leader at once when a change is in force, so that publish need not wait for the next exchange.

--- a/packages/daemon/src/daemon/control_role.ts
+++ b/packages/daemon/src/daemon/control_role.ts
@@ -4,100 +4,185 @@
  *
  * @module
  */
-import type * as core from "@ebonypath/core";
-import type * as protocol from "@ebonypath/protocol";
+import * as protocol from "@ebonypath/protocol";
+import * as v from "valibot";
 import * as control from "../control/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
+import * as log from "../log/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
+import * as replication from "../replication/mod.ts";
+import * as resources from "../resources/mod.ts";
 import type * as settings from "../settings/mod.ts";
+import * as storage from "../storage/mod.ts";
+import * as memberGroup from "./member_group.ts";
+
+const write = log.createLog("control");
+
+/** Time for a member to say who it is, in milliseconds. */
+const IDENTITY_TIMEOUT_MS = 1_000;
+/** Time for another member to take the leadership over, in milliseconds. */
+const HAND_OVER_MS = 3_000;
 
 /** What the control role shares with the rest of its host. */
 export interface ControlRoleOptions {
   readonly loaded: settings.LoadedSettings;
   readonly rpcServer: fleet.RpcServer;
+  readonly rpcClient: fleet.RpcClient;
   readonly metrics: metrics.Metrics;
+  /** The disk or the state has failed: the process has to end. */
+  onFailure(error: unknown): void;
 }
 
 /** One member of the replicated state in this process. */
 export class ControlRole implements AsyncDisposable {
+  readonly #options: ControlRoleOptions;
+  readonly #driver: replication.ReplicationDriver;
+  readonly #group: memberGroup.MemberGroup;
   readonly #node: control.ControlNode;
+  readonly #resources: resources.ResourceStack;
+  readonly #stop = new AbortController();
 
-  private constructor(node: control.ControlNode) {
-    this.#node = node;
+  private constructor(
+    options: ControlRoleOptions,
+    store: storage.Store,
+    owned: resources.ResourceStack,
+  ) {
+    const { loaded, metrics, rpcClient, rpcServer } = options;
+    const self = {
+      id: store.recovered.identity.id,
+      address: loaded.settings.listen.fleet,
+    };
+    const replicated = new control.ReplicatedState();
+    this.#options = options;
+    this.#resources = owned;
+    const transport = owned.use(
+      new replication.HttpTransport({
+        self,
+        secret: loaded.fleetSecret,
+        ...(rpcClient.tls === undefined ? {} : { tls: rpcClient.tls }),
+      }),
+    );
+    this.#driver = owned.use(
+      new replication.ReplicationDriver({
+        self,
+        store,
+        machine: replicated,
+        transport,
+        onFailure: (error) => options.onFailure(error),
+      }),
+    );
+    this.#group = new memberGroup.MemberGroup(
+      this.#driver,
+      (address) => this.#ask(address),
+    );
+    this.#node = owned.use(
+      new control.ControlNode({
+        address: self.address,
+        log: this.#group,
+        replicated,
+        metrics,
+      }),
+    );
+    this.#register(rpcServer);
   }
 
-  /** Recovers the state from the disk and joins the group. */
+  /**
+   * Recovers the member from its data folder.
+   *
+   * @throws {storage.StorageError} the folder can't be used or is damaged
+   */
   static async start(options: ControlRoleOptions): Promise<ControlRole> {
-    const address = options.loaded.settings.listen.fleet;
-    const replicated = new control.ReplicatedState();
-    const log = new SingleVoterLog(address, replicated);
-    const node = new control.ControlNode({
-      address,
-      log,
-      replicated,
-      metrics: options.metrics,
-    });
-    node.register(options.rpcServer);
-    await Promise.resolve();
-    return new ControlRole(node);
+    const { dataFolder, name } = options.loaded.settings.host;
+    if (dataFolder === undefined) {
+      throw new TypeError("the control role needs a data folder");
+    }
+    const owned = new resources.ResourceStack();
+    const store = owned.use(await storage.openStore(dataFolder, { name }));
+    return new ControlRole(options, store, owned);
   }
 
-  /** Hands the leadership to another member. */
-  async handOver(): Promise<void> {
-    await Promise.resolve();
+  /** Joins the group, once the fleet listener answers. */
+  join(): void {
+    const { initialVoters } = this.#options.loaded.settings.control;
+    this.#driver.start();
+    if (this.#driver.hasLog || initialVoters.length === 0) return;
+    void replication.formGroup(
+      this.#driver,
+      initialVoters,
+      (address) => this.#ask(address),
+      this.#stop.signal,
+    );
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    await this.#node[Symbol.asyncDispose]();
-  }
-}
-
-/** A group of one voter whose log is kept in memory. */
-class SingleVoterLog implements control.ReplicatedLog {
-  readonly role = "leader";
-  readonly term = 1;
-  readonly leaderAddress: string;
-  readonly #replicated: control.ReplicatedState;
-  #index = 0;
-
-  constructor(address: string, replicated: control.ReplicatedState) {
-    this.leaderAddress = address;
-    this.#replicated = replicated;
-    this.#apply({ kind: "noop" });
+  /** Hands the leadership to another voter, where there is one. */
+  async handOver(): Promise<void> {
+    if (await this.#group.handOver(HAND_OVER_MS)) {
+      write("leadership-handed-over");
+    }
   }
 
-  hasLease(): boolean {
-    return true;
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#stop.abort();
+    await this.#resources[Symbol.asyncDispose]();
   }
 
-  members(): protocol.control.ControlHost[] {
-    return [{ id: "self", address: this.leaderAddress }];
+  #register(rpc: fleet.RpcServer): void {
+    rpc.addMethod(
+      protocol.replication.METHOD_MESSAGES,
+      protocol.replication.messageBatchSchema,
+      (batch) => {
+        this.#driver.receive(batch);
+        return null;
+      },
+    );
+    rpc.addMethod(
+      protocol.replication.METHOD_IDENTITY,
+      v.object({}),
+      () => this.#driver.identity(),
+    );
+    rpc.addMethod(
+      protocol.control.CHANGE_MEMBERS_METHOD,
+      protocol.control.MemberChange,
+      (change) => this.#changeMembers(change),
+    );
+    this.#node.register(rpc);
   }
 
-  status(): protocol.operators.Members {
-    return {
-      term: this.term,
-      commitIndex: this.#index,
-      members: [{
-        id: "self",
-        address: this.leaderAddress,
-        role: "voter",
-        leads: true,
-        matchIndex: this.#index,
-        silentMs: null,
-      }],
-      mayLose: 0,
-    };
+  async #changeMembers(
+    change: protocol.control.MemberChange,
+  ): Promise<protocol.operators.MemberChangeResult> {
+    const { changeId, operator } = change;
+    const result = await this.#group.change(change);
+    if (result.kind !== "done") return result;
+    await this.#node.propose({
+      kind: "note-membership",
+      operator,
+      changeId,
+      detail: describeChange(change),
+    });
+    return result;
   }
 
-  propose(data: string): Promise<control.Position> {
-    return Promise.resolve(this.#apply({ kind: "command", data }));
+  async #ask(address: string): Promise<protocol.replication.Identity> {
+    const answer = await this.#options.rpcClient.call(
+      address,
+      protocol.replication.METHOD_IDENTITY,
+      {},
+      IDENTITY_TIMEOUT_MS,
+    );
+    return v.parse(protocol.replication.identitySchema, answer);
   }
+}
 
-  #apply(payload: core.replication.Payload): control.Position {
-    this.#index += 1;
-    const entry = { index: this.#index, term: this.term, payload };
-    this.#replicated.apply([entry]);
-    return { index: this.#index, term: this.term };
+function describeChange(change: protocol.control.MemberChange): string {
+  switch (change.kind) {
+    case "add":
+      return `add ${change.address}`;
+    case "remove":
+      return `remove ${change.id}`;
+    case "replace":
+      return `replace ${change.id} by ${change.address}`;
+    default:
+      return protocol.errors.assertNever(change);
   }
 }
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -43,6 +43,7 @@
   readonly identity: protocol.control.HostIdentity;
   readonly state = new host.FleetState();
   readonly #loaded: settings.LoadedSettings;
+  readonly #onFailure: (error: unknown) => void;
   readonly #resources = new resources.ResourceStack();
   readonly #metrics = new metrics.Metrics();
   readonly #rpcServer: fleet.RpcServer;
@@ -57,10 +58,15 @@
   #listeners: listener.Listener[] = [];
   #draining = false;
   #wasCurrent = false;
+  #reportedIndex = -1;
 
-  private constructor(loaded: settings.LoadedSettings) {
+  private constructor(
+    loaded: settings.LoadedSettings,
+    onFailure: (error: unknown) => void,
+  ) {
     const { host: own, listen, control } = loaded.settings;
     this.#loaded = loaded;
+    this.#onFailure = onFailure;
     this.identity = {
       name: own.name,
       incarnation: security.randomId(INCARNATION_BYTES),
@@ -97,13 +103,18 @@
   /**
    * Starts a host.
    *
+   * @param onFailure called when the host can't go on: the process has to end
+   *
    * @example
    * ```ts
-   * await using daemon = await Daemon.start(await loadSettings(file));
+   * await using daemon = await Daemon.start(await loadSettings(file), fail);
    * ```
    */
-  static async start(loaded: settings.LoadedSettings): Promise<Daemon> {
-    const daemon = new Daemon(loaded);
+  static async start(
+    loaded: settings.LoadedSettings,
+    onFailure: (error: unknown) => void,
+  ): Promise<Daemon> {
+    const daemon = new Daemon(loaded, onFailure);
     try {
       await daemon.#start();
       return daemon;
@@ -160,7 +171,9 @@
         await controlRole.ControlRole.start({
           loaded: this.#loaded,
           rpcServer: this.#rpcServer,
+          rpcClient: this.#rpcClient,
           metrics: this.#metrics,
+          onFailure: (error) => this.#onFailure(error),
         }),
       );
     }
@@ -169,6 +182,7 @@
       settings.listen.fleet,
       (request, response) => this.#rpcServer.handle(request, response),
     );
+    this.#control?.join();
     await this.#startEntry();
     await this.#listen(
       "operators",
@@ -219,10 +233,7 @@
     this.#resources.use(this.#exchanger);
     this.#resources.use(this.#proposals);
     this.#exchanger.on("answered", (answer) => this.#onAnswered(answer));
-    this.state.on("change", () => {
-      this.#leader.setControlHosts(this.state.controlHosts);
-      this.#metrics.viewIndex.set(this.state.index);
-    });
+    this.state.on("change", () => this.#onChange());
     const watch = setInterval(() => this.#watch(), WATCH_MS);
     this.#resources.defer(() => clearInterval(watch));
     void feed.followFeed({
@@ -241,6 +252,15 @@
     this.#entry?.pump();
   }
 
+  /** Tells the leader at once when a change is in force here. */
+  #onChange(): void {
+    this.#leader.setControlHosts(this.state.controlHosts);
+    this.#metrics.viewIndex.set(this.state.index);
+    if (this.state.index === this.#reportedIndex) return;
+    this.#reportedIndex = this.state.index;
+    this.#exchanger.request();
+  }
+
   #watch(): void {
     const isCurrent = this.state.isCurrent(performance.now());
     this.#metrics.current.set(isCurrent ? 1 : 0);
--- a/packages/daemon/src/fleet/rpc_client.ts
+++ b/packages/daemon/src/fleet/rpc_client.ts
@@ -42,6 +42,11 @@
     this.#options = options;
   }
 
+  /** TLS options of the links; plain TCP where undefined. */
+  get tls(): undici.buildConnector.BuildOptions | undefined {
+    return this.#options.tls;
+  }
+
   /**
    * Calls `method` at the host with fleet address `peer`.
    *
@@ -115,7 +120,7 @@
     body: unknown,
     timeoutMs: number,
   ): Promise<string> {
-    const signal = AbortSignal.timeout(timeoutMs);
+    const signal = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
     try {
       const answer = await this.#pool(peer).request({
         path,
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -45,7 +45,7 @@
     process.stdout.write(`${options.settings}: valid\n`);
     return;
   }
-  const running = await daemon.Daemon.start(loaded);
+  const running = await daemon.Daemon.start(loaded, fail);
   let isStopping = false;
   const stop = () => {
     if (isStopping) return;
