--- a/packages/daemon/src/storage/store.ts
+++ b/packages/daemon/src/storage/store.ts
@@ -131,6 +131,8 @@
   #snapshots: Snapshots;
   #groupCommit: boolean;
   #tasks: Task[] = [];
+  /** Snapshots on their way to the disk. */
+  #saving = new Set<Promise<void>>();
   #running: Promise<void> | null = null;
   #failure: StorageError | null = null;
 
@@ -162,6 +164,17 @@
 
   /** A snapshot of the present log is written while changes go on. */
   async saveSnapshot(snapshot: SavedSnapshot): Promise<void> {
+    const saved = this.#save(snapshot);
+    this.#saving.add(saved);
+    try {
+      await saved;
+    } finally {
+      this.#saving.delete(saved);
+    }
+  }
+
+  /** Writes beside the queue, so that changes need not wait for it. */
+  async #save(snapshot: SavedSnapshot): Promise<void> {
     const isWritten = snapshot.keepEntries;
     if (isWritten && this.#failure === null) {
       await this.#guard(() =>
@@ -183,6 +196,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.allSettled([...this.#saving]);
     await this.#running;
     const closed = new StorageError("closed", this.#folder.path, "closed");
     this.#failure ??= closed;
