--- a/packages/cli/src/cli/publishing.ts
+++ b/packages/cli/src/cli/publishing.ts
@@ -63,7 +63,7 @@
     return exitCode.OK;
   }
   if (differences.length === 0 && given === undefined) {
-    out.lines(`nothing to publish: version ${inForce.version} says the same`);
+    out.lines("nothing to publish");
     out.result({ version: inForce.version, differences, published: false });
     return exitCode.OK;
   }
@@ -87,7 +87,7 @@
   differences: readonly protocol.configuration.Difference[],
   version: number,
 ): string[] {
-  if (differences.length === 0) return [];
+  if (differences.length === 0) return [`no difference to version ${version}`];
   const heading = `against version ${version}:`;
   return [heading, ...differences.map(configurations.renderDifference)];
 }
--- a/packages/cli/test/program_test.ts
+++ b/packages/cli/test/program_test.ts
@@ -155,7 +155,7 @@
     argv: ["publish", EXAMPLES],
     answers: { "GET /v1/configuration": [[200, published(5, EXAMPLES)]] },
     exit: 0,
-    says: /nothing to publish: version 5/,
+    says: /no difference to version 5\nnothing to publish/,
   },
   {
     title: "shows a difference only",
--- a/packages/daemon/src/operators/outcome.ts
+++ b/packages/daemon/src/operators/outcome.ts
@@ -3,6 +3,9 @@
 
 const { errors } = protocol;
 
+/** JSON-RPC error code of a method that the peer lacks. */
+const METHOD_NOT_FOUND_CODE = -32601;
+
 /** A publishing that lost against another one. */
 export class VersionConflict extends errors.Refusal {
   readonly winner: NonNullable<protocol.operators.Problem["winner"]>;
@@ -65,12 +68,19 @@
   if (error instanceof errors.Refusal) return error;
   if (error instanceof errors.StepError) {
     const { step, peer } = error;
-    const notSent = error instanceof fleet.Unreachable ||
-      error instanceof fleet.NotLeader;
-    const definition = notSent ? errors.NO_LEADER : errors.CHANGE_UNKNOWN;
     const options = { step, peer, cause: error };
-    return new errors.Refusal(definition, error.message, options);
+    return new errors.Refusal(definitionOf(error), error.message, options);
   }
   const options = { cause: error };
   return new errors.Refusal(errors.INTERNAL, "unexpected fault", options);
 }
+
+function definitionOf(
+  error: protocol.errors.StepError,
+): protocol.errors.Definition {
+  if (error instanceof fleet.Unreachable) return errors.NO_LEADER;
+  if (error instanceof fleet.NotLeader) return errors.NO_LEADER;
+  const lacksMethod = error instanceof fleet.RemoteError &&
+    error.code === METHOD_NOT_FOUND_CODE;
+  return lacksMethod ? errors.NOT_SUPPORTED : errors.CHANGE_UNKNOWN;
+}
--- a/packages/daemon/test/operators/handler_test.ts
+++ b/packages/daemon/test/operators/handler_test.ts
@@ -194,6 +194,16 @@
     503,
     "not-run",
   ],
+  [
+    (c) => c.failure = new fleet.RemoteError("propose", "h", "none", -32601),
+    501,
+    "not-run",
+  ],
+  [
+    (c) => c.failure = new fleet.RemoteError("propose", "h", "fault", -32603),
+    504,
+    "may-have-run",
+  ],
   [
     (c) => c.failure = new fleet.OutcomeUnknown("propose", "h", "reset"),
     504,
--- a/packages/testing/src/quickstart/installation.ts
+++ b/packages/testing/src/quickstart/installation.ts
@@ -73,13 +73,15 @@
       `orders-1, a plain service: ${plain.address}`,
     );
     const tokenFile = path.join(folder, "admin.secret");
+    const operator = new Operator(root, host.operators, tokenFile);
+    started.push(operator);
     return {
       root,
       host,
       tokenFile,
       engine,
       plain,
-      operate: (...args) => operate(root, host.operators, tokenFile, args),
+      operate: (...args) => operator.run(args),
       [Symbol.asyncDispose]: () => disposeAll(started),
     };
   } catch (error) {
@@ -126,19 +128,33 @@
   throw new Error(`the daemon ended:\n${process.tail}`);
 }
 
-async function operate(
-  root: string,
-  server: string,
-  tokenFile: string,
-  args: readonly string[],
-): Promise<string> {
-  const main = path.join(root, "packages/cli/dist/src/main.js");
-  const options = ["--server", server, "--token-file", tokenFile];
-  await using command = launcher.launch(main, [...args, ...options]);
-  const { code } = await command.waitForExit();
-  const text = command.lines.join("\n");
-  if (code !== 0) throw new Error(`ebonypath ended with ${code}:\n${text}`);
-  return text;
+/** Runs commands; those that still run end with it. */
+class Operator implements AsyncDisposable {
+  readonly #main: string;
+  readonly #options: readonly string[];
+  readonly #running = new Set<launcher.Process>();
+
+  constructor(root: string, server: string, tokenFile: string) {
+    this.#main = path.join(root, "packages/cli/dist/src/main.js");
+    this.#options = ["--server", server, "--token-file", tokenFile];
+  }
+
+  async run(args: readonly string[]): Promise<string> {
+    await using command = launcher.launch(this.#main, [
+      ...args,
+      ...this.#options,
+    ]);
+    this.#running.add(command);
+    const { code } = await command.waitForExit();
+    this.#running.delete(command);
+    const text = command.lines.join("\n");
+    if (code !== 0) throw new Error(`ebonypath ended with ${code}:\n${text}`);
+    return text;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await disposeAll([...this.#running]);
+  }
 }
 
 async function disposeAll(started: readonly AsyncDisposable[]): Promise<void> {
--- a/packages/testing/src/quickstart/main.ts
+++ b/packages/testing/src/quickstart/main.ts
@@ -16,21 +16,25 @@
 
 /** Ends after the tour instead of waiting for Ctrl-C. */
 const ONCE_FLAG = "--once";
-const FLAGS: ReadonlySet<string> = new Set([ONCE_FLAG]);
+/** Uses another folder, which must not exist yet. */
+const FOLDER_FLAG = "--folder=";
 
 const USAGE_EXIT_CODE = 2;
 
 async function main(flags: readonly string[]): Promise<number> {
-  const unknown = flags.find((flag) => !FLAGS.has(flag));
+  const unknown = flags.find((flag) =>
+    flag !== ONCE_FLAG && !flag.startsWith(FOLDER_FLAG)
+  );
   if (unknown !== undefined) {
-    console.error(`quickstart: unknown option ${unknown}; known: ${ONCE_FLAG}`);
+    console.error(
+      `quickstart: unknown option ${unknown}; known: ${ONCE_FLAG}, ${FOLDER_FLAG}DIR`,
+    );
     return USAGE_EXIT_CODE;
   }
   const interrupted = waitForInterrupt();
-  await fs.rm(FOLDER, { recursive: true, force: true });
-  await fs.mkdir(FOLDER);
+  const folder = await createFolder(flags);
   const print = new printer.Printer(process.stdout);
-  await using installed = await installation.install(ROOT, FOLDER, print);
+  await using installed = await installation.install(ROOT, folder, print);
   const toured = tour.run(installed, print);
   // After Ctrl-C the tour fails by itself; its errors say nothing then.
   toured.catch(() => {});
@@ -43,6 +47,18 @@
   return 0;
 }
 
+async function createFolder(flags: readonly string[]): Promise<string> {
+  const chosen = flags.find((flag) => flag.startsWith(FOLDER_FLAG));
+  if (chosen === undefined) {
+    await fs.rm(FOLDER, { recursive: true, force: true });
+    await fs.mkdir(FOLDER);
+    return FOLDER;
+  }
+  const folder = path.resolve(chosen.slice(FOLDER_FLAG.length));
+  await fs.mkdir(folder);
+  return folder;
+}
+
 function waitForInterrupt(): Promise<undefined> {
   return new Promise((resolve) => {
     process.once("SIGINT", () => resolve(undefined));
@@ -50,9 +66,11 @@
   });
 }
 
+let exitCode = 1;
 try {
-  process.exitCode = await main(process.argv.slice(2));
+  exitCode = await main(process.argv.slice(2));
 } catch (error) {
   console.error(`\nquickstart failed: ${(error as Error).message}`);
-  process.exitCode = 1;
 }
+// Waits of a tour that was interrupted would keep the process for a while.
+process.exit(exitCode);
