Hand leadership to the most advanced voter before a process ends

A leader that ends hands over instead of leaving the group to an election timeout. The voter that holds most of the log and answered last is asked.

--- a/packages/daemon/src/replication/mod.ts
+++ b/packages/daemon/src/replication/mod.ts
@@ -7,5 +7,6 @@
 export * from "./driver.ts";
 export * from "./errors.ts";
 export * from "./formation.ts";
+export * from "./hand_over.ts";
 export * from "./transport.ts";
 export * from "./types.ts";
--- a/packages/daemon/test/replication/driver_test.ts
+++ b/packages/daemon/test/replication/driver_test.ts
@@ -98,10 +98,20 @@
   it("hands leadership over", async () => {
     await openGroup(3);
     const { driver } = await leader();
-    const other = hosts.find((host) => host.driver !== driver) as Host;
-    driver.transferLeadership(other.driver.self.id);
-    await wait.waitFor("the other to lead", () => other.driver.hasLease());
+    await driver.propose("before");
+    expect(await replication.handOver(driver)).to.equal(true);
     expect(driver.hasLease()).to.equal(false);
+    const next = await leader();
+    expect(next.driver).not.to.equal(driver);
+    await next.driver.propose("after");
+    await allApplied(2);
+  });
+
+  it("has nobody to hand leadership to in a group of one", async () => {
+    await openGroup(1);
+    const { driver } = await leader();
+    expect(await replication.handOver(driver)).to.equal(false);
+    expect(driver.hasLease()).to.equal(true);
   });
 
   for (const kind of ["write", "sync"] as const) {
