Let the interleaving test attack leases

Half of the runs now have a network and a disk without delay, and an event lets a candidate that the leader cannot reach ask a voter that was just rebooted.

--- a/packages/core/test/replication/cluster.ts
+++ b/packages/core/test/replication/cluster.ts
@@ -12,16 +12,18 @@
 
 const STEP_MS = 10;
 const CLOCK_DRIFT = 0.05;
-const DELAY_MS = { short: 2, long: 20 };
+const DELAY_MS = 20;
+const SYNC_MS = 10;
 const LONG_DELAY_MS = 3000;
 const LONG_DELAY_CHANCE = 0.02;
+const ROUNDS_PER_STEP = 4;
 const DUPLICATE_CHANCE = 0.03;
 const RECOVERY_MS = 60_000;
 const SPARE_NODES = 1;
 const ELECTION_TIMEOUT_MS = { narrow: 610, wide: 1200 };
 
 /** Node numbers from here on pick the present leader. */
-const LEADER = 6;
+export const LEADER = 6;
 
 type Envelope = {
   from: string;
@@ -50,14 +52,16 @@
   #network: Envelope[] = [];
   #cuts = new Set<string>();
   #loss = 0;
-  #delayMs = DELAY_MS.long;
+  #delayMs = DELAY_MS;
   #time = 0;
   #generation = 0;
   #proposal = 0;
 
   constructor(seed: number, size: number) {
     this.#random = randomSource(seed);
+    const isFast = this.#random() < 0.5;
     this.#surroundings = {
+      syncMs: isFast ? 0 : SYNC_MS,
       random: this.#random,
       checker: this.checker,
       electionTimeoutMaximumMs: this.#random() < 0.5
@@ -66,8 +70,8 @@
       leaseHolders: () => this.#leaseHolders(),
       send: (from, to, message) => this.#send(from, to, message),
     };
-    if (this.#random() < 0.5) {
-      this.#delayMs = DELAY_MS.short;
+    if (isFast) {
+      this.#delayMs = 0;
     }
     for (let slot = 0; slot < size + SPARE_NODES; slot += 1) {
       this.#nodes.push(this.#newNode(slot));
@@ -197,7 +201,14 @@
     );
   }
 
+  /** On a fast network an answer can arrive in the step of its question. */
   #deliver(): void {
+    for (let round = 0; round < ROUNDS_PER_STEP; round += 1) {
+      this.#deliverOnce();
+    }
+  }
+
+  #deliverOnce(): void {
     const due: Envelope[] = [];
     const later: Envelope[] = [];
     for (const envelope of this.#network) {
--- a/packages/core/test/replication/interleavings_test.ts
+++ b/packages/core/test/replication/interleavings_test.ts
@@ -1,7 +1,7 @@
 import * as fc from "fast-check";
 import { expect } from "chai";
 import process from "node:process";
-import { Cluster } from "./cluster.ts";
+import { Cluster, LEADER } from "./cluster.ts";
 import type { Event } from "./event.ts";
 
 const CI_SEEDS = [11, 12, 13, 14];
@@ -65,17 +65,36 @@
   },
 );
 
+/** Others look for a leader while the present one may still hold a lease. */
+const leaseAttack: fc.Arbitrary<Event[]> = fc.record({
+  candidate: fc.nat(4),
+  voter: fc.nat(4),
+}).map(({ candidate, voter }) => [
+  { kind: "heal" },
+  { kind: "run", ms: 1500 },
+  { kind: "cut", from: LEADER, to: candidate, both: true },
+  { kind: "run", ms: 650 },
+  { kind: "isolate", node: LEADER },
+  { kind: "reboot", node: voter },
+  { kind: "run", ms: 700 },
+]);
+
+function alone(one: fc.Arbitrary<Event>): fc.Arbitrary<Event[]> {
+  return one.map((event) => [event]);
+}
+
 const run = fc.record({
   seed: fc.integer(),
   size: fc.constantFrom(3, 4, 5),
   events: fc.array(
     fc.oneof(
-      { arbitrary: settle, weight: 4 },
-      { arbitrary: propose, weight: 4 },
-      { arbitrary: fault, weight: 6 },
+      { arbitrary: alone(settle), weight: 16 },
+      { arbitrary: alone(propose), weight: 16 },
+      { arbitrary: alone(fault), weight: 24 },
+      { arbitrary: leaseAttack, weight: 1 },
     ),
     { minLength: 40, maxLength: 80, size: "max" },
-  ),
+  ).map((events) => events.flat()),
 });
 
 function check(seed: number, numRuns: number): number {
--- a/packages/core/test/replication/node.ts
+++ b/packages/core/test/replication/node.ts
@@ -9,7 +9,6 @@
 import * as replication from "../../src/replication/mod.ts";
 import type { Checker, State } from "./checker.ts";
 
-const SYNC_MS = 10;
 const SLOW_SYNC_MS = 400;
 const SLOW_SYNC_CHANCE = 0.05;
 const PART_BYTES = 16;
@@ -29,6 +28,8 @@
 export type Surroundings = {
   random: () => number;
   checker: Checker;
+  /** Longest time that a usual sync takes, in milliseconds. */
+  syncMs: number;
   /** Longest election timeout in milliseconds. */
   electionTimeoutMaximumMs: number;
   /** The replicas that hold a lease. */
@@ -210,8 +211,8 @@
   }
 
   #enqueue(write: Write, time: number): void {
-    const { random } = this.#surroundings;
-    const longest = random() < SLOW_SYNC_CHANCE ? SLOW_SYNC_MS : SYNC_MS;
+    const { random, syncMs } = this.#surroundings;
+    const longest = random() < SLOW_SYNC_CHANCE ? SLOW_SYNC_MS : syncMs;
     const earliest = this.#pending.at(-1)?.syncedAt ?? 0;
     const syncedAt = Math.max(earliest, time + random() * longest);
     this.#pending.push({ write, syncedAt });
