--- a/packages/daemon/src/daemon/member_group.ts
+++ b/packages/daemon/src/daemon/member_group.ts
@@ -10,6 +10,7 @@
 import * as fleet from "../fleet/mod.ts";
 import * as log from "../log/mod.ts";
 import * as replication from "../replication/mod.ts";
+import * as memberRefusal from "./member_refusal.ts";
 
 const write = log.createLog("members");
 
@@ -95,8 +96,11 @@
           return protocol.errors.assertNever(change);
       }
     } catch (error) {
-      if (!(error instanceof replication.ChangeRefused)) throw error;
-      return { kind: "refused", reason: error.reason };
+      if (error instanceof replication.ChangeRefused) {
+        return refused(memberRefusal.describeRefusal(error.reason));
+      }
+      if (error instanceof NoAnswer) return refused(error.message);
+      throw error;
     }
   }
 
@@ -119,7 +123,7 @@
   }
 
   async #add(address: string): Promise<Result> {
-    const { member } = await this.#ask(address);
+    const member = await this.#identify(address);
     const { membership } = this.#driver;
     const isVoter = membership.voters.some(({ id }) => id === member.id);
     const isLearner = membership.learners.some(({ id }) => id === member.id);
@@ -127,12 +131,21 @@
       await this.#driver.changeMembership({ kind: "addLearner", member });
       write("learner-added", { id: member.id, address });
     }
-    if (isVoter) return { kind: "refused", reason: "alreadyMember" };
+    if (isVoter) return refused(memberRefusal.describeRefusal("alreadyMember"));
     const { index } = await this.#promote(member.id);
     write("voter-added", { id: member.id, address });
     return { kind: "done", index };
   }
 
+  /** Asks the host at an address, before anything is changed. */
+  async #identify(address: string): Promise<core.replication.Member> {
+    try {
+      return (await this.#ask(address)).member;
+    } catch (error) {
+      throw new NoAnswer(address, error);
+    }
+  }
+
   async #remove(id: string): Promise<Result> {
     if (!this.members().some((member) => member.id === id)) {
       return { kind: "not-found", reason: `there is no member ${id}` };
@@ -150,9 +163,11 @@
     if (!this.members().some((member) => member.id === id)) {
       return { kind: "not-found", reason: `there is no member ${id}` };
     }
-    const added = await this.#add(address);
-    if (added.kind === "refused" && added.reason !== "alreadyMember") {
-      return added;
+    const member = await this.#identify(address);
+    if (member.id === id) return refused("it would replace itself");
+    const { voters } = this.#driver.membership;
+    if (!voters.some((voter) => voter.id === member.id)) {
+      await this.#add(address);
     }
     return await this.#remove(id);
   }
@@ -194,6 +209,20 @@
   }
 }
 
+/** The host that is to become a member does not say who it is. */
+class NoAnswer extends protocol.errors.StepError {
+  override readonly name = "NoAnswer";
+
+  constructor(address: string, cause: unknown) {
+    const reason = cause instanceof Error ? cause.message : String(cause);
+    super("members.identify", address, `no control host answers: ${reason}`);
+  }
+}
+
+function refused(reason: string): Result {
+  return { kind: "refused", reason };
+}
+
 /** A voter silent for longer counts as lost, in milliseconds. */
 const LOST_AFTER_MS = 2_000;
 
