Measure cold starts, rates, fairness, failures and claims

Cause: only the cost of control and the overhead were measured. Change: experiments cold-start (against least-loaded and the physical floor), rate (against static-split), fairness (against one queue), failure-domain, failover, claims and idle-hours (against keep-always and fixed time-outs). Three voters by default. The bytes of a reading of /metrics no longer count as cost of control: they were about 2 KB/s of what was shown.

--- a/packages/benchmark/src/experiments/control_cost.ts
+++ b/packages/benchmark/src/experiments/control_cost.ts
@@ -46,7 +46,7 @@
   options: {
     vary: `one of ${Object.keys(SIZES).join(", ")}; servers by default`,
     values: "sizes to measure, separated by commas",
-    voters: "control hosts; 1 by default",
+    voters: "control hosts; 3 by default",
     window: "seconds for each measurement; 5 by default",
   },
   run,
@@ -58,7 +58,7 @@
   if (defaults === undefined) throw new RangeError(`cannot vary ${vary}`);
   const values = options.settings["values"]?.split(",").map(Number) ?? defaults;
   const windowMs = Number(options.settings["window"] ?? 5) * 1_000;
-  const voters = Number(options.settings["voters"] ?? 1);
+  const voters = harness.voters(options);
   const sizes = values.map((value) => ({ ...BASE, [vary]: value }));
   const measured: Measured[] = [];
   let fleet: launcher.Fleet | undefined;
--- /dev/null
+++ b/packages/benchmark/src/experiments/failover.ts
@@ -0,0 +1,159 @@
+import * as timers from "node:timers/promises";
+import { fakeBackend, type launcher } from "@ebonypath/testing";
+import * as harness from "../harness/mod.ts";
+import * as measure from "../measure/mod.ts";
+import type * as types from "../types.ts";
+import * as balancer from "./balancer.ts";
+
+const HOSTS = 5;
+const RATE = 100;
+const DURATION_MS = 16_000;
+const FAULT_MS = 5_000;
+const HEAL_MS = 12_000;
+const PATH = "/services/plain/items";
+const CALL_MS = 5;
+const CHANGE_INTERVAL_MS = 100;
+
+/** The leader dies, or is cut off, during traffic. */
+export const failover: types.Experiment = {
+  name: "failover",
+  summary: "service gap when the leader is killed or isolated",
+  options: {
+    voters: "control hosts; 3 by default",
+    fault: "kill or isolate; kill by default",
+  },
+  run,
+};
+
+type Ended = readonly measure.Finished<number, harness.Answer>[];
+
+async function run(options: types.RunOptions): Promise<types.Outcome> {
+  const fault = options.settings["fault"] ?? "kill";
+  const voters = harness.voters(options, 3);
+  const withLinks = fault === "isolate";
+  await using fleet = await harness.startHosts(HOSTS, { voters, withLinks });
+  await harness.publish(fleet, {
+    workspaces: [harness.workspace("w0")],
+    services: [harness.plainService(["w0"])],
+  });
+  const { key } = await fleet.host(HOSTS - 1).operator.grantKey("w0");
+  await using fake = await harness.startRemoteFake(fleet, {
+    id: "plain-1",
+    kind: "plain",
+    services: ["plain"],
+    concurrency: 256,
+    callMs: CALL_MS,
+  });
+  void fake;
+  await harness.waitForServers(fleet, 1);
+  await using hosts = new balancer.Balancer(fleet, key);
+  const random = fakeBackend.seededRandom(options.seed);
+  const send = () => hosts.next().send(PATH, { method: "GET" });
+  await measure.openLoop(planOf(4_000, random), send);
+  const leader = await fleet.leader();
+  if (leader === undefined) throw new Error("no host leads");
+  options.print(`${leader.name} leads`);
+  const changes = keepChanging(fleet, leader);
+  const faulty = injectFault(fleet, leader, hosts, fault);
+  const ended = await measure.openLoop(planOf(DURATION_MS, random), send);
+  await faulty;
+  return summarize(fault, voters, ended, await changes);
+}
+
+function planOf(durationMs: number, random: measure.Random) {
+  return measure.poisson(RATE, durationMs, random)
+    .map((atMs, item) => ({ atMs, item }));
+}
+
+async function injectFault(
+  fleet: launcher.Fleet,
+  leader: launcher.FleetHost,
+  hosts: balancer.Balancer,
+  fault: string,
+): Promise<void> {
+  await timers.setTimeout(FAULT_MS);
+  if (fault === "kill") {
+    // Callers' connections of a dead host are the balancer's matter.
+    hosts.drop(leader);
+    await leader.process.kill9();
+    return;
+  }
+  fleet.links.isolate(leader.name);
+  await timers.setTimeout(HEAL_MS - FAULT_MS);
+  fleet.links.heal(leader.name);
+}
+
+/** Tries changes at a host that does not lead; returns the longest gap. */
+async function keepChanging(
+  fleet: launcher.Fleet,
+  leader: launcher.FleetHost,
+): Promise<number> {
+  const host = fleet.hosts.find((one) => one !== leader);
+  const start = performance.now();
+  let last = start;
+  let longest = 0;
+  while (performance.now() - start < DURATION_MS) {
+    try {
+      await host?.operator.grantKey("w0");
+      const now = performance.now();
+      longest = Math.max(longest, now - last);
+      last = now;
+    } catch {
+      // The gap goes on.
+    }
+    await timers.setTimeout(CHANGE_INTERVAL_MS);
+  }
+  return Math.max(longest, performance.now() - last);
+}
+
+function summarize(
+  fault: string,
+  voters: number,
+  ended: Ended,
+  changeGapMs: number,
+): types.Outcome {
+  const before = latenciesIn(ended, 0, FAULT_MS);
+  const after = latenciesIn(ended, FAULT_MS, DURATION_MS);
+  const errors = ended.filter(({ result }) => result.status !== 200);
+  const refused = errors.filter(({ result }) => result.status >= 400);
+  return {
+    figures: {
+      fault,
+      voters,
+      requests: ended.length,
+      refused: refused.length,
+      cut: errors.length - refused.length,
+      errorStatuses: harness.statuses(ended, [200]),
+      beforeP99Ms: before.at(99),
+      afterP99Ms: after.at(99),
+      addedP99Ms: after.at(99) - before.at(99),
+      afterMaxMs: after.at(100),
+      goalAddedP99Ms: 2_000,
+      changeGapMs,
+    },
+    charts: [{
+      title: `Latency around the fault (${fault})`,
+      kind: "line",
+      x: "s",
+      y: "ms",
+      series: [{ name: "max of each half second", points: slicesOf(ended) }],
+    }],
+  };
+}
+
+function latenciesIn(ended: Ended, fromMs: number, toMs: number) {
+  const latencies = new measure.Latencies();
+  for (const { atMs, latencyMs, result } of ended) {
+    const isIn = atMs >= fromMs && atMs < toMs;
+    if (isIn && result.status === 200) latencies.record(latencyMs);
+  }
+  return latencies;
+}
+
+function slicesOf(ended: Ended): [number, number][] {
+  const points: [number, number][] = [];
+  for (let time = 0; time < DURATION_MS; time += 500) {
+    points.push([time / 1_000, latenciesIn(ended, time, time + 500).at(100)]);
+  }
+  return points;
+}
--- a/packages/benchmark/src/experiments/mod.ts
+++ b/packages/benchmark/src/experiments/mod.ts
@@ -4,13 +4,27 @@
  * @module
  */
 import type * as types from "../types.ts";
+import * as claims from "./claims.ts";
+import * as coldStart from "./cold_start.ts";
 import * as controlCost from "./control_cost.ts";
+import * as failover from "./failover.ts";
+import * as failureDomain from "./failure_domain.ts";
+import * as fairness from "./fairness.ts";
+import * as idleHours from "./idle_hours.ts";
 import * as overhead from "./overhead.ts";
+import * as rate from "./rate.ts";
 
 /** In the order in which they are listed. */
 export const EXPERIMENTS: readonly types.Experiment[] = [
   controlCost.controlCost,
   overhead.overhead,
+  coldStart.coldStart,
+  rate.rate,
+  fairness.fairness,
+  failureDomain.failureDomain,
+  failover.failover,
+  claims.claims,
+  idleHours.idleHours,
 ];
 
 /** Finds an experiment. */
--- a/packages/benchmark/src/harness/caller.ts
+++ b/packages/benchmark/src/harness/caller.ts
@@ -20,6 +20,20 @@
   readonly headers?: Readonly<Record<string, string>>;
 }
 
+/** Names the statuses of answers, but for the expected ones. */
+export function statuses(
+  ended: readonly { readonly result: Answer }[],
+  expected: readonly number[],
+): string {
+  const others = new Map<number, number>();
+  for (const { result: { status } } of ended) {
+    if (expected.includes(status)) continue;
+    others.set(status, (others.get(status) ?? 0) + 1);
+  }
+  const told = [...others].map(([status, count]) => `${status}:${count}`);
+  return told.join(",") || "none";
+}
+
 /** Calls one origin as a workspace does. */
 export class Caller {
   readonly #pool: undici.Pool;
--- a/packages/benchmark/src/harness/mod.ts
+++ b/packages/benchmark/src/harness/mod.ts
@@ -6,4 +6,5 @@
 export * from "./caller.ts";
 export * from "./catalogue.ts";
 export * from "./fleet.ts";
+export * from "./settings.ts";
 export * from "./swarm.ts";
--- a/packages/benchmark/src/measure/mod.ts
+++ b/packages/benchmark/src/measure/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 export * from "./arrivals.ts";
+export * from "./bucket.ts";
+export * from "./ideal_store.ts";
 export * from "./latency.ts";
 export * from "./load.ts";
 export * from "./slope.ts";
--- a/packages/benchmark/src/measure/usage.ts
+++ b/packages/benchmark/src/measure/usage.ts
@@ -26,9 +26,9 @@
   hosts: readonly launcher.FleetHost[],
   windowMs: number,
 ): Promise<Usage[]> {
-  const before = await Promise.all(hosts.map(read));
+  const before = await Promise.all(hosts.map((host) => read(host, "start")));
   await timers.setTimeout(windowMs);
-  const after = await Promise.all(hosts.map(read));
+  const after = await Promise.all(hosts.map((host) => read(host, "end")));
   return after.map((end, index) => difference(before[index] as Reading, end));
 }
 
@@ -66,18 +66,27 @@
   return value("rchar") + value("wchar");
 }
 
-async function read(host: launcher.FleetHost): Promise<Reading> {
+/** Reads a host; the bytes of the reading itself lie outside the window. */
+async function read(
+  host: launcher.FleetHost,
+  edge: "start" | "end",
+): Promise<Reading> {
+  const early = edge === "end" ? await readBytes(host) : 0;
+  const timeMs = performance.now();
   const answer = await undici.request(`${host.operators}/metrics`);
   const text = await answer.body.text();
-  const io = await fs.readFile(`/proc/${host.process.pid}/io`, "utf8");
   return {
-    timeMs: performance.now(),
+    timeMs,
     cpuMs: parseMetric(text, "process_cpu_seconds_total") * 1_000,
-    bytes: parseIo(io),
+    bytes: edge === "end" ? early : await readBytes(host),
     memoryBytes: parseMetric(text, "process_resident_memory_bytes"),
   };
 }
 
+async function readBytes(host: launcher.FleetHost): Promise<number> {
+  return parseIo(await fs.readFile(`/proc/${host.process.pid}/io`, "utf8"));
+}
+
 function difference(before: Reading, after: Reading): Usage {
   const elapsedMs = after.timeMs - before.timeMs;
   return {
--- a/packages/benchmark/test/measure_test.ts
+++ b/packages/benchmark/test/measure_test.ts
@@ -70,3 +70,26 @@
     expect(page).to.not.include("<script");
   });
 });
+
+describe("limits in measurements", () => {
+  const limit = { rate: 10, burst: 20 };
+
+  it("finds tokens taken beyond burst and rate in any window", () => {
+    const taken = [0, 0, 1_000].map((atMs) => ({ atMs, tokens: 10 }));
+    expect(measure.overUse(taken, limit)).to.equal(0);
+    expect(measure.overUse([...taken, { atMs: 1_000, tokens: 7 }], limit))
+      .to.equal(7);
+  });
+
+  it("lets requests wait for their tokens no longer than told", () => {
+    const bucket = new measure.Bucket(10, 20, 1_000);
+    const waits = [20, 5, 5, 1].map((tokens) => bucket.take(0, tokens));
+    expect(waits).to.deep.equal([0, 500, 1_000, null]);
+  });
+
+  it("starts loads of an ideal store at its rate and concurrency", () => {
+    const store = new measure.IdealStore(2_000);
+    const waits = [1, 2, 3, 4, 5].map(() => store.load(0));
+    expect(waits).to.deep.equal([2_000, 2_250, 2_500, 2_750, 4_000]);
+  });
+});
