Measure what merged interests would save in the feed

Change: feed-sharing simulates the feed of a region of the target with a subscription matrix of 180 entries.

--- a/packages/benchmark/src/experiments/cold_start.ts
+++ b/packages/benchmark/src/experiments/cold_start.ts
@@ -12,6 +12,7 @@
 /** Models of the second part, each wanted by all hosts at once. */
 const BURST_MODELS = 6;
 const BURST_PER_HOST = 8;
+const WARM_UP_MODEL = harness.modelName(MODELS + BURST_MODELS);
 const INTERVAL_MS = 350;
 /** Slow requests that are printed. */
 const SHOWN = 5;
@@ -56,6 +57,8 @@
   const callers = fleet.callers.map((origin) =>
     new harness.Caller(origin, key)
   );
+  // What a new leader waits for is the matter of the experiment failover.
+  await (callers[0] as harness.Caller).chat(WARM_UP_MODEL, 1);
   const ours = await measure.openLoop(
     plan,
     ({ model, host }) => (callers[host] as harness.Caller).chat(model, 1),
@@ -111,7 +114,7 @@
   const voters = harness.voters(options);
   const fleet = await harness.startHosts(HOSTS, { voters });
   const models = Array.from(
-    { length: MODELS + BURST_MODELS },
+    { length: MODELS + BURST_MODELS + 1 },
     (_, index) => harness.model(`m${index}`, { bytes: 4 * GB, kvBytes: GB }),
   );
   await harness.publish(fleet, {
--- a/packages/benchmark/src/experiments/mod.ts
+++ b/packages/benchmark/src/experiments/mod.ts
@@ -10,6 +10,7 @@
 import * as failover from "./failover.ts";
 import * as failureDomain from "./failure_domain.ts";
 import * as fairness from "./fairness.ts";
+import * as feedSharing from "./feed_sharing.ts";
 import * as idleHours from "./idle_hours.ts";
 import * as overhead from "./overhead.ts";
 import * as rate from "./rate.ts";
@@ -25,6 +26,7 @@
   failover.failover,
   claims.claims,
   idleHours.idleHours,
+  feedSharing.feedSharing,
 ];
 
 /** Finds an experiment. */
