--- a/packages/cli/src/cli/members/mod.ts
+++ b/packages/cli/src/cli/members/mod.ts
@@ -46,7 +46,7 @@
     usage: "members replace <id> <address>",
     description: "Add a control host, and remove a member once it votes.",
     options,
-    examples: ["members replace m-3f2a 10.0.4.10:7001"],
+    examples: ["members replace host-3-d0d9eb26dc54 10.0.4.10:7001"],
     run: replace,
   },
 ];
--- a/packages/daemon/src/settings/load.ts
+++ b/packages/daemon/src/settings/load.ts
@@ -1,5 +1,4 @@
 import * as fs from "node:fs/promises";
-import * as path from "node:path";
 import * as protocol from "@ebonypath/protocol";
 import * as secret from "./secret.ts";
 
@@ -41,7 +40,7 @@
  */
 export async function loadSettings(file: string): Promise<LoadedSettings> {
   const text = await readText(file);
-  const settings = protocol.settings.parseSettings(text, path.resolve(file));
+  const settings = protocol.settings.parseSettings(text, file);
   const findings: protocol.toml.Finding[] = [];
 
   const readSecret = async (name: string, where: string) => {
--- a/packages/protocol/src/toml/decode.ts
+++ b/packages/protocol/src/toml/decode.ts
@@ -136,7 +136,7 @@
     return { file, path, reason, hint: "remove it, or correct its spelling" };
   }
   if (issue.received === "undefined") {
-    return { file, path, reason: "is missing", hint: missingHint(issue) };
+    return { file, path, reason: "is missing", hint: "add it" };
   }
   if (issue.type === "regex") {
     const reason = `is ${issue.received}, which has the wrong form`;
@@ -146,11 +146,6 @@
   return { file, path, reason, hint };
 }
 
-function missingHint(issue: v.BaseIssue<unknown>): string {
-  const expected = issue.expected?.replaceAll('"', "") ?? "a value";
-  return `add it; ${expected === "Object" ? "a table" : expected} is expected`;
-}
-
 /** Schemas give `reason; hint` as the message of a check. */
 function splitMessage(issue: v.BaseIssue<unknown>): [string, string] {
   const [reason, hint] = issue.message.split("; ", 2);
