Find requests that crash backend servers

A request in flight at a server's death is a suspect: it runs only where and when the leader admits it, once at a time and never two suspects on one server. The only suspect that two separate deaths have in common is condemned; what else was in flight at those deaths is cleared, as is a suspect that survives. Bounded, and forgotten after ten minutes.

In the tests a request that crashes each server kills two servers, and the others that were in flight with it are answered.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -11,3 +11,4 @@
 export * as replication from "./replication/mod.ts";
 export * as routing from "./routing/mod.ts";
 export * as state from "./state/mod.ts";
+export * as suspicion from "./suspicion/mod.ts";
--- /dev/null
+++ b/packages/core/src/suspicion/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Finds requests that crash the backend servers that run them.
+ *
+ * @module
+ */
+export * from "./ledger.ts";
+export * from "./types.ts";
+export * from "./watch.ts";
--- a/packages/protocol/src/suspicion/mod.ts
+++ b/packages/protocol/src/suspicion/mod.ts
@@ -1,9 +1,9 @@
 /**
  * Messages about requests that may crash the backend servers that run them.
  *
- * An entry host reports which fingerprints it had in flight on a server when
- * the server died, and which suspects it ran to their end. The leader answers
- * with the fingerprints that every host must treat with care.
+ * A host reports which requests it had in flight on a server that died, which
+ * suspects it wants to run, and how they ended. The leader answers with all
+ * suspects, and with the servers on which the host may run its own ones.
  *
  * @module
  */
@@ -17,40 +17,65 @@
 
 const Name = v.pipe(v.string(), v.nonEmpty(), v.maxLength(MAX_NAME_CHARACTERS));
 const Duration = v.pipe(v.number(), v.finite(), v.minValue(0));
-const Fingerprints = v.pipe(v.array(Name), v.maxLength(MAX_FINGERPRINTS));
 
-/** What an entry host saw of a request's effect on a backend server. */
+/** A request that was in flight on a server when it died. */
+export const InFlightRequest = v.object({
+  /** Digest of workspace, model and body. */
+  fingerprint: Name,
+  workspace: Name,
+  model: Name,
+});
+
+/** A request that was in flight on a server when it died. */
+export type InFlightRequest = v.InferOutput<typeof InFlightRequest>;
+
+/** What a host knows or wants of suspects. */
 export const SuspicionReport = v.variant("kind", [
-  /** A server died, or lost its process, with these requests in flight. */
+  /** A server died with these requests in flight. */
   v.object({
     kind: v.literal("death"),
     server: Name,
     /** Incarnation that died: reports of it from many hosts are one death. */
     incarnation: Name,
-    inFlight: Fingerprints,
+    inFlight: v.pipe(v.array(InFlightRequest), v.maxLength(MAX_FINGERPRINTS)),
+  }),
+  /** A suspect waits to be run; repeated until it is admitted. */
+  v.object({
+    kind: v.literal("waiting"),
+    fingerprint: Name,
+    /** Servers that could run it, the preferred one first. */
+    servers: v.pipe(v.array(Name), v.maxLength(MAX_FINGERPRINTS)),
+    /** Longest time that it may run, in milliseconds. */
+    runMs: Duration,
+  }),
+  /** An admitted suspect has ended, or waits no more. */
+  v.object({
+    kind: v.literal("ended"),
+    fingerprint: Name,
+    /** It ran to its end on a server that stayed up. */
+    survived: v.boolean(),
   }),
-  /** A watched request ran to its end on a server that stayed up. */
-  v.object({ kind: v.literal("survived"), fingerprint: Name }),
 ]);
 
-/** What an entry host saw of a request's effect on a backend server. */
+/** What a host knows or wants of suspects. */
 export type SuspicionReport = v.InferOutput<typeof SuspicionReport>;
 
-/** A fingerprint that entry hosts must treat with care. */
+/** A suspect, as the leader tells the hosts. */
 export const WatchedFingerprint = v.variant("kind", [
-  /** Present at one death: runs only where no other suspect runs. */
+  /** Runs only when and where the leader admits it. */
   v.object({
     kind: v.literal("suspect"),
     fingerprint: Name,
     remainingMs: Duration,
   }),
-  /** Present at separate deaths: refused on every host. */
+  /** The host that is told so may run it once, on this server. */
   v.object({
-    kind: v.literal("quarantined"),
+    kind: v.literal("admitted"),
     fingerprint: Name,
+    server: Name,
     remainingMs: Duration,
   }),
 ]);
 
-/** A fingerprint that entry hosts must treat with care. */
+/** A suspect, as the leader tells the hosts. */
 export type WatchedFingerprint = v.InferOutput<typeof WatchedFingerprint>;
