Keep limits of servers and buckets over a change of leader and a removal

Cause: a new leader started every server's ramp-up at 2, so that a change of leader cut the capacity of warm servers; and a workspace that was removed and published again got its whole burst a second time.

Change: while shares of earlier leaders are adopted, a slot pool keeps at least what hosts report to hold, and the ramp-up takes its limit from that. What earlier leaders may have granted is derived from the largest limit of that time less what was adopted, in place of a running difference. A bucket that comes back holds no more than it would have refilled since it was removed.

--- a/packages/core/src/limits/bucket_pool.ts
+++ b/packages/core/src/limits/bucket_pool.ts
@@ -98,9 +98,7 @@
    */
   setLimit(limit: BucketLimit, now: number): void {
     this.advance(now);
-    const capacity = limit.burst - this.#limit.burst;
-    const rate = limit.rate - this.#limit.rate;
-    this.#ledger.limitGrew({ capacity, rate });
+    this.#ledger.limitIs({ capacity: limit.burst, rate: limit.rate });
     this.#limit = limit;
     this.#clip();
   }
--- a/packages/core/src/limits/leader.ts
+++ b/packages/core/src/limits/leader.ts
@@ -14,6 +14,9 @@
   SHARE_LIFETIME_MS,
 } from "./types.ts";
 
+/** How long a removed bucket is remembered, in case it comes back. */
+const REMOVED_MEMORY_MS = 600_000;
+
 const NO_LIMIT: BucketLimit = { rate: 0, burst: 0 };
 
 /** How a leader begins. */
@@ -42,7 +45,8 @@
 export class ShareLeader {
   readonly #buckets = new Map<string, BucketPool>();
   readonly #slots = new Map<string, SlotPool>();
-  readonly #removed = new Set<string>();
+  /** Buckets that were removed, and when. */
+  readonly #removed = new Map<string, number>();
   #term = 0;
   #adoptsUntil = 0;
 
@@ -62,26 +66,34 @@
   /**
    * Adds a pool or changes its limit.
    *
-   * @param level Tokens that a new pool holds at first. A pool that may have
-   *   existed before starts empty, whatever the level.
+   * @param level Tokens that a new pool holds at first. One that may have had
+   *   shares of an earlier leader starts empty, and one that was removed
+   *   before with no more than it would have refilled since.
    */
   setBucket(pool: string, limit: BucketLimit, now: number, level = 0): void {
-    this.#removed.delete(pool);
     const known = this.#buckets.get(pool);
     if (known !== undefined) {
       known.setLimit(limit, now);
+      this.#removed.delete(pool);
       return;
     }
     if (this.#buckets.size < MAX_POOLS) {
-      const start = { adoptsUntil: this.#adoptsUntil, level };
+      const start = {
+        adoptsUntil: this.#adoptsUntil,
+        level: Math.min(level, this.#refilledSinceRemoval(pool, limit, now)),
+      };
+      this.#removed.delete(pool);
       this.#buckets.set(pool, new BucketPool(pool, limit, start, now));
     }
   }
 
   /** Ends a pool; shares of it end as their holders renew them or expire. */
   removeBucket(pool: string, now: number): void {
-    this.#buckets.get(pool)?.setLimit(NO_LIMIT, now);
-    this.#removed.add(pool);
+    const known = this.#buckets.get(pool);
+    if (known !== undefined) {
+      known.setLimit(NO_LIMIT, now);
+      this.#removed.set(pool, now);
+    }
   }
 
   /**
@@ -129,6 +141,18 @@
     return { ...id, buckets, slots };
   }
 
+  /** A pool that comes back has refilled since it was removed, no more. */
+  #refilledSinceRemoval(
+    pool: string,
+    limit: BucketLimit,
+    now: number,
+  ): number {
+    const removedAt = this.#removed.get(pool);
+    return removedAt === undefined
+      ? limit.burst
+      : limit.rate * (now - removedAt) / 1000;
+  }
+
   /** A server that is still unknown when all have reported is gone. */
   #exchangeSlots(
     holder: string,
@@ -154,9 +178,11 @@
     for (const pool of this.#slots.values()) {
       pool.advance(now);
     }
-    for (const name of this.#removed) {
+    for (const [name, removedAt] of this.#removed) {
       if (!this.#buckets.get(name)?.isInUse) {
         this.#buckets.delete(name);
+      }
+      if (now >= removedAt + REMOVED_MEMORY_MS) {
         this.#removed.delete(name);
       }
     }
--- a/packages/core/src/limits/ledger.ts
+++ b/packages/core/src/limits/ledger.ts
@@ -45,7 +45,7 @@
   readonly offered?: Offer;
   /** Capacity in use without a live share. */
   readonly unleased: number;
-  /** Part of the share that was taken out of the unknown part. */
+  /** The share as it was adopted from an earlier leader. */
   readonly adopted: Amount;
 };
 
@@ -70,15 +70,16 @@
 export class Ledger {
   readonly #entries = new Map<string, Entry>();
   readonly #adoptsUntil: number;
-  #unknown: Amount;
+  /** Most that earlier leaders can have granted in all. */
+  #granted: Amount;
   #isAdopting = true;
 
   /**
-   * @param unknown Part of the pool that holders may have from earlier leaders.
+   * @param granted Most that earlier leaders can have granted in all.
    * @param adoptsUntil When the last share of an earlier leader has expired.
    */
-  constructor(unknown: Amount, adoptsUntil: number) {
-    this.#unknown = unknown;
+  constructor(granted: Amount, adoptsUntil: number) {
+    this.#granted = granted;
     this.#adoptsUntil = adoptsUntil;
   }
 
@@ -87,23 +88,29 @@
     return this.#entries;
   }
 
-  /**
-   * Takes in that the limit grew. Earlier leaders may have granted under a
-   * larger limit than the one at the start, so while their shares are adopted
-   * the growth counts as theirs.
-   */
-  limitGrew(growth: Amount): void {
-    if (this.#isAdopting) {
-      const capacity = Math.max(0, growth.capacity);
-      const rate = Math.max(0, growth.rate);
-      this.#unknown = added(this.#unknown, { capacity, rate });
-    }
+  /** Part of the pool that is taken as in use by holders known by name. */
+  held(): Amount {
+    return [...this.#entries.values()].map(countedOf).reduce(added, NOTHING);
   }
 
-  /** Part of the pool that must be taken as in use by holders. */
+  /** Part of the pool that must be taken as in use. */
   counted(): Amount {
-    return [...this.#entries.values()].map(countedOf)
-      .reduce(added, this.#unknown);
+    return added(this.held(), this.#unknown());
+  }
+
+  /** Whether shares of earlier leaders may still be live. */
+  get isAdopting(): boolean {
+    return this.#isAdopting;
+  }
+
+  /** Takes in a limit; earlier leaders may have granted under it. */
+  limitIs(limit: Amount): void {
+    if (this.#isAdopting) {
+      this.#granted = {
+        capacity: Math.max(this.#granted.capacity, limit.capacity),
+        rate: Math.max(this.#granted.rate, limit.rate),
+      };
+    }
   }
 
   /** Forgets expired shares and returns them. */
@@ -126,9 +133,8 @@
     if (now < this.#adoptsUntil) {
       return NOTHING;
     }
-    const unknown = this.#unknown;
+    const unknown = this.#unknown();
     this.#isAdopting = false;
-    this.#unknown = NOTHING;
     return unknown;
   }
 
@@ -153,7 +159,7 @@
       return { kind: "ignored" };
     }
     const receipt = classify(known, share, this.#isAdopting);
-    const adopted = this.#adopt(known?.adopted ?? NOTHING, receipt);
+    const adopted = adoptedOf(known, receipt);
     const live = receipt.kind === "adopted" || receipt.kind === "continued";
     this.#entries.set(holder, {
       exchange,
@@ -173,36 +179,34 @@
     }
   }
 
-  /**
-   * Moves adopted shares out of the unknown part. An adopted share that its
-   * holder does not go on with was out of date when it was adopted, and another
-   * holder may have it by now, so it counts as unknown again.
-   *
-   * @param before What was taken out for the same holder earlier.
-   * @returns What is taken out for it now.
-   */
-  #adopt(before: Amount, receipt: Receipt): Amount {
+  /** What holders may have from earlier leaders without having reported it. */
+  #unknown(): Amount {
     if (!this.#isAdopting) {
       return NOTHING;
     }
-    switch (receipt.kind) {
-      case "ignored":
-        return before;
-      case "continued":
-        return smaller(before, receipt.share.amount);
-      case "unleased":
-        this.#unknown = added(this.#unknown, before);
-        return NOTHING;
-      case "adopted": {
-        const available = added(this.#unknown, before);
-        const taken = smaller(available, receipt.share.amount);
-        this.#unknown = {
-          capacity: available.capacity - taken.capacity,
-          rate: available.rate - taken.rate,
-        };
-        return taken;
-      }
-    }
+    const adopted = [...this.#entries.values()].map((entry) => entry.adopted)
+      .reduce(added, NOTHING);
+    return {
+      capacity: Math.max(0, this.#granted.capacity - adopted.capacity),
+      rate: Math.max(0, this.#granted.rate - adopted.rate),
+    };
+  }
+}
+
+/**
+ * What counts as adopted after a report. A share that its holder does not go on
+ * with was out of date when it was adopted, and another holder may have it by
+ * now, so it is unknown again.
+ */
+function adoptedOf(known: Entry | undefined, receipt: Receipt): Amount {
+  switch (receipt.kind) {
+    case "adopted":
+      return receipt.share.amount;
+    case "continued":
+      return known?.adopted ?? NOTHING;
+    case "ignored":
+    case "unleased":
+      return NOTHING;
   }
 }
 
@@ -259,10 +263,3 @@
 function added(a: Amount, b: Amount): Amount {
   return { capacity: a.capacity + b.capacity, rate: a.rate + b.rate };
 }
-
-function smaller(a: Amount, b: Amount): Amount {
-  return {
-    capacity: Math.min(a.capacity, b.capacity),
-    rate: Math.min(a.rate, b.rate),
-  };
-}
--- a/packages/core/src/limits/slot_pool.ts
+++ b/packages/core/src/limits/slot_pool.ts
@@ -93,7 +93,7 @@
    */
   setLimit(limit: number, now: number): void {
     this.advance(now);
-    this.#ledger.limitGrew({ capacity: limit - this.#limit, rate: 0 });
+    this.#ledger.limitIs({ capacity: limit, rate: 0 });
     this.#limit = limit;
   }
 
@@ -185,14 +185,18 @@
     for (const { peak } of this.#situations.values()) {
       running += peak;
     }
-    return { outcomes, running: Math.min(running, this.#limit) };
+    return {
+      outcomes,
+      running: Math.min(running, this.#limit),
+      inherited: this.#inherited(),
+    };
   }
 
   #target(holder: string, report: protocol.limits.SlotReport): number {
     const holders = [...this.#situations.keys()];
     const stray = this.#strays.reduce((total, { slots }) => total + slots, 0);
     const parts = divideWhole(
-      this.#limit - stray,
+      Math.max(this.#limit, this.#inherited()) - stray,
       [...this.#situations.values()].map(claimOf),
     );
     const free = Math.max(0, Math.floor(this.#limit) - this.counted());
@@ -206,6 +210,11 @@
       : this.#situations.get(holder)!.horizonMs;
   }
 
+  /** Slots that holders have from an earlier leader. */
+  #inherited(): number {
+    return this.#ledger.isAdopting ? this.#ledger.held().capacity : 0;
+  }
+
   /** Takes requests that a holder reports out of those of unknown holders. */
   #attribute(slots: number): void {
     let rest = slots;
--- a/packages/core/src/limits/types.ts
+++ b/packages/core/src/limits/types.ts
@@ -87,4 +87,6 @@
   readonly outcomes: protocol.limits.ServerOutcomes;
   /** Most requests that ran at once in recent seconds. */
   readonly running: number;
+  /** Slots that hosts hold from an earlier leader. */
+  readonly inherited: number;
 };
--- a/packages/core/src/ramp/ramp.ts
+++ b/packages/core/src/ramp/ramp.ts
@@ -38,6 +38,8 @@
   readonly outcomes: protocol.limits.ServerOutcomes;
   /** Most requests that ran at once on the server. */
   readonly running: number;
+  /** Requests that an earlier leader let it run at once. */
+  readonly inherited?: number;
 };
 
 /**
@@ -91,6 +93,8 @@
 
   /** Takes in how requests ended, from all hosts. */
   observe(observation: Observation, now: number): void {
+    const inherited = Math.min(observation.inherited ?? 0, this.#announced);
+    this.#limit = Math.max(this.#limit, inherited);
     if (isOverloaded(observation.outcomes)) {
       this.#decrease(now);
     } else {
--- a/packages/core/test/limits/fleet.ts
+++ b/packages/core/test/limits/fleet.ts
@@ -102,7 +102,8 @@
     return this.#leaderClock.at(this.time);
   }
 
-  failOver(): void {
+  failOver(slotLimit = this.#slotLimit): void {
+    this.#slotLimit = slotLimit;
     this.#term++;
     this.#leaderClock = this.#newClock();
     this.leader = new limits.ShareLeader();
--- a/packages/core/test/limits/moves_test.ts
+++ b/packages/core/test/limits/moves_test.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { limits } from "@ebonypath/core";
+import { limits, ramp } from "@ebonypath/core";
 import { expect } from "chai";
 import { Fleet, POOL, SERVER } from "./fleet.ts";
 
@@ -137,6 +137,40 @@
     expect(slotsOf(fleet, 1)).to.equal(2);
   });
 
+  it("a new leader learns the limit of a server from its hosts", () => {
+    const fleet = new Fleet(NO_DRIFT, LIMIT, SLOTS);
+    fleet.want(0, 0, SLOTS);
+    fleet.exchange(0);
+    fleet.failOver(1);
+    renew(fleet, 1500);
+    const [seen] = fleet.leader.takeOutcomes();
+    expect(seen!.inherited).to.equal(SLOTS);
+    expect(slotsOf(fleet, 0)).to.equal(SLOTS);
+    const subject = new ramp.Ramp({ announced: SLOTS });
+    subject.observe(seen!, 0);
+    fleet.setLimits(LIMIT, subject.limit);
+    renew(fleet, 3000);
+    expect(slotsOf(fleet, 0)).to.equal(SLOTS);
+  });
+
+  it("a bucket that is removed and comes back has no second burst", () => {
+    const leader = new limits.ShareLeader();
+    leader.takeLeadership({ term: 1, isFirst: true }, 0);
+    const holder = new limits.ShareHolder("entry-1/a");
+    const tokensAt = (now: number) => {
+      holder.setWaitingTokens(POOL, { tokens: 300, head: 300, since: 0 });
+      const report = holder.report(now)!;
+      holder.accept(leader.exchange(report, now), now);
+      return holder.availableTokens(POOL, now);
+    };
+    leader.setBucket(POOL, LIMIT, 0, LIMIT.burst);
+    expect(tokensAt(0)).to.equal(LIMIT.burst);
+    leader.removeBucket(POOL, 0);
+    leader.expire(4000);
+    leader.setBucket(POOL, { rate: 10, burst: 300 }, 4000, LIMIT.burst);
+    expect(tokensAt(4000)).to.equal(40);
+  });
+
   it("a reduced limit is in force after one lifetime at the latest", () => {
     const fleet = newFleet();
     fleet.want(0, LIMIT.burst, SLOTS, 1);
