Refuse waiting requests while a server could still answer in time

Cause: under overload a request got its slot just before its deadline, was cut off (504, may-have-run) and counted as a failure of the server, whose limit fell from 8 to 1; the more was asked, the less was served. Every arrival also looked for the servers of every waiting request anew. Change: twice the mean time to the first byte is kept free before the deadline, at most half of the request's time; who waits longer is refused as not-run. The servers of first tries are looked up once a target.

--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -184,7 +184,8 @@
     this.#running.add(running);
     try {
       this.#checkKey(work);
-      metrics.queueWait.observe((performance.now() - arrivedAt) / 1_000);
+      const sentAt = performance.now();
+      metrics.queueWait.observe((sentAt - arrivedAt) / 1_000);
       const result = await attempts.attempt({
         client,
         server: placed.server,
@@ -192,8 +193,11 @@
         sink,
         signal,
         streamIdleTimeoutMs,
-        onFirstByte: () =>
-          metrics.firstByte.observe((performance.now() - arrivedAt) / 1_000),
+        onFirstByte: () => {
+          const now = performance.now();
+          metrics.firstByte.observe((now - arrivedAt) / 1_000);
+          placement.times.observe(work.target, now - sentAt);
+        },
       });
       outcome = attempts.slotOutcome(result);
       this.#judge(placed.server.id, outcome);
--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -7,6 +7,7 @@
 import * as protocol from "@ebonypath/protocol";
 import type * as host from "../host/mod.ts";
 import * as admission from "./admission.ts";
+import * as serviceTimes from "./service_times.ts";
 import type * as types from "./types.ts";
 
 /** When a refused request may find capacity, in seconds. */
@@ -57,6 +58,8 @@
   readonly #hints = new core.routing.PrefixHints();
   /** Servers that fail for this host. */
   readonly outliers = new core.routing.OutlierDetector();
+  /** Times that are left for servers before a deadline. */
+  readonly times = new serviceTimes.ServiceTimes();
   /** Servers that were told to the shares as waited for. */
   #waitedFor = new Set<string>();
 
@@ -74,7 +77,7 @@
   }
 
   /**
-   * Waits for a slot, until the deadline of the work at the latest.
+   * Waits for a slot as long as a server can still answer by the deadline.
    *
    * @throws {protocol.errors.Refusal} no capacity in time; nothing was run
    */
@@ -84,14 +87,15 @@
     signal: AbortSignal,
   ): Promise<Placement> {
     const now = performance.now();
-    this.#enqueue(work, now);
+    const dispatchBy = this.times.dispatchBy(work.target, work.deadline, now);
+    this.#enqueue(work, dispatchBy, now);
     const entered = new Promise<Placement>((resolve, reject) => {
       const waiter = { work, excluded, since: now, resolve, reject };
       this.#waiters.set(work.requestId, waiter);
     });
     const timer = setTimeout(
       () => this.#remove(work, this.#refusalOf(work)),
-      work.deadline - now,
+      dispatchBy - now,
     );
     const abort = () => this.#remove(work, admission.callerGone());
     signal.addEventListener("abort", abort);
@@ -113,7 +117,7 @@
     this.#publish();
   }
 
-  #enqueue(work: types.Work, now: number): void {
+  #enqueue(work: types.Work, dispatchBy: number, now: number): void {
     const { catalogue } = this.#options.state.view;
     const workspace = work.workspace ?? "";
     const weight = catalogue.workspace(workspace)?.weight ??
@@ -125,7 +129,7 @@
       tokens: work.tokens,
       urgency: HIGHEST_PRIORITY - work.priority,
       queuedAt: now,
-      deadline: work.deadline,
+      deadline: dispatchBy,
     };
     const result = this.#queue.add(request, 0, now);
     if (result.kind !== "queued") throw refusedEntry(work, result.kind);
@@ -213,8 +217,15 @@
   #publish(): void {
     const { shares } = this.#options;
     const waited = new Map<string, { count: number; since: number }>();
+    /** Servers for first tries, which are most of what waits. */
+    const byTarget = new Map<string, protocol.control.ServerStatus[]>();
     for (const waiter of this.#waiters.values()) {
-      for (const server of this.#candidates(waiter)) {
+      const { target } = waiter.work;
+      const isFirst = waiter.excluded.size === 0;
+      const known = isFirst ? byTarget.get(target) : undefined;
+      const servers = known ?? this.#candidates(waiter);
+      if (isFirst) byTarget.set(target, servers);
+      for (const server of servers) {
         const pool = slotPool(server);
         const row = waited.get(pool);
         waited.set(pool, {
