--- a/packages/daemon/src/entry/collecting_sink.ts
+++ b/packages/daemon/src/entry/collecting_sink.ts
@@ -1,5 +1,6 @@
-import { Buffer } from "node:buffer";
+import { Buffer, isUtf8 } from "node:buffer";
 import * as protocol from "@ebonypath/protocol";
+import * as httpSink from "./http_sink.ts";
 import type * as types from "./types.ts";
 
 /** Content type of an answer that names none. */
@@ -25,7 +26,7 @@
     this.#answer = {
       status: answer.status,
       contentType: answer.headers["content-type"] ?? DEFAULT_CONTENT_TYPE,
-      body: answer.body.toString("utf8"),
+      ...encode(answer.body),
       outcome: "ran",
     };
   }
@@ -67,14 +68,26 @@
   };
 }
 
-/** Sends a stored answer. */
+/** Sends a stored answer; a refusal says its outcome as the first time. */
 export function replay(
   answer: protocol.state.Answer,
   sink: types.Sink,
 ): void {
+  const { outcome, contentType, status, body, encoding } = answer;
+  const headers = { "content-type": contentType };
   sink.answer({
-    status: answer.status,
-    headers: { "content-type": answer.contentType },
-    body: Buffer.from(answer.body),
+    status,
+    headers: outcome === "ran"
+      ? headers
+      : { ...headers, [httpSink.OUTCOME_HEADER]: outcome },
+    body: Buffer.from(body, encoding ?? "utf8"),
   });
 }
+
+/** Text is stored as it is, anything else in base64. */
+function encode(
+  body: Buffer,
+): Pick<protocol.state.Answer, "body" | "encoding"> {
+  if (isUtf8(body)) return { body: body.toString("utf8") };
+  return { body: body.toString("base64"), encoding: "base64" };
+}
--- a/packages/protocol/src/state/command.ts
+++ b/packages/protocol/src/state/command.ts
@@ -20,6 +20,8 @@
   status: v.pipe(v.number(), v.integer(), v.minValue(100), v.maxValue(599)),
   contentType: Text,
   body: v.pipe(v.string(), v.maxLength(ANSWER_LENGTH)),
+  /** How `body` is written; UTF-8 unless given. */
+  encoding: v.optional(v.picklist(["utf8", "base64"])),
   /** What a caller may conclude. */
   outcome: v.picklist(["not-run", "may-have-run", "ran"]),
 });
--- a/packages/testing/src/free_port.ts
+++ b/packages/testing/src/free_port.ts
@@ -3,11 +3,24 @@
  *
  * @module
  */
-import * as net from "node:net";
 import { once } from "node:events";
+import * as net from "node:net";
+import process from "node:process";
+
+/**
+ * Ports are taken below the range from which the system serves outgoing
+ * connections, so that a port stays free until its process listens on it.
+ */
+const FIRST_PORT = 10_000;
+const LAST_PORT = 32_000;
+/** Ports between the starting points of two processes. */
+const STRIDE = 100;
+
+let next = FIRST_PORT +
+  (process.pid * STRIDE) % (LAST_PORT - FIRST_PORT);
 
 /**
- * Reserves distinct free ports on 127.0.0.1 for a moment and returns them.
+ * Finds distinct free ports on 127.0.0.1.
  *
  * @example
  * ```ts
@@ -15,13 +28,13 @@
  * ```
  */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => net.createServer());
-  try {
-    await Promise.all(servers.map(listen));
-    return servers.map((server) => (server.address() as net.AddressInfo).port);
-  } finally {
-    await Promise.all(servers.map(close));
+  const ports: number[] = [];
+  while (ports.length < count) {
+    const port = next;
+    next = next === LAST_PORT ? FIRST_PORT : next + 1;
+    if (await isFree(port)) ports.push(port);
   }
+  return ports;
 }
 
 /**
@@ -37,13 +50,15 @@
   return port as number;
 }
 
-async function listen(server: net.Server): Promise<void> {
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-}
-
-async function close(server: net.Server): Promise<void> {
-  if (!server.listening) return;
+async function isFree(port: number): Promise<boolean> {
+  const server = net.createServer();
+  try {
+    server.listen(port, "127.0.0.1");
+    await once(server, "listening");
+  } catch {
+    return false;
+  }
   server.close();
   await once(server, "close");
+  return true;
 }
