--- a/packages/daemon/src/daemon/control_role.ts
+++ b/packages/daemon/src/daemon/control_role.ts
@@ -50,7 +50,7 @@
     const { loaded, metrics, rpcClient, rpcServer } = options;
     const self = {
       id: store.recovered.identity.id,
-      address: loaded.settings.listen.fleet,
+      address: protocol.settings.fleetAddress(loaded.settings.listen),
     };
     const replicated = new control.ReplicatedState();
     this.#options = options;
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -78,7 +78,11 @@
       ...fleetTls(loaded),
     });
     const seeds = own.roles.includes("control")
-      ? [...control.hosts, ...control.initialVoters, listen.fleet]
+      ? [
+        ...control.hosts,
+        ...control.initialVoters,
+        protocol.settings.fleetAddress(listen),
+      ]
       : control.hosts;
     this.#leader = new fleet.LeaderClient(this.#rpcClient, seeds);
     this.#shares = new core.limits.ShareHolder(
--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -27,12 +27,21 @@
 export class Admission {
   readonly #shares: TokenShares;
   readonly #requestShares: () => void;
+  readonly #isCurrent: () => boolean;
   readonly #lines = new Map<string, Waiter[]>();
 
-  /** @param requestShares asks the leader for more, soon */
-  constructor(shares: TokenShares, requestShares: () => void) {
+  /**
+   * @param requestShares asks the leader for more, soon
+   * @param isCurrent whether the host hears a leader
+   */
+  constructor(
+    shares: TokenShares,
+    requestShares: () => void,
+    isCurrent: () => boolean,
+  ) {
     this.#shares = shares;
     this.#requestShares = requestShares;
+    this.#isCurrent = isCurrent;
   }
 
   /** Works that wait for tokens. */
@@ -60,7 +69,7 @@
     const leave = (refusal: protocol.errors.Refusal) =>
       this.#remove(workspace, work, refusal);
     const timer = setTimeout(
-      () => leave(rateExceeded(work, workspace)),
+      () => leave(this.#refusalOf(work, workspace)),
       work.deadline - now,
     );
     const abort = () => leave(callerGone());
@@ -120,6 +129,19 @@
     this.#serve(workspace, line);
   }
 
+  /** Without a leader the rate may well not be used up. */
+  #refusalOf(
+    work: types.Work,
+    workspace: string,
+  ): protocol.errors.Refusal {
+    if (this.#isCurrent()) return rateExceeded(work, workspace);
+    return new protocol.errors.Refusal(
+      protocol.errors.NOT_CURRENT,
+      "the host heard no leader in the time of the tier",
+      { step: "reserve", retryAfterSeconds: RETRY_AFTER_S },
+    );
+  }
+
   #lineOf(workspace: string): Waiter[] {
     const known = this.#lines.get(workspace);
     if (known !== undefined) return known;
