Retry at once what was never sent, and test isolation and silent links

The retry budget also held back requests whose connection was refused. A request of which nothing went out loads no server twice, so it no longer counts.

Integration tests isolate the leader, silence open links between hosts, restart all hosts after 600 changes, and burst at a fresh engine.

--- a/packages/core/src/routing/retry.ts
+++ b/packages/core/src/routing/retry.ts
@@ -59,7 +59,7 @@
 
 /**
  * Decides what follows a failed attempt. Takes a retry out of the budget only
- * if the decision is to retry.
+ * if the decision is to retry and the attempt may have reached a server.
  *
  * A request that is not idempotent is sent again only if no byte of it has left
  * this host: it is then sent once at most, whatever a server says.
@@ -80,7 +80,7 @@
   const mayHaveRun = failed.mayHaveRunBefore ||
     (failed.bytesSent && !failed.refusedBeforeStart);
   const reason = obstacle(failed, now) ??
-    (budget.withdraw(now) ? undefined : "budget");
+    (isFree(failed) || budget.withdraw(now) ? undefined : "budget");
   if (reason === undefined) {
     return { kind: "retry", mayHaveRun };
   }
@@ -88,6 +88,15 @@
   return { kind: "refuse", outcome, reason };
 }
 
+/**
+ * A request of which nothing went out loads no server a second time. Were such
+ * retries held to the budget, a server's death would delay all that waited for
+ * it.
+ */
+function isFree(failed: FailedAttempt): boolean {
+  return !failed.bytesSent;
+}
+
 function obstacle(
   failed: FailedAttempt,
   now: number,
--- a/packages/daemon/test/integration/control_test.ts
+++ b/packages/daemon/test/integration/control_test.ts
@@ -5,6 +5,8 @@
 
 /** Time in which a change is in force everywhere, in milliseconds. */
 const IN_FORCE_MS = 8_000;
+/** Time after which an isolated host must have stopped, in milliseconds. */
+const ISOLATED_MS = 6_000;
 
 async function leaderOf(fleet: launcher.Fleet): Promise<launcher.FleetHost> {
   return await wait.waitFor("a leader", () => fleet.leader());
@@ -81,4 +83,67 @@
       await scenario.waitUntilInForce(index);
     }
   });
+
+  it("stops an isolated control host, which then serves again", async () => {
+    const host = await leaderOf(scenario.fleet);
+    const number = scenario.fleet.hosts.indexOf(host);
+    const ready = () => scenario.caller(number).call("GET", "/readyz");
+    scenario.fleet.links.isolate(host.name);
+    try {
+      await wait.waitFor(
+        "the isolated host to stop",
+        async () => (await ready()).status === 503,
+        { timeoutMs: ISOLATED_MS },
+      );
+      const refused = await scenario.caller(number).order("isolated");
+      expect(refused).to.include({ status: 503, outcome: "not-run" });
+      const other = scenario.fleet.hosts.findIndex((one) => one !== host);
+      const served = await wait.waitFor("service elsewhere", async () => {
+        const reply = await scenario.caller(other).order("elsewhere", "e1");
+        return reply.status === 200;
+      });
+      expect(served).to.equal(true);
+      expect(scenario.executionsOf("isolated")).to.equal(0);
+    } finally {
+      scenario.fleet.links.heal(host.name);
+    }
+    await wait.waitFor(
+      "the host to be current",
+      async () => (await ready()).status === 200,
+    );
+  });
+
+  it("replaces links that went silent while new ones work", async () => {
+    for (const host of scenario.fleet.hosts) {
+      scenario.fleet.links.proxy(host.name).blackholeOpen();
+    }
+    const index = await wait.waitFor(
+      "a publishing",
+      () => scenario.fleet.host(2).operator.publish(scenarios.CONFIGURATION),
+      { timeoutMs: 15_000 },
+    );
+    await scenario.waitUntilInForce(index);
+  });
+
+  it("is whole after hundreds of changes and a restart of all", async () => {
+    const { operator } = scenario.fleet.host(0);
+    for (let number = 0; number < 300; number += 1) {
+      const { id } = await operator.grantKey("partner");
+      await operator.withdrawKey(id);
+    }
+    const kept = await operator.grantKey("web-shop");
+    await Promise.all(
+      scenario.fleet.hosts.map((host) => host.process.kill9()),
+    );
+    await Promise.all(scenario.fleet.hosts.map((host) => host.restart()));
+    const { keys } = await scenario.fleet.host(1).operator.call<
+      { keys: Array<{ id: string }> }
+    >("GET", "/v1/keys");
+    const ids = keys.map((key) => key.id);
+    expect(ids).to.include.members([
+      kept.id,
+      scenario.keys.get("web-shop")?.id ?? "",
+    ]);
+    expect(ids.length).to.equal(3);
+  });
 });
--- a/packages/daemon/test/integration/placement_test.ts
+++ b/packages/daemon/test/integration/placement_test.ts
@@ -40,6 +40,31 @@
     });
   }
 
+  it("give a fresh engine no more than it bears", async () => {
+    await using scenario = await scenarios.Scenario.start({
+      engines: [{}],
+    });
+    await scenario.addEngine({
+      firstTokenMs: 20,
+      warmUp: { start: 2, perSuccess: 1 },
+    });
+    await scenario.engines[0]?.crash();
+    const replies = await Promise.all(
+      Array.from(
+        { length: 60 },
+        (_, index) =>
+          scenario.caller(index % 3).chat(
+            MODEL,
+            `q${index}`,
+            {},
+            scenarios.PATIENT,
+          ),
+      ),
+    );
+    expect(scenario.violations).to.deep.equal([]);
+    for (const reply of replies) expect(reply.status, reply.text).to.equal(200);
+  });
+
   it("serve although an engine dies in the middle of a load", async () => {
     await using scenario = await scenarios.Scenario.start({
       engines: [{}, {}],
