Take a new incarnation when the host was declared lost

Cause: a host that was paused for longer than the leader waits may open no claims under its old incarnation, and would refuse them for ever. Change: it takes a new incarnation; claims that it holds still close under the old one.

--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -250,6 +250,13 @@
     this.#exchanger.start();
   }
 
+  /** The fleet gave this start of the host up, for instance after a pause. */
+  #renewIncarnation(): void {
+    this.identity.incarnation = security.randomId(INCARNATION_BYTES);
+    write("renewed", { incarnation: this.identity.incarnation });
+    this.#exchanger.request();
+  }
+
   #onAnswered(answer: protocol.control.ExchangeResponse): void {
     this.#metrics.exchanges.inc({ result: "answered" });
     this.#entry?.deferred.execute(answer.assignments);
@@ -285,6 +292,7 @@
       proposer,
       proposals: this.#proposals,
       requestExchange: () => this.#exchanger.request(),
+      renewIncarnation: () => this.#renewIncarnation(),
       readiness: () => this.readiness(),
     });
   }
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -26,6 +26,8 @@
   readonly proposer: host.Proposer;
   readonly proposals: host.PersistentProposals;
   requestExchange(): void;
+  /** Takes a new incarnation: the present one was declared lost. */
+  renewIncarnation(): void;
   readiness(): entry.Readiness;
 }
 
@@ -77,6 +79,7 @@
       proposer,
       proposals,
       run,
+      onHostLost: () => options.renewIncarnation(),
     });
     this.deferred = new entry.DeferredRequests({
       identity,
--- a/packages/daemon/src/entry/at_most_once.ts
+++ b/packages/daemon/src/entry/at_most_once.ts
@@ -34,6 +34,8 @@
   /** Proposals that must reach the state even after the caller is gone. */
   readonly proposals: host.PersistentProposals;
   readonly run: Run;
+  /** This start of the host was declared lost: it must take a new identity. */
+  onHostLost(): void;
 }
 
 interface ClaimName {
@@ -103,6 +105,12 @@
           protocol.errors.OUTCOME_UNKNOWN,
           "the host that ran the first try was lost",
         );
+      case "host-lost":
+        this.#options.onHostLost();
+        throw refusal(
+          protocol.errors.NOT_CURRENT,
+          "the host was taken for lost and starts anew",
+        );
       default:
         throw refusal(
           protocol.errors.NO_CAPACITY,
