Run suspects apart and quarantine requests that crash servers

Cause: a request that crashes every server that runs it was retried freely. Change: a failed try is examined by a probe on a new connection before it is sent elsewhere; deaths are reported to the leader, suspects run only where it admits them, and the one that explains two deaths is quarantined. A host asks for an exchange when something new waits, not on every look at its queue.

--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -18,6 +18,7 @@
 import * as placementDriver from "./placement_driver.ts";
 import type * as replicatedState from "./replicated_state.ts";
 import * as servers from "./server_table.ts";
+import * as suspicionDriver from "./suspicion_driver.ts";
 import * as upkeep from "./upkeep.ts";
 
 const write = log.createLog("leadership");
@@ -53,6 +54,7 @@
   readonly #servers: servers.ServerTable;
   readonly #deferred: deferredDriver.DeferredDriver;
   readonly #upkeep: upkeep.Upkeep;
+  readonly #suspicion: suspicionDriver.SuspicionDriver;
   readonly #publisher: feed.FeedPublisher;
   readonly #timer: NodeJS.Timeout;
   #soon: NodeJS.Timeout | undefined;
@@ -79,6 +81,7 @@
       propose: options.propose,
       startedAt: now,
     });
+    this.#suspicion = new suspicionDriver.SuspicionDriver(options);
     this.#publisher = new feed.FeedPublisher({
       term: () => options.term,
       view: () => replicated.state.view(),
@@ -130,7 +133,11 @@
       term,
       viewIndex: replicated.changes.index,
       ...shares,
-      watched: [],
+      watched: this.#suspicion.exchange(
+        `${host.name}/${host.incarnation}`,
+        request.suspicions,
+        now,
+      ),
       assignments: this.#deferred.assignmentsOf(host),
     };
   }
@@ -156,6 +163,7 @@
     clearTimeout(this.#soon);
     this.#options.replicated.off("changes", this.#onChanges);
     this.#placement[Symbol.dispose]();
+    this.#suspicion[Symbol.dispose]();
     this.#publisher[Symbol.dispose]();
     write("ended", { term: this.#options.term });
   }
@@ -187,6 +195,7 @@
     this.#shares.expire(now);
     this.hosts.expire(now);
     this.#upkeep.run(now);
+    this.#suspicion.run(now);
     this.#deferred.run(now);
     this.#plan(now);
     if (now - this.#heartbeatAt < HEARTBEAT_MS) return;
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -259,8 +259,7 @@
 
   #onAnswered(answer: protocol.control.ExchangeResponse): void {
     this.#metrics.exchanges.inc({ result: "answered" });
-    this.#entry?.deferred.execute(answer.assignments);
-    this.#entry?.pump();
+    this.#entry?.answered(answer);
   }
 
   /** Tells the leader at once when a change is in force here. */
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type * as core from "@ebonypath/core";
+import * as core from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
 import * as backend from "../backend/mod.ts";
 import * as entry from "../entry/mod.ts";
@@ -40,6 +40,7 @@
   readonly #placement: entry.PlacementQueue;
   readonly #dispatcher: entry.Dispatcher;
   readonly #client = new backend.InferenceClient();
+  readonly #watch = new core.suspicion.SuspectWatch();
   readonly #demand: entry.DemandReport;
   readonly #options: EntryRoleOptions;
 
@@ -56,6 +57,7 @@
     this.#placement = new entry.PlacementQueue({
       state,
       shares,
+      watch: this.#watch,
       maxQueue: limits.maxQueue,
       requestExchange,
     });
@@ -65,6 +67,13 @@
       admission: this.#admission,
       placement: this.#placement,
       client: this.#client,
+      watch: this.#watch,
+      deaths: new entry.DeathExaminer({
+        client: this.#client,
+        watch: this.#watch,
+        state,
+        requestExchange,
+      }),
       metrics,
       streamIdleTimeoutMs: limits.streamIdleTimeoutMs,
     });
@@ -119,10 +128,19 @@
   }
 
   takeSuspicions(): protocol.suspicion.SuspicionReport[] {
-    return [];
+    return this.#watch.takeReports();
   }
 
-  returnSuspicions(_reports: protocol.suspicion.SuspicionReport[]): void {}
+  returnSuspicions(reports: protocol.suspicion.SuspicionReport[]): void {
+    this.#watch.returnReports(reports);
+  }
+
+  /** Takes the leader's answer to an exchange. */
+  answered(answer: protocol.control.ExchangeResponse): void {
+    this.#watch.update(answer.watched, performance.now());
+    this.deferred.execute(answer.assignments);
+    this.pump();
+  }
 
   deferredCapacity(): number {
     return this.deferred.capacity;
--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -75,6 +75,7 @@
     const abort = () => leave(callerGone());
     signal.addEventListener("abort", abort);
     this.#serve(workspace, line);
+    if (line.length > 0) this.#requestShares();
     try {
       return await entered;
     } finally {
@@ -113,7 +114,6 @@
       head: head.work.tokens,
       since: head.since,
     });
-    this.#requestShares();
   }
 
   #remove(
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -13,6 +13,7 @@
 import type * as admission from "./admission.ts";
 import * as attempts from "./attempt.ts";
 import * as authentication from "./authentication.ts";
+import type * as deaths from "./deaths.ts";
 import type * as placements from "./placement.ts";
 import type * as types from "./types.ts";
 
@@ -32,6 +33,8 @@
   readonly admission: admission.Admission;
   readonly placement: placements.PlacementQueue;
   readonly client: backend.InferenceClient;
+  readonly watch: core.suspicion.SuspectWatch;
+  readonly deaths: deaths.DeathExaminer;
   readonly metrics: metrics.Metrics;
   readonly streamIdleTimeoutMs: number;
 }
@@ -128,6 +131,7 @@
         if (result.kind === "answered") return result.tokens;
         const { id } = placed.server;
         logFailure(work, id, attempt, result);
+        await this.#options.deaths.examine(placed.server, work, result);
         mayHaveRun = await this.#awaitRetry(
           { work, result, mayHaveRun, attempt },
           id,
@@ -201,6 +205,10 @@
       });
       outcome = attempts.slotOutcome(result);
       this.#judge(placed.server.id, outcome);
+      this.#options.watch.ended(
+        work.fingerprint,
+        result.kind === "answered",
+      );
       return result;
     } finally {
       this.#running.delete(running);
--- a/packages/daemon/src/entry/mod.ts
+++ b/packages/daemon/src/entry/mod.ts
@@ -6,6 +6,7 @@
 export * from "./admission.ts";
 export * from "./at_most_once.ts";
 export * from "./callers.ts";
+export * from "./deaths.ts";
 export * from "./deferred.ts";
 export * from "./demand_report.ts";
 export * from "./dispatcher.ts";
--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -29,6 +29,8 @@
 export interface PlacementOptions {
   readonly state: host.FleetState;
   readonly shares: SlotShares;
+  /** Requests that may crash the servers that run them. */
+  readonly watch: core.suspicion.SuspectWatch;
   /** Most requests that may wait at this host. */
   readonly maxQueue: number;
   /** Asks the leader for shares and loads, soon. */
@@ -101,6 +103,7 @@
     signal.addEventListener("abort", abort);
     if (signal.aborted) abort();
     this.pump();
+    if (this.#waiters.has(work.requestId)) this.#options.requestExchange();
     try {
       return await entered;
     } finally {
@@ -147,7 +150,9 @@
       }
       const placement = this.#tryPlace(waiter, now);
       if (placement === undefined) {
-        blocked.add(waiter.work.target);
+        // A suspect may be held while others of its target have room.
+        const isHeld = this.#clearance(waiter, now).kind !== "clear";
+        if (!isHeld) blocked.add(waiter.work.target);
         return "next-request";
       }
       placed = { waiter, placement };
@@ -160,10 +165,9 @@
   }
 
   #tryPlace(waiter: Waiter, now: number): Placement | undefined {
-    const { shares } = this.#options;
-    const free = this.#candidates(waiter).filter((server) =>
-      shares.availableSlots(slotPool(server), now) > 0
-    );
+    const { shares, watch } = this.#options;
+    const free = this.#cleared(waiter, this.#candidates(waiter), now)
+      .filter((server) => shares.availableSlots(slotPool(server), now) > 0);
     const server = this.#choose(waiter, free, now);
     if (server === undefined) return undefined;
     const taken = shares.acquireSlot(
@@ -174,9 +178,41 @@
     if (taken.kind !== "acquired") return undefined;
     const { affinity } = waiter.work;
     if (affinity !== null) this.#hints.add(affinity, server.id, now);
+    if (this.#clearance(waiter, now).kind === "admitted") {
+      watch.started(waiter.work.fingerprint);
+    }
     return { server, slot: taken.slot };
   }
 
+  #clearance(waiter: Waiter, now: number): core.suspicion.Clearance {
+    const { watch } = this.#options;
+    return watch.clearanceOf(waiter.work.fingerprint, now);
+  }
+
+  /** Suspects run where the leader admits them, apart from one another. */
+  #cleared(
+    waiter: Waiter,
+    servers: readonly protocol.control.ServerStatus[],
+    now: number,
+  ): readonly protocol.control.ServerStatus[] {
+    const clearance = this.#clearance(waiter, now);
+    switch (clearance.kind) {
+      case "clear":
+        return servers;
+      case "admitted":
+        return servers.filter((server) => server.id === clearance.server);
+      case "wait":
+        this.#options.watch.want(
+          waiter.work.fingerprint,
+          servers.map((server) => server.id),
+          waiter.work.deadline - now,
+        );
+        return [];
+      default:
+        return protocol.errors.assertNever(clearance);
+    }
+  }
+
   #choose(
     waiter: Waiter,
     free: readonly protocol.control.ServerStatus[],
@@ -234,12 +270,15 @@
         });
       }
     }
+    const hasNew = [...waited.keys()].some((pool) =>
+      !this.#waitedFor.has(pool)
+    );
     for (const pool of this.#waitedFor) {
       if (!waited.has(pool)) shares.setWaitingSlots(pool, undefined);
     }
     for (const [pool, row] of waited) shares.setWaitingSlots(pool, row);
     this.#waitedFor = new Set(waited.keys());
-    if (this.#waiters.size > 0) this.#options.requestExchange();
+    if (hasNew) this.#options.requestExchange();
   }
 
   #remove(work: types.Work, refusal: protocol.errors.Refusal): void {
@@ -247,6 +286,7 @@
     if (waiter === undefined) return;
     this.#waiters.delete(work.requestId);
     this.#queue.remove(work.requestId);
+    this.#options.watch.ended(work.fingerprint, false);
     waiter.reject(refusal);
     this.#publish();
   }
