Move models off a server that a host found dead, and spread suspects' news

A resend at another host within a second crashed two more servers, because that host had not heard of the suspect yet. Change: a death that a host has proved by a probe marks the server down until it is heard again, and the leader asks all hosts for an exchange at once. The quarantine is checked again before each dispatch.

--- a/packages/core/src/placement/capacity.ts
+++ b/packages/core/src/placement/capacity.ts
@@ -1,7 +1,6 @@
 import type * as estimates from "./estimates.ts";
 import * as fleet from "./fleet.ts";
 import * as scene from "./scene.ts";
-import * as types from "./types.ts";
 
 /** What the fleet can do for one model, adapter or plain service now. */
 export interface Capacity {
@@ -45,7 +44,7 @@
   if (!target.includes("/")) {
     return seen.servers().filter((server) =>
       server.announcement.kind === "plain" && seen.takesWork(server) &&
-      seen.nowMs - server.heardMs <= types.FRESH_MS &&
+      fleet.isFresh(server, seen.nowMs) &&
       scene.serves(server.announcement, target)
     );
   }
--- a/packages/core/src/placement/dispatch.ts
+++ b/packages/core/src/placement/dispatch.ts
@@ -208,7 +208,7 @@
   fence: number,
 ): boolean {
   const { orders } = round.memory;
-  if (round.nowMs - server.heardMs > types.FRESH_MS) return false;
+  if (!fleet.isFresh(server, round.nowMs)) return false;
   if (orders.track(replica).outstanding !== undefined) return false;
   const outstanding =
     round.scene.on(server).filter((placed) =>
--- a/packages/core/src/placement/fleet.ts
+++ b/packages/core/src/placement/fleet.ts
@@ -10,6 +10,8 @@
   /** When its incarnation was heard first, and last. */
   readonly firstHeardMs: number;
   readonly heardMs: number;
+  /** A host has found it dead since it was heard last. */
+  readonly isDown: boolean;
 }
 
 /**
@@ -31,7 +33,7 @@
     if (known === undefined) return this.#add(announcement, nowMs);
     if (known.announcement.incarnation === announcement.incarnation) {
       if (announcement.sequence <= known.announcement.sequence) return false;
-      const heard = { ...known, announcement, heardMs: nowMs };
+      const heard = { ...known, announcement, heardMs: nowMs, isDown: false };
       this.#servers.set(announcement.id, heard);
       return true;
     }
@@ -39,6 +41,12 @@
     return this.#add(announcement, nowMs);
   }
 
+  /** Takes a host's word that an incarnation is dead, until it is heard. */
+  markDown(id: string, incarnation: string): void {
+    const known = this.incarnation(id, incarnation);
+    if (known !== undefined) this.#servers.set(id, { ...known, isDown: true });
+  }
+
   get(id: string): Server | undefined {
     return this.#servers.get(id);
   }
@@ -80,12 +88,22 @@
   ): boolean {
     const isNew = !this.#servers.has(announcement.id);
     if (isNew && this.#servers.size >= MAX_SERVERS) return false;
-    const server = { announcement, firstHeardMs: nowMs, heardMs: nowMs };
+    const server = {
+      announcement,
+      firstHeardMs: nowMs,
+      heardMs: nowMs,
+      isDown: false,
+    };
     this.#servers.set(announcement.id, server);
     return true;
   }
 }
 
+/** Whether the newest announcement is one to base a decision on. */
+export function isFresh(server: Server, nowMs: number): boolean {
+  return !server.isDown && nowMs - server.heardMs <= types.FRESH_MS;
+}
+
 /** Whether an announcement lists a version of a model. */
 export function lists(
   server: Server,
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -61,6 +61,14 @@
     return this.#servers.hear(announcement, nowMs);
   }
 
+  /**
+   * Takes a host's word that a server process is dead. Its replicas serve no
+   * demand until it is heard again; its decisions are kept.
+   */
+  markDown(server: string, incarnation: string): void {
+    this.#servers.markDown(server, incarnation);
+  }
+
   /** Takes what one host wants; it replaces the host's earlier report. */
   report(
     host: string,
--- a/packages/core/src/placement/scene.ts
+++ b/packages/core/src/placement/scene.ts
@@ -166,7 +166,7 @@
 
   #isUsable(server: fleet.Server): boolean {
     return server.announcement.kind === "engine" && this.takesWork(server) &&
-      this.nowMs - server.heardMs <= types.FRESH_MS;
+      fleet.isFresh(server, this.nowMs);
   }
 }
 
--- a/packages/core/src/placement/status.ts
+++ b/packages/core/src/placement/status.ts
@@ -46,7 +46,7 @@
   const track = known.track(replica);
   if (track.answeredUnloaded) return { kind: "absent", reason: "unloaded" };
   const ageMs = nowMs - server.heardMs;
-  if (ageMs > types.SILENT_MS) return silent(ageMs);
+  if (server.isDown || ageMs > types.SILENT_MS) return silent(ageMs);
   if (isListed(replica, server, track, known)) {
     const settled = track.settledMs !== undefined && nowMs >= track.settledMs;
     return { kind: "loaded", settled };
--- a/packages/core/src/placement/upkeep.ts
+++ b/packages/core/src/placement/upkeep.ts
@@ -1,7 +1,7 @@
 import * as protocol from "@ebonypath/protocol";
 import type * as context from "./context.ts";
 import * as eviction from "./eviction.ts";
-import type * as fleet from "./fleet.ts";
+import * as fleet from "./fleet.ts";
 import * as idle from "./idle.ts";
 import type * as scene from "./scene.ts";
 import * as types from "./types.ts";
@@ -135,7 +135,7 @@
 
 function isSettled(round: context.Context, server: fleet.Server): boolean {
   return server.announcement.kind === "engine" &&
-    round.nowMs - server.heardMs <= types.FRESH_MS &&
+    fleet.isFresh(server, round.nowMs) &&
     server.heardMs >=
       round.memory.orders.sinceMs + types.ANNOUNCEMENT_DELAY_MS;
 }
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -125,6 +125,12 @@
       request.demand,
       now,
     );
+    const watched = this.#suspicion.exchange(
+      `${host.name}/${host.incarnation}`,
+      request.suspicions,
+      now,
+    );
+    this.#takeDeaths(request.suspicions);
     if (request.demand.some((row) => row.waiting > 0)) this.#planSoon();
     const shares = request.shares === undefined
       ? {}
@@ -133,11 +139,7 @@
       term,
       viewIndex: replicated.changes.index,
       ...shares,
-      watched: this.#suspicion.exchange(
-        `${host.name}/${host.incarnation}`,
-        request.suspicions,
-        now,
-      ),
+      watched,
       assignments: this.#deferred.assignmentsOf(host),
     };
   }
@@ -180,6 +182,20 @@
     this.#planSoon();
   };
 
+  /** A dead server's models are wanted elsewhere at once. */
+  #takeDeaths(
+    reports: readonly protocol.suspicion.SuspicionReport[],
+  ): void {
+    const deaths = reports.filter((report) => report.kind === "death");
+    for (const { server, incarnation } of deaths) {
+      this.#placement.placement.markDown(server, incarnation);
+    }
+    if (deaths.length === 0) return;
+    this.#planSoon();
+    // Every host must hear of the suspects before they are sent again.
+    this.#publisher.publish({ kind: "exchange-wanted" });
+  }
+
   /** Plans once for all that arrives within a short time. */
   #planSoon(): void {
     this.#soon ??= setTimeout(() => {
--- a/packages/daemon/src/control/server_table.ts
+++ b/packages/daemon/src/control/server_table.ts
@@ -132,7 +132,7 @@
   now: number,
 ): boolean {
   const { announcement } = server;
-  if (announcement.leaving) return false;
+  if (announcement.leaving || server.isDown) return false;
   if (withdrawn.has(announcement.failureDomain)) return false;
   return now - server.heardMs < SERVER_SILENT_MS;
 }
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -188,6 +188,7 @@
     this.#running.add(running);
     try {
       this.#checkKey(work);
+      this.#refuseQuarantined(work);
       const sentAt = performance.now();
       metrics.queueWait.observe((sentAt - arrivedAt) / 1_000);
       const result = await attempts.attempt({
--- a/packages/daemon/src/host/fleet_state.ts
+++ b/packages/daemon/src/host/fleet_state.ts
@@ -14,8 +14,15 @@
   override readonly name = "FeedReversion";
 }
 
+interface FleetStateEvents {
+  /** An event was applied. */
+  change: [];
+  /** The leader has news for the next exchange. */
+  exchangeWanted: [];
+}
+
 /** The host's copy of the shared state, fed by the leader. */
-export class FleetState extends events.EventEmitter<{ change: [] }> {
+export class FleetState extends events.EventEmitter<FleetStateEvents> {
   readonly view = new core.state.View();
   readonly #freshness = new freshness.Freshness();
   #servers = new Map<string, protocol.control.ServerStatus>();
@@ -77,6 +84,9 @@
       case "control-hosts":
         this.#controlHosts = event.controlHosts;
         break;
+      case "exchange-wanted":
+        this.emit("exchangeWanted");
+        return;
       case "heartbeat":
         return;
       default:
--- a/packages/protocol/src/control/feed.ts
+++ b/packages/protocol/src/control/feed.ts
@@ -60,6 +60,8 @@
     kind: v.literal("control-hosts"),
     controlHosts: v.array(ControlHost),
   }),
+  /** The leader has news for the next exchange: it should come at once. */
+  v.object({ kind: v.literal("exchange-wanted") }),
   /** Keeps the link alive; sent only under the leader's lease. */
   v.object({ kind: v.literal("heartbeat"), index: Index }),
 ]);
