Refuse a command that does not fit into a message

An entry larger than the fleet listener accepts could be appended but never be sent, which would stop replication for good. The leader refuses it now.

--- a/packages/core/src/replication/leadership.ts
+++ b/packages/core/src/replication/leadership.ts
@@ -111,26 +111,23 @@
 
   /** Appends commands and answers each of them. */
   propose(proposals: Proposal[]): void {
-    const context = this.#context;
-    const payloads: Payload[] = proposals.map(({ data }) => ({
-      kind: "command",
-      data,
-    }));
-    const bytes = totalSize(payloads);
-    const reason = this.refusal(proposals.length, bytes);
-    const first = context.log.lastIndex + 1;
-    const { leader, term } = context;
-    proposals.forEach(({ id }, position) => {
-      context.emit({
-        kind: "outcome",
-        outcome: reason === null
-          ? { kind: "appended", id, index: first + position, term }
-          : { kind: "refused", id, reason, leader },
-      });
-    });
-    if (reason === null) {
-      this.append(payloads);
+    const { proposalCharacters } = this.#context.settings;
+    const fitting: Proposal[] = [];
+    for (const proposal of proposals) {
+      if (proposal.data.length <= proposalCharacters) {
+        fitting.push(proposal);
+      } else {
+        this.refuse(proposal.id, "tooLarge");
+      }
     }
+    this.#proposeFitting(fitting);
+  }
+
+  /** Answers that nothing was appended. */
+  refuse(id: number, reason: Refusal): void {
+    const { leader } = this.#context;
+    const outcome = { kind: "refused", id, reason, leader } as const;
+    this.#context.emit({ kind: "outcome", outcome });
   }
 
   /** Appends entries of the present term and sends them on. */
@@ -206,6 +203,25 @@
     this.#checkTransfer();
   }
 
+  #proposeFitting(proposals: Proposal[]): void {
+    const { log, term } = this.#context;
+    const payloads = proposals.map(({ data }) =>
+      ({ kind: "command", data }) as const
+    );
+    const reason = this.refusal(proposals.length, totalSize(payloads));
+    if (reason !== null) {
+      proposals.forEach(({ id }) => this.refuse(id, reason));
+      return;
+    }
+    const first = log.lastIndex + 1;
+    proposals.forEach(({ id }, position) => {
+      const index = first + position;
+      const outcome = { kind: "appended", id, index, term } as const;
+      this.#context.emit({ kind: "outcome", outcome });
+    });
+    this.append(payloads);
+  }
+
   get #isLeader(): boolean {
     return this.#context.role === "leader";
   }
--- a/packages/core/src/replication/membership_change.ts
+++ b/packages/core/src/replication/membership_change.ts
@@ -17,12 +17,11 @@
   change: MembershipChange,
 ): void {
   const result = decide(context, leadership, change);
-  const { leader, log, term } = context;
   if (typeof result === "string") {
-    const outcome = { kind: "refused", id, reason: result, leader } as const;
-    context.emit({ kind: "outcome", outcome });
+    leadership.refuse(id, result);
     return;
   }
+  const { log, term } = context;
   const index = log.lastIndex + 1;
   context.emit({
     kind: "outcome",
--- a/packages/core/src/replication/types.ts
+++ b/packages/core/src/replication/types.ts
@@ -55,6 +55,7 @@
   | "notLeader"
   | "transferring"
   | "overloaded"
+  | "tooLarge"
   | "changePending"
   | "notCaughtUp"
   | "unknownMember"
@@ -117,6 +118,8 @@
   appendEntries: number;
   /** Append messages on the way to one follower. */
   inflightAppends: number;
+  /** Characters in one proposal; it has to fit into one message. */
+  proposalCharacters: number;
   /** Entries that may wait for their commit at the leader. */
   uncommittedEntries: number;
   /** Bytes of payload that may wait for their commit at the leader. */
@@ -142,6 +145,7 @@
   appendBytes: 256 * 1024,
   appendEntries: 512,
   inflightAppends: 8,
+  proposalCharacters: 2 * 1024 * 1024,
   uncommittedEntries: 20_000,
   uncommittedBytes: 64 * 1024 * 1024,
   snapshotPartBytes: 256 * 1024,
--- a/packages/core/test/replication/replica_test.ts
+++ b/packages/core/test/replication/replica_test.ts
@@ -217,6 +217,15 @@
     expect(subject.replica.lastIndex).to.equal(22);
   });
 
+  it("refuses a command that does not fit into a message", () => {
+    const subject = new Subject(voters, { proposalCharacters: 3 });
+    subject.lead();
+    const proposals = [{ id: 1, data: "long" }, { id: 2, data: "fit" }];
+    subject.step({ kind: "propose", proposals });
+    expect(subject.outcomes.map(({ id, kind }) => [id, kind]))
+      .to.deep.equal([[1, "refused"], [2, "appended"]]);
+  });
+
   const change = { kind: "remove", id: "c" } as const;
   const refusals = [
     { name: "before an entry of its term", acknowledged: 0, first: false },
--- a/packages/daemon/src/replication/driver.ts
+++ b/packages/daemon/src/replication/driver.ts
@@ -161,6 +161,7 @@
    *
    * @throws {fleet.NotLeader} it was not and will not be committed
    * @throws {fleet.OutcomeUnknown} it may yet be committed
+   * @throws {TooLarge} the command doesn't fit into one message
    * @throws {Overloaded} too many entries wait for their commit
    */
   propose(data: string): Promise<Position> {
--- a/packages/daemon/src/replication/errors.ts
+++ b/packages/daemon/src/replication/errors.ts
@@ -1,6 +1,11 @@
 import type { replication } from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
 
+/** A command is too large for the log; nothing was appended. */
+export class TooLarge extends protocol.errors.StepError {
+  override readonly name = "TooLarge";
+}
+
 /** Too many entries wait for their commit; nothing was appended. */
 export class Overloaded extends protocol.errors.StepError {
   override readonly name = "Overloaded";
--- a/packages/daemon/src/replication/proposals.ts
+++ b/packages/daemon/src/replication/proposals.ts
@@ -7,7 +7,7 @@
 import type { replication } from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
 import * as fleet from "../fleet/mod.ts";
-import { ChangeRefused, Overloaded } from "./errors.ts";
+import { ChangeRefused, Overloaded, TooLarge } from "./errors.ts";
 import type { Position } from "./types.ts";
 
 type Waiting = {
@@ -157,6 +157,8 @@
         return new fleet.NotLeader(step, this.#self, null);
       case "overloaded":
         return new Overloaded(step, this.#self, "too many entries wait");
+      case "tooLarge":
+        return new TooLarge(step, this.#self, "the command is too large");
       case "changePending":
       case "notCaughtUp":
       case "unknownMember":
