--- a/packages/daemon/src/daemon/member_refusal.ts
+++ b/packages/daemon/src/daemon/member_refusal.ts
@@ -17,6 +17,8 @@
       return "the leadership is being handed over";
     case "overloaded":
       return "the leader has too many changes to make";
+    case "tooLarge":
+      return "the change is too large for the log";
     case "changePending":
       return "another change of members is under way";
     case "notCaughtUp":
