--- /dev/null
+++ b/packages/core/test/limits/bucket_pool_test.ts
@@ -0,0 +1,123 @@
+/**
+ * What the leader counts of one bucket, message by message.
+ *
+ * @module
+ */
+
+import { limits } from "@ebonypath/core";
+import type * as protocol from "@ebonypath/protocol";
+import { expect } from "chai";
+
+const BURST = 300;
+const START = { adoptsUntil: 0, level: BURST };
+
+type Report = protocol.limits.BucketReport;
+
+function reportOf(fields: Partial<Report>): Report {
+  return {
+    pool: "shop",
+    rate: 0,
+    capacity: 0,
+    balance: 0,
+    reserved: 0,
+    surrendered: 0,
+    usage: 0,
+    demand: { tokens: 0, head: 0, headAgeMs: 0 },
+    ...fields,
+  };
+}
+
+function wanting(tokens: number): Pick<Report, "demand"> {
+  return { demand: { tokens, head: tokens, headAgeMs: 0 } };
+}
+
+function idAt(exchange: number): protocol.limits.GrantId {
+  return { term: 1, exchange };
+}
+
+describe("count of one bucket at the leader", () => {
+  function newPool(rate: number): limits.BucketPool {
+    const limit = { rate, burst: BURST };
+    const pool = new limits.BucketPool("shop", limit, START, 0);
+    const first = pool.exchange("a", reportOf(wanting(200)), idAt(1), 0)!;
+    expect([first.capacity, first.level]).to.deep.equal([200, 200]);
+    return pool;
+  }
+
+  it("credits surrendered tokens once, however often they are reported", () => {
+    const pool = newPool(0);
+    const surrendering = reportOf({
+      grant: idAt(1),
+      capacity: 50,
+      balance: 50,
+      surrendered: 100,
+    });
+    for (const exchange of [2, 3, 4]) {
+      const demand = wanting(50);
+      pool.exchange("a", { ...surrendering, ...demand }, idAt(exchange), 0);
+      expect(pool.level).to.equal(200);
+    }
+  });
+
+  it("takes back tokens of a grant that never arrived, once", () => {
+    const pool = newPool(0);
+    const spent = { grant: idAt(1), capacity: 200, ...wanting(80) };
+    for (const exchange of [2, 3, 4]) {
+      const grant = pool.exchange("a", reportOf(spent), idAt(exchange), 0)!;
+      expect([grant.level, pool.level]).to.deep.equal([80, 20]);
+    }
+  });
+
+  it("refills the pool in place of tokens on the way only once they arrived", () => {
+    const pool = newPool(10_000);
+    const spent = { grant: idAt(1), capacity: 200, ...wanting(80) };
+    const grant = pool.exchange("a", reportOf(spent), idAt(2), 0)!;
+    expect(grant.level).to.equal(80);
+    pool.advance(1000);
+    const most = BURST - Math.max(200 + grant.level, grant.capacity);
+    expect(pool.level).to.equal(most);
+  });
+
+  it("treats what an unheard holder had as consumed", () => {
+    const pool = newPool(0);
+    pool.advance(limits.SHARE_LIFETIME_MS);
+    expect(pool.counted().capacity).to.equal(0);
+    expect(pool.level).to.equal(100);
+  });
+
+  it("believes no holder that reports more than it can have", () => {
+    const pool = newPool(0);
+    const greedy = { grant: idAt(1), capacity: 9999, ...wanting(9999) };
+    const grant = pool.exchange("a", reportOf(greedy), idAt(2), 0)!;
+    expect(grant.capacity).to.equal(BURST);
+  });
+});
+
+describe("share of one bucket at the holder", () => {
+  it("reports what is reserved above a reduced capacity", () => {
+    const share = new limits.BucketShare("shop");
+    const grant = (exchange: number, fields: object) => {
+      share.report(exchange, 0);
+      const all = {
+        pool: "shop",
+        rate: 0,
+        capacity: 0,
+        level: 0,
+        burst: BURST,
+        lifetimeMs: limits.SHARE_LIFETIME_MS,
+        ...fields,
+      };
+      expect(share.accept(all, idAt(exchange), 0)).to.equal(true);
+    };
+    grant(1, { capacity: 100, level: 100 });
+    const result = share.reserve(70, 0);
+    grant(2, { continues: idAt(1), capacity: 10 });
+    expect(share.report(3, 0))
+      .to.include({ capacity: 70, balance: 70, surrendered: 30 });
+    if (result.kind === "reserved") {
+      share.settle(result.reservation, 20, 0);
+    }
+    expect(share.report(4, 0))
+      .to.include({ capacity: 10, balance: 10, surrendered: 70 });
+  });
+});
