--- a/packages/core/test/limits/bucket_pool_test.ts
+++ b/packages/core/test/limits/bucket_pool_test.ts
@@ -85,6 +85,18 @@
     expect(pool.level).to.equal(100);
   });
 
+  it("frees nothing when an adopted share turns out to be out of date", () => {
+    const limit = { rate: 0, burst: BURST };
+    const start = { adoptsUntil: limits.SHARE_LIFETIME_MS, level: BURST };
+    const pool = new limits.BucketPool("shop", limit, start, 0);
+    const late = { grant: { term: 0, exchange: 1 }, capacity: 200 };
+    pool.exchange("a", reportOf({ ...late, ...wanting(200) }), idAt(2), 0);
+    expect(pool.counted().capacity).to.equal(BURST);
+    const grant = pool.exchange("a", reportOf(wanting(200)), idAt(3), 0)!;
+    expect(grant.capacity).to.equal(0);
+    expect(pool.counted().capacity).to.equal(BURST);
+  });
+
   it("believes no holder that reports more than it can have", () => {
     const pool = newPool(0);
     const greedy = { grant: idAt(1), capacity: 9999, ...wanting(9999) };
