Keep only answers that the state can hold

A claimed or deferred answer over 4 MiB failed the schema of its record, which was then proposed again without end: the claim stayed open and every resend was told that it still ran. The setting limits.max_answer_bytes was not used. Such answers are now recorded as run but not kept, and the caller who waits gets the whole answer with its headers.

--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -83,8 +83,10 @@
       this.#dispatcher,
     );
     const run = this.#run.bind(this);
+    const { maxAnswerBytes } = limits;
     this.atMostOnce = new entry.AtMostOnce({
       identity,
+      maxAnswerBytes,
       proposer,
       proposals,
       run,
@@ -92,6 +94,7 @@
     });
     this.deferred = new entry.DeferredRequests({
       identity,
+      maxAnswerBytes,
       proposer,
       proposals,
       leader: options.leader,
--- a/packages/daemon/src/entry/at_most_once.ts
+++ b/packages/daemon/src/entry/at_most_once.ts
@@ -36,6 +36,8 @@
   readonly run: Run;
   /** This start of the host was declared lost: it must take a new identity. */
   onHostLost(): void;
+  /** Largest answer that is kept for a resend, in bytes. */
+  readonly maxAnswerBytes: number;
 }
 
 interface ClaimName {
@@ -149,7 +151,8 @@
     index: number,
     sink: types.Sink,
   ): Promise<void> {
-    const collected = new collecting.CollectingSink();
+    const { maxAnswerBytes } = this.#options;
+    const collected = new collecting.CollectingSink(maxAnswerBytes);
     const signal = new AbortController().signal;
     await this.#options.run(work, collected, signal);
     const answer = collected.collected;
@@ -158,7 +161,7 @@
     } else {
       await this.#close(claim, index, answer);
     }
-    collecting.replay(answer, sink);
+    collected.passOn(sink);
   }
 
   async #close(
--- a/packages/daemon/src/entry/collecting_sink.ts
+++ b/packages/daemon/src/entry/collecting_sink.ts
@@ -8,7 +8,14 @@
 
 /** Keeps an answer for replay or for a deferred caller. */
 export class CollectingSink implements types.Sink {
+  readonly #maxBytes: number;
   #answer: protocol.state.Answer | undefined;
+  #whole: types.WholeAnswer | undefined;
+
+  /** @param maxBytes largest body that is kept, in its stored form */
+  constructor(maxBytes: number) {
+    this.#maxBytes = maxBytes;
+  }
 
   get started(): boolean {
     return this.#answer !== undefined;
@@ -23,14 +30,26 @@
   }
 
   answer(answer: types.WholeAnswer): void {
+    this.#whole = answer;
+    const encoded = encode(answer.body);
+    if (Buffer.byteLength(encoded.body) > this.#maxBytes) {
+      this.#answer = refusalAnswer(notKept(this.#maxBytes));
+      return;
+    }
     this.#answer = {
       status: answer.status,
       contentType: answer.headers["content-type"] ?? DEFAULT_CONTENT_TYPE,
-      ...encode(answer.body),
+      ...encoded,
       outcome: "ran",
     };
   }
 
+  /** Gives what was collected to a caller who still waits for it. */
+  passOn(sink: types.Sink): void {
+    if (this.#whole === undefined) replay(this.collected, sink);
+    else sink.answer(this.#whole);
+  }
+
   begin(): void {
     throw new TypeError("a stored answer is never streamed");
   }
@@ -84,6 +103,13 @@
   });
 }
 
+function notKept(maxBytes: number): protocol.errors.Refusal {
+  return new protocol.errors.Refusal(
+    protocol.errors.ANSWER_NOT_KEPT,
+    `it takes more than ${maxBytes} bytes`,
+  );
+}
+
 /** Text is stored as it is, anything else in base64. */
 function encode(
   body: Buffer,
--- a/packages/daemon/src/entry/deferred.ts
+++ b/packages/daemon/src/entry/deferred.ts
@@ -42,6 +42,8 @@
   readonly proposals: host.PersistentProposals;
   readonly leader: Pick<fleet.LeaderClient, "call">;
   readonly restore: Restore;
+  /** Largest answer that is kept for its caller, in bytes. */
+  readonly maxAnswerBytes: number;
   run(
     work: types.Work,
     sink: types.Sink,
@@ -186,7 +188,7 @@
       hostIncarnation: identity.incarnation,
     };
     const deadline = performance.now() + assignment.remainingMs;
-    const sink = new collecting.CollectingSink();
+    const sink = new collecting.CollectingSink(this.#options.maxAnswerBytes);
     await this.#run(assignment, sink, run);
     const answer = sink.collected;
     const mayRunLater = answer.outcome === "not-run" &&
