Count only cut connections towards a death, and test quick restarts

Cause: a request that had timed out was reported as in flight at a death of its server seconds later. Change: time-outs are no sign of a death, and a new start explains failures of the last 5 s only.

--- a/packages/daemon/src/entry/deaths.ts
+++ b/packages/daemon/src/entry/deaths.ts
@@ -17,7 +17,7 @@
 /** Failed tries remembered until their server shows a new start. */
 const MAX_UNEXPLAINED = 1_024;
 /** A new start of a server explains failures of this age, in milliseconds. */
-const UNEXPLAINED_MS = 30_000;
+const UNEXPLAINED_MS = 5_000;
 
 /** What examining failed tries needs. */
 export interface DeathExaminerOptions {
@@ -68,6 +68,8 @@
     if (probe.kind === "dead") return this.#report(failure);
     // The server lives: the connection was dead, or the process is a new one.
     client.retireConnections({ id: server.id, address: server.address });
+    // A server that is only slow has not died of the request.
+    if (result.fault === "first-byte-timeout") return;
     this.#unexplained.push(failure);
     this.#unexplained = this.#unexplained.slice(-MAX_UNEXPLAINED);
     this.#explain();
--- a/packages/daemon/test/integration/crash_test.ts
+++ b/packages/daemon/test/integration/crash_test.ts
@@ -1,4 +1,7 @@
+import * as timers from "node:timers/promises";
+import type { fakeBackend } from "@ebonypath/testing";
 import { expect } from "chai";
+import type * as caller from "./caller.ts";
 import * as scenarios from "./scenario.ts";
 
 const { MODEL, PATIENT } = scenarios;
@@ -38,3 +41,64 @@
     expect(crashed.length).to.be.at.most(2);
   });
 });
+
+/** Time after which a crashed engine is started again, in milliseconds. */
+const RESTART_MS = 300;
+
+/** Starts crashed engines again, as a supervisor does. */
+class Supervisor implements AsyncDisposable {
+  crashes = 0;
+  readonly #engines: readonly fakeBackend.FakeBackend[];
+  readonly #timer: NodeJS.Timeout;
+  readonly #starting = new Map<fakeBackend.FakeBackend, Promise<void>>();
+
+  constructor(engines: readonly fakeBackend.FakeBackend[]) {
+    this.#engines = engines;
+    this.#timer = setInterval(() => this.#look(), 10);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    clearInterval(this.#timer);
+    await Promise.all(this.#starting.values());
+  }
+
+  #look(): void {
+    for (const engine of this.#engines) {
+      if (engine.isRunning || this.#starting.has(engine)) continue;
+      this.crashes += 1;
+      this.#starting.set(engine, this.#restart(engine));
+    }
+  }
+
+  async #restart(engine: fakeBackend.FakeBackend): Promise<void> {
+    await timers.setTimeout(RESTART_MS);
+    await engine.restart();
+    this.#starting.delete(engine);
+  }
+}
+
+describe("a crashing request before servers that start again at once", () => {
+  let scenario: scenarios.Scenario;
+
+  before(async () => {
+    scenario = await scenarios.Scenario.start({
+      engines: [{ tokenMs: 5 }, { tokenMs: 5 }, { tokenMs: 5 }],
+    });
+    for (const engine of scenario.engines) engine.faults.crashMarker = MARKER;
+  });
+
+  after(async () => await scenario?.[Symbol.asyncDispose]());
+
+  it("is quarantined after two crashes however often it is sent", async () => {
+    await using supervisor = new Supervisor(scenario.engines);
+    const replies: caller.Reply[] = [];
+    for (let number = 0; number < 6; number += 1) {
+      const host = number % 3;
+      replies.push(await scenario.caller(host).chat(MODEL, MARKER, PATIENT));
+    }
+    const last = replies.at(-1);
+    expect(last?.status, last?.text).to.equal(422);
+    expect(last?.outcome).to.equal("not-run");
+    expect(supervisor.crashes).to.be.at.most(2);
+  });
+});
