Doubt a kept connection that is silent for long

Cause: a request on a pooled connection that something in between had lost track of waited for its deadline (504 after the whole tier). Ruled out: hedging every slow request, which doubles the load when servers are slow; asking the server, whose dialect has no such question. Change: the first try of a request that may run again is given up after 8 times the target's mean time to the first byte, at least 2 s and at most half of the time left; the next try has a connection of its own and all that is left, within the retry budget. The pool's other connections are retired.

--- a/packages/daemon/src/entry/attempt.ts
+++ b/packages/daemon/src/entry/attempt.ts
@@ -25,7 +25,7 @@
   /** The try failed. */
   | {
     readonly kind: "failed";
-    readonly fault: backend.DispatchFault | "cut" | "too-large";
+    readonly fault: backend.DispatchFault | "cut" | "silent" | "too-large";
     /** False only if no byte of the request went out. */
     readonly bytesSent: boolean;
     /** Whether a part of the answer reached the caller. */
@@ -41,6 +41,10 @@
   readonly sink: types.Sink;
   readonly signal: AbortSignal;
   readonly streamIdleTimeoutMs: number;
+  /** Longest wait for the head of the answer, in milliseconds. */
+  readonly firstByteTimeoutMs: number;
+  /** Use a connection of its own. */
+  readonly fresh: boolean;
   /** Called once when the head of the answer has arrived. */
   onFirstByte(): void;
 }
@@ -57,7 +61,6 @@
   options: AttemptOptions,
 ): Promise<AttemptResult> {
   const { client, server, work, signal } = options;
-  const remainingMs = Math.max(1, work.deadline - performance.now());
   const dispatch = await client.dispatch({
     server: { id: server.id, address: server.address },
     method: work.method,
@@ -66,9 +69,9 @@
     body: work.body,
     requestId: work.requestId,
     priority: work.priority,
-    fresh: !work.idempotent,
+    fresh: options.fresh,
     requiresRequestId: server.kind === "engine",
-    firstByteTimeoutMs: remainingMs,
+    firstByteTimeoutMs: options.firstByteTimeoutMs,
     idleTimeoutMs: options.streamIdleTimeoutMs,
     signal,
   });
@@ -78,7 +81,7 @@
     case "failed":
       return {
         kind: "failed",
-        fault: dispatch.fault,
+        fault: faultOf(dispatch.fault, work),
         bytesSent: dispatch.bytesSent,
         bytesToCaller: false,
         detail: dispatch.error.message,
@@ -91,6 +94,15 @@
   }
 }
 
+/** Silence before the deadline may be the fault of the connection alone. */
+function faultOf(
+  fault: backend.DispatchFault,
+  work: types.Work,
+): backend.DispatchFault | "silent" {
+  const isEarly = performance.now() < work.deadline;
+  return fault === "first-byte-timeout" && isEarly ? "silent" : fault;
+}
+
 function isStream(answer: backend.Answer): boolean {
   return answer.headers["content-type"]?.startsWith(EVENT_STREAM) === true;
 }
@@ -187,6 +199,8 @@
     case "refused":
       return result.code === "not-loaded" ? "neutral" : "refused";
     case "failed":
-      return result.fault === "cancelled" ? "neutral" : "failed";
+      return result.fault === "cancelled" || result.fault === "silent"
+        ? "neutral"
+        : "failed";
   }
 }
--- a/packages/daemon/src/entry/deaths.ts
+++ b/packages/daemon/src/entry/deaths.ts
@@ -70,6 +70,7 @@
     client.retireConnections({ id: server.id, address: server.address });
     // A server that is only slow has not died of the request.
     if (result.fault === "first-byte-timeout") return;
+    if (result.fault === "silent") return;
     this.#unexplained.push(failure);
     this.#unexplained = this.#unexplained.slice(-MAX_UNEXPLAINED);
     this.#explain();
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -19,6 +19,8 @@
 
 const write = log.createLog("dispatch");
 
+/** Largest part of the time left that a doubted connection may take. */
+const DOUBTED_PART = 0.5;
 /** Pause of a retry that exceeds the budget, in milliseconds. */
 const BUDGET_PAUSE_MS = 50;
 /** First pause before a server is tried a second time, in milliseconds. */
@@ -126,7 +128,7 @@
           placed,
           sink,
           signal,
-          arrivedAt,
+          { arrivedAt, isFirst: tried.size === 0 },
         );
         if (result.kind === "answered") return result.tokens;
         const { id } = placed.server;
@@ -179,7 +181,7 @@
     placed: placements.Placement,
     sink: types.Sink,
     signal: AbortSignal,
-    arrivedAt: number,
+    { arrivedAt, isFirst }: Try,
   ): Promise<attempts.AttemptResult> {
     const { client, metrics, placement, shares, streamIdleTimeoutMs } =
       this.#options;
@@ -198,6 +200,8 @@
         sink,
         signal,
         streamIdleTimeoutMs,
+        firstByteTimeoutMs: this.#firstByteTimeoutMs(work, isFirst),
+        fresh: !work.idempotent || !isFirst,
         onFirstByte: () => {
           const now = performance.now();
           metrics.firstByte.observe((now - arrivedAt) / 1_000);
@@ -218,6 +222,19 @@
     }
   }
 
+  /**
+   * A kept connection may have gone silent for good. The first try of what may
+   * run again is given up early for it; the next one has a connection of its
+   * own and all the time that is left.
+   */
+  #firstByteTimeoutMs(work: types.Work, isFirst: boolean): number {
+    const remainingMs = Math.max(1, work.deadline - performance.now());
+    const silenceMs = this.#options.placement.times.silenceMs(work.target);
+    const mayDoubt = isFirst && work.idempotent && silenceMs !== undefined &&
+      silenceMs < remainingMs * DOUBTED_PART;
+    return mayDoubt ? silenceMs : remainingMs;
+  }
+
   /** Tells the outlier detection how a try ended. */
   #judge(server: string, outcome: core.limits.SlotOutcome): void {
     const { outliers } = this.#options.placement;
@@ -266,6 +283,13 @@
   });
 }
 
+interface Try {
+  /** When the request arrived; monotonic, in milliseconds. */
+  readonly arrivedAt: number;
+  /** Whether no server was tried before. */
+  readonly isFirst: boolean;
+}
+
 interface FailedTry {
   readonly work: types.Work;
   readonly result: FailedResult;
--- a/packages/daemon/src/entry/service_times.ts
+++ b/packages/daemon/src/entry/service_times.ts
@@ -13,6 +13,11 @@
 /** Largest part of a request's time that is kept free. */
 const MAX_RESERVED = 0.5;
 
+/** Silence that is long for a server, over the mean time that it takes. */
+const SILENCE_FACTOR = 8;
+/** Shortest silence that counts as long, in milliseconds. */
+const SHORTEST_SILENCE_MS = 2_000;
+
 /** Learns the time that has to be left for a server before a deadline. */
 export class ServiceTimes {
   /** The longest unused target first. */
@@ -31,6 +36,22 @@
     }
   }
 
+  /**
+   * Silence after which the connection to a server is doubted, in
+   * milliseconds; undefined where nothing is known of the target.
+   *
+   * @example
+   * ```ts
+   * times.observe("orders", 50);
+   * times.silenceMs("orders"); // 2000
+   * ```
+   */
+  silenceMs(target: string): number | undefined {
+    const mean = this.#means.get(target);
+    if (mean === undefined) return undefined;
+    return Math.max(SHORTEST_SILENCE_MS, SILENCE_FACTOR * mean);
+  }
+
   /**
    * Time by which a request must be at a server to be answered by `deadline`,
    * as far as is known.
--- a/packages/testing/src/fake_backend/fake_backend.ts
+++ b/packages/testing/src/fake_backend/fake_backend.ts
@@ -194,7 +194,7 @@
     return {
       id: this.id,
       incarnation: this.#incarnation,
-      address: this.address,
+      address: options.announcedAddress ?? this.address,
       failureDomain: options.failureDomain ?? "fd-1",
       kind: options.kind ?? "engine",
       services: [...options.services ?? []],
--- a/packages/testing/src/fake_backend/types.ts
+++ b/packages/testing/src/fake_backend/types.ts
@@ -46,6 +46,8 @@
   /** Keys of callers that must never arrive here. */
   readonly knownKeys?: readonly string[];
   readonly port?: number;
+  /** Origin that it announces, when a proxy stands before it. */
+  readonly announcedAddress?: string;
   readonly faults?: Partial<Faults>;
 }
 
