Count loads under way by how many a server takes at once

Cause: the choice of a server added up all loads under way on it, though a server that checks fencing takes four orders at once; a model was loaded from the store elsewhere while the server with its weights on disk was busy. Change: the loads under way are divided by the orders that run together.

--- a/packages/core/src/placement/context.ts
+++ b/packages/core/src/placement/context.ts
@@ -87,7 +87,10 @@
     return placed.length + proposed.length;
   }
 
-  /** Expected time until the loads of a server are done, in milliseconds. */
+  /**
+   * Expected time by which the loads of a server hold up another one, in
+   * milliseconds: loads run beside each other as far as orders do.
+   */
   busyMs(server: fleet.Server): number {
     let busyMs = 0;
     for (const { replica, status } of this.scene.on(server)) {
@@ -98,7 +101,10 @@
       const passedMs = sentMs === undefined ? 0 : this.nowMs - sentMs;
       busyMs += Math.max(0, loadMs - passedMs);
     }
-    return busyMs;
+    const together = server.announcement.checksFencing
+      ? types.FENCED_ORDERS
+      : types.UNFENCED_ORDERS;
+    return busyMs / together;
   }
 
   /** What keeping a replica depends on. */
--- a/packages/core/src/placement/dispatch.ts
+++ b/packages/core/src/placement/dispatch.ts
@@ -5,10 +5,6 @@
 import type * as scene from "./scene.ts";
 import * as types from "./types.ts";
 
-/** Orders under way at once at a server that checks fencing. */
-const FENCED_ORDERS = 4;
-/** Orders under way at once at a server that does not. */
-const UNFENCED_ORDERS = 1;
 /** Time that hosts have to hear of an unload before it is ordered. */
 const UNLOAD_GRACE_MS = 250;
 const UNLOAD_TIMEOUT_MS = 10_000;
@@ -215,9 +211,10 @@
       orders.track(placed.replica).outstanding !== undefined
     ).length;
   if (server.announcement.checksFencing) {
-    return outstanding < FENCED_ORDERS && !orders.isStaleFence(replica, fence);
+    return outstanding < types.FENCED_ORDERS &&
+      !orders.isStaleFence(replica, fence);
   }
-  return outstanding < UNFENCED_ORDERS && isQuiet(round, server);
+  return outstanding < types.UNFENCED_ORDERS && isQuiet(round, server);
 }
 
 /** Whether no order of an earlier leader is under way at a server. */
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -3,6 +3,10 @@
 
 /** Longest time for which an announcement may be under way, in milliseconds. */
 export const ANNOUNCEMENT_DELAY_MS = 2_000;
+/** Orders under way at once at a server that checks fencing. */
+export const FENCED_ORDERS = 4;
+/** Orders under way at once at a server that does not. */
+export const UNFENCED_ORDERS = 1;
 /** Age from which an announcement is too old to base a decision on. */
 export const FRESH_MS = 3_000;
 /** Silence after which the replicas of a server serve no demand. */
