Hold no deadline against a server that got the request late

Cause: a request that was cut off at its deadline shortly after it had reached its server counted as the server's failure.

--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -208,7 +208,9 @@
           placement.times.observe(work.target, now - sentAt);
         },
       });
-      outcome = attempts.slotOutcome(result);
+      outcome = this.#isCutShort(work, result, sentAt)
+        ? "neutral"
+        : attempts.slotOutcome(result);
       this.#judge(placed.server.id, outcome);
       this.#options.watch.ended(
         work.fingerprint,
@@ -235,6 +237,18 @@
     return mayDoubt ? silenceMs : remainingMs;
   }
 
+  /** A request that came late to its server says nothing of the server. */
+  #isCutShort(
+    work: types.Work,
+    result: attempts.AttemptResult,
+    sentAt: number,
+  ): boolean {
+    if (result.kind !== "failed") return false;
+    if (result.fault !== "first-byte-timeout") return false;
+    const usualMs = this.#options.placement.times.silenceMs(work.target);
+    return usualMs !== undefined && performance.now() - sentAt < usualMs;
+  }
+
   /** Tells the outlier detection how a try ended. */
   #judge(server: string, outcome: core.limits.SlotOutcome): void {
     const { outliers } = this.#options.placement;
