Call unused slots back for hosts that wait, and plan when an order ends

Cause (trace of 16 cold loads): the first request after a load waited up to 1.1 s, because a fresh server bears two requests and hosts that had used it kept both slots until their next renewal; the end of a load was planned for at the next tick of 50 ms. Ruled out: the weight store and the choice of servers (loads took 1,005 ms each). Change: the leader asks all hosts for an exchange, at most every 50 ms, when one waits for slots that others leave unused; hosts then report all their shares. The leadership plans in the same turn when an order or a proposal ends. The first leader of a group adopts no shares, since nobody granted any.

--- a/packages/core/src/limits/holder.ts
+++ b/packages/core/src/limits/holder.ts
@@ -131,11 +131,19 @@
     return next;
   }
 
-  /** Makes the report of all shares that are due, if there are any. */
-  report(now: number): protocol.limits.ShareReport | undefined {
+  /**
+   * Makes the report of all shares that are due, if there are any.
+   *
+   * @param isRecalled The leader asks for all shares, due or not.
+   */
+  report(
+    now: number,
+    isRecalled = false,
+  ): protocol.limits.ShareReport | undefined {
     this.#forgetIdle(now);
-    const buckets = dueOf(this.#buckets, now);
-    const slots = dueOf(this.#slots, now);
+    const latest = isRecalled ? Infinity : now;
+    const buckets = dueOf(this.#buckets, now, latest);
+    const slots = dueOf(this.#slots, now, latest);
     if (buckets.length === 0 && slots.length === 0) {
       return undefined;
     }
@@ -189,8 +197,9 @@
 function dueOf<Share extends BucketShare | SlotShare>(
   shares: ReadonlyMap<string, Share>,
   now: number,
+  latest: number,
 ): Share[] {
-  return [...shares.values()].filter((share) => share.dueAt(now) <= now);
+  return [...shares.values()].filter((share) => share.dueAt(now) <= latest);
 }
 
 function addBounded<Share>(
--- a/packages/core/src/limits/leader.ts
+++ b/packages/core/src/limits/leader.ts
@@ -49,6 +49,7 @@
   readonly #removed = new Map<string, number>();
   #term = 0;
   #adoptsUntil = 0;
+  #isRecallWanted = false;
 
   /**
    * Begins to lead with no pools. For one share lifetime, shares of earlier
@@ -138,6 +139,9 @@
     const slots = report.slots
       .map((one) => this.#exchangeSlots(report.holder, one, id, now))
       .filter(isPresent);
+    this.#isRecallWanted ||= report.slots.some(({ server }) =>
+      this.#slots.get(server)?.isShort(report.holder)
+    );
     return { ...id, buckets, slots };
   }
 
@@ -170,6 +174,17 @@
       : { server, slots: 0, lifetimeMs: SHARE_LIFETIME_MS };
   }
 
+  /**
+   * Whether an exchange since the previous call left requests waiting for
+   * slots that other holders have and do not use. They give them up in their
+   * next exchange, which the caller may ask for at once.
+   */
+  takeRecall(): boolean {
+    const isWanted = this.#isRecallWanted;
+    this.#isRecallWanted = false;
+    return isWanted;
+  }
+
   /** Takes back expired shares and forgets pools that have ended. */
   expire(now: number): void {
     for (const pool of this.#buckets.values()) {
--- a/packages/core/src/limits/slot_pool.ts
+++ b/packages/core/src/limits/slot_pool.ts
@@ -177,6 +177,28 @@
     };
   }
 
+  /**
+   * Whether requests of a holder wait although others have slots that no
+   * request uses, as far as their latest reports tell.
+   */
+  isShort(holder: string): boolean {
+    const own = this.#situations.get(holder);
+    const entry = this.#ledger.entries.get(holder);
+    if (own === undefined || entry === undefined || own.waiting === 0) {
+      return false;
+    }
+    const given = entry.offered?.amount.capacity ?? 0;
+    if (given >= own.running + own.waiting) return false;
+    return [...this.#ledger.entries].some(([other, { held, offered }]) => {
+      const most = Math.max(
+        held?.amount.capacity ?? 0,
+        offered?.amount.capacity ?? 0,
+      );
+      return other !== holder &&
+        most > (this.#situations.get(other)?.running ?? 0);
+    });
+  }
+
   /** Returns how requests ended since the previous call. */
   takeOutcomes(): Omit<ObservedOutcomes, "server"> {
     const outcomes = this.#outcomes;
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -27,9 +27,17 @@
 const TICK_MS = 50;
 /** Time for which demand is collected before it is planned for, in ms. */
 const COALESCING_MS = 10;
+/** Shortest time between two calls for unused slots, in milliseconds. */
+const RECALL_INTERVAL_MS = 50;
 /** Time between two heartbeats of the feed, in milliseconds. */
 const HEARTBEAT_MS = 500;
 
+/**
+ * Log index of the first entry of the first leader: before it stands only the
+ * formation of the group, so that no earlier leader can have granted shares.
+ */
+const FIRST_LEADERSHIP_INDEX = 2;
+
 /** What a leadership works with. */
 export interface LeadershipOptions {
   readonly term: number;
@@ -58,14 +66,20 @@
   readonly #publisher: feed.FeedPublisher;
   readonly #timer: NodeJS.Timeout;
   #soon: NodeJS.Timeout | undefined;
+  #immediate: NodeJS.Immediate | undefined;
   #heartbeatAt = 0;
+  #recalledAt = 0;
 
   constructor(options: LeadershipOptions) {
     const now = performance.now();
     const { replicated } = options;
     this.#options = options;
-    this.#shares.takeLeadership({ term: options.term }, now);
-    this.#placement = new placementDriver.PlacementDriver(options, now);
+    const isFirst = replicated.appliedIndex <= FIRST_LEADERSHIP_INDEX;
+    this.#shares.takeLeadership({ term: options.term, isFirst }, now);
+    this.#placement = new placementDriver.PlacementDriver({
+      ...options,
+      onProgress: () => this.#planNow(),
+    }, now);
     const { placement } = this.#placement;
     this.#servers = new servers.ServerTable(this.#shares, placement);
     this.#deferred = new deferredDriver.DeferredDriver({
@@ -135,6 +149,7 @@
     const shares = request.shares === undefined
       ? {}
       : { shares: this.#shares.exchange(request.shares, now) };
+    if (this.#shares.takeRecall()) this.#recall(now);
     return {
       term,
       viewIndex: replicated.changes.index,
@@ -163,6 +178,7 @@
   [Symbol.dispose](): void {
     clearInterval(this.#timer);
     clearTimeout(this.#soon);
+    clearImmediate(this.#immediate);
     this.#options.replicated.off("changes", this.#onChanges);
     this.#placement[Symbol.dispose]();
     this.#suspicion[Symbol.dispose]();
@@ -196,6 +212,21 @@
     this.#publisher.publish({ kind: "exchange-wanted" });
   }
 
+  /** Asks hosts for slots that they do not use and others wait for. */
+  #recall(now: number): void {
+    if (now - this.#recalledAt < RECALL_INTERVAL_MS) return;
+    this.#recalledAt = now;
+    this.#publisher.publish({ kind: "exchange-wanted" });
+  }
+
+  /** Plans in this turn of the event loop, once. */
+  #planNow(): void {
+    this.#immediate ??= setImmediate(() => {
+      this.#immediate = undefined;
+      if (this.#options.hasLease()) this.#plan(performance.now());
+    });
+  }
+
   /** Plans once for all that arrives within a short time. */
   #planSoon(): void {
     this.#soon ??= setTimeout(() => {
--- a/packages/daemon/src/control/placement_driver.ts
+++ b/packages/daemon/src/control/placement_driver.ts
@@ -19,6 +19,8 @@
   readonly replicated: replicatedState.ReplicatedState;
   readonly metrics: metrics.Metrics;
   hasLease(): boolean;
+  /** A proposal or an order has ended: there is something new to plan. */
+  onProgress(): void;
   propose(
     command: protocol.state.Command,
   ): Promise<protocol.state.CommandResult>;
@@ -80,6 +82,7 @@
       const result = await this.#options.propose(command);
       write(proposal.kind, { ...fieldsOf(proposal), result: result.kind });
       this.placement.settle(proposal);
+      this.#options.onProgress();
     } catch (error) {
       write("not-committed", {
         proposal: proposal.kind,
@@ -115,6 +118,7 @@
       took: Math.round(now - sentAt),
     });
     this.placement.answer(action, resultOf(outcome), now);
+    this.#options.onProgress();
   }
 }
 
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -238,7 +238,7 @@
     this.#resources.use(this.#proposals);
     this.#exchanger.on("answered", (answer) => this.#onAnswered(answer));
     this.state.on("change", () => this.#onChange());
-    this.state.on("exchangeWanted", () => this.#exchanger.request());
+    this.state.on("exchangeWanted", () => this.#exchanger.recall());
     const watch = setInterval(() => this.#watch(), WATCH_MS);
     this.#resources.defer(() => clearInterval(watch));
     void feed.followFeed({
--- a/packages/daemon/src/host/exchanger.ts
+++ b/packages/daemon/src/host/exchanger.ts
@@ -59,6 +59,7 @@
   #running = false;
   #wanted = false;
   #stopped = false;
+  #isRecalled = false;
   #lastStart = Number.NEGATIVE_INFINITY;
 
   constructor(options: ExchangerOptions) {
@@ -79,6 +80,12 @@
     this.#schedule(Math.max(COALESCING_MS, MINIMUM_INTERVAL_MS - sinceStart));
   }
 
+  /** Exchanges soon with all shares: another host waits for some of them. */
+  recall(): void {
+    this.#isRecalled = true;
+    this.request();
+  }
+
   /** Exchanges once more, for instance to hand over shares. */
   async flush(): Promise<void> {
     await this.#exchange();
@@ -120,7 +127,8 @@
     const { shares, state, reporter } = this.#options;
     const suspicions = reporter.takeSuspicions();
     const sentAt = performance.now();
-    const report = shares.report(sentAt);
+    const report = shares.report(sentAt, this.#isRecalled);
+    this.#isRecalled = false;
     const request: protocol.control.ExchangeRequest = {
       host: this.#options.identity,
       roles: [...this.#options.roles],
