--- a/packages/daemon/src/backend/announcement_listener.ts
+++ b/packages/daemon/src/backend/announcement_listener.ts
@@ -7,6 +7,7 @@
 import type * as http from "node:http";
 import { backend, errors, settings } from "@ebonypath/protocol";
 import * as v from "valibot";
+import * as httpBody from "../http_body/mod.ts";
 import * as security from "../security/mod.ts";
 
 /** Path of announcements. */
@@ -61,11 +62,11 @@
   return async (request, response) => {
     try {
       authorize(request, options.joinToken);
-      const text = await readBody(
-        request,
-        options.bodyTimeoutMs ?? BODY_TIMEOUT_MS,
-      );
-      const announcement = parse(text);
+      const body = await httpBody.readBody(request, {
+        maxBytes: BODY_BYTES,
+        timeoutMs: options.bodyTimeoutMs ?? BODY_TIMEOUT_MS,
+      });
+      const announcement = parse(body.toString("utf8"));
       checkAddress(announcement.address, isAllowed);
       if (!options.isCurrent()) {
         throw new errors.Refusal(
@@ -93,49 +94,6 @@
   }
 }
 
-async function readBody(
-  request: http.IncomingMessage,
-  timeoutMs: number,
-): Promise<string> {
-  if (Number(request.headers["content-length"] ?? 0) > BODY_BYTES) {
-    throw new errors.Refusal(errors.TOO_LARGE, `more than ${BODY_BYTES} bytes`);
-  }
-  const late = timeout(timeoutMs);
-  const body = collect(request);
-  // Nobody waits for a body that is late.
-  body.catch(() => {});
-  try {
-    return await Promise.race([body, late.promise]);
-  } finally {
-    clearTimeout(late.timer);
-  }
-}
-
-function timeout(ms: number) {
-  let timer: NodeJS.Timeout | undefined;
-  const promise = new Promise<never>((_, reject) => {
-    const detail = `the body took more than ${ms} ms`;
-    timer = setTimeout(() => {
-      reject(new errors.Refusal(errors.REQUEST_TIMEOUT, detail));
-    }, ms);
-  });
-  return { promise, timer };
-}
-
-async function collect(request: http.IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > BODY_BYTES) {
-      const detail = `more than ${BODY_BYTES} bytes`;
-      throw new errors.Refusal(errors.TOO_LARGE, detail);
-    }
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString("utf8");
-}
-
 function parse(text: string): backend.Announcement {
   let value: unknown;
   try {
--- a/packages/daemon/src/entry/callers.ts
+++ b/packages/daemon/src/entry/callers.ts
@@ -7,11 +7,11 @@
 import type * as http from "node:http";
 import * as protocol from "@ebonypath/protocol";
 import type * as host from "../host/mod.ts";
+import * as httpBody from "../http_body/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import * as security from "../security/mod.ts";
 import * as atMostOnce from "./at_most_once.ts";
 import * as authentication from "./authentication.ts";
-import * as bodies from "./body.ts";
 import type * as deferred from "./deferred.ts";
 import * as httpSink from "./http_sink.ts";
 import * as resolve from "./resolve.ts";
@@ -239,7 +239,7 @@
   }
 
   #readBody(call: Call): Promise<Buffer> {
-    return bodies.readBody(call.request, {
+    return httpBody.readBody(call.request, {
       maxBytes: this.#options.limits.maxBodyBytes,
       timeoutMs: this.#options.limits.bodyTimeoutMs,
     });
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -14,6 +14,7 @@
 import * as attempts from "./attempt.ts";
 import * as authentication from "./authentication.ts";
 import type * as deaths from "./deaths.ts";
+import * as failedTry from "./failed_try.ts";
 import type * as placements from "./placement.ts";
 import type * as types from "./types.ts";
 
@@ -21,8 +22,6 @@
 
 /** Largest part of the time left that a doubted connection may take. */
 const DOUBTED_PART = 0.5;
-/** Pause of a retry that exceeds the budget, in milliseconds. */
-const BUDGET_PAUSE_MS = 50;
 /** First pause before a server is tried a second time, in milliseconds. */
 const FIRST_PAUSE_MS = 20;
 /** Longest pause before a server is tried again, in milliseconds. */
@@ -134,45 +133,16 @@
         const { id } = placed.server;
         logFailure(work, id, attempt, result);
         await this.#options.deaths.examine(placed.server, work, result);
-        mayHaveRun = await this.#awaitRetry(
-          { work, result, mayHaveRun, attempt },
-          id,
+        mayHaveRun = await failedTry.awaitRetry(
+          { work, result, mayHaveRun, attempt, server: id },
+          this.#budget,
         );
         this.#options.metrics.retries.inc();
         if (tried.has(id)) await pause(attempt);
         tried.add(id);
       }
     } catch (error) {
-      throw mayHaveRun ? withoutCertainty(error) : error;
-    }
-  }
-
-  /**
-   * Waits until the failed request may be tried again; resolves with whether
-   * it may have run. Retries beyond the budget are slowed down, not refused:
-   * a failure domain that is lost takes many requests with it at once.
-   *
-   * @throws {protocol.errors.Refusal} the request must not be sent again
-   */
-  async #awaitRetry(failed: FailedTry, peer: string): Promise<boolean> {
-    while (true) {
-      const decision = core.routing.decideRetry(
-        describeFailure(failed),
-        this.#budget,
-        performance.now(),
-      );
-      switch (decision.kind) {
-        case "retry":
-          return decision.mayHaveRun;
-        case "refuse":
-          if (decision.reason === "budget") break;
-          throw refuseRetry(failed, peer, decision.outcome, decision.reason);
-        case "stream-error":
-          throw refuseRetry(failed, peer, decision.outcome, "stream");
-        default:
-          return protocol.errors.assertNever(decision);
-      }
-      await timers.setTimeout(BUDGET_PAUSE_MS);
+      throw mayHaveRun ? failedTry.withoutCertainty(error) : error;
     }
   }
 
@@ -286,17 +256,6 @@
   }
 }
 
-/** Once a try may have run, no later refusal may say that nothing ran. */
-function withoutCertainty(error: unknown): unknown {
-  if (!(error instanceof protocol.errors.Refusal)) return error;
-  if (error.outcome !== "not-run") return error;
-  return new protocol.errors.Refusal(error.definition, error.message, {
-    outcome: "may-have-run",
-    step: error.step ?? "dispatch",
-    cause: error,
-  });
-}
-
 interface Try {
   /** When the request arrived; monotonic, in milliseconds. */
   readonly arrivedAt: number;
@@ -304,57 +263,11 @@
   readonly isFirst: boolean;
 }
 
-interface FailedTry {
-  readonly work: types.Work;
-  readonly result: FailedResult;
-  /** An earlier try may have run. */
-  readonly mayHaveRun: boolean;
-  /** Number of this try; the first one is 1. */
-  readonly attempt: number;
-}
-
-type FailedResult = Exclude<attempts.AttemptResult, { kind: "answered" }>;
-
-function describeFailure(failed: FailedTry): core.routing.FailedAttempt {
-  const { attempt, mayHaveRun, result, work } = failed;
-  const isRefusal = result.kind === "refused";
-  const bytesSent = isRefusal || result.bytesSent;
-  return {
-    isIdempotent: work.idempotent,
-    bytesSent,
-    refusedBeforeStart: isRefusal,
-    bytesToCaller: !isRefusal && result.bytesToCaller,
-    mayHaveRunBefore: mayHaveRun,
-    // Tries that did not start at a server are bounded by the deadline alone.
-    attempt: bytesSent && !isRefusal ? attempt : 1,
-    deadline: work.deadline,
-    // The same server is tried again, after a pause, where it stands alone.
-    hasAlternative: isRefusal || result.fault !== "cancelled",
-  };
-}
-
-function refuseRetry(
-  failed: FailedTry,
-  peer: string,
-  outcome: protocol.errors.Outcome,
-  reason: core.routing.NoRetryReason | "stream",
-): protocol.errors.Refusal {
-  const { result } = failed;
-  const detail = result.kind === "failed"
-    ? result.detail
-    : `refused: ${result.code}`;
-  return new protocol.errors.Refusal(
-    definitionOf(outcome === "may-have-run", reason !== "deadline"),
-    detail,
-    { outcome, step: "dispatch", peer },
-  );
-}
-
 function logFailure(
   work: types.Work,
   server: string,
   attempt: number,
-  result: FailedResult,
+  result: failedTry.FailedResult,
 ): void {
   write("attempt-failed", {
     request: work.requestId,
@@ -370,17 +283,3 @@
     Math.min(FIRST_PAUSE_MS * 2 ** attempt, LONGEST_PAUSE_MS),
   );
 }
-
-function definitionOf(
-  mayHaveRun: boolean,
-  isInTime: boolean,
-): protocol.errors.Definition {
-  if (mayHaveRun) {
-    return isInTime
-      ? protocol.errors.BACKEND_FAILED
-      : protocol.errors.DEADLINE_EXCEEDED;
-  }
-  return isInTime
-    ? protocol.errors.NO_CAPACITY
-    : protocol.errors.NOT_STARTED_IN_TIME;
-}
--- /dev/null
+++ b/packages/daemon/src/http_body/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Reading of request bodies within limits, for every listener.
+ *
+ * @module
+ */
+export * from "./read.ts";
--- a/packages/daemon/src/entry/body.ts
+++ b/packages/daemon/src/http_body/read.ts
@@ -2,7 +2,7 @@
 import type * as http from "node:http";
 import * as protocol from "@ebonypath/protocol";
 
-/** Limits of a caller's request body. */
+/** Limits of a request body. */
 export interface BodyLimits {
   readonly maxBytes: number;
   /** Time from the headers to the end of the body, in milliseconds. */
@@ -30,6 +30,7 @@
 
     function fail(refusal: protocol.errors.Refusal): void {
       clearTimeout(timer);
+      request.off("data", take);
       request.pause();
       reject(refusal);
     }
@@ -50,7 +51,7 @@
     request.on("data", take);
     request.on("end", complete);
     request.on("error", (cause) => fail(cut(cause)));
-    request.on("aborted", () => fail(cut(undefined)));
+    request.on("close", () => fail(cut(undefined)));
   });
 }
 
--- a/packages/daemon/src/operators/handler.ts
+++ b/packages/daemon/src/operators/handler.ts
@@ -3,6 +3,7 @@
 import type * as log from "../log/mod.ts";
 import * as security from "../security/mod.ts";
 import * as authorization from "./authorization.ts";
+import type * as httpBody from "../http_body/mod.ts";
 import * as body from "./body.ts";
 import type * as access from "./control_access.ts";
 import * as outcome from "./outcome.ts";
@@ -16,7 +17,7 @@
 export interface OperatorsOptions {
   readonly operators: readonly authorization.Operator[];
   readonly control: access.ControlAccess;
-  readonly limits: body.BodyLimits;
+  readonly limits: httpBody.BodyLimits;
   /** Whether the process is sound; false makes the platform replace it. */
   readonly isAlive: () => boolean;
   /** Renders the metrics in the text format of Prometheus. */
--- a/packages/daemon/src/operators/routes.ts
+++ b/packages/daemon/src/operators/routes.ts
@@ -2,6 +2,7 @@
 import * as protocol from "@ebonypath/protocol";
 import * as v from "valibot";
 import type * as authorization from "./authorization.ts";
+import type * as httpBody from "../http_body/mod.ts";
 import * as body from "./body.ts";
 import type * as access from "./control_access.ts";
 import * as outcome from "./outcome.ts";
@@ -16,7 +17,7 @@
   readonly request: http.IncomingMessage;
   readonly operator: authorization.Operator;
   readonly control: access.ControlAccess;
-  readonly limits: body.BodyLimits;
+  readonly limits: httpBody.BodyLimits;
   /** Decoded segments that the route names with `:`. */
   readonly parameters: readonly string[];
   readonly query: URLSearchParams;
