--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -55,7 +55,7 @@
   readonly #stop = new AbortController();
   #entry: entryRole.EntryRole | undefined;
   #control: controlRole.ControlRole | undefined;
-  #listeners: listener.Listener[] = [];
+  readonly #listeners = new Map<settings.ListenerName, listener.Listener>();
   #draining = false;
   #wasCurrent = false;
   #reportedIndex = -1;
@@ -140,6 +140,19 @@
     return { kind: "ready" };
   }
 
+  /**
+   * Takes new certificates for the connections to come. Listeners keep their
+   * addresses, and links to other hosts their own certificate.
+   */
+  reloadCertificates(
+    certificates: ReadonlyMap<settings.ListenerName, settings.Certificate>,
+  ): void {
+    for (const [name, certificate] of certificates) {
+      this.#listeners.get(name)?.reload(certificate);
+    }
+    write("certificates-reloaded", { listeners: certificates.size });
+  }
+
   /**
    * Shuts down without cutting a request: stops being ready, waits for the
    * balancer, finishes what is open and hands over shares and leadership.
@@ -150,7 +163,7 @@
     this.#draining = true;
     this.#exchanger.request();
     await timers.setTimeout(limits.drainDelayMs);
-    for (const one of this.#listeners) one.stopAccepting();
+    this.#listeners.get("callers")?.stopAccepting();
     const until = performance.now() + limits.drainTimeoutMs;
     while (this.#isBusy() && performance.now() < until) {
       await timers.setTimeout(DRAIN_POLL_MS);
@@ -310,7 +323,7 @@
       handler,
     });
     this.#resources.use(started);
-    if (name === "callers") this.#listeners.push(started);
+    this.#listeners.set(name, started);
   }
 
   #isBusy(): boolean {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -39,10 +39,11 @@
     process.stderr.write("ebonypathd: name a settings file with --settings\n");
     process.exit(USAGE_EXIT_CODE);
   }
+  const file = options.settings;
   log.enableLogs();
-  const loaded = await settings.loadSettings(options.settings);
+  const loaded = await settings.loadSettings(file);
   if (options.check === true) {
-    process.stdout.write(`${options.settings}: valid\n`);
+    process.stdout.write(`${file}: valid\n`);
     return;
   }
   const running = await daemon.Daemon.start(loaded, fail);
@@ -54,6 +55,19 @@
   };
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
+  process.on("SIGHUP", () => void reload(running, file));
+}
+
+/** Reads the certificates again; the old ones stay where that fails. */
+async function reload(running: daemon.Daemon, file: string): Promise<void> {
+  try {
+    const { certificates } = await settings.loadSettings(file);
+    running.reloadCertificates(certificates);
+  } catch (error) {
+    write("not-reloaded", {
+      error: error instanceof Error ? error : String(error),
+    });
+  }
 }
 
 async function shutDown(running: daemon.Daemon): Promise<void> {
