--- a/packages/benchmark/src/experiments/feed_sharing.ts
+++ b/packages/benchmark/src/experiments/feed_sharing.ts
@@ -160,7 +160,6 @@
   services: ["service-10"],
   ready: ["service-10/model-1", "service-10/model-2:adapter-100"],
   limit: 16,
-  running: 10,
   queued: 0,
   usable: true,
 };
--- a/packages/cli/src/cli/status/mod.ts
+++ b/packages/cli/src/cli/status/mod.ts
@@ -62,7 +62,6 @@
     "domain",
     "kind",
     "usable",
-    "running",
     "limit",
     "ready",
   ];
@@ -71,7 +70,6 @@
     server.failureDomain,
     server.kind,
     server.usable ? "yes" : "no",
-    server.running,
     server.limit,
     server.ready.join(" "),
   ]);
--- a/packages/daemon/src/control/server_table.ts
+++ b/packages/daemon/src/control/server_table.ts
@@ -149,7 +149,6 @@
     failureDomain: announcement.failureDomain,
     kind: announcement.kind,
     services: announcement.services,
-    running: announcement.running,
     queued: announcement.queued,
     ...own,
   };
--- a/packages/protocol/src/control/feed.ts
+++ b/packages/protocol/src/control/feed.ts
@@ -16,7 +16,6 @@
   ready: v.array(v.string()),
   /** Requests that it bears at once, over all hosts. */
   limit: v.number(),
-  running: v.number(),
   queued: v.number(),
   /** It takes new work. */
   usable: v.boolean(),
