Count only tries that reached a server towards their limit

Cause: tries that were not sent counted as well, so that a bystander of two crashes was refused at its second sent try (502, seen once in a full run of the integration tests).

--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -118,6 +118,7 @@
   ): Promise<number> {
     const tried = new Set<string>();
     let mayHaveRun = false;
+    let sent = 0;
     this.#budget.deposit();
     try {
       for (let attempt = 1;; attempt += 1) {
@@ -133,8 +134,9 @@
         const { id } = placed.server;
         logFailure(work, id, attempt, result);
         await this.#options.deaths.examine(placed.server, work, result);
+        if (failedTry.wasSent(result)) sent += 1;
         mayHaveRun = await failedTry.awaitRetry(
-          { work, result, mayHaveRun, attempt, server: id },
+          { work, result, mayHaveRun, sent, server: id },
           this.#budget,
         );
         this.#options.metrics.retries.inc();
--- a/packages/daemon/src/entry/failed_try.ts
+++ b/packages/daemon/src/entry/failed_try.ts
@@ -18,8 +18,8 @@
   readonly result: FailedResult;
   /** An earlier try may have run. */
   readonly mayHaveRun: boolean;
-  /** Number of this try; the first one is 1. */
-  readonly attempt: number;
+  /** Tries so far that reached a server, this one included. */
+  readonly sent: number;
   /** Server that was tried. */
   readonly server: string;
 }
@@ -30,6 +30,18 @@
   { kind: "answered" }
 >;
 
+/**
+ * Whether a try reached a server that did not refuse it.
+ *
+ * @example
+ * ```ts
+ * if (wasSent(result)) sent += 1;
+ * ```
+ */
+export function wasSent(result: FailedResult): boolean {
+  return result.kind === "failed" && result.bytesSent;
+}
+
 /**
  * Waits until the failed request may be tried again; resolves with whether
  * it may have run. Retries beyond the budget are slowed down, not refused:
@@ -86,7 +98,7 @@
 }
 
 function describeFailure(failed: FailedTry): core.routing.FailedAttempt {
-  const { attempt, mayHaveRun, result, work } = failed;
+  const { mayHaveRun, result, sent, work } = failed;
   const isRefusal = result.kind === "refused";
   const bytesSent = isRefusal || result.bytesSent;
   return {
@@ -96,7 +108,7 @@
     bytesToCaller: !isRefusal && result.bytesToCaller,
     mayHaveRunBefore: mayHaveRun,
     // Tries that did not start at a server are bounded by the deadline alone.
-    attempt: bytesSent && !isRefusal ? attempt : 1,
+    attempt: Math.max(1, sent),
     deadline: work.deadline,
     // The same server is tried again, after a pause, where it stands alone.
     hasAlternative: isRefusal || result.fault !== "cancelled",
