--- a/packages/core/src/state/catalogue.ts
+++ b/packages/core/src/state/catalogue.ts
@@ -65,6 +65,11 @@
     return this.#workspaces.get(name);
   }
 
+  /** Every workspace. */
+  workspaces(): readonly protocol.configuration.Workspace[] {
+    return this.configuration.workspaces;
+  }
+
   service(name: string): Service | undefined {
     return this.#services.get(name)?.service;
   }
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -286,7 +286,13 @@
   }
 
   #watch(): void {
-    const isCurrent = this.state.isCurrent(performance.now());
+    const now = performance.now();
+    const isCurrent = this.state.isCurrent(now);
+    this.#metrics.shareTokens.reset();
+    for (const { name } of this.state.view.catalogue.workspaces()) {
+      const tokens = this.#shares.availableTokens(name, now);
+      this.#metrics.shareTokens.set({ workspace: name }, tokens);
+    }
     this.#metrics.current.set(isCurrent ? 1 : 0);
     if (isCurrent === this.#wasCurrent) return;
     this.#wasCurrent = isCurrent;
--- a/packages/daemon/src/metrics/mod.ts
+++ b/packages/daemon/src/metrics/mod.ts
@@ -87,6 +87,13 @@
     registers: [this.registry],
   });
 
+  readonly shareTokens = new prometheus.Gauge({
+    name: "ebonypath_share_tokens",
+    help: "Tokens that this host may use now, by workspace",
+    labelNames: ["workspace"],
+    registers: [this.registry],
+  });
+
   readonly orders = new prometheus.Counter({
     name: "ebonypath_orders_total",
     help: "Orders to backend servers by kind and result",
