Name slot pools in one place, and look shares up when metrics are read

Cause: the leader and the hosts each had a function for the name of a server's slot pool, which has to be the same on both sides, and for whether a server has a target ready. The share metric was filled ten times a second for every workspace, read or not. ControlNode had an asynchronous disposal that waited for nothing. Change: slotPool and serves stand beside the server's status in protocol; the metric is filled when metrics are rendered; ControlNode disposes synchronously.

--- a/packages/daemon/src/control/control_node.ts
+++ b/packages/daemon/src/control/control_node.ts
@@ -112,10 +112,9 @@
     return await replicated.propose(log, command, Date.now());
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
+  [Symbol.dispose](): void {
     clearInterval(this.#timer);
     this.#endLeadership();
-    await Promise.resolve();
   }
 
   #require(step: string): leaderships.Leadership {
--- a/packages/daemon/src/control/deferred_driver.ts
+++ b/packages/daemon/src/control/deferred_driver.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as core from "@ebonypath/core";
-import type * as protocol from "@ebonypath/protocol";
+import * as protocol from "@ebonypath/protocol";
 import * as log from "../log/mod.ts";
 import type * as hostRegistry from "./host_registry.ts";
 import type * as replicatedState from "./replicated_state.ts";
@@ -116,7 +116,9 @@
   ): core.deferred.Capacity {
     const known = this.#options.placement.capacity(target) ?? NO_CAPACITY;
     const limit = this.#options.servers.statuses()
-      .filter((server) => server.usable && serves(server, target))
+      .filter((server) =>
+        server.usable && protocol.control.serves(server, target)
+      )
       .reduce((sum, server) => sum + server.limit, 0);
     const busy = (demand?.running ?? 0) + (demand?.waiting ?? 0);
     const spare = Math.max(0, Math.min(known.spare, limit - busy));
@@ -134,12 +136,3 @@
     ),
   };
 }
-
-function serves(
-  server: protocol.control.ServerStatus,
-  target: string,
-): boolean {
-  return target.includes("/")
-    ? server.ready.includes(target)
-    : server.kind === "plain" && server.services.includes(target);
-}
--- a/packages/daemon/src/control/server_table.ts
+++ b/packages/daemon/src/control/server_table.ts
@@ -1,5 +1,5 @@
 import * as core from "@ebonypath/core";
-import type * as protocol from "@ebonypath/protocol";
+import * as protocol from "@ebonypath/protocol";
 
 /** A server without an announcement for this time gets no work, in ms. */
 export const SERVER_SILENT_MS = 3_500;
@@ -43,7 +43,7 @@
   /** Takes an announcement into the server's slot pool. */
   hear(announcement: protocol.backend.Announcement, now: number): void {
     const row = this.#rows.get(announcement.id);
-    if (row?.pool !== poolOf(announcement)) return;
+    if (row?.pool !== protocol.control.slotPool(announcement)) return;
     row.ramp.announce(announcement.concurrency);
     this.#shares.observeRunning(row.pool, announcement.running, now);
   }
@@ -82,7 +82,7 @@
   ): protocol.control.ServerStatus | undefined {
     const { announcement } = server;
     const former = this.#rows.get(announcement.id);
-    const row = former?.pool === poolOf(announcement)
+    const row = former?.pool === protocol.control.slotPool(announcement)
       ? former
       : this.#start(server, former);
     const status = statusOf(server, {
@@ -101,7 +101,7 @@
     const { announcement } = server;
     if (former !== undefined) this.#shares.removeSlots(former.pool);
     const row = {
-      pool: poolOf(announcement),
+      pool: protocol.control.slotPool(announcement),
       ramp: new core.ramp.Ramp({ announced: announcement.concurrency }),
       status: statusOf(server, { ready: [], limit: 0, usable: false }),
     };
@@ -122,10 +122,6 @@
   }
 }
 
-function poolOf(announcement: protocol.backend.Announcement): string {
-  return `${announcement.id}/${announcement.incarnation}`;
-}
-
 function isUsable(
   server: core.placement.Server,
   withdrawn: ReadonlySet<string>,
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -209,7 +209,7 @@
         identity: this.identity,
         leader: this.#leader,
         state: this.state,
-        metrics: this.#metrics,
+        renderMetrics: () => this.#renderMetrics(),
         isCurrent: () => this.state.isCurrent(performance.now()),
       }),
     );
@@ -286,18 +286,23 @@
   }
 
   #watch(): void {
+    const isCurrent = this.state.isCurrent(performance.now());
+    this.#metrics.current.set(isCurrent ? 1 : 0);
+    if (isCurrent === this.#wasCurrent) return;
+    this.#wasCurrent = isCurrent;
+    write(isCurrent ? "ready" : "not-current", { index: this.state.index });
+    this.#entry?.pump();
+  }
+
+  /** Shares are looked up when they are asked for, not at every tick. */
+  #renderMetrics(): Promise<string> {
     const now = performance.now();
-    const isCurrent = this.state.isCurrent(now);
     this.#metrics.shareTokens.reset();
     for (const { name } of this.state.view.catalogue.workspaces()) {
       const tokens = this.#shares.availableTokens(name, now);
       this.#metrics.shareTokens.set({ workspace: name }, tokens);
     }
-    this.#metrics.current.set(isCurrent ? 1 : 0);
-    if (isCurrent === this.#wasCurrent) return;
-    this.#wasCurrent = isCurrent;
-    write(isCurrent ? "ready" : "not-current", { index: this.state.index });
-    this.#entry?.pump();
+    return this.#metrics.registry.metrics();
   }
 
   #createEntry(proposer: host.Proposer): entryRole.EntryRole {
--- a/packages/daemon/src/daemon/operators_role.ts
+++ b/packages/daemon/src/daemon/operators_role.ts
@@ -9,7 +9,6 @@
 import * as host from "../host/mod.ts";
 import type * as listener from "../listener/mod.ts";
 import * as log from "../log/mod.ts";
-import type * as metrics from "../metrics/mod.ts";
 import * as operators from "../operators/mod.ts";
 import type * as settings from "../settings/mod.ts";
 
@@ -30,7 +29,8 @@
   readonly identity: protocol.control.HostIdentity;
   readonly leader: fleet.LeaderClient;
   readonly state: host.FleetState;
-  readonly metrics: metrics.Metrics;
+  /** Renders the metrics in the text format of Prometheus. */
+  renderMetrics(): Promise<string>;
   isCurrent(): boolean;
 }
 
@@ -47,7 +47,7 @@
       timeoutMs: limits.bodyTimeoutMs,
     },
     isAlive: () => true,
-    renderMetrics: () => options.metrics.registry.metrics(),
+    renderMetrics: () => options.renderMetrics(),
     log: log.createLog("operators"),
   });
 }
--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -167,11 +167,13 @@
   #tryPlace(waiter: Waiter, now: number): Placement | undefined {
     const { shares, watch } = this.#options;
     const free = this.#cleared(waiter, this.#candidates(waiter), now)
-      .filter((server) => shares.availableSlots(slotPool(server), now) > 0);
+      .filter((server) =>
+        shares.availableSlots(protocol.control.slotPool(server), now) > 0
+      );
     const server = this.#choose(waiter, free, now);
     if (server === undefined) return undefined;
     const taken = shares.acquireSlot(
-      slotPool(server),
+      protocol.control.slotPool(server),
       waiter.work.deadline,
       now,
     );
@@ -222,7 +224,9 @@
     const candidates = free.map((server) => ({
       server: server.id,
       failureDomain: server.failureDomain,
-      inFlight: this.#options.shares.runningOn(slotPool(server)),
+      inFlight: this.#options.shares.runningOn(
+        protocol.control.slotPool(server),
+      ),
       queued: server.queued,
       limit: server.limit,
     }));
@@ -243,7 +247,7 @@
     const { state } = this.#options;
     const able = [...state.servers.values()].filter((server) =>
       server.usable && !state.view.isWithdrawn(server.failureDomain) &&
-      serves(server, waiter.work)
+      protocol.control.serves(server, waiter.work.target)
     );
     const others = able.filter((server) => !waiter.excluded.has(server.id));
     return others.length > 0 ? others : able;
@@ -262,7 +266,7 @@
       const servers = known ?? this.#candidates(waiter);
       if (isFirst) byTarget.set(target, servers);
       for (const server of servers) {
-        const pool = slotPool(server);
+        const pool = protocol.control.slotPool(server);
         const row = waited.get(pool);
         waited.set(pool, {
           count: (row?.count ?? 0) + 1,
@@ -326,27 +330,3 @@
     { step: "place", retryAfterSeconds: RETRY_AFTER_S },
   );
 }
-
-/**
- * Name of the pool of a server's slots: each start of a server has its own.
- *
- * @example
- * ```ts
- * slotPool(server); // "engine-1/4f2a"
- * ```
- */
-export function slotPool(server: {
-  readonly id: string;
-  readonly incarnation: string;
-}): string {
-  return `${server.id}/${server.incarnation}`;
-}
-
-function serves(
-  server: protocol.control.ServerStatus,
-  work: types.Work,
-): boolean {
-  return work.target === work.service
-    ? server.kind === "plain" && server.services.includes(work.service)
-    : server.ready.includes(work.target);
-}
--- a/packages/protocol/src/control/mod.ts
+++ b/packages/protocol/src/control/mod.ts
@@ -6,3 +6,4 @@
 export * from "./exchange.ts";
 export * from "./feed.ts";
 export * from "./query.ts";
+export * from "./server.ts";
