Let log lines take any thrown value

Cause: ten log calls turned what was thrown into an error or a text first, each in the same way. Change: a field of a log line takes any value. An error is written as its message; the members of another object are not written, they may be secret. The event replication/failed names its cause error, as the others do. Conclusion: the conversion stands once, in the formatter; five cases added.

--- a/packages/daemon/src/control/deferred_driver.ts
+++ b/packages/daemon/src/control/deferred_driver.ts
@@ -101,9 +101,7 @@
         })
       ));
     } catch (error) {
-      write("not-assigned", {
-        error: error instanceof Error ? error : String(error),
-      });
+      write("not-assigned", { error });
     } finally {
       this.#isProposing = false;
     }
--- a/packages/daemon/src/control/placement_driver.ts
+++ b/packages/daemon/src/control/placement_driver.ts
@@ -86,7 +86,7 @@
     } catch (error) {
       write("not-committed", {
         proposal: proposal.kind,
-        error: error instanceof Error ? error : String(error),
+        error,
       });
       // An unknown outcome keeps counting against memory until this
       // leadership ends, which a failed proposal is a sign of.
--- a/packages/daemon/src/control/suspicion_driver.ts
+++ b/packages/daemon/src/control/suspicion_driver.ts
@@ -79,9 +79,7 @@
         durationMs: core.suspicion.QUARANTINE_MS,
       });
     } catch (error) {
-      write("not-committed", {
-        error: error instanceof Error ? error : String(error),
-      });
+      write("not-committed", { error });
     } finally {
       this.#proposed.delete(request.fingerprint);
     }
--- a/packages/daemon/src/control/upkeep.ts
+++ b/packages/daemon/src/control/upkeep.ts
@@ -69,7 +69,7 @@
     } catch (error) {
       write("not-committed", {
         command: command.kind,
-        error: error instanceof Error ? error : String(error),
+        error,
       });
     } finally {
       this.#isProposing = false;
--- a/packages/daemon/src/feed/follower.ts
+++ b/packages/daemon/src/feed/follower.ts
@@ -58,7 +58,7 @@
       await followLink(options, peer, signal).catch((error: unknown) => {
         write("lost", {
           peer,
-          error: error instanceof Error ? error : String(error),
+          error,
         });
         options.leader.forgetLeader(peer);
       });
--- a/packages/daemon/src/host/exchanger.ts
+++ b/packages/daemon/src/host/exchanger.ts
@@ -150,9 +150,7 @@
       this.emit("answered", answer);
     } catch (error) {
       reporter.returnSuspicions(suspicions);
-      write("failed", {
-        error: error instanceof Error ? error : String(error),
-      });
+      write("failed", { error });
       this.emit("failed", error);
     }
   }
--- a/packages/daemon/src/host/persistent_proposals.ts
+++ b/packages/daemon/src/host/persistent_proposals.ts
@@ -58,7 +58,7 @@
       } catch (error) {
         write("repeated", {
           command: command.kind,
-          error: error instanceof Error ? error : String(error),
+          error,
         });
       }
       await timers.setTimeout(pause, undefined, { signal: this.#stop.signal })
--- a/packages/daemon/src/log/format.ts
+++ b/packages/daemon/src/log/format.ts
@@ -1,8 +1,8 @@
-/** A value of a log line. */
-export type FieldValue = string | number | boolean | undefined | Error;
-
-/** The fields of a log line. */
-export type Fields = Readonly<Record<string, FieldValue>>;
+/**
+ * The fields of a log line. Anything may be thrown, so a field takes any value:
+ * an error is written as its message, another object as its kind alone.
+ */
+export type Fields = Readonly<Record<string, unknown>>;
 
 /** Longest value that is written, in characters. */
 const VALUE_LENGTH = 1_000;
@@ -35,14 +35,20 @@
   return line;
 }
 
-function formatValue(value: Exclude<FieldValue, undefined>): string {
-  const text = value instanceof Error ? value.message : String(value);
-  const clean = text.slice(0, VALUE_LENGTH)
+function formatValue(value: unknown): string {
+  const clean = textOf(value).slice(0, VALUE_LENGTH)
     .replace(GRANTED_KEY, REMOVED)
     .replace(BEARER, `Bearer ${REMOVED}`);
   return isPlain(clean) ? clean : JSON.stringify(clean);
 }
 
+/** The members of an object are not written: they may be secret. */
+function textOf(value: unknown): string {
+  if (value instanceof Error) return value.message;
+  const isObject = typeof value === "object" && value !== null;
+  return isObject ? Object.prototype.toString.call(value) : String(value);
+}
+
 function isPlain(text: string): boolean {
   return /^[\x21\x23-\x3c\x3e-\x5b\x5d-\x7e]+$/.test(text);
 }
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -64,9 +64,7 @@
     const { certificates } = await settings.loadSettings(file);
     running.reloadCertificates(certificates);
   } catch (error) {
-    write("not-reloaded", {
-      error: error instanceof Error ? error : String(error),
-    });
+    write("not-reloaded", { error });
   }
 }
 
@@ -82,7 +80,7 @@
     process.stderr.write(`${error.message}\n`);
     process.exit(USAGE_EXIT_CODE);
   }
-  write("failed", { error: error instanceof Error ? error : String(error) });
+  write("failed", { error });
   process.stderr.write(`ebonypathd: ${String(error)}\n`);
   process.exit(FAILURE_EXIT_CODE);
 }
--- a/packages/daemon/src/replication/driver.ts
+++ b/packages/daemon/src/replication/driver.ts
@@ -425,8 +425,7 @@
       return;
     }
     this.#stop();
-    const reason = error instanceof Error ? error.message : String(error);
-    log("failed", { reason });
+    log("failed", { error });
     this.#options.onFailure(error);
   }
 
--- a/packages/daemon/test/log/format_test.ts
+++ b/packages/daemon/test/log/format_test.ts
@@ -12,6 +12,19 @@
   ["an empty value", { reason: "" }, 'reason=""'],
   ["a missing value", { peer: undefined, port: 1 }, "port=1"],
   ["an error", { error: new Error("lost") }, "error=lost"],
+  ["a thrown text", { error: "lost" }, "error=lost"],
+  ["a thrown null", { error: null }, "error=null"],
+  ["a thrown symbol", { error: Symbol("lost") }, "error=Symbol(lost)"],
+  [
+    "a thrown object without its members",
+    { error: { token: "abc" } },
+    'error="[object Object]"',
+  ],
+  [
+    "a thrown object that has no text",
+    { error: Object.create(null) },
+    'error="[object Object]"',
+  ],
   [
     "a secret by name",
     { joinToken: "abc", key: "k" },
