--- a/packages/daemon/src/control/control_node.ts
+++ b/packages/daemon/src/control/control_node.ts
@@ -15,6 +15,7 @@
 
 const write = log.createLog("control");
 
+const SECOND_MS = 1_000;
 /** Time between two looks at who leads, in milliseconds. */
 const WATCH_MS = 20;
 
@@ -108,8 +109,22 @@
     command: protocol.state.Command,
   ): Promise<protocol.state.CommandResult> {
     this.#require("propose");
-    const { log, replicated } = this.#options;
-    return await replicated.propose(log, command, Date.now());
+    const { log, metrics, replicated } = this.#options;
+    const committed = metrics.commit.startTimer();
+    const result = await replicated.propose(log, command, Date.now());
+    committed();
+    return result;
+  }
+
+  /** Sets the metrics that are looked up when they are read. */
+  updateMetrics(timeMs: number): void {
+    const { metrics, replicated } = this.#options;
+    const waiting = replicated.state.pendingDeferred();
+    const assigned = replicated.state.assignedDeferred();
+    const oldestMs = waiting[0]?.acceptedMs ?? timeMs;
+    metrics.deferredRequests.set({ phase: "waiting" }, waiting.length);
+    metrics.deferredRequests.set({ phase: "assigned" }, assigned.length);
+    metrics.deferredAge.set(Math.max(0, timeMs - oldestMs) / SECOND_MS);
   }
 
   [Symbol.dispose](): void {
--- a/packages/daemon/src/daemon/control_role.ts
+++ b/packages/daemon/src/daemon/control_role.ts
@@ -114,6 +114,11 @@
     );
   }
 
+  /** Sets the metrics that are looked up when they are read. */
+  updateMetrics(): void {
+    this.#node.updateMetrics(Date.now());
+  }
+
   /** Hands the leadership to another voter, where there is one. */
   async handOver(): Promise<void> {
     if (await this.#group.handOver(HAND_OVER_MS)) {
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -25,6 +25,7 @@
 
 /** Random bytes of the id of one start of the process. */
 const INCARNATION_BYTES = 8;
+const SECOND_MS = 1_000;
 /** Time between two looks at whether the host is current, in ms. */
 const WATCH_MS = 100;
 /** Time between two looks at what is left while draining, in ms. */
@@ -250,6 +251,10 @@
     this.#resources.use(this.#exchanger);
     this.#resources.use(this.#proposals);
     this.#exchanger.on("answered", (answer) => this.#onAnswered(answer));
+    this.#exchanger.on(
+      "failed",
+      () => this.#metrics.exchanges.inc({ result: "failed" }),
+    );
     this.state.on("change", () => this.#onChange());
     this.state.on("exchangeWanted", () => this.#exchanger.recall());
     const watch = setInterval(() => this.#watch(), WATCH_MS);
@@ -294,15 +299,30 @@
     this.#entry?.pump();
   }
 
-  /** Shares are looked up when they are asked for, not at every tick. */
+  /** Gauges are set when they are read, not at every tick. */
   #renderMetrics(): Promise<string> {
+    this.#entry?.updateMetrics();
+    this.#control?.updateMetrics();
+    this.#updateViewMetrics();
+    return this.#metrics.registry.metrics();
+  }
+
+  #updateViewMetrics(): void {
     const now = performance.now();
+    const servers = [...this.state.servers.values()];
+    const usable = servers.filter((server) => server.usable);
+    const slots = usable.reduce((sum, server) => sum + server.limit, 0);
+    const unusable = servers.length - usable.length;
+    const { backendServers, serverSlots, viewAge } = this.#metrics;
+    backendServers.set({ usable: "true" }, usable.length);
+    backendServers.set({ usable: "false" }, unusable);
+    serverSlots.set(slots);
+    viewAge.set(this.state.ageMs(now) / SECOND_MS);
     this.#metrics.shareTokens.reset();
     for (const { name } of this.state.view.catalogue.workspaces()) {
       const tokens = this.#shares.availableTokens(name, now);
       this.#metrics.shareTokens.set({ workspace: name }, tokens);
     }
-    return this.#metrics.registry.metrics();
   }
 
   #createEntry(proposer: host.Proposer): entryRole.EntryRole {
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -123,7 +123,14 @@
   pump(): void {
     this.#admission.pump();
     this.#placement.pump();
-    this.#options.metrics.running.set(this.#dispatcher.running.size);
+  }
+
+  /** Sets the metrics that are looked up when they are read. */
+  updateMetrics(): void {
+    const { metrics } = this.#options;
+    metrics.running.set(this.#dispatcher.running.size);
+    metrics.waiting.set({ for: "tokens" }, count(this.#admission.waiting()));
+    metrics.waiting.set({ for: "slot" }, count(this.#placement.waiting()));
   }
 
   demand(): protocol.control.Demand[] {
@@ -178,3 +185,7 @@
     });
   }
 }
+
+function count(items: Iterable<unknown>): number {
+  return [...items].length;
+}
--- a/packages/daemon/src/entry/callers.ts
+++ b/packages/daemon/src/entry/callers.ts
@@ -19,6 +19,8 @@
 
 /** Random bytes of a request id. */
 const REQUEST_ID_BYTES = 12;
+/** Status of a deferred request that has not ended. */
+const ACCEPTED_STATUS = 202;
 /** Unread bodies up to this size are read to their end after a refusal. */
 const DRAINED_BYTES = 64 * 1024;
 
@@ -42,6 +44,7 @@
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
   readonly requestId: string;
+  readonly sink: httpSink.HttpSink;
   readonly path: string;
   readonly query: string;
 }
@@ -71,10 +74,10 @@
     this.#open += 1;
     try {
       await this.#route(call);
-      this.#options.metrics.requests.inc({ outcome: "ran", problem: "" });
     } catch (error) {
       this.#refuse(call, error);
     } finally {
+      this.#options.metrics.requests.inc({ ...endingOf(call) });
       this.#open -= 1;
     }
   }
@@ -150,7 +153,7 @@
     if (work.tier.delivery === "deferred") {
       return await this.#defer(call, work, key);
     }
-    const sink = new httpSink.HttpSink(call.response, call.requestId);
+    const { sink } = call;
     if (!work.idempotent && key !== null && work.workspace !== null) {
       const { workspace } = work;
       return await this.#options.atMostOnce.run(work, workspace, key, sink);
@@ -186,13 +189,13 @@
   async #answer(call: Call, id: string): Promise<void> {
     this.#requireReady();
     const { workspace } = this.#authenticate(call);
-    const { requestId, request, response } = call;
+    const { requestId, request, response, sink } = call;
     switch (request.method) {
       case "GET":
         return await this.#options.deferred.collect(
           id,
           workspace,
-          requestId,
+          sink,
           request,
           response,
         );
@@ -263,13 +266,9 @@
 
   #refuse(call: Call, error: unknown): void {
     const refusal = toRefusal(error);
-    this.#options.metrics.requests.inc({
-      outcome: refusal.outcome,
-      problem: refusal.definition.name,
-    });
-    const { request, response } = call;
+    const { request, response, sink } = call;
     if (!request.complete) closeAfterwards(request, response);
-    new httpSink.HttpSink(response, call.requestId).refuse(refusal);
+    sink.refuse(refusal);
     if (refusal.definition === protocol.errors.INTERNAL) throw error;
   }
 }
@@ -280,15 +279,24 @@
 ): Call {
   const url = request.url ?? "/";
   const mark = url.indexOf("?");
+  const requestId = security.randomId(REQUEST_ID_BYTES);
   return {
     request,
     response,
-    requestId: security.randomId(REQUEST_ID_BYTES),
+    requestId,
+    sink: new httpSink.HttpSink(response, requestId),
     path: mark < 0 ? url : url.slice(0, mark),
     query: mark < 0 ? "" : url.slice(mark),
   };
 }
 
+/** What has no answer in the sink is a list, or a deferred request. */
+function endingOf(call: Call): httpSink.Ending {
+  if (call.sink.ending !== undefined) return call.sink.ending;
+  const isAccepted = call.response.statusCode === ACCEPTED_STATUS;
+  return { outcome: isAccepted ? "accepted" : "ran", problem: "" };
+}
+
 /** An unread rest of a body must not be taken for the next request. */
 function closeAfterwards(
   request: http.IncomingMessage,
--- a/packages/daemon/src/entry/collecting_sink.ts
+++ b/packages/daemon/src/entry/collecting_sink.ts
@@ -11,6 +11,7 @@
   readonly #maxBytes: number;
   #answer: protocol.state.Answer | undefined;
   #whole: types.WholeAnswer | undefined;
+  #refusal: protocol.errors.Refusal | undefined;
 
   /** @param maxBytes largest body that is kept, in its stored form */
   constructor(maxBytes: number) {
@@ -46,8 +47,9 @@
 
   /** Gives what was collected to a caller who still waits for it. */
   passOn(sink: types.Sink): void {
-    if (this.#whole === undefined) replay(this.collected, sink);
-    else sink.answer(this.#whole);
+    if (this.#refusal !== undefined) sink.refuse(this.#refusal);
+    else if (this.#whole !== undefined) sink.answer(this.#whole);
+    else throw new TypeError("the request has not ended");
   }
 
   begin(): void {
@@ -63,6 +65,7 @@
   }
 
   refuse(refusal: protocol.errors.Refusal): void {
+    this.#refusal = refusal;
     this.#answer = refusalAnswer(refusal);
   }
 }
--- a/packages/daemon/src/entry/deferred.ts
+++ b/packages/daemon/src/entry/deferred.ts
@@ -96,7 +96,7 @@
   async collect(
     id: string,
     workspace: string,
-    requestId: string,
+    sink: httpSink.HttpSink,
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
@@ -111,14 +111,11 @@
             { step: "collect" },
           );
         case "ended":
-          collecting.replay(
-            status.answer,
-            new httpSink.HttpSink(response, requestId),
-          );
+          collecting.replay(status.answer, sink);
           return;
         case "pending":
           if (performance.now() < until && !response.destroyed) break;
-          return sendJson(response, 202, requestId, {
+          return sendJson(response, 202, sink.requestId, {
             id,
             status: status.running ? "running" : "pending",
             remainingMs: Math.max(0, Math.round(status.remainingMs)),
--- a/packages/daemon/src/entry/http_sink.ts
+++ b/packages/daemon/src/entry/http_sink.ts
@@ -8,14 +8,30 @@
 /** Tells what a caller may conclude from a refusal. */
 export const OUTCOME_HEADER = "ebonypath-outcome";
 
+/** `problem` of a refusal that was recorded when the request ran. */
+const RECORDED_PROBLEM = "recorded";
+
+/** How a caller's request ended. */
+export interface Ending {
+  readonly outcome: string;
+  /** Name of the refusal; empty for an answer. */
+  readonly problem: string;
+}
+
 /** Sends an answer to a connected caller. */
 export class HttpSink implements types.Sink {
+  readonly requestId: string;
   readonly #response: http.ServerResponse;
-  readonly #requestId: string;
+  #ending: Ending | undefined;
 
   constructor(response: http.ServerResponse, requestId: string) {
     this.#response = response;
-    this.#requestId = requestId;
+    this.requestId = requestId;
+  }
+
+  /** How the request ended, once it has. */
+  get ending(): Ending | undefined {
+    return this.#ending;
   }
 
   get started(): boolean {
@@ -23,10 +39,14 @@
   }
 
   answer(answer: types.WholeAnswer): void {
+    const recorded = answer.headers[OUTCOME_HEADER];
+    this.#ending = recorded === undefined
+      ? { outcome: "ran", problem: "" }
+      : { outcome: recorded, problem: RECORDED_PROBLEM };
     this.#response.writeHead(answer.status, {
       ...answer.headers,
       "content-length": answer.body.length,
-      [REQUEST_ID_HEADER]: this.#requestId,
+      [REQUEST_ID_HEADER]: this.requestId,
     });
     this.#response.end(answer.body);
   }
@@ -35,7 +55,7 @@
     this.#response.writeHead(200, {
       "content-type": "text/event-stream; charset=utf-8",
       "cache-control": "no-cache",
-      [REQUEST_ID_HEADER]: this.#requestId,
+      [REQUEST_ID_HEADER]: this.requestId,
     });
   }
 
@@ -49,21 +69,24 @@
   }
 
   end(): void {
+    this.#ending = { outcome: "ran", problem: "" };
     this.#response.end();
   }
 
   refuse(refusal: protocol.errors.Refusal): void {
+    const { definition, outcome } = refusal;
+    this.#ending = { outcome, problem: definition.name };
     if (this.#response.destroyed || this.#response.writableEnded) return;
     if (this.started) {
       this.#refuseStream(refusal);
       return;
     }
-    sendRefusal(this.#response, refusal, this.#requestId);
+    sendRefusal(this.#response, refusal, this.requestId);
   }
 
   /** A stream never ends silently: its last event is the problem. */
   #refuseStream(refusal: protocol.errors.Refusal): void {
-    const problem = refusal.toProblem(this.#requestId);
+    const problem = refusal.toProblem(this.requestId);
     const data = JSON.stringify({ error: problem });
     this.#response.end(`event: error\ndata: ${data}\n\n`);
   }
--- a/packages/daemon/src/host/fleet_state.ts
+++ b/packages/daemon/src/host/fleet_state.ts
@@ -55,6 +55,11 @@
     return this.#freshness.isCurrent(now);
   }
 
+  /** Time since the view was known to be current, in milliseconds. */
+  ageMs(now: number): number {
+    return this.#freshness.ageMs(now);
+  }
+
   /** Takes the leader's answer to an exchange. */
   confirm(sentAt: number, viewIndex: number): void {
     this.#freshness.confirm(sentAt, viewIndex, this.#index);
--- a/packages/daemon/src/host/freshness.ts
+++ b/packages/daemon/src/host/freshness.ts
@@ -28,7 +28,12 @@
 
   /** Whether the view was current within the last {@link FRESHNESS_MS}. */
   isCurrent(now: number): boolean {
-    return now - this.#currentAt < FRESHNESS_MS;
+    return this.ageMs(now) < FRESHNESS_MS;
+  }
+
+  /** Time since the view was known to be current, in milliseconds. */
+  ageMs(now: number): number {
+    return now - this.#currentAt;
   }
 
   /** Takes a leader's answer to an exchange that was sent at `sentAt`. */
--- a/packages/daemon/src/metrics/mod.ts
+++ b/packages/daemon/src/metrics/mod.ts
@@ -31,7 +31,7 @@
 
   readonly requests = new prometheus.Counter({
     name: "ebonypath_requests_total",
-    help: "Callers' requests by how they ended",
+    help: "Callers' requests by outcome and, where refused, by problem",
     labelNames: ["outcome", "problem"],
     registers: [this.registry],
   });
@@ -52,7 +52,8 @@
 
   readonly waiting = new prometheus.Gauge({
     name: "ebonypath_waiting_requests",
-    help: "Requests that wait for capacity at this host",
+    help: "Requests that wait at this host for tokens or for a slot",
+    labelNames: ["for"],
     registers: [this.registry],
   });
 
@@ -80,6 +81,25 @@
     registers: [this.registry],
   });
 
+  readonly viewAge = new prometheus.Gauge({
+    name: "ebonypath_view_age_seconds",
+    help: "Time since the host's view of the fleet was known to be current",
+    registers: [this.registry],
+  });
+
+  readonly backendServers = new prometheus.Gauge({
+    name: "ebonypath_backend_servers",
+    help: "Backend servers in the host's view by whether they get work",
+    labelNames: ["usable"],
+    registers: [this.registry],
+  });
+
+  readonly serverSlots = new prometheus.Gauge({
+    name: "ebonypath_server_slots",
+    help: "Requests that usable backend servers may run at once, fleet-wide",
+    registers: [this.registry],
+  });
+
   readonly exchanges = new prometheus.Counter({
     name: "ebonypath_exchanges_total",
     help: "Exchanges with the leader by result",
@@ -125,6 +145,26 @@
     registers: [this.registry],
   });
 
+  readonly commit = new prometheus.Histogram({
+    name: "ebonypath_commit_seconds",
+    help: "Time from a proposal at the leader to its result, when committed",
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  readonly deferredRequests = new prometheus.Gauge({
+    name: "ebonypath_deferred_requests",
+    help: "Deferred requests that have not ended, in this host's state",
+    labelNames: ["phase"],
+    registers: [this.registry],
+  });
+
+  readonly deferredAge = new prometheus.Gauge({
+    name: "ebonypath_deferred_oldest_seconds",
+    help: "Age of the oldest deferred request that waits for a host",
+    registers: [this.registry],
+  });
+
   constructor() {
     prometheus.collectDefaultMetrics({
       register: this.registry,
--- a/packages/daemon/test/entry/collecting_sink_test.ts
+++ b/packages/daemon/test/entry/collecting_sink_test.ts
@@ -1,5 +1,5 @@
 import { Buffer } from "node:buffer";
-import type * as protocol from "@ebonypath/protocol";
+import * as protocol from "@ebonypath/protocol";
 import { expect } from "chai";
 import * as collecting from "../../src/entry/collecting_sink.ts";
 import type * as types from "../../src/entry/types.ts";
@@ -38,4 +38,20 @@
       expect(passed).to.deep.equal([{ status: 201, headers, body }]);
     });
   }
+
+  it("passes a refusal on with all that it says", () => {
+    const sink = new collecting.CollectingSink(MAX_BYTES);
+    const refusal = new protocol.errors.Refusal(
+      protocol.errors.RATE_EXCEEDED,
+      "no tokens",
+      { retryAfterSeconds: 1 },
+    );
+    sink.refuse(refusal);
+    const passed: protocol.errors.Refusal[] = [];
+    const caller = {
+      refuse: (one: protocol.errors.Refusal) => passed.push(one),
+    };
+    sink.passOn(caller as unknown as types.Sink);
+    expect(passed).to.deep.equal([refusal]);
+  });
 });
