Ask for slots while the model is loaded, not once it is ready

A host could not ask earlier, because it did not know which server loads.

Change: the status of a server names the models that are being loaded there. A host with requests for one of them reports them as expected for that server's slots. The leader gives expected requests slots after present use and before stocks, and recalls unused ones for them. Asking ends after 500 ms, so that a long load behind a full server costs no exchange every 50 ms.

--- a/packages/core/src/limits/division.ts
+++ b/packages/core/src/limits/division.ts
@@ -79,7 +79,9 @@
 export type WholeClaim = {
   /** Wanted for all present use. */
   readonly want: number;
-  /** Wanted as a stock for future use, `want` included. */
+  /** Wanted once loads under way are complete, `want` included. */
+  readonly expected: number;
+  /** Wanted as a stock for future use, all of the above included. */
   readonly stock: number;
   /** How long the oldest request has waited, in milliseconds. */
   readonly ageMs: number;
@@ -87,13 +89,14 @@
 
 /**
  * Divides whole units by max-min fairness, first for present use, then for
- * stocks. Units that do not divide evenly go to those that have waited longest.
+ * requests that a load will let begin, then for stocks. Units that do not
+ * divide evenly go to those that have waited longest.
  *
  * @example
  * ```ts
  * divideWhole(3, [
- *   { want: 2, stock: 2, ageMs: 0 },
- *   { want: 2, stock: 2, ageMs: 20 },
+ *   { want: 2, expected: 2, stock: 2, ageMs: 0 },
+ *   { want: 2, expected: 2, stock: 2, ageMs: 20 },
  * ]); // [1, 2]
  * ```
  */
@@ -105,7 +108,7 @@
   const byAge = claims.map((_, index) => index)
     .sort((a, b) => claims[b]!.ageMs - claims[a]!.ageMs);
   let remaining = Math.max(0, Math.floor(total));
-  for (const wish of ["want", "stock"] as const) {
+  for (const wish of ["want", "expected", "stock"] as const) {
     const lacking = claims.map((claim, index) =>
       Math.max(0, claim[wish] - result[index]!)
     );
--- a/packages/core/src/limits/holder.ts
+++ b/packages/core/src/limits/holder.ts
@@ -121,6 +121,17 @@
     this.#slots.get(server)?.setWaiting(waiting);
   }
 
+  /**
+   * Sets how many requests will want a slot of `server` once a load under way
+   * there is complete.
+   */
+  setExpectedSlots(server: string, count: number, now: number): void {
+    if (count > 0 && !this.#slots.has(server)) {
+      addBounded(this.#slots, server, new SlotShare(server));
+    }
+    this.#slots.get(server)?.setExpected(count, now);
+  }
+
   /** When the next report is due, or nothing if there is nothing to report. */
   nextReportAt(now: number): number | undefined {
     this.#forgetIdle(now);
--- a/packages/core/src/limits/slot_pool.ts
+++ b/packages/core/src/limits/slot_pool.ts
@@ -34,6 +34,7 @@
   readonly peak: number;
   readonly waiting: number;
   readonly waitingMs: number;
+  readonly expected?: number | undefined;
   readonly horizonMs: number;
   readonly outcomes: protocol.limits.ServerOutcomes;
 };
@@ -178,24 +179,33 @@
   }
 
   /**
-   * Whether requests of a holder wait although others have slots that no
-   * request uses, as far as their latest reports tell.
+   * Whether requests of a holder wait, or will after a load, although others
+   * have slots that no request uses, as far as their latest reports tell.
    */
   isShort(holder: string): boolean {
     const own = this.#situations.get(holder);
     const entry = this.#ledger.entries.get(holder);
-    if (own === undefined || entry === undefined || own.waiting === 0) {
-      return false;
-    }
+    if (own === undefined || entry === undefined) return false;
     const given = entry.offered?.amount.capacity ?? 0;
-    if (given >= own.running + own.waiting) return false;
+    const { want, expected } = claimOf(own);
+    if (own.waiting > 0 && given < want) {
+      return this.#hasSpare(holder, ({ running }) => running);
+    }
+    // Of two holders that expect a load, neither asks for the other's slots.
+    return given < expected &&
+      this.#hasSpare(holder, (other) => other.running + (other.expected ?? 0));
+  }
+
+  /** Whether another holder may have more slots than it needs. */
+  #hasSpare(holder: string, need: (other: Situation) => number): boolean {
     return [...this.#ledger.entries].some(([other, { held, offered }]) => {
+      if (other === holder) return false;
       const most = Math.max(
         held?.amount.capacity ?? 0,
         offered?.amount.capacity ?? 0,
       );
-      return other !== holder &&
-        most > (this.#situations.get(other)?.running ?? 0);
+      const situation = this.#situations.get(other);
+      return most > (situation === undefined ? 0 : need(situation));
     });
   }
 
@@ -291,6 +301,7 @@
 function claimOf(situation: Situation): WholeClaim {
   const { running, peak, waiting, waitingMs } = situation;
   const want = running + waiting;
-  const stock = peak > 0 ? Math.max(want, peak + 1) : want;
-  return { want, stock, ageMs: waitingMs };
+  const expected = want + (situation.expected ?? 0);
+  const stock = peak > 0 ? Math.max(expected, peak + 1) : expected;
+  return { want, expected, stock, ageMs: waitingMs };
 }
--- a/packages/core/src/limits/slot_share.ts
+++ b/packages/core/src/limits/slot_share.ts
@@ -17,6 +17,13 @@
 /** Length of the two periods over which the peak is kept. */
 const PEAK_PERIOD_MS = 5000;
 
+/**
+ * How long a holder asks again and again for slots that it will need after a
+ * load. Others have given up what they do not use by then; what is still
+ * missing is in use, and a long load is no reason to go on asking.
+ */
+const EXPECTED_URGENT_MS = 500;
+
 /** Requests that wait for a slot of one server at this host. */
 export type WaitingSlots = {
   readonly count: number;
@@ -24,6 +31,12 @@
   readonly since: number;
 };
 
+/** Requests that will wait for a slot once a load is complete. */
+type ExpectedSlots = {
+  readonly count: number;
+  readonly since: number;
+};
+
 type Lease = {
   readonly grant: protocol.limits.GrantId;
   readonly slots: number;
@@ -40,12 +53,14 @@
   readonly #outcomes = { succeeded: 0, refused: 0, failed: 0, slow: 0 };
   #lease: Lease | undefined;
   #waiting: WaitingSlots | undefined;
+  #expected: ExpectedSlots | undefined;
   #peak = { startedAt: 0, current: 0, previous: 0 };
   /** Slots that the leader counts for this host, as of the last exchange. */
   #countedSlots = 0;
   /** The leader may count slots for this host. */
   #mayCount = false;
   #waitingInReport = 0;
+  #expectedInReport = 0;
   readonly #renewal = new Renewal();
 
   constructor(server: string) {
@@ -65,7 +80,8 @@
   /** Whether nothing is held, running or wanted, so that it can be forgotten. */
   isIdle(now: number): boolean {
     return this.#slots(now) === 0 && this.#running.size === 0 &&
-      this.#waiting === undefined && this.#recentPeak(now) === 0 &&
+      this.#waiting === undefined && this.#expected === undefined &&
+      this.#recentPeak(now) === 0 &&
       !this.#mayCount;
   }
 
@@ -77,6 +93,7 @@
   /** Gives up all slots that no request uses, as when the host shuts down. */
   handOver(): void {
     this.#waiting = undefined;
+    this.#expected = undefined;
     this.#peak = { startedAt: 0, current: 0, previous: 0 };
     if (this.#lease !== undefined) {
       this.#lease = { ...this.#lease, slots: 0 };
@@ -88,6 +105,12 @@
     this.#waiting = waiting;
   }
 
+  /** Sets how many requests will want a slot after a load under way here. */
+  setExpected(count: number, now: number): void {
+    const since = this.#expected?.since ?? now;
+    this.#expected = count > 0 ? { count, since } : undefined;
+  }
+
   /**
    * Takes a slot for one request.
    *
@@ -122,6 +145,7 @@
     this.#mayCount = true;
     this.#countedSlots = Math.max(slots, this.#running.size);
     this.#waitingInReport = this.#waiting?.count ?? 0;
+    this.#expectedInReport = this.#expected?.count ?? 0;
     return {
       server: this.#server,
       ...(this.#lease === undefined ? {} : { grant: this.#lease.grant }),
@@ -131,6 +155,9 @@
       peak: this.#recentPeak(now),
       waiting: this.#waiting?.count ?? 0,
       waitingMs: Math.max(0, now - (this.#waiting?.since ?? now)),
+      ...(this.#expected === undefined
+        ? {}
+        : { expected: this.#expected.count }),
       outcomes: { ...this.#outcomes },
     };
   }
@@ -163,10 +190,21 @@
     if (isShort && waiting > this.#waitingInReport) {
       return "at-once";
     }
+    if (this.#isExpecting(now)) {
+      const isNews = (this.#expected?.count ?? 0) > this.#expectedInReport;
+      return isNews ? "at-once" : "soon";
+    }
     const inUse = Math.max(this.#slots(now), this.#running.size);
     return isShort || inUse < this.#countedSlots ? "soon" : "renewal";
   }
 
+  /** Whether slots for the time after a load are lacking, and sought. */
+  #isExpecting(now: number): boolean {
+    const { count, since } = this.#expected ?? { count: 0, since: now };
+    if (now >= since + EXPECTED_URGENT_MS) return false;
+    return this.available(now) < (this.#waiting?.count ?? 0) + count;
+  }
+
   #endExpired(now: number): void {
     if (this.#lease !== undefined && now >= this.#lease.expiresAt) {
       this.#lease = undefined;
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -159,6 +159,18 @@
       .map(({ replica }) => replica.model);
   }
 
+  /** Models and adapters that are being loaded, by the last plan. */
+  loading(server: string): string[] {
+    const known = this.#servers.get(server);
+    if (known === undefined || this.#scene === undefined) return [];
+    return this.#scene.on(known)
+      .filter(({ replica, status }) =>
+        (status.kind === "pending" || status.kind === "loading") &&
+        replica.unloadIndex === undefined
+      )
+      .map(({ replica }) => replica.model);
+  }
+
   /** The newest announcement of a server; undefined if none was heard. */
   heard(server: string): protocol.backend.Announcement | undefined {
     return this.#servers.get(server)?.announcement;
--- a/packages/core/test/limits/division_test.ts
+++ b/packages/core/test/limits/division_test.ts
@@ -8,8 +8,14 @@
   stock,
 });
 
-const whole = (want: number, ageMs = 0, stock = want) => ({
+const whole = (
+  want: number,
+  ageMs = 0,
+  stock = want,
+  expected = want,
+) => ({
   want,
+  expected,
   stock,
   ageMs,
 });
@@ -68,6 +74,12 @@
       claims: [whole(1, 0, 9), whole(1, 0, 2)],
       parts: [4, 2],
     },
+    {
+      name: "expected use comes after present use and before stock",
+      total: 4,
+      claims: [whole(2), whole(0, 0, 4), whole(0, 0, 1, 1)],
+      parts: [2, 1, 1],
+    },
     {
       name: "part of a unit is not given",
       total: 1.9,
--- a/packages/core/test/limits/fleet.ts
+++ b/packages/core/test/limits/fleet.ts
@@ -141,6 +141,12 @@
     );
   }
 
+  /** Slots that the host will want once a load is complete. */
+  expect(index: number, slots: number): void {
+    const { holder, clock } = this.hosts[index]!;
+    holder.setExpectedSlots(SERVER, slots, clock.at(this.time));
+  }
+
   report(index: number): void {
     const host = this.hosts[index]!;
     const report = host.holder.report(host.clock.at(this.time));
--- a/packages/core/test/limits/recall_test.ts
+++ b/packages/core/test/limits/recall_test.ts
@@ -37,6 +37,50 @@
   return hosts;
 }
 
+/** Slots that the waiting host has when a load of 300 ms ends. */
+function slotsAfterLoad(expected: number): number {
+  const { leader, idle, waiting, exchange } = withIdleSlots();
+  waiting.setExpectedSlots(SERVER, expected, 210);
+  for (let now = 210; now < 510; now += 10) {
+    const due = waiting.nextReportAt(now);
+    if (due !== undefined && due <= now) exchange(waiting, now);
+    exchange(idle, now, leader.takeRecall());
+  }
+  return waiting.availableSlots(SERVER, 510);
+}
+
+describe("slots for requests whose model is being loaded", () => {
+  it("are there when the load ends", () => {
+    expect(slotsAfterLoad(1)).to.equal(1);
+  });
+
+  it("are not there when nobody expects the load", () => {
+    expect(slotsAfterLoad(0)).to.equal(0);
+  });
+
+  it("are not taken from requests that wait now", () => {
+    const { idle, waiting, exchange } = twoHosts();
+    idle.setWaitingSlots(SERVER, { count: 2, since: 0 });
+    exchange(idle, 0);
+    waiting.setExpectedSlots(SERVER, 1, 10);
+    exchange(waiting, 10);
+    exchange(idle, 60, true);
+    exchange(waiting, 70);
+    expect(idle.availableSlots(SERVER, 70)).to.equal(2);
+    expect(waiting.availableSlots(SERVER, 70)).to.equal(0);
+  });
+
+  it("are asked for no longer when others go on using them", () => {
+    const { idle, waiting, exchange } = twoHosts();
+    idle.setWaitingSlots(SERVER, { count: 2, since: 0 });
+    exchange(idle, 0);
+    waiting.setExpectedSlots(SERVER, 1, 10);
+    exchange(waiting, 10);
+    expect(waiting.nextReportAt(20)).to.equal(60);
+    expect(waiting.nextReportAt(520)).to.equal(1_010);
+  });
+});
+
 describe("recall of unused slots", () => {
   it("is wanted while a host waits for slots that another leaves unused", () => {
     const { leader, waiting, exchange } = withIdleSlots();
--- a/packages/core/test/limits/shares_test.ts
+++ b/packages/core/test/limits/shares_test.ts
@@ -51,6 +51,7 @@
     fraction: greedy,
     slots: fc.nat(SLOTS),
   }),
+  weighted(3, { kind: fc.constant("expect"), host, slots: fc.nat(SLOTS) }),
   weighted(12, { kind: fc.constant("reserve"), host, fraction: greedy }),
   weighted(8, {
     kind: fc.constant("use"),
@@ -108,6 +109,8 @@
       return fleet.advance(one.ms!);
     case "want":
       return fleet.want(index, one.tokens!, one.slots!, one.fraction!);
+    case "expect":
+      return fleet.expect(index, one.slots!);
     case "reserve":
       return void fleet.reserve(
         index,
--- a/packages/daemon/src/control/server_table.ts
+++ b/packages/daemon/src/control/server_table.ts
@@ -87,6 +87,7 @@
       : this.#start(server, former);
     const status = statusOf(server, {
       ready: this.#placement.ready(announcement.id),
+      ...loadingOf(this.#placement.loading(announcement.id)),
       limit: row.ramp.limit,
       usable: isUsable(server, withdrawn, now),
     });
@@ -133,9 +134,19 @@
   return now - server.heardMs < SERVER_SILENT_MS;
 }
 
+/** What most servers do not do takes no bytes in the feed. */
+function loadingOf(
+  loading: string[],
+): Pick<protocol.control.ServerStatus, "loading"> {
+  return loading.length === 0 ? {} : { loading };
+}
+
 function statusOf(
   server: core.placement.Server,
-  own: { ready: string[]; limit: number; usable: boolean },
+  own: Pick<
+    protocol.control.ServerStatus,
+    "ready" | "loading" | "limit" | "usable"
+  >,
 ): protocol.control.ServerStatus {
   const { announcement } = server;
   return {
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -39,6 +39,7 @@
   readonly #admission: entry.Admission;
   readonly #placement: entry.PlacementQueue;
   readonly #dispatcher: entry.Dispatcher;
+  readonly #expected: entry.ExpectedSlots;
   readonly #client = new backend.InferenceClient();
   readonly #watch = new core.suspicion.SuspectWatch();
   readonly #demand: entry.DemandReport;
@@ -59,6 +60,15 @@
       shares,
       watch: this.#watch,
       maxQueue: limits.maxQueue,
+      requestExchange: () => {
+        options.requestExchange();
+        this.#expected.update(performance.now());
+      },
+    });
+    this.#expected = new entry.ExpectedSlots({
+      state,
+      shares,
+      waiting: () => this.#placement.waiting(),
       requestExchange,
     });
     this.#dispatcher = new entry.Dispatcher({
@@ -123,6 +133,7 @@
   pump(): void {
     this.#admission.pump();
     this.#placement.pump();
+    this.#expected.update(performance.now());
   }
 
   /** Sets the metrics that are looked up when they are read. */
--- a/packages/protocol/src/control/feed.ts
+++ b/packages/protocol/src/control/feed.ts
@@ -14,6 +14,8 @@
   services: v.array(backend.Name),
   /** Models and adapters that may be used now. */
   ready: v.array(v.string()),
+  /** Models and adapters that are being loaded; absent when there are none. */
+  loading: v.optional(v.array(v.string())),
   /** Requests that it bears at once, over all hosts. */
   limit: v.number(),
   queued: v.number(),
--- a/packages/protocol/src/limits/mod.ts
+++ b/packages/protocol/src/limits/mod.ts
@@ -100,6 +100,8 @@
   waiting: Count,
   /** How long the oldest of them has waited, in milliseconds. */
   waitingMs: Quantity,
+  /** Requests that a load under way on this server will let begin. */
+  expected: v.optional(Count),
   outcomes: ServerOutcomes,
 });
 
