Unload what drains when its last request has ended

Cause: placement was never told what runs on a replica that is to be unloaded. One of a model in use was unloaded only when its whole server ran nothing. And the demand of hosts is up to a second old: a model that was idle by it, and was chosen for eviction, could be unloaded under a request begun since.

Change: hosts report requests that run on a server which no longer offers their target. This takes no bytes but while a replica drains. A replica is unloaded once each live host has reported after it heard of the unload, and none has a request on it; the leader asks hosts for these reports. Where a server offers two versions of a model, hosts cannot tell which one runs a request, and the server must be quiet as before. A new leader waits 3 s for hosts to find it.

--- a/packages/core/src/placement/dispatch.ts
+++ b/packages/core/src/placement/dispatch.ts
@@ -5,7 +5,7 @@
 import type * as scene from "./scene.ts";
 import * as types from "./types.ts";
 
-/** Time that hosts have to hear of an unload before it is ordered. */
+/** Time within which hosts hear of an unload. */
 const UNLOAD_GRACE_MS = 250;
 const UNLOAD_TIMEOUT_MS = 10_000;
 const ADAPTER_TIMEOUT_MS = 5_000;
@@ -64,15 +64,31 @@
   replica: state.Replica,
   sinceMs: number,
 ): boolean {
-  if ((round.needOf(replica.model)?.running ?? 0) === 0) return true;
   const { runningOn } = round.scene.facts;
-  if (runningOn !== undefined) {
-    return runningOn(replica.server, replica.model) === 0;
+  // The demand of a host may be older than a request that it has begun since.
+  if (runningOn !== undefined && !isReplaced(round, server, replica)) {
+    return runningOn(replica, sinceMs + UNLOAD_GRACE_MS) === 0;
   }
+  if ((round.needOf(replica.model)?.running ?? 0) === 0) return true;
   return server.announcement.running === 0 &&
     server.heardMs >= sinceMs + types.ANNOUNCEMENT_DELAY_MS;
 }
 
+/**
+ * Whether the server offers another version of the model: hosts don't tell
+ * which of the two runs their requests.
+ */
+function isReplaced(
+  round: context.Context,
+  server: fleet.Server,
+  { index, model }: state.Replica,
+): boolean {
+  return round.scene.on(server).some(({ replica, status }) =>
+    replica.model === model && replica.index !== index &&
+    replica.unloadIndex === undefined && status.kind === "loaded"
+  );
+}
+
 /** Whether adapters of a model are still decided for its server. */
 function hasAdapters(
   round: context.Context,
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -76,11 +76,15 @@
   readonly replicas: readonly state.Replica[];
   readonly withdrawnFailureDomains: ReadonlySet<string>;
   /**
-   * Requests of a model and its adapters that run on a server now, over all
-   * hosts. Without it a replica of a model in use is unloaded only when its
+   * Requests that run on a replica which is to be unloaded, and on adapters of
+   * its model, over all hosts. Undefined while a host has not reported since
+   * `sinceMs`. Without it a replica of a model in use is unloaded only when its
    * server runs nothing.
    */
-  readonly runningOn?: (server: string, model: string) => number;
+  readonly runningOn?: (
+    replica: Pick<Target, "server" | "incarnation" | "model">,
+    sinceMs: number,
+  ) => number | undefined;
 }
 
 /** Where a checkpoint is loaded from. */
--- a/packages/core/test/placement/world.ts
+++ b/packages/core/test/placement/world.ts
@@ -52,6 +52,8 @@
   readonly configuration: protocol.configuration.Configuration;
   /** How long a new leader waits out earlier orders. */
   readonly waitOutMs?: number;
+  /** What hosts say of a replica that is to be unloaded. */
+  readonly runningOn?: placement.Facts["runningOn"];
 }
 
 /** Time between two rounds of planning. */
@@ -192,12 +194,14 @@
   }
 
   #tick(): void {
+    const { runningOn } = this.#options;
     this.#report();
     const facts = {
       nowMs: this.nowMs,
       catalogue: this.#catalogue,
       replicas: this.state.replicas(),
       withdrawnFailureDomains: this.withdrawn,
+      ...(runningOn === undefined ? {} : { runningOn }),
     };
     for (const action of this.placement.plan(facts)) {
       this.actions.push(action);
--- a/packages/daemon/src/control/host_registry.ts
+++ b/packages/daemon/src/control/host_registry.ts
@@ -19,9 +19,18 @@
   readonly current: boolean;
   readonly draining: boolean;
   readonly demand: readonly protocol.control.Demand[];
+  readonly lingering: readonly protocol.control.Lingering[];
   readonly deferredCapacity: number;
 }
 
+/** A replica that is to be unloaded. */
+export interface Unloading {
+  readonly server: string;
+  readonly incarnation: string;
+  /** Its model or adapter. */
+  readonly model: string;
+}
+
 /** The entry hosts, as their exchanges describe them. */
 export class HostRegistry {
   readonly #hosts = new Map<string, Host>();
@@ -37,6 +46,7 @@
       appliedIndex: request.appliedIndex,
       draining: request.draining,
       demand: request.demand,
+      lingering: request.lingering ?? [],
       deferredCapacity: request.deferredCapacity,
     });
   }
@@ -53,6 +63,22 @@
     return host !== undefined && now - host.heardAt < HOST_LOST_MS;
   }
 
+  /**
+   * Requests of all live hosts that run on a replica which hosts have heard is
+   * to be unloaded; undefined until each of them has reported since `sinceMs`.
+   */
+  lingeringOn(
+    replica: Unloading,
+    sinceMs: number,
+    now: number,
+  ): number | undefined {
+    const hosts = this.live(now);
+    if (hosts.some((host) => host.heardAt < sinceMs)) return undefined;
+    return hosts.flatMap((host) => host.lingering)
+      .filter((row) => isOn(replica, row))
+      .reduce((sum, { running }) => sum + running, 0);
+  }
+
   /** Forgets hosts that have been silent for long. */
   expire(now: number): void {
     for (const [key, host] of this.#hosts) {
@@ -76,6 +102,15 @@
   return `${identity.name}/${identity.incarnation}`;
 }
 
+/** Whether requests run on a replica, or on an adapter of its model. */
+function isOn(
+  { server, incarnation, model }: Unloading,
+  row: protocol.control.Lingering,
+): boolean {
+  if (row.server !== server || row.incarnation !== incarnation) return false;
+  return row.target === model || row.target.startsWith(`${model}:`);
+}
+
 function add(
   sum: protocol.control.Demand | undefined,
   row: protocol.control.Demand,
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -29,6 +29,8 @@
 const COALESCING_MS = 10;
 /** Shortest time between two calls for unused slots, in milliseconds. */
 const RECALL_INTERVAL_MS = 50;
+/** Shortest time between two calls for reports, in milliseconds. */
+const REPORT_INTERVAL_MS = 250;
 /** Time between two heartbeats of the feed, in milliseconds. */
 const HEARTBEAT_MS = 500;
 
@@ -69,6 +71,7 @@
   #immediate: NodeJS.Immediate | undefined;
   #heartbeatAt = 0;
   #recalledAt = 0;
+  #askedAt = 0;
 
   constructor(options: LeadershipOptions) {
     const now = performance.now();
@@ -78,7 +81,9 @@
     this.#shares.takeLeadership({ term: options.term, isFirst }, now);
     this.#placement = new placementDriver.PlacementDriver({
       ...options,
+      hosts: this.hosts,
       onProgress: () => this.#planNow(),
+      onReportsWanted: () => this.#askForReports(performance.now()),
     }, now);
     const { placement } = this.#placement;
     this.#servers = new servers.ServerTable(this.#shares, placement);
@@ -219,6 +224,13 @@
     this.#publisher.publish({ kind: "exchange-wanted" });
   }
 
+  /** Asks hosts what runs on replicas that are to be unloaded. */
+  #askForReports(now: number): void {
+    if (now - this.#askedAt < REPORT_INTERVAL_MS) return;
+    this.#askedAt = now;
+    this.#publisher.publish({ kind: "exchange-wanted" });
+  }
+
   /** Plans in this turn of the event loop, once. */
   #planNow(): void {
     this.#immediate ??= setImmediate(() => {
--- a/packages/daemon/src/control/placement_driver.ts
+++ b/packages/daemon/src/control/placement_driver.ts
@@ -10,17 +10,27 @@
 import * as fleet from "../fleet/mod.ts";
 import * as log from "../log/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
+import type * as hostRegistry from "./host_registry.ts";
 import type * as replicatedState from "./replicated_state.ts";
 
 const write = log.createLog("placement");
 
+/**
+ * Time within which the hosts that live have found a new leader, in
+ * milliseconds: before, a host that has not reported may run requests.
+ */
+const HOSTS_FOUND_MS = 3_000;
+
 /** What placement needs of the leadership. */
 export interface PlacementDriverOptions {
   readonly replicated: replicatedState.ReplicatedState;
   readonly metrics: metrics.Metrics;
+  readonly hosts: Pick<hostRegistry.HostRegistry, "lingeringOn">;
   hasLease(): boolean;
   /** A proposal or an order has ended: there is something new to plan. */
   onProgress(): void;
+  /** An unload waits for the reports of hosts. */
+  onReportsWanted(): void;
   propose(
     command: protocol.state.Command,
   ): Promise<protocol.state.CommandResult>;
@@ -30,11 +40,13 @@
 export class PlacementDriver implements Disposable {
   readonly placement: core.placement.Placement;
   readonly #options: PlacementDriverOptions;
+  readonly #startedAt: number;
   readonly #stop = new AbortController();
 
   constructor(options: PlacementDriverOptions, now: number) {
     const { state, appliedIndex } = options.replicated;
     this.#options = options;
+    this.#startedAt = now;
     this.placement = new core.placement.Placement({
       sinceMs: now,
       ordersAllowedFromMs: earliestOrder(state, now),
@@ -52,6 +64,7 @@
       catalogue: state.catalogue(),
       replicas,
       withdrawnFailureDomains: new Set(state.withdrawnFailureDomains()),
+      runningOn: (replica, sinceMs) => this.#runningOn(replica, sinceMs, now),
     });
     for (const action of actions) this.#carryOut(action);
   }
@@ -60,6 +73,18 @@
     this.#stop.abort();
   }
 
+  #runningOn(
+    replica: hostRegistry.Unloading,
+    sinceMs: number,
+    now: number,
+  ): number | undefined {
+    const { hosts, onReportsWanted } = this.#options;
+    if (now < this.#startedAt + HOSTS_FOUND_MS) return undefined;
+    const running = hosts.lingeringOn(replica, sinceMs, now);
+    if (running === undefined) onReportsWanted();
+    return running;
+  }
+
   #carryOut(action: core.placement.Action): void {
     switch (action.kind) {
       case "order":
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -148,6 +148,11 @@
     return this.#demand.take(performance.now());
   }
 
+  lingering(): protocol.control.Lingering[] {
+    const { servers } = this.#options.state;
+    return entry.lingeringOf(this.#dispatcher.running, servers);
+  }
+
   takeSuspicions(): protocol.suspicion.SuspicionReport[] {
     return this.#watch.takeReports();
   }
--- /dev/null
+++ b/packages/daemon/src/entry/lingering.ts
@@ -0,0 +1,27 @@
+import * as protocol from "@ebonypath/protocol";
+import type * as dispatcher from "./dispatcher.ts";
+
+/**
+ * Counts the requests that run where their target is no longer offered: its
+ * replica is about to be unloaded, and waits for them.
+ */
+export function lingeringOf(
+  running: Iterable<
+    Pick<dispatcher.Running, "server"> & {
+      readonly work: { readonly target: string };
+    }
+  >,
+  servers: ReadonlyMap<string, protocol.control.ServerStatus>,
+): protocol.control.Lingering[] {
+  const rows = new Map<string, protocol.control.Lingering>();
+  for (const { work: { target }, server: { id, incarnation } } of running) {
+    const status = servers.get(id);
+    const isOffered = status?.incarnation === incarnation &&
+      protocol.control.serves(status, target);
+    if (isOffered) continue;
+    const key = JSON.stringify([id, incarnation, target]);
+    const count = (rows.get(key)?.running ?? 0) + 1;
+    rows.set(key, { server: id, incarnation, target, running: count });
+  }
+  return [...rows.values()];
+}
--- a/packages/daemon/src/entry/mod.ts
+++ b/packages/daemon/src/entry/mod.ts
@@ -11,6 +11,7 @@
 export * from "./demand_report.ts";
 export * from "./dispatcher.ts";
 export * from "./expected_slots.ts";
+export * from "./lingering.ts";
 export * from "./placement.ts";
 export * from "./resolve.ts";
 export * from "./types.ts";
--- a/packages/daemon/src/host/exchanger.ts
+++ b/packages/daemon/src/host/exchanger.ts
@@ -27,6 +27,8 @@
 /** What a host reports besides its shares. */
 export interface Reporter {
   demand(): protocol.control.Demand[];
+  /** Requests on servers that no longer offer their target. */
+  lingering(): protocol.control.Lingering[];
   /** Suspicions not yet reported; called once an exchange. */
   takeSuspicions(): protocol.suspicion.SuspicionReport[];
   /** Gives suspicions back whose exchange failed. */
@@ -128,6 +130,7 @@
     const suspicions = reporter.takeSuspicions();
     const sentAt = performance.now();
     const report = shares.report(sentAt, this.#isRecalled);
+    const lingering = reporter.lingering();
     this.#isRecalled = false;
     const request: protocol.control.ExchangeRequest = {
       host: this.#options.identity,
@@ -138,6 +141,7 @@
       draining: this.#options.isDraining(),
       ...(report === undefined ? {} : { shares: report }),
       demand: reporter.demand(),
+      ...(lingering.length === 0 ? {} : { lingering }),
       suspicions,
       deferredCapacity: reporter.deferredCapacity(),
     };
@@ -170,6 +174,7 @@
 /** Reports nothing: for hosts without the entry role. */
 export const SILENT_REPORTER: Reporter = {
   demand: () => [],
+  lingering: () => [],
   takeSuspicions: () => [],
   returnSuspicions: () => undefined,
   deferredCapacity: () => 0,
--- /dev/null
+++ b/packages/daemon/test/control/host_registry_test.ts
@@ -0,0 +1,79 @@
+import { expect } from "chai";
+import type * as protocol from "@ebonypath/protocol";
+import * as registry from "../../src/control/host_registry.ts";
+
+const REPLICA = { server: "s1", incarnation: "i1", model: "advice/a" };
+
+function exchangeOf(
+  name: string,
+  lingering: protocol.control.Lingering[],
+): protocol.control.ExchangeRequest {
+  return {
+    host: { name, incarnation: "1", failureDomain: "d1" },
+    roles: ["entry"],
+    version: 1,
+    current: true,
+    appliedIndex: 1,
+    draining: false,
+    demand: [],
+    lingering,
+    suspicions: [],
+    deferredCapacity: 0,
+  };
+}
+
+function row(fields: Partial<protocol.control.Lingering>) {
+  const { server, incarnation, model: target } = REPLICA;
+  return { server, incarnation, target, running: 1, ...fields };
+}
+
+describe("requests on a replica that is to be unloaded", () => {
+  const cases = [
+    { name: "are none", rows: [[], []], sum: 0 },
+    { name: "are added up", rows: [[row({})], [row({ running: 2 })]], sum: 3 },
+    {
+      name: "include those of adapters",
+      rows: [[row({ target: "advice/a:x" })]],
+      sum: 1,
+    },
+    {
+      name: "are not those of another model",
+      rows: [[row({ target: "advice/ab" })]],
+      sum: 0,
+    },
+    {
+      name: "are not those of another server",
+      rows: [[row({ server: "s2" })]],
+      sum: 0,
+    },
+    {
+      name: "are not those of another start of the server",
+      rows: [[row({ incarnation: "i2" })]],
+      sum: 0,
+    },
+  ];
+  for (const { name, rows, sum } of cases) {
+    it(name, () => {
+      const hosts = new registry.HostRegistry();
+      rows.forEach((of, index) => hosts.hear(exchangeOf(`h${index}`, of), 100));
+      expect(hosts.lingeringOn(REPLICA, 100, 200)).to.equal(sum);
+    });
+  }
+
+  it("are unknown until each live host has reported", () => {
+    const hosts = new registry.HostRegistry();
+    hosts.hear(exchangeOf("h1", []), 100);
+    hosts.hear(exchangeOf("h2", []), 50);
+    expect(hosts.lingeringOn(REPLICA, 100, 200)).to.equal(undefined);
+    hosts.hear(exchangeOf("h2", []), 150);
+    expect(hosts.lingeringOn(REPLICA, 100, 200)).to.equal(0);
+  });
+
+  it("are not waited for at a lost host", () => {
+    const hosts = new registry.HostRegistry();
+    hosts.hear(exchangeOf("h1", []), 0);
+    const now = registry.HOST_LOST_MS;
+    hosts.hear(exchangeOf("h2", []), now);
+    expect(hosts.lingeringOn(REPLICA, now, now)).to.equal(0);
+  });
+});
--- a/packages/protocol/src/control/exchange.ts
+++ b/packages/protocol/src/control/exchange.ts
@@ -30,6 +30,15 @@
 });
 export type Demand = v.InferOutput<typeof Demand>;
 
+/** Requests that run on a server which no longer offers their target. */
+export const Lingering = v.object({
+  server: backend.Name,
+  incarnation: backend.Name,
+  target: v.string(),
+  running: Count,
+});
+export type Lingering = v.InferOutput<typeof Lingering>;
+
 /** A deferred request handed to a host for execution. */
 export const Assignment = v.object({
   id: v.string(),
@@ -56,6 +65,10 @@
   /** Absent when no share is due. */
   shares: v.optional(limits.ShareReport),
   demand: v.pipe(v.array(Demand), v.maxLength(LISTED_TARGETS)),
+  /** Absent when there are none, as most of the time. */
+  lingering: v.optional(
+    v.pipe(v.array(Lingering), v.maxLength(LISTED_TARGETS)),
+  ),
   suspicions: v.pipe(
     v.array(suspicion.SuspicionReport),
     v.maxLength(LISTED_TARGETS),
