Load from a disk rather than from a store that turned out to be fast

The speed of a disk was still the assumed one, while that of the store was learned to be greater.

Change: a place that was not observed keeps its assumed lead over those farther away, and the first observations of a place count as a mean instead of 30% against what was assumed. The leader plans at once for demand unless it planned in the last 10 ms; before, it always waited 10 ms.

--- a/packages/core/src/placement/estimates.ts
+++ b/packages/core/src/placement/estimates.ts
@@ -2,7 +2,7 @@
 
 /** Time of a load that does not depend on its size, in milliseconds. */
 const BASE_MS = 20;
-/** Weight of the newest observation. */
+/** Least weight of the newest observation; the first ones weigh more. */
 const WEIGHT = 0.3;
 /** Adapters are loaded in this time until one was observed. */
 const DEFAULT_ADAPTER_MS = 20;
@@ -13,8 +13,17 @@
   store: 1_000_000,
 };
 
+/** What loads from one place have shown. */
+interface Observed {
+  readonly count: number;
+  /** Bytes per millisecond. */
+  readonly rate: number;
+}
+
 /**
- * Learns from observed loads how long a load takes from each place.
+ * Learns from observed loads how long a load takes from each place. A place
+ * that was not observed keeps its lead over one that is farther away: a disk
+ * is not slower than a store that turned out to be fast.
  *
  * @example
  * ```ts
@@ -23,12 +32,12 @@
  * ```
  */
 export class Estimates {
-  readonly #rates = { ...DEFAULT_RATES };
+  readonly #observed = new Map<types.Place, Observed>();
   #adapterMs = DEFAULT_ADAPTER_MS;
 
   /** Expected load time of a model, in milliseconds. */
   load(place: types.Place, bytes: number): number {
-    return BASE_MS + bytes / this.#rates[place];
+    return BASE_MS + bytes / this.#rate(place);
   }
 
   /** Expected load time of an adapter, in milliseconds. */
@@ -39,9 +48,21 @@
   observe(place: types.Place, bytes: number, durationMs: number): void {
     if (bytes <= 0) return;
     const rate = bytes / Math.max(1, durationMs - BASE_MS);
-    const mean = (1 - WEIGHT) * Math.log(this.#rates[place]) +
-      WEIGHT * Math.log(rate);
-    this.#rates[place] = Math.exp(mean);
+    const known = this.#observed.get(place) ?? { count: 0, rate };
+    const count = known.count + 1;
+    const weight = Math.max(WEIGHT, 1 / count);
+    const mean = (1 - weight) * Math.log(known.rate) +
+      weight * Math.log(rate);
+    this.#observed.set(place, { count, rate: Math.exp(mean) });
+  }
+
+  #rate(place: types.Place): number {
+    const known = this.#observed.get(place);
+    if (known !== undefined) return known.rate;
+    const factors = [...this.#observed]
+      .filter(([other]) => DEFAULT_RATES[other] < DEFAULT_RATES[place])
+      .map(([other, { rate }]) => rate / DEFAULT_RATES[other]);
+    return DEFAULT_RATES[place] * Math.max(1, ...factors);
   }
 
   observeAdapter(durationMs: number): void {
--- a/packages/core/test/placement/store_gate_test.ts
+++ b/packages/core/test/placement/store_gate_test.ts
@@ -36,6 +36,16 @@
     expect(gate.waitMs(9, 500, 0)).to.equal(1_000);
   });
 
+  it("takes no disk for slower than a store that is fast", () => {
+    const estimates = new placement.Estimates();
+    estimates.observe("store", 4e9, 1_020);
+    expect(estimates.load("store", 4e9)).to.be.closeTo(1_020, 1);
+    expect(estimates.load("disk", 4e9)).to.be.closeTo(520, 1);
+    estimates.observe("disk", 4e9, 320);
+    expect(estimates.load("disk", 4e9)).to.be.closeTo(320, 1);
+    expect(estimates.load("store", 4e9)).to.be.closeTo(1_020, 1);
+  });
+
   it("learns the speed of each place", () => {
     const estimates = new placement.Estimates();
     for (let i = 0; i < 30; i++) estimates.observe("disk", 1e9, 5_000);
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -72,6 +72,7 @@
   #heartbeatAt = 0;
   #recalledAt = 0;
   #askedAt = 0;
+  #plannedAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: LeadershipOptions) {
     const now = performance.now();
@@ -150,7 +151,7 @@
       now,
     );
     this.#takeDeaths(request.suspicions);
-    if (request.demand.some((row) => row.waiting > 0)) this.#planSoon();
+    if (request.demand.some((row) => row.waiting > 0)) this.#planFor(now);
     const shares = request.shares === undefined
       ? {}
       : { shares: this.#shares.exchange(request.shares, now) };
@@ -231,6 +232,12 @@
     this.#publisher.publish({ kind: "exchange-wanted" });
   }
 
+  /** Plans for demand: at once, unless a plan was made just before. */
+  #planFor(now: number): void {
+    if (now - this.#plannedAt < COALESCING_MS) this.#planSoon();
+    else this.#planNow();
+  }
+
   /** Plans in this turn of the event loop, once. */
   #planNow(): void {
     this.#immediate ??= setImmediate(() => {
@@ -263,6 +270,7 @@
   }
 
   #plan(now: number): void {
+    this.#plannedAt = now;
     const { state } = this.#options.replicated;
     this.#placement.run(now);
     const withdrawn = new Set(state.withdrawnFailureDomains());
