--- a/packages/core/src/placement/context.ts
+++ b/packages/core/src/placement/context.ts
@@ -88,11 +88,17 @@
   }
 
   /**
-   * Expected time by which the loads of a server hold up another one, in
-   * milliseconds: loads run beside each other as far as orders do.
+   * Expected time by which the loads of a server, decided or proposed, hold up
+   * another one, in milliseconds: loads run beside each other as far as orders
+   * do.
    */
   busyMs(server: fleet.Server): number {
     let busyMs = 0;
+    for (const { model, version, bytes } of this.scene.proposedOn(server)) {
+      // What the server holds already is adopted, not loaded.
+      if (fleet.lists(server, model, version)) continue;
+      busyMs += this.loadMs(server, model, version, bytes);
+    }
     for (const { replica, status } of this.scene.on(server)) {
       if (status.kind !== "pending" && status.kind !== "loading") continue;
       const { model, version, bytes } = replica;
--- a/packages/core/src/placement/scene.ts
+++ b/packages/core/src/placement/scene.ts
@@ -102,13 +102,19 @@
     return this.#targets.filter((target) => target.model === model);
   }
 
+  /** Proposed decisions for a server that are not committed. */
+  proposedOn(server: fleet.Server): types.Target[] {
+    const { id, incarnation } = server.announcement;
+    return this.#targets.filter((target) =>
+      target.server === id && target.incarnation === incarnation
+    );
+  }
+
   /** Bytes of a server that nothing is decided or proposed for. */
   freeBytes(server: fleet.Server): number {
-    const { id, incarnation, memoryBytes } = server.announcement;
+    const { memoryBytes } = server.announcement;
     const replicas = this.on(server).map(({ replica }) => replica);
-    const targets = this.#targets.filter((target) =>
-      target.server === id && target.incarnation === incarnation
-    );
+    const targets = this.proposedOn(server);
     const gone = this.#orders.forgottenOn(server);
     const committed = ledger.committedBytes(server, replicas, targets, gone);
     return memoryBytes - committed;
--- a/packages/testing/src/fake_backend/weight_store.ts
+++ b/packages/testing/src/fake_backend/weight_store.ts
@@ -26,6 +26,7 @@
   #nextStartMs = 0;
   #adapters = 0;
   #loads = 0;
+  #mostInFlight = 0;
 
   constructor(options: WeightStoreOptions = {}) {
     this.#startIntervalMs = 1_000 / (options.loadsPerSecond ?? 4);
@@ -45,9 +46,16 @@
     return this.#running + this.#waiting.length;
   }
 
+  /** Most loads that ran or waited at once. */
+  get mostInFlight(): number {
+    return this.#mostInFlight;
+  }
+
   /** Fetches a model, which takes `ms` once the store has started on it. */
   async load(ms: number, signal: AbortSignal): Promise<void> {
-    await this.#acquire();
+    const isAcquired = this.#acquire();
+    this.#mostInFlight = Math.max(this.#mostInFlight, this.inFlight);
+    await isAcquired;
     try {
       await this.#waitForStart(signal);
       await timers.setTimeout(ms * this.slowdown, undefined, { signal });
