Add up the demand of hosts once, for placement and for deferred work

Change: deferred work asks placement for the demand of a target. The sum is kept until a report comes or ends.

--- a/packages/core/src/placement/demand.ts
+++ b/packages/core/src/placement/demand.ts
@@ -24,6 +24,10 @@
 /** The demand of the whole fleet, added up from the reports of its hosts. */
 export class DemandTable {
   readonly #reports = new Map<string, Report>();
+  /** The sum of the reports; undefined when they have changed. */
+  #sum: ReadonlyMap<string, Need> | undefined;
+  /** When the oldest report in the sum no longer counts. */
+  #sumEndsMs = 0;
 
   /** Replaces the report of a host. */
   report(
@@ -32,27 +36,44 @@
     nowMs: number,
   ): void {
     this.#reports.set(host, { receivedMs: nowMs, demands });
+    this.#sum = undefined;
   }
 
   remove(host: string): void {
     this.#reports.delete(host);
+    this.#sum = undefined;
+  }
+
+  /** The need of one target; undefined if it is zero. */
+  of(target: string, nowMs: number): Need | undefined {
+    return this.#added(nowMs).get(target);
   }
 
   /** The needs that are not zero, those with the earliest deadline first. */
   needs(nowMs: number): Need[] {
+    return [...this.#added(nowMs).values()].sort(byUrgency);
+  }
+
+  /** Adds up the reports, if that was not done since the last change. */
+  #added(nowMs: number): ReadonlyMap<string, Need> {
+    if (this.#sum !== undefined && nowMs <= this.#sumEndsMs) return this.#sum;
     const byTarget = new Map<string, Need>();
+    let endsMs = Infinity;
     for (const [host, report] of this.#reports) {
       if (nowMs - report.receivedMs > REPORT_LIFETIME_MS) {
         this.#reports.delete(host);
         continue;
       }
+      endsMs = Math.min(endsMs, report.receivedMs + REPORT_LIFETIME_MS);
       for (const demand of report.demands) {
         if (demand.waiting + demand.running === 0) continue;
         const need = needOf(demand, report.receivedMs);
         byTarget.set(need.target, sum(byTarget.get(need.target), need));
       }
     }
-    return [...byTarget.values()].sort(byUrgency);
+    this.#sum = byTarget;
+    this.#sumEndsMs = endsMs;
+    return byTarget;
   }
 }
 
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -89,6 +89,11 @@
     this.#demand.remove(host);
   }
 
+  /** What all hosts want of a target; undefined when they want nothing. */
+  demandOf(target: string, nowMs: number): demand.Need | undefined {
+    return this.#demand.of(target, nowMs);
+  }
+
   /** Takes the models that deferred requests want; it replaces earlier ones. */
   wantDeferred(needs: readonly demand.Need[]): void {
     this.#deferred = needs;
--- a/packages/daemon/src/control/deferred_driver.ts
+++ b/packages/daemon/src/control/deferred_driver.ts
@@ -49,9 +49,6 @@
       placement.wantDeferred([]);
       return;
     }
-    const demand = new Map(
-      hosts.demand(now).map((row) => [row.target, row]),
-    );
     const plan = core.deferred.plan({
       nowMs: now,
       timeMs: Date.now(),
@@ -62,7 +59,7 @@
           host.current && !host.draining && host.deferredCapacity > 0
         )
         .map(toPlannedHost),
-      capacityOf: (target) => this.#capacityOf(target, demand.get(target)),
+      capacityOf: (target) => this.#capacityOf(target, now),
     });
     placement.wantDeferred(plan.needs);
     void this.#assign(plan.assignments);
@@ -108,11 +105,10 @@
   }
 
   /** What placement expects, within what servers bear while they warm up. */
-  #capacityOf(
-    target: string,
-    demand: protocol.control.Demand | undefined,
-  ): core.deferred.Capacity {
-    const known = this.#options.placement.capacity(target) ?? NO_CAPACITY;
+  #capacityOf(target: string, now: number): core.deferred.Capacity {
+    const { placement } = this.#options;
+    const known = placement.capacity(target) ?? NO_CAPACITY;
+    const demand = placement.demandOf(target, now);
     const limit = this.#options.servers.statuses()
       .filter((server) =>
         server.usable && protocol.control.serves(server, target)
--- a/packages/daemon/src/control/host_registry.ts
+++ b/packages/daemon/src/control/host_registry.ts
@@ -85,17 +85,6 @@
       if (now - host.heardAt > HOST_FORGOTTEN_MS) this.#hosts.delete(key);
     }
   }
-
-  /** Demand of all live hosts, one row a target. */
-  demand(now: number): protocol.control.Demand[] {
-    const rows = new Map<string, protocol.control.Demand>();
-    for (const host of this.live(now)) {
-      for (const row of host.demand) {
-        rows.set(row.target, add(rows.get(row.target), row));
-      }
-    }
-    return [...rows.values()];
-  }
 }
 
 function keyOf(identity: protocol.control.HostIdentity): string {
@@ -110,20 +99,3 @@
   if (row.server !== server || row.incarnation !== incarnation) return false;
   return row.target === model || row.target.startsWith(`${model}:`);
 }
-
-function add(
-  sum: protocol.control.Demand | undefined,
-  row: protocol.control.Demand,
-): protocol.control.Demand {
-  if (sum === undefined) return row;
-  return {
-    target: row.target,
-    waiting: sum.waiting + row.waiting,
-    running: sum.running + row.running,
-    earliestDeadlineMs: Math.min(
-      sum.earliestDeadlineMs,
-      row.earliestDeadlineMs,
-    ),
-    arrivals: sum.arrivals + row.arrivals,
-  };
-}
