Refuse early what cannot start or be answered in time

Cause: the queue for slots was told an expected wait of 0, and requests waited for tokens until their deadline itself. Requests were then sent with next to no time left, cut, and refused as `may-have-run`; the others learned after their whole wait that there was no room.

Change: each line (tokens of a workspace, slots of a target) measures what it is served while something waits, and refuses at arrival what cannot start by then, with Retry-After. Nothing is refused early where the supply isn't known yet, as while a model loads. Time for the server is counted from the arrival and covers times that vary: nearly the longest of the last 64 answers. The line of tokens leaves time for the wait for a slot. A placing round no longer begins anew after each placement, and waiting requests are counted by target.

`integration/overload` fails without either expected wait. It passes with the old count of the time left for a server, which is covered by unit tests only.

--- a/packages/core/src/queue/backlog.ts
+++ b/packages/core/src/queue/backlog.ts
@@ -83,11 +83,17 @@
   }
 
   /** Tokens of the requests that would be dispatched before this one. */
-  tokensBefore(request: WaitingRequest, now: number): number {
+  tokensBefore(
+    request: WaitingRequest,
+    now: number,
+    counts: (other: WaitingRequest) => boolean,
+  ): number {
     let tokens = 0;
-    for (const other of [...this.#byUrgency.values()].flat()) {
-      if (compare(other, request, now) <= 0) {
-        tokens += other.tokens;
+    for (const requests of this.#byUrgency.values()) {
+      for (const other of requests) {
+        if (counts(other) && compare(other, request, now) <= 0) {
+          tokens += other.tokens;
+        }
       }
     }
     return tokens;
--- a/packages/core/src/queue/fair_queue.ts
+++ b/packages/core/src/queue/fair_queue.ts
@@ -157,15 +157,21 @@
    * Tokens that would be served before a request that is added now: those of
    * its own workspace that go before it, and of each other workspace as many as
    * its weight lets it have in that time.
+   *
+   * @param counts Which requests wait for the same capacity; all by default.
    */
-  tokensBefore(request: WaitingRequest, now: number): number {
+  tokensBefore(
+    request: WaitingRequest,
+    now: number,
+    counts: (other: WaitingRequest) => boolean = () => true,
+  ): number {
     const own = this.#flows.get(request.workspace)?.backlog;
-    const before = own?.tokensBefore(request, now) ?? 0;
+    const before = own?.tokensBefore(request, now, counts) ?? 0;
     let total = before;
     for (const [workspace, { backlog, weight }] of this.#flows) {
       if (workspace !== request.workspace) {
         const due = (before + request.tokens) * weight / request.weight;
-        total += Math.min(due, backlog.tokensBefore(request, now));
+        total += Math.min(due, backlog.tokensBefore(request, now, counts));
       }
     }
     return total;
--- a/packages/core/test/queue/fair_queue_test.ts
+++ b/packages/core/test/queue/fair_queue_test.ts
@@ -190,3 +190,9 @@
   expect(subject.tokensBefore(request("b"), 0)).to.equal(10 + 20);
   expect(subject.tokensBefore(request("a"), 0)).to.equal(500 + 10);
 });
+
+it("tokens before a request leave out those that wait for something else", () => {
+  const subject = newQueue(request("a", { id: "x" }), request("a"));
+  const counts = ({ id }: queue.WaitingRequest) => id !== "x";
+  expect(subject.tokensBefore(request("a"), 0, counts)).to.equal(10);
+});
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -50,11 +50,11 @@
     const { limits } = options.settings;
     const requestExchange = () => options.requestExchange();
     this.#options = options;
-    this.#admission = new entry.Admission(
+    this.#admission = new entry.Admission({
       shares,
-      requestExchange,
-      () => state.isCurrent(performance.now()),
-    );
+      requestShares: requestExchange,
+      isCurrent: () => state.isCurrent(performance.now()),
+    });
     this.#placement = new entry.PlacementQueue({
       state,
       shares,
--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type * as core from "@ebonypath/core";
+import * as core from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
 import type * as types from "./types.ts";
 
@@ -13,9 +13,27 @@
 /** The part of {@link core.limits.ShareHolder} that admission uses. */
 export type TokenShares = Pick<
   core.limits.ShareHolder,
-  "reserve" | "settle" | "setWaitingTokens"
+  "reserve" | "settle" | "setWaitingTokens" | "tokenShare"
 >;
 
+/** What admission works with. */
+export interface AdmissionOptions {
+  readonly shares: TokenShares;
+  /** Asks the leader for more, soon. */
+  requestShares(): void;
+  /** Whether the host hears a leader. */
+  isCurrent(): boolean;
+  /** The monotonic clock, in milliseconds. */
+  now?(): number;
+}
+
+/** Requests of one workspace, in the order of their arrival. */
+interface Line {
+  readonly waiters: Waiter[];
+  /** Counts the tokens that were reserved. */
+  readonly supply: core.queue.SupplyRate;
+}
+
 interface Waiter {
   readonly work: types.Work;
   readonly since: number;
@@ -25,57 +43,53 @@
 
 /** Reserves tokens; requests of one workspace are served in their order. */
 export class Admission {
-  readonly #shares: TokenShares;
-  readonly #requestShares: () => void;
-  readonly #isCurrent: () => boolean;
-  readonly #lines = new Map<string, Waiter[]>();
+  readonly #options: AdmissionOptions;
+  readonly #now: () => number;
+  readonly #lines = new Map<string, Line>();
 
-  /**
-   * @param requestShares asks the leader for more, soon
-   * @param isCurrent whether the host hears a leader
-   */
-  constructor(
-    shares: TokenShares,
-    requestShares: () => void,
-    isCurrent: () => boolean,
-  ) {
-    this.#shares = shares;
-    this.#requestShares = requestShares;
-    this.#isCurrent = isCurrent;
+  constructor(options: AdmissionOptions) {
+    this.#options = options;
+    this.#now = options.now ?? (() => performance.now());
   }
 
   /** Works that wait for tokens. */
   *waiting(): Generator<types.Work> {
     for (const line of this.#lines.values()) {
-      for (const waiter of line) yield waiter.work;
+      for (const waiter of line.waiters) yield waiter.work;
     }
   }
 
   /**
-   * Reserves the tokens of a request, at its deadline at the latest.
+   * Reserves the tokens of a request in time. What cannot have them in time, as
+   * far as is known, is refused at once.
    *
+   * @param startBy When the request must have started; monotonic.
    * @throws {protocol.errors.Refusal} the rate is used up
    */
   async reserve(
     work: types.Work,
     workspace: string,
     signal: AbortSignal,
+    startBy: number,
   ): Promise<core.limits.Reservation> {
-    const line = this.#lineOf(workspace);
-    const now = performance.now();
+    const now = this.#now();
+    const line = this.#lineOf(workspace, now);
+    const waitMs = this.#expectedWaitMs(workspace, line, work, now);
+    const lateMs = now + waitMs - startBy;
+    if (waitMs > 0 && lateMs > 0) throw rateExceeded(work, workspace, lateMs);
     const entered = new Promise<core.limits.Reservation>((resolve, reject) => {
-      line.push({ work, since: now, resolve, reject });
+      line.waiters.push({ work, since: now, resolve, reject });
     });
     const leave = (refusal: protocol.errors.Refusal) =>
       this.#remove(workspace, work, refusal);
     const timer = setTimeout(
       () => leave(this.#refusalOf(work, workspace)),
-      work.deadline - now,
+      startBy - now,
     );
     const abort = () => leave(callerGone());
     signal.addEventListener("abort", abort);
     this.#serve(workspace, line);
-    if (line.length > 0) this.#requestShares();
+    if (line.waiters.length > 0) this.#options.requestShares();
     try {
       return await entered;
     } finally {
@@ -84,33 +98,60 @@
     }
   }
 
+  /** Notes that tokens were reserved in vain: their request was not run. */
+  returned(workspace: string, tokens: number): void {
+    this.#lines.get(workspace)?.supply.served(-tokens, this.#now());
+  }
+
   /** Serves all lines, after the shares have changed. */
   pump(): void {
     for (const [workspace, line] of this.#lines) this.#serve(workspace, line);
   }
 
-  #serve(workspace: string, line: Waiter[]): void {
-    while (line[0] !== undefined) {
-      const head = line[0];
-      const now = performance.now();
-      const result = this.#shares.reserve(workspace, head.work.tokens, now);
+  /**
+   * How long a request would wait for tokens, from what waits before it and how
+   * fast that is served; 0 while that is not known.
+   */
+  #expectedWaitMs(
+    workspace: string,
+    line: Line,
+    work: types.Work,
+    now: number,
+  ): number {
+    const supply = line.supply.perMs(now);
+    if (line.waiters.length === 0 || supply === undefined) return 0;
+    const share = this.#options.shares.tokenShare(workspace, now);
+    const before = tokensOf(line) + work.tokens;
+    return before / Math.max(supply, share.rate / 1_000);
+  }
+
+  #serve(workspace: string, line: Line): void {
+    const { waiters } = line;
+    while (waiters[0] !== undefined) {
+      const head = waiters[0];
+      const now = this.#now();
+      const { tokens } = head.work;
+      const result = this.#options.shares.reserve(workspace, tokens, now);
       if (result.kind === "wait") break;
-      line.shift();
-      if (result.kind === "reserved") head.resolve(result.reservation);
-      else head.reject(overBurst(head.work, result.burst));
+      waiters.shift();
+      if (result.kind === "reserved") {
+        line.supply.served(tokens, now);
+        head.resolve(result.reservation);
+      } else head.reject(overBurst(head.work, result.burst));
     }
     this.#publish(workspace, line);
   }
 
-  #publish(workspace: string, line: Waiter[]): void {
-    const head = line[0];
+  #publish(workspace: string, line: Line): void {
+    const { shares } = this.#options;
+    const head = line.waiters[0];
     if (head === undefined) {
       this.#lines.delete(workspace);
-      this.#shares.setWaitingTokens(workspace, undefined);
+      shares.setWaitingTokens(workspace, undefined);
       return;
     }
-    this.#shares.setWaitingTokens(workspace, {
-      tokens: line.reduce((sum, waiter) => sum + waiter.work.tokens, 0),
+    shares.setWaitingTokens(workspace, {
+      tokens: tokensOf(line),
       head: head.work.tokens,
       since: head.since,
     });
@@ -121,10 +162,11 @@
     work: types.Work,
     refusal: protocol.errors.Refusal,
   ): void {
-    const line = this.#lines.get(workspace) ?? [];
-    const index = line.findIndex((waiter) => waiter.work === work);
-    if (index < 0) return;
-    const [waiter] = line.splice(index, 1);
+    const line = this.#lines.get(workspace);
+    const index = line?.waiters.findIndex((waiter) => waiter.work === work) ??
+      -1;
+    if (line === undefined || index < 0) return;
+    const [waiter] = line.waiters.splice(index, 1);
     waiter?.reject(refusal);
     this.#serve(workspace, line);
   }
@@ -134,7 +176,7 @@
     work: types.Work,
     workspace: string,
   ): protocol.errors.Refusal {
-    if (this.#isCurrent()) return rateExceeded(work, workspace);
+    if (this.#options.isCurrent()) return rateExceeded(work, workspace, 0);
     return new protocol.errors.Refusal(
       protocol.errors.NOT_CURRENT,
       "the host heard no leader in the time of the tier",
@@ -142,15 +184,19 @@
     );
   }
 
-  #lineOf(workspace: string): Waiter[] {
+  #lineOf(workspace: string, now: number): Line {
     const known = this.#lines.get(workspace);
     if (known !== undefined) return known;
-    const line: Waiter[] = [];
+    const line = { waiters: [], supply: new core.queue.SupplyRate(now) };
     this.#lines.set(workspace, line);
     return line;
   }
 }
 
+function tokensOf(line: Line): number {
+  return line.waiters.reduce((sum, { work }) => sum + work.tokens, 0);
+}
+
 /**
  * The refusal of a request whose caller has left.
  *
@@ -170,11 +216,15 @@
 function rateExceeded(
   work: types.Work,
   workspace: string,
+  lateMs: number,
 ): protocol.errors.Refusal {
   return new protocol.errors.Refusal(
     protocol.errors.RATE_EXCEEDED,
     `workspace ${workspace} has no ${work.tokens} tokens left in time`,
-    { step: "reserve", retryAfterSeconds: RETRY_AFTER_S },
+    {
+      step: "reserve",
+      retryAfterSeconds: Math.max(RETRY_AFTER_S, lateMs / 1_000),
+    },
   );
 }
 
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -17,6 +17,7 @@
 import * as failedTry from "./failed_try.ts";
 import type * as placements from "./placement.ts";
 import type * as types from "./types.ts";
+import type * as waiters from "./waiters.ts";
 
 const write = log.createLog("dispatch");
 
@@ -92,8 +93,13 @@
     signal: AbortSignal,
     arrivedAt: number,
   ): Promise<void> {
-    const { admission, shares } = this.#options;
-    const reservation = await admission.reserve(work, workspace, signal);
+    const { admission, placement, shares } = this.#options;
+    const reservation = await admission.reserve(
+      work,
+      workspace,
+      signal,
+      placement.arriveBy(work, arrivedAt),
+    );
     let used = 0;
     try {
       used = await this.#serve(work, sink, signal, arrivedAt);
@@ -102,6 +108,7 @@
       const isFree = error instanceof protocol.errors.Refusal &&
         error.outcome === "not-run";
       used = isFree ? 0 : work.tokens;
+      if (isFree) admission.returned(workspace, work.tokens);
       throw error;
     } finally {
       shares.settle(reservation, used, performance.now());
@@ -122,13 +129,19 @@
     this.#budget.deposit();
     try {
       for (let attempt = 1;; attempt += 1) {
-        const placed = await this.#options.placement.place(work, tried, signal);
+        const isFirst = tried.size === 0;
+        const placed = await this.#options.placement.place(
+          work,
+          tried,
+          signal,
+          isFirst ? arrivedAt : performance.now(),
+        );
         const result = await this.#attempt(
           work,
           placed,
           sink,
           signal,
-          { arrivedAt, isFirst: tried.size === 0 },
+          { arrivedAt, isFirst },
         );
         if (result.kind === "answered") return result.tokens;
         const { id } = placed.server;
@@ -150,7 +163,7 @@
 
   async #attempt(
     work: types.Work,
-    placed: placements.Placement,
+    placed: waiters.Placement,
     sink: types.Sink,
     signal: AbortSignal,
     { arrivedAt, isFirst }: Try,
@@ -178,8 +191,10 @@
           const now = performance.now();
           metrics.firstByte.observe((now - arrivedAt) / 1_000);
           placement.times.observe(work.target, now - sentAt);
+          if (work.stream) this.#observeAnswer(work, sentAt);
         },
       });
+      this.#observeEnd(work, result, sentAt);
       outcome = this.#isCutShort(work, result, sentAt)
         ? "neutral"
         : attempts.slotOutcome(result);
@@ -209,6 +224,31 @@
     return mayDoubt ? silenceMs : remainingMs;
   }
 
+  /** Learns how long a server takes; a cut answer would have taken longer. */
+  #observeEnd(
+    work: types.Work,
+    result: attempts.AttemptResult,
+    sentAt: number,
+  ): void {
+    const now = performance.now();
+    if (result.kind === "answered") {
+      this.#options.placement.times.observeHeld(work.target, now - sentAt);
+      if (!work.stream) this.#observeAnswer(work, sentAt);
+      return;
+    }
+    const isCut = result.kind === "failed" && result.bytesSent &&
+      !result.bytesToCaller && now >= work.deadline;
+    if (isCut) this.#observeAnswer(work, sentAt);
+  }
+
+  #observeAnswer(work: types.Work, sentAt: number): void {
+    this.#options.placement.times.observeAnswer(
+      work.target,
+      work.stream,
+      performance.now() - sentAt,
+    );
+  }
+
   /** A request that came late to its server says nothing of the server. */
   #isCutShort(
     work: types.Work,
--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -7,17 +7,10 @@
 import * as protocol from "@ebonypath/protocol";
 import type * as host from "../host/mod.ts";
 import * as admission from "./admission.ts";
+import * as refusedWait from "./refused_wait.ts";
 import * as serviceTimes from "./service_times.ts";
 import type * as types from "./types.ts";
-
-/** When a refused request may find capacity, in seconds. */
-const RETRY_AFTER_S = 2;
-
-/** A server that bears the request, with a slot taken on it. */
-export interface Placement {
-  readonly server: protocol.control.ServerStatus;
-  readonly slot: core.limits.Slot;
-}
+import * as waiting from "./waiters.ts";
 
 /** The part of {@link core.limits.ShareHolder} that placement uses. */
 export type SlotShares = Pick<
@@ -27,7 +20,7 @@
 
 /** What placement works with. */
 export interface PlacementOptions {
-  readonly state: host.FleetState;
+  readonly state: Pick<host.FleetState, "view" | "servers" | "isCurrent">;
   readonly shares: SlotShares;
   /** Requests that may crash the servers that run them. */
   readonly watch: core.suspicion.SuspectWatch;
@@ -35,6 +28,8 @@
   readonly maxQueue: number;
   /** Asks the leader for shares and loads, soon. */
   requestExchange(): void;
+  /** The monotonic clock, in milliseconds. */
+  now?(): number;
 }
 
 /** Weight of requests on open routes, which have no workspace. */
@@ -42,21 +37,22 @@
 /** Urgency of the queue for each priority of a backend server. */
 const HIGHEST_PRIORITY = 2;
 
-interface Waiter {
-  readonly work: types.Work;
-  /** Servers on which earlier tries failed. */
-  readonly excluded: ReadonlySet<string>;
-  readonly since: number;
-  resolve(placement: Placement): void;
-  reject(refusal: protocol.errors.Refusal): void;
+/** Least service that a request is charged with: a call may cost nothing. */
+const LEAST_TOKENS = 1;
+
+const NONE: ReadonlySet<string> = new Set();
+
+interface PlacedWaiter {
+  readonly waiter: waiting.Waiter;
+  readonly placement: waiting.Placement;
 }
 
 /** Gives waiting requests to servers as slots become free. */
 export class PlacementQueue {
   readonly #options: PlacementOptions;
   readonly #queue: core.queue.FairQueue;
-  /** The waiting requests by their id. */
-  readonly #waiters = new Map<string, Waiter>();
+  readonly #waiters = new waiting.Waiters();
+  readonly #now: () => number;
   readonly #hints = new core.routing.PrefixHints();
   /** Servers that fail for this host. */
   readonly outliers = new core.routing.OutlierDetector();
@@ -67,6 +63,7 @@
 
   constructor(options: PlacementOptions) {
     this.#options = options;
+    this.#now = options.now ?? (() => performance.now());
     this.#queue = new core.queue.FairQueue({
       ...core.queue.DEFAULT_BOUNDS,
       overall: options.maxQueue,
@@ -75,25 +72,27 @@
 
   /** Works that wait for a slot. */
   *waiting(): Generator<types.Work> {
-    for (const waiter of this.#waiters.values()) yield waiter.work;
+    for (const waiter of this.#waiters.all()) yield waiter.work;
   }
 
   /**
-   * Waits for a slot as long as a server can still answer by the deadline.
+   * Waits for a slot as long as a server can still answer by the deadline. What
+   * cannot start in time, as far as is known, is refused at once.
    *
+   * @param from When the time to wait began.
    * @throws {protocol.errors.Refusal} no capacity in time; nothing was run
    */
   async place(
     work: types.Work,
     excluded: ReadonlySet<string>,
     signal: AbortSignal,
-  ): Promise<Placement> {
-    const now = performance.now();
-    const dispatchBy = this.times.dispatchBy(work.target, work.deadline, now);
-    this.#enqueue(work, dispatchBy, now);
-    const entered = new Promise<Placement>((resolve, reject) => {
-      const waiter = { work, excluded, since: now, resolve, reject };
-      this.#waiters.set(work.requestId, waiter);
+    from: number,
+  ): Promise<waiting.Placement> {
+    const now = this.#now();
+    const dispatchBy = this.dispatchBy(work, from);
+    this.#enqueue(work, excluded.size === 0, dispatchBy, now);
+    const entered = new Promise<waiting.Placement>((resolve, reject) => {
+      this.#waiters.add({ work, excluded, since: now, from, resolve, reject });
     });
     const timer = setTimeout(
       () => this.#remove(work, this.#refusalOf(work)),
@@ -103,7 +102,9 @@
     signal.addEventListener("abort", abort);
     if (signal.aborted) abort();
     this.pump();
-    if (this.#waiters.has(work.requestId)) this.#options.requestExchange();
+    if (this.#waiters.get(work.requestId) !== undefined) {
+      this.#options.requestExchange();
+    }
     try {
       return await entered;
     } finally {
@@ -112,59 +113,153 @@
     }
   }
 
+  /**
+   * Time by which work must be at a server to be answered in time.
+   *
+   * @param from When its time to wait began.
+   */
+  dispatchBy(work: types.Work, from: number): number {
+    const { deadline, stream, target } = work;
+    return this.times.dispatchBy(target, deadline, from, stream);
+  }
+
+  /**
+   * Time by which work must come here to be answered in time: the wait for a
+   * slot that is expected now is left for it.
+   *
+   * @param from When its time to wait began.
+   */
+  arriveBy(work: types.Work, from: number): number {
+    const now = this.#now();
+    const dispatchBy = this.dispatchBy(work, from);
+    const request = this.#requestOf(work, dispatchBy, now);
+    return dispatchBy - this.#expectedWaitMs(work, request, now);
+  }
+
   /** Places what can be placed, after shares or servers have changed. */
   pump(): void {
-    const now = performance.now();
+    const now = this.#now();
     if (!this.#options.state.isCurrent(now)) return;
-    while (this.#placeNext(now));
+    const blocked = new Set<string>();
+    while (this.#placeNext(blocked, now));
     this.#publish();
   }
 
-  #enqueue(work: types.Work, dispatchBy: number, now: number): void {
+  #enqueue(
+    work: types.Work,
+    isFirst: boolean,
+    dispatchBy: number,
+    now: number,
+  ): void {
+    const request = this.#requestOf(work, dispatchBy, now);
+    const waitMs = isFirst ? this.#expectedWaitMs(work, request, now) : 0;
+    const result = this.#queue.add(request, waitMs, now);
+    if (result.kind === "queued") return;
+    const lateMs = now + waitMs - dispatchBy;
+    throw refusedWait.refusedEntry(work, result.kind, lateMs);
+  }
+
+  #requestOf(
+    work: types.Work,
+    dispatchBy: number,
+    now: number,
+  ): core.queue.WaitingRequest {
     const { catalogue } = this.#options.state.view;
     const workspace = work.workspace ?? "";
-    const weight = catalogue.workspace(workspace)?.weight ??
-      OPEN_ROUTE_WEIGHT;
-    const request = {
+    return {
       id: work.requestId,
       workspace,
-      weight,
-      tokens: work.tokens,
+      weight: catalogue.workspace(workspace)?.weight ?? OPEN_ROUTE_WEIGHT,
+      tokens: Math.max(LEAST_TOKENS, work.tokens),
       urgency: HIGHEST_PRIORITY - work.priority,
       queuedAt: now,
       deadline: dispatchBy,
     };
-    const result = this.#queue.add(request, 0, now);
-    if (result.kind !== "queued") throw refusedEntry(work, result.kind);
   }
 
-  /** Places the next request in fair order; false when none can be placed. */
-  #placeNext(now: number): boolean {
-    /** Targets for which no server has room in this round. */
-    const blocked = new Set<string>();
-    let placed: { waiter: Waiter; placement: Placement } | undefined;
+  /**
+   * How long a first try would wait, from what is before it in fair order and
+   * how fast its target's line is served here; 0 while that is not known.
+   */
+  #expectedWaitMs(
+    work: types.Work,
+    request: core.queue.WaitingRequest,
+    now: number,
+  ): number {
+    const { target } = work;
+    const line = this.#waiters.lines.get(target);
+    const supply = line?.supply.perMs(now);
+    if (supply === undefined) return 0;
+    const before = this.#queue.tokensBefore(
+      request,
+      now,
+      ({ id }) => this.#waiters.get(id)?.work.target === target,
+    );
+    return before / Math.max(supply, this.#slotRate(work, request.tokens, now));
+  }
+
+  /** Tokens a millisecond that the slots of this host allow for. */
+  #slotRate(work: types.Work, tokens: number, now: number): number {
+    const { shares } = this.#options;
+    const heldMs = this.times.heldMs(work.target);
+    if (heldMs === undefined) return 0;
+    let slots = 0;
+    for (const server of this.#candidates({ work, excluded: NONE })) {
+      const pool = protocol.control.slotPool(server);
+      slots += shares.runningOn(pool) + shares.availableSlots(pool, now);
+    }
+    return slots * tokens / Math.max(1, heldMs);
+  }
+
+  /**
+   * Places the next request in fair order; false when none can be placed.
+   *
+   * @param blocked Targets for which no server has room in this round.
+   */
+  #placeNext(blocked: Set<string>, now: number): boolean {
+    const { lines, retries } = this.#waiters;
+    const late: waiting.Waiter[] = [];
+    let placed: PlacedWaiter | undefined;
     this.#queue.take((request) => {
+      if (blocked.size >= lines.size && retries.size === 0) return "stop";
       const waiter = this.#waiters.get(request.id);
-      if (waiter === undefined || blocked.has(waiter.work.target)) {
+      if (waiter === undefined) return "next-request";
+      const isFirst = waiter.excluded.size === 0;
+      const { target } = waiter.work;
+      if (isFirst && blocked.has(target)) return "next-request";
+      // Servers may have become slower since the request began to wait.
+      if (now >= this.dispatchBy(waiter.work, waiter.from)) {
+        late.push(waiter);
         return "next-request";
       }
       const placement = this.#tryPlace(waiter, now);
       if (placement === undefined) {
         // A suspect may be held while others of its target have room.
         const isHeld = this.#clearance(waiter, now).kind !== "clear";
-        if (!isHeld) blocked.add(waiter.work.target);
+        if (isFirst && !isHeld) blocked.add(target);
         return "next-request";
       }
       placed = { waiter, placement };
       return "take";
     }, now);
+    for (const { work } of late) this.#remove(work, this.#refusalOf(work));
     if (placed === undefined) return false;
-    this.#waiters.delete(placed.waiter.work.requestId);
-    placed.waiter.resolve(placed.placement);
+    this.#leave(placed, now);
     return true;
   }
 
-  #tryPlace(waiter: Waiter, now: number): Placement | undefined {
+  #leave({ waiter, placement }: PlacedWaiter, now: number): void {
+    const { work } = waiter;
+    const tokens = Math.max(LEAST_TOKENS, work.tokens);
+    this.#waiters.lines.get(work.target)?.supply.served(tokens, now);
+    this.#waiters.delete(waiter);
+    waiter.resolve(placement);
+  }
+
+  #tryPlace(
+    waiter: waiting.Waiter,
+    now: number,
+  ): waiting.Placement | undefined {
     const { shares, watch } = this.#options;
     const free = this.#cleared(waiter, this.#candidates(waiter), now)
       .filter((server) =>
@@ -186,14 +281,14 @@
     return { server, slot: taken.slot };
   }
 
-  #clearance(waiter: Waiter, now: number): core.suspicion.Clearance {
+  #clearance(waiter: waiting.Waiter, now: number): core.suspicion.Clearance {
     const { watch } = this.#options;
     return watch.clearanceOf(waiter.work.fingerprint, now);
   }
 
   /** Suspects run where the leader admits them, apart from one another. */
   #cleared(
-    waiter: Waiter,
+    waiter: waiting.Waiter,
     servers: readonly protocol.control.ServerStatus[],
     now: number,
   ): readonly protocol.control.ServerStatus[] {
@@ -216,7 +311,7 @@
   }
 
   #choose(
-    waiter: Waiter,
+    waiter: waiting.Waiter,
     free: readonly protocol.control.ServerStatus[],
     now: number,
   ): protocol.control.ServerStatus | undefined {
@@ -243,7 +338,9 @@
   }
 
   /** Servers that may run the work now; the excluded ones only if need be. */
-  #candidates(waiter: Waiter): protocol.control.ServerStatus[] {
+  #candidates(
+    waiter: Pick<waiting.Waiter, "work" | "excluded">,
+  ): protocol.control.ServerStatus[] {
     const { state } = this.#options;
     const able = [...state.servers.values()].filter((server) =>
       server.usable && !state.view.isWithdrawn(server.failureDomain) &&
@@ -256,24 +353,10 @@
   /** Tells the shares which servers are waited for. */
   #publish(): void {
     const { shares } = this.#options;
-    const waited = new Map<string, { count: number; since: number }>();
-    /** Servers for first tries, which are most of what waits. */
-    const byTarget = new Map<string, protocol.control.ServerStatus[]>();
-    for (const waiter of this.#waiters.values()) {
-      const { target } = waiter.work;
-      const isFirst = waiter.excluded.size === 0;
-      const known = isFirst ? byTarget.get(target) : undefined;
-      const servers = known ?? this.#candidates(waiter);
-      if (isFirst) byTarget.set(target, servers);
-      for (const server of servers) {
-        const pool = protocol.control.slotPool(server);
-        const row = waited.get(pool);
-        waited.set(pool, {
-          count: (row?.count ?? 0) + 1,
-          since: Math.min(row?.since ?? Infinity, waiter.since),
-        });
-      }
-    }
+    const waited = waiting.waitedSlots(
+      this.#waiters,
+      (waiter) => this.#candidates(waiter),
+    );
     const hasNew = [...waited.keys()].some((pool) =>
       !this.#waitedFor.has(pool)
     );
@@ -288,7 +371,7 @@
   #remove(work: types.Work, refusal: protocol.errors.Refusal): void {
     const waiter = this.#waiters.get(work.requestId);
     if (waiter === undefined) return;
-    this.#waiters.delete(work.requestId);
+    this.#waiters.delete(waiter);
     this.#queue.remove(work.requestId);
     this.#options.watch.ended(work.fingerprint, false);
     waiter.reject(refusal);
@@ -296,37 +379,17 @@
   }
 
   #refusalOf(work: types.Work): protocol.errors.Refusal {
-    const isCurrent = this.#options.state.isCurrent(performance.now());
-    const definition = isCurrent
-      ? protocol.errors.NO_CAPACITY
-      : protocol.errors.NOT_CURRENT;
-    const detail = isCurrent
-      ? `no server had room for ${work.target} in ${work.tier.maxWaitMs} ms`
-      : "the host heard no leader in the time of the tier";
-    return new protocol.errors.Refusal(definition, detail, {
-      step: "place",
-      retryAfterSeconds: RETRY_AFTER_S,
-    });
+    const isCurrent = this.#options.state.isCurrent(this.#now());
+    return refusedWait.refusedPlacement(work, isCurrent);
   }
 }
 
 function domainsOf(
   servers: ReadonlySet<string>,
-  state: host.FleetState,
+  state: Pick<host.FleetState, "servers">,
 ): Set<string> {
   const domains = [...servers]
     .map((id) => state.servers.get(id)?.failureDomain)
     .filter((domain) => domain !== undefined);
   return new Set(domains);
 }
-
-function refusedEntry(
-  work: types.Work,
-  kind: "full" | "workspace-full" | "too-late",
-): protocol.errors.Refusal {
-  return new protocol.errors.Refusal(
-    protocol.errors.NO_CAPACITY,
-    `the queue took no request for ${work.target}: ${kind}`,
-    { step: "place", retryAfterSeconds: RETRY_AFTER_S },
-  );
-}
--- /dev/null
+++ b/packages/daemon/src/entry/refused_wait.ts
@@ -0,0 +1,62 @@
+/**
+ * Refusals of requests that got no slot; nothing of them was run.
+ *
+ * @module
+ */
+import type * as core from "@ebonypath/core";
+import * as protocol from "@ebonypath/protocol";
+import type * as types from "./types.ts";
+
+/** When a refused request may find capacity, in seconds. */
+const RETRY_AFTER_S = 2;
+
+/**
+ * The refusal of a request that found no slot in its time.
+ *
+ * @param isCurrent Whether the host hears a leader.
+ *
+ * @example
+ * ```ts
+ * throw refusedPlacement(work, true);
+ * ```
+ */
+export function refusedPlacement(
+  work: types.Work,
+  isCurrent: boolean,
+): protocol.errors.Refusal {
+  const definition = isCurrent
+    ? protocol.errors.NO_CAPACITY
+    : protocol.errors.NOT_CURRENT;
+  const detail = isCurrent
+    ? `no server had room for ${work.target} in ${work.tier.maxWaitMs} ms`
+    : "the host heard no leader in the time of the tier";
+  return new protocol.errors.Refusal(definition, detail, {
+    step: "place",
+    retryAfterSeconds: RETRY_AFTER_S,
+  });
+}
+
+/**
+ * The refusal of a request that the queue did not take.
+ *
+ * @param lateMs By how much it would have been too late.
+ *
+ * @example
+ * ```ts
+ * throw refusedEntry(work, "too-late", 1_500);
+ * ```
+ */
+export function refusedEntry(
+  work: types.Work,
+  kind: Exclude<core.queue.AddResult["kind"], "queued">,
+  lateMs: number,
+): protocol.errors.Refusal {
+  return new protocol.errors.Refusal(
+    protocol.errors.NO_CAPACITY,
+    `the queue took no request for ${work.target}: ${kind}`,
+    {
+      step: "place",
+      retryAfterSeconds: Math.max(RETRY_AFTER_S, lateMs / 1_000),
+    },
+  );
+}
--- a/packages/daemon/src/entry/service_times.ts
+++ b/packages/daemon/src/entry/service_times.ts
@@ -1,17 +1,19 @@
 /**
- * How long backend servers take for the first byte of an answer.
+ * How long backend servers take for an answer.
  *
  * @module
  */
 
 /** Most targets whose times are remembered. */
 const MAX_TARGETS = 20_000;
-/** Weight of the newest time. */
+/** Weight of the newest time in a mean. */
 const WEIGHT = 0.1;
-/** Time kept free for a server, over the mean time that it takes. */
+/** Time kept free for a server at least, over the mean time that it takes. */
 const RESERVE_FACTOR = 2;
 /** Largest part of a request's time that is kept free. */
 const MAX_RESERVED = 0.5;
+/** Times of one kind of answer that are remembered. */
+const RECENT = 64;
 
 /** Silence that is long for a server, over the mean time that it takes. */
 const SILENCE_FACTOR = 8;
@@ -20,20 +22,39 @@
 
 /** Learns the time that has to be left for a server before a deadline. */
 export class ServiceTimes {
-  /** The longest unused target first. */
-  readonly #means = new Map<string, number>();
+  /** Mean times to the first byte, by target. */
+  readonly #firstByte = new Recent<number>();
+  /** Mean times for which a slot is held, by target. */
+  readonly #held = new Recent<number>();
+  /** Latest times that count against a deadline, by kind of answer. */
+  readonly #answers = new Recent<number[]>();
 
   /** Records that a server took `ms` for the first byte. */
   observe(target: string, ms: number): void {
-    const known = this.#means.get(target);
-    const mean = known === undefined ? ms : known + WEIGHT * (ms - known);
-    this.#means.delete(target);
-    this.#means.set(target, mean);
-    if (this.#means.size <= MAX_TARGETS) return;
-    for (const oldest of this.#means.keys()) {
-      this.#means.delete(oldest);
-      return;
-    }
+    this.#firstByte.set(target, meanWith(this.#firstByte.get(target), ms));
+  }
+
+  /** Records that a request held a slot for `ms`. */
+  observeHeld(target: string, ms: number): void {
+    this.#held.set(target, meanWith(this.#held.get(target), ms));
+  }
+
+  /**
+   * Records that an answer took at least `ms` of its caller's time: to its
+   * first byte if it is streamed, else to its end. One that was cut counts with
+   * the time that it had, or a server that becomes slow would not be noticed.
+   */
+  observeAnswer(target: string, isStream: boolean, ms: number): void {
+    const kind = kindOf(target, isStream);
+    const times = this.#answers.get(kind) ?? [];
+    times.push(ms);
+    if (times.length > RECENT) times.shift();
+    this.#answers.set(kind, times);
+  }
+
+  /** Mean time for which a slot is held, if known. */
+  heldMs(target: string): number | undefined {
+    return this.#held.get(target);
   }
 
   /**
@@ -47,14 +68,17 @@
    * ```
    */
   silenceMs(target: string): number | undefined {
-    const mean = this.#means.get(target);
+    const mean = this.#firstByte.get(target);
     if (mean === undefined) return undefined;
     return Math.max(SHORTEST_SILENCE_MS, SILENCE_FACTOR * mean);
   }
 
   /**
    * Time by which a request must be at a server to be answered by `deadline`,
-   * as far as is known.
+   * as far as is known. Nearly the longest of the latest times is kept free,
+   * since times may vary; the very longest may be an accident.
+   *
+   * @param from When the request's time to wait began.
    *
    * @example
    * ```ts
@@ -62,8 +86,58 @@
    * times.dispatchBy("orders", 5_000, 0); // 4900
    * ```
    */
-  dispatchBy(target: string, deadline: number, now: number): number {
-    const reserveMs = RESERVE_FACTOR * (this.#means.get(target) ?? 0);
-    return deadline - Math.min(reserveMs, MAX_RESERVED * (deadline - now));
+  dispatchBy(
+    target: string,
+    deadline: number,
+    from: number,
+    isStream = false,
+  ): number {
+    const answers = this.#answers.get(kindOf(target, isStream)) ?? [];
+    const reserveMs = Math.max(
+      RESERVE_FACTOR * (this.#firstByte.get(target) ?? 0),
+      secondLargest(answers),
+    );
+    return deadline - Math.min(reserveMs, MAX_RESERVED * (deadline - from));
+  }
+}
+
+/** Bounded memory; what was not set for longest is forgotten. */
+class Recent<Value> {
+  readonly #values = new Map<string, Value>();
+
+  get(key: string): Value | undefined {
+    return this.#values.get(key);
+  }
+
+  set(key: string, value: Value): void {
+    this.#values.delete(key);
+    this.#values.set(key, value);
+    if (this.#values.size <= MAX_TARGETS) return;
+    for (const oldest of this.#values.keys()) {
+      this.#values.delete(oldest);
+      return;
+    }
+  }
+}
+
+function meanWith(mean: number | undefined, ms: number): number {
+  return mean === undefined ? ms : mean + WEIGHT * (ms - mean);
+}
+
+function kindOf(target: string, isStream: boolean): string {
+  return isStream ? `${target} stream` : target;
+}
+
+function secondLargest(times: readonly number[]): number {
+  let largest = 0;
+  let second = 0;
+  for (const ms of times) {
+    if (ms > largest) {
+      second = largest;
+      largest = ms;
+    } else if (ms > second) {
+      second = ms;
+    }
   }
+  return second;
 }
--- /dev/null
+++ b/packages/daemon/test/entry/placement_test.ts
@@ -0,0 +1,151 @@
+import * as core from "@ebonypath/core";
+import { type control, errors } from "@ebonypath/protocol";
+import { expect } from "chai";
+import * as timers from "node:timers/promises";
+import * as entry from "../../src/entry/mod.ts";
+import * as waitingWork from "./waiting_work.ts";
+
+const SERVER: control.ServerStatus = {
+  id: "plain-1",
+  incarnation: "a",
+  address: "http://127.0.0.1:1",
+  failureDomain: "fd-1",
+  kind: "plain",
+  services: ["orders", "stock"],
+  ready: [],
+  limit: 8,
+  queued: 0,
+  usable: true,
+};
+
+/** A queue with a clock, and a server whose slots are freed by hand. */
+class Bench {
+  now = 0;
+  free = 0;
+  running = 0;
+  readonly servers = new Map([[SERVER.id, SERVER]]);
+  readonly gone = new AbortController();
+  readonly queue = new entry.PlacementQueue({
+    state: {
+      view: new core.state.View(),
+      servers: this.servers,
+      isCurrent: () => true,
+    },
+    shares: {
+      acquireSlot: (server, deadline) => {
+        this.free -= 1;
+        return { kind: "acquired", slot: { server, deadline } };
+      },
+      availableSlots: () => this.free,
+      runningOn: () => this.running,
+      setWaitingSlots: () => undefined,
+    },
+    watch: new core.suspicion.SuspectWatch(),
+    maxQueue: 10_000,
+    requestExchange: () => undefined,
+    now: () => this.now,
+  });
+
+  place(workspace: string, target = "orders") {
+    const work = waitingWork.work(workspace, { target });
+    return waitingWork.follow(
+      this.queue.place(work, new Set(), this.gone.signal, 0),
+    );
+  }
+
+  /** Frees slots each 100 ms until `untilMs`. */
+  serve(slots: number, untilMs: number): void {
+    for (this.now = 100; this.now <= untilMs; this.now += 100) {
+      this.free = slots;
+      this.queue.pump();
+    }
+    this.free = 0;
+  }
+}
+
+interface Case {
+  readonly name: string;
+  readonly waiting: number;
+  /** Slots that become free each 100 ms. */
+  readonly supply: number;
+  readonly at: number;
+  readonly workspace?: string;
+  readonly target?: string;
+  /** Slots in use, and the time for which each is held. */
+  readonly slots?: readonly [count: number, heldMs: number];
+  readonly ending: "waiting" | "refused";
+}
+
+const FLOOD = { waiting: 900, supply: 10, at: 1_500 };
+const CASES: readonly Case[] = [
+  { ...FLOOD, name: "cannot start in time", ending: "refused" },
+  { ...FLOOD, waiting: 300, name: "starts in time", ending: "waiting" },
+  { ...FLOOD, supply: 0, name: "waits for a cold model", ending: "waiting" },
+  { ...FLOOD, at: 500, name: "meets an unknown rate", ending: "waiting" },
+  {
+    ...FLOOD,
+    workspace: "quiet",
+    name: "is of a workspace beside a loud one",
+    ending: "waiting",
+  },
+  {
+    ...FLOOD,
+    target: "stock",
+    name: "has another target than the others",
+    ending: "waiting",
+  },
+  {
+    ...FLOOD,
+    slots: [30, 50],
+    name: "has slots that came from the leader",
+    ending: "waiting",
+  },
+];
+
+describe("waiting for slots", () => {
+  for (const one of CASES) {
+    it(`a request that ${one.name}: ${one.ending}`, async () => {
+      const bench = new Bench();
+      for (let i = 0; i < one.waiting; i += 1) bench.place("loud");
+      bench.serve(one.supply, one.at);
+      const [running, heldMs] = one.slots ?? [0, 0];
+      bench.running = running;
+      if (running > 0) bench.queue.times.observeHeld("orders", heldMs);
+      const last = bench.place(one.workspace ?? "loud", one.target);
+      await timers.setImmediate();
+      expect(last.ending.kind).to.equal(one.ending);
+      if (last.ending.kind === "refused") {
+        const refusal = last.ending.error as errors.Refusal;
+        expect(refusal.definition).to.equal(errors.NO_CAPACITY);
+        expect(refusal.outcome).to.equal("not-run");
+        expect(refusal.retryAfterSeconds).to.be.greaterThan(1);
+      }
+      bench.gone.abort();
+    });
+  }
+
+  it("are not given to what can no longer be answered in time", async () => {
+    const bench = new Bench();
+    const late = bench.place("loud");
+    bench.now = 3_000;
+    for (const ms of [2_400, 2_400]) {
+      bench.queue.times.observeAnswer("orders", false, ms);
+    }
+    bench.free = 1;
+    bench.queue.pump();
+    await timers.setImmediate();
+    expect(late.ending.kind).to.equal("refused");
+    expect(bench.free).to.equal(1);
+  });
+
+  it("go to every target that has room", async () => {
+    const bench = new Bench();
+    for (let i = 0; i < 5; i += 1) bench.place("loud", "cold");
+    const served = bench.place("loud", "orders");
+    bench.free = 1;
+    bench.queue.pump();
+    await timers.setImmediate();
+    expect(served.ending.kind).to.equal("served");
+    bench.gone.abort();
+  });
+});
--- a/packages/daemon/test/entry/service_times_test.ts
+++ b/packages/daemon/test/entry/service_times_test.ts
@@ -20,4 +20,31 @@
     times.observe("orders", 60_000);
     expect(times.dispatchBy("orders", 5_000, 1_000)).to.equal(3_000);
   });
+
+  const cases = [
+    { name: "steady times", answers: [50, 50, 50], free: 100 },
+    { name: "times that vary", answers: [50, 800, 50, 900], free: 800 },
+    { name: "a single accident", answers: [50, 50, 2_000], free: 100 },
+    {
+      name: "times of long ago",
+      answers: [900, 900, ...Array.from({ length: 64 }, () => 50)],
+      free: 100,
+    },
+    { name: "answers that were cut", answers: [50, 150, 400, 400], free: 400 },
+  ];
+  for (const { name, answers, free } of cases) {
+    it(`keeps time free for ${name}`, () => {
+      const times = new serviceTimes.ServiceTimes();
+      times.observe("orders", 50);
+      for (const ms of answers) times.observeAnswer("orders", false, ms);
+      expect(times.dispatchBy("orders", 5_000, 0)).to.equal(5_000 - free);
+    });
+  }
+
+  it("does not hold whole answers against streams", () => {
+    const times = new serviceTimes.ServiceTimes();
+    for (const ms of [900, 900]) times.observeAnswer("last", false, ms);
+    expect(times.dispatchBy("last", 5_000, 0, true)).to.equal(5_000);
+    expect(times.dispatchBy("last", 5_000, 0, false)).to.equal(4_100);
+  });
 });
