Refuse for want of slots where slots are what is short

In the whole suite at a load of 25, 73 of 1,103 calls of `integration/overload` were refused as 429 although the rate was a thousand times what was sent: the line of tokens was told of a latest time that had passed, for want of slots.

--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -128,12 +128,15 @@
    * slot that is expected now is left for it.
    *
    * @param from When its time to wait began.
+   * @throws {protocol.errors.Refusal} it would be too late now
    */
   arriveBy(work: types.Work, from: number): number {
     const now = this.#now();
     const dispatchBy = this.dispatchBy(work, from);
     const request = this.#requestOf(work, dispatchBy, now);
-    return dispatchBy - this.#expectedWaitMs(work, request, now);
+    const arriveBy = dispatchBy - this.#expectedWaitMs(work, request, now);
+    if (arriveBy >= now) return arriveBy;
+    throw refusedWait.refusedEntry(work, "too-late", now - arriveBy);
   }
 
   /** Places what can be placed, after shares or servers have changed. */
