Refuse deferred bodies that are no text, and name a reused key's conflict

Cause: a deferred request is stored as text; bytes that are not UTF-8 were replaced on the way and the backend server got another body. An idempotency key that belongs to another deferred request was refused as invalid-request 400 with the detail claim-conflict. Change: such a body is refused before it is proposed; the conflict is refused as idempotency-conflict 409, as for calls that run at most once. Seen: both cases of the new test fail without the change. Conclusion: what is accepted is what runs; callers see one name for it.

--- a/packages/daemon/src/entry/deferred.ts
+++ b/packages/daemon/src/entry/deferred.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
+import { Buffer, isUtf8 } from "node:buffer";
 import type * as http from "node:http";
 import * as timers from "node:timers/promises";
 import * as protocol from "@ebonypath/protocol";
@@ -75,6 +75,7 @@
     contentType: string,
     response: http.ServerResponse,
   ): Promise<void> {
+    requireText(work.body);
     const result = await this.#propose({
       kind: "accept-deferred",
       id: security.randomId(ID_BYTES),
@@ -274,13 +275,38 @@
   };
 }
 
+/** The state keeps text: other bytes would come out of it changed. */
+function requireText(body: Buffer): void {
+  if (isUtf8(body)) return;
+  throw notAccepted(
+    protocol.errors.INVALID_REQUEST,
+    "the body of a deferred request has to be text in UTF-8",
+  );
+}
+
 function refusedAcceptance(
   result: protocol.state.CommandResult,
 ): protocol.errors.Refusal {
-  const detail = "reason" in result ? result.reason : result.kind;
-  const definition = result.kind === "full"
-    ? protocol.errors.NO_CAPACITY
-    : protocol.errors.INVALID_REQUEST;
+  switch (result.kind) {
+    case "full":
+      return notAccepted(protocol.errors.NO_CAPACITY, result.reason);
+    case "claim-conflict":
+      return notAccepted(
+        protocol.errors.IDEMPOTENCY_CONFLICT,
+        "the key was used with another request",
+      );
+    default:
+      return notAccepted(
+        protocol.errors.INVALID_REQUEST,
+        "reason" in result ? result.reason : result.kind,
+      );
+  }
+}
+
+function notAccepted(
+  definition: protocol.errors.Definition,
+  detail: string,
+): protocol.errors.Refusal {
   return new protocol.errors.Refusal(definition, detail, {
     step: "accept-deferred",
   });
