--- a/packages/protocol/src/errors/catalogue.ts
+++ b/packages/protocol/src/errors/catalogue.ts
@@ -1,5 +1,5 @@
 /**
- * The catalogue of refusals that callers and operators see.
+ * Refusals that callers see, and operators some of them.
  *
  * @module
  */
@@ -23,15 +23,6 @@
   hint: "Send a key of the workspace as `Authorization: Bearer KEY`.",
 } as const satisfies types.Definition;
 
-/** The key is valid, but its rights do not cover the call. */
-export const NOT_ALLOWED = {
-  name: "not-allowed",
-  title: "The caller has no right to do this",
-  status: 403,
-  outcome: "not-run",
-  hint: "Ask an operator which services and rights were granted.",
-} as const satisfies types.Definition;
-
 /** The model, service, route or answer does not exist for this workspace. */
 export const NOT_FOUND = {
   name: "not-found",
@@ -95,15 +86,6 @@
   hint: "Send a new request if it is wanted after all.",
 } as const satisfies types.Definition;
 
-/** Another change was accepted on the same base version. */
-export const VERSION_CONFLICT = {
-  name: "version-conflict",
-  title: "Another change came first",
-  status: 409,
-  outcome: "not-run",
-  hint: "Read the version in force, merge the change and publish again.",
-} as const satisfies types.Definition;
-
 /** The body or the headers exceed a limit. */
 export const TOO_LARGE = {
   name: "too-large",
@@ -168,15 +150,6 @@
   hint: "Send it again; the balancer will choose another host.",
 } as const satisfies types.Definition;
 
-/** The host is shutting down. */
-export const DRAINING = {
-  name: "draining",
-  title: "The host is shutting down",
-  status: 503,
-  outcome: "not-run",
-  hint: "Send it again; the balancer will choose another host.",
-} as const satisfies types.Definition;
-
 /** The deadline of the tier passed after dispatch. */
 export const DEADLINE_EXCEEDED = {
   name: "deadline-exceeded",
--- a/packages/protocol/src/errors/operator_catalogue.ts
+++ b/packages/protocol/src/errors/operator_catalogue.ts
@@ -85,3 +85,12 @@
   outcome: "may-have-run",
   hint: "Send the same change again, with the same change id.",
 } as const satisfies types.Definition;
+
+/** Another change was accepted on the same base version. */
+export const VERSION_CONFLICT = {
+  name: "version-conflict",
+  title: "Another change came first",
+  status: 409,
+  outcome: "not-run",
+  hint: "Read the version in force, merge the change and publish again.",
+} as const satisfies types.Definition;
