Let a shutdown send every answer to its end

- A host counted a request as answered when its answer was handed to Node.js. 12 MB for a caller that reads late were cut after 4 MB.
- `closeIdleConnections` takes an answer that is ended for an answer that is sent, and cut it as well.
The listener now stops accepting first, and closes idle connections when no answer is open.
- Callers that keep their connection got ECONNRESET.
A host that is not ready now closes each connection with its answer.
- Deferred work that waited for a server was not counted, so the host left without it.
What may not run twice then ended as may-have-run.

--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -164,11 +164,12 @@
     this.#draining = true;
     this.#exchanger.request();
     await timers.setTimeout(limits.drainDelayMs);
-    this.#listeners.get("callers")?.stopAccepting();
+    const callers = this.#listeners.get("callers");
+    callers?.stopAccepting();
     const until = performance.now() + limits.drainTimeoutMs;
-    while (this.#isBusy() && performance.now() < until) {
-      await timers.setTimeout(DRAIN_POLL_MS);
-    }
+    await this.#waitUntilIdle(until);
+    callers?.closeIdle();
+    await this.#waitUntilIdle(until);
     await this.#proposals.settle(Math.max(0, until - performance.now()));
     this.#shares.handOver(performance.now());
     await this.#exchanger.flush();
@@ -357,8 +358,12 @@
     this.#listeners.set(name, started);
   }
 
-  #isBusy(): boolean {
-    return this.#entry !== undefined && this.#entry.openCount > 0;
+  async #waitUntilIdle(until: number): Promise<void> {
+    const isBusy = () =>
+      this.#entry !== undefined && this.#entry.openCount > 0;
+    while (isBusy() && performance.now() < until) {
+      await timers.setTimeout(DRAIN_POLL_MS);
+    }
   }
 }
 
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -126,7 +126,7 @@
   /** Requests that have not ended. */
   get openCount(): number {
     return this.callers.openCount + this.#dispatcher.running.size +
-      this.atMostOnce.activeCount;
+      this.atMostOnce.activeCount + this.deferred.executingCount;
   }
 
   /** Serves what waits, after shares, servers or freshness have changed. */
@@ -172,11 +172,6 @@
     return this.deferred.capacity;
   }
 
-  /** Waits until everything accepted here has ended. */
-  async settle(): Promise<void> {
-    await this.deferred.settle();
-  }
-
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#client[Symbol.asyncDispose]();
   }
--- a/packages/daemon/src/entry/callers.ts
+++ b/packages/daemon/src/entry/callers.ts
@@ -58,7 +58,7 @@
     this.#options = options;
   }
 
-  /** Requests that have not been answered yet. */
+  /** Requests whose answer has not been sent to its end yet. */
   get openCount(): number {
     return this.#open;
   }
@@ -72,16 +72,25 @@
     if (call.path === "/livez") return sendText(response, 200, "live\n");
     if (call.path === "/readyz") return this.#sendReadiness(response);
     this.#open += 1;
+    const closed = new Promise((resolve) => response.once("close", resolve));
+    this.#closeUnlessReady(response);
     try {
       await this.#route(call);
     } catch (error) {
       this.#refuse(call, error);
     } finally {
       this.#options.metrics.requests.inc({ ...endingOf(call) });
-      this.#open -= 1;
+      // A caller that reads slowly still waits for the end of its answer.
+      void closed.then(() => this.#open -= 1);
     }
   }
 
+  /** A caller of a host that leaves must not send more on its connection. */
+  #closeUnlessReady(response: http.ServerResponse): void {
+    if (this.#options.readiness().kind === "ready") return;
+    response.setHeader("connection", "close");
+  }
+
   async #route(call: Call): Promise<void> {
     const { method } = call.request;
     switch (call.path) {
--- a/packages/daemon/src/entry/deferred.ts
+++ b/packages/daemon/src/entry/deferred.ts
@@ -160,9 +160,9 @@
     }
   }
 
-  /** Waits until everything handed to this host has ended. */
-  async settle(): Promise<void> {
-    await Promise.allSettled([...this.#executing.values()]);
+  /** Requests handed to this host that have not ended. */
+  get executingCount(): number {
+    return this.#executing.size;
   }
 
   /** Whether an assignment is new: an answer may be late or come twice. */
--- a/packages/daemon/src/listener/mod.ts
+++ b/packages/daemon/src/listener/mod.ts
@@ -5,7 +5,7 @@
  */
 import * as http from "node:http";
 import * as https from "node:https";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as protocol from "@ebonypath/protocol";
 import * as log from "../log/mod.ts";
 import type * as settings from "../settings/mod.ts";
@@ -37,8 +37,13 @@
 export interface Listener extends AsyncDisposable {
   /** `IP:PORT` that it listens on. */
   readonly address: string;
-  /** Accepts no new connections and closes the idle ones. */
+  /** Accepts no new connections. */
   stopAccepting(): void;
+  /**
+   * Closes connections on which no request is open. It takes an answer that
+   * is ended for an answer that is sent: call it when no answer is open.
+   */
+  closeIdle(): void;
   /** Takes a new certificate for the connections to come. */
   reload(certificate: settings.Certificate): void;
 }
@@ -64,7 +69,10 @@
   return {
     address,
     stopAccepting() {
-      server.close();
+      // The method of `http.Server` would close connections as well.
+      net.Server.prototype.close.call(server);
+    },
+    closeIdle() {
       server.closeIdleConnections();
     },
     reload(certificate) {
--- a/packages/daemon/test/integration/departures_test.ts
+++ b/packages/daemon/test/integration/departures_test.ts
@@ -1,46 +1,12 @@
 import { type fakeBackend, wait } from "@ebonypath/testing";
 import { expect } from "chai";
-import type * as caller from "./caller.ts";
 import * as scenarios from "./scenario.ts";
+import * as traffics from "./traffic.ts";
 
 const { MODEL } = scenarios;
 /** Time after which a withdrawn server must get no new work, in ms. */
 const WITHDRAWN_MS = 3_000;
 
-/** Sends requests at all hosts until it is stopped. */
-class Traffic {
-  readonly replies: caller.Reply[] = [];
-  readonly errors: Error[] = [];
-  #isStopped = false;
-  readonly #loops: Promise<void>[];
-
-  constructor(scenario: scenarios.Scenario, hosts: readonly number[]) {
-    this.#loops = hosts.map((host) => this.#run(scenario, host));
-  }
-
-  async stop(): Promise<void> {
-    this.#isStopped = true;
-    await Promise.all(this.#loops);
-  }
-
-  async #run(scenario: scenarios.Scenario, host: number): Promise<void> {
-    for (let number = 0; !this.#isStopped; number += 1) {
-      try {
-        const text = `h${host}n${number}`;
-        this.replies.push(await scenario.caller(host).chat(MODEL, text));
-      } catch (error) {
-        this.errors.push(error as Error);
-      }
-    }
-  }
-}
-
-function expectAllServed(traffic: Traffic): void {
-  const failed = traffic.replies.filter((reply) => reply.status !== 200);
-  expect(failed.map((reply) => reply.text)).to.deep.equal([]);
-  expect(traffic.errors).to.deep.equal([]);
-}
-
 describe("departures during traffic", () => {
   let scenario: scenarios.Scenario;
 
@@ -56,7 +22,7 @@
   /** Waits until an engine gets no calls, and checks that it stays so. */
   async function expectNoNewWork(
     engine: fakeBackend.FakeBackend,
-    traffic: Traffic,
+    traffic: traffics.Traffic,
   ): Promise<void> {
     const { calls } = engine.journal;
     await new Promise((resolve) => setTimeout(resolve, WITHDRAWN_MS));
@@ -80,22 +46,22 @@
     const engine = busiestEngine();
     const domain = engine.describe().failureDomain;
     const { operator } = scenario.fleet.host(0);
-    const traffic = new Traffic(scenario, [0, 1, 2, 3]);
+    const traffic = new traffics.Traffic(scenario, [0, 1, 2, 3]);
     await operator.moveFailureDomain(domain, "withdraw");
     await expectNoNewWork(engine, traffic);
     await operator.moveFailureDomain(domain, "restore");
     await traffic.stop();
-    expectAllServed(traffic);
+    traffic.expectAllServed();
   });
 
   it("give a leaving engine no new work", async () => {
     const engine = busiestEngine();
-    const traffic = new Traffic(scenario, [0, 1, 2]);
+    const traffic = new traffics.Traffic(scenario, [0, 1, 2]);
     engine.leave();
     await expectNoNewWork(engine, traffic);
     await traffic.stop();
     await engine.restart();
-    expectAllServed(traffic);
+    traffic.expectAllServed();
   });
 
   it("cut no request when a host gets SIGTERM", async () => {
