Keep only answers and deferred requests that fit into a proposal

Cause: an answer was kept up to 4 MiB of its own size, a proposal takes 2 Mi characters of JSON. An answer of 1.2 MB with quotes made a record of 2.4 MB: the proposal was refused and repeated for ever, and resends got may-have-run although the call ran. A recorded refusal says its outcome in the header also when that is "ran".

--- a/packages/core/src/state/results.ts
+++ b/packages/core/src/state/results.ts
@@ -40,6 +40,7 @@
     contentType: "application/problem+json",
     body: JSON.stringify(refused.toProblem()),
     outcome: definition.outcome,
+    refused: true,
   };
 }
 
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -359,8 +359,7 @@
   }
 
   async #waitUntilIdle(until: number): Promise<void> {
-    const isBusy = () =>
-      this.#entry !== undefined && this.#entry.openCount > 0;
+    const isBusy = () => this.#entry !== undefined && this.#entry.openCount > 0;
     while (isBusy() && performance.now() < until) {
       await timers.setTimeout(DRAIN_POLL_MS);
     }
--- a/packages/daemon/src/entry/collecting_sink.ts
+++ b/packages/daemon/src/entry/collecting_sink.ts
@@ -1,6 +1,7 @@
 import { Buffer, isUtf8 } from "node:buffer";
 import * as protocol from "@ebonypath/protocol";
 import * as httpSink from "./http_sink.ts";
+import * as storedRequest from "./stored_request.ts";
 import type * as types from "./types.ts";
 
 /** Content type of an answer that names none. */
@@ -13,7 +14,7 @@
   #whole: types.WholeAnswer | undefined;
   #refusal: protocol.errors.Refusal | undefined;
 
-  /** @param maxBytes largest body that is kept, in its stored form */
+  /** @param maxBytes largest body that is kept, in bytes of its JSON form */
   constructor(maxBytes: number) {
     this.#maxBytes = maxBytes;
   }
@@ -33,7 +34,7 @@
   answer(answer: types.WholeAnswer): void {
     this.#whole = answer;
     const encoded = encode(answer.body);
-    if (Buffer.byteLength(encoded.body) > this.#maxBytes) {
+    if (storedRequest.jsonBytes(encoded.body) > this.#maxBytes) {
       this.#answer = refusalAnswer(notKept(this.#maxBytes));
       return;
     }
@@ -87,6 +88,7 @@
     contentType: "application/problem+json",
     body: JSON.stringify({ ...problem, error: problem }),
     outcome: problem.outcome,
+    refused: true,
   };
 }
 
@@ -95,11 +97,11 @@
   answer: protocol.state.Answer,
   sink: types.Sink,
 ): void {
-  const { outcome, contentType, status, body, encoding } = answer;
+  const { outcome, refused, contentType, status, body, encoding } = answer;
   const headers = { "content-type": contentType };
   sink.answer({
     status,
-    headers: outcome === "ran"
+    headers: outcome === "ran" && refused === undefined
       ? headers
       : { ...headers, [httpSink.OUTCOME_HEADER]: outcome },
     body: Buffer.from(body, encoding ?? "utf8"),
--- a/packages/daemon/src/entry/deferred.ts
+++ b/packages/daemon/src/entry/deferred.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { Buffer, isUtf8 } from "node:buffer";
+import { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import * as timers from "node:timers/promises";
 import * as protocol from "@ebonypath/protocol";
@@ -14,6 +14,7 @@
 import * as security from "../security/mod.ts";
 import * as collecting from "./collecting_sink.ts";
 import * as httpSink from "./http_sink.ts";
+import * as storedRequest from "./stored_request.ts";
 import type * as types from "./types.ts";
 
 /** Deferred requests that one host executes at once. */
@@ -75,11 +76,10 @@
     contentType: string,
     response: http.ServerResponse,
   ): Promise<void> {
-    requireText(work.body);
     const result = await this.#propose({
       kind: "accept-deferred",
       id: security.randomId(ID_BYTES),
-      request: toStored(work, workspace, contentType),
+      request: storedRequest.toStored(work, workspace, contentType),
       maxWaitMs: work.tier.maxWaitMs,
       ...(key === null ? {} : { key: security.digest(key) }),
     });
@@ -257,33 +257,6 @@
     status === protocol.errors.NOT_STARTED_IN_TIME.status;
 }
 
-function toStored(
-  work: types.Work,
-  workspace: string,
-  contentType: string,
-): protocol.state.StoredRequest {
-  return {
-    workspace,
-    service: work.service,
-    ...(work.target === work.service ? {} : { model: work.target }),
-    method: work.method,
-    path: work.path,
-    contentType,
-    body: work.body.toString("utf8"),
-    tier: work.tier.name,
-    idempotent: work.idempotent,
-  };
-}
-
-/** The state keeps text: other bytes would come out of it changed. */
-function requireText(body: Buffer): void {
-  if (isUtf8(body)) return;
-  throw notAccepted(
-    protocol.errors.INVALID_REQUEST,
-    "the body of a deferred request has to be text in UTF-8",
-  );
-}
-
 function refusedAcceptance(
   result: protocol.state.CommandResult,
 ): protocol.errors.Refusal {
--- a/packages/daemon/test/entry/collecting_sink_test.ts
+++ b/packages/daemon/test/entry/collecting_sink_test.ts
@@ -16,6 +16,7 @@
   ["an empty body", Buffer.alloc(0), 201, ""],
   ["a body at the limit", Buffer.alloc(MAX_BYTES, "a"), 201, "aaaaaaaa"],
   ["a body over the limit", Buffer.alloc(9, "a"), 409, /more than 8 bytes/],
+  ["text over the limit as JSON", Buffer.from("\n\n\n\n\n"), 409, /8 bytes/],
   ["bytes that are no text", Buffer.from([0xff, 0xfe]), 201, "//4="],
 ];
 
--- a/packages/daemon/test/integration/domain_and_leader_test.ts
+++ b/packages/daemon/test/integration/domain_and_leader_test.ts
@@ -31,12 +31,16 @@
   async function move(host: number, action: string): Promise<number> {
     const { operator } = scenario.fleet.host(host);
     const changeId = crypto.randomBytes(8).toString("hex");
-    const { index } = await wait.waitFor("the acknowledgement", () =>
-      operator.call<operators.Changed>(
-        "POST",
-        `/v1/failure-domains/${DOMAIN}/${action}`,
-        { changeId },
-      ), { timeoutMs: ACKNOWLEDGED_TIMEOUT_MS });
+    const { index } = await wait.waitFor(
+      "the acknowledgement",
+      () =>
+        operator.call<operators.Changed>(
+          "POST",
+          `/v1/failure-domains/${DOMAIN}/${action}`,
+          { changeId },
+        ),
+      { timeoutMs: ACKNOWLEDGED_TIMEOUT_MS },
+    );
     return index;
   }
 
--- a/packages/protocol/src/settings/types.ts
+++ b/packages/protocol/src/settings/types.ts
@@ -1,5 +1,6 @@
 import * as v from "valibot";
 import * as backend from "../backend/mod.ts";
+import * as state from "../state/mod.ts";
 import * as address from "./address.ts";
 
 const SECOND_MS = 1_000;
@@ -159,7 +160,7 @@
   /** Most requests that wait at this host. */
   maxQueue: v.optional(limit(1, 1_000_000), 10_000),
   /** Largest answer that is recorded for a resend, in bytes. */
-  maxAnswerBytes: v.optional(limit(KIB, 4 * MIB), MIB),
+  maxAnswerBytes: v.optional(limit(KIB, state.STORED_BYTES), MIB),
   /** Largest body of an operator's call, in bytes. */
   maxOperatorBodyBytes: v.optional(limit(KIB, 256 * MIB), 16 * MIB),
   /** Longest pause between two events of a backend server's stream, in milliseconds. */
--- a/packages/protocol/src/state/command.ts
+++ b/packages/protocol/src/state/command.ts
@@ -5,6 +5,12 @@
 /** Largest answer kept for replay, in characters. */
 export const ANSWER_LENGTH = 4 * 1024 * 1024;
 
+/**
+ * Largest body that fits into one command beside its other members, in bytes
+ * of its JSON form.
+ */
+export const STORED_BYTES = 1_792 * 1_024;
+
 const Index = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const Text = v.pipe(v.string(), v.maxLength(1_024));
 const Digest = v.pipe(v.string(), v.regex(/^[0-9a-f]{16,128}$/));
@@ -24,6 +30,8 @@
   encoding: v.optional(v.picklist(["utf8", "base64"])),
   /** What a caller may conclude. */
   outcome: v.picklist(["not-run", "may-have-run", "ran"]),
+  /** It is a refusal of the system, not the answer of a backend server. */
+  refused: v.optional(v.literal(true)),
 });
 export type Answer = v.InferOutput<typeof Answer>;
 
