End the execution of a deferred request that its caller cancelled

Cause: the test 'can be cancelled' failed once: the caller was told the request was cancelled, and found an answer. A cancelled request that a host had already taken was only marked; the host was never told, ran it, and its answer was kept. A request waiting at a silent server stayed there until its deadline. Change: the leader names cancelled assignments in the next exchange; the host aborts the execution or gives back what it had not begun, and the state ends it as not-run, or may-have-run once it was sent.

--- a/packages/daemon/src/control/deferred_driver.ts
+++ b/packages/daemon/src/control/deferred_driver.ts
@@ -69,11 +69,8 @@
   assignmentsOf(
     identity: protocol.control.HostIdentity,
   ): protocol.control.Assignment[] {
-    const owner = {
-      host: identity.name,
-      hostIncarnation: identity.incarnation,
-    };
-    return this.#options.replicated.state.assignedDeferred(owner)
+    return this.#heldBy(identity)
+      .filter((item) => !item.cancelled)
       .slice(0, ASSIGNMENTS_PER_EXCHANGE)
       .map((item) => ({
         id: item.id,
@@ -83,6 +80,22 @@
       }));
   }
 
+  /** Requests that a host was handed and whose callers cancelled them. */
+  cancellationsOf(
+    identity: protocol.control.HostIdentity,
+  ): protocol.control.Cancellation[] {
+    return this.#heldBy(identity)
+      .filter((item) => item.cancelled)
+      .map(({ id, phase }) => ({ id, assignment: phase.assignment.index }));
+  }
+
+  #heldBy(
+    { name, incarnation }: protocol.control.HostIdentity,
+  ): core.state.Assigned[] {
+    const owner = { host: name, hostIncarnation: incarnation };
+    return this.#options.replicated.state.assignedDeferred(owner);
+  }
+
   async #assign(
     assignments: readonly core.deferred.Assignment[],
   ): Promise<void> {
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -162,6 +162,7 @@
       ...shares,
       watched,
       assignments: this.#deferred.assignmentsOf(host),
+      cancellations: this.#deferred.cancellationsOf(host),
     };
   }
 
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -165,6 +165,7 @@
   answered(answer: protocol.control.ExchangeResponse): void {
     this.#watch.update(answer.watched, performance.now());
     this.deferred.execute(answer.assignments);
+    this.deferred.end(answer.cancellations);
     this.pump();
   }
 
--- a/packages/daemon/src/entry/deferred.ts
+++ b/packages/daemon/src/entry/deferred.ts
@@ -52,10 +52,23 @@
   ): Promise<void>;
 }
 
+/** A deferred request that this host executes. */
+interface Execution {
+  readonly cancelled: AbortController;
+  readonly ended: Promise<void>;
+}
+
+/** What a host says of a request that it was handed. */
+type Holding = Omit<
+  Extract<protocol.state.Command, { kind: "return-deferred" }>,
+  "kind"
+>;
+
 /** The deferred requests of one entry host. */
 export class DeferredRequests {
   readonly #options: DeferredOptions;
-  readonly #executing = new Map<string, Promise<void>>();
+  /** By the name of the assignment. */
+  readonly #executing = new Map<string, Execution>();
   /** Log indexes with ids of assignments that were taken, oldest first. */
   readonly #taken = new Set<string>();
 
@@ -154,9 +167,19 @@
   execute(assignments: readonly protocol.control.Assignment[]): void {
     for (const assignment of assignments) {
       if (!this.#take(assignment)) continue;
-      const executed = this.#execute(assignment)
-        .finally(() => this.#executing.delete(assignment.id));
-      this.#executing.set(assignment.id, executed);
+      const name = nameOf(assignment);
+      const cancelled = new AbortController();
+      const ended = this.#execute(assignment, cancelled.signal)
+        .finally(() => this.#executing.delete(name));
+      this.#executing.set(name, { cancelled, ended });
+    }
+  }
+
+  /** Ends requests that their callers cancelled, begun here or not. */
+  end(cancellations: readonly protocol.control.Cancellation[]): void {
+    for (const cancellation of cancellations) {
+      this.#executing.get(nameOf(cancellation))?.cancelled.abort();
+      if (this.#take(cancellation)) void this.#endUnbegun(cancellation);
     }
   }
 
@@ -166,8 +189,8 @@
   }
 
   /** Whether an assignment is new: an answer may be late or come twice. */
-  #take(assignment: protocol.control.Assignment): boolean {
-    const name = `${assignment.assignment}/${assignment.id}`;
+  #take(assignment: protocol.control.Cancellation): boolean {
+    const name = nameOf(assignment);
     if (this.#taken.has(name)) return false;
     this.#taken.add(name);
     if (this.#taken.size > REMEMBERED_ASSIGNMENTS) {
@@ -177,38 +200,54 @@
     return true;
   }
 
-  async #execute(assignment: protocol.control.Assignment): Promise<void> {
-    const { identity, proposals, run } = this.#options;
-    const owner = {
-      id: assignment.id,
-      assignment: assignment.assignment,
-      host: identity.name,
-      hostIncarnation: identity.incarnation,
-    };
+  async #execute(
+    assignment: protocol.control.Assignment,
+    cancelled: AbortSignal,
+  ): Promise<void> {
+    const { proposals } = this.#options;
+    const held = this.#holding(assignment);
     const deadline = performance.now() + assignment.remainingMs;
     const sink = new collecting.CollectingSink(this.#options.maxAnswerBytes);
-    await this.#run(assignment, sink, run);
+    await this.#run(assignment, sink, cancelled);
     const answer = sink.collected;
     const mayRunLater = answer.outcome === "not-run" &&
       isTransient(answer.status) && performance.now() < deadline;
+    // The state ends a returned request that was cancelled.
     await proposals.send(
-      mayRunLater
-        ? { kind: "return-deferred", ...owner }
-        : { kind: "finish-deferred", ...owner, answer },
+      mayRunLater || (cancelled.aborted && answer.outcome === "not-run")
+        ? { kind: "return-deferred", ...held }
+        : { kind: "finish-deferred", ...held, answer },
     );
   }
 
+  async #endUnbegun(
+    cancellation: protocol.control.Cancellation,
+  ): Promise<void> {
+    await this.#options.proposals.send({
+      kind: "return-deferred",
+      ...this.#holding(cancellation),
+    });
+  }
+
+  #holding({ id, assignment }: protocol.control.Cancellation): Holding {
+    const { identity } = this.#options;
+    return {
+      id,
+      assignment,
+      host: identity.name,
+      hostIncarnation: identity.incarnation,
+    };
+  }
+
   async #run(
     assignment: protocol.control.Assignment,
     sink: types.Sink,
-    run: DeferredOptions["run"],
+    cancelled: AbortSignal,
   ): Promise<void> {
+    const { restore, run } = this.#options;
     try {
-      const work = this.#options.restore(
-        assignment.request,
-        assignment.remainingMs,
-      );
-      await run(work, sink, new AbortController().signal);
+      const work = restore(assignment.request, assignment.remainingMs);
+      await run(work, sink, cancelled);
     } catch (error) {
       if (!(error instanceof protocol.errors.Refusal)) throw error;
       sink.refuse(error);
@@ -250,6 +289,11 @@
   }
 }
 
+/** Tells assignments of one request apart: the index grows with each one. */
+function nameOf({ assignment, id }: protocol.control.Cancellation): string {
+  return `${assignment}/${id}`;
+}
+
 /** Whether another try later may end otherwise. */
 function isTransient(status: number): boolean {
   return status === protocol.errors.NO_CAPACITY.status ||
--- a/packages/protocol/src/control/exchange.ts
+++ b/packages/protocol/src/control/exchange.ts
@@ -50,6 +50,10 @@
 });
 export type Assignment = v.InferOutput<typeof Assignment>;
 
+/** An assignment whose caller cancelled the request. */
+export const Cancellation = v.pick(Assignment, ["id", "assignment"]);
+export type Cancellation = v.InferOutput<typeof Cancellation>;
+
 /** What a host tells the leader, about once a second and on need. */
 export const ExchangeRequest = v.object({
   host: HostIdentity,
@@ -86,6 +90,8 @@
   shares: v.optional(limits.ShareGrant),
   watched: v.array(suspicion.WatchedFingerprint),
   assignments: v.array(Assignment),
+  /** Assignments of the host to end: their callers want no answer any more. */
+  cancellations: v.array(Cancellation),
 });
 export type ExchangeResponse = v.InferOutput<typeof ExchangeResponse>;
 
