Give no part of a burst that is too small for its request

A trace of the leader's grants: four hosts want 109 tokens each (20 of them generated), the burst is 300, and the division gave 109, 109, 82 and 0. The host with 82 filled up, could serve nothing, and a third of the rate was lost in its full share. Ruled out: late exchanges (every 50 ms to 70 ms throughout), a change of leader (none), and gathering all tokens in the pool and giving them out by age: that served one request a host in each exchange, and two hosts that want everything got 1,706 of 2,300 tokens. Change: when the free part of the burst is too small for the waiting requests of all hosts, it goes whole to the oldest that fit, the rest is kept for the next in line. The division moved to a module of its own. In the unit test with four holders, one silent: 29 served, after 50; with the mechanism off the case fails (609 of 700 tokens). Conclusion: the rate is had when the burst holds fewer requests than there are hosts.

--- a/packages/core/src/limits/bucket_pool.ts
+++ b/packages/core/src/limits/bucket_pool.ts
@@ -10,7 +10,7 @@
  */
 
 import type * as protocol from "@ebonypath/protocol";
-import { type Claim, divide, maxMin } from "./division.ts";
+import * as bucketTargets from "./bucket_targets.ts";
 import { type Amount, Ledger, type Share } from "./ledger.ts";
 import {
   type BucketLimit,
@@ -18,28 +18,9 @@
   SHARE_LIFETIME_MS,
 } from "./types.ts";
 
-/** Seconds of recent consumption that a holder gets tokens for in advance. */
-const STOCK_SECONDS = 1.5;
-
-/** Part of the burst that holders with little to do keep as a stock. */
-const IDLE_STOCK_FRACTION = 0.25;
-
-/** Consumption below which a holder keeps no stock, in tokens per second. */
-const IDLE_USAGE = 0.01;
-
-/**
- * Part of a holder's consumption that its own refill covers. The pool tops up
- * the rest, so that no holder's refill is wasted on a full share.
- */
-const RATE_COVER = 0.9;
-
 /** A holder's situation according to its latest report. */
-type Situation = {
-  readonly available: number;
-  readonly reserved: number;
+type Situation = Omit<bucketTargets.Situation, "pending"> & {
   readonly surrendered: number;
-  readonly usage: number;
-  readonly demand: protocol.limits.TokenDemand;
 };
 
 /** How a pool begins. */
@@ -193,59 +174,14 @@
   }
 
   /** What the holder should have, were all of the pool free to be moved. */
-  #target(holder: string): Amount & { level: number } {
-    const holders = [...this.#situations.keys()];
-    const situations = [...this.#situations.values()];
-    const pending = holders.map((name) =>
-      this.#ledger.entries.get(name)?.offered?.level ?? 0
+  #target(holder: string): bucketTargets.Target {
+    const situations = new Map(
+      [...this.#situations].map(([name, situation]) => [name, {
+        ...situation,
+        pending: this.#ledger.entries.get(name)?.offered?.level ?? 0,
+      }]),
     );
-    const short = situations.map((situation, index) =>
-      Math.max(
-        0,
-        situation.demand.tokens - situation.available - pending[index]!,
-      )
-    );
-    const isScarce = sum(short) > this.#level;
-    const reserved = sum(situations.map((situation) => situation.reserved));
-    const capacities = divide(
-      this.#limit.burst - reserved,
-      situations.map((situation) => this.#claim(situation, isScarce)),
-    );
-    const rates = maxMin(
-      this.#limit.rate,
-      situations.map((situation, index) =>
-        capacities[index]! > 0 ? rateWish(situation) : 0
-      ),
-    );
-    const levels = divide(
-      this.#level,
-      situations.map((situation, index) =>
-        shortage(
-          this.#claim(situation, isScarce),
-          situation.available + pending[index]!,
-        )
-      ),
-    );
-    const index = holders.indexOf(holder);
-    return {
-      capacity: capacities[index]! + situations[index]!.reserved,
-      rate: rates[index]!,
-      level: levels[index]!,
-    };
-  }
-
-  #claim(situation: Situation, isScarce: boolean): Claim {
-    const { demand, usage } = situation;
-    const want = Math.max(demand.tokens, usage * STOCK_SECONDS);
-    const hasStock = !isScarce && usage > IDLE_USAGE;
-    const stock = this.#limit.burst * IDLE_STOCK_FRACTION /
-      this.#situations.size;
-    return {
-      head: Math.min(demand.head, this.#limit.burst),
-      headAgeMs: demand.headAgeMs,
-      want,
-      stock: hasStock ? Math.max(want, stock) : want,
-    };
+    return bucketTargets.targetOf(holder, situations, this.#level, this.#limit);
   }
 
   #clip(): void {
@@ -265,28 +201,10 @@
   report: protocol.limits.BucketReport,
   share: Share | undefined,
 ): Situation {
-  const { usage, demand, surrendered } = report;
+  const { reserved, usage, demand, surrendered } = report;
   if (share === undefined) {
     return { available: 0, reserved: 0, surrendered: 0, usage, demand };
   }
-  const available = Math.max(0, report.balance - report.reserved);
-  return { available, reserved: report.reserved, surrendered, usage, demand };
-}
-
-function rateWish(situation: Situation): number {
-  return situation.usage * RATE_COVER + situation.demand.tokens;
-}
-
-/** The part of a claim that the tokens at hand do not cover. */
-function shortage(claim: Claim, available: number): Claim {
-  return {
-    head: Math.max(0, claim.head - available),
-    headAgeMs: claim.headAgeMs,
-    want: Math.max(0, claim.want - available),
-    stock: Math.max(0, claim.stock - available),
-  };
-}
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
+  const available = Math.max(0, report.balance - reserved);
+  return { available, reserved, surrendered, usage, demand };
 }
--- a/packages/core/src/limits/division.ts
+++ b/packages/core/src/limits/division.ts
@@ -4,6 +4,9 @@
  * @module
  */
 
+/** Amounts that differ by less count as equal. */
+const ROUNDING = 1e-6;
+
 /** One claimant's wishes, each level including the ones before it. */
 export type Claim = {
   /** Needed by the request that has waited longest. */
@@ -55,10 +58,7 @@
 export function divide(total: number, claims: readonly Claim[]): number[] {
   const result = claims.map(() => 0);
   let remaining = Math.max(0, total);
-  const byAge = claims.map((_, index) => index)
-    .filter((index) => claims[index]!.head > 0)
-    .sort((a, b) => claims[b]!.headAgeMs - claims[a]!.headAgeMs);
-  for (const index of byAge) {
+  for (const index of byHeadAge(claims)) {
     const given = Math.min(remaining, claims[index]!.head);
     result[index] = given;
     remaining -= given;
@@ -75,6 +75,42 @@
   return result;
 }
 
+/** Which of the longest waiting requests an amount is enough for. */
+export type WholeHeads = {
+  /** The part of each claimant: its head, or nothing. */
+  readonly parts: readonly number[];
+  /** Whether every head gets its part. */
+  readonly areServed: boolean;
+};
+
+/**
+ * Serves heads whole in order of age, up to the first that does not fit. What
+ * is left then is kept for that one, so that younger ones cannot starve it.
+ *
+ * @example
+ * ```ts
+ * wholeHeads(10, [
+ *   { head: 4, headAgeMs: 50 },
+ *   { head: 8, headAgeMs: 20 },
+ *   { head: 2, headAgeMs: 10 },
+ * ]); // { parts: [4, 0, 0], areServed: false }
+ * ```
+ */
+export function wholeHeads(
+  total: number,
+  claims: ReadonlyArray<Pick<Claim, "head" | "headAgeMs">>,
+): WholeHeads {
+  const parts = claims.map(() => 0);
+  let remaining = total;
+  for (const index of byHeadAge(claims)) {
+    const { head } = claims[index]!;
+    if (head > remaining + ROUNDING) return { parts, areServed: false };
+    parts[index] = head;
+    remaining -= head;
+  }
+  return { parts, areServed: true };
+}
+
 /** One claimant's wishes for whole units. */
 export type WholeClaim = {
   /** Wanted for all present use. */
@@ -126,3 +162,12 @@
   }
   return result;
 }
+
+/** Claimants with a waiting request, the longest waiting first. */
+function byHeadAge(
+  claims: ReadonlyArray<Pick<Claim, "head" | "headAgeMs">>,
+): number[] {
+  return claims.map((_, index) => index)
+    .filter((index) => claims[index]!.head > 0)
+    .sort((a, b) => claims[b]!.headAgeMs - claims[a]!.headAgeMs);
+}
--- a/packages/core/test/limits/bucket_pool_test.ts
+++ b/packages/core/test/limits/bucket_pool_test.ts
@@ -105,6 +105,65 @@
   });
 });
 
+describe("a bucket that has too little for all who wait", () => {
+  const RATE = 100;
+  /** Reserved and used by each request; two wait at each holder. */
+  const TOKENS = 109;
+  const USED = 21;
+  const HOLDERS = ["a", "b", "c", "d"];
+  /** Time between two reports of a holder that waits, in milliseconds. */
+  const STEP_MS = 50;
+  const EXCHANGES_PER_STEP = HOLDERS.length;
+
+  /** Holders that always want `TOKENS` and use them at once when they can. */
+  function serve(durationMs: number, silent?: string): number[] {
+    const limit = { rate: RATE, burst: BURST };
+    const pool = new limits.BucketPool("shop", limit, START, 0);
+    const shares = new Map(
+      HOLDERS.map((name) => [name, new limits.BucketShare("shop")]),
+    );
+    const served = HOLDERS.map(() => 0);
+    const since = HOLDERS.map((_, index) => index);
+    let exchange = 0;
+    for (let now = 10; now < durationMs; now += STEP_MS) {
+      for (const [index, name] of HOLDERS.entries()) {
+        if (name === silent && now > STEP_MS) continue;
+        const at = now + index * STEP_MS / EXCHANGES_PER_STEP;
+        const share = shares.get(name)!;
+        share.setWaiting({
+          tokens: 2 * TOKENS,
+          head: TOKENS,
+          since: since[index]!,
+        });
+        exchange += 1;
+        const id = idAt(exchange);
+        const grant = pool.exchange(name, share.report(exchange, at), id, at)!;
+        share.accept(grant, id, at);
+        const result = share.reserve(TOKENS, at);
+        if (result.kind !== "reserved") continue;
+        share.settle(result.reservation, USED, at);
+        served[index]! += 1;
+        since[index] = at;
+      }
+    }
+    return served;
+  }
+
+  it("serves them in turn at the whole rate", () => {
+    const served = serve(20_000);
+    const total = served.reduce((sum, count) => sum + count, 0) * USED;
+    expect(total).to.be.at.most(BURST + RATE * 20);
+    expect(total).to.be.at.least(0.95 * RATE * 20);
+    expect(Math.max(...served) - Math.min(...served)).to.be.at.most(2);
+  });
+
+  it("serves the others when one that waits falls silent", () => {
+    const served = serve(10_000, "d");
+    const total = served.reduce((sum, count) => sum + count, 0) * USED;
+    expect(total).to.be.at.least(0.7 * RATE * 10);
+  });
+});
+
 describe("share of one bucket at the holder", () => {
   it("reports what is reserved above a reduced capacity", () => {
     const share = new limits.BucketShare("shop");
--- a/packages/core/test/limits/division_test.ts
+++ b/packages/core/test/limits/division_test.ts
@@ -54,6 +54,36 @@
   }
 });
 
+describe("heads that an amount is enough for", () => {
+  const head = (size: number, headAgeMs: number) => ({ head: size, headAgeMs });
+  const cases = [
+    {
+      name: "all when they fit",
+      total: 10,
+      claims: [head(4, 1), head(6, 2)],
+      expected: { parts: [4, 6], areServed: true },
+    },
+    {
+      name: "no part of one that does not fit, and none behind it",
+      total: 10,
+      claims: [head(2, 1), head(8, 2), head(4, 3)],
+      expected: { parts: [0, 0, 4], areServed: false },
+    },
+    {
+      name: "claimants without a head want nothing",
+      total: 0,
+      claims: [head(0, 0), head(0, 0)],
+      expected: { parts: [0, 0], areServed: true },
+    },
+  ];
+  for (const { name, total, claims, expected } of cases) {
+    it(
+      name,
+      () => expect(limits.wholeHeads(total, claims)).to.deep.equal(expected),
+    );
+  }
+});
+
 describe("division of whole units", () => {
   const cases = [
     {
