--- a/packages/testing/src/launcher/fleet_host.ts
+++ b/packages/testing/src/launcher/fleet_host.ts
@@ -4,6 +4,18 @@
 /** Longest wait for a host to become ready, in milliseconds. */
 const READY_TIMEOUT_MS = 20_000;
 
+/** Log line of a host that serves. */
+const READY = /event=ready\b/;
+
+/** The process of a host ended before the host was ready. */
+export class StartError extends Error {
+  override readonly name = "StartError";
+
+  constructor(host: string, log: string) {
+    super(`${host} ended before it was ready:\n${log}`);
+  }
+}
+
 /** What a host of a fleet is started with. */
 export interface FleetHostOptions {
   readonly name: string;
@@ -71,16 +83,19 @@
     );
   }
 
-  /** Waits until the host listens and follows a leader. */
+  /**
+   * Waits until the host listens and follows a leader.
+   *
+   * @throws {StartError} its process has ended
+   */
   async waitUntilReady(): Promise<void> {
-    await this.process.waitFor(
+    const { process } = this;
+    const started = await process.waitFor(
       `${this.name} to be ready`,
-      () => {
-        if (!this.isRunning) return false;
-        return this.process.lines.some((line) => /event=ready\b/.test(line));
-      },
+      () => process.exit ?? process.lines.some((line) => READY.test(line)),
       READY_TIMEOUT_MS,
     );
+    if (started !== true) throw new StartError(this.name, process.tail);
   }
 
   /** Starts the process again after its end and waits until it is ready. */
