Tell the links of a test fleet by the address they are opened from

Cause: a fleet of four hosts with a proxy on every link had no stable leader for 20 s while other suites ran: links timed out and elections were held again and again. The proxy asked /proc for the process behind each new connection, in the table of all connections of the machine and the descriptors of each host, before it let the first byte through. Change: a host can open its links from an address that the settings name (listen.fleet_source, of use on a host with several addresses), and each host of a test fleet has its own loopback address. The search in /proc is gone.

--- a/packages/daemon/src/daemon/control_role.ts
+++ b/packages/daemon/src/daemon/control_role.ts
@@ -57,9 +57,8 @@
     this.#resources = owned;
     const transport = owned.use(
       new replication.HttpTransport({
+        ...rpcClient.options,
         self,
-        secret: loaded.fleetSecret,
-        ...(rpcClient.tls === undefined ? {} : { tls: rpcClient.tls }),
       }),
     );
     this.#driver = owned.use(
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -77,6 +77,9 @@
     this.#rpcClient = new fleet.RpcClient({
       secret: loaded.fleetSecret,
       ...fleetTls(loaded),
+      ...(listen.fleetSource === undefined
+        ? {}
+        : { source: listen.fleetSource }),
     });
     const seeds = own.roles.includes("control")
       ? [
--- a/packages/daemon/src/fleet/rpc_client.ts
+++ b/packages/daemon/src/fleet/rpc_client.ts
@@ -20,6 +20,8 @@
   readonly secret: string;
   /** TLS options for the links; plain TCP where absent. */
   readonly tls?: undici.buildConnector.BuildOptions;
+  /** IP address that connections are opened from; the system chooses one. */
+  readonly source?: string;
 }
 
 /**
@@ -42,9 +44,9 @@
     this.#options = options;
   }
 
-  /** TLS options of the links; plain TCP where undefined. */
-  get tls(): undici.buildConnector.BuildOptions | undefined {
-    return this.#options.tls;
+  /** How to reach the fleet listeners of other hosts. */
+  get options(): RpcClientOptions {
+    return this.#options;
   }
 
   /**
@@ -159,11 +161,13 @@
   }
 
   #pool(peer: string): undici.Pool {
+    const { source, tls } = this.#options;
     let pool = this.#pools.get(peer);
     if (pool === undefined) {
       pool = new undici.Pool(this.#origin(peer), {
         connections: CONNECTIONS,
-        connect: { timeout: CONNECT_TIMEOUT_MS, ...this.#options.tls },
+        connect: { timeout: CONNECT_TIMEOUT_MS, ...tls },
+        ...(source === undefined ? {} : { localAddress: source }),
         keepAliveTimeout: KEEP_ALIVE_MS,
         headersTimeout: 0,
         bodyTimeout: 0,
--- a/packages/daemon/src/replication/transport.ts
+++ b/packages/daemon/src/replication/transport.ts
@@ -30,6 +30,8 @@
   secret: string;
   /** TLS options; plain TCP when absent. */
   tls?: undici.buildConnector.BuildOptions;
+  /** IP address that connections are opened from; the system chooses one. */
+  source?: string;
   /** Time after which a request counts as lost, in milliseconds. */
   requestTimeoutMs?: number;
 };
@@ -184,11 +186,12 @@
   }
 
   #connect(): undici.Client {
-    const { tls, requestTimeoutMs } = this.#options;
+    const { requestTimeoutMs, source, tls } = this.#options;
     const scheme = tls === undefined ? "http" : "https";
     this.#client ??= new undici.Client(`${scheme}://${this.peer.address}`, {
       pipelining: 1,
       connect: { timeout: requestTimeoutMs ?? REQUEST_TIMEOUT_MS, ...tls },
+      ...(source === undefined ? {} : { localAddress: source }),
     });
     return this.#client;
   }
--- a/packages/protocol/src/settings/types.ts
+++ b/packages/protocol/src/settings/types.ts
@@ -85,6 +85,13 @@
   fleet: Endpoint,
   /** Address under which other hosts reach `fleet`, where it differs. */
   fleetAdvertised: v.optional(Endpoint),
+  /** IP address that links to other hosts are opened from. */
+  fleetSource: v.optional(
+    v.pipe(
+      v.string(),
+      v.ip('is not an IP address; write for instance "127.0.0.1"'),
+    ),
+  ),
 });
 export type Listen = v.InferOutput<typeof Listen>;
 
--- a/packages/testing/src/fault_proxy/mod.ts
+++ b/packages/testing/src/fault_proxy/mod.ts
@@ -16,8 +16,8 @@
   readonly target: string;
   /** Port to listen on; 0 chooses one. */
   readonly port?: number;
-  /** Chooses the link of a new connection by the port of its client. */
-  readonly linkOf?: (clientPort: number) => Promise<Link | undefined>;
+  /** Chooses the link of a new connection by the IP address of its client. */
+  readonly linkOf?: (clientAddress: string) => Link | undefined;
 }
 
 /** Both directions of a link. */
@@ -158,11 +158,11 @@
     return link === undefined ? open : open.filter((one) => one.link === link);
   }
 
-  async #accept(client: net.Socket): Promise<void> {
+  #accept(client: net.Socket): void {
     this.accepted += 1;
     client.on("error", () => {});
-    const link = await this.#options.linkOf?.(client.remotePort ?? 0);
-    if (!client.destroyed) this.#connect(client, link ?? this.link);
+    const link = this.#options.linkOf?.(client.remoteAddress ?? "");
+    this.#connect(client, link ?? this.link);
   }
 
   #connect(client: net.Socket, link: Link): void {
--- a/packages/testing/src/launcher/fleet.ts
+++ b/packages/testing/src/launcher/fleet.ts
@@ -144,6 +144,7 @@
       operators: operators[index] as string,
       fleet,
       fleetAdvertised: advertised[index] as string,
+      ...(options.withLinks ? { fleetSource: sourceOf(index) } : {}),
       controlHosts: voters,
       initialVoters: voters,
       limits: { ...LIMITS, ...options.limits },
@@ -175,13 +176,14 @@
     name: host.name,
     target: listens[index] as string,
     port: Number(host.options.fleetAddress.split(":")[1]),
+    source: sourceOf(index),
   }));
-  return await links.Links.start(linked, () => {
-    const running = hosts.filter((host) => host.isRunning);
-    return new Map(
-      running.map((host) => [host.process.pid as number, host.name]),
-    );
-  });
+  return await links.Links.start(linked);
+}
+
+/** A loopback address that only one host of a fleet opens links from. */
+function sourceOf(index: number): string {
+  return `127.0.1.${index + 1}`;
 }
 
 function addresses(ports: readonly number[]): string[] {
--- a/packages/testing/src/launcher/links.ts
+++ b/packages/testing/src/launcher/links.ts
@@ -1,5 +1,4 @@
 import * as faultProxy from "../fault_proxy/mod.ts";
-import * as socketOwner from "./socket_owner.ts";
 
 /** A host as its links see it. */
 export interface LinkedHost {
@@ -8,29 +7,29 @@
   readonly target: string;
   /** Port under which other hosts reach it. */
   readonly port: number;
+  /** IP address that it opens links from; no other host has it. */
+  readonly source: string;
 }
 
 /** A proxy in front of every host, with a link for each pair of hosts. */
 export class Links {
   readonly #proxies = new Map<string, faultProxy.FaultProxy>();
   readonly #links = new Map<string, faultProxy.Link>();
-  readonly #pids: () => ReadonlyMap<number, string>;
+  /** Names of the hosts by the address that they open links from. */
+  readonly #names: ReadonlyMap<string, string>;
 
-  private constructor(pids: () => ReadonlyMap<number, string>) {
-    this.#pids = pids;
+  private constructor(hosts: readonly LinkedHost[]) {
+    this.#names = new Map(hosts.map(({ name, source }) => [source, name]));
   }
 
-  /** `pids` names the host that each running process is. */
-  static async start(
-    hosts: readonly LinkedHost[],
-    pids: () => ReadonlyMap<number, string>,
-  ): Promise<Links> {
-    const links = new Links(pids);
+  /** Starts a proxy in front of each host. */
+  static async start(hosts: readonly LinkedHost[]): Promise<Links> {
+    const links = new Links(hosts);
     for (const { name, target, port } of hosts) {
       const proxy = await faultProxy.startFaultProxy({
         target,
         port,
-        linkOf: (clientPort) => links.#linkOf(clientPort, port, name),
+        linkOf: (clientAddress) => links.#linkOf(clientAddress, name),
       });
       links.#proxies.set(name, proxy);
     }
@@ -84,18 +83,8 @@
     ]);
   }
 
-  async #linkOf(
-    clientPort: number,
-    serverPort: number,
-    to: string,
-  ): Promise<faultProxy.Link | undefined> {
-    const pids = this.#pids();
-    const pid = await socketOwner.findSocketOwner(
-      clientPort,
-      serverPort,
-      [...pids.keys()],
-    );
-    const from = pid === undefined ? undefined : pids.get(pid);
+  #linkOf(clientAddress: string, to: string): faultProxy.Link | undefined {
+    const from = this.#names.get(clientAddress);
     return from === undefined ? undefined : this.link(from, to);
   }
 }
--- a/packages/testing/src/launcher/settings_file.ts
+++ b/packages/testing/src/launcher/settings_file.ts
@@ -29,6 +29,8 @@
   readonly fleet: string;
   /** Address under which other hosts reach it. */
   readonly fleetAdvertised: string;
+  /** IP address that links to other hosts are opened from. */
+  readonly fleetSource?: string;
   readonly controlHosts: readonly string[];
   readonly initialVoters: readonly string[];
   /** Values of the table `limits`. */
@@ -74,6 +76,9 @@
     `operators = "${host.operators ?? ANY_PORT}"`,
     `fleet = "${host.fleet}"`,
     `fleet_advertised = "${host.fleetAdvertised}"`,
+    ...host.fleetSource === undefined
+      ? []
+      : [`fleet_source = "${host.fleetSource}"`],
     "[control]",
     `hosts = ${JSON.stringify(host.controlHosts)}`,
     ...host.isControl
--- a/packages/testing/test/launcher_test.ts
+++ b/packages/testing/test/launcher_test.ts
@@ -5,7 +5,6 @@
 import * as fs from "node:fs/promises";
 import * as os from "node:os";
 import * as path from "node:path";
-import process from "node:process";
 import * as freePort from "../src/free_port.ts";
 import * as launcher from "../src/launcher/mod.ts";
 import * as wait from "../src/wait.ts";
@@ -53,22 +52,24 @@
     expect(settings.parseSettings(text, file).limits.drainDelayMs).to.equal(10);
   });
 
-  it("tells the link of a connection by the process that opened it", async () => {
+  it("tells the link of a connection by the address that opened it", async () => {
     const options = JSON.stringify({ id: "runner-1" });
     await using target = launcher.launch(FAKE, [options]);
     const line = await target.waitForLine(/event=listening/);
     const address = /address=http:\/\/(\S+)/.exec(line)?.[1] as string;
     const port = await freePort.freePort();
     await using links = await launcher.Links.start(
-      [{ name: "b", target: address, port }, {
+      [{ name: "b", target: address, port, source: "127.0.1.2" }, {
         name: "a",
         target: address,
         port: await freePort.freePort(),
+        source: "127.0.1.1",
       }],
-      () => new Map([[process.pid, "a"]]),
     );
+    const dispatcher = new undici.Agent({ localAddress: "127.0.1.1" });
     const get = () =>
       undici.request(`http://127.0.0.1:${port}/livez`, {
+        dispatcher,
         signal: AbortSignal.timeout(200),
       }).then(async (answer) => await answer.body.text());
     await get();
