Make a change of members once per change id

A change of members was recorded in an entry of its own after the change. A resend met the members already changed and was refused; a leader that removed itself could not write the record at all. The command line did not send such a change again.

The entry that removes or promotes now carries the record, so that both are committed together. A replacement waits until the new voter holds everything committed before the old one leaves: a promotion can be committed without the new voter. A wiped control host logs which command repairs it.

--- a/packages/cli/src/cli/members/mod.ts
+++ b/packages/cli/src/cli/members/mod.ts
@@ -102,31 +102,13 @@
     path,
     body,
     timeoutMs: CHANGE_TIMEOUT_MS,
-    isRepeatable: false,
   };
-  const { index } = await send(client, request);
+  const { index } = await client.change(request);
   context.output.lines(title);
   context.output.result({ index });
   return exitCode.OK;
 }
 
-/** A second try could meet the members already changed by the first one. */
-async function send(
-  client: clients.Client,
-  request: clients.Request,
-): Promise<protocol.operators.Changed> {
-  try {
-    return await client.change(request);
-  } catch (error) {
-    if (!(error instanceof failure.OutcomeUnknownError)) throw error;
-    throw new failure.OutcomeUnknownError(
-      error.message,
-      "look at `ebonypath members status` before you try again",
-      error,
-    );
-  }
-}
-
 function memberId(text: string | undefined): string {
   if (v.is(protocol.operators.MemberId, text)) return text;
   throw new failure.UsageError(
--- a/packages/cli/src/client/client.ts
+++ b/packages/cli/src/client/client.ts
@@ -55,9 +55,8 @@
   }
 
   /**
-   * Makes a change. The request has to carry a change id: unless it says that
-   * it is not repeatable, it is sent again, unaltered, until a server tells its
-   * outcome.
+   * Makes a change. The request has to carry a change id: it is sent again,
+   * unaltered, until a server tells its outcome.
    *
    * @throws {failure.OutcomeUnknownError} the change may have been made.
    * @throws {failure.Failure}
@@ -92,9 +91,6 @@
           const { title, detail, outcome } = refusal.problem;
           tries.note(server, `${title}: ${detail}`, outcome !== "not-run");
         }
-        if (request.isRepeatable === false && tries.mayHaveRun) {
-          throw tries.toFailure(true);
-        }
       }
       if (performance.now() + ROUND_PAUSE_MS >= deadline) break;
       await timers.setTimeout(ROUND_PAUSE_MS);
@@ -118,10 +114,6 @@
     this.#mayHaveRun ||= mayHaveRun;
   }
 
-  get mayHaveRun(): boolean {
-    return this.#mayHaveRun;
-  }
-
   /** Whether a refusal tells what became of the change for certain. */
   isSettledBy(status: number): boolean {
     if (RETRIED_STATUSES.has(status)) return false;
--- a/packages/cli/src/client/transport.ts
+++ b/packages/cli/src/client/transport.ts
@@ -12,8 +12,6 @@
   readonly body?: unknown;
   /** Time for one try; the transport's own by default, in milliseconds. */
   readonly timeoutMs?: number;
-  /** Whether servers recognise a resend; true unless it says otherwise. */
-  readonly isRepeatable?: boolean;
 }
 
 /** What became of one call at one server. */
--- a/packages/core/src/replication/log.ts
+++ b/packages/core/src/replication/log.ts
@@ -19,7 +19,7 @@
       return FIXED_PAYLOAD_SIZE + payload.data.length;
     case "membership": {
       const { voters, learners } = payload.membership;
-      return FIXED_PAYLOAD_SIZE +
+      return FIXED_PAYLOAD_SIZE + (payload.note?.length ?? 0) +
         MEMBER_SIZE * (voters.length + learners.length);
     }
     default:
--- a/packages/core/src/replication/membership_change.ts
+++ b/packages/core/src/replication/membership_change.ts
@@ -7,14 +7,19 @@
 import type { Context } from "./context.ts";
 import type { Leadership } from "./leadership.ts";
 import { changedMembership } from "./membership.ts";
-import type { Membership, MembershipChange, Refusal } from "./types.ts";
+import type {
+  Membership,
+  MembershipChange,
+  NotedChange,
+  Refusal,
+} from "./types.ts";
 
 /** Appends a changed membership, or says why it can't be changed now. */
 export function changeMembership(
   context: Context,
   leadership: Leadership,
   id: number,
-  change: MembershipChange,
+  change: NotedChange,
 ): void {
   const result = decide(context, leadership, change);
   if (typeof result === "string") {
@@ -27,7 +32,8 @@
     kind: "outcome",
     outcome: { kind: "appended", id, index, term },
   });
-  leadership.append([{ kind: "membership", membership: result }]);
+  const note = change.note === undefined ? {} : { note: change.note };
+  leadership.append([{ kind: "membership", membership: result, ...note }]);
 }
 
 function decide(
--- a/packages/core/src/replication/types.ts
+++ b/packages/core/src/replication/types.ts
@@ -33,6 +33,9 @@
   | { kind: "promote"; id: string }
   | { kind: "remove"; id: string };
 
+/** A change with a command that is applied when the change is committed. */
+export type NotedChange = MembershipChange & { note?: string };
+
 /** What the owner of a replica tells it. */
 export type Input =
   | { kind: "tick" }
@@ -47,7 +50,7 @@
     offset: number;
     data: string;
   }
-  | { kind: "changeMembership"; id: number; change: MembershipChange }
+  | { kind: "changeMembership"; id: number; change: NotedChange }
   | { kind: "transferLeadership"; to: string };
 
 /** Why a proposal or a change was refused. Nothing was appended. */
--- a/packages/core/src/state/operator_changes.ts
+++ b/packages/core/src/state/operator_changes.ts
@@ -19,22 +19,28 @@
   return "changeId" in command;
 }
 
+/** The first result of a change id; `undefined` for a new one. */
+export function earlierResult(
+  parts: Parts,
+  command: OperatorCommand,
+): protocol.state.CommandResult | undefined {
+  const earlier = parts.changes.get(command.changeId);
+  if (earlier === undefined) return undefined;
+  return earlier.contentDigest === digestOf(command)
+    ? earlier.result
+    : results.invalid("the change id belongs to another change");
+}
+
 /** Applies an operator's change once, and records it in the audit trail. */
 export function apply(
   parts: Parts,
   command: OperatorCommand,
   position: types.Position,
 ): types.Applied {
-  const contentDigest = audit.digestOf(JSON.stringify(command));
+  const contentDigest = digestOf(command);
   const { changeId, operator } = command;
-  const earlier = parts.changes.get(changeId);
-  if (earlier !== undefined) {
-    return results.quiet(
-      earlier.contentDigest === contentDigest
-        ? earlier.result
-        : results.invalid("the change id belongs to another change"),
-    );
-  }
+  const earlier = earlierResult(parts, command);
+  if (earlier !== undefined) return results.quiet(earlier);
   const applied = change(parts, command, position);
   const result = applied.result;
   parts.changes.add({ changeId, contentDigest, result });
@@ -66,12 +72,20 @@
     case "release-quarantine":
       return parts.quarantines.release(command, position);
     case "note-membership":
-      return results.quiet(results.done(position.index));
+      return results.quiet(command.refusal ?? results.done(position.index));
     default:
       return protocol.errors.assertNever(command);
   }
 }
 
+/** A resend does not know yet whether the first try was refused. */
+function digestOf(command: OperatorCommand): string {
+  const asked = command.kind === "note-membership"
+    ? { ...command, refusal: undefined }
+    : command;
+  return audit.digestOf(JSON.stringify(asked));
+}
+
 function grantKey(
   parts: Parts,
   command: Extract<OperatorCommand, { kind: "grant-key" }>,
--- a/packages/core/src/state/state.ts
+++ b/packages/core/src/state/state.ts
@@ -94,6 +94,13 @@
       : work.apply(this.#parts, command, position);
   }
 
+  /** The first result of an operator's change; `undefined` for a new one. */
+  earlierResult(
+    command: operatorChanges.OperatorCommand,
+  ): protocol.state.CommandResult | undefined {
+    return operatorChanges.earlierResult(this.#parts, command);
+  }
+
   /** Renders the whole state; `fromSnapshot` restores it. */
   toSnapshot(): string {
     const position = { index: this.#index, timeMs: this.#timeMs };
--- a/packages/core/test/replication/replica_test.ts
+++ b/packages/core/test/replication/replica_test.ts
@@ -245,6 +245,16 @@
     });
   }
 
+  it("puts the note of a change into its entry", () => {
+    const subject = new Subject(voters);
+    subject.lead();
+    subject.acknowledge("b", 2);
+    const noted = { ...change, note: "said" };
+    subject.step({ kind: "changeMembership", id: 1, change: noted });
+    expect(subject.replies("append")[0]?.entries[0]?.payload)
+      .to.include({ kind: "membership", note: "said" });
+  });
+
   it("promotes a learner only when it has caught up", () => {
     const subject = new Subject(voters, { catchUpEntries: 0 }, ["d"]);
     const promotion = { kind: "promote", id: "d" } as const;
--- a/packages/core/test/state/state_test.ts
+++ b/packages/core/test/state/state_test.ts
@@ -150,6 +150,25 @@
     expect(reused.kind).to.equal("invalid");
   });
 
+  it("gives a resent change of members its first result", () => {
+    const log = new fixtures.Log();
+    const note = {
+      kind: "note-membership",
+      operator: "ann",
+      changeId: "c1",
+      detail: "remove h1",
+    } as const;
+    const refusal = { kind: "not-found", reason: "no member h1" } as const;
+    expect(log.state.earlierResult(note)).to.equal(undefined);
+    expect(log.apply({ ...note, refusal })).to.deep.equal(refusal);
+    log.restart();
+    expect(log.state.earlierResult(note)).to.deep.equal(refusal);
+    expect(log.apply(note)).to.deep.equal(refusal);
+    expect(log.state.audit(0, 10)).to.deep.equal([]);
+    const other = { ...note, detail: "remove h2" };
+    expect(log.state.earlierResult(other)?.kind).to.equal("invalid");
+  });
+
   it("tells the loser of a race who won", () => {
     const log = new fixtures.Log();
     log.publish("c1");
--- a/packages/daemon/src/control/control_node.ts
+++ b/packages/daemon/src/control/control_node.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type * as http from "node:http";
+import type * as core from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
 import * as fleet from "../fleet/mod.ts";
 import * as log from "../log/mod.ts";
@@ -127,6 +128,20 @@
     metrics.deferredAge.set(Math.max(0, timeMs - oldestMs) / SECOND_MS);
   }
 
+  /**
+   * The first result of an operator's change; `undefined` for a new one.
+   *
+   * @throws {fleet.NotLeader} only the leader knows everything committed
+   */
+  earlierResult(
+    command: core.state.OperatorCommand,
+  ): protocol.state.CommandResult | undefined {
+    return this.#underLease(
+      "change-members",
+      () => this.#options.replicated.state.earlierResult(command),
+    );
+  }
+
   [Symbol.dispose](): void {
     clearInterval(this.#timer);
     this.#endLeadership();
--- a/packages/daemon/src/control/replicated_state.ts
+++ b/packages/daemon/src/control/replicated_state.ts
@@ -100,6 +100,13 @@
     this.emit("restored");
   }
 
+  /** Renders a command for the log; its time never decreases. */
+  stamp(command: protocol.state.Command, nowMs: number): string {
+    const timeMs = Math.max(nowMs, this.#timeMs);
+    const stamped: protocol.state.StampedCommand = { timeMs, command };
+    return JSON.stringify(stamped);
+  }
+
   /**
    * Proposes a command at the leader and waits for its result.
    *
@@ -112,9 +119,7 @@
     command: protocol.state.Command,
     nowMs: number,
   ): Promise<protocol.state.CommandResult> {
-    const timeMs = Math.max(nowMs, this.#timeMs);
-    const stamped: protocol.state.StampedCommand = { timeMs, command };
-    const position = await log.propose(JSON.stringify(stamped));
+    const position = await log.propose(this.stamp(command, nowMs));
     const result = this.#results.get(position.index);
     if (result !== undefined) return result;
     throw new fleet.OutcomeUnknown(
@@ -127,10 +132,9 @@
   #applyEntry(entry: core.replication.Entry): void {
     this.#appliedIndex = entry.index;
     this.#appliedTerm = entry.term;
-    if (entry.payload.kind !== "command") return;
-    const stamped = JSON.parse(
-      entry.payload.data,
-    ) as protocol.state.StampedCommand;
+    const data = commandOf(entry.payload);
+    if (data === undefined) return;
+    const stamped = JSON.parse(data) as protocol.state.StampedCommand;
     this.#timeMs = Math.max(this.#timeMs, stamped.timeMs);
     const applied = this.#state.apply(entry.index, stamped);
     this.#remember(entry.index, applied.result);
@@ -148,3 +152,17 @@
     if (!oldest.done) this.#results.delete(oldest.value);
   }
 }
+
+/** The command in an entry; a change of members may carry one. */
+function commandOf(payload: core.replication.Payload): string | undefined {
+  switch (payload.kind) {
+    case "command":
+      return payload.data;
+    case "membership":
+      return payload.note;
+    case "noop":
+      return undefined;
+    default:
+      return protocol.errors.assertNever(payload);
+  }
+}
--- a/packages/daemon/src/daemon/member_group.ts
+++ b/packages/daemon/src/daemon/member_group.ts
@@ -19,16 +19,36 @@
 /** Pause between two tries of a change, in milliseconds. */
 const RETRY_MS = 100;
 
-type Result = protocol.operators.MemberChangeResult;
+/** The part of the replica's driver that the group needs. */
+export type Driver = Pick<
+  replication.ReplicationDriver,
+  | "self"
+  | "status"
+  | "membership"
+  | "commitIndex"
+  | "hasLease"
+  | "propose"
+  | "progressOf"
+  | "changeMembership"
+  | "transferLeadership"
+>;
+
+/** What became of a change of members. */
+export type ChangeOutcome =
+  | { kind: "done"; index: number }
+  /** It can't be made, now or later. */
+  | protocol.state.MemberRefusal
+  /** It can't be made now; the same change may be sent again. */
+  | { kind: "postponed"; reason: string };
 
 /** Members of the replicated state; this process is one of them. */
 export class MemberGroup implements control.ReplicatedLog {
-  readonly #driver: replication.ReplicationDriver;
+  readonly #driver: Driver;
   readonly #ask: (address: string) => Promise<protocol.replication.Identity>;
 
   /** @param ask asks the host at an address which member it is */
   constructor(
-    driver: replication.ReplicationDriver,
+    driver: Driver,
     ask: (address: string) => Promise<protocol.replication.Identity>,
   ) {
     this.#driver = driver;
@@ -81,29 +101,48 @@
     };
   }
 
-  /** Changes the members, one at a time, and waits until it is done. */
-  async change(change: protocol.control.MemberChange): Promise<Result> {
+  /**
+   * Changes the members, one at a time, and waits until it is done.
+   *
+   * @param note command that is applied together with the last step
+   */
+  async change(
+    change: protocol.control.MemberChange,
+    note: string,
+  ): Promise<ChangeOutcome> {
     this.#requireLease();
     try {
       switch (change.kind) {
         case "add":
-          return await this.#add(change.address);
+          return await this.#add(change.address, note);
         case "remove":
-          return await this.#remove(change.id);
+          return await this.#remove(change.id, note);
         case "replace":
-          return await this.#replace(change.id, change.address);
+          return await this.#replace(change.id, change.address, note);
         default:
           return protocol.errors.assertNever(change);
       }
     } catch (error) {
-      if (error instanceof replication.ChangeRefused) {
-        return refused(memberRefusal.describeRefusal(error.reason));
-      }
-      if (error instanceof NoAnswer) return refused(error.message);
+      if (error instanceof replication.ChangeRefused) return refusalOf(error);
+      if (error instanceof NoAnswer) return postponed(error.message);
       throw error;
     }
   }
 
+  /**
+   * Waits until the voter at an address holds the log up to an index.
+   *
+   * @throws {fleet.OutcomeUnknown} it does not in time
+   */
+  async confirm(address: string, index: number): Promise<void> {
+    const { voters } = this.#driver.membership;
+    const voter = voters.findLast((one) => one.address === address);
+    if (voter === undefined) return;
+    if (await this.#holds(voter.id, index)) return;
+    const message = "the new voter has not caught up in time";
+    throw new fleet.OutcomeUnknown("members.confirm", address, message);
+  }
+
   /** Whether another voter took the leadership over in time. */
   async handOver(timeoutMs: number): Promise<boolean> {
     const { membership, self } = this.#driver;
@@ -122,21 +161,31 @@
     return this.role !== "leader";
   }
 
-  async #add(address: string): Promise<Result> {
+  async #add(address: string, note: string): Promise<ChangeOutcome> {
     const member = await this.#identify(address);
-    const { membership } = this.#driver;
-    const isVoter = membership.voters.some(({ id }) => id === member.id);
-    const isLearner = membership.learners.some(({ id }) => id === member.id);
-    if (!isVoter && !isLearner) {
-      await this.#driver.changeMembership({ kind: "addLearner", member });
-      write("learner-added", { id: member.id, address });
+    if (this.#isVoter(member.id)) {
+      return refused(memberRefusal.describeRefusal("alreadyMember"));
     }
-    if (isVoter) return refused(memberRefusal.describeRefusal("alreadyMember"));
-    const { index } = await this.#promote(member.id);
-    write("voter-added", { id: member.id, address });
+    const { index } = await this.#makeVoter(member, note);
+    await this.confirm(address, index);
     return { kind: "done", index };
   }
 
+  /** Adds a member as a learner, and lets it vote once it has caught up. */
+  async #makeVoter(
+    member: core.replication.Member,
+    note?: string,
+  ): Promise<control.Position> {
+    const { id, address } = member;
+    if (!this.members().some((one) => one.id === id)) {
+      await this.#driver.changeMembership({ kind: "addLearner", member });
+      write("learner-added", { id, address });
+    }
+    const position = await this.#promote(id, note);
+    write("voter-added", { id, address });
+    return position;
+  }
+
   /** Asks the host at an address, before anything is changed. */
   async #identify(address: string): Promise<core.replication.Member> {
     try {
@@ -146,38 +195,58 @@
     }
   }
 
-  async #remove(id: string): Promise<Result> {
+  async #remove(id: string, note: string): Promise<ChangeOutcome> {
     if (!this.members().some((member) => member.id === id)) {
       return { kind: "not-found", reason: `there is no member ${id}` };
     }
-    const { index } = await this.#driver.changeMembership({
-      kind: "remove",
-      id,
-    });
+    const change = { kind: "remove", id, note } as const;
+    const { index } = await this.#driver.changeMembership(change);
     write("removed", { id });
     return { kind: "done", index };
   }
 
-  /** The new member votes before the old one leaves. */
-  async #replace(id: string, address: string): Promise<Result> {
+  /** The new member votes and holds the log before the old one leaves. */
+  async #replace(
+    id: string,
+    address: string,
+    note: string,
+  ): Promise<ChangeOutcome> {
     if (!this.members().some((member) => member.id === id)) {
       return { kind: "not-found", reason: `there is no member ${id}` };
     }
     const member = await this.#identify(address);
     if (member.id === id) return refused("it would replace itself");
-    const { voters } = this.#driver.membership;
-    if (!voters.some((voter) => voter.id === member.id)) {
-      await this.#add(address);
+    if (!this.#isVoter(member.id)) await this.#makeVoter(member);
+    if (!await this.#holds(member.id, this.#driver.commitIndex)) {
+      return postponed(memberRefusal.describeRefusal("notCaughtUp"));
     }
-    return await this.#remove(id);
+    return await this.#remove(id, note);
+  }
+
+  #isVoter(id: string): boolean {
+    return this.#driver.membership.voters.some((voter) => voter.id === id);
+  }
+
+  /** Whether a member comes to hold the log up to an index in time. */
+  async #holds(id: string, index: number): Promise<boolean> {
+    const until = performance.now() + CATCH_UP_MS;
+    while (performance.now() < until) {
+      this.#requireLease();
+      const progress = this.#driver.progressOf(id);
+      if (progress !== null && progress.matchIndex >= index) return true;
+      await timers.setTimeout(RETRY_MS);
+    }
+    return false;
   }
 
   /** Makes a learner a voter as soon as it has caught up. */
-  async #promote(id: string): Promise<control.Position> {
+  async #promote(id: string, note?: string): Promise<control.Position> {
     const until = performance.now() + CATCH_UP_MS;
+    const noted = note === undefined ? {} : { note };
+    const change = { kind: "promote", id, ...noted } as const;
     while (true) {
       try {
-        return await this.#driver.changeMembership({ kind: "promote", id });
+        return await this.#driver.changeMembership(change);
       } catch (error) {
         const mayRetry = error instanceof replication.ChangeRefused &&
           (error.reason === "notCaughtUp" || error.reason === "changePending");
@@ -219,10 +288,19 @@
   }
 }
 
-function refused(reason: string): Result {
+function refused(reason: string): ChangeOutcome {
   return { kind: "refused", reason };
 }
 
+function postponed(reason: string): ChangeOutcome {
+  return { kind: "postponed", reason };
+}
+
+function refusalOf({ reason }: replication.ChangeRefused): ChangeOutcome {
+  const text = memberRefusal.describeRefusal(reason);
+  return memberRefusal.isFinal(reason) ? refused(text) : postponed(text);
+}
+
 /** A voter silent for longer counts as lost, in milliseconds. */
 const LOST_AFTER_MS = 2_000;
 
--- a/packages/daemon/src/daemon/member_refusal.ts
+++ b/packages/daemon/src/daemon/member_refusal.ts
@@ -33,3 +33,29 @@
       return protocol.errors.assertNever(reason);
   }
 }
+
+/**
+ * Whether a resend of the refused change would be refused again.
+ *
+ * @example
+ * ```ts
+ * isFinal("changePending"); // false
+ * ```
+ */
+export function isFinal(reason: core.replication.Refusal): boolean {
+  switch (reason) {
+    case "unknownMember":
+    case "alreadyMember":
+    case "lastVoter":
+      return true;
+    case "notLeader":
+    case "transferring":
+    case "overloaded":
+    case "tooLarge":
+    case "changePending":
+    case "notCaughtUp":
+      return false;
+    default:
+      return protocol.errors.assertNever(reason);
+  }
+}
--- a/packages/daemon/src/daemon/operators_role.ts
+++ b/packages/daemon/src/daemon/operators_role.ts
@@ -20,7 +20,7 @@
 const MEMBER_LIMITS = {
   attemptMs: 30_000,
   totalMs: 35_000,
-  repeatable: false,
+  repeatable: true,
 };
 
 /** What the operators' interface shares with the rest of its host. */
--- a/packages/daemon/src/replication/driver.ts
+++ b/packages/daemon/src/replication/driver.ts
@@ -189,7 +189,7 @@
    * @throws {fleet.NotLeader} nothing was changed
    * @throws {fleet.OutcomeUnknown} it may yet be changed
    */
-  changeMembership(change: replication.MembershipChange): Promise<Position> {
+  changeMembership(change: replication.NotedChange): Promise<Position> {
     const step = "replication.changeMembership";
     if (this.#isStopped) {
       return Promise.reject(new fleet.NotLeader(step, this.self.id, null));
--- a/packages/daemon/src/replication/formation.ts
+++ b/packages/daemon/src/replication/formation.ts
@@ -19,6 +19,11 @@
   | { kind: "form"; membership: replication.Membership }
   | { kind: "wait"; reason: string };
 
+/** What an operator has to do with a disk that is new to the group. */
+const GROUP_EXISTS =
+  "the group exists and doesn't know this disk, so it does not vote; " +
+  "run `ebonypath members replace OLD-ID ADDRESS` or `members add ADDRESS`";
+
 const log = createLog("replication");
 
 /**
@@ -44,7 +49,7 @@
     return { kind: "form", membership: formed.formation };
   }
   if (answers.some((answer) => answer !== null && !answer.empty)) {
-    return { kind: "wait", reason: "the group exists; add this member to it" };
+    return { kind: "wait", reason: GROUP_EXISTS };
   }
   const present = answers.filter((answer) => answer !== null);
   if (present.length < answers.length) {
--- a/packages/daemon/src/storage/store.ts
+++ b/packages/daemon/src/storage/store.ts
@@ -113,7 +113,8 @@
 ): Promise<Identity> {
   const identity = await identities.readIdentity(folder);
   if (identity !== null && !hasLog) {
-    const message = "the log of this identity is missing";
+    const message = "the log of this identity is missing; " +
+      "empty the folder, start again and run `ebonypath members replace`";
     throw new DamageError(folder.path, 0, message);
   }
   const { hardState, lastIndex } = segments.state;
--- a/packages/protocol/src/replication/mod.ts
+++ b/packages/protocol/src/replication/mod.ts
@@ -48,7 +48,12 @@
 export const payloadSchema = v.variant("kind", [
   v.object({ kind: v.literal("noop") }),
   v.object({ kind: v.literal("command"), data: v.string() }),
-  v.object({ kind: v.literal("membership"), membership: membershipSchema }),
+  v.object({
+    kind: v.literal("membership"),
+    membership: membershipSchema,
+    /** A command that is applied with the change, so that both are one. */
+    note: v.optional(v.string()),
+  }),
 ]);
 
 /** What one log entry carries. */
--- a/packages/protocol/src/state/command.ts
+++ b/packages/protocol/src/state/command.ts
@@ -21,6 +21,13 @@
   changeId: Text,
 };
 
+/** Why a change of members was refused for good. */
+export const MemberRefusal = v.variant("kind", [
+  v.object({ kind: v.literal("refused"), reason: v.string() }),
+  v.object({ kind: v.literal("not-found"), reason: v.string() }),
+]);
+export type MemberRefusal = v.InferOutput<typeof MemberRefusal>;
+
 /** An answer as it is replayed to a resend, or collected from a deferred tier. */
 export const Answer = v.object({
   status: v.pipe(v.number(), v.integer(), v.minValue(100), v.maxValue(599)),
@@ -89,11 +96,15 @@
     ...changeFields,
     fingerprint: Digest,
   }),
-  /** Records a membership change in the audit trail. */
+  /**
+   * Records a change of members, or its refusal, so that a resend gets the
+   * first result. It stands in the entry that changes the members.
+   */
   v.object({
     kind: v.literal("note-membership"),
     ...changeFields,
     detail: Text,
+    refusal: v.optional(MemberRefusal),
   }),
   /** Decides that a backend server holds a model; its index is the fence. */
   v.object({
--- a/packages/protocol/src/state/result.ts
+++ b/packages/protocol/src/state/result.ts
@@ -16,6 +16,8 @@
   }),
   v.object({ kind: v.literal("invalid"), reason: v.string() }),
   v.object({ kind: v.literal("not-found"), reason: v.string() }),
+  /** A change of members that was not made. */
+  v.object({ kind: v.literal("refused"), reason: v.string() }),
   /** A limit of the replicated state is reached; nothing was stored. */
   v.object({ kind: v.literal("full"), reason: v.string() }),
   /** The claim was opened for the proposing host. */
