--- a/packages/daemon/src/daemon/control_role.ts
+++ b/packages/daemon/src/daemon/control_role.ts
@@ -95,6 +95,7 @@
   /**
    * Recovers the member from its data folder.
    *
+   * @throws {storage.FolderInUse} another process works on the folder
    * @throws {storage.StorageError} the folder can't be used or is damaged
    */
   static async start(options: ControlRoleOptions): Promise<ControlRole> {
@@ -103,8 +104,14 @@
       throw new TypeError("the control role needs a data folder");
     }
     const owned = new resources.ResourceStack();
-    const store = owned.use(await storage.openStore(dataFolder, { name }));
-    return new ControlRole(options, store, owned);
+    try {
+      const { folder } = owned.use(await storage.lockFolder(dataFolder));
+      const store = owned.use(await storage.openStore(folder, { name }));
+      return new ControlRole(options, store, owned);
+    } catch (error) {
+      await owned[Symbol.asyncDispose]();
+      throw error;
+    }
   }
 
   /** Joins the group, once the fleet listener answers. */
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -10,8 +10,9 @@
 import * as daemon from "./daemon/mod.ts";
 import * as log from "./log/mod.ts";
 import * as settings from "./settings/mod.ts";
+import * as storage from "./storage/mod.ts";
 
-/** Exit code for unusable settings. */
+/** Exit code for unusable settings or a data folder in use. */
 const USAGE_EXIT_CODE = 2;
 /** Exit code for a fault while running. */
 const FAILURE_EXIT_CODE = 1;
@@ -80,6 +81,10 @@
     process.stderr.write(`${error.message}\n`);
     process.exit(USAGE_EXIT_CODE);
   }
+  if (error instanceof storage.FolderInUse) {
+    process.stderr.write(`ebonypathd: ${error.message}\n`);
+    process.exit(USAGE_EXIT_CODE);
+  }
   write("failed", { error });
   process.stderr.write(`ebonypathd: ${String(error)}\n`);
   process.exit(FAILURE_EXIT_CODE);
--- a/packages/daemon/src/storage/errors.ts
+++ b/packages/daemon/src/storage/errors.ts
@@ -2,6 +2,7 @@
 
 /** Step of the store at which an error arose. */
 export type StorageStep =
+  | "lock"
   | "open"
   | "read"
   | "write"
@@ -29,6 +30,17 @@
   }
 }
 
+/** Another process works on the folder. Nothing in it was touched. */
+export class FolderInUse extends StorageError {
+  override readonly name = "FolderInUse";
+
+  /** @param holder id of the process, where it is known */
+  constructor(folder: string, holder: number | null) {
+    const who = holder === null ? "another process" : `process ${holder}`;
+    super("lock", folder, `it is in use by ${who}; a folder is for one daemon`);
+  }
+}
+
 /** A file holds something that was never written there. */
 export class DamageError extends StorageError {
   override readonly name = "DamageError";
--- a/packages/daemon/src/storage/mod.ts
+++ b/packages/daemon/src/storage/mod.ts
@@ -6,5 +6,6 @@
 
 export * from "./errors.ts";
 export { FileDisk } from "./file_disk.ts";
+export { type FolderLock, lockFolder } from "./folder_lock.ts";
 export { openStore } from "./store.ts";
 export * from "./types.ts";
