--- a/packages/daemon/src/replication/driver.ts
+++ b/packages/daemon/src/replication/driver.ts
@@ -1,16 +1,16 @@
 /**
- * Drives one replica with a clock, a disk, timers and links.
+ * Drives one replica: inputs in their order, effects to whom they concern.
  *
  * @module
  */
 
-import { Buffer } from "node:buffer";
 import * as timers from "node:timers";
 import { replication } from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
 import * as fleet from "../fleet/mod.ts";
 import { createLog } from "../log/mod.ts";
 import { Compaction } from "./compaction.ts";
+import { DiskWork } from "./disk_work.ts";
 import { Outbox } from "./outbox.ts";
 import { Proposals } from "./proposals.ts";
 import { Ticker } from "./ticker.ts";
@@ -48,7 +48,7 @@
   #outbox: Outbox;
   #compaction: Compaction;
   #statusListeners = new Set<(status: Status) => void>();
-  #synced: Promise<unknown> = Promise.resolve();
+  #disk: DiskWork;
   #ticker: Ticker;
   #isStopped = false;
 
@@ -76,6 +76,14 @@
       options.self.id,
       (id) => this.memberOf(id)?.address ?? null,
     );
+    this.#disk = new DiskWork({
+      store: options.store,
+      machine: options.machine,
+      compaction: this.#compaction,
+      tell: (input) => this.#step(input),
+      onInstalled: (index) => this.#proposals.covered(index),
+      onFailure: (error) => this.#fail(error),
+    });
   }
 
   /** Role, term and leader. */
@@ -233,8 +241,7 @@
     const term = Math.max(hardState.term, this.#replica.term);
     const formed = { term, vote: null };
     try {
-      await this.#synced;
-      await this.#options.store.persist({ hardState: formed, entries });
+      await this.#disk.form(formed, entries);
     } catch (error) {
       this.#options.onFailure(error);
       return false;
@@ -249,7 +256,7 @@
   /** Stops; the store and the transport stay open. */
   async [Symbol.asyncDispose](): Promise<void> {
     this.#stop();
-    await this.#synced.catch(() => undefined);
+    await this.#disk.settle();
   }
 
   get #isEmpty(): boolean {
@@ -310,16 +317,18 @@
       this.#inputs = [];
       this.#isStepping = false;
     }
-    void this.#takeSnapshotIfDue();
+    if (!this.#isStopped) {
+      void this.#disk.compact(this.#replica);
+    }
   }
 
   #carryOut(effect: replication.Effect): void {
     switch (effect.kind) {
       case "persist":
-        this.#afterSync(effect.sequence, this.#options.store.persist(effect));
+        this.#disk.persist(effect);
         return;
       case "installSnapshot":
-        this.#install(effect);
+        this.#disk.install(effect);
         return;
       case "send":
         this.#outbox.send(effect.to, effect.message);
@@ -340,40 +349,13 @@
         });
         return;
       case "readSnapshotPart":
-        void this.#readSnapshotPart(effect);
+        void this.#disk.readPart(effect);
         return;
       default:
         protocol.errors.assertNever(effect);
     }
   }
 
-  /** Tells the replica of syncs in their order. */
-  #afterSync(sequence: number, sync: Promise<void>): void {
-    const before = this.#synced;
-    this.#synced = Promise.all([before, sync]).then(
-      () => this.#step({ kind: "persisted", sequence }),
-      (error) => this.#fail(error),
-    );
-  }
-
-  #install(
-    effect: Extract<replication.Effect, { kind: "installSnapshot" }>,
-  ): void {
-    const { snapshot, parts, keepEntries, sequence } = effect;
-    const data = Buffer.concat(
-      parts.map((part) => Buffer.from(part, "base64")),
-    );
-    const { store, machine } = this.#options;
-    const saved = store.saveSnapshot({ metadata: snapshot, data, keepEntries });
-    const restored = Promise.all([this.#synced, saved]).then(() => {
-      machine.restore(data);
-      this.#compaction.installed();
-      this.#proposals.covered(snapshot.index);
-      log("snapshot_installed", { index: snapshot.index });
-    });
-    this.#afterSync(sequence, restored);
-  }
-
   #apply(entries: replication.Entry[]): void {
     this.#options.machine.apply(entries);
     this.#proposals.applied(entries);
@@ -387,38 +369,6 @@
     this.#statusListeners.forEach((listener) => listener(status));
   }
 
-  async #readSnapshotPart(
-    { to, index, offset, length }: Extract<
-      replication.Effect,
-      { kind: "readSnapshotPart" }
-    >,
-  ): Promise<void> {
-    try {
-      const { store } = this.#options;
-      const part = await store.readSnapshot(index, offset, length);
-      if (part !== null) {
-        const data = part.toString("base64");
-        this.#step({ kind: "snapshotPart", to, index, offset, data });
-      }
-    } catch (error) {
-      this.#fail(error);
-    }
-  }
-
-  async #takeSnapshotIfDue(): Promise<void> {
-    if (this.#isStopped || !this.#compaction.isDue(this.#replica)) {
-      return;
-    }
-    try {
-      const snapshot = await this.#compaction.save(this.#replica);
-      if (snapshot !== null) {
-        this.#step({ kind: "snapshotTaken", snapshot });
-      }
-    } catch (error) {
-      this.#fail(error);
-    }
-  }
-
   /** A replica whose disk or state machine failed takes no further part. */
   #fail(error: unknown): void {
     if (this.#isStopped) {
