Judge a configuration once, at the leader

Each voter checked a published configuration when it applied it. Voters of different builds could take different sides of one entry. The leader now judges the configuration when it proposes, and the entry carries the verdict; entries without one are judged as before. A resend is recognised without the verdict. The test of refused references now covers an entry with a verdict and one without; with the verdict ignored the test of following it fails.

--- a/packages/core/src/state/mod.ts
+++ b/packages/core/src/state/mod.ts
@@ -16,5 +16,6 @@
 export { type Replica } from "./replicas.ts";
 export * from "./state.ts";
 export * from "./types.ts";
+export { judge } from "./verdicts.ts";
 export { type Version } from "./versions.ts";
 export * from "./view.ts";
--- a/packages/core/src/state/operator_changes.ts
+++ b/packages/core/src/state/operator_changes.ts
@@ -78,11 +78,9 @@
   }
 }
 
-/** A resend does not know yet whether the first try was refused. */
+/** Of what the operator asked for, without what a leader said of it. */
 function digestOf(command: OperatorCommand): string {
-  const asked = command.kind === "note-membership"
-    ? { ...command, refusal: undefined }
-    : command;
+  const asked = { ...command, refusal: undefined, verdict: undefined };
   return audit.digestOf(JSON.stringify(asked));
 }
 
--- a/packages/core/src/state/versions.ts
+++ b/packages/core/src/state/versions.ts
@@ -1,6 +1,7 @@
-import * as protocol from "@ebonypath/protocol";
+import type * as protocol from "@ebonypath/protocol";
 import * as results from "./results.ts";
 import type * as types from "./types.ts";
+import * as verdicts from "./verdicts.ts";
 
 type Configuration = protocol.configuration.Configuration;
 type Command<Kind> = Extract<protocol.state.Command, { kind: Kind }>;
@@ -64,11 +65,10 @@
         timeMs: current.timeMs,
       });
     }
-    const { configuration } = protocol;
-    const [flaw] = configuration.checkConfiguration(command.configuration);
-    if (flaw !== undefined) {
-      const reason = configuration.renderFlaw(flaw);
-      return results.quiet(results.invalid(reason));
+    const verdict = command.verdict ??
+      verdicts.verdictOn(command.configuration);
+    if (verdict.kind === "flawed") {
+      return results.quiet(results.invalid(verdict.reason));
     }
     return this.#put(command, position);
   }
--- a/packages/core/test/state/state_test.ts
+++ b/packages/core/test/state/state_test.ts
@@ -188,24 +188,53 @@
     expect(log.state.configuration(1)).to.equal(undefined);
   });
 
-  it("refuses references to unknown workspaces", () => {
-    const log = new fixtures.Log();
-    const [, staff] = fixtures.CONFIGURATION.workspaces;
-    const result = log.apply({
+  describe("a configuration with an unknown workspace", () => {
+    const reason =
+      'advice: service.workspaces names the unknown workspace "web"';
+    const unjudged: Extract<Command, { kind: "publish" }> = {
       kind: "publish",
       operator: "ann",
       changeId: "c1",
       base: 0,
       configuration: {
         ...fixtures.CONFIGURATION,
-        workspaces: staff === undefined ? [] : [staff],
+        workspaces: fixtures.CONFIGURATION.workspaces.slice(1),
       },
+    };
+    const cases = [
+      { title: "as judged by this build", command: state.judge(unjudged) },
+      { title: "from a build that gave no verdict", command: unjudged },
+    ];
+    for (const { title, command } of cases) {
+      it(`is refused, ${title}`, () => {
+        const log = new fixtures.Log();
+        expect(log.apply(command)).to.deep.equal({ kind: "invalid", reason });
+        expect(log.state.current().version).to.equal(0);
+      });
+    }
+
+    it("follows the verdict in the entry, not that of this build", () => {
+      const log = new fixtures.Log();
+      const verdict = { kind: "sound" } as const;
+      expect(log.apply({ ...unjudged, verdict }).kind).to.equal("done");
+      const flawed = { kind: "flawed", reason: "newer rule" } as const;
+      const other = { ...unjudged, changeId: "c2", base: 1, verdict: flawed };
+      expect(log.apply(other))
+        .to.deep.equal({ kind: "invalid", reason: "newer rule" });
+    });
+
+    it("gets the first result again from a leader of another build", () => {
+      const log = new fixtures.Log();
+      const first = log.apply(state.judge(unjudged));
+      const verdict = { kind: "sound" } as const;
+      expect(log.apply({ ...unjudged, verdict })).to.deep.equal(first);
     });
-    expect(result).to.deep.equal({
-      kind: "invalid",
-      reason: 'advice: service.workspaces names the unknown workspace "web"',
+
+    it("is judged again when it comes with a verdict", () => {
+      const verdict = { kind: "sound" } as const;
+      expect(state.judge({ ...unjudged, verdict }))
+        .to.deep.include({ verdict: { kind: "flawed", reason } });
     });
-    expect(log.state.current().version).to.equal(0);
   });
 
   it("does not let time go back", () => {
--- a/packages/daemon/src/control/replicated_state.ts
+++ b/packages/daemon/src/control/replicated_state.ts
@@ -101,8 +101,9 @@
   }
 
   /** Renders a command for the log; its time never decreases. */
-  stamp(command: protocol.state.Command, nowMs: number): string {
+  stamp(asked: protocol.state.Command, nowMs: number): string {
     const timeMs = Math.max(nowMs, this.#timeMs);
+    const command = core.state.judge(asked);
     const stamped: protocol.state.StampedCommand = { timeMs, command };
     return JSON.stringify(stamped);
   }
--- a/packages/protocol/src/state/command.ts
+++ b/packages/protocol/src/state/command.ts
@@ -21,6 +21,13 @@
   changeId: Text,
 };
 
+/** What the leader's build says of a configuration. */
+export const Verdict = v.variant("kind", [
+  v.object({ kind: v.literal("sound") }),
+  v.object({ kind: v.literal("flawed"), reason: v.string() }),
+]);
+export type Verdict = v.InferOutput<typeof Verdict>;
+
 /** Why a change of members was refused for good. */
 export const MemberRefusal = v.variant("kind", [
   v.object({ kind: v.literal("refused"), reason: v.string() }),
@@ -66,6 +73,8 @@
     ...changeFields,
     base: Index,
     configuration: configuration.Configuration,
+    /** Given by the leader; entries of early builds have none. */
+    verdict: v.optional(Verdict),
   }),
   v.object({
     kind: v.literal("grant-key"),
