Fill the leader's disk and fail its syncs in real daemons

Only the driver's test with a fake disk showed that a failed write or sync ends leadership. A module loaded before the daemon now makes writes fail with ENOSPC or syncs with EIO while a file stands. The process ends with 1, another host leads, and every key acknowledged before, during and after is granted, also at the host that starts again.

--- /dev/null
+++ b/packages/daemon/test/integration/failing_disk_test.ts
@@ -0,0 +1,81 @@
+import type { operators } from "@ebonypath/protocol";
+import { type launcher, wait } from "@ebonypath/testing";
+import { expect } from "chai";
+import * as fs from "node:fs/promises";
+import * as scenarios from "./scenario.ts";
+
+const PRELOAD = new URL("./failing_disk.js", import.meta.url);
+/** Longest wait for changes to go on at another leader, in milliseconds. */
+const GOING_ON_MS = 15_000;
+/** Changes that are acknowledged before the disk fails. */
+const BEFORE = 5;
+
+describe("a leader whose disk fails while changes run", () => {
+  let scenario: scenarios.Scenario;
+  let fleet: launcher.Fleet;
+
+  before(async () => {
+    scenario = await scenarios.Scenario.start({
+      hosts: 5,
+      voters: 3,
+      plains: [{}],
+      env: { NODE_OPTIONS: `--import=${PRELOAD.href}` },
+    });
+    fleet = scenario.fleet;
+  });
+
+  after(async () => await scenario?.[Symbol.asyncDispose]());
+
+  async function keysAt(host: launcher.FleetHost): Promise<string[]> {
+    const { keys } = await host.operator.call<operators.Keys>(
+      "GET",
+      "/v1/keys",
+    );
+    return keys.map(({ id }) => id);
+  }
+
+  const CASES = [
+    { title: "is full", code: "ENOSPC" },
+    { title: "fails to sync", code: "EIO" },
+  ];
+  for (const { title, code } of CASES) {
+    it(`ends, and loses nothing acknowledged, when the disk ${title}`, async () => {
+      const witness = fleet.host(4);
+      const leader = await wait.waitFor("a leader", () => fleet.leader());
+      const acknowledged: string[] = [];
+      let isEnding = false;
+      const granting = (async () => {
+        while (!isEnding) {
+          await witness.operator.grantKey("web-shop").then(
+            ({ id }) => acknowledged.push(id),
+            () => undefined,
+          );
+        }
+      })();
+      await wait.waitFor("changes", () => acknowledged.length >= BEFORE);
+      const switchFile = `${leader.options.settingsFile}.fault`;
+      await fs.writeFile(switchFile, code);
+      try {
+        const { code: exitCode } = await leader.process.waitForExit();
+        expect(exitCode).to.equal(1);
+        await leader.process.waitForLine(
+          new RegExp(`part=replication event=failed error=.*${code}`),
+        );
+        const before = acknowledged.length;
+        await wait.waitFor(
+          "changes at another leader",
+          () => acknowledged.length >= before + BEFORE,
+          { timeoutMs: GOING_ON_MS },
+        );
+      } finally {
+        isEnding = true;
+        await granting;
+        await fs.rm(switchFile);
+      }
+      expect(await keysAt(witness)).to.include.members(acknowledged);
+      await leader.restart();
+      await scenario.waitUntilInForce((await witness.operator.status()).index);
+      expect(await keysAt(leader)).to.include.members(acknowledged);
+    });
+  }
+});
--- a/packages/daemon/test/integration/scenario.ts
+++ b/packages/daemon/test/integration/scenario.ts
@@ -97,6 +97,8 @@
   readonly hosts?: number;
   readonly voters?: number;
   readonly withLinks?: boolean;
+  /** Environment of the daemons. */
+  readonly env?: Readonly<Record<string, string>>;
   readonly limits?: Readonly<Record<string, number>>;
   readonly configuration?: protocol.Configuration;
   readonly engines?: ReadonlyArray<Partial<fakeBackend.FakeBackendOptions>>;
@@ -126,6 +128,7 @@
       hosts: options.hosts ?? 3,
       ...(options.voters === undefined ? {} : { voters: options.voters }),
       ...(options.limits === undefined ? {} : { limits: options.limits }),
+      ...(options.env === undefined ? {} : { env: options.env }),
       withLinks: options.withLinks ?? false,
     });
     const scenario = new Scenario(fleet);
