Ask control hosts that were silent last

A call to the leader asks the known control hosts in one order. Two silent ones take 700 ms each of the 1,500 ms of an exchange, and the next exchange began with them again: of five voters two may be lost, and a host would have had 100 ms for the third. A host that gave no answer in a whole attempt is now asked after the others, until it answers.

--- a/packages/daemon/src/fleet/leader_client.ts
+++ b/packages/daemon/src/fleet/leader_client.ts
@@ -41,6 +41,8 @@
   readonly #caller: Caller;
   readonly #seeds: readonly string[];
   #known: string[] = [];
+  /** Peers that did not answer in the whole time of an attempt. */
+  readonly #silent = new Set<string>();
   #leader: string | null = null;
 
   constructor(caller: Caller, seeds: readonly string[]) {
@@ -91,6 +93,8 @@
           );
           return result;
         } catch (error) {
+          const hadTime = attempt === limits.attemptMs;
+          if (hadTime && !hasAnswered(error)) this.#silent.add(peer);
           if (!this.#mayContinue(error, limits)) throw error;
           last = error as Error;
         }
@@ -127,9 +131,11 @@
     try {
       const result = await this.#caller.call(peer, method, params, timeoutMs);
       this.#leader = peer;
+      this.#silent.delete(peer);
       return result;
     } catch (error) {
       if (!(error instanceof errors.RemoteError)) this.forgetLeader(peer);
+      if (hasAnswered(error)) this.#silent.delete(peer);
       throw error;
     }
   }
@@ -140,12 +146,26 @@
     return error instanceof errors.OutcomeUnknown && limits.repeatable;
   }
 
+  /**
+   * Silent peers come last: two of them can use up the time of a call, and the
+   * next call would begin with them again.
+   */
   #candidates(): string[] {
     const first = this.#leader === null ? [] : [this.#leader];
-    return [...new Set([...first, ...this.#known, ...this.#seeds])];
+    const all = [...new Set([...first, ...this.#known, ...this.#seeds])];
+    const isSilent = (peer: string) => this.#silent.has(peer);
+    return [
+      ...all.filter((peer) => !isSilent(peer)),
+      ...all.filter(isSilent),
+    ];
   }
 }
 
+function hasAnswered(error: unknown): boolean {
+  return error instanceof errors.NotLeader ||
+    error instanceof errors.RemoteError;
+}
+
 function noLeader(method: string): Error {
   return new errors.Unreachable(method, "leader", "no leader was found");
 }
