Wait for the first request of the connections accepted last in a shutdown

Cause: 'cuts nothing on connections that callers keep' failed once at a load of 15 with ECONNRESET. A caller whose connection was closed after its answer had opened a new one just before the host stopped accepting; its request was still under way, so the connection counted as idle and was closed, or it was not accepted yet when the listening socket was closed. Change: connections that wait are accepted before the listener closes, and idle ones are closed 250 ms later at the earliest. Conclusion: the window is closed for what the host has accepted; a connection that the kernel completes in the very moment of closing can still be reset, before anything of it was read.

--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -23,6 +23,11 @@
 
 const write = log.createLog("daemon");
 
+/**
+ * Time for which the first request on a connection that was accepted last is
+ * waited for in a shutdown, in milliseconds.
+ */
+const FIRST_REQUEST_MS = 250;
 /** Random bytes of the id of one start of the process. */
 const INCARNATION_BYTES = 8;
 const SECOND_MS = 1_000;
@@ -168,8 +173,11 @@
     this.#exchanger.request();
     await timers.setTimeout(limits.drainDelayMs);
     const callers = this.#listeners.get("callers");
+    // Connections that wait to be accepted are accepted before immediates run.
+    await timers.setImmediate();
     callers?.stopAccepting();
     const until = performance.now() + limits.drainTimeoutMs;
+    await timers.setTimeout(FIRST_REQUEST_MS);
     await this.#waitUntilIdle(until);
     callers?.closeIdle();
     await this.#waitUntilIdle(until);
