Hold that each call that ran was answered when a host shuts down

A trace showed the case: a connection opened 4 ms before, on which nothing had been answered, reset in the moment at which the host closed its listener (506 ms after SIGTERM, the delay is 500 ms). The kernel had completed it, the process had not accepted it; closing the listener resets such connections, and Node cannot take them over. Change: the test takes a reset for a refusal only on a connection that never had an answer, and now also counts at the backend servers that every call that ran was answered, which it did not do before.

--- a/packages/daemon/test/integration/shutdown_test.ts
+++ b/packages/daemon/test/integration/shutdown_test.ts
@@ -67,12 +67,18 @@
   }
 }
 
+/** Error of a connection that no host takes. */
+const REFUSED = "ECONNREFUSED";
+
 /** One connection that is kept between calls. */
 class KeptConnection implements AsyncDisposable {
   readonly dispatcher: undici.Client;
+  /** Answers on the connection that is open now. */
+  answers = 0;
 
   constructor(origin: string) {
     this.dispatcher = new undici.Client(origin);
+    this.dispatcher.on("connect", () => this.answers = 0);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -153,27 +159,37 @@
   it("cuts nothing on connections that callers keep", async () => {
     const { callers, process } = scenario.fleet.host(3);
     const asked = scenario.caller(3);
+    const path = "/services/orders/stock/kept";
     let answered = 0;
-    /** Calls until the host refuses connections; returns what ended it. */
+    /**
+     * Calls until the host takes no connection; returns what ended it. One
+     * that the host had not accepted when it closed its listener is reset.
+     */
     const run = async (): Promise<string> => {
       await using client = new KeptConnection(callers);
       const { dispatcher } = client;
       while (true) {
         try {
-          const path = "/services/orders/stock/1";
           const reply = await asked.call("GET", path, { dispatcher });
           expect(reply.status, reply.text).to.equal(200);
           answered += 1;
+          client.answers += 1;
         } catch (error) {
-          return String((error as { code?: unknown }).code ?? error);
+          const { code } = error as { code?: unknown };
+          if (code === "ECONNRESET" && client.answers === 0) return REFUSED;
+          return String(code ?? error);
         }
       }
     };
     const runs = Array.from({ length: KEPT_CONNECTIONS }, run);
     await wait.waitFor("traffic", () => answered > KEPT_CONNECTIONS);
     process.signal("SIGTERM");
-    expect(new Set(await Promise.all(runs))).to.have.keys("ECONNREFUSED");
+    expect(new Set(await Promise.all(runs))).to.have.keys(REFUSED);
     await expectCleanExit(3);
+    const executed = scenario.plains
+      .flatMap(({ journal }) => journal.calls)
+      .filter((call) => call.path.endsWith("/stock/kept"));
+    expect(executed).to.have.length(answered);
   });
 
   /** Waits until the host takes no connections: it only finishes its work. */
