Read the rest of a refused body of known length

Change: up to 16 MB of known length are read and dropped, and the connection goes on; larger bodies, and those of unknown length, still end it. Ruled out: 64 KiB as before without closing, which does not reach a body of 5 MB. Conclusion: a caller who sends too much learns why.

--- a/packages/daemon/src/entry/callers.ts
+++ b/packages/daemon/src/entry/callers.ts
@@ -21,8 +21,8 @@
 const REQUEST_ID_BYTES = 12;
 /** Status of a deferred request that has not ended. */
 const ACCEPTED_STATUS = 202;
-/** Unread bodies up to this size are read to their end after a refusal. */
-const DRAINED_BYTES = 64 * 1024;
+/** Bodies up to this size are read, and dropped, to their end if refused. */
+const DRAINED_BYTES = 16 * 1024 * 1024;
 
 /** How a host stands towards new requests. */
 export type Readiness =
@@ -276,7 +276,7 @@
   #refuse(call: Call, error: unknown): void {
     const refusal = toRefusal(error);
     const { request, response, sink } = call;
-    if (!request.complete) closeAfterwards(request, response);
+    if (!request.complete) passOverBody(request, response);
     sink.refuse(refusal);
     if (refusal.definition === protocol.errors.INTERNAL) throw error;
   }
@@ -306,14 +306,18 @@
   return { outcome: isAccepted ? "accepted" : "ran", problem: "" };
 }
 
-/** An unread rest of a body must not be taken for the next request. */
-function closeAfterwards(
+/**
+ * An unread rest of a body must not be taken for the next request. A rest of
+ * known length is read: a caller that still writes when its connection is
+ * closed loses the refusal. Any other body ends the connection.
+ */
+function passOverBody(
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): void {
-  if (!response.headersSent) response.setHeader("connection", "close");
   const announced = Number(request.headers["content-length"] ?? Infinity);
   if (announced <= DRAINED_BYTES) request.resume();
+  else if (!response.headersSent) response.setHeader("connection", "close");
 }
 
 function toRefusal(error: unknown): protocol.errors.Refusal {
