Keep the statuses of replicas between rounds of placement

Change: a status is derived anew when its server was heard again, when something was decided for the server, or when time may change it. A placed replica names its server. Server statuses are compared by field instead of as JSON.

--- a/packages/core/src/placement/capacity.ts
+++ b/packages/core/src/placement/capacity.ts
@@ -50,7 +50,7 @@
   }
   return seen.of(target)
     .filter((placed) => placed.status.kind === "loaded" && seen.isLive(placed))
-    .flatMap(({ replica }) => seen.serverOf(replica) ?? []);
+    .flatMap(({ server }) => server ?? []);
 }
 
 /** Expected load time of a model, with that of its adapter. */
--- a/packages/core/src/placement/fleet.ts
+++ b/packages/core/src/placement/fleet.ts
@@ -23,6 +23,8 @@
  */
 export class Fleet {
   readonly #servers = new Map<string, Server>();
+  /** Ids in their order; undefined when they have changed. */
+  #ids: string[] | undefined;
 
   /** Takes an announcement; false if it is older than the known one. */
   hear(
@@ -53,9 +55,8 @@
 
   /** All servers in the order of their ids. */
   list(): Server[] {
-    return [...this.#servers.values()].sort((a, b) =>
-      a.announcement.id < b.announcement.id ? -1 : 1
-    );
+    this.#ids ??= [...this.#servers.keys()].sort();
+    return this.#ids.flatMap((id) => this.#servers.get(id) ?? []);
   }
 
   /** The server, if it announces itself under this incarnation. */
@@ -78,7 +79,9 @@
   /** Removes servers that have been silent for long. */
   expire(nowMs: number): void {
     for (const [id, { heardMs }] of this.#servers) {
-      if (nowMs - heardMs > types.FORGET_SILENT_MS) this.#servers.delete(id);
+      if (nowMs - heardMs <= types.FORGET_SILENT_MS) continue;
+      this.#servers.delete(id);
+      this.#ids = undefined;
     }
   }
 
@@ -95,6 +98,7 @@
       isDown: false,
     };
     this.#servers.set(announcement.id, server);
+    if (isNew) this.#ids = undefined;
     return true;
   }
 }
--- a/packages/core/src/placement/orders.ts
+++ b/packages/core/src/placement/orders.ts
@@ -2,6 +2,7 @@
 import type * as state from "../state/mod.ts";
 import * as fleet from "./fleet.ts";
 import * as forgotten from "./forgotten.ts";
+import * as placedIndex from "./placed_index.ts";
 import * as tracks from "./track.ts";
 import * as types from "./types.ts";
 
@@ -22,6 +23,8 @@
   /** Highest fence sent, by server and incarnation. */
   readonly #fences = new Map<string, number>();
   readonly #forgotten = new forgotten.Forgotten();
+  /** The decisions for which tracks were retained last. */
+  #retained: readonly state.Replica[] = [];
 
   constructor(leadership: Leadership) {
     this.#leadership = leadership;
@@ -46,13 +49,15 @@
 
   /** Drops what is known about replicas that are no longer decided. */
   retain(replicas: readonly state.Replica[], nowMs: number): void {
+    this.#forgotten.expire(nowMs);
+    if (placedIndex.areSame(this.#retained, replicas)) return;
+    this.#retained = replicas;
     const kept = new Set(replicas.map(({ index }) => index));
     for (const [index, track] of this.#tracks) {
       if (kept.has(index)) continue;
       this.#tracks.delete(index);
       this.#forgotten.add(track.replica, nowMs);
     }
-    this.#forgotten.expire(nowMs);
     const incarnations = new Set(replicas.map(types.incarnationName));
     for (const name of this.#fences.keys()) {
       if (!incarnations.has(name)) this.#fences.delete(name);
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -8,6 +8,7 @@
 import * as estimates from "./estimates.ts";
 import * as fleet from "./fleet.ts";
 import * as orders from "./orders.ts";
+import * as placedIndex from "./placed_index.ts";
 import * as planner from "./planner.ts";
 import * as proposals from "./proposals.ts";
 import * as scene from "./scene.ts";
@@ -35,6 +36,7 @@
   readonly #servers = new fleet.Fleet();
   readonly #demand = new demand.DemandTable();
   readonly #proposals = new proposals.Proposals();
+  readonly #placed = new placedIndex.PlacedIndex();
   readonly #memory: context.Memory;
   #deferred: readonly demand.Need[] = [];
   #scene: scene.Scene | undefined;
@@ -105,7 +107,13 @@
     this.#servers.expire(facts.nowMs);
     this.#proposals.retain(facts.replicas);
     orders.retain(facts.replicas, facts.nowMs);
-    const seen = new scene.Scene(facts, this.#servers, orders, this.#proposals);
+    const seen = new scene.Scene(
+      facts,
+      this.#servers,
+      orders,
+      this.#proposals,
+      this.#placed,
+    );
     this.#scene = seen;
     const needs = this.#needs(facts.nowMs);
     const round = new context.Context(seen, this.#memory, needs);
--- a/packages/core/src/placement/planner.ts
+++ b/packages/core/src/placement/planner.ts
@@ -82,11 +82,13 @@
 ): boolean {
   const live = round.scene.of(need.target)
     .filter((placed) => round.scene.isLive(placed))
-    .map(({ replica }) => replica);
-  const replicas = [...live, ...round.scene.proposed(need.target)];
-  if (replicas.length >= maxReplicas) return true;
-  const capacity = replicas.reduce((sum, target) => {
-    const limit = round.scene.serverOf(target)?.announcement.concurrency ?? 0;
+    .map(({ server }) => server);
+  const proposed = round.scene.proposed(need.target)
+    .map((target) => round.scene.serverOf(target));
+  const servers = [...live, ...proposed];
+  if (servers.length >= maxReplicas) return true;
+  const capacity = servers.reduce((sum, server) => {
+    const limit = server?.announcement.concurrency ?? 0;
     return sum + Math.max(1, limit);
   }, 0);
   return need.waiting + need.running <= capacity;
--- a/packages/core/src/placement/scene.ts
+++ b/packages/core/src/placement/scene.ts
@@ -3,15 +3,14 @@
 import * as fleet from "./fleet.ts";
 import * as ledger from "./ledger.ts";
 import type * as orders from "./orders.ts";
+import type * as placedIndex from "./placed_index.ts";
 import type * as proposals from "./proposals.ts";
-import * as status from "./status.ts";
+import type * as status from "./status.ts";
 import * as types from "./types.ts";
 
-/** A replica with its status. */
-export interface Placed {
-  readonly replica: state.Replica;
-  readonly status: status.Status;
-}
+export type { Placed } from "./placed_index.ts";
+
+type Placed = placedIndex.Placed;
 
 /** Memory kept free on a server for a model that waits for an eviction. */
 export interface Reservation {
@@ -29,35 +28,31 @@
   /** Servers that may get new replicas. */
   readonly usable: readonly fleet.Server[];
   readonly #servers: fleet.Fleet;
+  readonly #listed: fleet.Server[];
+  readonly #index: placedIndex.PlacedIndex;
   readonly #orders: orders.Orders;
   /** Decisions that are proposed, with those of this round. */
   readonly #targets: types.Target[];
   /** Replicas whose unloading is proposed, with those of this round. */
   readonly #unloads: Set<number>;
-  readonly #byServer = new Map<string, Placed[]>();
-  readonly #byModel = new Map<string, Placed[]>();
 
   constructor(
     facts: types.Facts,
     servers: fleet.Fleet,
     known: orders.Orders,
     pending: proposals.Proposals,
+    index: placedIndex.PlacedIndex,
   ) {
     this.facts = facts;
     this.#servers = servers;
     this.#orders = known;
     this.#targets = pending.targets();
     this.#unloads = pending.unloads();
-    this.placed = facts.replicas.map((replica) => ({
-      replica,
-      status: status.statusOf(replica, servers, known, facts.nowMs),
-    }));
-    for (const placed of this.placed) {
-      const { replica } = placed;
-      push(this.#byServer, types.incarnationName(replica), placed);
-      push(this.#byModel, replica.model, placed);
-    }
-    this.usable = servers.list().filter((server) => this.#isUsable(server));
+    this.#index = index;
+    index.update(facts.replicas, servers, known, facts.nowMs);
+    this.placed = index.placed;
+    this.#listed = servers.list();
+    this.usable = this.#listed.filter((server) => this.#isUsable(server));
   }
 
   get nowMs(): number {
@@ -65,7 +60,7 @@
   }
 
   servers(): fleet.Server[] {
-    return this.#servers.list();
+    return this.#listed;
   }
 
   serverOf(target: types.Target | state.Replica): fleet.Server | undefined {
@@ -89,12 +84,12 @@
   /** Replicas decided for the present incarnation of a server. */
   on(server: fleet.Server): readonly Placed[] {
     const { id, incarnation } = server.announcement;
-    return this.#byServer.get(`${id}/${incarnation}`) ?? [];
+    return this.#index.on(id, incarnation);
   }
 
   /** Replicas of a model or adapter, of all versions. */
   of(model: string): readonly Placed[] {
-    return this.#byModel.get(model) ?? [];
+    return this.#index.of(model);
   }
 
   /** Proposed decisions of a model that are not committed. */
@@ -128,7 +123,7 @@
     const targets = this.#targets.filter((target) =>
       target.server === id && target.incarnation === incarnation
     );
-    const placed = this.#byServer.get(`${id}/${incarnation}`) ?? [];
+    const placed = this.#index.on(id, incarnation);
     return [...placed.map(({ replica }) => replica), ...targets];
   }
 
@@ -151,9 +146,8 @@
 
   /** Whether a replica serves demand now or will do so shortly. */
   isLive(placed: Placed): boolean {
-    const { replica, status } = placed;
+    const { replica, status, server } = placed;
     if (this.isUnloading(replica) || !isPromising(status)) return false;
-    const server = this.serverOf(replica);
     if (server === undefined || !this.takesWork(server)) return false;
     return this.versionOf(replica.model) === replica.version;
   }
@@ -197,9 +191,3 @@
       return false;
   }
 }
-
-function push(map: Map<string, Placed[]>, key: string, item: Placed): void {
-  const items = map.get(key);
-  if (items === undefined) map.set(key, [item]);
-  else items.push(item);
-}
--- a/packages/core/src/placement/upkeep.ts
+++ b/packages/core/src/placement/upkeep.ts
@@ -18,7 +18,7 @@
 /** Unloads what is outdated, surplus or not worth its memory. */
 export function planUnloading(round: context.Context): types.Action[] {
   return round.scene.placed.flatMap((placed) => {
-    const server = round.scene.serverOf(placed.replica);
+    const { server } = placed;
     if (server === undefined) return [];
     if (needsNewFence(round, server, placed)) {
       return [unload(placed, "fence")];
@@ -145,6 +145,7 @@
   server: fleet.Server,
 ): types.Action[] {
   const { announcement } = server;
+  if (announcement.loaded.length === 0) return [];
   const gone = round.memory.orders.forgottenOn(server);
   const { id, incarnation } = announcement;
   const decided = new Set(
--- a/packages/daemon/src/control/server_table.ts
+++ b/packages/daemon/src/control/server_table.ts
@@ -161,9 +161,24 @@
   };
 }
 
+/** Compares field by field: it is done for each server in each round. */
 function isEqual(
   left: protocol.control.ServerStatus,
   right: protocol.control.ServerStatus,
 ): boolean {
-  return JSON.stringify(left) === JSON.stringify(right);
+  return left.incarnation === right.incarnation &&
+    left.address === right.address &&
+    left.failureDomain === right.failureDomain &&
+    left.kind === right.kind &&
+    left.limit === right.limit &&
+    left.queued === right.queued &&
+    left.usable === right.usable &&
+    areSame(left.services, right.services) &&
+    areSame(left.ready, right.ready) &&
+    areSame(left.loading ?? [], right.loading ?? []);
+}
+
+function areSame(left: readonly string[], right: readonly string[]): boolean {
+  return left.length === right.length &&
+    left.every((item, index) => item === right[index]);
 }
