--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import process from "node:process";
+import * as v8 from "node:v8";
 import * as protocol from "@ebonypath/protocol";
 import sade from "sade";
 import * as daemon from "./daemon/mod.ts";
@@ -19,6 +20,11 @@
 
 const write = log.createLog("main");
 
+// With several threads each collection of young objects waits for the slowest,
+// which may have lost its core to another process: pauses grew from 15 to more
+// than 100 ms. One thread is enough for what a host keeps.
+v8.setFlagsFromString("--no-parallel-scavenge");
+
 interface Options {
   readonly settings?: string;
   readonly check?: boolean;
