Show in experiments how late the load generator was, and when it was refused

Latencies count from the planned time of sending, so that they contain the generator's own stalls. In one traced run of `fairness` the quiet workspace's p99 was 526 ms where no host held one of its requests for more than 180 ms before its dispatch: the generator sent half a second of calls at once.

Change: `clientDelayP99Ms` and `clientDelayMaxMs` of overhead and fairness, and of the loud workspace's refusals their p50, p90 and how many say `may-have-run`.

--- a/packages/benchmark/src/experiments/fairness.ts
+++ b/packages/benchmark/src/experiments/fairness.ts
@@ -61,11 +61,14 @@
   await send(0);
   const alone = await send(0);
   options.print("the quiet workspace alone: done");
+  const stalls = measure.watchStalls();
   const both = await send(LOUD_FACTOR * LOUD_RATE);
+  const clientStalls = stalls();
   for (const caller of [...callers.quiet, ...callers.loud]) {
     await caller[Symbol.asyncDispose]();
   }
-  return summarize(alone.ended, both.ended, both.plan);
+  const outcome = summarize(alone.ended, both.ended, both.plan);
+  return { ...outcome, figures: { ...outcome.figures, ...clientStalls } };
 }
 
 interface Call {
@@ -118,6 +121,7 @@
       loudRequests: loud.length,
       loudServed: loud.length - errorsOf(loud),
       loudStatuses: harness.statuses(loud, [200]),
+      ...refusalsOf(loud),
       loudRefused: loud.filter(({ result }) => result.status === 429).length,
     },
     charts: [{
@@ -145,6 +149,19 @@
   return ended.filter(({ result }) => result.status !== 200).length;
 }
 
+/** Whether refusals are early, and certain. */
+function refusalsOf(ended: Ended) {
+  const refused = ended.filter(({ result }) => result.status !== 200);
+  const latencies = new measure.Latencies();
+  for (const { latencyMs } of refused) latencies.record(latencyMs);
+  const unclear = refused.filter(({ result }) => result.outcome !== "not-run");
+  return {
+    loudRefusalP50Ms: latencies.at(50),
+    loudRefusalP90Ms: latencies.at(90),
+    loudMayHaveRun: unclear.length,
+  };
+}
+
 function latenciesOf(ended: Ended): measure.Latencies {
   const latencies = new measure.Latencies();
   for (const { latencyMs, result } of callsOf(ended, "quiet")) {
--- a/packages/benchmark/src/experiments/overhead.ts
+++ b/packages/benchmark/src/experiments/overhead.ts
@@ -46,11 +46,13 @@
     direct: new measure.Latencies(),
   };
   let errors = 0;
+  const stalls = measure.watchStalls();
   const random = fakeBackend.seededRandom(options.seed);
   for (let block = 0; block < BLOCKS; block += 1) {
     errors += await sendBlock(through, rate, random, latencies.through);
     errors += await sendBlock(direct, rate, random, latencies.direct);
   }
+  const clientStalls = stalls();
   const [ours, base] = [
     latencies.through.percentiles(),
     latencies.direct.percentiles(),
@@ -70,6 +72,7 @@
       addedP99Ms: ours.p99 - base.p99,
       requests: ours.count,
       errors,
+      ...clientStalls,
     },
     charts: [{
       title: `Latency at ${rate.toFixed(0)} requests/s`,
--- a/packages/benchmark/src/measure/mod.ts
+++ b/packages/benchmark/src/measure/mod.ts
@@ -9,4 +9,5 @@
 export * from "./latency.ts";
 export * from "./load.ts";
 export * from "./slope.ts";
+export * from "./stalls.ts";
 export * from "./usage.ts";
