--- a/packages/core/src/state/view.ts
+++ b/packages/core/src/state/view.ts
@@ -83,6 +83,11 @@
     return this.#quarantines.get(fingerprint);
   }
 
+  /** Requests that are in quarantine. */
+  get quarantineCount(): number {
+    return this.#quarantines.size;
+  }
+
   /** Renders the view, for comparison and for followers of this host. */
   toFleetView(): FleetView {
     return {
--- a/packages/daemon/src/control/control_node.ts
+++ b/packages/daemon/src/control/control_node.ts
@@ -126,6 +126,14 @@
     metrics.deferredRequests.set({ phase: "waiting" }, waiting.length);
     metrics.deferredRequests.set({ phase: "assigned" }, assigned.length);
     metrics.deferredAge.set(Math.max(0, timeMs - oldestMs) / SECOND_MS);
+    this.#updateSpareVoters();
+  }
+
+  /** Only the leader hears the voters: elsewhere the metric is absent. */
+  #updateSpareVoters(): void {
+    const { log, metrics } = this.#options;
+    if (this.leadership === undefined) metrics.spareVoters.remove();
+    else metrics.spareVoters.set(log.status().mayLose);
   }
 
   /**
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -325,11 +325,12 @@
     const usable = servers.filter((server) => server.usable);
     const slots = usable.reduce((sum, server) => sum + server.limit, 0);
     const unusable = servers.length - usable.length;
-    const { backendServers, serverSlots, viewAge } = this.#metrics;
+    const { backendServers, quarantined, serverSlots, viewAge } = this.#metrics;
     backendServers.set({ usable: "true" }, usable.length);
     backendServers.set({ usable: "false" }, unusable);
     serverSlots.set(slots);
     viewAge.set(this.state.ageMs(now) / SECOND_MS);
+    quarantined.set(this.state.view.quarantineCount);
     this.#metrics.shareTokens.reset();
     for (const { name } of this.state.view.catalogue.workspaces()) {
       const tokens = this.#shares.availableTokens(name, now);
--- a/packages/daemon/src/metrics/mod.ts
+++ b/packages/daemon/src/metrics/mod.ts
@@ -139,6 +139,18 @@
     registers: [this.registry],
   });
 
+  readonly spareVoters = new prometheus.Gauge({
+    name: "ebonypath_spare_voters",
+    help: "Voters that may be lost before changes stop, at the leader alone",
+    registers: [this.registry],
+  });
+
+  readonly quarantined = new prometheus.Gauge({
+    name: "ebonypath_quarantined_requests",
+    help: "Requests in quarantine, in the host's view",
+    registers: [this.registry],
+  });
+
   readonly replicas = new prometheus.Gauge({
     name: "ebonypath_replicas",
     help: "Replicas decided, at the leader",
--- a/packages/daemon/test/integration/metrics_test.ts
+++ b/packages/daemon/test/integration/metrics_test.ts
@@ -1,10 +1,23 @@
-import { wait } from "@ebonypath/testing";
+import { type launcher, wait } from "@ebonypath/testing";
 import { expect } from "chai";
 import * as undici from "undici";
 import * as scenarios from "./scenario.ts";
 
 const LATER = { headers: { "ebonypath-tier": "later" } };
 
+/** Value of a metric at a host, if the host has it. */
+async function readMetric(
+  host: launcher.FleetHost,
+  name: string,
+): Promise<number | undefined> {
+  const answer = await undici.request(`${host.operators}/metrics`, {
+    reset: true,
+  });
+  const lines = (await answer.body.text()).split("\n");
+  const line = lines.find((one) => one.startsWith(`${name} `));
+  return line === undefined ? undefined : Number(line.slice(name.length));
+}
+
 /** Tokens beyond the burst of the workspace `partner`. */
 const TOO_MANY_TOKENS = 1_000;
 
@@ -19,11 +32,7 @@
   after(async () => await scenario?.[Symbol.asyncDispose]());
 
   async function read(name: string): Promise<number> {
-    const origin = scenario.fleet.host(0).operators;
-    const answer = await undici.request(`${origin}/metrics`, { reset: true });
-    const lines = (await answer.body.text()).split("\n");
-    const line = lines.find((one) => one.startsWith(`${name} `));
-    return line === undefined ? 0 : Number(line.slice(name.length));
+    return await readMetric(scenario.fleet.host(0), name) ?? 0;
   }
 
   function requests(outcome: string, problem = ""): Promise<number> {
@@ -85,5 +94,29 @@
     expect(await read('ebonypath_backend_servers{usable="true"}')).to.equal(1);
     expect(await read("ebonypath_server_slots")).to.be.at.least(1);
     expect(await read("ebonypath_commit_seconds_count")).to.be.at.least(1);
+    expect(await read("ebonypath_quarantined_requests")).to.equal(0);
+  });
+});
+
+describe("metrics of a leader", () => {
+  it("tell how many voters may be lost, there alone", async () => {
+    await using scenario = await scenarios.Scenario.start({ hosts: 3 });
+    const { hosts } = scenario.fleet;
+    const spare = async () =>
+      (await Promise.all(
+        hosts.filter((host) => host.isRunning)
+          .map((host) => readMetric(host, "ebonypath_spare_voters")),
+      )).filter((value) => value !== undefined);
+    await wait.waitFor(
+      "one voter to spare",
+      async () => String(await spare()) === "1",
+    );
+    const leader = await scenario.fleet.leader();
+    const follower = hosts.find((host) => host !== leader);
+    await follower?.process.kill9();
+    await wait.waitFor(
+      "no voter to spare",
+      async () => String(await spare()) === "0",
+    );
   });
 });
