Refuse early for want of tokens only when the leader is settled

A host judged what it can have from what it got in the last second, while a new leader withholds for a share's lifetime what it doesn't know to be free, or the answers of the leader were late. Change: a host refuses early for want of tokens only if the same leader has answered for 4 s and its last answer is at most 1.5 s old. Until then a request waits for its tokens within its time, as before. Tests with hundreds of waiting requests no longer warn of a leak. Conclusion: no refusal rests on what a leader has not yet divided; overload right after a change of leader is refused at the deadline for about 4 s.

--- a/packages/core/src/limits/holder.ts
+++ b/packages/core/src/limits/holder.ts
@@ -13,10 +13,16 @@
   MAX_POOLS,
   type Reservation,
   type ReserveResult,
+  SHARE_LIFETIME_MS,
   type Slot,
   type SlotOutcome,
 } from "./types.ts";
 
+/** Time after which a new leader withholds nothing more, in milliseconds. */
+const SETTLING_MS = SHARE_LIFETIME_MS + 1_000;
+/** Time for which an answer of the leader is recent, in milliseconds. */
+const ANSWER_LIFETIME_MS = 1_500;
+
 /** Pools and servers whose shares an accepted grant changed. */
 export type AcceptedShares = {
   readonly pools: readonly string[];
@@ -46,6 +52,9 @@
   readonly #buckets = new Map<string, BucketShare>();
   readonly #slots = new Map<string, SlotShare>();
   #exchange = 0;
+  /** The leader that answered last, and when its first answer came. */
+  #leader: { readonly term: number; readonly since: number } | undefined;
+  #answeredAt = -Infinity;
 
   /** @param holder Identity of this process, new with each start. */
   constructor(holder: string) {
@@ -62,6 +71,16 @@
     return this.#buckets.get(pool)?.amount(now) ?? { capacity: 0, rate: 0 };
   }
 
+  /**
+   * Whether the shares tell what can be had. A new leader withholds what it
+   * does not know to be free, and nothing moves while its answers are late.
+   */
+  isSettled(now: number): boolean {
+    if (this.#leader === undefined) return false;
+    return now - this.#leader.since >= SETTLING_MS &&
+      now - this.#answeredAt <= ANSWER_LIFETIME_MS;
+  }
+
   /** Requests that can be started on `server` now. */
   availableSlots(server: string, now: number): number {
     return this.#slots.get(server)?.available(now) ?? 0;
@@ -172,6 +191,10 @@
     answer: protocol.limits.ShareGrant,
     now: number,
   ): AcceptedShares {
+    if (this.#leader?.term !== answer.term) {
+      this.#leader = { term: answer.term, since: now };
+    }
+    this.#answeredAt = now;
     const id = { term: answer.term, exchange: answer.exchange };
     const pools = answer.buckets
       .filter((grant) => this.#buckets.get(grant.pool)?.accept(grant, id, now))
--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -13,7 +13,7 @@
 /** The part of {@link core.limits.ShareHolder} that admission uses. */
 export type TokenShares = Pick<
   core.limits.ShareHolder,
-  "reserve" | "settle" | "setWaitingTokens" | "tokenShare"
+  "isSettled" | "reserve" | "settle" | "setWaitingTokens" | "tokenShare"
 >;
 
 /** What admission works with. */
@@ -123,9 +123,11 @@
     work: types.Work,
     now: number,
   ): number {
+    const { shares } = this.#options;
     const supply = line.supply.perMs(now);
     if (line.waiters.length === 0 || supply === undefined) return 0;
-    const share = this.#options.shares.tokenShare(workspace, now);
+    if (!shares.isSettled(now)) return 0;
+    const share = shares.tokenShare(workspace, now);
     const before = tokensOf(line) + work.tokens;
     return before / Math.max(supply, share.rate / 1_000);
   }
--- a/packages/daemon/test/entry/admission_test.ts
+++ b/packages/daemon/test/entry/admission_test.ts
@@ -1,5 +1,6 @@
 import { errors } from "@ebonypath/protocol";
 import { expect } from "chai";
+import { setMaxListeners } from "node:events";
 import * as timers from "node:timers/promises";
 import * as entry from "../../src/entry/mod.ts";
 import * as waitingWork from "./waiting_work.ts";
@@ -14,6 +15,8 @@
   /** Rate of the share, in tokens a second. */
   readonly share?: number;
   readonly startBy: number;
+  /** Whether a leader has divided the rate for a while; true by default. */
+  readonly isSettled?: boolean;
   readonly ending: "waiting" | "refused";
 }
 
@@ -51,6 +54,15 @@
     startBy: 4_900,
     ending: "waiting",
   },
+  {
+    name: "as the leader may still withhold tokens",
+    supply: 10,
+    waiting: 900,
+    at: 1_500,
+    startBy: 4_900,
+    isSettled: false,
+    ending: "waiting",
+  },
   {
     name: "as it cannot have its tokens in time",
     supply: 10,
@@ -78,6 +90,7 @@
           },
           settle: () => undefined,
           setWaitingTokens: () => undefined,
+          isSettled: () => one.isSettled ?? true,
           tokenShare: () => ({ capacity: 0, rate: one.share ?? 0 }),
         },
         requestShares: () => undefined,
@@ -85,6 +98,8 @@
         now: () => now,
       });
       const gone = new AbortController();
+      // Each waiting request listens for the end of its caller.
+      setMaxListeners(Infinity, gone.signal);
       const reserve = () =>
         waitingWork.follow(
           admission.reserve(
--- a/packages/daemon/test/entry/placement_test.ts
+++ b/packages/daemon/test/entry/placement_test.ts
@@ -1,6 +1,7 @@
 import * as core from "@ebonypath/core";
 import { type control, errors } from "@ebonypath/protocol";
 import { expect } from "chai";
+import { setMaxListeners } from "node:events";
 import * as timers from "node:timers/promises";
 import * as entry from "../../src/entry/mod.ts";
 import * as triedServers from "../../src/entry/tried_servers.ts";
@@ -47,6 +48,11 @@
     now: () => this.now,
   });
 
+  constructor() {
+    // Each waiting request listens for the end of its caller.
+    setMaxListeners(Infinity, this.gone.signal);
+  }
+
   place(
     workspace: string,
     target = "orders",
