Refuse early for want of slots only when the leader is settled

Cause: as with tokens, a host judged its slots by what it got in the last second, while a new leader counts slots that nobody reported as used. Change: the same condition holds for slots. Tests: a case of the queue, which fails without the condition.

--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -17,7 +17,11 @@
 /** The part of {@link core.limits.ShareHolder} that placement uses. */
 export type SlotShares = Pick<
   core.limits.ShareHolder,
-  "acquireSlot" | "availableSlots" | "runningOn" | "setWaitingSlots"
+  | "acquireSlot"
+  | "availableSlots"
+  | "isSettled"
+  | "runningOn"
+  | "setWaitingSlots"
 >;
 
 /** What placement works with. */
@@ -214,6 +218,7 @@
     request: core.queue.WaitingRequest,
     now: number,
   ): number {
+    if (!this.#options.shares.isSettled(now)) return 0;
     const { target } = work;
     const line = this.#waiters.lines.get(target);
     const supply = line?.supply.perMs(now);
--- a/packages/daemon/test/entry/placement_test.ts
+++ b/packages/daemon/test/entry/placement_test.ts
@@ -25,6 +25,7 @@
   now = 0;
   free = 0;
   running = 0;
+  isSettled = true;
   readonly servers = new Map([[SERVER.id, SERVER]]);
   readonly gone = new AbortController();
   readonly queue = new entry.PlacementQueue({
@@ -40,6 +41,7 @@
       },
       availableSlots: () => this.free,
       runningOn: () => this.running,
+      isSettled: () => this.isSettled,
       setWaitingSlots: () => undefined,
     },
     watch: new core.suspicion.SuspectWatch(),
@@ -84,12 +86,20 @@
   readonly target?: string;
   /** Slots in use, and the time for which each is held. */
   readonly slots?: readonly [count: number, heldMs: number];
+  /** Whether a leader has divided the slots for a while; true by default. */
+  readonly isSettled?: boolean;
   readonly ending: "waiting" | "refused";
 }
 
 const FLOOD = { waiting: 900, supply: 10, at: 1_500 };
 const CASES: readonly Case[] = [
   { ...FLOOD, name: "cannot start in time", ending: "refused" },
+  {
+    ...FLOOD,
+    isSettled: false,
+    name: "meets a new leader",
+    ending: "waiting",
+  },
   { ...FLOOD, waiting: 300, name: "starts in time", ending: "waiting" },
   { ...FLOOD, supply: 0, name: "waits for a cold model", ending: "waiting" },
   { ...FLOOD, at: 500, name: "meets an unknown rate", ending: "waiting" },
@@ -117,6 +127,7 @@
   for (const one of CASES) {
     it(`a request that ${one.name}: ${one.ending}`, async () => {
       const bench = new Bench();
+      bench.isSettled = one.isSettled ?? true;
       for (let i = 0; i < one.waiting; i += 1) bench.place("loud");
       bench.serve(one.supply, one.at);
       const [running, heldMs] = one.slots ?? [0, 0];
