Let one piece of code serve where two did the same

Change, with the same behaviour: - a leader that shuts down hands over by replication.handOver alone; the group of members had a copy of it that polled. The copy looked every 100 ms and did not prefer, of two voters with the same log, the one that answered last; the one that stays does, and ends with the status itself. - how a link to another host is opened (scheme, TLS, source address) stands in fleet/link_options, for the calls and for the messages of replicas; their options were declared twice. - an exchange looks through the assigned deferred requests once for what to run and what to end, not twice. - one refusal for a host that heard no leader, one charge of a request in the queue, one way to begin a share of slots, one limit for rounding. - the target of a placement is a decided replica without its log indexes, not a second list of the same members. Left: the refusals of the four listeners, which differ in headers; the seeded source in a test of core, since core cannot use the package testing; element-wise comparison in core and daemon, three lines each.

--- a/packages/core/src/limits/bucket_share.ts
+++ b/packages/core/src/limits/bucket_share.ts
@@ -10,15 +10,13 @@
   REFILL_FRACTION,
   type Reservation,
   type ReserveResult,
+  ROUNDING_TOKENS,
 } from "./types.ts";
 import { continues, Renewal, type Urgency } from "./renewal.ts";
 
 /** Time constant of the average that describes recent consumption. */
 const USAGE_WINDOW_MS = 2000;
 
-/** Tokens below which a balance counts as equal, against rounding. */
-const ROUNDING_TOKENS = 1e-6;
-
 const NO_DEMAND: protocol.limits.TokenDemand = {
   tokens: 0,
   head: 0,
--- a/packages/core/src/limits/division.ts
+++ b/packages/core/src/limits/division.ts
@@ -4,8 +4,7 @@
  * @module
  */
 
-/** Amounts that differ by less count as equal. */
-const ROUNDING = 1e-6;
+import { ROUNDING_TOKENS } from "./types.ts";
 
 /** One claimant's wishes, each level including the ones before it. */
 export type Claim = {
@@ -104,7 +103,7 @@
   let remaining = total;
   for (const index of byHeadAge(claims)) {
     const { head } = claims[index]!;
-    if (head > remaining + ROUNDING) return { parts, areServed: false };
+    if (head > remaining + ROUNDING_TOKENS) return { parts, areServed: false };
     parts[index] = head;
     remaining -= head;
   }
--- a/packages/core/src/limits/holder.ts
+++ b/packages/core/src/limits/holder.ts
@@ -134,10 +134,7 @@
 
   /** Sets which requests wait for a slot of `server`; nothing if none does. */
   setWaitingSlots(server: string, waiting: WaitingSlots | undefined): void {
-    if (waiting !== undefined && !this.#slots.has(server)) {
-      addBounded(this.#slots, server, new SlotShare(server));
-    }
-    this.#slots.get(server)?.setWaiting(waiting);
+    this.#slotsOf(server, waiting !== undefined)?.setWaiting(waiting);
   }
 
   /**
@@ -145,10 +142,7 @@
    * there is complete.
    */
   setExpectedSlots(server: string, count: number, now: number): void {
-    if (count > 0 && !this.#slots.has(server)) {
-      addBounded(this.#slots, server, new SlotShare(server));
-    }
-    this.#slots.get(server)?.setExpected(count, now);
+    this.#slotsOf(server, count > 0)?.setExpected(count, now);
   }
 
   /** When the next report is due, or nothing if there is nothing to report. */
@@ -212,6 +206,14 @@
     }
   }
 
+  /** The share of a server; one is begun if slots are wanted there. */
+  #slotsOf(server: string, areWanted: boolean): SlotShare | undefined {
+    if (areWanted && !this.#slots.has(server)) {
+      addBounded(this.#slots, server, new SlotShare(server));
+    }
+    return this.#slots.get(server);
+  }
+
   *#all(): Generator<BucketShare | SlotShare> {
     yield* this.#buckets.values();
     yield* this.#slots.values();
--- a/packages/core/src/limits/types.ts
+++ b/packages/core/src/limits/types.ts
@@ -36,6 +36,9 @@
 /** Part of a rate at which buckets refill, so that a fast clock keeps it. */
 export const REFILL_FRACTION = 1 - CLOCK_DRIFT;
 
+/** Tokens below which amounts count as equal, against rounding. */
+export const ROUNDING_TOKENS = 1e-6;
+
 /** Rate and burst of a workspace's token bucket. */
 export type BucketLimit = {
   /** Tokens per second. */
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -28,15 +28,7 @@
   | "unknown-model";
 
 /** Which replica is decided, and where. */
-export interface Target {
-  readonly server: string;
-  readonly incarnation: string;
-  readonly failureDomain: string;
-  readonly model: string;
-  readonly version: string;
-  readonly bytes: number;
-  readonly kvBytes: number;
-}
+export type Target = Omit<state.Replica, "index" | "unloadIndex">;
 
 /** An order that has to be sent to a backend server. */
 export interface Dispatch {
--- a/packages/daemon/src/control/deferred_driver.ts
+++ b/packages/daemon/src/control/deferred_driver.ts
@@ -30,6 +30,12 @@
   ): Promise<protocol.state.CommandResult>;
 }
 
+/** Requests of a host to run, and those to end. */
+type Handed = Pick<
+  protocol.control.ExchangeResponse,
+  "assignments" | "cancellations"
+>;
+
 /** Drives the planner of deferred requests for one term of leadership. */
 export class DeferredDriver {
   readonly #options: DeferredDriverOptions;
@@ -65,35 +71,22 @@
     void this.#assign(plan.assignments);
   }
 
-  /** Requests that were handed to a host and that it does not run yet. */
-  assignmentsOf(
-    identity: protocol.control.HostIdentity,
-  ): protocol.control.Assignment[] {
-    return this.#heldBy(identity)
-      .filter((item) => !item.cancelled)
-      .slice(0, ASSIGNMENTS_PER_EXCHANGE)
-      .map((item) => ({
-        id: item.id,
-        assignment: item.phase.assignment.index,
-        request: item.phase.request,
-        remainingMs: item.deadlineMs - Date.now(),
-      }));
-  }
-
-  /** Requests that a host was handed and whose callers cancelled them. */
-  cancellationsOf(
-    identity: protocol.control.HostIdentity,
-  ): protocol.control.Cancellation[] {
-    return this.#heldBy(identity)
-      .filter((item) => item.cancelled)
-      .map(({ id, phase }) => ({ id, assignment: phase.assignment.index }));
-  }
-
-  #heldBy(
-    { name, incarnation }: protocol.control.HostIdentity,
-  ): core.state.Assigned[] {
+  /** What the exchange of a host tells it of the requests handed to it. */
+  handedTo({ name, incarnation }: protocol.control.HostIdentity): Handed {
     const owner = { host: name, hostIncarnation: incarnation };
-    return this.#options.replicated.state.assignedDeferred(owner);
+    const held = this.#options.replicated.state.assignedDeferred(owner);
+    return {
+      assignments: held.filter((item) => !item.cancelled)
+        .slice(0, ASSIGNMENTS_PER_EXCHANGE)
+        .map((item) => ({
+          id: item.id,
+          assignment: item.phase.assignment.index,
+          request: item.phase.request,
+          remainingMs: item.deadlineMs - Date.now(),
+        })),
+      cancellations: held.filter((item) => item.cancelled)
+        .map(({ id, phase }) => ({ id, assignment: phase.assignment.index })),
+    };
   }
 
   async #assign(
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -161,8 +161,7 @@
       viewIndex: replicated.changes.index,
       ...shares,
       watched,
-      assignments: this.#deferred.assignmentsOf(host),
-      cancellations: this.#deferred.cancellationsOf(host),
+      ...this.#deferred.handedTo(host),
     };
   }
 
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -381,7 +381,7 @@
 /** TLS of the links to other hosts: the fleet's authority and own key. */
 function fleetTls(
   loaded: settings.LoadedSettings,
-): Pick<fleet.RpcClientOptions, "tls"> {
+): Pick<fleet.LinkOptions, "tls"> {
   const own = loaded.certificates.get("fleet");
   if (own === undefined) return {};
   const { authority, certificate, key } = own;
--- a/packages/daemon/src/daemon/member_group.ts
+++ b/packages/daemon/src/daemon/member_group.ts
@@ -20,18 +20,12 @@
 const RETRY_MS = 100;
 
 /** The part of the replica's driver that the group needs. */
-export type Driver = Pick<
-  replication.ReplicationDriver,
-  | "self"
-  | "status"
-  | "membership"
-  | "commitIndex"
-  | "hasLease"
-  | "propose"
-  | "progressOf"
-  | "changeMembership"
-  | "transferLeadership"
->;
+export type Driver =
+  & replication.HandingOver
+  & Pick<
+    replication.ReplicationDriver,
+    "commitIndex" | "hasLease" | "propose" | "changeMembership"
+  >;
 
 /** What became of a change of members. */
 export type ChangeOutcome =
@@ -145,20 +139,8 @@
 
   /** Whether another voter took the leadership over in time. */
   async handOver(timeoutMs: number): Promise<boolean> {
-    const { membership, self } = this.#driver;
-    const others = membership.voters.filter((voter) => voter.id !== self.id);
-    const [next] = others
-      .map((voter) => ({ voter, progress: this.#driver.progressOf(voter.id) }))
-      .sort((left, right) =>
-        (right.progress?.matchIndex ?? -1) - (left.progress?.matchIndex ?? -1)
-      );
-    if (this.role !== "leader" || next === undefined) return false;
-    this.#driver.transferLeadership(next.voter.id);
-    const until = performance.now() + timeoutMs;
-    while (this.role === "leader" && performance.now() < until) {
-      await timers.setTimeout(RETRY_MS);
-    }
-    return this.role !== "leader";
+    if (this.role !== "leader") return false;
+    return await replication.handOver(this.#driver, timeoutMs);
   }
 
   async #add(address: string, note: string): Promise<ChangeOutcome> {
--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -5,6 +5,7 @@
  */
 import * as core from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
+import * as refusedWait from "./refused_wait.ts";
 import type * as types from "./types.ts";
 
 /** A share that may be had after this time, in seconds. */
@@ -184,11 +185,7 @@
     workspace: string,
   ): protocol.errors.Refusal {
     if (this.#options.isCurrent()) return rateExceeded(work, workspace, 0);
-    return new protocol.errors.Refusal(
-      protocol.errors.NOT_CURRENT,
-      "the host heard no leader in the time of the tier",
-      { step: "reserve", retryAfterSeconds: RETRY_AFTER_S },
-    );
+    return refusedWait.heardNoLeader("reserve", RETRY_AFTER_S);
   }
 
   #lineOf(workspace: string, now: number): Line {
--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -202,7 +202,7 @@
       id: work.requestId,
       workspace,
       weight: catalogue.workspace(workspace)?.weight ?? OPEN_ROUTE_WEIGHT,
-      tokens: Math.max(LEAST_TOKENS, work.tokens),
+      tokens: chargeOf(work),
       urgency: HIGHEST_PRIORITY - work.priority,
       queuedAt: now,
       deadline: dispatchBy,
@@ -285,8 +285,7 @@
 
   #leave({ waiter, placement }: PlacedWaiter, now: number): void {
     const { work } = waiter;
-    const tokens = Math.max(LEAST_TOKENS, work.tokens);
-    this.#waiters.lines.get(work.target)?.supply.served(tokens, now);
+    this.#waiters.lines.get(work.target)?.supply.served(chargeOf(work), now);
     this.#waiters.delete(waiter);
     waiter.resolve(placement);
   }
@@ -397,3 +396,8 @@
     return refusedWait.refusedPlacement(work, isCurrent);
   }
 }
+
+/** Service that a request is charged with, in tokens. */
+function chargeOf(work: types.Work): number {
+  return Math.max(LEAST_TOKENS, work.tokens);
+}
--- a/packages/daemon/src/entry/refused_wait.ts
+++ b/packages/daemon/src/entry/refused_wait.ts
@@ -1,5 +1,5 @@
 /**
- * Refusals of requests that got no slot; nothing of them was run.
+ * Refusals of requests that waited in vain; nothing of them was run.
  *
  * @module
  */
@@ -24,16 +24,31 @@
   work: types.Work,
   isCurrent: boolean,
 ): protocol.errors.Refusal {
-  const definition = isCurrent
-    ? protocol.errors.NO_CAPACITY
-    : protocol.errors.NOT_CURRENT;
-  const detail = isCurrent
-    ? `no server had room for ${work.target} in ${work.tier.maxWaitMs} ms`
-    : "the host heard no leader in the time of the tier";
-  return new protocol.errors.Refusal(definition, detail, {
-    step: "place",
-    retryAfterSeconds: RETRY_AFTER_S,
-  });
+  if (!isCurrent) return heardNoLeader("place", RETRY_AFTER_S);
+  return new protocol.errors.Refusal(
+    protocol.errors.NO_CAPACITY,
+    `no server had room for ${work.target} in ${work.tier.maxWaitMs} ms`,
+    { step: "place", retryAfterSeconds: RETRY_AFTER_S },
+  );
+}
+
+/**
+ * The refusal of a request that waited at a host which is not current.
+ *
+ * @example
+ * ```ts
+ * throw heardNoLeader("reserve", 1);
+ * ```
+ */
+export function heardNoLeader(
+  step: string,
+  retryAfterSeconds: number,
+): protocol.errors.Refusal {
+  return new protocol.errors.Refusal(
+    protocol.errors.NOT_CURRENT,
+    "the host heard no leader in the time of the tier",
+    { step, retryAfterSeconds },
+  );
 }
 
 /**
--- a/packages/daemon/src/fleet/mod.ts
+++ b/packages/daemon/src/fleet/mod.ts
@@ -5,5 +5,6 @@
  */
 export * from "./errors.ts";
 export * from "./leader_client.ts";
+export * from "./link_options.ts";
 export * from "./rpc_client.ts";
 export * from "./rpc_server.ts";
--- a/packages/daemon/src/fleet/rpc_client.ts
+++ b/packages/daemon/src/fleet/rpc_client.ts
@@ -6,6 +6,7 @@
 import * as jsonRpc from "json-rpc-2.0";
 import * as undici from "undici";
 import * as errors from "./errors.ts";
+import * as linkOptions from "./link_options.ts";
 
 /** Longest wait for a TCP connection to another host, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -14,16 +15,6 @@
 /** Connections to one peer. */
 const CONNECTIONS = 8;
 
-/** How to reach the fleet listeners of other hosts. */
-export interface RpcClientOptions {
-  /** The fleet's shared secret. */
-  readonly secret: string;
-  /** TLS options for the links; plain TCP where absent. */
-  readonly tls?: undici.buildConnector.BuildOptions;
-  /** IP address that connections are opened from; the system chooses one. */
-  readonly source?: string;
-}
-
 /**
  * Calls methods of other hosts. A call that misses its deadline drops all
  * connections to that peer: an open connection may have gone silent while new
@@ -36,16 +27,16 @@
  * ```
  */
 export class RpcClient {
-  readonly #options: RpcClientOptions;
+  readonly #options: linkOptions.LinkOptions;
   readonly #pools = new Map<string, undici.Pool>();
   #nextId = 1;
 
-  constructor(options: RpcClientOptions) {
+  constructor(options: linkOptions.LinkOptions) {
     this.#options = options;
   }
 
   /** How to reach the fleet listeners of other hosts. */
-  get options(): RpcClientOptions {
+  get options(): linkOptions.LinkOptions {
     return this.#options;
   }
 
@@ -157,17 +148,15 @@
   }
 
   #origin(peer: string): string {
-    return `${this.#options.tls === undefined ? "http" : "https"}://${peer}`;
+    return linkOptions.originOf(this.#options, peer);
   }
 
   #pool(peer: string): undici.Pool {
-    const { source, tls } = this.#options;
     let pool = this.#pools.get(peer);
     if (pool === undefined) {
       pool = new undici.Pool(this.#origin(peer), {
+        ...linkOptions.connecting(this.#options, CONNECT_TIMEOUT_MS),
         connections: CONNECTIONS,
-        connect: { timeout: CONNECT_TIMEOUT_MS, ...tls },
-        ...(source === undefined ? {} : { localAddress: source }),
         keepAliveTimeout: KEEP_ALIVE_MS,
         headersTimeout: 0,
         bodyTimeout: 0,
--- a/packages/daemon/src/replication/hand_over.ts
+++ b/packages/daemon/src/replication/hand_over.ts
@@ -10,6 +10,17 @@
 /** Time that a hand-over may take, in milliseconds. */
 const HAND_OVER_TIMEOUT_MS = 2_000;
 
+/** The part of a replica's driver that a hand-over needs. */
+export type HandingOver = Pick<
+  ReplicationDriver,
+  | "self"
+  | "status"
+  | "membership"
+  | "progressOf"
+  | "onStatus"
+  | "transferLeadership"
+>;
+
 /**
  * Hands leadership to the voter that holds most of the log and answered last.
  * Resolves to whether this replica doesn't lead any more; false when there is
@@ -22,7 +33,7 @@
  * ```
  */
 export async function handOver(
-  driver: ReplicationDriver,
+  driver: HandingOver,
   timeoutMs: number = HAND_OVER_TIMEOUT_MS,
 ): Promise<boolean> {
   if (driver.status.role !== "leader") {
@@ -48,7 +59,7 @@
   });
 }
 
-function successorOf(driver: ReplicationDriver): string | null {
+function successorOf(driver: HandingOver): string | null {
   const candidates = driver.membership.voters.flatMap(({ id }) => {
     const progress = driver.progressOf(id);
     return id === driver.self.id || progress === null ? [] : [{ id, progress }];
--- a/packages/daemon/src/replication/transport.ts
+++ b/packages/daemon/src/replication/transport.ts
@@ -8,6 +8,7 @@
 import type { replication } from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
 import * as undici from "undici";
+import * as fleet from "../fleet/mod.ts";
 import { createLog } from "../log/mod.ts";
 import type { Transport } from "./types.ts";
 
@@ -23,15 +24,9 @@
 const MAXIMUM_LINKS = 64;
 
 /** Options of {@link HttpTransport}. */
-export type HttpTransportOptions = {
+export type HttpTransportOptions = fleet.LinkOptions & {
   /** This replica, as the others reach it. */
   self: replication.Member;
-  /** The fleet's secret. */
-  secret: string;
-  /** TLS options; plain TCP when absent. */
-  tls?: undici.buildConnector.BuildOptions;
-  /** IP address that connections are opened from; the system chooses one. */
-  source?: string;
   /** Time after which a request counts as lost, in milliseconds. */
   requestTimeoutMs?: number;
 };
@@ -186,13 +181,11 @@
   }
 
   #connect(): undici.Client {
-    const { requestTimeoutMs, source, tls } = this.#options;
-    const scheme = tls === undefined ? "http" : "https";
-    this.#client ??= new undici.Client(`${scheme}://${this.peer.address}`, {
-      pipelining: 1,
-      connect: { timeout: requestTimeoutMs ?? REQUEST_TIMEOUT_MS, ...tls },
-      ...(source === undefined ? {} : { localAddress: source }),
-    });
+    const timeoutMs = this.#options.requestTimeoutMs ?? REQUEST_TIMEOUT_MS;
+    this.#client ??= new undici.Client(
+      fleet.originOf(this.#options, this.peer.address),
+      { ...fleet.connecting(this.#options, timeoutMs), pipelining: 1 },
+    );
     return this.#client;
   }
 
