Share what experiments and integration tests did each for itself

Change: measure/window, harness.startPlainFake, Scenario.waitUntilExecuted and Scenario.leader. failure-domain computes its slices once instead of twice. No assertion or bound changed.

--- a/packages/benchmark/src/experiments/failover.ts
+++ b/packages/benchmark/src/experiments/failover.ts
@@ -13,6 +13,7 @@
 const PATH = "/services/plain/items";
 const CALL_MS = 5;
 const CHANGE_INTERVAL_MS = 100;
+const SLICE_MS = 500;
 
 /** The leader dies, or is cut off, during traffic. */
 export const failover: types.Experiment = {
@@ -37,10 +38,7 @@
     services: [harness.plainService(["w0"])],
   });
   const { key } = await fleet.host(HOSTS - 1).operator.grantKey("w0");
-  await using fake = await harness.startRemoteFake(fleet, {
-    id: "plain-1",
-    kind: "plain",
-    services: ["plain"],
+  await using fake = await harness.startPlainFake(fleet, {
     concurrency: 256,
     callMs: CALL_MS,
   });
@@ -111,8 +109,8 @@
   ended: Ended,
   changeGapMs: number,
 ): types.Outcome {
-  const before = latenciesIn(ended, 0, FAULT_MS);
-  const after = latenciesIn(ended, FAULT_MS, DURATION_MS);
+  const before = measure.latenciesIn(ended, 0, FAULT_MS);
+  const after = measure.latenciesIn(ended, FAULT_MS, DURATION_MS);
   const errors = ended.filter(({ result }) => result.status !== 200);
   const refused = errors.filter(({ result }) => result.status >= 400);
   return {
@@ -135,24 +133,10 @@
       kind: "line",
       x: "s",
       y: "ms",
-      series: [{ name: "max of each half second", points: slicesOf(ended) }],
+      series: [{
+        name: "max of each half second",
+        points: measure.slicesOf(ended, DURATION_MS, SLICE_MS, 100),
+      }],
     }],
   };
 }
-
-function latenciesIn(ended: Ended, fromMs: number, toMs: number) {
-  const latencies = new measure.Latencies();
-  for (const { atMs, latencyMs, result } of ended) {
-    const isIn = atMs >= fromMs && atMs < toMs;
-    if (isIn && result.status === 200) latencies.record(latencyMs);
-  }
-  return latencies;
-}
-
-function slicesOf(ended: Ended): [number, number][] {
-  const points: [number, number][] = [];
-  for (let time = 0; time < DURATION_MS; time += 500) {
-    points.push([time / 1_000, latenciesIn(ended, time, time + 500).at(100)]);
-  }
-  return points;
-}
--- a/packages/benchmark/src/experiments/failure_domain.ts
+++ b/packages/benchmark/src/experiments/failure_domain.ts
@@ -98,11 +98,12 @@
 }
 
 function summarize(ended: Ended): types.Outcome {
-  const before = latenciesIn(ended, 0, WITHDRAW_MS);
-  const during = latenciesIn(ended, WITHDRAW_MS, RESTORE_MS);
-  const after = latenciesIn(ended, RESTORE_MS, DURATION_MS);
-  const slices = slicesOf(ended).filter(([time]) => time < WITHDRAW_MS / 1_000);
-  const goal = Math.max(...slices.map(([, p99]) => p99)) * BACK_FACTOR;
+  const before = measure.latenciesIn(ended, 0, WITHDRAW_MS);
+  const during = measure.latenciesIn(ended, WITHDRAW_MS, RESTORE_MS);
+  const after = measure.latenciesIn(ended, RESTORE_MS, DURATION_MS);
+  const slices = measure.slicesOf(ended, DURATION_MS, SLICE_MS, 99);
+  const whole = slices.filter(([time]) => time < WITHDRAW_MS / 1_000);
+  const goal = Math.max(...whole.map(([, p99]) => p99)) * BACK_FACTOR;
   const errors = ended.filter(({ result }) => result.status !== 200);
   return {
     figures: {
@@ -124,33 +125,11 @@
       kind: "line",
       x: "s",
       y: "ms",
-      series: [{ name: "p99", points: slicesOf(ended) }],
+      series: [{ name: "p99", points: slices }],
     }],
   };
 }
 
-function latenciesIn(
-  ended: Ended,
-  fromMs: number,
-  toMs: number,
-): measure.Latencies {
-  const latencies = new measure.Latencies();
-  for (const { atMs, latencyMs, result } of ended) {
-    const isIn = atMs >= fromMs && atMs < toMs;
-    if (isIn && result.status === 200) latencies.record(latencyMs);
-  }
-  return latencies;
-}
-
-function slicesOf(ended: Ended): [number, number][] {
-  const points: [number, number][] = [];
-  for (let time = 0; time < DURATION_MS; time += SLICE_MS) {
-    const p99 = latenciesIn(ended, time, time + SLICE_MS).at(99);
-    points.push([time / 1_000, p99]);
-  }
-  return points;
-}
-
 /** Time until the p99 of every later second is within the goal. */
 function backAfter(
   ended: Ended,
@@ -160,7 +139,7 @@
 ): number {
   let backMs = 0;
   for (let time = fromMs; time < toMs; time += SLICE_MS) {
-    const p99 = latenciesIn(ended, time, time + SLICE_MS).at(99);
+    const p99 = measure.latenciesIn(ended, time, time + SLICE_MS).at(99);
     if (p99 > goalMs) backMs = time + SLICE_MS - fromMs;
   }
   return backMs;
--- a/packages/benchmark/src/experiments/fairness.ts
+++ b/packages/benchmark/src/experiments/fairness.ts
@@ -38,10 +38,7 @@
     ],
     services: [harness.plainService(["quiet", "loud"], 1, MAX_WAIT_MS)],
   });
-  await using fake = await harness.startRemoteFake(fleet, {
-    id: "plain-1",
-    kind: "plain",
-    services: ["plain"],
+  await using fake = await harness.startPlainFake(fleet, {
     concurrency: CONCURRENCY,
     callMs: CALL_MS,
   });
--- a/packages/benchmark/src/experiments/rate.ts
+++ b/packages/benchmark/src/experiments/rate.ts
@@ -37,12 +37,7 @@
     services: [harness.plainService(["w0"], COST, MAX_WAIT_MS)],
   });
   const { key } = await fleet.host(0).operator.grantKey("w0");
-  await using fake = await harness.startRemoteFake(fleet, {
-    id: "plain-1",
-    kind: "plain",
-    services: ["plain"],
-    concurrency: 512,
-  });
+  await using fake = await harness.startPlainFake(fleet, { concurrency: 512 });
   void fake;
   await harness.waitForServers(fleet, 1);
   const callers = fleet.callers.map((origin) =>
--- a/packages/benchmark/src/harness/fleet.ts
+++ b/packages/benchmark/src/harness/fleet.ts
@@ -44,6 +44,19 @@
   };
 }
 
+/** Starts the one plain service of an experiment. */
+export async function startPlainFake(
+  fleet: launcher.Fleet,
+  options: Readonly<{ concurrency: number; callMs?: number }>,
+): Promise<RemoteFake> {
+  return await startRemoteFake(fleet, {
+    id: "plain-1",
+    kind: "plain",
+    services: ["plain"],
+    ...options,
+  });
+}
+
 /** Publishes and returns the milliseconds until all hosts have it in force. */
 export async function publish(
   fleet: launcher.Fleet,
--- a/packages/benchmark/src/measure/mod.ts
+++ b/packages/benchmark/src/measure/mod.ts
@@ -11,3 +11,4 @@
 export * from "./slope.ts";
 export * from "./stalls.ts";
 export * from "./usage.ts";
+export * from "./window.ts";
--- a/packages/daemon/test/integration/at_most_once_test.ts
+++ b/packages/daemon/test/integration/at_most_once_test.ts
@@ -1,4 +1,3 @@
-import { wait } from "@ebonypath/testing";
 import { expect } from "chai";
 import type * as caller from "./caller.ts";
 import * as scenarios from "./scenario.ts";
@@ -41,13 +40,6 @@
     await scenario.waitUntilKnown();
   });
 
-  async function untilExecuted(): Promise<void> {
-    await wait.waitFor(
-      "the execution",
-      () => scenario.executionsOf(orderId) > 0,
-    );
-  }
-
   it("run once and replay their answer at any host", async () => {
     const replies: caller.Reply[] = [];
     for (const host of [0, 1, 2, 3]) {
@@ -116,7 +108,7 @@
   it("run once although their host dies in the middle", async () => {
     const first = scenario.caller(3).order(orderId, orderId)
       .catch((error: Error) => error);
-    await untilExecuted();
+    await scenario.waitUntilExecuted(orderId);
     await scenario.fleet.host(3).process.kill9();
     expect(await first).to.be.instanceOf(Error);
     const resent = await scenario.caller(0).order(orderId, orderId);
--- a/packages/daemon/test/integration/control_test.ts
+++ b/packages/daemon/test/integration/control_test.ts
@@ -1,4 +1,4 @@
-import { type launcher, wait } from "@ebonypath/testing";
+import { wait } from "@ebonypath/testing";
 import { expect } from "chai";
 import * as crypto from "node:crypto";
 import * as scenarios from "./scenario.ts";
@@ -8,10 +8,6 @@
 /** Time after which an isolated host must have stopped, in milliseconds. */
 const ISOLATED_MS = 6_000;
 
-async function leaderOf(fleet: launcher.Fleet): Promise<launcher.FleetHost> {
-  return await wait.waitFor("a leader", () => fleet.leader());
-}
-
 function publishing(base: number, name: string) {
   const workspace = { name, rate: 1, burst: 1 };
   return {
@@ -71,7 +67,7 @@
       const before = await scenario.fleet.host(3).operator.publish(
         scenarios.CONFIGURATION,
       );
-      const leader = await leaderOf(scenario.fleet);
+      const leader = await scenario.leader();
       await leader.process.kill9();
       const index = await wait.waitFor(
         `a publishing of round ${round}`,
@@ -85,7 +81,7 @@
   });
 
   it("stops an isolated control host, which then serves again", async () => {
-    const host = await leaderOf(scenario.fleet);
+    const host = await scenario.leader();
     const number = scenario.fleet.hosts.indexOf(host);
     const ready = () => scenario.caller(number).call("GET", "/readyz");
     scenario.fleet.links.isolate(host.name);
--- a/packages/daemon/test/integration/domain_and_leader_test.ts
+++ b/packages/daemon/test/integration/domain_and_leader_test.ts
@@ -45,10 +45,7 @@
   }
 
   it("gets no new work, and no caller gets an error", async () => {
-    const leader = await wait.waitFor(
-      "a leader",
-      () => scenario.fleet.leader(),
-    );
+    const leader = await scenario.leader();
     const others = scenario.fleet.hosts.flatMap((host, index) =>
       host === leader ? [] : [index]
     );
--- a/packages/daemon/test/integration/failing_disk_test.ts
+++ b/packages/daemon/test/integration/failing_disk_test.ts
@@ -41,7 +41,7 @@
   for (const { title, code } of CASES) {
     it(`ends, and loses nothing acknowledged, when the disk ${title}`, async () => {
       const witness = fleet.host(4);
-      const leader = await wait.waitFor("a leader", () => fleet.leader());
+      const leader = await scenario.leader();
       const acknowledged: string[] = [];
       let isEnding = false;
       const granting = (async () => {
--- a/packages/daemon/test/integration/key_withdrawal_test.ts
+++ b/packages/daemon/test/integration/key_withdrawal_test.ts
@@ -62,10 +62,7 @@
   }
 
   it("works nowhere although the leader dies meanwhile", async () => {
-    const leader = await wait.waitFor(
-      "a leader",
-      () => scenario.fleet.leader(),
-    );
+    const leader = await scenario.leader();
     const others = scenario.fleet.hosts.filter((host) => host !== leader);
     const { operator } = others[0]!;
     const { id, key } = await operator.grantKey("web-shop");
--- a/packages/daemon/test/integration/leader_death_test.ts
+++ b/packages/daemon/test/integration/leader_death_test.ts
@@ -40,10 +40,7 @@
 
   /** Kills the leader, and host 4 if asked; returns a host that lives. */
   async function killLeader(withHost: boolean): Promise<number> {
-    const leader = await wait.waitFor(
-      "a leader",
-      () => scenario.fleet.leader(),
-    );
+    const leader = await scenario.leader();
     await Promise.all([
       leader.process.kill9(),
       withHost ? scenario.fleet.host(3).process.kill9() : undefined,
@@ -51,13 +48,6 @@
     return leader === scenario.fleet.host(0) ? 1 : 0;
   }
 
-  async function untilExecuted(): Promise<void> {
-    await wait.waitFor(
-      "the execution",
-      () => scenario.executionsOf(orderId) > 0,
-    );
-  }
-
   async function resend(host: number): Promise<caller.Reply> {
     return await wait.waitFor("an outcome", async () => {
       const reply = await scenario.caller(host).order(orderId, orderId);
@@ -69,7 +59,7 @@
 
   it("runs a call once and replays its answer", async () => {
     const first = scenario.caller(3).order(orderId, orderId);
-    await untilExecuted();
+    await scenario.waitUntilExecuted(orderId);
     const other = await killLeader(false);
     const reply = await first;
     expect(reply.status, reply.text).to.equal(200);
@@ -81,7 +71,7 @@
   it("runs a call once when its host dies as well", async () => {
     const first = scenario.caller(3).order(orderId, orderId)
       .catch((error: Error) => error);
-    await untilExecuted();
+    await scenario.waitUntilExecuted(orderId);
     const other = await killLeader(true);
     await first;
     const resent = await resend(other);
--- a/packages/daemon/test/integration/scenario.ts
+++ b/packages/daemon/test/integration/scenario.ts
@@ -163,6 +163,16 @@
     );
   }
 
+  /** Waits until a non-idempotent call runs or has run. */
+  async waitUntilExecuted(id: string): Promise<void> {
+    await wait.waitFor("the execution", () => this.executionsOf(id) > 0);
+  }
+
+  /** The host that leads, once there is one. */
+  async leader(): Promise<launcher.FleetHost> {
+    return await wait.waitFor("a leader", () => this.fleet.leader());
+  }
+
   /** Waits until a log index is in force at every running host. */
   async waitUntilInForce(index: number): Promise<void> {
     const running = this.fleet.hosts.filter((host) => host.isRunning);
