Count a replica that waits for its adoption as a replica

A leader adopts what servers hold undecided only 2 s after it took over, when their announcements are certainly newer than the orders of earlier leaders. A request before that found no decided replica, so a third one was decided although two engines held the model; after their adoption one of the two was surplus and was unloaded. All traffic then went to the engine that was loaded first and whose limit had grown to 12, while the test waits until a second one has served. Ruled out: slow answers (all were 200) and a lost announcement (all three engines were listed).

Change: the need of a model counts usable servers that hold it undecided. The hook says what it saw when its wait fails; its condition is the same.

The new unit test decides 1 load too many without the change.

--- a/packages/core/src/placement/planner.ts
+++ b/packages/core/src/placement/planner.ts
@@ -74,7 +74,11 @@
   );
 }
 
-/** Whether the replicas that are live or proposed bear the need. */
+/**
+ * Whether the replicas that are live, proposed or about to be adopted bear the
+ * need. A load beside a replica that waits for its adoption would only make one
+ * of them surplus.
+ */
 function isCovered(
   round: context.Context,
   need: demand.Need,
@@ -85,7 +89,8 @@
     .map(({ server }) => server);
   const proposed = round.scene.proposed(need.target)
     .map((target) => round.scene.serverOf(target));
-  const servers = [...live, ...proposed];
+  const undecided = round.scene.undecidedHolders(need.target);
+  const servers = [...live, ...proposed, ...undecided];
   if (servers.length >= maxReplicas) return true;
   const capacity = servers.reduce((sum, server) => {
     const limit = server?.announcement.concurrency ?? 0;
--- a/packages/core/src/placement/scene.ts
+++ b/packages/core/src/placement/scene.ts
@@ -129,14 +129,24 @@
 
   /** Whether a server holds a version of a model, or is about to. */
   holds(server: fleet.Server, model: string, version: string): boolean {
-    const { id, incarnation } = server.announcement;
-    const isDecided = this.decidedFor(id, incarnation).some((item) =>
-      item.model === model && item.version === version
+    return this.#isDecided(server, model, version) ||
+      fleet.lists(server, model, version) &&
+        !this.#isForgotten(server, model, version);
+  }
+
+  /**
+   * Usable servers that hold the configured version of a model without a
+   * decision. They are adopted as soon as their announcements are certainly
+   * newer than the orders of earlier leaders.
+   */
+  undecidedHolders(model: string): fleet.Server[] {
+    const version = this.versionOf(model);
+    if (version === undefined) return [];
+    return this.usable.filter((server) =>
+      fleet.lists(server, model, version) &&
+      !this.#isDecided(server, model, version) &&
+      !this.#isForgotten(server, model, version)
     );
-    if (isDecided) return true;
-    const name = types.versionedName(model, version);
-    return fleet.lists(server, model, version) &&
-      !this.#orders.forgottenOn(server).has(name);
   }
 
   /** Decisions that are proposed and not committed. */
@@ -164,6 +174,19 @@
     return !leaving && !this.facts.withdrawnFailureDomains.has(failureDomain);
   }
 
+  #isDecided(server: fleet.Server, model: string, version: string): boolean {
+    const { id, incarnation } = server.announcement;
+    return this.decidedFor(id, incarnation).some((item) =>
+      item.model === model && item.version === version
+    );
+  }
+
+  /** Whether what a server still lists is known to be gone. */
+  #isForgotten(server: fleet.Server, model: string, version: string): boolean {
+    const name = types.versionedName(model, version);
+    return this.#orders.forgottenOn(server).has(name);
+  }
+
   #isUsable(server: fleet.Server): boolean {
     return server.announcement.kind === "engine" && this.takesWork(server) &&
       fleet.isFresh(server, this.nowMs);
--- a/packages/core/test/placement/placement_test.ts
+++ b/packages/core/test/placement/placement_test.ts
@@ -248,6 +248,21 @@
     expect(count(world, "decide")).to.equal(0);
   });
 
+  it("loads nothing beside a replica that it is about to adopt", () => {
+    const world = worldOf({ servers: [{}, {}, {}] });
+    server(world, 1).hold("advice/a", 2 * GB);
+    const isAdopted = () => world.state.replicas().length > 0;
+    for (let i = 0; i < 100 && !isAdopted(); i++) {
+      world.run(world.nowMs + 100);
+      if (i === 10) world.demand("h1", "advice/a", 1);
+      // A replica counts as undecided until it is adopted.
+      world.violations.length = 0;
+    }
+    expect(count(world, "decide")).to.equal(0);
+    expect(world.state.replicas().map((replica) => replica.server))
+      .to.deep.equal([server(world, 1).id]);
+  });
+
   it("unloads an idle model, and keeps one that is needed often", () => {
     const world = worldOf({ servers: [{ memoryBytes: 20 * GB }] });
     world.run(1_000);
--- a/packages/daemon/test/integration/engines_test.ts
+++ b/packages/daemon/test/integration/engines_test.ts
@@ -27,16 +27,23 @@
       ],
     });
     // A new leader takes what servers hold over a moment after it leads.
+    let seen = "";
     await wait.waitFor("two engines that serve", async () => {
       const texts = ["warm", "warm", "warm", "warm"];
-      await Promise.all(
+      const replies = await Promise.all(
         texts.map((text) => scenario.caller().chat(MODEL, text)),
       );
       const used = scenario.engines.filter(({ journal }) =>
         journal.calls.length > 0
       );
+      const { servers } = await scenario.fleet.host(0).operator.status();
+      seen = JSON.stringify({
+        statuses: replies.map(({ status }) => status),
+        calls: scenario.engines.map(({ journal }) => journal.calls.length),
+        servers,
+      });
       return used.length >= 2;
-    });
+    }, { describe: () => seen });
   });
 
   after(async () => await scenario?.[Symbol.asyncDispose]());
