Render refusals in one place

Cause: the callers', announcements' and operators' listeners and the one for requests that are no HTTP each wrote their own problem document. The four differed: announcements sent a fractional Retry-After and no outcome, a request that is no HTTP gave the length of its body in characters, callers got no WWW-Authenticate with a 401, and stored refusals of deferred requests had no `error` member, which clients of the chat protocol read.

Change: `errors.problemMessage` renders status, headers and body for all.

Before: four writers.

--- a/packages/core/src/state/results.ts
+++ b/packages/core/src/state/results.ts
@@ -37,8 +37,11 @@
   const refused = new protocol.errors.Refusal(definition, detail);
   return {
     status: definition.status,
-    contentType: "application/problem+json",
-    body: JSON.stringify(refused.toProblem()),
+    contentType: protocol.errors.PROBLEM_TYPE,
+    body: JSON.stringify({
+      ...refused.toProblem(),
+      ...protocol.errors.callerMembers(refused),
+    }),
     outcome: definition.outcome,
     refused: true,
   };
--- a/packages/daemon/src/backend/announcement_listener.ts
+++ b/packages/daemon/src/backend/announcement_listener.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import { backend, errors, settings } from "@ebonypath/protocol";
 import * as v from "valibot";
@@ -133,15 +132,8 @@
   const refusal = error instanceof errors.Refusal
     ? error
     : new errors.Refusal(errors.INTERNAL, "the announcement was not taken");
-  const body = JSON.stringify(refusal.toProblem());
-  response.writeHead(refusal.definition.status, {
-    "content-type": "application/problem+json",
-    "content-length": Buffer.byteLength(body),
-    // The rest of a body that was not read must not become a request.
-    "connection": "close",
-    ...(refusal.retryAfterSeconds === undefined
-      ? {}
-      : { "retry-after": String(refusal.retryAfterSeconds) }),
-  });
+  const { status, headers, body } = errors.problemMessage(refusal);
+  // The rest of a body that was not read must not become a request.
+  response.writeHead(status, { ...headers, connection: "close" });
   response.end(body);
 }
--- a/packages/daemon/src/entry/callers.ts
+++ b/packages/daemon/src/entry/callers.ts
@@ -236,7 +236,7 @@
     const body = JSON.stringify({ object: "list", data });
     call.response.writeHead(200, {
       "content-type": "application/json",
-      [httpSink.REQUEST_ID_HEADER]: call.requestId,
+      [protocol.errors.REQUEST_ID_HEADER]: call.requestId,
     });
     call.response.end(body);
   }
--- a/packages/daemon/src/entry/collecting_sink.ts
+++ b/packages/daemon/src/entry/collecting_sink.ts
@@ -1,6 +1,5 @@
 import { Buffer, isUtf8 } from "node:buffer";
 import * as protocol from "@ebonypath/protocol";
-import * as httpSink from "./http_sink.ts";
 import * as storedRequest from "./stored_request.ts";
 import type * as types from "./types.ts";
 
@@ -85,8 +84,11 @@
   const problem = refusal.toProblem();
   return {
     status: problem.status,
-    contentType: "application/problem+json",
-    body: JSON.stringify({ ...problem, error: problem }),
+    contentType: protocol.errors.PROBLEM_TYPE,
+    body: JSON.stringify({
+      ...problem,
+      ...protocol.errors.callerMembers(refusal),
+    }),
     outcome: problem.outcome,
     refused: true,
   };
@@ -103,7 +105,7 @@
     status,
     headers: outcome === "ran" && refused === undefined
       ? headers
-      : { ...headers, [httpSink.OUTCOME_HEADER]: outcome },
+      : { ...headers, [protocol.errors.OUTCOME_HEADER]: outcome },
     body: Buffer.from(body, encoding ?? "utf8"),
   });
 }
--- a/packages/daemon/src/entry/deferred.ts
+++ b/packages/daemon/src/entry/deferred.ts
@@ -348,7 +348,7 @@
   response.writeHead(status, {
     "content-type": "application/json",
     "content-length": body.length,
-    [httpSink.REQUEST_ID_HEADER]: requestId,
+    [protocol.errors.REQUEST_ID_HEADER]: requestId,
     ...headers,
   });
   response.end(body);
--- a/packages/daemon/src/entry/http_sink.ts
+++ b/packages/daemon/src/entry/http_sink.ts
@@ -3,10 +3,7 @@
 import * as protocol from "@ebonypath/protocol";
 import type * as types from "./types.ts";
 
-/** Tells every caller which request an answer belongs to. */
-export const REQUEST_ID_HEADER = "ebonypath-request-id";
-/** Tells what a caller may conclude from a refusal. */
-export const OUTCOME_HEADER = "ebonypath-outcome";
+const { OUTCOME_HEADER, REQUEST_ID_HEADER } = protocol.errors;
 
 /** `problem` of a refusal that was recorded when the request ran. */
 const RECORDED_PROBLEM = "recorded";
@@ -105,17 +102,9 @@
   refusal: protocol.errors.Refusal,
   requestId: string,
 ): void {
-  const problem = refusal.toProblem(requestId);
-  const body = Buffer.from(JSON.stringify({ ...problem, error: problem }));
-  const retryAfter = refusal.retryAfterSeconds;
-  response.writeHead(problem.status, {
-    "content-type": "application/problem+json",
-    "content-length": body.length,
-    [REQUEST_ID_HEADER]: requestId,
-    [OUTCOME_HEADER]: problem.outcome,
-    ...(retryAfter === undefined
-      ? {}
-      : { "retry-after": String(Math.max(1, Math.ceil(retryAfter))) }),
+  const { status, headers, body } = protocol.errors.problemMessage(refusal, {
+    requestId,
+    members: protocol.errors.callerMembers(refusal, requestId),
   });
-  response.end(body);
+  response.writeHead(status, headers).end(body);
 }
--- a/packages/daemon/src/listener/mod.ts
+++ b/packages/daemon/src/listener/mod.ts
@@ -151,13 +151,14 @@
     definitionOf(error.code),
     clientErrorDetail(error.code),
   );
-  const body = JSON.stringify(refusal.toProblem());
+  const { status, headers, body } = protocol.errors.problemMessage(refusal, {
+    members: protocol.errors.callerMembers(refusal),
+  });
+  const lines = Object.entries({ ...headers, connection: "close" })
+    .map(([name, value]) => `${name}: ${value}\r\n`);
   socket.end(
-    `HTTP/1.1 ${refusal.definition.status} Refused\r\n` +
-      "content-type: application/problem+json\r\n" +
-      "ebonypath-outcome: not-run\r\n" +
-      `content-length: ${body.length}\r\n` +
-      `connection: close\r\n\r\n${body}`,
+    `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\n` +
+      `${lines.join("")}\r\n${body}`,
   );
 }
 
--- a/packages/daemon/src/operators/handler.ts
+++ b/packages/daemon/src/operators/handler.ts
@@ -42,7 +42,7 @@
 export function createOperatorsHandler(options: OperatorsOptions): Handler {
   return async (request, response) => {
     const requestId = security.randomId(REQUEST_ID_BYTES);
-    response.setHeader("ebonypath-request-id", requestId);
+    response.setHeader(protocol.errors.REQUEST_ID_HEADER, requestId);
     try {
       await handle(options, request, response);
     } catch (error) {
@@ -171,19 +171,16 @@
     response.destroy();
     return;
   }
-  const { status } = refusal.definition;
-  if (status === 401) response.setHeader("www-authenticate", "Bearer");
   // A body that was not read to its end makes the connection unusable.
   if (!request.complete) response.setHeader("connection", "close");
-  response.setHeader("ebonypath-outcome", refusal.outcome);
-  const problem = {
-    ...refusal.toProblem(requestId),
-    ...(refusal instanceof outcome.VersionConflict
-      ? { winner: refusal.winner }
-      : {}),
-  };
-  const text = `${JSON.stringify(problem)}\n`;
-  send(response, status, "application/problem+json", text);
+  const members = refusal instanceof outcome.VersionConflict
+    ? { winner: refusal.winner }
+    : {};
+  const { status, headers, body } = protocol.errors.problemMessage(refusal, {
+    requestId,
+    members,
+  });
+  response.writeHead(status, headers).end(body);
 }
 
 function send(
