Let a new leader grant shares of idle pools at once

Cause: a new leader knows only the shares that hosts report, so it held back all of every pool for one lifetime, and slots for the lag of the servers' reports besides. A host without slots was refused by the 5 s tier though the server was idle. Tokens of idle workspaces were held back in the same way. Ruled out: missing transfer between living hosts, which is there already.

Change: the log says of which pools shares may be granted (set-grantable). The leader grants only after that is committed, and closes what nobody has used for 2 s before it proposes to say so. The next leader begins all other pools full and grants of them at once.

Conclusion: idle servers are mended.

--- a/packages/core/src/limits/bucket_pool.ts
+++ b/packages/core/src/limits/bucket_pool.ts
@@ -15,6 +15,7 @@
 import {
   type BucketLimit,
   REFILL_FRACTION,
+  ROUNDING_TOKENS,
   SHARE_LIFETIME_MS,
 } from "./types.ts";
 
@@ -29,8 +30,12 @@
   readonly adoptsUntil: number;
   /** Tokens that the pool holds at first. */
   readonly level: number;
+  /** Whether shares may be granted yet. */
+  readonly isGrantable: boolean;
 };
 
+const NO_TARGET: bucketTargets.Target = { capacity: 0, rate: 0, level: 0 };
+
 /** One workspace's token bucket, divided among holders. */
 export class BucketPool {
   readonly #name: string;
@@ -39,6 +44,9 @@
   #limit: BucketLimit;
   #level: number;
   #refilledAt: number;
+  #isGrantable: boolean;
+  /** When tokens were last out, lacking or wanted. */
+  #usedAt: number;
 
   /** Creates the pool as of `now`. */
   constructor(name: string, limit: BucketLimit, start: PoolStart, now: number) {
@@ -51,6 +59,28 @@
     this.#limit = limit;
     this.#level = adopts ? 0 : Math.min(start.level, limit.burst);
     this.#refilledAt = now;
+    this.#isGrantable = start.isGrantable;
+    this.#usedAt = now;
+  }
+
+  /** Whether shares may be granted. */
+  get isGrantable(): boolean {
+    return this.#isGrantable;
+  }
+
+  /** Sets whether shares may be granted; none may be out where they may not. */
+  setGrantable(isGrantable: boolean, now: number): void {
+    this.#isGrantable = isGrantable;
+    this.#usedAt = now;
+  }
+
+  /**
+   * For how long the pool has been full, and nobody has held or wanted a share,
+   * in milliseconds.
+   */
+  unusedMs(now: number): number {
+    this.advance(now);
+    return now - this.#usedAt;
   }
 
   /** The limit that new grants follow. */
@@ -95,6 +125,7 @@
     for (const holder of this.#ledger.expire(now).keys()) {
       this.#situations.delete(holder);
     }
+    if (this.#isUsed()) this.#usedAt = now;
   }
 
   /**
@@ -133,6 +164,14 @@
     return this.#grant(holder, share, id);
   }
 
+  #isUsed(): boolean {
+    const { capacity, rate } = this.counted();
+    const isWanted = [...this.#situations.values()]
+      .some(({ demand }) => demand.tokens > 0);
+    return isWanted || this.#ledger.isAdopting || capacity > 0 || rate > 0 ||
+      this.#level < this.#limit.burst - ROUNDING_TOKENS;
+  }
+
   #surrendered(holder: string, report: protocol.limits.BucketReport): number {
     const before = this.#situations.get(holder)?.surrendered ?? 0;
     return Math.max(0, report.surrendered - before);
@@ -175,6 +214,7 @@
 
   /** What the holder should have, were all of the pool free to be moved. */
   #target(holder: string): bucketTargets.Target {
+    if (!this.#isGrantable) return NO_TARGET;
     const situations = new Map(
       [...this.#situations].map(([name, situation]) => [name, {
         ...situation,
--- a/packages/core/src/limits/leader.ts
+++ b/packages/core/src/limits/leader.ts
@@ -6,6 +6,7 @@
 
 import type * as protocol from "@ebonypath/protocol";
 import { BucketPool } from "./bucket_pool.ts";
+import * as grantable from "./grantable.ts";
 import { SlotPool } from "./slot_pool.ts";
 import {
   type BucketLimit,
@@ -25,6 +26,11 @@
   readonly term: number;
   /** No leader before this one has granted shares. */
   readonly isFirst?: boolean;
+  /**
+   * Pools of which shares may be granted, as the log says. Without it, all
+   * pools are open to grants.
+   */
+  readonly grantable?: grantable.GrantableStart;
 };
 
 /**
@@ -45,6 +51,8 @@
 export class ShareLeader {
   readonly #buckets = new Map<string, BucketPool>();
   readonly #slots = new Map<string, SlotPool>();
+  readonly #openBuckets = new grantable.Grantable(this.#buckets);
+  readonly #openSlots = new grantable.Grantable(this.#slots);
   /** Buckets that were removed, and when. */
   readonly #removed = new Map<string, number>();
   #term = 0;
@@ -54,7 +62,8 @@
   /**
    * Begins to lead with no pools. For one share lifetime, shares of earlier
    * leaders are adopted and nothing is granted beyond them. Their holders count
-   * their lifetime from earlier and shorter, so they have ended by then.
+   * their lifetime from earlier and shorter, so they have ended by then. Pools
+   * of which the log says that none was granted are not held back.
    */
   takeLeadership(start: LeadershipStart, now: number): void {
     this.#buckets.clear();
@@ -62,6 +71,9 @@
     this.#removed.clear();
     this.#term = start.term;
     this.#adoptsUntil = start.isFirst ? now : now + SHARE_LIFETIME_MS;
+    const { buckets, servers, isComplete = false } = start.grantable ?? {};
+    this.#openBuckets.begin(buckets, isComplete);
+    this.#openSlots.begin(servers, isComplete);
   }
 
   /**
@@ -80,7 +92,8 @@
     }
     if (this.#buckets.size < MAX_POOLS) {
       const start = {
-        adoptsUntil: this.#adoptsUntil,
+        adoptsUntil: this.#openBuckets.mayBeOut(pool) ? this.#adoptsUntil : now,
+        isGrantable: this.#openBuckets.isOpen(pool),
         level: Math.min(level, this.#refilledSinceRemoval(pool, limit, now)),
       };
       this.#removed.delete(pool);
@@ -110,7 +123,11 @@
       return;
     }
     if (this.#slots.size < MAX_POOLS) {
-      const start = { adoptsUntil: this.#adoptsUntil, running };
+      const start = {
+        adoptsUntil: this.#openSlots.mayBeOut(server) ? this.#adoptsUntil : now,
+        isGrantable: this.#openSlots.isOpen(server),
+        running,
+      };
       this.#slots.set(server, new SlotPool(server, limit, start, now));
     }
   }
@@ -145,6 +162,32 @@
     return { ...id, buckets, slots };
   }
 
+  /** Pools that are closed to grants although a report wants shares of them. */
+  closedPools(report: protocol.limits.ShareReport): grantable.PoolNames {
+    const { buckets, servers } = grantable.wantedIn(report);
+    return {
+      buckets: this.#openBuckets.closed(buckets),
+      servers: this.#openSlots.closed(servers),
+    };
+  }
+
+  /** Opens pools to grants. The log must say so first. */
+  openPools({ buckets, servers }: grantable.PoolNames, now: number): void {
+    this.#openBuckets.open(buckets, now);
+    this.#openSlots.open(servers, now);
+  }
+
+  /**
+   * Closes pools that nobody has used for a time, and returns them. The log may
+   * say so from now on: no share of them is live, and none is granted.
+   */
+  closeUnusedPools(now: number): grantable.PoolNames {
+    return {
+      buckets: this.#openBuckets.closeUnused(now),
+      servers: this.#openSlots.closeUnused(now),
+    };
+  }
+
   /** A pool that comes back has refilled since it was removed, no more. */
   #refilledSinceRemoval(
     pool: string,
--- a/packages/core/src/limits/mod.ts
+++ b/packages/core/src/limits/mod.ts
@@ -7,6 +7,7 @@
 export * from "./bucket_share.ts";
 export * from "./division.ts";
 export * from "./holder.ts";
+export { type GrantableStart, type PoolNames, UNUSED_MS } from "./grantable.ts";
 export * from "./leader.ts";
 export * from "./ledger.ts";
 export * from "./slot_pool.ts";
--- a/packages/core/src/limits/slot_pool.ts
+++ b/packages/core/src/limits/slot_pool.ts
@@ -45,6 +45,8 @@
   readonly adoptsUntil: number;
   /** Requests that the server says it runs. */
   readonly running: number;
+  /** Whether slots may be granted yet. */
+  readonly isGrantable: boolean;
 };
 
 const NO_OUTCOMES = { succeeded: 0, refused: 0, failed: 0, slow: 0 };
@@ -56,6 +58,9 @@
   readonly #situations = new Map<string, Situation>();
   #strays: Stray[] = [];
   #limit: number;
+  #isGrantable: boolean;
+  /** When slots were last held, in use or wanted. */
+  #usedAt: number;
   #outcomes: protocol.limits.ServerOutcomes = { ...NO_OUTCOMES };
 
   /** Creates the pool as of `now`. */
@@ -63,6 +68,8 @@
     const adopts = now < start.adoptsUntil;
     this.#name = name;
     this.#limit = limit;
+    this.#isGrantable = start.isGrantable;
+    this.#usedAt = now;
     this.#ledger = new Ledger(
       { capacity: adopts ? limit : 0, rate: 0 },
       start.adoptsUntil,
@@ -82,6 +89,23 @@
     return this.#ledger.entries.size > 0;
   }
 
+  /** Whether slots may be granted. */
+  get isGrantable(): boolean {
+    return this.#isGrantable;
+  }
+
+  /** Sets whether slots may be granted; none may be out where they may not. */
+  setGrantable(isGrantable: boolean, now: number): void {
+    this.#isGrantable = isGrantable;
+    this.#usedAt = now;
+  }
+
+  /** For how long nobody has held, used or wanted a slot, in milliseconds. */
+  unusedMs(now: number): number {
+    this.advance(now);
+    return now - this.#usedAt;
+  }
+
   /** Slots that must be taken as in use. */
   counted(): number {
     const stray = this.#strays.reduce((total, { slots }) => total + slots, 0);
@@ -128,6 +152,7 @@
     this.#strays = this.#strays.filter(({ slots, until }) =>
       slots > 0 && until > now
     );
+    if (this.#isUsed()) this.#usedAt = now;
   }
 
   /**
@@ -224,7 +249,14 @@
     };
   }
 
+  #isUsed(): boolean {
+    const isWanted = [...this.#situations.values()]
+      .some((situation) => claimOf(situation).expected > 0);
+    return isWanted || this.#ledger.isAdopting || this.counted() > 0;
+  }
+
   #target(holder: string, report: protocol.limits.SlotReport): number {
+    if (!this.#isGrantable) return 0;
     const holders = [...this.#situations.keys()];
     const stray = this.#strays.reduce((total, { slots }) => total + slots, 0);
     const parts = divideWhole(
--- a/packages/core/src/state/mod.ts
+++ b/packages/core/src/state/mod.ts
@@ -12,6 +12,7 @@
 export * from "./catalogue.ts";
 export { type Claim, type Phase } from "./claims.ts";
 export * from "./deferred_types.ts";
+export { type GrantablePools } from "./grantable_pools.ts";
 export { type OperatorCommand } from "./operator_changes.ts";
 export { type Replica } from "./replicas.ts";
 export * from "./state.ts";
--- a/packages/core/src/state/parts.ts
+++ b/packages/core/src/state/parts.ts
@@ -3,6 +3,7 @@
 import * as claims from "./claims.ts";
 import * as deferred from "./deferred.ts";
 import * as failureDomains from "./failure_domains.ts";
+import * as grantablePools from "./grantable_pools.ts";
 import * as keys from "./keys.ts";
 import * as lostHosts from "./lost_hosts.ts";
 import * as quarantines from "./quarantines.ts";
@@ -21,6 +22,7 @@
   readonly claims: claims.Claims;
   readonly deferred: deferred.DeferredRequests;
   readonly lostHosts: lostHosts.LostHosts;
+  readonly grantable: grantablePools.GrantableRegister;
   readonly changes: changeLog.ChangeLog;
   readonly audit: audit.AuditTrail;
 }
@@ -42,6 +44,7 @@
     claims: new claims.Claims(limits, saved?.claims),
     deferred: new deferred.DeferredRequests(limits, saved?.deferred),
     lostHosts: new lostHosts.LostHosts(limits, saved?.lostHosts),
+    grantable: new grantablePools.GrantableRegister(limits, saved?.grantable),
     changes: new changeLog.ChangeLog(limits, saved?.changes),
     audit: new audit.AuditTrail(limits, saved?.audit),
   };
@@ -63,6 +66,7 @@
     claims: parts.claims.toSnapshot(),
     deferred: parts.deferred.toSnapshot(),
     lostHosts: parts.lostHosts.toSnapshot(),
+    grantable: parts.grantable.toSnapshot(),
     changes: parts.changes.toSnapshot(),
     audit: parts.audit.toSnapshot(),
   };
--- a/packages/core/src/state/snapshot.ts
+++ b/packages/core/src/state/snapshot.ts
@@ -3,6 +3,7 @@
 import type * as changeLog from "./change_log.ts";
 import type * as claims from "./claims.ts";
 import type * as deferred from "./deferred_types.ts";
+import type * as grantablePools from "./grantable_pools.ts";
 import type * as keys from "./keys.ts";
 import type * as replicas from "./replicas.ts";
 import type * as versions from "./versions.ts";
@@ -22,6 +23,8 @@
   readonly claims: readonly claims.Claim[];
   readonly deferred: readonly deferred.Deferred[];
   readonly lostHosts: readonly string[];
+  /** Absent in snapshots of early builds. */
+  readonly grantable?: grantablePools.SavedGrantablePools | undefined;
   readonly changes: readonly changeLog.RememberedChange[];
   readonly audit: readonly audit.AuditEntry[];
 }
--- a/packages/core/src/state/state.ts
+++ b/packages/core/src/state/state.ts
@@ -3,6 +3,7 @@
 import type * as claims from "./claims.ts";
 import type * as deferred from "./deferred_types.ts";
 import * as catalogue from "./catalogue.ts";
+import type * as grantablePools from "./grantable_pools.ts";
 import * as operatorChanges from "./operator_changes.ts";
 import * as parts from "./parts.ts";
 import type * as replicas from "./replicas.ts";
@@ -162,6 +163,14 @@
     return this.#parts.replicas.get(index);
   }
 
+  /**
+   * Pools of which shares may be granted; nothing if a leader of an early build
+   * may have granted shares of any.
+   */
+  grantablePools(): grantablePools.GrantablePools | undefined {
+    return this.#parts.grantable.pools;
+  }
+
   claim(workspace: string, key: string): claims.Claim | undefined {
     return this.#parts.claims.get(workspace, key);
   }
--- a/packages/core/src/state/types.ts
+++ b/packages/core/src/state/types.ts
@@ -32,6 +32,8 @@
   readonly changeIds: number;
   readonly auditEntries: number;
   readonly lostHosts: number;
+  /** Pools of which shares may be granted at one time. */
+  readonly grantablePools: number;
   readonly claims: number;
   readonly claimsPerWorkspace: number;
   /** Characters of claim answers kept for replay. */
@@ -53,6 +55,7 @@
   changeIds: 10_000,
   auditEntries: 50_000,
   lostHosts: 10_000,
+  grantablePools: 50_000,
   claims: 100_000,
   claimsPerWorkspace: 50_000,
   claimAnswerLength: 64 * 1024 * 1024,
--- a/packages/core/src/state/work.ts
+++ b/packages/core/src/state/work.ts
@@ -49,6 +49,8 @@
       return parts.claims.release(command, position);
     case "lose-host":
       return loseHost(parts, command, position);
+    case "set-grantable":
+      return parts.grantable.set(command, position);
     case "accept-deferred":
       return accept(parts, command, position);
     case "assign-deferred":
--- a/packages/core/test/limits/bucket_pool_test.ts
+++ b/packages/core/test/limits/bucket_pool_test.ts
@@ -9,7 +9,7 @@
 import { expect } from "chai";
 
 const BURST = 300;
-const START = { adoptsUntil: 0, level: BURST };
+const START = { isGrantable: true, adoptsUntil: 0, level: BURST };
 
 type Report = protocol.limits.BucketReport;
 
@@ -87,7 +87,11 @@
 
   it("frees nothing when an adopted share turns out to be out of date", () => {
     const limit = { rate: 0, burst: BURST };
-    const start = { adoptsUntil: limits.SHARE_LIFETIME_MS, level: BURST };
+    const start = {
+      isGrantable: true,
+      adoptsUntil: limits.SHARE_LIFETIME_MS,
+      level: BURST,
+    };
     const pool = new limits.BucketPool("shop", limit, start, 0);
     const late = { grant: { term: 0, exchange: 1 }, capacity: 200 };
     pool.exchange("a", reportOf({ ...late, ...wanting(200) }), idAt(2), 0);
--- a/packages/core/test/limits/fleet.ts
+++ b/packages/core/test/limits/fleet.ts
@@ -23,6 +23,19 @@
 
 type RunningRequest = { readonly slot: limits.Slot; readonly endsAt: number };
 
+/** What becomes of the log's record of pools that are open to grants. */
+export type GrantLog =
+  /** The leader is not asked to keep one. */
+  | "unused"
+  | "kept"
+  /** The next leader does not find what was committed: a fault. */
+  | "lost";
+
+type Closing = limits.PoolNames;
+
+/** Time between two exchanges of a host at rest, in milliseconds. */
+const REST_STEP_MS = 1_000;
+
 type Message =
   | { kind: "report"; host: Host; report: protocol.limits.ShareReport }
   | { kind: "grant"; host: Host; grant: protocol.limits.ShareGrant };
@@ -75,19 +88,27 @@
   /** Requests of hosts that have died; the server may still run them. */
   orphans: RunningRequest[] = [];
   leader = new limits.ShareLeader();
+  /** Whether what the leader proposes is committed before it answers. */
+  isCommitting = true;
   #leaderClock: Clock;
   #term = 1;
   #starts = 0;
   readonly #drifts: readonly number[];
   #limit: limits.BucketLimit;
   #slotLimit: number;
+  readonly #grantLog: GrantLog;
+  readonly #logged = { buckets: new Set<string>(), servers: new Set<string>() };
+  /** Proposed by the leader, not committed yet. */
+  #closing: Closing[] = [];
   #runningReports: { at: number; running: number }[] = [];
 
   constructor(
     drifts: readonly number[],
     limit: limits.BucketLimit,
     slotLimit: number,
+    grantLog: GrantLog = "unused",
   ) {
+    this.#grantLog = grantLog;
     this.#drifts = drifts;
     this.#limit = limit;
     this.#slotLimit = slotLimit;
@@ -102,8 +123,11 @@
     return this.#leaderClock.at(this.time);
   }
 
-  failOver(slotLimit = this.#slotLimit): void {
+  /** @param areClosed Whether the closings under way are committed. */
+  failOver(slotLimit = this.#slotLimit, areClosed = false): void {
     this.#slotLimit = slotLimit;
+    if (areClosed) this.#commitClosings();
+    this.#closing = [];
     this.#term++;
     this.#leaderClock = this.#newClock();
     this.leader = new limits.ShareLeader();
@@ -156,6 +180,27 @@
     }
   }
 
+  /** Nothing runs or is wanted for a while; hosts renew what they have. */
+  rest(milliseconds: number): void {
+    this.hosts.forEach((host, index) => {
+      this.want(index, 0, 0);
+      this.expect(index, 0);
+      while (host.running.length > 0) this.release(index);
+    });
+    this.settleAll();
+    for (let spent = 0; spent < milliseconds; spent += REST_STEP_MS) {
+      this.hosts.forEach((_, index) => this.exchange(index));
+      this.closeUnused();
+      this.advance(REST_STEP_MS);
+    }
+  }
+
+  /** The leader proposes to close pools without use. */
+  closeUnused(): void {
+    this.leader.expire(this.leaderNow);
+    this.#closing.push(this.leader.closeUnusedPools(this.leaderNow));
+  }
+
   /** Reports and is answered without delay. */
   exchange(index: number): void {
     const before = this.messages.length;
@@ -175,6 +220,7 @@
       this.messages.splice(index, 1);
     }
     if (message.kind === "report") {
+      this.#openFor(message.report);
       const grant = this.leader.exchange(message.report, this.leaderNow);
       this.messages.push({ kind: "grant", host: message.host, grant });
     } else {
@@ -307,9 +353,45 @@
     this.settled.push({ at, tokens });
   }
 
+  /** The log keeps the order of proposals. */
+  #openFor(report: protocol.limits.ShareReport): void {
+    const names = this.leader.closedPools(report);
+    if (names.buckets.length + names.servers.length === 0) return;
+    if (!this.isCommitting) return;
+    this.#commitClosings();
+    for (const name of names.buckets) this.#logged.buckets.add(name);
+    for (const name of names.servers) this.#logged.servers.add(name);
+    this.leader.openPools(names, this.leaderNow);
+  }
+
+  #commitClosings(): void {
+    for (const { buckets, servers } of this.#closing.splice(0)) {
+      for (const name of buckets) this.#logged.buckets.delete(name);
+      for (const name of servers) this.#logged.servers.delete(name);
+    }
+  }
+
+  #grantable(): { grantable?: limits.GrantableStart } {
+    switch (this.#grantLog) {
+      case "unused":
+        return {};
+      case "kept":
+        return { grantable: { ...this.#logged, isComplete: true } };
+      case "lost":
+        return {
+          grantable: {
+            buckets: new Set(),
+            servers: new Set(),
+            isComplete: true,
+          },
+        };
+    }
+  }
+
   #lead(isFirst: boolean): void {
     const now = this.leaderNow;
-    this.leader.takeLeadership({ term: this.#term, isFirst }, now);
+    const start = { term: this.#term, isFirst, ...this.#grantable() };
+    this.leader.takeLeadership(start, now);
     this.leader.setBucket(POOL, this.#limit, now, this.#limit.burst);
     this.leader.setSlots(SERVER, this.#slotLimit, now);
   }
--- a/packages/core/test/limits/shares_test.ts
+++ b/packages/core/test/limits/shares_test.ts
@@ -8,7 +8,7 @@
 import { limits } from "@ebonypath/core";
 import { expect } from "chai";
 import * as fc from "fast-check";
-import { Fleet, POOL, worstExcess } from "./fleet.ts";
+import { Fleet, type GrantLog, POOL, worstExcess } from "./fleet.ts";
 
 const SEED = 20261204;
 const RUNS = 400;
@@ -66,7 +66,20 @@
   }),
   weighted(3, { kind: fc.constant("release"), host }),
   weighted(1, { kind: fc.constant("restart"), host }),
-  weighted(1, { kind: fc.constant("fail-over") }),
+  weighted(1, { kind: fc.constant("fail-over"), areClosed: fc.boolean() }),
+  weighted(2, { kind: fc.constant("close-unused") }),
+  weighted(1, {
+    kind: fc.constant("rest"),
+    ms: fc.oneof(
+      fc.integer({ min: 2000, max: 8000 }),
+      fc.integer({ min: 8000, max: 40_000 }),
+    ),
+    failsOver: fc.boolean(),
+  }),
+  weighted(1, {
+    kind: fc.constant("commits"),
+    isCommitting: fc.nat(3).map((value) => value > 0),
+  }),
   weighted(2, { kind: fc.constant("announce") }),
   weighted(1, {
     kind: fc.constant("limits"),
@@ -92,6 +105,9 @@
   fraction?: number;
   settles?: boolean;
   keepsCopy?: boolean;
+  areClosed?: boolean;
+  isCommitting?: boolean;
+  failsOver?: boolean;
 };
 
 function apply(fleet: Fleet, one: Step): void {
@@ -125,7 +141,15 @@
     case "restart":
       return fleet.restart(index);
     case "fail-over":
-      return fleet.failOver();
+      return fleet.failOver(undefined, one.areClosed!);
+    case "close-unused":
+      return fleet.closeUnused();
+    case "rest":
+      fleet.rest(one.ms!);
+      if (one.failsOver!) fleet.failOver(undefined, true);
+      return;
+    case "commits":
+      return void (fleet.isCommitting = one.isCommitting!);
     case "announce":
       return fleet.announce();
     case "limits": {
@@ -153,38 +177,50 @@
   return holder.availableTokens(POOL, clock.at(fleet.time));
 }
 
+/** Checks the limits after each of many random steps. */
+function checkLimits(grantLog: GrantLog): void {
+  const drift = fc.constantFrom(-1, 0, 1)
+    .map((sign) => sign * limits.CLOCK_DRIFT);
+  const drifts = fc.array(drift, { minLength: HOSTS, maxLength: HOSTS });
+  const steps = fc.array(step, {
+    minLength: 1,
+    maxLength: 300,
+    size: "max",
+  });
+  const property = fc.property(
+    drifts,
+    steps,
+    fc.boolean(),
+    (clocks, all, greedy) => {
+      const fleet = new Fleet(clocks, LIMIT, SLOTS, grantLog);
+      for (const one of all) {
+        apply(fleet, one);
+        if (greedy) {
+          consumeAll(fleet);
+        }
+        const live = fleet.liveShares();
+        expect(live.capacity).to.be.at.most(LIMIT.burst + ROUNDING);
+        expect(live.rate).to.be.at.most(LIMIT.rate + ROUNDING);
+        expect(fleet.running()).to.be.at.most(SLOTS);
+      }
+      fleet.settleAll();
+      expect(worstExcess(fleet.settled, LIMIT)).to.be.below(ROUNDING);
+      expect(worstExcess(fleet.reserved, LIMIT)).to.be.below(ROUNDING);
+    },
+  );
+  fc.assert(property, { seed: SEED, numRuns: RUNS });
+}
+
 describe("leased shares under lost, late and repeated messages", () => {
   it(`keep to the limit at every step (seed ${SEED})`, () => {
-    const drift = fc.constantFrom(-1, 0, 1)
-      .map((sign) => sign * limits.CLOCK_DRIFT);
-    const drifts = fc.array(drift, { minLength: HOSTS, maxLength: HOSTS });
-    const steps = fc.array(step, {
-      minLength: 1,
-      maxLength: 300,
-      size: "max",
-    });
-    const isGreedy = fc.boolean();
-    const property = fc.property(
-      drifts,
-      steps,
-      isGreedy,
-      (clocks, all, greedy) => {
-        const fleet = new Fleet(clocks, LIMIT, SLOTS);
-        for (const one of all) {
-          apply(fleet, one);
-          if (greedy) {
-            consumeAll(fleet);
-          }
-          const live = fleet.liveShares();
-          expect(live.capacity).to.be.at.most(LIMIT.burst + ROUNDING);
-          expect(live.rate).to.be.at.most(LIMIT.rate + ROUNDING);
-          expect(fleet.running()).to.be.at.most(SLOTS);
-        }
-        fleet.settleAll();
-        expect(worstExcess(fleet.settled, LIMIT)).to.be.below(ROUNDING);
-        expect(worstExcess(fleet.reserved, LIMIT)).to.be.below(ROUNDING);
-      },
-    );
-    fc.assert(property, { seed: SEED, numRuns: RUNS });
+    checkLimits("unused");
+  });
+
+  it("keep to it where the log says which pools are granted", () => {
+    checkLimits("kept");
+  });
+
+  it("would break it if a leader did not find that in the log", () => {
+    expect(() => checkLimits("lost")).to.throw("Property failed");
   });
 });
--- a/packages/core/test/state/state_test.ts
+++ b/packages/core/test/state/state_test.ts
@@ -19,7 +19,7 @@
     changeId: fc.constantFrom("c1", "c2", "c3", "c4", "c5", "c6"),
   });
   return fc.tuple(
-    fc.integer({ min: 0, max: 17 }),
+    fc.integer({ min: 0, max: 18 }),
     owner,
     digest,
     number,
@@ -89,6 +89,12 @@
         },
         { kind: "lose-host", host: host.host, hostIncarnation: keyId },
         { kind: "advance-time" },
+        {
+          kind: "set-grantable",
+          buckets: index % 5 === 0 ? [workspace] : [],
+          servers: [`engine-${index % 3}/a`],
+          isGrantable: index % 2 === 0,
+        },
       ];
       return kinds[choice] ?? { kind: "advance-time" };
     });
--- a/packages/daemon/src/control/control_node.ts
+++ b/packages/daemon/src/control/control_node.ts
@@ -64,7 +64,7 @@
     rpc.addMethod(
       control.EXCHANGE_METHOD,
       control.ExchangeRequest,
-      (request) => this.#underLease("exchange", (one) => one.exchange(request)),
+      (request) => this.#exchange(request),
     );
     rpc.addMethod(
       control.ANNOUNCE_METHOD,
@@ -126,6 +126,9 @@
     metrics.deferredRequests.set({ phase: "waiting" }, waiting.length);
     metrics.deferredRequests.set({ phase: "assigned" }, assigned.length);
     metrics.deferredAge.set(Math.max(0, timeMs - oldestMs) / SECOND_MS);
+    const pools = replicated.state.grantablePools();
+    metrics.grantablePools.set({ kind: "tokens" }, pools?.buckets.size ?? 0);
+    metrics.grantablePools.set({ kind: "slots" }, pools?.servers.size ?? 0);
     this.#updateSpareVoters();
   }
 
@@ -163,6 +166,13 @@
     throw new fleet.NotLeader(step, address, leader);
   }
 
+  async #exchange(
+    request: protocol.control.ExchangeRequest,
+  ): Promise<protocol.control.ExchangeResponse> {
+    await this.#require("exchange").prepare(request);
+    return this.#underLease("exchange", (one) => one.exchange(request));
+  }
+
   /** Runs a step and gives its result only if the lease outlived it. */
   #underLease<Result>(
     step: string,
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -14,6 +14,7 @@
 import * as announcementNews from "./announcement_news.ts";
 import * as buckets from "./bucket_table.ts";
 import * as deferredDriver from "./deferred_driver.ts";
+import * as grantDriver from "./grant_driver.ts";
 import * as hostRegistry from "./host_registry.ts";
 import * as placementDriver from "./placement_driver.ts";
 import type * as replicatedState from "./replicated_state.ts";
@@ -60,6 +61,7 @@
   readonly #options: LeadershipOptions;
   readonly #shares = new core.limits.ShareLeader();
   readonly #buckets = new buckets.BucketTable(this.#shares);
+  readonly #grants: grantDriver.GrantDriver;
   readonly #placement: placementDriver.PlacementDriver;
   readonly #servers: servers.ServerTable;
   readonly #deferred: deferredDriver.DeferredDriver;
@@ -79,7 +81,15 @@
     const { replicated } = options;
     this.#options = options;
     const isFirst = replicated.appliedIndex <= FIRST_LEADERSHIP_INDEX;
-    this.#shares.takeLeadership({ term: options.term, isFirst }, now);
+    this.#shares.takeLeadership({
+      term: options.term,
+      isFirst,
+      grantable: grantableIn(replicated),
+    }, now);
+    this.#grants = new grantDriver.GrantDriver({
+      shares: this.#shares,
+      propose: options.propose,
+    });
     this.#placement = new placementDriver.PlacementDriver({
       ...options,
       hosts: this.hosts,
@@ -125,6 +135,12 @@
     this.#publisher.attach(body, response);
   }
 
+  /** Has the log say of which pools an exchange may be granted shares. */
+  async prepare(request: protocol.control.ExchangeRequest): Promise<void> {
+    if (request.shares === undefined) return;
+    await this.#grants.openFor(request.shares);
+  }
+
   /** Answers the exchange of a host. */
   exchange(
     request: protocol.control.ExchangeRequest,
@@ -259,6 +275,7 @@
     const now = performance.now();
     this.#buckets.configure(this.#options.replicated.state.current(), now);
     this.#shares.expire(now);
+    this.#grants.run(now);
     this.hosts.expire(now);
     this.#upkeep.run(now);
     this.#suspicion.run(now);
@@ -279,3 +296,15 @@
     this.#publisher.publish({ kind: "servers", ...difference });
   }
 }
+
+/** Logs of early builds do not say of which pools shares were granted. */
+function grantableIn(
+  { state }: replicatedState.ReplicatedState,
+): core.limits.GrantableStart {
+  const pools = state.grantablePools();
+  return {
+    buckets: pools?.buckets ?? new Set(),
+    servers: pools?.servers ?? new Set(),
+    isComplete: pools !== undefined,
+  };
+}
--- a/packages/daemon/src/host/proposer.ts
+++ b/packages/daemon/src/host/proposer.ts
@@ -69,6 +69,7 @@
     case "decide-unload":
     case "forget-replica":
     case "assign-deferred":
+    case "set-grantable":
     case "quarantine":
       return false;
     default:
--- a/packages/daemon/src/metrics/mod.ts
+++ b/packages/daemon/src/metrics/mod.ts
@@ -145,6 +145,13 @@
     registers: [this.registry],
   });
 
+  readonly grantablePools = new prometheus.Gauge({
+    name: "ebonypath_grantable_pools",
+    help: "Pools of which shares may be granted, in this host's state",
+    labelNames: ["kind"],
+    registers: [this.registry],
+  });
+
   readonly quarantined = new prometheus.Gauge({
     name: "ebonypath_quarantined_requests",
     help: "Requests in quarantine, in the host's view",
--- a/packages/daemon/test/integration/metrics_test.ts
+++ b/packages/daemon/test/integration/metrics_test.ts
@@ -1,23 +1,10 @@
-import { type launcher, wait } from "@ebonypath/testing";
+import { wait } from "@ebonypath/testing";
 import { expect } from "chai";
-import * as undici from "undici";
+import { readMetric } from "./read_metric.ts";
 import * as scenarios from "./scenario.ts";
 
 const LATER = { headers: { "ebonypath-tier": "later" } };
 
-/** Value of a metric at a host, if the host has it. */
-async function readMetric(
-  host: launcher.FleetHost,
-  name: string,
-): Promise<number | undefined> {
-  const answer = await undici.request(`${host.operators}/metrics`, {
-    reset: true,
-  });
-  const lines = (await answer.body.text()).split("\n");
-  const line = lines.find((one) => one.startsWith(`${name} `));
-  return line === undefined ? undefined : Number(line.slice(name.length));
-}
-
 /** Tokens beyond the burst of the workspace `partner`. */
 const TOO_MANY_TOKENS = 1_000;
 
--- a/packages/protocol/src/state/command.ts
+++ b/packages/protocol/src/state/command.ts
@@ -11,6 +11,9 @@
  */
 export const STORED_BYTES = 1_792 * 1_024;
 
+/** Most pools of a kind that one command names. */
+export const POOLS_PER_COMMAND = 256;
+
 const Index = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const Text = v.pipe(v.string(), v.maxLength(1_024));
 const Digest = v.pipe(v.string(), v.regex(/^[0-9a-f]{16,128}$/));
@@ -182,6 +185,15 @@
     host: backend.Name,
     hostIncarnation: backend.Name,
   }),
+  /** Sets whether leaders may grant shares of some pools. */
+  v.object({
+    kind: v.literal("set-grantable"),
+    /** Workspaces. */
+    buckets: v.pipe(v.array(Text), v.maxLength(POOLS_PER_COMMAND)),
+    /** Server processes: names with incarnations. */
+    servers: v.pipe(v.array(Text), v.maxLength(POOLS_PER_COMMAND)),
+    isGrantable: v.boolean(),
+  }),
   /** Accepts a deferred request. */
   v.object({
     kind: v.literal("accept-deferred"),
