Pass announcements on in full only when their content is new

Cause: a host passed each announcement of a backend server on in full, in a message of its own, once a second; that took about half of the bytes of an entry host and most of the leader's. The content seldom changes: only the counts and the sequence do.

Change: a host sends an announcement in full when its content differs from the one that the leader took last, else a heartbeat with a digest of the content, its counts and its age, in the next exchange. The leader restores the announcement from the content it knows, or answers with the servers whose content it does not know, and the host sends these in full at once. A held announcement counts from when the host received it, so a server is found dead as soon as before, and a heartbeat from before a death does not revive it. A host whose heartbeats were lost asks for an exchange at once.

Tests: a table of faults and 60 random worlds compare the leader with one that gets everything in full; eight broken variants (no digest, no age, no request for what is not known and so on) fail. Integration: placement, leader_death, departures, crash, control, domain_and_leader pass.

A decision that waits for an announcement made after some time may wait for up to a second more.

--- a/packages/core/src/placement/fleet.ts
+++ b/packages/core/src/placement/fleet.ts
@@ -12,6 +12,8 @@
   readonly heardMs: number;
   /** A host has found it dead since it was heard last. */
   readonly isDown: boolean;
+  /** When a host found its incarnation dead; -Infinity if none did. */
+  readonly downMs: number;
 }
 
 /**
@@ -26,27 +28,39 @@
   /** Ids in their order; undefined when they have changed. */
   #ids: string[] | undefined;
 
-  /** Takes an announcement; false if it is older than the known one. */
+  /**
+   * Takes an announcement; false if it is older than the known one.
+   *
+   * @param heardMs when a host received it: one that was held there does not
+   *   show that the server still lives
+   */
   hear(
     announcement: protocol.backend.Announcement,
-    nowMs: number,
+    heardMs: number,
   ): boolean {
     const known = this.#servers.get(announcement.id);
-    if (known === undefined) return this.#add(announcement, nowMs);
+    if (known === undefined) return this.#add(announcement, heardMs);
     if (known.announcement.incarnation === announcement.incarnation) {
       if (announcement.sequence <= known.announcement.sequence) return false;
-      const heard = { ...known, announcement, heardMs: nowMs, isDown: false };
-      this.#servers.set(announcement.id, heard);
+      this.#servers.set(announcement.id, {
+        ...known,
+        announcement,
+        heardMs: Math.max(known.heardMs, heardMs),
+        isDown: heardMs < known.downMs,
+      });
       return true;
     }
-    if (nowMs - known.firstHeardMs <= types.ANNOUNCEMENT_DELAY_MS) return false;
-    return this.#add(announcement, nowMs);
+    if (heardMs - known.firstHeardMs <= types.ANNOUNCEMENT_DELAY_MS) {
+      return false;
+    }
+    return this.#add(announcement, heardMs);
   }
 
   /** Takes a host's word that an incarnation is dead, until it is heard. */
-  markDown(id: string, incarnation: string): void {
+  markDown(id: string, incarnation: string, nowMs: number): void {
     const known = this.incarnation(id, incarnation);
-    if (known !== undefined) this.#servers.set(id, { ...known, isDown: true });
+    if (known === undefined) return;
+    this.#servers.set(id, { ...known, isDown: true, downMs: nowMs });
   }
 
   get(id: string): Server | undefined {
@@ -87,15 +101,16 @@
 
   #add(
     announcement: protocol.backend.Announcement,
-    nowMs: number,
+    heardMs: number,
   ): boolean {
     const isNew = !this.#servers.has(announcement.id);
     if (isNew && this.#servers.size >= MAX_SERVERS) return false;
     const server = {
       announcement,
-      firstHeardMs: nowMs,
-      heardMs: nowMs,
+      firstHeardMs: heardMs,
+      heardMs,
       isDown: false,
+      downMs: Number.NEGATIVE_INFINITY,
     };
     this.#servers.set(announcement.id, server);
     if (isNew) this.#ids = undefined;
--- a/packages/core/src/placement/placement.ts
+++ b/packages/core/src/placement/placement.ts
@@ -55,20 +55,24 @@
     };
   }
 
-  /** Takes an announcement; false if a newer one is known. */
+  /**
+   * Takes an announcement; false if a newer one is known.
+   *
+   * @param heardMs when a host received it
+   */
   hear(
     announcement: protocol.backend.Announcement,
-    nowMs: number,
+    heardMs: number,
   ): boolean {
-    return this.#servers.hear(announcement, nowMs);
+    return this.#servers.hear(announcement, heardMs);
   }
 
   /**
    * Takes a host's word that a server process is dead. Its replicas serve no
-   * demand until it is heard again; its decisions are kept.
+   * demand until a host hears it again; its decisions are kept.
    */
-  markDown(server: string, incarnation: string): void {
-    this.#servers.markDown(server, incarnation);
+  markDown(server: string, incarnation: string, nowMs: number): void {
+    this.#servers.markDown(server, incarnation, nowMs);
   }
 
   /** Takes what one host wants; it replaces the host's earlier report. */
--- a/packages/core/test/placement/placed_index_test.ts
+++ b/packages/core/test/placement/placed_index_test.ts
@@ -201,7 +201,7 @@
     const incarnation = `i${this.#incarnations[server]}`;
     if (kind === "restart") this.#incarnations[server]! += 1;
     for (const { fleet } of this.#sides) {
-      fleet.markDown(`s${server}`, incarnation);
+      fleet.markDown(`s${server}`, incarnation, this.#nowMs);
     }
   }
 
--- a/packages/core/test/placement/world.ts
+++ b/packages/core/test/placement/world.ts
@@ -6,6 +6,8 @@
 /** Which faults a world provokes, as chances per second or per message. */
 export interface Faults {
   readonly lostAnnouncement: number;
+  /** Announcements that a host holds before it passes them on. */
+  readonly heldAnnouncement: number;
   readonly lostOrder: number;
   readonly lostAnswer: number;
   readonly restart: number;
@@ -16,6 +18,7 @@
 
 export const NO_FAULTS: Faults = {
   lostAnnouncement: 0,
+  heldAnnouncement: 0,
   lostOrder: 0,
   lostAnswer: 0,
   restart: 0,
@@ -26,6 +29,7 @@
 
 export const ALL_FAULTS: Faults = {
   lostAnnouncement: 0.1,
+  heldAnnouncement: 0.5,
   lostOrder: 0.1,
   lostAnswer: 0.15,
   restart: 0.01,
@@ -56,6 +60,8 @@
   readonly runningOn?: placement.Facts["runningOn"];
 }
 
+/** Longest time for which a host holds an announcement. */
+const LONGEST_HELD_MS = 1_500;
 /** Time between two rounds of planning. */
 const TICK_MS = 100;
 
@@ -179,8 +185,11 @@
       !this.chance(faults.lostAnnouncement)
     ) {
       const delayMs = this.chance(0.3) ? this.between(0, 1_900) : 2;
-      this.#after(delayMs, () => {
-        this.placement.hear(announcement, this.nowMs);
+      const isHeld = faults.heldAnnouncement > 0 &&
+        this.chance(faults.heldAnnouncement);
+      const heldMs = isHeld ? this.between(0, LONGEST_HELD_MS) : 0;
+      this.#after(delayMs + heldMs, () => {
+        this.placement.hear(announcement, this.nowMs - heldMs);
       });
     }
     this.#after(1_000, () => this.#announce(server));
--- a/packages/daemon/src/backend/mod.ts
+++ b/packages/daemon/src/backend/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./announcement_listener.ts";
+export * from "./content_digest.ts";
 export * from "./event_stream.ts";
 export { InferenceClient } from "./inference_client.ts";
 export * from "./order_client.ts";
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -11,7 +11,7 @@
 import * as fleet from "../fleet/mod.ts";
 import * as log from "../log/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
-import * as announcementNews from "./announcement_news.ts";
+import * as announcementIntake from "./announcement_intake.ts";
 import * as buckets from "./bucket_table.ts";
 import * as deferredDriver from "./deferred_driver.ts";
 import * as grantDriver from "./grant_driver.ts";
@@ -64,6 +64,7 @@
   readonly #grants: grantDriver.GrantDriver;
   readonly #placement: placementDriver.PlacementDriver;
   readonly #servers: servers.ServerTable;
+  readonly #intake: announcementIntake.AnnouncementIntake;
   readonly #deferred: deferredDriver.DeferredDriver;
   readonly #upkeep: upkeep.Upkeep;
   readonly #suspicion: suspicionDriver.SuspicionDriver;
@@ -98,6 +99,10 @@
     }, now);
     const { placement } = this.#placement;
     this.#servers = new servers.ServerTable(this.#shares, placement);
+    this.#intake = new announcementIntake.AnnouncementIntake({
+      placement,
+      servers: this.#servers,
+    });
     this.#deferred = new deferredDriver.DeferredDriver({
       replicated,
       placement,
@@ -166,7 +171,11 @@
       request.suspicions,
       now,
     );
-    this.#takeDeaths(request.suspicions);
+    const unrecognized = this.#intake.takeHeartbeats(
+      request.heartbeats ?? [],
+      now,
+    );
+    this.#takeDeaths(request.suspicions, now);
     if (request.demand.some((row) => row.waiting > 0)) this.#planFor(now);
     const shares = request.shares === undefined
       ? {}
@@ -178,22 +187,16 @@
       ...shares,
       watched,
       ...this.#deferred.handedTo(host),
+      ...(unrecognized.length === 0 ? {} : { unrecognized }),
     };
   }
 
   /** Takes announcements that an entry host passed on. */
-  announce(announcements: readonly protocol.backend.Announcement[]): void {
-    const now = performance.now();
-    const { placement } = this.#placement;
-    let isNews = false;
-    for (const announcement of announcements) {
-      const known = placement.heard(announcement.id);
-      if (!placement.hear(announcement, now)) continue;
-      this.#servers.hear(announcement, now);
-      isNews ||= announcementNews.isNews(known, announcement);
-    }
+  announce(
+    announcements: readonly protocol.control.RelayedAnnouncement[],
+  ): void {
     // Anything else is seen at the next tick: many servers announce themselves.
-    if (isNews) this.#planSoon();
+    if (this.#intake.take(announcements, performance.now())) this.#planSoon();
   }
 
   /** Ends the leadership: the hosts look for the next leader. */
@@ -223,10 +226,11 @@
   /** A dead server's models are wanted elsewhere at once. */
   #takeDeaths(
     reports: readonly protocol.suspicion.SuspicionReport[],
+    now: number,
   ): void {
     const deaths = reports.filter((report) => report.kind === "death");
     for (const { server, incarnation } of deaths) {
-      this.#placement.placement.markDown(server, incarnation);
+      this.#placement.placement.markDown(server, incarnation, now);
     }
     if (deaths.length === 0) return;
     this.#planSoon();
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -59,6 +59,7 @@
   readonly #exchanger: host.Exchanger;
   readonly #proposals: host.PersistentProposals;
   readonly #stop = new AbortController();
+  readonly #relay: host.AnnouncementRelay;
   #entry: entryRole.EntryRole | undefined;
   #control: controlRole.ControlRole | undefined;
   readonly #listeners = new Map<settings.ListenerName, listener.Listener>();
@@ -102,6 +103,10 @@
     if (own.roles.includes("entry")) {
       this.#entry = this.#createEntry(proposer);
     }
+    this.#relay = new host.AnnouncementRelay({
+      leader: this.#leader,
+      requestExchange: () => this.#exchanger.request(),
+    });
     this.#exchanger = new host.Exchanger({
       identity: this.identity,
       roles: own.roles,
@@ -109,6 +114,7 @@
       shares: this.#shares,
       state: this.state,
       reporter: this.#entry ?? host.SILENT_REPORTER,
+      announcements: this.#relay,
       isDraining: () => this.#draining,
     });
   }
@@ -243,9 +249,6 @@
       );
     }
     if (listen.backends === undefined || joinToken === undefined) return;
-    const relay = this.#resources.use(
-      new host.AnnouncementRelay(this.#leader),
-    );
     await this.#listen(
       "backends",
       listen.backends,
@@ -253,7 +256,7 @@
         joinToken,
         allowedAddresses: backends?.allowedAddresses ?? [],
         isCurrent: () => this.state.isCurrent(performance.now()),
-        onAnnouncement: (announcement) => relay.add(announcement),
+        onAnnouncement: (announcement) => this.#relay.add(announcement),
       }),
     );
   }
@@ -261,6 +264,7 @@
   /** Follows the leader: exchanges, feed and what depends on them. */
   #follow(): void {
     this.#resources.use(this.#exchanger);
+    this.#resources.use(this.#relay);
     this.#resources.use(this.#proposals);
     this.#exchanger.on("answered", (answer) => this.#onAnswered(answer));
     this.#exchanger.on(
--- a/packages/daemon/src/fleet/leader_client.ts
+++ b/packages/daemon/src/fleet/leader_client.ts
@@ -25,6 +25,12 @@
   readonly repeatable: boolean;
 }
 
+/**
+ * Parameters of a call, or what makes them anew for each attempt: those that
+ * tell the age of something.
+ */
+export type Params = object | (() => object);
+
 /** The part of {@link rpcClient.RpcClient} that finding a leader needs. */
 export type Caller = Pick<rpcClient.RpcClient, "call">;
 
@@ -74,7 +80,7 @@
    */
   async call(
     method: string,
-    params: unknown,
+    params: Params,
     limits: CallLimits,
   ): Promise<unknown> {
     const deadline = performance.now() + limits.totalMs;
@@ -110,7 +116,7 @@
   async #callFollowing(
     peer: string,
     method: string,
-    params: unknown,
+    params: Params,
     timeoutMs: number,
   ): Promise<unknown> {
     try {
@@ -125,11 +131,12 @@
   async #callOne(
     peer: string,
     method: string,
-    params: unknown,
+    params: Params,
     timeoutMs: number,
   ): Promise<unknown> {
     try {
-      const result = await this.#caller.call(peer, method, params, timeoutMs);
+      const rendered = typeof params === "function" ? params() : params;
+      const result = await this.#caller.call(peer, method, rendered, timeoutMs);
       this.#leader = peer;
       this.#silent.delete(peer);
       return result;
--- a/packages/daemon/src/host/announcement_relay.ts
+++ b/packages/daemon/src/host/announcement_relay.ts
@@ -1,28 +1,65 @@
 import * as protocol from "@ebonypath/protocol";
 import type * as fleet from "../fleet/mod.ts";
+import * as announcementBook from "./announcement_book.ts";
 
-/** Announcements within this time are passed on together, in ms. */
+/** News within this time is passed on together, in ms. */
 const COALESCING_MS = 20;
 /** Time for one try, in milliseconds. */
 const ATTEMPT_MS = 500;
 /** Time for all tries; the server announces itself again soon, in ms. */
 const TOTAL_MS = 1_000;
 
-/** Passes announcements of backend servers on to the leader, in batches. */
-export class AnnouncementRelay {
-  readonly #leader: Pick<fleet.LeaderClient, "call">;
-  /** The latest announcement of each server that is to be sent. */
-  readonly #waiting = new Map<string, protocol.backend.Announcement>();
+/** What a relay works with. */
+export interface AnnouncementRelayOptions {
+  readonly leader: Pick<fleet.LeaderClient, "call">;
+  /** Asks for an exchange: a heartbeat must not wait for the next one. */
+  requestExchange(): void;
+}
+
+/**
+ * Passes announcements of backend servers on to the leader: news in full and
+ * in batches, the rest as heartbeats in the exchanges of the host.
+ */
+export class AnnouncementRelay implements Disposable {
+  readonly #options: AnnouncementRelayOptions;
+  readonly #book = new announcementBook.AnnouncementBook();
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(leader: Pick<fleet.LeaderClient, "call">) {
-    this.#leader = leader;
+  constructor(options: AnnouncementRelayOptions) {
+    this.#options = options;
   }
 
   /** Takes an announcement; a later one of the same server replaces it. */
   add(announcement: protocol.backend.Announcement): void {
-    this.#waiting.set(announcement.id, announcement);
-    this.#timer ??= setTimeout(() => this.#send(), COALESCING_MS);
+    const form = this.#book.add(announcement, performance.now());
+    switch (form.kind) {
+      case "full":
+        this.#timer ??= setTimeout(() => this.#send(), COALESCING_MS);
+        return;
+      case "heartbeat":
+        if (form.isUrgent) this.#options.requestExchange();
+        return;
+      case "dropped":
+        return;
+      default:
+        protocol.errors.assertNever(form);
+    }
+  }
+
+  /** Takes the heartbeats for an exchange. */
+  takeHeartbeats(): announcementBook.Held[] {
+    return this.#book.takeHeartbeats(performance.now());
+  }
+
+  /** Gives heartbeats back whose exchange failed. */
+  returnHeartbeats(sent: readonly announcementBook.Held[]): void {
+    this.#book.giveBack(sent);
+  }
+
+  /** Sends announcements in full whose content the leader does not know. */
+  sendInFull(ids: readonly string[]): void {
+    this.#book.unrecognized(ids);
+    this.#send();
   }
 
   [Symbol.dispose](): void {
@@ -30,15 +67,32 @@
   }
 
   #send(): void {
+    clearTimeout(this.#timer);
     this.#timer = undefined;
-    const announcements = [...this.#waiting.values()];
-    this.#waiting.clear();
-    this.#leader.call(
-      protocol.control.ANNOUNCE_METHOD,
-      { announcements },
-      { attemptMs: ATTEMPT_MS, totalMs: TOTAL_MS, repeatable: true },
-    ).catch(() => {
+    let batch = this.#book.takeFull(performance.now());
+    while (batch.length > 0) {
+      void this.#pass(batch);
+      batch = this.#book.takeFull(performance.now());
+    }
+  }
+
+  async #pass(batch: readonly announcementBook.Held[]): Promise<void> {
+    try {
+      await this.#options.leader.call(
+        protocol.control.ANNOUNCE_METHOD,
+        () => ({ announcements: rendered(batch) }),
+        { attemptMs: ATTEMPT_MS, totalMs: TOTAL_MS, repeatable: true },
+      );
+      this.#book.passed(batch);
+    } catch {
       // The servers announce themselves again within a second.
-    });
+    }
   }
 }
+
+function rendered(
+  batch: readonly announcementBook.Held[],
+): protocol.control.RelayedAnnouncement[] {
+  const now = performance.now();
+  return batch.map((held) => announcementBook.messageOf(held, now));
+}
--- a/packages/daemon/src/host/exchanger.ts
+++ b/packages/daemon/src/host/exchanger.ts
@@ -9,6 +9,8 @@
 import * as v from "valibot";
 import type * as fleet from "../fleet/mod.ts";
 import * as log from "../log/mod.ts";
+import * as announcementBook from "./announcement_book.ts";
+import type * as announcementRelay from "./announcement_relay.ts";
 import type * as fleetState from "./fleet_state.ts";
 
 const write = log.createLog("exchange");
@@ -24,6 +26,9 @@
 /** Time for one exchange, over all control hosts, in milliseconds. */
 const TOTAL_MS = 1_500;
 
+/** An exchange as it is sent. */
+type ExchangeMessage = v.InferInput<typeof protocol.control.ExchangeRequest>;
+
 /** What a host reports besides its shares. */
 export interface Reporter {
   demand(): protocol.control.Demand[];
@@ -36,6 +41,12 @@
   deferredCapacity(): number;
 }
 
+/** The announcements of backend servers that go with exchanges. */
+export type Announcements = Pick<
+  announcementRelay.AnnouncementRelay,
+  "takeHeartbeats" | "returnHeartbeats" | "sendInFull"
+>;
+
 /** What an exchanger works with. */
 export interface ExchangerOptions {
   readonly identity: protocol.control.HostIdentity;
@@ -44,6 +55,7 @@
   readonly shares: core.limits.ShareHolder;
   readonly state: fleetState.FleetState;
   readonly reporter: Reporter;
+  readonly announcements: Announcements;
   isDraining(): boolean;
 }
 
@@ -126,13 +138,14 @@
   }
 
   async #exchange(): Promise<void> {
-    const { shares, state, reporter } = this.#options;
+    const { announcements, shares, state, reporter } = this.#options;
+    const heartbeats = announcements.takeHeartbeats();
     const suspicions = reporter.takeSuspicions();
     const sentAt = performance.now();
     const report = shares.report(sentAt, this.#isRecalled);
     const lingering = reporter.lingering();
     this.#isRecalled = false;
-    const request: protocol.control.ExchangeRequest = {
+    const request: ExchangeMessage = {
       host: this.#options.identity,
       roles: [...this.#options.roles],
       version: state.view.version,
@@ -146,21 +159,26 @@
       deferredCapacity: reporter.deferredCapacity(),
     };
     try {
-      const answer = await this.#call(request);
+      const answer = await this.#call(() =>
+        withHeartbeats(request, heartbeats)
+      );
       if (answer.shares !== undefined) {
         shares.accept(answer.shares, performance.now());
       }
       state.confirm(sentAt, answer.viewIndex);
+      const { unrecognized = [] } = answer;
+      if (unrecognized.length > 0) announcements.sendInFull(unrecognized);
       this.emit("answered", answer);
     } catch (error) {
       reporter.returnSuspicions(suspicions);
+      announcements.returnHeartbeats(heartbeats);
       write("failed", { error });
       this.emit("failed", error);
     }
   }
 
   async #call(
-    request: protocol.control.ExchangeRequest,
+    request: () => ExchangeMessage,
   ): Promise<protocol.control.ExchangeResponse> {
     const answer = await this.#options.leader.call(
       protocol.control.EXCHANGE_METHOD,
@@ -171,6 +189,17 @@
   }
 }
 
+/** Adds heartbeats, with their ages at this moment. */
+function withHeartbeats(
+  request: ExchangeMessage,
+  held: readonly announcementBook.Held[],
+): ExchangeMessage {
+  if (held.length === 0) return request;
+  const now = performance.now();
+  const heartbeats = held.map((one) => announcementBook.heartbeatOf(one, now));
+  return { ...request, heartbeats };
+}
+
 /** Reports nothing: for hosts without the entry role. */
 export const SILENT_REPORTER: Reporter = {
   demand: () => [],
--- a/packages/daemon/src/host/mod.ts
+++ b/packages/daemon/src/host/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export type { Held } from "./announcement_book.ts";
 export * from "./announcement_relay.ts";
 export * from "./exchanger.ts";
 export * from "./fleet_state.ts";
--- a/packages/daemon/test/fleet/leader_client_test.ts
+++ b/packages/daemon/test/fleet/leader_client_test.ts
@@ -25,4 +25,19 @@
     expect(await client.call("m", {}, LIMITS)).to.equal("done");
     expect(asked).to.deep.equal(["leader"]);
   });
+
+  it("makes parameters anew for each attempt", async () => {
+    const sent: unknown[] = [];
+    const client = new fleet.LeaderClient({
+      call(peer, method, params) {
+        sent.push(params);
+        if (sent.length === 2) return Promise.resolve("done");
+        const lost = new fleet.OutcomeUnknown(method, peer, "no answer");
+        return Promise.reject(lost);
+      },
+    }, ["host-1", "host-2"]);
+    let made = 0;
+    await client.call("m", () => ({ made: ++made }), LIMITS);
+    expect(sent).to.deep.equal([{ made: 1 }, { made: 2 }]);
+  });
 });
--- a/packages/protocol/src/control/exchange.ts
+++ b/packages/protocol/src/control/exchange.ts
@@ -7,6 +7,11 @@
 /** Most models and services that one exchange may mention. */
 const LISTED_TARGETS = 20_000;
 
+/** Most announcements that are passed on in one message. */
+export const RELAYED_AT_ONCE = 1_024;
+/** Longest digest of an announcement, in characters. */
+const DIGEST_LENGTH = 64;
+
 const Count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 
 /** A process of the fleet, told apart from its earlier starts. */
@@ -39,6 +44,35 @@
 });
 export type Lingering = v.InferOutput<typeof Lingering>;
 
+/** Time for which a host held something before it sent it, in ms. */
+const Age = v.pipe(v.number(), v.minValue(0));
+
+/** An announcement of a backend server that a host passes on. */
+export const RelayedAnnouncement = v.object({
+  ...backend.Announcement.entries,
+  /** Time since the host received it. */
+  ageMs: Age,
+});
+export type RelayedAnnouncement = v.InferOutput<typeof RelayedAnnouncement>;
+
+/**
+ * Stands for an announcement whose content the leader is expected to know:
+ * only the counts and the sequence differ from the announcement before.
+ */
+export const ServerHeartbeat = v.object({
+  id: backend.Name,
+  /** Names the content, including the incarnation. */
+  digest: v.pipe(v.string(), v.maxLength(DIGEST_LENGTH)),
+  sequence: Count,
+  /** Absent when there are none. */
+  running: v.optional(Count, 0),
+  /** Absent when there are none. */
+  queued: v.optional(Count, 0),
+  /** Time since the host received the announcement. */
+  ageMs: Age,
+});
+export type ServerHeartbeat = v.InferOutput<typeof ServerHeartbeat>;
+
 /** A deferred request handed to a host for execution. */
 export const Assignment = v.object({
   id: v.string(),
@@ -79,6 +113,10 @@
   ),
   /** Deferred requests that the host can take now. */
   deferredCapacity: Count,
+  /** Backend servers that announced themselves; absent when there are none. */
+  heartbeats: v.optional(
+    v.pipe(v.array(ServerHeartbeat), v.maxLength(LISTED_TARGETS)),
+  ),
 });
 export type ExchangeRequest = v.InferOutput<typeof ExchangeRequest>;
 
@@ -92,6 +130,11 @@
   assignments: v.array(Assignment),
   /** Assignments of the host to end: their callers want no answer any more. */
   cancellations: v.array(Cancellation),
+  /**
+   * Backend servers whose heartbeat names a content that the leader does not
+   * know: it wants their announcements. Absent when there are none.
+   */
+  unrecognized: v.optional(v.array(backend.Name)),
 });
 export type ExchangeResponse = v.InferOutput<typeof ExchangeResponse>;
 
@@ -110,7 +153,10 @@
 
 /** Parameters of {@link ANNOUNCE_METHOD}. */
 export const AnnounceRequest = v.object({
-  announcements: v.pipe(v.array(backend.Announcement), v.maxLength(1_024)),
+  announcements: v.pipe(
+    v.array(RelayedAnnouncement),
+    v.maxLength(RELAYED_AT_ONCE),
+  ),
 });
 export type AnnounceRequest = v.InferOutput<typeof AnnounceRequest>;
 
