Keep the slot of a call whose server may go on with it

Cause: a host that hears nothing ends a call and frees its slot, but over a silent connection the server does not hear of it. The proxy of the tests hid it for engines: it passed the end of a silenced connection on.

Change: such a call keeps its slot until the engine closes its side too, or until the server says, late enough, that it runs fewer requests, for 60 s at most. Grants carry what the server said last. The leader, a next leader and the death of the host count it like a running call. The proxy tells nobody of the end of a silenced connection.

A plain service that is late without being silent loses the slot for about 3 s.

--- a/packages/core/src/limits/holder.ts
+++ b/packages/core/src/limits/holder.ts
@@ -124,6 +124,19 @@
     this.#slots.get(slot.server)?.release(slot, outcome);
   }
 
+  /**
+   * Ends a request that the server may go on with, unknown to this host: its
+   * slot is given back once the server says that it runs fewer requests.
+   */
+  giveUpSlot(slot: Slot, outcome: SlotOutcome, now: number): void {
+    this.#slots.get(slot.server)?.giveUp(slot, outcome, now);
+  }
+
+  /** Gives the slot of a given-up request back: the server ended it. */
+  confirmEnd(slot: Slot): void {
+    this.#slots.get(slot.server)?.confirmEnd(slot);
+  }
+
   /** Sets which requests of `pool` wait for tokens; nothing if none does. */
   setWaitingTokens(pool: string, waiting: WaitingTokens | undefined): void {
     if (waiting !== undefined && !this.#buckets.has(pool)) {
--- a/packages/core/src/limits/slot_pool.ts
+++ b/packages/core/src/limits/slot_pool.ts
@@ -10,13 +10,11 @@
 import {
   CLOCK_DRIFT,
   LONGEST_REQUEST_MS,
+  OBSERVATION_LAG_MS,
   type ObservedOutcomes,
   SHARE_LIFETIME_MS,
 } from "./types.ts";
 
-/** Age at which a server's report of its load may still be out of date. */
-const OBSERVATION_LAG_MS = 2000;
-
 /** Slots in use at a server by a holder that the leader cannot hear. */
 type Stray = {
   /** Absent for holders that this leader has never heard. */
@@ -57,6 +55,7 @@
   readonly #ledger: Ledger;
   readonly #situations = new Map<string, Situation>();
   #strays: Stray[] = [];
+  #observed: { readonly running: number; readonly at: number } | undefined;
   #limit: number;
   #isGrantable: boolean;
   /** When slots were last held, in use or wanted. */
@@ -129,6 +128,7 @@
    */
   observeRunning(running: number, now: number): void {
     this.advance(now);
+    this.#observed = { running, at: now };
     let most = running;
     for (const stray of this.#strays) {
       if (now >= stray.since + OBSERVATION_LAG_MS) {
@@ -200,6 +200,7 @@
       ...(receipt.kind === "unleased" ? {} : { continues: receipt.share.id }),
       slots,
       lifetimeMs: SHARE_LIFETIME_MS,
+      ...this.#observation(now),
     };
   }
 
@@ -255,6 +256,12 @@
     return isWanted || this.#ledger.isAdopting || this.counted() > 0;
   }
 
+  #observation(now: number): Pick<protocol.limits.SlotGrant, "observed"> {
+    if (this.#observed === undefined) return {};
+    const { running, at } = this.#observed;
+    return { observed: { running, ageMs: Math.max(0, now - at) } };
+  }
+
   #target(holder: string, report: protocol.limits.SlotReport): number {
     if (!this.#isGrantable) return 0;
     const holders = [...this.#situations.keys()];
--- a/packages/core/src/limits/slot_share.ts
+++ b/packages/core/src/limits/slot_share.ts
@@ -7,8 +7,11 @@
 import type * as protocol from "@ebonypath/protocol";
 import {
   type AcquireResult,
+  CLOCK_DRIFT,
+  GIVEN_UP_HOLD_MS,
   HOLDER_LIFETIME_FRACTION,
   LONGEST_REQUEST_MS,
+  OBSERVATION_LAG_MS,
   type Slot,
   type SlotOutcome,
 } from "./types.ts";
@@ -43,13 +46,19 @@
   readonly expiresAt: number;
 };
 
+/** What a server said of its load, and since when it must have known. */
+type Observation = { readonly running: number; readonly since: number };
+
 /**
  * One host's share of a backend server's slots. Requests that run keep counting
- * when the share shrinks or expires.
+ * when the share shrinks or expires, and so do requests that the host gave up:
+ * the server may run them still.
  */
 export class SlotShare {
   readonly #server: string;
   readonly #running = new Set<Slot>();
+  /** When each request was given up that the server may still run. */
+  readonly #givenUp = new Map<Slot, number>();
   readonly #outcomes = { succeeded: 0, refused: 0, failed: 0, slow: 0 };
   #lease: Lease | undefined;
   #waiting: WaitingSlots | undefined;
@@ -74,12 +83,12 @@
 
   /** Requests that may still be started now. */
   available(now: number): number {
-    return Math.max(0, this.#slots(now) - this.#running.size);
+    return Math.max(0, this.#slots(now) - this.#inUse(now));
   }
 
   /** Whether nothing is held, running or wanted, so that it can be forgotten. */
   isIdle(now: number): boolean {
-    return this.#slots(now) === 0 && this.#running.size === 0 &&
+    return this.#slots(now) === 0 && this.#inUse(now) === 0 &&
       this.#waiting === undefined && this.#expected === undefined &&
       this.#recentPeak(now) === 0 &&
       !this.#mayCount;
@@ -138,19 +147,36 @@
     }
   }
 
+  /**
+   * Ends a request of which the server may not know that it is given up, as
+   * on a connection that went silent. Its slot stays in use until the server
+   * says that it runs fewer requests, and for `GIVEN_UP_HOLD_MS` at most.
+   */
+  giveUp(slot: Slot, outcome: SlotOutcome, now: number): void {
+    if (!this.#running.has(slot)) return;
+    this.release(slot, outcome);
+    this.#givenUp.set(slot, now);
+  }
+
+  /** Frees the slot of a request given up: the server is known to have ended. */
+  confirmEnd(slot: Slot): void {
+    this.#givenUp.delete(slot);
+  }
+
   /** Describes the share for the exchange with this number. */
   report(exchange: number, now: number): protocol.limits.SlotReport {
     const slots = this.#slots(now);
     this.#renewal.begin(exchange, now);
     this.#mayCount = true;
-    this.#countedSlots = Math.max(slots, this.#running.size);
+    const inUse = this.#inUse(now);
+    this.#countedSlots = Math.max(slots, inUse);
     this.#waitingInReport = this.#waiting?.count ?? 0;
     this.#expectedInReport = this.#expected?.count ?? 0;
     return {
       server: this.#server,
       ...(this.#lease === undefined ? {} : { grant: this.#lease.grant }),
       slots: this.#countedSlots,
-      running: this.#running.size,
+      running: inUse,
       horizonMs: this.#horizonMs(slots, now),
       peak: this.#recentPeak(now),
       waiting: this.#waiting?.count ?? 0,
@@ -172,6 +198,7 @@
     if (reportedAt === undefined) {
       return false;
     }
+    this.#observe(grant, reportedAt);
     const expiresAt = reportedAt +
       grant.lifetimeMs * HOLDER_LIFETIME_FRACTION;
     this.#endExpired(now);
@@ -184,6 +211,31 @@
     return true;
   }
 
+  /** Frees the slots of requests that the server says it no longer runs. */
+  #observe(grant: protocol.limits.SlotGrant, reportedAt: number): void {
+    if (grant.observed === undefined) return;
+    const { running, ageMs } = grant.observed;
+    const saidAt = reportedAt - ageMs * (1 + 2 * CLOCK_DRIFT);
+    const since = saidAt - OBSERVATION_LAG_MS;
+    this.#forgetBeyond({ running, since });
+  }
+
+  /** A server can run no more of the requests given up than it runs at all. */
+  #forgetBeyond({ running, since }: Observation): void {
+    const known = [...this.#givenUp]
+      .filter(([, givenUpAt]) => givenUpAt <= since);
+    const ended = Math.max(0, known.length - running);
+    for (const [slot] of known.slice(0, ended)) this.#givenUp.delete(slot);
+  }
+
+  /** Slots in use by requests that run, or that the server may still run. */
+  #inUse(now: number): number {
+    for (const [slot, givenUpAt] of this.#givenUp) {
+      if (now >= givenUpAt + GIVEN_UP_HOLD_MS) this.#givenUp.delete(slot);
+    }
+    return this.#running.size + this.#givenUp.size;
+  }
+
   #urgency(now: number): Urgency {
     const waiting = this.#waiting?.count ?? 0;
     const isShort = this.available(now) < waiting;
@@ -194,8 +246,8 @@
       const isNews = (this.#expected?.count ?? 0) > this.#expectedInReport;
       return isNews ? "at-once" : "soon";
     }
-    const inUse = Math.max(this.#slots(now), this.#running.size);
-    return isShort || inUse < this.#countedSlots ? "soon" : "renewal";
+    const counted = Math.max(this.#slots(now), this.#inUse(now));
+    return isShort || counted < this.#countedSlots ? "soon" : "renewal";
   }
 
   /** Whether slots for the time after a load are lacking, and sought. */
@@ -225,6 +277,9 @@
     for (const slot of this.#running) {
       latest = Math.max(latest, slot.deadline);
     }
+    for (const givenUpAt of this.#givenUp.values()) {
+      latest = Math.max(latest, givenUpAt + GIVEN_UP_HOLD_MS);
+    }
     return latest - now;
   }
 
@@ -234,7 +289,7 @@
       const previous = periods === 1 ? this.#peak.current : 0;
       this.#peak = { startedAt: now, current: 0, previous };
     }
-    this.#peak.current = Math.max(this.#peak.current, this.#running.size);
+    this.#peak.current = Math.max(this.#peak.current, this.#inUse(now));
     return Math.max(this.#peak.current, this.#peak.previous);
   }
 }
--- a/packages/core/test/limits/shares_test.ts
+++ b/packages/core/test/limits/shares_test.ts
@@ -65,6 +65,7 @@
     ms: fc.integer({ min: 100, max: 20_000 }),
   }),
   weighted(3, { kind: fc.constant("release"), host }),
+  weighted(3, { kind: fc.constant("give-up"), host }),
   weighted(1, { kind: fc.constant("restart"), host }),
   weighted(1, { kind: fc.constant("fail-over"), areClosed: fc.boolean() }),
   weighted(2, { kind: fc.constant("close-unused") }),
@@ -138,6 +139,8 @@
       return fleet.acquire(index, one.ms!);
     case "release":
       return fleet.release(index);
+    case "give-up":
+      return fleet.giveUp(index);
     case "restart":
       return fleet.restart(index);
     case "fail-over":
--- a/packages/daemon/src/backend/connections.ts
+++ b/packages/daemon/src/backend/connections.ts
@@ -1,3 +1,4 @@
+import type * as net from "node:net";
 import * as undici from "undici";
 
 /** Longest time to open a connection, in milliseconds. */
@@ -11,8 +12,10 @@
 /** Most servers whose connections are kept. */
 const POOLS = 2_048;
 
+const CONNECT_OPTIONS = { timeout: CONNECT_TIMEOUT_MS, noDelay: true };
+
 const CLIENT_OPTIONS = {
-  connect: { timeout: CONNECT_TIMEOUT_MS, noDelay: true },
+  connect: CONNECT_OPTIONS,
   pipelining: 1,
   keepAliveTimeout: IDLE_MS,
   keepAliveMaxTimeout: IDLE_MS,
@@ -22,6 +25,37 @@
   bodyTimeout: 0,
 } satisfies undici.Client.Options;
 
+/** Options of a request that has to find its socket. */
+export interface TrackedOptions extends undici.Dispatcher.DispatchOptions {
+  /** Told how to find the socket, once the request has begun. */
+  readonly useSocket: (socketOf: () => net.Socket | undefined) => void;
+}
+
+/** A client with one connection, whose socket requests can find. */
+class Client extends undici.Client {
+  #socket: net.Socket | undefined;
+
+  constructor(origin: string | URL, options: undici.Client.Options) {
+    const connect = undici.buildConnector(CONNECT_OPTIONS);
+    super(origin, {
+      ...options,
+      connect: (target, callback) =>
+        connect(target, (...result: Parameters<typeof callback>) => {
+          this.#socket = result[1] ?? undefined;
+          callback(...result);
+        }),
+    });
+  }
+
+  override dispatch(
+    options: undici.Dispatcher.DispatchOptions & Partial<TrackedOptions>,
+    handler: undici.Dispatcher.DispatchHandler,
+  ): boolean {
+    options.useSocket?.(() => this.#socket);
+    return super.dispatch(options, handler);
+  }
+}
+
 /**
  * Opens a client for one request; destroy it after use.
  *
@@ -31,7 +65,7 @@
  * ```
  */
 export function freshClient(origin: string): undici.Client {
-  return new undici.Client(origin, CLIENT_OPTIONS);
+  return new Client(origin, CLIENT_OPTIONS);
 }
 
 /**
@@ -58,6 +92,7 @@
     const pool = new undici.Pool(origin, {
       ...CLIENT_OPTIONS,
       clientTtl: MAX_AGE_MS,
+      factory: (target, options) => new Client(target, options),
     });
     this.#evict();
     this.#pools.set(origin, pool);
--- a/packages/daemon/src/backend/inference_client.ts
+++ b/packages/daemon/src/backend/inference_client.ts
@@ -43,6 +43,7 @@
       firstByteTimeoutMs: request.firstByteTimeoutMs,
       idleTimeoutMs: request.idleTimeoutMs,
       signal: request.signal,
+      ...request.onHungUp === undefined ? {} : { onHungUp: request.onHungUp },
       onClose: (isWhole) => {
         if (fresh !== undefined) connections.closeFresh(fresh, isWhole);
       },
@@ -110,7 +111,11 @@
   options: undici.Dispatcher.DispatchOptions,
 ): void {
   try {
-    dispatcher.dispatch(options, handler);
+    const tracked: connections.TrackedOptions = {
+      ...options,
+      useSocket: (socketOf) => handler.useSocket(socketOf),
+    };
+    dispatcher.dispatch(tracked, handler);
   } catch (error) {
     handler.failToConnect(error as Error);
   }
--- a/packages/daemon/src/backend/types.ts
+++ b/packages/daemon/src/backend/types.ts
@@ -34,6 +34,11 @@
   readonly idleTimeoutMs: number;
   /** Ends the request and closes its connection. */
   readonly signal: AbortSignal;
+  /**
+   * Runs once if the server closes its side too, after the request was ended
+   * here: the server knows of it.
+   */
+  readonly onHungUp?: () => void;
 }
 
 /** Why no answer came. */
--- a/packages/daemon/src/entry/attempt.ts
+++ b/packages/daemon/src/entry/attempt.ts
@@ -30,6 +30,11 @@
     readonly bytesSent: boolean;
     /** Whether a part of the answer reached the caller. */
     readonly bytesToCaller: boolean;
+    /**
+     * Whether this host ended the try because nothing came: over a connection
+     * that went silent the server does not hear of it and goes on.
+     */
+    readonly isGivenUp: boolean;
     readonly detail: string;
   };
 
@@ -45,6 +50,8 @@
   readonly firstByteTimeoutMs: number;
   /** Use a connection of its own. */
   readonly fresh: boolean;
+  /** Called once if the server has seen that a try was given up. */
+  onHungUp?(): void;
   /** Called once when the head of the answer has arrived. */
   onFirstByte(): void;
 }
@@ -74,6 +81,7 @@
     firstByteTimeoutMs: options.firstByteTimeoutMs,
     idleTimeoutMs: options.streamIdleTimeoutMs,
     signal,
+    onHungUp: () => options.onHungUp?.(),
   });
   switch (dispatch.kind) {
     case "refused":
@@ -84,6 +92,7 @@
         fault: faultOf(dispatch.fault, work),
         bytesSent: dispatch.bytesSent,
         bytesToCaller: false,
+        isGivenUp: dispatch.fault === "first-byte-timeout",
         detail: dispatch.error.message,
       };
     case "answered":
@@ -137,7 +146,7 @@
   const parts: Buffer[] = [];
   let bytes = 0;
   const late = setTimeout(
-    () => answer.body.destroy(new Error("the deadline has passed")),
+    () => answer.body.destroy(lateAnswer(options.server)),
     options.work.deadline - performance.now(),
   );
   try {
@@ -156,6 +165,11 @@
   return { kind: "answered", tokens: tokensOf(options.work, body) };
 }
 
+function lateAnswer(server: protocol.control.ServerStatus): Error {
+  const message = "the deadline has passed";
+  return new backend.SilentAnswer("dispatch", server.id, message);
+}
+
 function tokensOf(work: types.Work, body: Buffer): number {
   if (work.target === work.service) return work.tokens;
   return usage.statedTokens(body.toString("utf8")) ?? work.tokens;
@@ -168,6 +182,7 @@
     fault: "too-large",
     bytesSent: true,
     bytesToCaller: false,
+    isGivenUp: false,
     detail: `the answer has more than ${MAX_ANSWER_BYTES} bytes`,
   };
 }
@@ -178,6 +193,7 @@
     fault: "cut",
     bytesSent: true,
     bytesToCaller,
+    isGivenUp: error instanceof backend.SilentAnswer,
     detail: error instanceof Error ? error.message : String(error),
   };
 }
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -172,6 +172,8 @@
       this.#options;
     const running = { work, server: placed.server };
     let outcome: core.limits.SlotOutcome = "neutral";
+    let mayGoOn = false;
+    let isHungUp = false;
     this.#running.add(running);
     try {
       this.#checkKey(work);
@@ -187,6 +189,13 @@
         streamIdleTimeoutMs,
         firstByteTimeoutMs: this.#firstByteTimeoutMs(work, isFirst),
         fresh: !work.idempotent || !isFirst,
+        onHungUp: () => {
+          // A plain service may go on although it has closed the connection.
+          if (placed.server.kind === "plain") return;
+          isHungUp = true;
+          shares.confirmEnd(placed.slot);
+          placement.pump();
+        },
         onFirstByte: () => {
           const now = performance.now();
           metrics.firstByte.observe((now - arrivedAt) / 1_000);
@@ -194,6 +203,7 @@
           if (work.stream) this.#observeAnswer(work, sentAt);
         },
       });
+      mayGoOn = !isHungUp && this.#mayGoOn(work, result, sentAt);
       this.#observeEnd(work, result, sentAt);
       outcome = this.#isCutShort(work, result, sentAt)
         ? "neutral"
@@ -206,11 +216,30 @@
       return result;
     } finally {
       this.#running.delete(running);
-      shares.releaseSlot(placed.slot, outcome);
+      if (mayGoOn) {
+        shares.giveUpSlot(placed.slot, outcome, performance.now());
+      } else {
+        shares.releaseSlot(placed.slot, outcome);
+      }
       placement.pump();
     }
   }
 
+  /**
+   * Whether a server may still run a try that has ended here. A caller that
+   * leaves ends its try at the server, unless the connection went silent.
+   */
+  #mayGoOn(
+    work: types.Work,
+    result: attempts.AttemptResult,
+    sentAt: number,
+  ): boolean {
+    if (result.kind !== "failed" || !result.bytesSent) return false;
+    if (result.fault !== "cancelled") return result.isGivenUp;
+    const usualMs = this.#options.placement.times.silenceMs(work.target);
+    return usualMs !== undefined && performance.now() - sentAt >= usualMs;
+  }
+
   /**
    * A kept connection may have gone silent for good. The first try of what may
    * run again is given up early for it; the next one has a connection of its
--- a/packages/daemon/test/backend/inference_client_test.ts
+++ b/packages/daemon/test/backend/inference_client_test.ts
@@ -247,6 +247,44 @@
     await wait.waitFor("the end", () => fake.running === 0);
   });
 
+  for (const fresh of [false, true]) {
+    const kind = fresh ? "fresh" : "kept";
+    it(`hears that a server ended a call on a ${kind} connection`, async () => {
+      fake.faults.lateMs = 10_000;
+      let isHungUp = false;
+      const result = await client.dispatch(request(fake.address, {
+        fresh,
+        firstByteTimeoutMs: 100,
+        onHungUp: () => isHungUp = true,
+      }));
+      expect(result).to.include({ fault: "first-byte-timeout" });
+      await wait.waitFor("the end at the server", () => fake.running === 0);
+      await wait.waitFor("the news of it", () => isHungUp);
+    });
+
+    it(`hears nothing on a silent ${kind} connection`, async () => {
+      const target = fake.address.replace("http://", "");
+      await using proxy = await faultProxy.startFaultProxy({ target });
+      fake.faults.lateMs = 10_000;
+      let isHungUp = false;
+      const pending = client.dispatch(request(`http://${proxy.address}`, {
+        fresh,
+        firstByteTimeoutMs: 500,
+        onHungUp: () => isHungUp = true,
+      }));
+      await wait.waitFor("the call at the server", () => fake.running === 1);
+      proxy.blackholeOpen();
+      const result = await pending;
+      expect(result).to.include({ fault: "first-byte-timeout" });
+      // Another connection to the same server is heard meanwhile.
+      const server = { id: "runner-1", address: `http://${proxy.address}` };
+      expect(await client.probe(server)).to.deep.equal({ kind: "alive" });
+      await client[Symbol.asyncDispose]();
+      expect(isHungUp).to.equal(false);
+      expect(fake.running).to.equal(1);
+    });
+  }
+
   it("sends nothing for a request that was cancelled before", async () => {
     const dispatch = await client.dispatch(
       request(fake.address, { signal: AbortSignal.abort() }),
--- a/packages/daemon/test/entry/failed_try_test.ts
+++ b/packages/daemon/test/entry/failed_try_test.ts
@@ -16,6 +16,7 @@
     fault: "connection",
     bytesSent,
     bytesToCaller: false,
+    isGivenUp: false,
     detail: "reset",
   };
 }
--- a/packages/protocol/src/limits/mod.ts
+++ b/packages/protocol/src/limits/mod.ts
@@ -150,6 +150,13 @@
   continues: v.optional(GrantId),
   slots: Count,
   lifetimeMs: Quantity,
+  /** What the server itself last said of its load; absent if unknown. */
+  observed: v.optional(v.object({
+    /** Requests that the server runs. */
+    running: Count,
+    /** Age of what it said, in milliseconds. */
+    ageMs: Quantity,
+  })),
 });
 
 /** A share of a backend server's slots, as the leader grants it. */
--- a/packages/testing/src/fault_proxy/mod.ts
+++ b/packages/testing/src/fault_proxy/mod.ts
@@ -179,13 +179,20 @@
     };
     const connection: Connection = { link, client, target, pipes };
     this.#connections.add(connection);
-    const close = () => this.#close(connection);
     for (const socket of [client, target]) {
-      socket.on("error", close);
-      socket.on("close", close);
+      socket.on("error", () => this.#end(connection, socket));
+      socket.on("close", () => this.#end(connection, socket));
     }
   }
 
+  /** One side has ended; over a silent connection the other does not hear. */
+  #end(connection: Connection, socket: net.Socket): void {
+    const { client, pipes, target } = connection;
+    const pipe = socket === client ? pipes.toTarget : pipes.toClient;
+    const isHeard = !pipe.isBlackhole || client.destroyed && target.destroyed;
+    if (isHeard) this.#close(connection);
+  }
+
   #close(connection: Connection): void {
     if (!this.#connections.delete(connection)) return;
     connection.pipes.toTarget.stop();
--- a/packages/testing/src/fault_proxy/pipe.ts
+++ b/packages/testing/src/fault_proxy/pipe.ts
@@ -32,6 +32,11 @@
     this.#flow();
   }
 
+  /** Whether everything is dropped, also the end of the stream. */
+  get isBlackhole(): boolean {
+    return this.#isBlackhole;
+  }
+
   /** Drops everything from now on, for good. */
   blackhole(): void {
     this.#isBlackhole = true;
