Find an unused connection without looking through all of them

Cause: undici's pool goes through its connections from the first one to find an unused one, and asks the clock for each. Ruled out: connections opened anew, 38 of 5,600 requests.

Change: kept connections of a server are a stack of clients; a request takes the one used last and gives it back after a whole answer. Age, idle time and retirement are as before.

--- a/packages/daemon/src/backend/inference_client.ts
+++ b/packages/daemon/src/backend/inference_client.ts
@@ -34,7 +34,9 @@
    */
   async dispatch(request: types.DispatchRequest): Promise<types.Dispatch> {
     const { address } = request.server;
-    const fresh = request.fresh ? connections.freshClient(address) : undefined;
+    const connection = request.fresh
+      ? freshConnection(address)
+      : this.#connections.acquire(address);
     const handler = new exchange.Exchange({
       peer: request.server.id,
       method: request.method,
@@ -44,12 +46,9 @@
       idleTimeoutMs: request.idleTimeoutMs,
       signal: request.signal,
       ...request.onHungUp === undefined ? {} : { onHungUp: request.onHungUp },
-      onClose: (isWhole) => {
-        if (fresh !== undefined) connections.closeFresh(fresh, isWhole);
-      },
+      onClose: (isWhole) => connection.release(isWhole),
     });
-    const dispatcher = fresh ?? this.#connections.pool(address);
-    start(dispatcher, handler, {
+    start(connection.client, handler, {
       method: request.method as undici.Dispatcher.HttpMethod,
       path: request.path,
       headers: outgoingHeaders(request),
@@ -121,6 +120,15 @@
   }
 }
 
+/** A connection for one request alone. */
+function freshConnection(origin: string): connections.Connection {
+  const client = connections.freshClient(origin);
+  return {
+    client,
+    release: (isWhole) => connections.closeClient(client, isWhole),
+  };
+}
+
 function outgoingHeaders(request: types.DispatchRequest): headers.Headers {
   return {
     ...headers.requestHeaders(request.headers),
--- a/packages/daemon/src/backend/order_client.ts
+++ b/packages/daemon/src/backend/order_client.ts
@@ -53,7 +53,7 @@
     firstByteTimeoutMs: deadlineMs,
     idleTimeoutMs: ANSWER_MARGIN_MS,
     signal,
-    onClose: (isWhole) => connections.closeFresh(client, isWhole),
+    onClose: (isWhole) => connections.closeClient(client, isWhole),
   });
   inferenceClient.start(client, handler, {
     method: "POST",
