Send fewer bytes that say nothing between hosts

Cause: of the 750 bytes of an exchange 190 and 165 were headers and about 80 named empty lists; a heartbeat of the feed took 87 bytes for an index that nobody read. Counted on the wire of one call.

Change: answers on the fleet listener carry their length and no other header; requests name no content type; empty lists of an exchange are left out; the heartbeat of the feed is an empty line. Ages of heartbeats of servers are taken when an exchange arrives, not after it waited for the log, so that an announcement never seems newer than it is. `control-cost` takes `--hosts`.

--- a/packages/benchmark/src/experiments/control_cost.ts
+++ b/packages/benchmark/src/experiments/control_cost.ts
@@ -47,6 +47,7 @@
     vary: `one of ${Object.keys(SIZES).join(", ")}; servers by default`,
     values: "sizes to measure, separated by commas",
     voters: "control hosts; 3 by default",
+    hosts: "hosts, unless they are varied; 3 by default",
     window: "seconds for each measurement; 5 by default",
   },
   run,
@@ -59,7 +60,8 @@
   const values = options.settings["values"]?.split(",").map(Number) ?? defaults;
   const windowMs = Number(options.settings["window"] ?? 5) * 1_000;
   const voters = harness.voters(options);
-  const sizes = values.map((value) => ({ ...BASE, [vary]: value }));
+  const hosts = Number(options.settings["hosts"] ?? BASE.hosts);
+  const sizes = values.map((value) => ({ ...BASE, hosts, [vary]: value }));
   const measured: Measured[] = [];
   let fleet: launcher.Fleet | undefined;
   try {
--- a/packages/daemon/src/control/control_node.ts
+++ b/packages/daemon/src/control/control_node.ts
@@ -168,9 +168,13 @@
 
   async #exchange(
     request: protocol.control.ExchangeRequest,
-  ): Promise<protocol.control.ExchangeResponse> {
+  ): Promise<leaderships.ExchangeAnswer> {
+    const receivedAt = performance.now();
     await this.#require("exchange").prepare(request);
-    return this.#underLease("exchange", (one) => one.exchange(request));
+    return this.#underLease(
+      "exchange",
+      (one) => one.exchange(request, receivedAt),
+    );
   }
 
   /** Runs a step and gives its result only if the lease outlived it. */
--- a/packages/daemon/src/control/host_registry.ts
+++ b/packages/daemon/src/control/host_registry.ts
@@ -46,7 +46,7 @@
       appliedIndex: request.appliedIndex,
       draining: request.draining,
       demand: request.demand,
-      lingering: request.lingering ?? [],
+      lingering: request.lingering,
       deferredCapacity: request.deferredCapacity,
     });
   }
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -6,7 +6,8 @@
  */
 import type * as http from "node:http";
 import * as core from "@ebonypath/core";
-import type * as protocol from "@ebonypath/protocol";
+import * as protocol from "@ebonypath/protocol";
+import type * as v from "valibot";
 import * as feed from "../feed/mod.ts";
 import * as fleet from "../fleet/mod.ts";
 import * as log from "../log/mod.ts";
@@ -41,6 +42,11 @@
  */
 const FIRST_LEADERSHIP_INDEX = 2;
 
+/** An answer as it is sent. */
+export type ExchangeAnswer = v.InferInput<
+  typeof protocol.control.ExchangeResponse
+>;
+
 /** What a leadership works with. */
 export interface LeadershipOptions {
   readonly term: number;
@@ -146,10 +152,15 @@
     await this.#grants.openFor(request.shares);
   }
 
-  /** Answers the exchange of a host. */
+  /**
+   * Answers the exchange of a host.
+   *
+   * @param receivedAt when the request came; monotonic, in milliseconds
+   */
   exchange(
     request: protocol.control.ExchangeRequest,
-  ): protocol.control.ExchangeResponse {
+    receivedAt: number,
+  ): ExchangeAnswer {
     const { replicated, term } = this.#options;
     const { host } = request;
     if (request.appliedIndex > replicated.appliedIndex) {
@@ -172,8 +183,8 @@
       now,
     );
     const unrecognized = this.#intake.takeHeartbeats(
-      request.heartbeats ?? [],
-      now,
+      request.heartbeats,
+      receivedAt,
     );
     this.#takeDeaths(request.suspicions, now);
     if (request.demand.some((row) => row.waiting > 0)) this.#planFor(now);
@@ -185,9 +196,11 @@
       term,
       viewIndex: replicated.changes.index,
       ...shares,
-      watched,
-      ...this.#deferred.handedTo(host),
-      ...(unrecognized.length === 0 ? {} : { unrecognized }),
+      ...protocol.control.withoutEmpty({
+        watched,
+        ...this.#deferred.handedTo(host),
+        unrecognized,
+      }),
     };
   }
 
--- a/packages/daemon/src/feed/follower.ts
+++ b/packages/daemon/src/feed/follower.ts
@@ -100,11 +100,15 @@
   }
 }
 
-/** Applies all whole lines and returns what follows the last newline. */
+/**
+ * Applies all whole lines and returns what follows the last newline. Empty lines
+ * are heartbeats.
+ */
 function applyLines(options: FollowerOptions, text: string): string {
   const lines = text.split("\n");
   const rest = lines.pop() ?? "";
   for (const line of lines) {
+    if (line === "") continue;
     options.apply(v.parse(Notification, JSON.parse(line)).params);
   }
   if (rest.length > MAX_LINE_LENGTH) throw new RangeError("line too long");
--- a/packages/daemon/src/feed/publisher.ts
+++ b/packages/daemon/src/feed/publisher.ts
@@ -12,6 +12,9 @@
 /** A host this far behind in reading loses its link, in bytes. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 
+/** A line without an event shows that the link and the leader live. */
+const HEARTBEAT_LINE = "\n";
+
 /** What a host says when it opens its feed. */
 export const FeedRequest = v.object({
   host: v.string(),
@@ -62,19 +65,12 @@
   /** Sends one event on every link. */
   publish(event: protocol.control.FeedEvent): void {
     if (this.#links.size === 0) return;
-    const line = encode(event);
-    for (const link of this.#links) {
-      if (link.writableLength > MAX_UNSENT_BYTES) {
-        link.destroy();
-        continue;
-      }
-      link.write(line);
-    }
+    this.#write(encode(event));
   }
 
   /** Keeps the links alive; to be called only under the lease. */
   heartbeat(): void {
-    this.publish({ kind: "heartbeat", index: this.#source.changes().index });
+    this.#write(HEARTBEAT_LINE);
   }
 
   /** Ends all links: the hosts look for the next leader. */
@@ -83,6 +79,16 @@
     this.#links.clear();
   }
 
+  #write(line: string): void {
+    for (const link of this.#links) {
+      if (link.writableLength > MAX_UNSENT_BYTES) {
+        link.destroy();
+        continue;
+      }
+      link.write(line);
+    }
+  }
+
   /** What a host at `index` needs: the changes, or everything. */
   #firstEvents(index: number): protocol.control.FeedEvent[] {
     const changes = this.#source.changes().since(index);
--- a/packages/daemon/src/fleet/rpc_client.ts
+++ b/packages/daemon/src/fleet/rpc_client.ts
@@ -141,10 +141,7 @@
   }
 
   #headers(): Record<string, string> {
-    return {
-      "content-type": "application/json",
-      "authorization": `Bearer ${this.#options.secret}`,
-    };
+    return { "authorization": `Bearer ${this.#options.secret}` };
   }
 
   #origin(peer: string): string {
--- a/packages/daemon/src/fleet/rpc_server.ts
+++ b/packages/daemon/src/fleet/rpc_server.ts
@@ -136,15 +136,20 @@
   }
 }
 
+/** Ends a response with few headers: most answers are shorter than theirs. */
 function end(
   response: http.ServerResponse,
   status: number,
   body: unknown,
 ): void {
+  response.sendDate = false;
+  // Connections are kept alive by default, and clients close idle ones first.
+  response.removeHeader("connection");
   if (body === undefined) {
     response.writeHead(status).end();
     return;
   }
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(body));
+  const text = JSON.stringify(body);
+  response.writeHead(status, { "content-length": Buffer.byteLength(text) });
+  response.end(text);
 }
--- a/packages/daemon/src/host/announcement_relay.ts
+++ b/packages/daemon/src/host/announcement_relay.ts
@@ -58,6 +58,7 @@
 
   /** Sends announcements in full whose content the leader does not know. */
   sendInFull(ids: readonly string[]): void {
+    if (ids.length === 0) return;
     this.#book.unrecognized(ids);
     this.#send();
   }
--- a/packages/daemon/src/host/exchanger.ts
+++ b/packages/daemon/src/host/exchanger.ts
@@ -143,6 +143,7 @@
     const suspicions = reporter.takeSuspicions();
     const sentAt = performance.now();
     const report = shares.report(sentAt, this.#isRecalled);
+    const demand = reporter.demand();
     const lingering = reporter.lingering();
     this.#isRecalled = false;
     const request: ExchangeMessage = {
@@ -153,9 +154,7 @@
       appliedIndex: state.index,
       draining: this.#options.isDraining(),
       ...(report === undefined ? {} : { shares: report }),
-      demand: reporter.demand(),
-      ...(lingering.length === 0 ? {} : { lingering }),
-      suspicions,
+      ...protocol.control.withoutEmpty({ demand, lingering, suspicions }),
       deferredCapacity: reporter.deferredCapacity(),
     };
     try {
@@ -166,8 +165,7 @@
         shares.accept(answer.shares, performance.now());
       }
       state.confirm(sentAt, answer.viewIndex);
-      const { unrecognized = [] } = answer;
-      if (unrecognized.length > 0) announcements.sendInFull(unrecognized);
+      announcements.sendInFull(answer.unrecognized);
       this.emit("answered", answer);
     } catch (error) {
       reporter.returnSuspicions(suspicions);
--- a/packages/daemon/src/host/fleet_state.ts
+++ b/packages/daemon/src/host/fleet_state.ts
@@ -92,8 +92,6 @@
       case "exchange-wanted":
         this.emit("exchangeWanted");
         return;
-      case "heartbeat":
-        return;
       default:
         protocol.errors.assertNever(event);
     }
--- a/packages/daemon/src/replication/transport.ts
+++ b/packages/daemon/src/replication/transport.ts
@@ -153,10 +153,7 @@
       const answer = await client.request({
         path: "/rpc",
         method: "POST",
-        headers: {
-          "content-type": "application/json",
-          "authorization": `Bearer ${this.#options.secret}`,
-        },
+        headers: { "authorization": `Bearer ${this.#options.secret}` },
         body: this.#body(batch),
         signal: AbortSignal.timeout(timeoutMs),
       });
--- a/packages/daemon/test/control/host_registry_test.ts
+++ b/packages/daemon/test/control/host_registry_test.ts
@@ -19,6 +19,7 @@
     lingering,
     suspicions: [],
     deferredCapacity: 0,
+    heartbeats: [],
   };
 }
 
--- a/packages/daemon/test/fleet/rpc_test.ts
+++ b/packages/daemon/test/fleet/rpc_test.ts
@@ -52,6 +52,27 @@
     await listener.close();
   });
 
+  it("answers with no header but the length, and keeps the connection", async () => {
+    const listener = await listen(namedServer("a", "a"));
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    const ports = new Set<number | undefined>();
+    for (let count = 0; count < 2; count++) {
+      const answer = await new Promise<http.IncomingMessage>((resolve) => {
+        http.request(`http://${listener.address}/rpc`, {
+          agent,
+          method: "POST",
+          headers: { authorization: `Bearer ${SECRET}` },
+        }, resolve).end('{"jsonrpc":"2.0","id":1,"method":"fleet.name"}');
+      });
+      expect(Object.keys(answer.headers)).to.deep.equal(["content-length"]);
+      ports.add(answer.socket.localPort);
+      await answer.forEach(() => undefined);
+    }
+    expect(ports.size).to.equal(1);
+    agent.destroy();
+    await listener.close();
+  });
+
   it("names the parameter that does not fit", async () => {
     const rpc = new fleet.RpcServer(SECRET);
     rpc.addMethod("fleet.add", v.object({ left: v.number() }), () => 1);
--- a/packages/daemon/test/host/announcement_relay_test.ts
+++ b/packages/daemon/test/host/announcement_relay_test.ts
@@ -43,7 +43,7 @@
 
   /** Heartbeats of all exchanges. */
   get heartbeats(): protocol.control.ServerHeartbeat[] {
-    return this.exchanges.flatMap(({ heartbeats }) => heartbeats ?? []);
+    return this.exchanges.flatMap(({ heartbeats }) => heartbeats);
   }
 }
 
--- a/packages/protocol/src/control/exchange.ts
+++ b/packages/protocol/src/control/exchange.ts
@@ -102,20 +102,30 @@
   draining: v.boolean(),
   /** Absent when no share is due. */
   shares: v.optional(limits.ShareReport),
-  demand: v.pipe(v.array(Demand), v.maxLength(LISTED_TARGETS)),
+  /** Absent when there is none. */
+  demand: v.optional(
+    v.pipe(v.array(Demand), v.maxLength(LISTED_TARGETS)),
+    [],
+  ),
   /** Absent when there are none, as most of the time. */
   lingering: v.optional(
     v.pipe(v.array(Lingering), v.maxLength(LISTED_TARGETS)),
+    [],
   ),
-  suspicions: v.pipe(
-    v.array(suspicion.SuspicionReport),
-    v.maxLength(LISTED_TARGETS),
+  /** Absent when there are none. */
+  suspicions: v.optional(
+    v.pipe(
+      v.array(suspicion.SuspicionReport),
+      v.maxLength(LISTED_TARGETS),
+    ),
+    [],
   ),
   /** Deferred requests that the host can take now. */
   deferredCapacity: Count,
   /** Backend servers that announced themselves; absent when there are none. */
   heartbeats: v.optional(
     v.pipe(v.array(ServerHeartbeat), v.maxLength(LISTED_TARGETS)),
+    [],
   ),
 });
 export type ExchangeRequest = v.InferOutput<typeof ExchangeRequest>;
@@ -126,18 +136,39 @@
   /** Log index of the latest change of the view. */
   viewIndex: Count,
   shares: v.optional(limits.ShareGrant),
-  watched: v.array(suspicion.WatchedFingerprint),
-  assignments: v.array(Assignment),
-  /** Assignments of the host to end: their callers want no answer any more. */
-  cancellations: v.array(Cancellation),
+  /** Absent when there are none. */
+  watched: v.optional(v.array(suspicion.WatchedFingerprint), []),
+  /** Absent when there are none. */
+  assignments: v.optional(v.array(Assignment), []),
+  /**
+   * Assignments of the host to end: their callers want no answer any more.
+   * Absent when there are none.
+   */
+  cancellations: v.optional(v.array(Cancellation), []),
   /**
    * Backend servers whose heartbeat names a content that the leader does not
    * know: it wants their announcements. Absent when there are none.
    */
-  unrecognized: v.optional(v.array(backend.Name)),
+  unrecognized: v.optional(v.array(backend.Name), []),
 });
 export type ExchangeResponse = v.InferOutput<typeof ExchangeResponse>;
 
+/**
+ * Leaves out empty lists, which most lists of an exchange are: the schemas take
+ * an absent one as empty.
+ *
+ * @example
+ * ```ts
+ * withoutEmpty({ watched: [], unrecognized: ["engine-1"] });
+ * ```
+ */
+export function withoutEmpty<
+  Lists extends Readonly<Record<string, readonly unknown[]>>,
+>(lists: Lists): Partial<Lists> {
+  const filled = Object.entries(lists).filter(([, list]) => list.length > 0);
+  return Object.fromEntries(filled) as Partial<Lists>;
+}
+
 /** JSON-RPC method of the exchange. */
 export const EXCHANGE_METHOD = "control.exchange";
 /** JSON-RPC method that proposes a {@link state.Command}. */
--- a/packages/protocol/src/control/feed.ts
+++ b/packages/protocol/src/control/feed.ts
@@ -63,8 +63,6 @@
   }),
   /** The leader has news for the next exchange: it should come at once. */
   v.object({ kind: v.literal("exchange-wanted") }),
-  /** Keeps the link alive; sent only under the leader's lease. */
-  v.object({ kind: v.literal("heartbeat"), index: Index }),
 ]);
 export type FeedEvent = v.InferOutput<typeof FeedEvent>;
 
