Move stocks of slots while a new leader does not know all shares

Cause: traced with the waiting metrics of the asking host. After the leader's death its tokens came with the next renewal (1.3 s), its slot only after a share lifetime (4.2 s), though another living host kept an idle one. The new leader divided all of the server's slots, the unknown ones included, and so let the idle host keep its stock: the waiting host's part was the unknown one, which nobody can have yet. Ruled out: the recall, which reached the idle host.

Change: while shares may be live that the leader has not heard of, only what it has heard of and what is free is divided. Nobody gives up what its own requests want.

The property test of core holds.

Conclusion: a host without slots waits for a renewal instead of a lifetime where any living host has slots to spare.

--- a/packages/core/src/limits/slot_pool.ts
+++ b/packages/core/src/limits/slot_pool.ts
@@ -264,14 +264,23 @@
 
   #target(holder: string, report: protocol.limits.SlotReport): number {
     if (!this.#isGrantable) return 0;
-    const holders = [...this.#situations.keys()];
-    const stray = this.#strays.reduce((total, { slots }) => total + slots, 0);
-    const parts = divideWhole(
-      Math.max(this.#limit, this.#inherited()) - stray,
-      [...this.#situations.values()].map(claimOf),
-    );
+    const index = [...this.#situations.keys()].indexOf(holder);
+    const claims = [...this.#situations.values()].map(claimOf);
+    const unheard = this.#unheard();
+    const most = Math.max(this.#limit, this.#inherited());
+    // Slots that may be out unheard can be had by nobody yet: what is wanted
+    // comes out of stocks meanwhile, and nobody loses what it wants itself.
+    const fair = divideWhole(most - unheard.strays, claims)[index]!;
+    const atHand = divideWhole(most - unheard.all, claims)[index]!;
+    const target = Math.max(atHand, Math.min(fair, claims[index]!.want));
     const free = Math.max(0, Math.floor(this.#limit) - this.counted());
-    return Math.min(parts[holders.indexOf(holder)]!, report.slots + free);
+    return Math.min(target, report.slots + free);
+  }
+
+  /** Slots that may be in use by holders that this leader does not hear. */
+  #unheard(): { readonly strays: number; readonly all: number } {
+    const strays = this.#strays.reduce((sum, { slots }) => sum + slots, 0);
+    return { strays, all: this.counted() - this.#ledger.held().capacity };
   }
 
   /** Requests may have begun under an offer that the holder never confirmed. */
--- a/packages/core/test/limits/recall_test.ts
+++ b/packages/core/test/limits/recall_test.ts
@@ -115,4 +115,30 @@
     exchange(waiting, 1_110);
     expect(leader.takeRecall()).to.equal(false);
   });
+
+  it("moves the only slot known to a new leader, the rest being unknown", () => {
+    const { idle, waiting, exchange } = twoHosts();
+    idle.setWaitingSlots(SERVER, { count: 1, since: 0 });
+    exchange(idle, 0);
+    idle.setWaitingSlots(SERVER, undefined);
+    const taken = idle.acquireSlot(SERVER, 1_000, 1);
+    if (taken.kind === "acquired") idle.releaseSlot(taken.slot, "succeeded");
+    expect(idle.availableSlots(SERVER, 10)).to.equal(1);
+
+    const next = new limits.ShareLeader();
+    next.takeLeadership({ term: 2 }, 100);
+    next.setSlots(SERVER, 2, 100);
+    waiting.setWaitingSlots(SERVER, { count: 1, since: 100 });
+    const until = 100 + limits.SHARE_RENEWAL_MS + 200;
+    for (let now = 100; now < until; now += 10) {
+      for (const holder of [idle, waiting]) {
+        const isRecalled = holder === idle && next.takeRecall();
+        const report = holder.report(now, isRecalled);
+        if (report !== undefined) {
+          holder.accept(next.exchange(report, now), now);
+        }
+      }
+    }
+    expect(waiting.availableSlots(SERVER, until)).to.equal(1);
+  });
 });
--- a/packages/daemon/test/integration/slots_after_leader_death_test.ts
+++ b/packages/daemon/test/integration/slots_after_leader_death_test.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as core from "@ebonypath/core";
 import { wait } from "@ebonypath/testing";
 import { expect } from "chai";
 import { readMetric } from "./read_metric.ts";
@@ -11,6 +12,9 @@
 /** Hosts give back what nobody uses within this time, in milliseconds. */
 const UNUSED_TIMEOUT_MS = 45_000;
 
+/** Time from the next leader's start to an answer, in milliseconds. */
+const MOVED_MS = core.limits.SHARE_RENEWAL_MS + 1_000;
+
 describe("hosts without shares when the leader dies", () => {
   let scenario: scenarios.Scenario;
 
@@ -51,4 +55,21 @@
     for (const { status, text } of replies) expect(status, text).to.equal(200);
     expect(scenario.violations).to.deep.equal([]);
   });
+
+  it("get what a living host keeps as a stock at its next renewal", async () => {
+    await waitUntilUnused();
+    const leader = await scenario.leader();
+    const [holder, asking] = scenario.fleet.hosts.flatMap((host, index) =>
+      host === leader ? [] : [scenario.caller(index)]
+    );
+    const before = await holder?.chat(scenarios.MODEL, "before");
+    expect(before?.status, before?.text).to.equal(200);
+    await leader.process.kill9();
+    const asked = asking?.chat(scenarios.MODEL, "after");
+    await scenario.leader();
+    const startedAt = performance.now();
+    const reply = await asked;
+    expect(reply?.status, reply?.text).to.equal(200);
+    expect(performance.now() - startedAt).to.be.below(MOVED_MS);
+  });
 });
