--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -81,6 +81,8 @@
   #heartbeatAt = 0;
   #recalledAt = 0;
   #askedAt = 0;
+  /** When shares were last granted. */
+  #grantedAt: number | undefined;
   #plannedAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: LeadershipOptions) {
@@ -190,7 +192,7 @@
     if (request.demand.some((row) => row.waiting > 0)) this.#planFor(now);
     const shares = request.shares === undefined
       ? {}
-      : { shares: this.#shares.exchange(request.shares, now) };
+      : { shares: this.#grant(request.shares, now) };
     if (this.#shares.takeRecall()) this.#recall(now);
     return {
       term,
@@ -204,6 +206,15 @@
     };
   }
 
+  #grant(
+    report: protocol.limits.ShareReport,
+    now: number,
+  ): protocol.limits.ShareGrant {
+    if (this.#grantedAt === undefined) write("granting", { term: this.term });
+    this.#grantedAt = now;
+    return this.#shares.exchange(report, now);
+  }
+
   /** Takes announcements that an entry host passed on. */
   announce(
     announcements: readonly protocol.control.RelayedAnnouncement[],
@@ -221,7 +232,11 @@
     this.#placement[Symbol.dispose]();
     this.#suspicion[Symbol.dispose]();
     this.#publisher[Symbol.dispose]();
-    write("ended", { term: this.#options.term });
+    const now = performance.now();
+    write("ended", {
+      term: this.#options.term,
+      sinceGrantMs: Math.floor(now - (this.#grantedAt ?? now)),
+    });
   }
 
   readonly #onChanges = (
--- a/packages/daemon/test/integration/domain_and_leader_test.ts
+++ b/packages/daemon/test/integration/domain_and_leader_test.ts
@@ -51,8 +51,9 @@
     );
     const [withdrawn] = scenario.engines;
     const received = () => withdrawn?.journal.calls.length ?? 0;
-    // A host that has no slots at the remaining engines gets some about 6 s
-    // after the death of the leader: longer than the shortest tier waits.
+    // A host that has no slots at the remaining engines may get some as late as
+    // 6 s after the death of the leader, where no living host has any to spare:
+    // longer than the shortest tier waits.
     const traffic = new traffics.Traffic(
       scenario,
       [...others, ...others],
