--- a/packages/daemon/src/host/announcement_book.ts
+++ b/packages/daemon/src/host/announcement_book.ts
@@ -14,6 +14,11 @@
  * in milliseconds: the leader takes a server as silent after 3.5 s.
  */
 const URGENT_MS = 1_500;
+/**
+ * The same where an earlier announcement still waits, in milliseconds: the
+ * next exchange is due at any moment, a second after the last.
+ */
+const WAITING_URGENT_MS = 2_500;
 /** A server without an announcement for this time is forgotten, in ms. */
 const FORGOTTEN_MS = 10_000;
 /** Most backend servers that are remembered. */
@@ -80,9 +85,10 @@
       this.#wantFull(id);
       return { kind: "full" };
     }
+    const urgentMs = this.#heartbeats.has(id) ? WAITING_URGENT_MS : URGENT_MS;
     this.#full.delete(id);
     this.#heartbeats.add(id);
-    return { kind: "heartbeat", isUrgent: now - entry.passedAt > URGENT_MS };
+    return { kind: "heartbeat", isUrgent: now - entry.passedAt > urgentMs };
   }
 
   /** Takes what is to be passed on in full, as much as fits a message. */
--- a/packages/daemon/test/host/announcement_forms_test.ts
+++ b/packages/daemon/test/host/announcement_forms_test.ts
@@ -285,6 +285,16 @@
     expect(urgent).to.deep.equal({ kind: "heartbeat", isUrgent: true });
   });
 
+  it("an announcement that just missed the exchange makes none urgent", () => {
+    const world = new worlds.World();
+    const server = new worlds.Server("engine-1");
+    step(world, server);
+    for (const isUrgent of [false, false, true]) {
+      world.now += INTERVAL_MS;
+      expect(world.announce(server, 0)).to.deep.include({ isUrgent });
+    }
+  });
+
   it(`faults of all kinds at random (${RUNS} seeds from ${FIRST_SEED})`, () => {
     for (let seed = FIRST_SEED; seed < FIRST_SEED + RUNS; seed++) {
       expect(violationOf(seed) ?? "none", `seed ${seed}`).to.equal("none");
