Leave only when no deferred work is assigned any more

Cause: a host that shuts down got assignments whose commit was on its way when it said so. They came in its last exchange, or later, and nobody ran them: their requests that may not be repeated ended 10 s later as may-have-run.

Change: the leader says whether assignments to a host are being committed; a host that has finished its work returns what comes and exchanges until nothing is assigned or being assigned, with three exchanges at most that get no answer.

--- a/packages/daemon/src/control/deferred_driver.ts
+++ b/packages/daemon/src/control/deferred_driver.ts
@@ -40,6 +40,8 @@
 export class DeferredDriver {
   readonly #options: DeferredDriverOptions;
   #isProposing = false;
+  /** Hosts whose assignments are being committed. */
+  #assignedHosts: readonly core.deferred.Assignment[] = [];
 
   constructor(options: DeferredDriverOptions) {
     this.#options = options;
@@ -89,11 +91,21 @@
     };
   }
 
+  /** Whether assignments to a host are being committed. */
+  isAssigningTo(
+    { name, incarnation }: protocol.control.HostIdentity,
+  ): boolean {
+    return this.#assignedHosts.some((one) =>
+      one.host === name && one.hostIncarnation === incarnation
+    );
+  }
+
   async #assign(
     assignments: readonly core.deferred.Assignment[],
   ): Promise<void> {
     if (assignments.length === 0) return;
     this.#isProposing = true;
+    this.#assignedHosts = assignments;
     try {
       await Promise.all(assignments.map((assignment) =>
         this.#options.propose({
@@ -107,6 +119,7 @@
       write("not-assigned", { error });
     } finally {
       this.#isProposing = false;
+      this.#assignedHosts = [];
     }
   }
 
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -198,6 +198,7 @@
       term,
       viewIndex: replicated.changes.index,
       ...shares,
+      ...this.#deferred.isAssigningTo(host) ? { assigning: true } : {},
       ...protocol.control.withoutEmpty({
         watched,
         ...this.#deferred.handedTo(host),
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -33,6 +33,8 @@
 const SECOND_MS = 1_000;
 /** Time between two looks at whether the host is current, in ms. */
 const WATCH_MS = 100;
+/** Exchanges without an answer after which a host leaves all the same. */
+const LEAVE_ATTEMPTS = 3;
 /** Time between two looks at what is left while draining, in ms. */
 const DRAIN_POLL_MS = 20;
 
@@ -64,6 +66,8 @@
   #control: controlRole.ControlRole | undefined;
   readonly #listeners = new Map<settings.ListenerName, listener.Listener>();
   #draining = false;
+  /** The work of a draining host is done: it begins nothing any more. */
+  #leaving = false;
   #wasCurrent = false;
   #reportedIndex = -1;
 
@@ -187,13 +191,30 @@
     await this.#waitUntilIdle(until);
     callers?.closeIdle();
     await this.#waitUntilIdle(until);
-    await this.#proposals.settle(Math.max(0, until - performance.now()));
     this.#shares.handOver(performance.now());
-    await this.#exchanger.flush();
+    await this.#takeLeave(until);
     await this.#control?.handOver();
     write("drained", { open: this.#entry?.openCount ?? 0 });
   }
 
+  /**
+   * Hands shares over, and returns deferred work, until the leader says that
+   * nothing is assigned to this host and nothing will be.
+   */
+  async #takeLeave(until: number): Promise<void> {
+    this.#leaving = true;
+    let failures = 0;
+    while (failures < LEAVE_ATTEMPTS) {
+      await this.#waitUntilIdle(until);
+      await this.#proposals.settle(Math.max(0, until - performance.now()));
+      const answer = await this.#exchanger.flush();
+      if (answer === undefined) failures += 1;
+      else if (hasNothingHanded(answer)) return;
+      if (performance.now() >= until) return;
+      await timers.setTimeout(DRAIN_POLL_MS);
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.#stop.abort();
     await this.#resources[Symbol.asyncDispose]();
@@ -347,6 +368,7 @@
       identity: this.identity,
       settings: this.#loaded.settings,
       state: this.state,
+      isLeaving: () => this.#leaving,
       leader: this.#leader,
       shares: this.#shares,
       metrics: this.#metrics,
@@ -382,6 +404,14 @@
   }
 }
 
+/** Whether a host that shuts down has no deferred work, now or soon. */
+function hasNothingHanded(
+  { assigning, assignments, cancellations }: protocol.control.ExchangeResponse,
+): boolean {
+  return assigning === undefined && assignments.length === 0 &&
+    cancellations.length === 0;
+}
+
 /** TLS of the links to other hosts: the fleet's authority and own key. */
 function fleetTls(
   loaded: settings.LoadedSettings,
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -29,6 +29,8 @@
   /** Takes a new incarnation: the present one was declared lost. */
   renewIncarnation(): void;
   readiness(): entry.Readiness;
+  /** Whether the host has finished its work and only hands over. */
+  isLeaving(): boolean;
 }
 
 /** Serves callers at one host. */
@@ -164,7 +166,8 @@
   /** Takes the leader's answer to an exchange. */
   answered(answer: protocol.control.ExchangeResponse): void {
     this.#watch.update(answer.watched, performance.now());
-    this.deferred.execute(answer.assignments);
+    if (this.#options.isLeaving()) this.deferred.decline(answer.assignments);
+    else this.deferred.execute(answer.assignments);
     this.deferred.end(answer.cancellations);
     this.pump();
   }
--- a/packages/daemon/src/entry/deferred.ts
+++ b/packages/daemon/src/entry/deferred.ts
@@ -175,11 +175,18 @@
     }
   }
 
+  /** Returns requests that the leader handed to a host that leaves. */
+  decline(assignments: readonly protocol.control.Assignment[]): void {
+    for (const assignment of assignments) {
+      if (this.#take(assignment)) void this.#returnUnbegun(assignment);
+    }
+  }
+
   /** Ends requests that their callers cancelled, begun here or not. */
   end(cancellations: readonly protocol.control.Cancellation[]): void {
     for (const cancellation of cancellations) {
       this.#executing.get(nameOf(cancellation))?.cancelled.abort();
-      if (this.#take(cancellation)) void this.#endUnbegun(cancellation);
+      if (this.#take(cancellation)) void this.#returnUnbegun(cancellation);
     }
   }
 
@@ -220,12 +227,12 @@
     );
   }
 
-  async #endUnbegun(
-    cancellation: protocol.control.Cancellation,
+  async #returnUnbegun(
+    handed: protocol.control.Cancellation,
   ): Promise<void> {
     await this.#options.proposals.send({
       kind: "return-deferred",
-      ...this.#holding(cancellation),
+      ...this.#holding(handed),
     });
   }
 
--- a/packages/daemon/src/host/exchanger.ts
+++ b/packages/daemon/src/host/exchanger.ts
@@ -100,9 +100,12 @@
     this.request();
   }
 
-  /** Exchanges once more, for instance to hand over shares. */
-  async flush(): Promise<void> {
-    await this.#exchange();
+  /**
+   * Exchanges once more, for instance to hand over shares; resolves with the
+   * answer, or with nothing if no leader answered in time.
+   */
+  async flush(): Promise<protocol.control.ExchangeResponse | undefined> {
+    return await this.#exchange();
   }
 
   /** Ends the exchanges. */
@@ -137,7 +140,7 @@
     );
   }
 
-  async #exchange(): Promise<void> {
+  async #exchange(): Promise<protocol.control.ExchangeResponse | undefined> {
     const { announcements, shares, state, reporter } = this.#options;
     const heartbeats = announcements.takeHeartbeats();
     const suspicions = reporter.takeSuspicions();
@@ -167,11 +170,13 @@
       state.confirm(sentAt, answer.viewIndex);
       announcements.sendInFull(answer.unrecognized);
       this.emit("answered", answer);
+      return answer;
     } catch (error) {
       reporter.returnSuspicions(suspicions);
       announcements.returnHeartbeats(heartbeats);
       write("failed", { error });
       this.emit("failed", error);
+      return undefined;
     }
   }
 
--- a/packages/daemon/test/integration/scenario.ts
+++ b/packages/daemon/test/integration/scenario.ts
@@ -92,6 +92,20 @@
   },
 );
 
+/** The test configuration with a deferred tier of the plain service. */
+export function withDeferredOrders(): protocol.Configuration {
+  const { workspaces, services } = CONFIGURATION;
+  const later = services[0]?.tiers.find((tier) => tier.name === "later");
+  return {
+    workspaces,
+    services: services.map((service) =>
+      service.name === "orders" && later !== undefined
+        ? { ...service, tiers: [...service.tiers, later] }
+        : service
+    ),
+  };
+}
+
 /** How a scenario is laid out. */
 export interface ScenarioOptions {
   readonly hosts?: number;
--- a/packages/daemon/test/integration/shutdown_test.ts
+++ b/packages/daemon/test/integration/shutdown_test.ts
@@ -1,6 +1,5 @@
 import { once } from "node:events";
 import * as net from "node:net";
-import type { configuration } from "@ebonypath/protocol";
 import { wait } from "@ebonypath/testing";
 import { expect } from "chai";
 import * as undici from "undici";
@@ -20,20 +19,6 @@
 /** Tokens of a stream that no socket buffers. */
 const STREAMED_TOKENS = 40_000;
 
-/** The test configuration with a deferred tier of the plain service. */
-function withDeferredOrders(): configuration.Configuration {
-  const { workspaces, services } = scenarios.CONFIGURATION;
-  const later = services[0]?.tiers.find((tier) => tier.name === "later");
-  return {
-    workspaces,
-    services: services.map((service) =>
-      service.name === "orders" && later !== undefined
-        ? { ...service, tiers: [...service.tiers, later] }
-        : service
-    ),
-  };
-}
-
 /** A caller that reads nothing of its answer until it is told to. */
 class SlowCaller {
   readonly #socket: net.Socket;
@@ -93,7 +78,7 @@
     scenario = await scenarios.Scenario.start({
       hosts: 4,
       voters: 3,
-      configuration: withDeferredOrders(),
+      configuration: scenarios.withDeferredOrders(),
       limits: {
         "max_body_bytes": 2 * LARGE_BYTES,
         "drain_delay_ms": DRAIN_DELAY_MS,
--- a/packages/protocol/src/control/exchange.ts
+++ b/packages/protocol/src/control/exchange.ts
@@ -140,6 +140,11 @@
   watched: v.optional(v.array(suspicion.WatchedFingerprint), []),
   /** Absent when there are none. */
   assignments: v.optional(v.array(Assignment), []),
+  /**
+   * Further assignments to the host are being decided. Absent when none is: a
+   * host that has said that it shuts down gets no other.
+   */
+  assigning: v.optional(v.literal(true)),
   /**
    * Assignments of the host to end: their callers want no answer any more.
    * Absent when there are none.
