Let streams count for the ramp-up, and leaving callers not against servers

Cause: the experiment with long streams found two faults. A server's limit grew only with whole answers, so a fresh engine got 2 streams for as long as they ran: of 12 streams of 20 s at a fresh engine 10 were refused with 503 after their tier's 5 s. And a caller who left a stream made its server look failed: the limit was halved (256, 158, 79, 42 in a run that gave up 125 to 1,000 streams, so that of 1,000 later ones 936 were refused), its connections were retired, and the outlier detection counted it. Ruled out: too few connections, the tokens of the workspace, and the queue.

Change: a stream counts as a success once it has brought events for 500 ms. A try whose caller has left is `cancelled` and says nothing of the server; its slot is kept only if the stream had been silent for 2 s of the time in which the host listened. Measuring that in wall time kept 499 slots for 60 s in one run, after a stall of the host.

Left: an answer that is not streamed shows nothing before its end.

--- a/packages/core/src/limits/holder.ts
+++ b/packages/core/src/limits/holder.ts
@@ -119,6 +119,11 @@
     return this.#slots.get(server)?.acquire(deadline, now) ?? { kind: "wait" };
   }
 
+  /** Counts a request that still runs as a success of its server. */
+  markBorne(slot: Slot): void {
+    this.#slots.get(slot.server)?.markBorne(slot);
+  }
+
   /** Gives a slot back, with what the request showed of the server. */
   releaseSlot(slot: Slot, outcome: SlotOutcome): void {
     this.#slots.get(slot.server)?.release(slot, outcome);
--- a/packages/core/src/limits/slot_share.ts
+++ b/packages/core/src/limits/slot_share.ts
@@ -57,6 +57,8 @@
 export class SlotShare {
   readonly #server: string;
   readonly #running = new Set<Slot>();
+  /** Running requests that count as successes already. */
+  readonly #borne = new Set<Slot>();
   /** When each request was given up that the server may still run. */
   readonly #givenUp = new Map<Slot, number>();
   readonly #outcomes = { succeeded: 0, refused: 0, failed: 0, slow: 0 };
@@ -140,11 +142,21 @@
     return { kind: "acquired", slot };
   }
 
+  /**
+   * Counts a running request as a success before its end: its server has shown
+   * that it bears it. Answers may run for longer than a ramp-up should take.
+   */
+  markBorne(slot: Slot): void {
+    if (!this.#running.has(slot) || this.#borne.has(slot)) return;
+    this.#borne.add(slot);
+    this.#outcomes.succeeded++;
+  }
+
   /** Gives a slot back. Giving it back again has no effect. */
   release(slot: Slot, outcome: SlotOutcome): void {
-    if (this.#running.delete(slot) && outcome !== "neutral") {
-      this.#outcomes[outcome]++;
-    }
+    if (!this.#running.delete(slot)) return;
+    const isCounted = this.#borne.delete(slot) && outcome === "succeeded";
+    if (outcome !== "neutral" && !isCounted) this.#outcomes[outcome]++;
   }
 
   /**
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -40,6 +40,7 @@
   readonly deferred: entry.DeferredRequests;
   readonly #admission: entry.Admission;
   readonly #placement: entry.PlacementQueue;
+  readonly #attended = new entry.AttendedTime();
   readonly #dispatcher: entry.Dispatcher;
   readonly #expected: entry.ExpectedSlots;
   readonly #client = new backend.InferenceClient();
@@ -88,6 +89,7 @@
       }),
       metrics,
       streamIdleTimeoutMs: limits.streamIdleTimeoutMs,
+      attended: this.#attended,
     });
     this.#demand = new entry.DemandReport(
       this.#admission,
@@ -177,6 +179,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#attended[Symbol.dispose]();
     await this.#client[Symbol.asyncDispose]();
   }
 
--- a/packages/daemon/src/entry/attempt.ts
+++ b/packages/daemon/src/entry/attempt.ts
@@ -8,11 +8,22 @@
 import type * as core from "@ebonypath/core";
 import type * as protocol from "@ebonypath/protocol";
 import * as backend from "../backend/mod.ts";
+import type * as attendedTime from "./attended_time.ts";
 import type * as types from "./types.ts";
 import * as usage from "./usage.ts";
 
 /** Largest answer that is not streamed, in bytes. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/**
+ * Time for which a stream brings events until its server counts as one that
+ * bears it, in milliseconds.
+ */
+const BORNE_AFTER_MS = 500;
+/**
+ * Silence of a stream that its caller leaves, in milliseconds, from which on
+ * its connection is doubted: its server may not hear of the end.
+ */
+const DOUBTED_SILENCE_MS = 2_000;
 /** Content type of streams. */
 const EVENT_STREAM = "text/event-stream";
 
@@ -40,7 +51,7 @@
 
 /** What a try needs. */
 export interface AttemptOptions {
-  readonly client: backend.InferenceClient;
+  readonly client: Pick<backend.InferenceClient, "dispatch">;
   readonly server: protocol.control.ServerStatus;
   readonly work: types.Work;
   readonly sink: types.Sink;
@@ -48,12 +59,16 @@
   readonly streamIdleTimeoutMs: number;
   /** Longest wait for the head of the answer, in milliseconds. */
   readonly firstByteTimeoutMs: number;
+  /** Measures silence. */
+  readonly attended: Pick<attendedTime.AttendedTime, "ms">;
   /** Use a connection of its own. */
   readonly fresh: boolean;
   /** Called once if the server has seen that a try was given up. */
   onHungUp?(): void;
   /** Called once when the head of the answer has arrived. */
   onFirstByte(): void;
+  /** Called once when a stream has gone on for a while. */
+  onBorne(): void;
 }
 
 /**
@@ -120,19 +135,28 @@
   options: AttemptOptions,
   body: stream.Readable,
 ): Promise<AttemptResult> {
-  const { sink, work } = options;
+  const { attended, signal, sink, work } = options;
   let events = 0;
+  let heardAtMs = attended.ms;
   let stated: number | undefined;
+  let borneAt: number | undefined = performance.now() + BORNE_AFTER_MS;
   try {
     for await (const event of backend.readEvents(body)) {
+      heardAtMs = attended.ms;
       if (!sink.started) sink.begin();
       await sink.write(event.bytes);
       events += 1;
       stated = usage.statedTokens(event.data) ?? stated;
+      if (borneAt !== undefined && performance.now() >= borneAt) {
+        borneAt = undefined;
+        options.onBorne();
+      }
     }
   } catch (error) {
     body.destroy();
-    return cut(error, sink.started);
+    return signal.aborted
+      ? cancelled(sink.started, attended.ms - heardAtMs)
+      : cut(error, sink.started);
   }
   sink.end();
   const tokens = stated ?? usage.estimatedTokens(work.body, events);
@@ -156,7 +180,7 @@
       if (bytes > MAX_ANSWER_BYTES) return tooLarge(answer);
     }
   } catch (error) {
-    return cut(error, false);
+    return options.signal.aborted ? cancelled(false, 0) : cut(error, false);
   } finally {
     clearTimeout(late);
   }
@@ -187,6 +211,18 @@
   };
 }
 
+/** The caller has left, which says nothing of the server. */
+function cancelled(bytesToCaller: boolean, silenceMs: number): AttemptResult {
+  return {
+    kind: "failed",
+    fault: "cancelled",
+    bytesSent: true,
+    bytesToCaller,
+    isGivenUp: silenceMs >= DOUBTED_SILENCE_MS,
+    detail: "the caller has left",
+  };
+}
+
 function cut(error: unknown, bytesToCaller: boolean): AttemptResult {
   return {
     kind: "failed",
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -17,6 +17,7 @@
 import * as failedTry from "./failed_try.ts";
 import type * as placements from "./placement.ts";
 import * as triedServers from "./tried_servers.ts";
+import type * as attendedTime from "./attended_time.ts";
 import type * as types from "./types.ts";
 import type * as waiters from "./waiters.ts";
 
@@ -40,6 +41,8 @@
   readonly deaths: deaths.DeathExaminer;
   readonly metrics: metrics.Metrics;
   readonly streamIdleTimeoutMs: number;
+  /** Measures the silence of streams. */
+  readonly attended: Pick<attendedTime.AttendedTime, "ms">;
 }
 
 /** Requests that a backend server runs for this host. */
@@ -202,6 +205,8 @@
           placement.times.observe(work.target, now - sentAt);
           if (work.stream) this.#observeAnswer(work, sentAt);
         },
+        attended: this.#options.attended,
+        onBorne: () => shares.markBorne(placed.slot),
       });
       mayGoOn = !isHungUp && this.#mayGoOn(work, result, sentAt);
       this.#observeEnd(work, result, sentAt);
@@ -235,7 +240,8 @@
     sentAt: number,
   ): boolean {
     if (result.kind !== "failed" || !result.bytesSent) return false;
-    if (result.fault !== "cancelled") return result.isGivenUp;
+    const isStreaming = result.bytesToCaller;
+    if (result.fault !== "cancelled" || isStreaming) return result.isGivenUp;
     const usualMs = this.#options.placement.times.silenceMs(work.target);
     return usualMs !== undefined && performance.now() - sentAt >= usualMs;
   }
--- a/packages/daemon/src/entry/mod.ts
+++ b/packages/daemon/src/entry/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./admission.ts";
 export * from "./at_most_once.ts";
+export * from "./attended_time.ts";
 export * from "./callers.ts";
 export * from "./deaths.ts";
 export * from "./deferred.ts";
