Measure tokens of streams through one host

Change: the experiment `streams` keeps 125 to 1,000 streams open through one host and counts tokens, the host's CPU and the time between two tokens, with 1,000 streams going direct as its baseline.

--- a/packages/benchmark/src/experiments/mod.ts
+++ b/packages/benchmark/src/experiments/mod.ts
@@ -14,11 +14,13 @@
 import * as idleHours from "./idle_hours.ts";
 import * as overhead from "./overhead.ts";
 import * as rate from "./rate.ts";
+import * as streams from "./streams.ts";
 
 /** In the order in which they are listed. */
 export const EXPERIMENTS: readonly types.Experiment[] = [
   controlCost.controlCost,
   overhead.overhead,
+  streams.streams,
   coldStart.coldStart,
   rate.rate,
   fairness.fairness,
--- a/packages/benchmark/src/harness/caller.ts
+++ b/packages/benchmark/src/harness/caller.ts
@@ -1,8 +1,12 @@
+import { Buffer } from "node:buffer";
 import * as undici from "undici";
 
 /** Longest wait for an answer, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 40_000;
+/** Most connections of a caller unless told otherwise. */
 const CONNECTIONS = 512;
+/** Begins the line of an event that carries data. */
+const DATA = Buffer.from("data: ");
 
 /** How a request ended. */
 export interface Answer {
@@ -40,8 +44,8 @@
   readonly #headers: Readonly<Record<string, string>>;
   #sent = 0;
 
-  constructor(origin: string, key: string) {
-    this.#pool = new undici.Pool(origin, { connections: CONNECTIONS });
+  constructor(origin: string, key: string, connections = CONNECTIONS) {
+    this.#pool = new undici.Pool(origin, { connections });
     this.#headers = {
       "authorization": `Bearer ${key}`,
       "content-type": "application/json",
@@ -59,15 +63,9 @@
         body: body === undefined ? null : JSON.stringify(body),
         signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS),
       });
-      const text = await answer.body.text();
-      const outcome = answer.headers["ebonypath-outcome"];
-      return {
-        status: answer.statusCode,
-        outcome: typeof outcome === "string" ? outcome : undefined,
-        text,
-      };
+      return await wholeAnswer(answer);
     } catch (error) {
-      return { status: 0, outcome: undefined, text: String(error) };
+      return noAnswer(error);
     }
   }
 
@@ -82,7 +80,64 @@
     });
   }
 
+  /**
+   * Reads a streamed answer until it ends or is given up; never throws.
+   *
+   * @param onEvents Called for each part with the number of its events.
+   * @returns how it ended; the text is that of a refusal
+   */
+  async stream(
+    model: string,
+    maxTokens: number,
+    signal: AbortSignal,
+    onEvents: (events: number) => void,
+  ): Promise<Answer> {
+    this.#sent += 1;
+    const message = { role: "user", content: `question ${this.#sent}` };
+    const body = { model, messages: [message], "max_tokens": maxTokens };
+    try {
+      const answer = await this.#pool.request({
+        method: "POST",
+        path: "/v1/chat/completions",
+        headers: { ...this.#headers, "x-request-id": `bench-${this.#sent}` },
+        body: JSON.stringify({ ...body, stream: true }),
+        signal,
+      });
+      if (answer.statusCode !== 200) return await wholeAnswer(answer);
+      for await (const part of answer.body) onEvents(countEvents(part));
+      return { status: answer.statusCode, outcome: undefined, text: "" };
+    } catch (error) {
+      return noAnswer(error);
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#pool.destroy();
   }
 }
+
+async function wholeAnswer(
+  answer: undici.Dispatcher.ResponseData,
+): Promise<Answer> {
+  const text = await answer.body.text();
+  const outcome = answer.headers["ebonypath-outcome"];
+  return {
+    status: answer.statusCode,
+    outcome: typeof outcome === "string" ? outcome : undefined,
+    text,
+  };
+}
+
+function noAnswer(error: unknown): Answer {
+  return { status: 0, outcome: undefined, text: String(error) };
+}
+
+function countEvents(part: Buffer): number {
+  let events = 0;
+  let at = part.indexOf(DATA);
+  while (at >= 0) {
+    events += 1;
+    at = part.indexOf(DATA, at + DATA.length);
+  }
+  return events;
+}
