Look for unused pools once a second only

Cause: each round of 50 ms summed up every pool's shares once more, only to know when it was last used. At 2,000 servers that is work for the leader's thread, which is at its limit (estimate, not measured).

Change: whether a pool is in use is found out when pools are closed, once a second.

--- a/packages/core/src/limits/bucket_pool.ts
+++ b/packages/core/src/limits/bucket_pool.ts
@@ -76,10 +76,11 @@
 
   /**
    * For how long the pool has been full, and nobody has held or wanted a share,
-   * in milliseconds.
+   * in milliseconds, as far as earlier calls saw; zero if it is in use now.
    */
   unusedMs(now: number): number {
     this.advance(now);
+    if (this.#isUsed()) this.#usedAt = now;
     return now - this.#usedAt;
   }
 
@@ -125,7 +126,6 @@
     for (const holder of this.#ledger.expire(now).keys()) {
       this.#situations.delete(holder);
     }
-    if (this.#isUsed()) this.#usedAt = now;
   }
 
   /**
--- a/packages/core/src/limits/slot_pool.ts
+++ b/packages/core/src/limits/slot_pool.ts
@@ -99,9 +99,13 @@
     this.#usedAt = now;
   }
 
-  /** For how long nobody has held, used or wanted a slot, in milliseconds. */
+  /**
+   * For how long nobody has held, used or wanted a slot, in milliseconds, as
+   * far as earlier calls saw; zero if one is held, used or wanted now.
+   */
   unusedMs(now: number): number {
     this.advance(now);
+    if (this.#isUsed()) this.#usedAt = now;
     return now - this.#usedAt;
   }
 
@@ -152,7 +156,6 @@
     this.#strays = this.#strays.filter(({ slots, until }) =>
       slots > 0 && until > now
     );
-    if (this.#isUsed()) this.#usedAt = now;
   }
 
   /**
