--- a/packages/core/test/routing/choice_test.ts
+++ b/packages/core/test/routing/choice_test.ts
@@ -121,6 +121,15 @@
     expect(hints.size).to.equal(0);
   });
 
+  it("keep the four servers of the latest events", () => {
+    const hints = new routing.PrefixHints();
+    for (const server of ["s0", "s1", "s2", "s3", "s0", "s4"]) {
+      hints.add("p", server, 0);
+    }
+    expect([...hints.serversWith("p", 0)])
+      .to.deep.equal(["s2", "s3", "s0", "s4"]);
+  });
+
   it("are bounded", () => {
     const hints = new routing.PrefixHints();
     for (let i = 0; i <= routing.MAX_PREFIXES; i++) {
--- a/packages/daemon/src/entry/service_times.ts
+++ b/packages/daemon/src/entry/service_times.ts
@@ -101,22 +101,33 @@
   }
 }
 
-/** Bounded memory; what was not set for longest is forgotten. */
-class Recent<Value> {
-  readonly #values = new Map<string, Value>();
+/**
+ * Bounded memory. What was not set while half of it was set anew is forgotten:
+ * an exact order would move an entry, and so rebuild the map, with each request.
+ */
+export class Recent<Value> {
+  readonly #most: number;
+  #young = new Map<string, Value>();
+  #old = new Map<string, Value>();
+
+  /** `most` is the largest number of entries. */
+  constructor(most = MAX_TARGETS) {
+    this.#most = most;
+  }
+
+  get size(): number {
+    return this.#young.size + this.#old.size;
+  }
 
   get(key: string): Value | undefined {
-    return this.#values.get(key);
+    return this.#young.get(key) ?? this.#old.get(key);
   }
 
   set(key: string, value: Value): void {
-    this.#values.delete(key);
-    this.#values.set(key, value);
-    if (this.#values.size <= MAX_TARGETS) return;
-    for (const oldest of this.#values.keys()) {
-      this.#values.delete(oldest);
-      return;
-    }
+    this.#young.set(key, value);
+    if (this.#young.size < this.#most / 2) return;
+    this.#old = this.#young;
+    this.#young = new Map();
   }
 }
 
--- a/packages/daemon/test/entry/service_times_test.ts
+++ b/packages/daemon/test/entry/service_times_test.ts
@@ -48,3 +48,25 @@
     expect(times.dispatchBy("last", 5_000, 0, false)).to.equal(4_100);
   });
 });
+
+describe("recent values", () => {
+  it("are bounded, and those set last stay", () => {
+    const recent = new serviceTimes.Recent<number>(10);
+    for (let index = 0; index < 100; index += 1) {
+      recent.set(`target-${index}`, index);
+      recent.set("often", index);
+      expect(recent.size).to.be.at.most(10);
+      expect(recent.get("often")).to.equal(index);
+      expect(recent.get(`target-${index}`)).to.equal(index);
+    }
+    expect(recent.get("target-90")).to.equal(undefined);
+  });
+
+  it("have their latest value", () => {
+    const recent = new serviceTimes.Recent<number>(10);
+    recent.set("orders", 1);
+    for (let index = 0; index < 5; index += 1) recent.set(`${index}`, index);
+    recent.set("orders", 2);
+    expect(recent.get("orders")).to.equal(2);
+  });
+});
