Count steady latency in overhead, and what the host works for it

Cause: blocks through the host and blocks past it take turns of 4 s, as long as a connection may stay idle. Wall time alone also says little beside other work.

Change: the requests of the first second of a block are sent but not counted, for both ways alike; their errors count. The experiment also gives how late the generator sent the requests of each way, and the host's processor time and time in collections a request.

--- a/packages/benchmark/src/experiments/overhead.ts
+++ b/packages/benchmark/src/experiments/overhead.ts
@@ -7,6 +7,11 @@
 const MODEL = harness.modelName(0);
 const SATURATION_MS = 4_000;
 const CONCURRENCY = 64;
+/**
+ * Requests of this time open connections and are not counted: a block follows
+ * one of the other kind, in which all connections fall idle and are closed.
+ */
+const LEAD_IN_MS = 1_000;
 const BLOCK_MS = 4_000;
 const BLOCKS = 3;
 const ENGINE_CONCURRENCY = 512;
@@ -41,21 +46,25 @@
   const directRate = await saturate(direct);
   const rate = hostRate / 2;
   options.print(`one host passes on ${hostRate.toFixed(0)} requests/s`);
-  const latencies = {
-    through: new measure.Latencies(),
-    direct: new measure.Latencies(),
-  };
+  const latencies = { through: newSeries(), direct: newSeries() };
+  const work = { cpuMs: 0, collectionMs: 0, requests: 0 };
   let errors = 0;
   const stalls = measure.watchStalls();
   const random = fakeBackend.seededRandom(options.seed);
   for (let block = 0; block < BLOCKS; block += 1) {
-    errors += await sendBlock(through, rate, random, latencies.through);
-    errors += await sendBlock(direct, rate, random, latencies.direct);
+    const before = await measure.readWork(fleet.host(0));
+    const ended = await sendBlock(through, rate, random);
+    const after = await measure.readWork(fleet.host(0));
+    work.cpuMs += after.cpuMs - before.cpuMs;
+    work.collectionMs += after.collectionMs - before.collectionMs;
+    work.requests += ended.length;
+    errors += record(ended, latencies.through);
+    errors += record(await sendBlock(direct, rate, random), latencies.direct);
   }
   const clientStalls = stalls();
   const [ours, base] = [
-    latencies.through.percentiles(),
-    latencies.direct.percentiles(),
+    latencies.through.all.percentiles(),
+    latencies.direct.all.percentiles(),
   ];
   return {
     figures: {
@@ -70,6 +79,10 @@
       directP999Ms: base.p999,
       addedP50Ms: ours.p50 - base.p50,
       addedP99Ms: ours.p99 - base.p99,
+      throughLateP99Ms: latencies.through.late.at(99),
+      directLateP99Ms: latencies.direct.late.at(99),
+      hostCpuMsPerRequest: work.cpuMs / work.requests,
+      hostCollectionMsPerRequest: work.collectionMs / work.requests,
       requests: ours.count,
       errors,
       ...clientStalls,
@@ -81,8 +94,8 @@
       y: "ms",
       isLogarithmic: true,
       series: [
-        { name: "through a host", points: latencies.through.curve() },
-        { name: "direct", points: latencies.direct.curve() },
+        { name: "through a host", points: latencies.through.all.curve() },
+        { name: "direct", points: latencies.direct.all.curve() },
       ],
     }],
   };
@@ -105,15 +118,34 @@
   );
 }
 
+/** Latencies of one way, and how late the generator sent their requests. */
+interface Series {
+  readonly all: measure.Latencies;
+  readonly late: measure.Latencies;
+}
+
+function newSeries(): Series {
+  return { all: new measure.Latencies(), late: new measure.Latencies() };
+}
+
+type Ended = measure.Finished<string, harness.Answer>;
+
 async function sendBlock(
   caller: harness.Caller,
   rate: number,
   random: measure.Random,
-  latencies: measure.Latencies,
-): Promise<number> {
-  const plan = measure.poisson(rate, BLOCK_MS, random)
+): Promise<Ended[]> {
+  const plan = measure.poisson(rate, LEAD_IN_MS + BLOCK_MS, random)
     .map((atMs) => ({ atMs, item: MODEL }));
-  const ended = await measure.openLoop(plan, (model) => caller.chat(model));
-  for (const { latencyMs } of ended) latencies.record(latencyMs);
+  return await measure.openLoop(plan, (model) => caller.chat(model));
+}
+
+/** Records what came after the lead-in; returns the errors of all. */
+function record(ended: readonly Ended[], { all, late }: Series): number {
+  for (const { atMs, lateMs, latencyMs } of ended) {
+    if (atMs < LEAD_IN_MS) continue;
+    all.record(latencyMs);
+    late.record(lateMs);
+  }
   return ended.filter(({ result }) => result.status !== 200).length;
 }
--- a/packages/benchmark/src/measure/load.ts
+++ b/packages/benchmark/src/measure/load.ts
@@ -16,6 +16,8 @@
   readonly atMs: number;
   /** Time from the planned sending to the end, in milliseconds. */
   readonly latencyMs: number;
+  /** The part of it by which the generator sent the request late. */
+  readonly lateMs: number;
   readonly result: R;
 }
 
@@ -66,9 +68,10 @@
   start: number,
   send: (item: T) => Promise<R>,
 ): Promise<Finished<T, R>> {
+  const lateMs = performance.now() - start - atMs;
   const result = await send(item);
   const latencyMs = performance.now() - start - atMs;
-  return { item, atMs, latencyMs, result };
+  return { item, atMs, lateMs, latencyMs, result };
 }
 
 async function sleepUntil(time: number): Promise<void> {
--- a/packages/benchmark/src/measure/usage.ts
+++ b/packages/benchmark/src/measure/usage.ts
@@ -32,6 +32,37 @@
   return after.map((end, index) => difference(before[index] as Reading, end));
 }
 
+/** Processor time and time in collections of a host since its start. */
+export interface Work {
+  readonly cpuMs: number;
+  /** Time for which collections of garbage stopped the host. */
+  readonly collectionMs: number;
+}
+
+/**
+ * Reads what a host has worked so far.
+ *
+ * @example
+ * ```ts
+ * const { cpuMs } = await readWork(fleet.host(0));
+ * ```
+ */
+export async function readWork(host: launcher.FleetHost): Promise<Work> {
+  const answer = await undici.request(`${host.operators}/metrics`);
+  return parseWork(await answer.body.text());
+}
+
+/** Reads processor time and time in collections from an exposition. */
+export function parseWork(text: string): Work {
+  const sums = text.split("\n")
+    .filter((line) => line.startsWith("nodejs_gc_duration_seconds_sum{"))
+    .map((line) => Number(line.slice(line.lastIndexOf(" "))));
+  return {
+    cpuMs: parseMetric(text, "process_cpu_seconds_total") * 1_000,
+    collectionMs: sums.reduce((total, sum) => total + sum, 0) * 1_000,
+  };
+}
+
 /** The mean of several usages. */
 export function mean(usages: readonly Usage[]): Usage {
   const over = (value: (usage: Usage) => number) =>
--- a/packages/benchmark/test/measure_test.ts
+++ b/packages/benchmark/test/measure_test.ts
@@ -34,6 +34,8 @@
     });
     expect(ended.map(({ latencyMs }) => latencyMs > 25))
       .to.deep.equal([true, true, true]);
+    expect(ended.map(({ lateMs }) => lateMs > 25))
+      .to.deep.equal([false, true, true]);
   });
 
   it("fits a line", () => {
@@ -42,6 +44,15 @@
     expect(() => measure.fitLine([[1, 1], [1, 2]])).to.throw(RangeError);
   });
 
+  it("reads the processor time and the collections of a host", () => {
+    const text = "process_cpu_seconds_total 2\n" +
+      'nodejs_gc_duration_seconds_sum{kind="minor"} 0.5\n' +
+      'nodejs_gc_duration_seconds_count{kind="minor"} 9\n' +
+      'nodejs_gc_duration_seconds_sum{kind="major"} 0.25\n';
+    expect(measure.parseWork(text))
+      .to.deep.equal({ cpuMs: 2_000, collectionMs: 750 });
+  });
+
   it("reads the counters of a process", () => {
     expect(measure.parseMetric("ab 2\na 3\n", "a")).to.equal(3);
     expect(measure.parseIo("rchar: 5\nwchar: 7\nsyscr: 9\n")).to.equal(12);
