Check a listener's key before it is used, and name the file

Cause: after SIGHUP a bad private key was told as "error:1E08010C:DECODER routines::unsupported", without file, setting or hint; at a start the same came after the first listeners were open. A later listener's bad pair left the earlier ones with new certificates. The mode of key files was not looked at, as that of other secrets is.

Change: the settings check that each key belongs to its certificate and that nobody else may read it, so that `--check`, a start and SIGHUP refuse it with path, reason and hint, before any listener changes. Certificates have a module of their own.

Before: the new test found no name in the log line. After: it finds the setting and the file, the old certificate stays in use, and no line of a private key and no secret of the fleet stands in the log or data folder.

--- a/packages/daemon/src/settings/load.ts
+++ b/packages/daemon/src/settings/load.ts
@@ -1,5 +1,6 @@
 import * as fs from "node:fs/promises";
 import * as protocol from "@ebonypath/protocol";
+import * as certificate from "./certificate.ts";
 import * as secret from "./secret.ts";
 
 /** An operator with the token that names it. */
@@ -9,24 +10,16 @@
   readonly rights: readonly protocol.settings.Right[];
 }
 
-/** TLS material of one listener, in PEM. */
-export interface Certificate {
-  readonly certificate: string;
-  readonly key: string;
-  /** When set, clients must show a certificate signed by it. */
-  readonly authority: string | undefined;
-}
-
-/** A listener that may speak TLS. */
-export type ListenerName = "callers" | "backends" | "operators" | "fleet";
-
 /** A checked settings file with the contents of the files that it names. */
 export interface LoadedSettings {
   readonly settings: protocol.settings.Settings;
   readonly fleetSecret: string;
   readonly joinToken: string | undefined;
   readonly operators: readonly Operator[];
-  readonly certificates: ReadonlyMap<ListenerName, Certificate>;
+  readonly certificates: ReadonlyMap<
+    certificate.ListenerName,
+    certificate.Certificate
+  >;
 }
 
 /**
@@ -63,7 +56,11 @@
     operators.push({ name, token, rights });
   }
   findings.push(...findEqualTokens(operators, file));
-  const certificates = await loadCertificates(settings.tls, file, findings);
+  const certificates = await certificate.loadCertificates(
+    settings.tls,
+    file,
+    findings,
+  );
   if (findings.length > 0) {
     throw new protocol.settings.SettingsError(findings);
   }
@@ -105,39 +102,3 @@
   }
   return findings;
 }
-
-async function loadCertificates(
-  tls: protocol.settings.Tls,
-  file: string,
-  findings: protocol.toml.Finding[],
-): Promise<Map<ListenerName, Certificate>> {
-  const certificates = new Map<ListenerName, Certificate>();
-  for (
-    const listener of ["callers", "backends", "operators", "fleet"] as const
-  ) {
-    const files = tls[listener];
-    if (files === undefined) continue;
-    const read = async (name: string, key: string) => {
-      try {
-        return await fs.readFile(name, "utf8");
-      } catch (error) {
-        const code = (error as NodeJS.ErrnoException).code ?? "unknown error";
-        findings.push({
-          file,
-          path: `tls.${listener}.${key}`,
-          reason: `${name} can't be read: ${code}`,
-          hint: "name a readable file in PEM",
-        });
-        return "";
-      }
-    };
-    certificates.set(listener, {
-      certificate: await read(files.certificateFile, "certificate_file"),
-      key: await read(files.keyFile, "key_file"),
-      authority: files.caFile === undefined
-        ? undefined
-        : await read(files.caFile, "ca_file"),
-    });
-  }
-  return certificates;
-}
--- a/packages/daemon/src/settings/mod.ts
+++ b/packages/daemon/src/settings/mod.ts
@@ -3,5 +3,6 @@
  *
  * @module
  */
+export * from "./certificate.ts";
 export * from "./load.ts";
 export * from "./secret.ts";
--- a/packages/daemon/src/settings/secret.ts
+++ b/packages/daemon/src/settings/secret.ts
@@ -1,8 +1,7 @@
 import * as fs from "node:fs/promises";
 import type * as protocol from "@ebonypath/protocol";
+import * as modes from "./mode.ts";
 
-/** Permission bits that let group or others at a file. */
-const OTHERS_MODE = 0o077;
 /** Shortest secret accepted, in characters. */
 const SECRET_LENGTH_MIN = 16;
 /** Longest secret accepted, in characters. */
@@ -33,9 +32,8 @@
   try {
     await using file = await fs.open(name, "r");
     const { mode, size } = await file.stat();
-    if ((mode & OTHERS_MODE) !== 0) {
-      return refuse(`${name} is open to group or others`, `chmod 600 ${name}`);
-    }
+    const openMode = modes.describeMode(name, mode);
+    if (openMode !== undefined) return refuse(openMode, `chmod 600 ${name}`);
     if (size > SECRET_LENGTH_MAX) {
       return refuse(`${name} is too long`, "put one line with a token there");
     }
--- a/packages/daemon/test/integration/tls_test.ts
+++ b/packages/daemon/test/integration/tls_test.ts
@@ -24,7 +24,8 @@
     },
   );
   await fs.writeFile(path.join(folder, "host.crt"), made.cert);
-  await fs.writeFile(path.join(folder, "host.key"), made.private);
+  const key = path.join(folder, "host.key");
+  await fs.writeFile(key, made.private, { mode: 0o600 });
   return made.cert;
 }
 
@@ -81,6 +82,30 @@
   });
 }
 
+/** What a private key file holds besides its first and last line. */
+async function keyLines(folder: string): Promise<string[]> {
+  const text = await fs.readFile(path.join(folder, "host.key"), "utf8");
+  return text.trim().split(/\r?\n/).slice(1, -1).map((line) => line.trim());
+}
+
+/** All that a host has written: its log and the files of its data folder. */
+async function written(
+  host: launcher.Process,
+  folder: string,
+): Promise<string> {
+  const data = path.join(folder, "data");
+  const entries = await fs.readdir(data, {
+    recursive: true,
+    withFileTypes: true,
+  });
+  const texts = await Promise.all(
+    entries.filter((entry) => entry.isFile()).map((entry) =>
+      fs.readFile(path.join(entry.parentPath, entry.name), "latin1")
+    ),
+  );
+  return [...host.lines, ...texts].join("\n");
+}
+
 describe("TLS on every listener", () => {
   let folder: string;
 
@@ -114,6 +139,31 @@
     );
     expect(await shownFingerprint(ports[2] as number)).not.to.equal(before);
   });
+
+  it("writes no private key and no secret, and keeps a good certificate", async () => {
+    await writeCertificate(folder);
+    const ports = await freePort.freePorts(LISTENERS.length);
+    const file = await writeSettings(folder, ports);
+    await using host = launcher.launch(DAEMON, ["--settings", file]);
+    await host.waitForLine(/event=ready/, 20_000);
+    const callers = ports[0] as number;
+    const before = await shownFingerprint(callers);
+    const good = await keyLines(folder);
+    const keyFile = path.join(folder, "host.key");
+    const text = await fs.readFile(keyFile, "utf8");
+    const broken = text.replace(good[2] as string, "not-a-line-of-a-key");
+    await fs.writeFile(keyFile, broken);
+    host.signal("SIGHUP");
+    const told = await host.waitForLine(/event=not-reloaded/);
+    expect(told).to.match(/tls\.callers\.key_file.*host\.key is no key/);
+    expect(await shownFingerprint(callers)).to.equal(before);
+    expect(host.isRunning, host.tail).to.equal(true);
+    const all = await written(host, folder);
+    const secrets = [...good, ...await keyLines(folder), SECRET];
+    expect(secrets.filter((secret) => all.includes(secret))).to.deep.equal([]);
+    // The search would have found what is known to be there.
+    expect(all).to.include(told);
+  });
 });
 
 class AgentOf implements AsyncDisposable {
--- a/packages/daemon/test/settings/load_test.ts
+++ b/packages/daemon/test/settings/load_test.ts
@@ -62,6 +62,18 @@
     /token of operator admin/,
   ],
   ["a missing certificate", addTls, "tls.callers.certificate_file", /ENOENT/],
+  [
+    "a private key that others may read",
+    (folder) => addKey(folder, 0o640),
+    "tls.callers.key_file",
+    /open to group or others/,
+  ],
+  [
+    "a file that is no private key",
+    (folder) => addKey(folder, 0o600),
+    "tls.callers.key_file",
+    /no key of the certificate/,
+  ],
   [
     "a missing settings file",
     (folder) => fs.rm(`${folder}/host.toml`),
@@ -118,6 +130,13 @@
   await fs.appendFile(`${folder}/host.toml`, second);
 }
 
+/** Names a certificate and a key that are none. */
+async function addKey(folder: string, mode: number): Promise<void> {
+  await addTls(folder);
+  await fs.writeFile(`${folder}/c.pem`, "no certificate\n");
+  await fs.writeFile(`${folder}/k.pem`, "no key\n", { mode });
+}
+
 async function addTls(folder: string): Promise<void> {
   const text =
     '[tls.callers]\ncertificate_file = "c.pem"\nkey_file = "k.pem"\n';
