Ask for a suspect's slot once it is admitted

After the death of one engine the next, fresh, had 2 slots, and suspects waited at three hosts. The leader admits one suspect a server at a time; the hosts of the two others had got the slots, and the host of the admitted one had none until its deadline. Ruled out by the logs: the model was loaded after 180 ms, the dead engine was known as dead, and the slots were open to grants.

Change: a suspect counts as waiting for a slot only where it is admitted. What waits behind it in its line is counted as before.

The new unit test fails without the change.

--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -331,21 +331,24 @@
     now: number,
   ): readonly protocol.control.ServerStatus[] {
     const clearance = this.#clearance(waiter, now);
-    switch (clearance.kind) {
-      case "clear":
-        return servers;
-      case "admitted":
-        return servers.filter((server) => server.id === clearance.server);
-      case "wait":
-        this.#options.watch.want(
-          waiter.work.fingerprint,
-          servers.map((server) => server.id),
-          waiter.work.deadline - now,
-        );
-        return [];
-      default:
-        return protocol.errors.assertNever(clearance);
+    if (clearance.kind === "wait") {
+      this.#options.watch.want(
+        waiter.work.fingerprint,
+        servers.map((server) => server.id),
+        waiter.work.deadline - now,
+      );
     }
+    return allowedBy(clearance, servers);
+  }
+
+  /**
+   * Servers of which a slot would let the work begin. A suspect asks for none
+   * before it is admitted: the slots of a small server would go to hosts whose
+   * suspects may not run, and the one that may run would get none.
+   */
+  #wanted(waiter: waiting.Waiter): readonly protocol.control.ServerStatus[] {
+    const clearance = this.#clearance(waiter, this.#now());
+    return allowedBy(clearance, this.#candidates(waiter));
   }
 
   /** Servers that may run the work now; tried ones only if none else can. */
@@ -366,9 +369,11 @@
   /** Tells the shares which servers are waited for. */
   #publish(): void {
     const { shares } = this.#options;
+    const now = this.#now();
     const waited = waiting.waitedSlots(
       this.#waiters,
-      (waiter) => this.#candidates(waiter),
+      (waiter) => this.#wanted(waiter),
+      (waiter) => this.#clearance(waiter, now).kind === "wait",
     );
     const hasNew = [...waited.keys()].some((pool) =>
       !this.#waitedFor.has(pool)
@@ -397,6 +402,23 @@
   }
 }
 
+/** Those servers at which a request may run, as far as suspicion goes. */
+function allowedBy(
+  clearance: core.suspicion.Clearance,
+  servers: readonly protocol.control.ServerStatus[],
+): readonly protocol.control.ServerStatus[] {
+  switch (clearance.kind) {
+    case "clear":
+      return servers;
+    case "admitted":
+      return servers.filter((server) => server.id === clearance.server);
+    case "wait":
+      return [];
+    default:
+      return protocol.errors.assertNever(clearance);
+  }
+}
+
 /** Service that a request is charged with, in tokens. */
 function chargeOf(work: types.Work): number {
   return Math.max(LEAST_TOKENS, work.tokens);
--- a/packages/daemon/src/entry/waiters.ts
+++ b/packages/daemon/src/entry/waiters.ts
@@ -94,15 +94,18 @@
  * How many requests wait for each server, by its slot pool.
  *
  * @param serversOf Servers that may run a request.
+ * @param isHeld Whether a request may run nowhere for now.
  *
  * @example
  * ```ts
- * waitedSlots(waiters, () => [server]).get("engine-1/4f2a"); // { count: 3, ... }
+ * waitedSlots(waiters, () => [server], () => false)
+ *   .get("engine-1/4f2a"); // { count: 3, ... }
  * ```
  */
 export function waitedSlots(
   waiters: Waiters,
   serversOf: (waiter: Waiter) => readonly protocol.control.ServerStatus[],
+  isHeld: (waiter: Waiter) => boolean,
 ): Map<string, core.limits.WaitingSlots> {
   const waited = new Map<string, core.limits.WaitingSlots>();
   const add = (waiter: Waiter, count: number) => {
@@ -116,9 +119,20 @@
     }
   };
   for (const { waiters: line } of waiters.lines.values()) {
-    const [oldest] = line;
+    const oldest = firstOf(line, isHeld);
     if (oldest !== undefined) add(oldest, line.size);
   }
   for (const waiter of waiters.retries) add(waiter, 1);
   return waited;
 }
+
+/** The first that is not held, so that the others of its line are not. */
+function firstOf(
+  line: ReadonlySet<Waiter>,
+  isHeld: (waiter: Waiter) => boolean,
+): Waiter | undefined {
+  for (const waiter of line) {
+    if (!isHeld(waiter)) return waiter;
+  }
+  return undefined;
+}
--- a/packages/daemon/test/entry/placement_test.ts
+++ b/packages/daemon/test/entry/placement_test.ts
@@ -28,6 +28,9 @@
   isSettled = true;
   readonly servers = new Map([[SERVER.id, SERVER]]);
   readonly gone = new AbortController();
+  readonly watch = new core.suspicion.SuspectWatch();
+  /** Requests said to wait for slots, by server. */
+  readonly waiting = new Map<string, number | undefined>();
   readonly queue = new entry.PlacementQueue({
     state: {
       view: new core.state.View(),
@@ -42,9 +45,9 @@
       availableSlots: () => this.free,
       runningOn: () => this.running,
       isSettled: () => this.isSettled,
-      setWaitingSlots: () => undefined,
+      setWaitingSlots: (pool, slots) => this.waiting.set(pool, slots?.count),
     },
-    watch: new core.suspicion.SuspectWatch(),
+    watch: this.watch,
     maxQueue: 10_000,
     requestExchange: () => undefined,
     now: () => this.now,
@@ -66,6 +69,19 @@
     );
   }
 
+  /** Places a request that was in flight when a server died. */
+  suspect(workspace: string): { fingerprint: string } {
+    const work = waitingWork.work(workspace);
+    const { fingerprint, target: model } = work;
+    const inFlight = [{ fingerprint, workspace, model }];
+    this.watch.died("plain-0", "a", inFlight, this.now);
+    const { signal } = this.gone;
+    waitingWork.follow(
+      this.queue.place(work, triedServers.UNTRIED, signal, 0),
+    );
+    return { fingerprint };
+  }
+
   /** Frees slots each 100 ms until `untilMs`. */
   serve(slots: number, untilMs: number): void {
     for (this.now = 100; this.now <= untilMs; this.now += 100) {
@@ -220,6 +236,31 @@
     expect(bench.free).to.equal(1);
   });
 
+  it("are asked for a suspect once it is admitted", () => {
+    const bench = new Bench();
+    const { fingerprint } = bench.suspect("web-shop");
+    bench.queue.pump();
+    expect([...bench.waiting.values()]).to.deep.equal([]);
+    bench.watch.update([{
+      kind: "admitted",
+      fingerprint,
+      server: SERVER.id,
+      remainingMs: 1_000,
+    }], bench.now);
+    bench.queue.pump();
+    expect([...bench.waiting.values()]).to.deep.equal([1]);
+    bench.gone.abort();
+  });
+
+  it("are asked for what waits behind a suspect", () => {
+    const bench = new Bench();
+    bench.suspect("web-shop");
+    bench.place("partner");
+    bench.queue.pump();
+    expect([...bench.waiting.values()]).to.deep.equal([2]);
+    bench.gone.abort();
+  });
+
   it("go to every target that has room", async () => {
     const bench = new Bench();
     for (let i = 0; i < 5; i += 1) bench.place("loud", "cold");
