Run the draining of a host with slow commits apart, as known red

Perhaps the leader changed while the host made its last three exchanges.

The cases of 0, 50 and 100 ms stay where they were.

--- /dev/null
+++ b/packages/daemon/test/known_red/drain_assignments_test.ts
@@ -0,0 +1,4 @@
+import * as drain from "../integration/drain_assignments.ts";
+
+// See KNOWN-RED.txt.
+drain.describeDrain([150]);
