Keep the gate of grants in one class for both kinds of pool

Buckets and slots each kept whether shares may be granted and since when they are unused, in the same lines; GrantGate does it for both, and a pool only says whether it is used. The slots of strays were summed in two places, and a type stood between two steps of one method; both are one now.

--- a/packages/core/src/limits/bucket_pool.ts
+++ b/packages/core/src/limits/bucket_pool.ts
@@ -11,6 +11,7 @@
 
 import type * as protocol from "@ebonypath/protocol";
 import * as bucketTargets from "./bucket_targets.ts";
+import { GrantGate } from "./grant_gate.ts";
 import { type Amount, Ledger, type Share } from "./ledger.ts";
 import {
   type BucketLimit,
@@ -38,15 +39,14 @@
 
 /** One workspace's token bucket, divided among holders. */
 export class BucketPool {
+  /** Lets shares be granted. */
+  readonly gate: GrantGate;
   readonly #name: string;
   readonly #ledger: Ledger;
   readonly #situations = new Map<string, Situation>();
   #limit: BucketLimit;
   #level: number;
   #refilledAt: number;
-  #isGrantable: boolean;
-  /** When tokens were last out, lacking or wanted. */
-  #usedAt: number;
 
   /** Creates the pool as of `now`. */
   constructor(name: string, limit: BucketLimit, start: PoolStart, now: number) {
@@ -59,29 +59,17 @@
     this.#limit = limit;
     this.#level = adopts ? 0 : Math.min(start.level, limit.burst);
     this.#refilledAt = now;
-    this.#isGrantable = start.isGrantable;
-    this.#usedAt = now;
+    this.gate = new GrantGate(start.isGrantable, now);
   }
 
-  /** Whether shares may be granted. */
-  get isGrantable(): boolean {
-    return this.#isGrantable;
-  }
-
-  /** Sets whether shares may be granted; none may be out where they may not. */
-  setGrantable(isGrantable: boolean, now: number): void {
-    this.#isGrantable = isGrantable;
-    this.#usedAt = now;
-  }
-
-  /**
-   * For how long the pool has been full, and nobody has held or wanted a share,
-   * in milliseconds, as far as earlier calls saw; zero if it is in use now.
-   */
-  unusedMs(now: number): number {
+  /** Whether tokens are out, lacking or wanted. */
+  isUsed(now: number): boolean {
     this.advance(now);
-    if (this.#isUsed()) this.#usedAt = now;
-    return now - this.#usedAt;
+    const { capacity, rate } = this.counted();
+    const isWanted = [...this.#situations.values()]
+      .some(({ demand }) => demand.tokens > 0);
+    return isWanted || this.#ledger.isAdopting || capacity > 0 || rate > 0 ||
+      this.#level < this.#limit.burst - ROUNDING_TOKENS;
   }
 
   /** The limit that new grants follow. */
@@ -164,14 +152,6 @@
     return this.#grant(holder, share, id);
   }
 
-  #isUsed(): boolean {
-    const { capacity, rate } = this.counted();
-    const isWanted = [...this.#situations.values()]
-      .some(({ demand }) => demand.tokens > 0);
-    return isWanted || this.#ledger.isAdopting || capacity > 0 || rate > 0 ||
-      this.#level < this.#limit.burst - ROUNDING_TOKENS;
-  }
-
   #surrendered(holder: string, report: protocol.limits.BucketReport): number {
     const before = this.#situations.get(holder)?.surrendered ?? 0;
     return Math.max(0, report.surrendered - before);
@@ -214,7 +194,7 @@
 
   /** What the holder should have, were all of the pool free to be moved. */
   #target(holder: string): bucketTargets.Target {
-    if (!this.#isGrantable) return NO_TARGET;
+    if (!this.gate.isOpen) return NO_TARGET;
     const situations = new Map(
       [...this.#situations].map(([name, situation]) => [name, {
         ...situation,
--- a/packages/core/src/limits/grantable.ts
+++ b/packages/core/src/limits/grantable.ts
@@ -67,14 +67,14 @@
 
   /** Those of `names` that are known and closed. */
   closed(names: readonly string[]): string[] {
-    return names.filter((name) => this.#pools.get(name)?.isGrantable === false);
+    return names.filter((name) => this.#pools.get(name)?.gate.isOpen === false);
   }
 
   /** Opens pools, once that is committed. */
   open(names: readonly string[], now: number): void {
     for (const name of names) {
       this.#open?.add(name);
-      this.#pools.get(name)?.setGrantable(true, now);
+      this.#pools.get(name)?.gate.set(true, now);
     }
   }
 
@@ -86,7 +86,7 @@
     for (const name of names) {
       this.#open?.delete(name);
       this.#unknownSince.delete(name);
-      this.#pools.get(name)?.setGrantable(false, now);
+      this.#pools.get(name)?.gate.set(false, now);
     }
     return names;
   }
@@ -95,7 +95,7 @@
     const pool = this.#pools.get(name);
     if (pool !== undefined) {
       this.#unknownSince.delete(name);
-      return pool.unusedMs(now) >= UNUSED_MS;
+      return pool.gate.unusedMs(pool.isUsed(now), now) >= UNUSED_MS;
     }
     const since = this.#unknownSince.get(name) ?? now;
     this.#unknownSince.set(name, since);
--- a/packages/core/src/limits/slot_pool.ts
+++ b/packages/core/src/limits/slot_pool.ts
@@ -6,6 +6,7 @@
 
 import type * as protocol from "@ebonypath/protocol";
 import { divideWhole, type WholeClaim } from "./division.ts";
+import { GrantGate } from "./grant_gate.ts";
 import { countedOf, type Entry, Ledger, type Share } from "./ledger.ts";
 import {
   CLOCK_DRIFT,
@@ -51,15 +52,14 @@
 
 /** One backend server's slots, divided among holders. */
 export class SlotPool {
+  /** Lets slots be granted. */
+  readonly gate: GrantGate;
   readonly #name: string;
   readonly #ledger: Ledger;
   readonly #situations = new Map<string, Situation>();
   #strays: Stray[] = [];
   #observed: { readonly running: number; readonly at: number } | undefined;
   #limit: number;
-  #isGrantable: boolean;
-  /** When slots were last held, in use or wanted. */
-  #usedAt: number;
   #outcomes: protocol.limits.ServerOutcomes = { ...NO_OUTCOMES };
 
   /** Creates the pool as of `now`. */
@@ -67,8 +67,7 @@
     const adopts = now < start.adoptsUntil;
     this.#name = name;
     this.#limit = limit;
-    this.#isGrantable = start.isGrantable;
-    this.#usedAt = now;
+    this.gate = new GrantGate(start.isGrantable, now);
     this.#ledger = new Ledger(
       { capacity: adopts ? limit : 0, rate: 0 },
       start.adoptsUntil,
@@ -88,31 +87,17 @@
     return this.#ledger.entries.size > 0;
   }
 
-  /** Whether slots may be granted. */
-  get isGrantable(): boolean {
-    return this.#isGrantable;
-  }
-
-  /** Sets whether slots may be granted; none may be out where they may not. */
-  setGrantable(isGrantable: boolean, now: number): void {
-    this.#isGrantable = isGrantable;
-    this.#usedAt = now;
-  }
-
-  /**
-   * For how long nobody has held, used or wanted a slot, in milliseconds, as
-   * far as earlier calls saw; zero if one is held, used or wanted now.
-   */
-  unusedMs(now: number): number {
+  /** Whether slots are held, in use or wanted. */
+  isUsed(now: number): boolean {
     this.advance(now);
-    if (this.#isUsed()) this.#usedAt = now;
-    return now - this.#usedAt;
+    const isWanted = [...this.#situations.values()]
+      .some((situation) => claimOf(situation).expected > 0);
+    return isWanted || this.#ledger.isAdopting || this.counted() > 0;
   }
 
   /** Slots that must be taken as in use. */
   counted(): number {
-    const stray = this.#strays.reduce((total, { slots }) => total + slots, 0);
-    return this.#ledger.counted().capacity + stray;
+    return this.#ledger.counted().capacity + this.#straySlots();
   }
 
   /**
@@ -253,12 +238,6 @@
     };
   }
 
-  #isUsed(): boolean {
-    const isWanted = [...this.#situations.values()]
-      .some((situation) => claimOf(situation).expected > 0);
-    return isWanted || this.#ledger.isAdopting || this.counted() > 0;
-  }
-
   #observation(now: number): Pick<protocol.limits.SlotGrant, "observed"> {
     if (this.#observed === undefined) return {};
     const { running, at } = this.#observed;
@@ -266,24 +245,23 @@
   }
 
   #target(holder: string, report: protocol.limits.SlotReport): number {
-    if (!this.#isGrantable) return 0;
+    if (!this.gate.isOpen) return 0;
     const index = [...this.#situations.keys()].indexOf(holder);
     const claims = [...this.#situations.values()].map(claimOf);
-    const unheard = this.#unheard();
+    const unheard = this.counted() - this.#ledger.held().capacity;
     const most = Math.max(this.#limit, this.#inherited());
     // Slots that may be out unheard can be had by nobody yet: what is wanted
     // comes out of stocks meanwhile, and nobody loses what it wants itself.
-    const fair = divideWhole(most - unheard.strays, claims)[index]!;
-    const atHand = divideWhole(most - unheard.all, claims)[index]!;
+    const fair = divideWhole(most - this.#straySlots(), claims)[index]!;
+    const atHand = divideWhole(most - unheard, claims)[index]!;
     const target = Math.max(atHand, Math.min(fair, claims[index]!.want));
     const free = Math.max(0, Math.floor(this.#limit) - this.counted());
     return Math.min(target, report.slots + free);
   }
 
-  /** Slots that may be in use by holders that this leader does not hear. */
-  #unheard(): { readonly strays: number; readonly all: number } {
-    const strays = this.#strays.reduce((sum, { slots }) => sum + slots, 0);
-    return { strays, all: this.counted() - this.#ledger.held().capacity };
+  /** Slots of holders that the leader cannot hear. */
+  #straySlots(): number {
+    return this.#strays.reduce((total, { slots }) => total + slots, 0);
   }
 
   /** Requests may have begun under an offer that the holder never confirmed. */
--- a/packages/core/src/limits/slot_share.ts
+++ b/packages/core/src/limits/slot_share.ts
@@ -46,9 +46,6 @@
   readonly expiresAt: number;
 };
 
-/** What a server said of its load, and since when it must have known. */
-type Observation = { readonly running: number; readonly since: number };
-
 /**
  * One host's share of a backend server's slots. Requests that run keep counting
  * when the share shrinks or expires, and so do requests that the host gave up:
@@ -229,11 +226,7 @@
     const { running, ageMs } = grant.observed;
     const saidAt = reportedAt - ageMs * (1 + 2 * CLOCK_DRIFT);
     const since = saidAt - OBSERVATION_LAG_MS;
-    this.#forgetBeyond({ running, since });
-  }
-
-  /** A server can run no more of the requests given up than it runs at all. */
-  #forgetBeyond({ running, since }: Observation): void {
+    // It can run no more of the requests given up than it runs at all.
     const known = [...this.#givenUp]
       .filter(([, givenUpAt]) => givenUpAt <= since);
     const ended = Math.max(0, known.length - running);
