Render a stored refusal in one place

The state machine and the sink that collects answers each rendered a refusal as a stored answer, with the same members. The sink calls that of the state now. The tests of both pass unchanged.

--- a/packages/core/src/state/mod.ts
+++ b/packages/core/src/state/mod.ts
@@ -15,6 +15,7 @@
 export { type GrantablePools } from "./grantable_pools.ts";
 export { type OperatorCommand } from "./operator_changes.ts";
 export { type Replica } from "./replicas.ts";
+export { refusalAnswer } from "./results.ts";
 export * from "./state.ts";
 export * from "./types.ts";
 export { judge } from "./verdicts.ts";
--- a/packages/core/src/state/results.ts
+++ b/packages/core/src/state/results.ts
@@ -29,20 +29,32 @@
   return { result, changes: [] };
 }
 
-/** Renders a refusal as an answer that can be stored and replayed. */
+/** Refuses in the form in which answers are stored. */
 export function refusal(
   definition: protocol.errors.Definition,
   detail: string,
 ): Answer {
-  const refused = new protocol.errors.Refusal(definition, detail);
+  return refusalAnswer(new protocol.errors.Refusal(definition, detail));
+}
+
+/**
+ * Renders a refusal as an answer that can be stored and replayed.
+ *
+ * @example
+ * ```ts
+ * refusalAnswer(refusal).outcome; // "not-run"
+ * ```
+ */
+export function refusalAnswer(refused: protocol.errors.Refusal): Answer {
+  const problem = refused.toProblem();
   return {
-    status: definition.status,
+    status: problem.status,
     contentType: protocol.errors.PROBLEM_TYPE,
     body: JSON.stringify({
-      ...refused.toProblem(),
+      ...problem,
       ...protocol.errors.callerMembers(refused),
     }),
-    outcome: definition.outcome,
+    outcome: problem.outcome,
     refused: true,
   };
 }
--- a/packages/daemon/src/entry/collecting_sink.ts
+++ b/packages/daemon/src/entry/collecting_sink.ts
@@ -1,4 +1,5 @@
 import { Buffer, isUtf8 } from "node:buffer";
+import * as core from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
 import * as storedRequest from "./stored_request.ts";
 import type * as types from "./types.ts";
@@ -34,7 +35,7 @@
     this.#whole = answer;
     const encoded = encode(answer.body);
     if (storedRequest.jsonBytes(encoded.body) > this.#maxBytes) {
-      this.#answer = refusalAnswer(notKept(this.#maxBytes));
+      this.#answer = core.state.refusalAnswer(notKept(this.#maxBytes));
       return;
     }
     this.#answer = {
@@ -66,34 +67,10 @@
 
   refuse(refusal: protocol.errors.Refusal): void {
     this.#refusal = refusal;
-    this.#answer = refusalAnswer(refusal);
+    this.#answer = core.state.refusalAnswer(refusal);
   }
 }
 
-/**
- * A refusal in the form in which answers are stored.
- *
- * @example
- * ```ts
- * refusalAnswer(refusal).outcome; // "not-run"
- * ```
- */
-export function refusalAnswer(
-  refusal: protocol.errors.Refusal,
-): protocol.state.Answer {
-  const problem = refusal.toProblem();
-  return {
-    status: problem.status,
-    contentType: protocol.errors.PROBLEM_TYPE,
-    body: JSON.stringify({
-      ...problem,
-      ...protocol.errors.callerMembers(refusal),
-    }),
-    outcome: problem.outcome,
-    refused: true,
-  };
-}
-
 /** Sends a stored answer; a refusal says its outcome as the first time. */
 export function replay(
   answer: protocol.state.Answer,
