Ask once what a server lists, and what is being assigned

Two methods of the scene repeated the check that a listed model is not known to be gone. The driver of deferred requests kept a flag beside the list of assignments that it stood for; the list, which held assignments and was named after hosts, says both. The tests of both pass unchanged.

--- a/packages/core/src/placement/scene.ts
+++ b/packages/core/src/placement/scene.ts
@@ -130,8 +130,7 @@
   /** Whether a server holds a version of a model, or is about to. */
   holds(server: fleet.Server, model: string, version: string): boolean {
     return this.#isDecided(server, model, version) ||
-      fleet.lists(server, model, version) &&
-        !this.#isForgotten(server, model, version);
+      this.#isListed(server, model, version);
   }
 
   /**
@@ -143,9 +142,8 @@
     const version = this.versionOf(model);
     if (version === undefined) return [];
     return this.usable.filter((server) =>
-      fleet.lists(server, model, version) &&
-      !this.#isDecided(server, model, version) &&
-      !this.#isForgotten(server, model, version)
+      this.#isListed(server, model, version) &&
+      !this.#isDecided(server, model, version)
     );
   }
 
@@ -181,10 +179,11 @@
     );
   }
 
-  /** Whether what a server still lists is known to be gone. */
-  #isForgotten(server: fleet.Server, model: string, version: string): boolean {
+  /** Whether a server lists what is not known to be gone since. */
+  #isListed(server: fleet.Server, model: string, version: string): boolean {
     const name = types.versionedName(model, version);
-    return this.#orders.forgottenOn(server).has(name);
+    return fleet.lists(server, model, version) &&
+      !this.#orders.forgottenOn(server).has(name);
   }
 
   #isUsable(server: fleet.Server): boolean {
--- a/packages/daemon/src/control/deferred_driver.ts
+++ b/packages/daemon/src/control/deferred_driver.ts
@@ -39,9 +39,8 @@
 /** Drives the planner of deferred requests for one term of leadership. */
 export class DeferredDriver {
   readonly #options: DeferredDriverOptions;
-  #isProposing = false;
-  /** Hosts whose assignments are being committed. */
-  #assignedHosts: readonly core.deferred.Assignment[] = [];
+  /** Assignments that are being committed. */
+  #proposed: readonly core.deferred.Assignment[] = [];
 
   constructor(options: DeferredDriverOptions) {
     this.#options = options;
@@ -50,7 +49,7 @@
   /** Plans once; assignments are committed before hosts hear of them. */
   run(now: number): void {
     const { hosts, placement, replicated } = this.#options;
-    if (this.#isProposing) return;
+    if (this.#proposed.length > 0) return;
     const { state } = replicated;
     const waiting = state.pendingDeferred();
     if (waiting.length === 0) {
@@ -95,7 +94,7 @@
   isAssigningTo(
     { name, incarnation }: protocol.control.HostIdentity,
   ): boolean {
-    return this.#assignedHosts.some((one) =>
+    return this.#proposed.some((one) =>
       one.host === name && one.hostIncarnation === incarnation
     );
   }
@@ -104,8 +103,7 @@
     assignments: readonly core.deferred.Assignment[],
   ): Promise<void> {
     if (assignments.length === 0) return;
-    this.#isProposing = true;
-    this.#assignedHosts = assignments;
+    this.#proposed = assignments;
     try {
       await Promise.all(assignments.map((assignment) =>
         this.#options.propose({
@@ -118,8 +116,7 @@
     } catch (error) {
       write("not-assigned", { error });
     } finally {
-      this.#isProposing = false;
-      this.#assignedHosts = [];
+      this.#proposed = [];
     }
   }
 
