Share the beginnings of experiments

Five experiments published one service for one workspace and granted a key in the same lines, two readers fetched a host's metrics, and the caller built a question to a model twice. harness.publishService, one reader and one question serve them. streams names the host it needs instead of deriving the type of a fleet from another function. streams, claims, rate and failure-domain were run once each after it (seed 1): no errors beyond those that rate counts.

--- a/packages/benchmark/src/experiments/claims.ts
+++ b/packages/benchmark/src/experiments/claims.ts
@@ -18,11 +18,8 @@
 async function run(options: types.RunOptions): Promise<types.Outcome> {
   const voters = harness.voters(options);
   await using fleet = await harness.startHosts(HOSTS, { voters });
-  await harness.publish(fleet, {
-    workspaces: [harness.workspace("w0")],
-    services: [harness.plainService(["w0"])],
-  });
-  const { key } = await fleet.host(0).operator.grantKey("w0");
+  const service = harness.plainService(["w0"]);
+  const key = await harness.publishService(fleet, service);
   await using fake = await harness.startPlainFake(fleet, { concurrency: 512 });
   void fake;
   await harness.waitForServers(fleet, 1);
--- a/packages/benchmark/src/experiments/failure_domain.ts
+++ b/packages/benchmark/src/experiments/failure_domain.ts
@@ -35,12 +35,9 @@
     { length: MODELS },
     (_, index) => harness.model(`m${index}`, { maxReplicas: REPLICAS }),
   );
-  await harness.publish(fleet, {
-    workspaces: [harness.workspace("w0")],
-    services: [harness.modelService(models, ["w0"])],
-  });
   const { operator } = fleet.host(0);
-  const { key } = await operator.grantKey("w0");
+  const service = harness.modelService(models, ["w0"]);
+  const key = await harness.publishService(fleet, service);
   await using fakes = await startFakes(fleet);
   void fakes;
   await harness.waitForServers(fleet, DOMAINS);
--- a/packages/benchmark/src/experiments/overhead.ts
+++ b/packages/benchmark/src/experiments/overhead.ts
@@ -26,12 +26,8 @@
 
 async function run(options: types.RunOptions): Promise<types.Outcome> {
   await using fleet = await harness.startHosts(1);
-  const models = [harness.model("m0")];
-  await harness.publish(fleet, {
-    workspaces: [harness.workspace("w0")],
-    services: [harness.modelService(models, ["w0"])],
-  });
-  const { key } = await fleet.host(0).operator.grantKey("w0");
+  const service = harness.modelService([harness.model("m0")], ["w0"]);
+  const key = await harness.publishService(fleet, service);
   await using fake = await harness.startRemoteFake(fleet, {
     id: "engine-1",
     services: ["bench"],
--- a/packages/benchmark/src/experiments/rate.ts
+++ b/packages/benchmark/src/experiments/rate.ts
@@ -32,11 +32,11 @@
 async function run(options: types.RunOptions): Promise<types.Outcome> {
   const voters = harness.voters(options);
   await using fleet = await harness.startHosts(HOSTS, { voters });
-  await harness.publish(fleet, {
-    workspaces: [harness.workspace("w0", LIMIT.rate, LIMIT.burst)],
-    services: [harness.plainService(["w0"], COST, MAX_WAIT_MS)],
-  });
-  const { key } = await fleet.host(0).operator.grantKey("w0");
+  const key = await harness.publishService(
+    fleet,
+    harness.plainService(["w0"], COST, MAX_WAIT_MS),
+    harness.workspace("w0", LIMIT.rate, LIMIT.burst),
+  );
   await using fake = await harness.startPlainFake(fleet, { concurrency: 512 });
   void fake;
   await harness.waitForServers(fleet, 1);
--- a/packages/benchmark/src/experiments/streams.ts
+++ b/packages/benchmark/src/experiments/streams.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from "node:events";
-import { wait } from "@ebonypath/testing";
+import { type launcher, wait } from "@ebonypath/testing";
 import * as harness from "../harness/mod.ts";
 import * as measure from "../measure/mod.ts";
 import type * as types from "../types.ts";
@@ -42,12 +42,8 @@
 
 async function run(options: types.RunOptions): Promise<types.Outcome> {
   await using fleet = await harness.startHosts(1);
-  const models = [harness.model("m0")];
-  await harness.publish(fleet, {
-    workspaces: [harness.workspace("w0")],
-    services: [harness.modelService(models, ["w0"])],
-  });
-  const { key } = await fleet.host(0).operator.grantKey("w0");
+  const service = harness.modelService([harness.model("m0")], ["w0"]);
+  const key = await harness.publishService(fleet, service);
   await using engine = await harness.startRemoteFake(fleet, {
     id: "engine-1",
     services: ["bench"],
@@ -56,8 +52,8 @@
     generatedTokens: STREAM_TOKENS,
   });
   await harness.waitForServers(fleet, 1);
-  const { callers } = fleet.host(0);
-  await using through = new harness.Caller(callers, key, CONNECTIONS);
+  const host = fleet.host(0);
+  await using through = new harness.Caller(host.callers, key, CONNECTIONS);
   await using straight = new harness.Caller(
     engine.address,
     "unused",
@@ -66,11 +62,11 @@
   await warmUp(through);
   const levels: Level[] = [];
   for (const count of LEVELS) {
-    levels.push(await measureLevel(fleet, through, count));
+    levels.push(await measureLevel(host, through, count));
     options.print(describe(levels.at(-1) as Level));
   }
   const most = LEVELS.at(-1) as number;
-  const direct = await measureLevel(fleet, straight, most);
+  const direct = await measureLevel(host, straight, most);
   return {
     figures: Object.assign(
       {},
@@ -97,7 +93,7 @@
 
 /** Opens streams and counts their tokens. */
 async function measureLevel(
-  fleet: Parameters<typeof harness.startRemoteFake>[0],
+  host: launcher.FleetHost,
   caller: harness.Caller,
   count: number,
 ): Promise<Level> {
@@ -133,7 +129,7 @@
   });
   isCounting = true;
   const begin = performance.now();
-  const [usage] = await measure.measureHosts([fleet.host(0)], WINDOW_MS);
+  const [usage] = await measure.measureHosts([host], WINDOW_MS);
   const elapsedMs = performance.now() - begin;
   isCounting = false;
   end.abort();
--- a/packages/benchmark/src/harness/caller.ts
+++ b/packages/benchmark/src/harness/caller.ts
@@ -5,6 +5,7 @@
 const ANSWER_TIMEOUT_MS = 40_000;
 /** Most connections of a caller unless told otherwise. */
 const CONNECTIONS = 512;
+const CHAT_PATH = "/v1/chat/completions";
 /** Begins the line of an event that carries data. */
 const DATA = Buffer.from("data: ");
 
@@ -71,13 +72,7 @@
 
   /** Asks a model for a short answer. */
   async chat(model: string, maxTokens = 4): Promise<Answer> {
-    this.#sent += 1;
-    const content = `question ${this.#sent}`;
-    const message = { role: "user", content };
-    return await this.send("/v1/chat/completions", {
-      body: { model, messages: [message], "max_tokens": maxTokens },
-      headers: { "x-request-id": `bench-${this.#sent}` },
-    });
+    return await this.send(CHAT_PATH, this.#question(model, maxTokens));
   }
 
   /**
@@ -92,14 +87,12 @@
     signal: AbortSignal,
     onEvents: (events: number) => void,
   ): Promise<Answer> {
-    this.#sent += 1;
-    const message = { role: "user", content: `question ${this.#sent}` };
-    const body = { model, messages: [message], "max_tokens": maxTokens };
+    const { body, headers } = this.#question(model, maxTokens);
     try {
       const answer = await this.#pool.request({
         method: "POST",
-        path: "/v1/chat/completions",
-        headers: { ...this.#headers, "x-request-id": `bench-${this.#sent}` },
+        path: CHAT_PATH,
+        headers: { ...this.#headers, ...headers },
         body: JSON.stringify({ ...body, stream: true }),
         signal,
       });
@@ -114,6 +107,16 @@
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#pool.destroy();
   }
+
+  /** The next question to a model; no two are alike. */
+  #question(model: string, maxTokens: number) {
+    this.#sent += 1;
+    const message = { role: "user", content: `question ${this.#sent}` };
+    return {
+      body: { model, messages: [message], "max_tokens": maxTokens },
+      headers: { "x-request-id": `bench-${this.#sent}` },
+    };
+  }
 }
 
 async function wholeAnswer(
--- a/packages/benchmark/src/harness/fleet.ts
+++ b/packages/benchmark/src/harness/fleet.ts
@@ -2,6 +2,7 @@
 import * as path from "node:path";
 import type { configuration } from "@ebonypath/protocol";
 import { launcher, wait } from "@ebonypath/testing";
+import * as catalogue from "./catalogue.ts";
 
 const ROOT = fileURLToPath(new URL("../../../../../", import.meta.url));
 const DAEMON = path.join(ROOT, "packages/daemon/dist/src/main.js");
@@ -75,6 +76,21 @@
   return performance.now() - start;
 }
 
+/**
+ * Publishes one service for one workspace.
+ *
+ * @returns a key of the workspace
+ */
+export async function publishService(
+  fleet: launcher.Fleet,
+  service: configuration.Service,
+  workspace = catalogue.workspace("w0"),
+): Promise<string> {
+  await publish(fleet, { workspaces: [workspace], services: [service] });
+  const { key } = await fleet.host(0).operator.grantKey(workspace.name);
+  return key;
+}
+
 /** Waits until the first host knows this many backend servers. */
 export async function waitForServers(
   fleet: launcher.Fleet,
--- a/packages/benchmark/src/measure/usage.ts
+++ b/packages/benchmark/src/measure/usage.ts
@@ -48,8 +48,7 @@
  * ```
  */
 export async function readWork(host: launcher.FleetHost): Promise<Work> {
-  const answer = await undici.request(`${host.operators}/metrics`);
-  return parseWork(await answer.body.text());
+  return parseWork(await readMetrics(host));
 }
 
 /** Reads processor time and time in collections from an exposition. */
@@ -104,8 +103,7 @@
 ): Promise<Reading> {
   const early = edge === "end" ? await readBytes(host) : 0;
   const timeMs = performance.now();
-  const answer = await undici.request(`${host.operators}/metrics`);
-  const text = await answer.body.text();
+  const text = await readMetrics(host);
   return {
     timeMs,
     cpuMs: parseMetric(text, "process_cpu_seconds_total") * 1_000,
@@ -114,6 +112,11 @@
   };
 }
 
+async function readMetrics(host: launcher.FleetHost): Promise<string> {
+  const answer = await undici.request(`${host.operators}/metrics`);
+  return await answer.body.text();
+}
+
 async function readBytes(host: launcher.FleetHost): Promise<number> {
   return parseIo(await fs.readFile(`/proc/${host.process.pid}/io`, "utf8"));
 }
