Share what tests did each for themselves

Two tests of core had the same seeded random source, one test of draining built the world of its neighbours again, and two integration tests listed fault switches to turn them off. They use core/test/random.ts, oneServer and FakeBackend.clearFaults, which turns all switches off. The test of draining hosts has one function in place of two.

--- a/packages/core/test/placement/draining_test.ts
+++ b/packages/core/test/placement/draining_test.ts
@@ -9,7 +9,9 @@
 type Said = number | undefined;
 
 /** One server with room for one of two models, and `advice/a` on it. */
-function oneServer(said: { running: Said }): worlds.World {
+function oneServer(
+  runningOn: NonNullable<worlds.Options["runningOn"]>,
+): worlds.World {
   const world = new worlds.World({
     seed: 7,
     faults: worlds.NO_FAULTS,
@@ -21,7 +23,7 @@
       }),
     ],
     configuration: fixtures.configuration({ a: 4, b: 5, c: 1 }),
-    runningOn: () => said.running,
+    runningOn,
   });
   world.run(1_000);
   world.demand("h1", "advice/a", 1);
@@ -68,7 +70,7 @@
   for (const { name, before, after, unloads } of cases) {
     it(name, () => {
       const said: { running: Said } = { running: before };
-      const world = oneServer(said);
+      const world = oneServer(() => said.running);
       // The request on `advice/a` began after the last report of demand.
       world.demand("h2", "advice/b", 1);
       world.run(world.nowMs + 5_000);
@@ -82,7 +84,7 @@
   }
 
   it("don't happen where an idle model frees the memory", () => {
-    const world = oneServer({ running: 0 });
+    const world = oneServer(() => 0);
     world.demand("h3", "advice/c", 1);
     expect(world.runUntil(() => holds(world, "advice/c"))).to.equal(true);
     world.demand("h3", "advice/c", 0, 1);
@@ -94,26 +96,10 @@
 
   it("ask about requests since hosts have heard of the unload", () => {
     const since: number[] = [];
-    const world = new worlds.World({
-      seed: 7,
-      faults: worlds.NO_FAULTS,
-      servers: [
-        new fakes.FakeServer({
-          id: "s0",
-          memoryBytes: 6 * GB,
-          checksFencing: true,
-        }),
-      ],
-      configuration: fixtures.configuration({ a: 4, b: 5 }),
-      runningOn: (_, sinceMs) => {
-        since.push(sinceMs);
-        return 0;
-      },
+    const world = oneServer((_, sinceMs) => {
+      since.push(sinceMs);
+      return 0;
     });
-    world.run(1_000);
-    world.demand("h1", "advice/a", 1);
-    world.runUntil(() => holds(world, "advice/a"));
-    world.demand("h1", "advice/a", 0);
     const askedMs = world.nowMs;
     world.demand("h2", "advice/b", 1);
     world.runUntil(() => orders(world, "unload").length > 0);
--- a/packages/core/test/placement/world.ts
+++ b/packages/core/test/placement/world.ts
@@ -1,6 +1,7 @@
 import type * as protocol from "@ebonypath/protocol";
 import * as placement from "../../src/placement/mod.ts";
 import * as state from "../../src/state/mod.ts";
+import * as random from "../random.ts";
 import * as servers from "./fake_server.ts";
 
 /** Which faults a world provokes, as chances per second or per message. */
@@ -38,17 +39,6 @@
   leaderChange: 0.02,
 };
 
-/** A seeded generator of numbers from 0 to 1. */
-export function random(seed: number): () => number {
-  let a = seed;
-  return () => {
-    a = (a + 0x6d2b79f5) | 0;
-    let t = Math.imul(a ^ (a >>> 15), 1 | a);
-    t = (t + Math.imul(t ^ (t >>> 7), 61 | t)) ^ t;
-    return ((t ^ (t >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 export interface Options {
   readonly seed: number;
   readonly faults: Faults;
@@ -90,7 +80,7 @@
 
   constructor(options: Options) {
     this.#options = options;
-    this.#random = random(options.seed);
+    this.#random = random.randomSource(options.seed);
     this.#catalogue = new state.Catalogue(options.configuration);
     this.servers = options.servers;
     this.placement = this.#lead();
--- a/packages/core/test/replication/cluster.ts
+++ b/packages/core/test/replication/cluster.ts
@@ -18,6 +18,7 @@
 } from "./member_events.ts";
 import { Network, slotOf } from "./network.ts";
 import { Node, type Surroundings } from "./node.ts";
+import * as random from "../random.ts";
 
 const STEP_MS = 10;
 const CLOCK_DRIFT = 0.05;
@@ -32,17 +33,6 @@
 /** Node numbers from here on pick isolated nodes, the first one first. */
 export const ISOLATED = 10;
 
-/** A small fast random source, so that a seed gives the same run. */
-function randomSource(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
 /** A group of replicas, their disks and clocks, and the network. */
 export class Cluster {
   readonly checker = new Checker();
@@ -58,7 +48,7 @@
   #proposal = 0;
 
   constructor(seed: number, size: number) {
-    this.#random = randomSource(seed);
+    this.#random = random.randomSource(seed);
     const isFast = this.#random() < 0.5;
     this.#surroundings = {
       syncMs: isFast ? 0 : SYNC_MS,
--- a/packages/daemon/test/integration/at_most_once_test.ts
+++ b/packages/daemon/test/integration/at_most_once_test.ts
@@ -28,10 +28,7 @@
   afterEach(async () => {
     expect(scenario.violations).to.deep.equal([]);
     for (const plain of scenario.plains) {
-      Object.assign(plain.faults, {
-        lostAnswers: false,
-        crashMarker: undefined,
-      });
+      plain.clearFaults();
       if (!plain.isRunning) await plain.restart();
     }
     for (const host of scenario.fleet.hosts) {
--- a/packages/daemon/test/integration/drain_assignments.ts
+++ b/packages/daemon/test/integration/drain_assignments.ts
@@ -19,79 +19,75 @@
  */
 export function describeDrain(delaysMs: readonly number[]): void {
   describe("deferred work that is assigned to a host that shuts down", () => {
-    test(delaysMs);
-  });
-}
-
-function test(delaysMs: readonly number[]): void {
-  let scenario: scenarios.Scenario;
+    let scenario: scenarios.Scenario;
 
-  before(async () => {
-    scenario = await scenarios.Scenario.start({
-      hosts: VOTERS + 1,
-      voters: VOTERS,
-      withLinks: true,
-      configuration: scenarios.withDeferredOrders(),
-      limits: { "drain_delay_ms": DRAIN_DELAY_MS },
-      plains: [{ callMs: 100 }, { callMs: 100 }],
+    before(async () => {
+      scenario = await scenarios.Scenario.start({
+        hosts: VOTERS + 1,
+        voters: VOTERS,
+        withLinks: true,
+        configuration: scenarios.withDeferredOrders(),
+        limits: { "drain_delay_ms": DRAIN_DELAY_MS },
+        plains: [{ callMs: 100 }, { callMs: 100 }],
+      });
     });
-  });
 
-  after(async () => await scenario?.[Symbol.asyncDispose]());
+    after(async () => await scenario?.[Symbol.asyncDispose]());
 
-  /** Delays what voters send to one another. */
-  function delayCommits(delayMs: number): void {
-    const { hosts, links } = scenario.fleet;
-    const voters = hosts.slice(0, VOTERS).map(({ name }) => name);
-    for (const from of voters) {
-      for (const to of voters) {
-        if (from !== to) links.link(from, to).toTarget.delayMs = delayMs;
+    /** Delays what voters send to one another. */
+    function delayCommits(delayMs: number): void {
+      const { hosts, links } = scenario.fleet;
+      const voters = hosts.slice(0, VOTERS).map(({ name }) => name);
+      for (const from of voters) {
+        for (const to of voters) {
+          if (from !== to) links.link(from, to).toTarget.delayMs = delayMs;
+        }
       }
     }
-  }
 
-  async function defer(orderId: string): Promise<string> {
-    const options = { ...LATER, body: { orderId } };
-    const reply = await scenario.caller(0)
-      .call("POST", "/services/orders/orders", options);
-    expect(reply.status, reply.text).to.equal(202);
-    return reply.headers["location"] as string;
-  }
+    async function defer(orderId: string): Promise<string> {
+      const options = { ...LATER, body: { orderId } };
+      const reply = await scenario.caller(0)
+        .call("POST", "/services/orders/orders", options);
+      expect(reply.status, reply.text).to.equal(202);
+      return reply.headers["location"] as string;
+    }
 
-  async function collect(path: string): Promise<caller.Reply> {
-    return await wait.waitFor("the answer", async () => {
-      const reply = await scenario.caller(0).call("GET", path);
-      return [202, 503].includes(reply.status) ? undefined : reply;
-    }, { timeoutMs: 40_000, intervalMs: 100 });
-  }
+    async function collect(path: string): Promise<caller.Reply> {
+      return await wait.waitFor("the answer", async () => {
+        const reply = await scenario.caller(0).call("GET", path);
+        return [202, 503].includes(reply.status) ? undefined : reply;
+      }, { timeoutMs: 40_000, intervalMs: 100 });
+    }
 
-  for (const delayMs of delaysMs) {
-    it(`runs once, with commits that take ${delayMs} ms`, async () => {
-      const leaving = scenario.fleet.host(LEAVING);
-      const ids = Array.from(
-        { length: DEFERRED },
-        (_, index) => `order-${delayMs}-${index}`,
-      );
-      delayCommits(delayMs);
-      try {
-        const paths = await Promise.all(ids.map(defer));
-        leaving.process.signal("SIGTERM");
-        const { process } = leaving;
-        const exit = await process.waitForExit();
-        expect(exit).to.deep.equal({ code: 0, signal: null });
-        delayCommits(0);
-        for (const path of paths) {
-          const reply = await collect(path);
-          const told = `${path}: ${reply.text}\n${process.tail}`;
-          expect(reply.status, told).to.equal(200);
+    for (const delayMs of delaysMs) {
+      it(`runs once, with commits that take ${delayMs} ms`, async () => {
+        const leaving = scenario.fleet.host(LEAVING);
+        const ids = Array.from(
+          { length: DEFERRED },
+          (_, index) => `order-${delayMs}-${index}`,
+        );
+        delayCommits(delayMs);
+        try {
+          const paths = await Promise.all(ids.map(defer));
+          leaving.process.signal("SIGTERM");
+          const { process } = leaving;
+          const exit = await process.waitForExit();
+          expect(exit).to.deep.equal({ code: 0, signal: null });
+          delayCommits(0);
+          for (const path of paths) {
+            const reply = await collect(path);
+            const told = `${path}: ${reply.text}\n${process.tail}`;
+            expect(reply.status, told).to.equal(200);
+          }
+          expect(ids.map((id) => scenario.executionsOf(id)))
+            .to.deep.equal(ids.map(() => 1));
+        } finally {
+          delayCommits(0);
+          await leaving.restart();
+          await scenario.waitUntilServing();
         }
-        expect(ids.map((id) => scenario.executionsOf(id)))
-          .to.deep.equal(ids.map(() => 1));
-      } finally {
-        delayCommits(0);
-        await leaving.restart();
-        await scenario.waitUntilServing();
-      }
-    });
-  }
+      });
+    }
+  });
 }
--- a/packages/daemon/test/integration/engines_test.ts
+++ b/packages/daemon/test/integration/engines_test.ts
@@ -50,16 +50,7 @@
 
   afterEach(async () => {
     for (const engine of scenario.engines) {
-      Object.assign(engine.faults, {
-        crashMarker: undefined,
-        crashOnLoad: undefined,
-        lateMs: 0,
-        crossed: false,
-        silentStreams: false,
-        cutStreams: false,
-        lostAnswers: false,
-        refusesRequests: false,
-      });
+      engine.clearFaults();
       if (!engine.isRunning) await engine.restart();
     }
     await scenario.waitUntilKnown();
--- a/packages/testing/src/fake_backend/fake_backend.ts
+++ b/packages/testing/src/fake_backend/fake_backend.ts
@@ -114,6 +114,11 @@
     return this.#announcer?.lastFailure;
   }
 
+  /** Turns all fault switches off. */
+  clearFaults(): void {
+    Object.assign(this.faults, NO_FAULTS);
+  }
+
   /** Listens and announces, under the same port after the first start. */
   async start(): Promise<void> {
     const server = http.createServer((request, response) => {
