Serve requests by host and path on the users' platform

Cause: the system spoke its own interface only; the users' platform names routes, servers, keys and orders in its own way and gives no list of hosts.

Change: packages/core/src/gateway holds the decisions (routes, servers by birth and sequence, models as paging, shared token buckets, the next change of members), packages/daemon/src/gateway the entry and control hosts around them on the existing log, links and storage, platform/ the names and formats. Control hosts form from three seeds and grow to five by themselves.

node:http is the client to servers: undici takes a reset for the end of an answer without a length.

Before: nothing served.

--- /dev/null
+++ b/packages/core/src/gateway/paging.ts
@@ -0,0 +1,372 @@
+/**
+ * Which server loads or drops which model next.
+ *
+ * Answers loads with many more models than places: every model that requests
+ * wait for gets a place soon, at the server that can have it first, and models
+ * that are wanted all the time keep enough places.
+ *
+ * @module
+ */
+import type { gateway } from "@ebonypath/protocol";
+import * as types from "./paging_types.ts";
+
+/** Part of a server's slots that running requests of one model may fill. */
+const TARGET_FILL = 0.4;
+/** Arrivals per second from which a model is kept on two servers. */
+const SPARE_COPY_PER_SECOND = 1;
+/** Arrivals per second from which a model keeps a place without waiting. */
+const KEEP_PER_SECOND = 0.5;
+/**
+ * Time that a model stays after its load: entry hosts hear of it, send, and
+ * report what runs within it. In milliseconds.
+ */
+const MIN_RESIDENCE_MS = 1_000;
+/** Expected rest of a run that an unload has to wait for, in milliseconds. */
+const RUN_REST_MS = 1_500;
+/**
+ * Weight of recency among models that are dropped; below the cost of waiting
+ * for a run, in milliseconds.
+ */
+const RECENCY_MS = 1_000;
+
+/** Adapters that may be on their way to one server at once. */
+const PENDING_ADAPTERS = 4;
+
+/** A way to bring a model to a server. */
+type Option = {
+  readonly server: types.PagedServer;
+  readonly source: types.WeightSource;
+  readonly loadMs: number;
+  /** Model to drop first, if there is no room. */
+  readonly victim: string | undefined;
+  readonly costMs: number;
+};
+
+/**
+ * Plans the orders to give now: at most one load or unload for each server,
+ * and adapters beside it.
+ *
+ * @example
+ * ```ts
+ * for (const order of planOrders(scene)) desk.give(order);
+ * ```
+ */
+export function planOrders(scene: types.Scene): types.PagingOrder[] {
+  return new Round(scene).plan();
+}
+
+class Round {
+  readonly #scene: types.Scene;
+  readonly #models: ReadonlyMap<string, gateway.Model>;
+  readonly #needs: readonly types.Need[];
+  /** Servers that this round has an order for, or keeps for a model. */
+  readonly #taken = new Set<string>();
+  readonly #waiting: ReadonlySet<string>;
+  readonly #copies = new Map<string, number>();
+  #isStoreOpen: boolean;
+
+  constructor(scene: types.Scene) {
+    this.#scene = scene;
+    this.#isStoreOpen = scene.isStoreOpen;
+    this.#models = new Map(
+      scene.engine.models.map((model) => [model.name, model]),
+    );
+    this.#needs = mergeAdapters(scene.needs)
+      .sort((one, other) => one.slackMs - other.slackMs);
+    this.#waiting = new Set(
+      this.#needs.filter(({ waiting }) => waiting > 0)
+        .map(({ model }) => model),
+    );
+    for (const server of scene.servers.filter(({ isUsable }) => isUsable)) {
+      for (const name of namesOn(server)) {
+        this.#copies.set(name, (this.#copies.get(name) ?? 0) + 1);
+      }
+    }
+  }
+
+  plan(): types.PagingOrder[] {
+    const adapters = this.#planAdapters();
+    const wanted = this.#needs.filter(({ waiting }) => waiting > 0)
+      .filter(({ model }) => this.#copiesOf(model) === 0);
+    const short = this.#needs.filter((need) => this.#isShort(need));
+    const loads = [...wanted, ...short].map((need) => this.#planLoad(need));
+    return [...adapters, ...loads.filter((order) => order !== undefined)];
+  }
+
+  /** Whether a model that is wanted all the time has too few places. */
+  #isShort(need: types.Need): boolean {
+    const copies = this.#copiesOf(need.model);
+    return copies > 0 && copies < this.#desiredCopies(need);
+  }
+
+  #desiredCopies({ concurrency, perSecond }: types.Need): number {
+    const { slots } = this.#scene.engine;
+    const byLoad = Math.ceil(concurrency / Math.max(1, slots * TARGET_FILL));
+    const least = perSecond >= SPARE_COPY_PER_SECOND
+      ? 2
+      : perSecond >= KEEP_PER_SECOND
+      ? 1
+      : 0;
+    return Math.max(byLoad > 1 ? byLoad : 0, least);
+  }
+
+  #copiesOf(model: string): number {
+    return this.#copies.get(model) ?? 0;
+  }
+
+  #planLoad({ model: name, waiting }: types.Need):
+    | types.PagingOrder
+    | undefined {
+    const model = this.#models.get(name);
+    if (model === undefined) return undefined;
+    const options = this.#scene.servers
+      .filter((server) => this.#canTake(server, name))
+      .map((server) => this.#optionAt(server, model, waiting > 0))
+      .filter((option) => option !== undefined)
+      .sort((one, other) => one.costMs - other.costMs);
+    const best = options[0];
+    if (best === undefined) return undefined;
+    this.#taken.add(best.server.id);
+    // A server that is ready soon may be better than one that is idle now.
+    return best.server.busyMs > 0 ? undefined : this.#orderOf(best, name);
+  }
+
+  #orderOf(option: Option, model: string): types.PagingOrder {
+    const { loadMs, server, source, victim } = option;
+    if (victim !== undefined) {
+      return { kind: "unload", server: server.id, model: victim };
+    }
+    this.#copies.set(model, this.#copiesOf(model) + 1);
+    if (source === "store") this.#isStoreOpen = false;
+    return {
+      kind: "load",
+      server: server.id,
+      model,
+      source,
+      expectedMs: loadMs,
+    };
+  }
+
+  #canTake(server: types.PagedServer, model: string): boolean {
+    return server.isUsable && !this.#taken.has(server.id) &&
+      !namesOn(server).includes(model);
+  }
+
+  #optionAt(
+    server: types.PagedServer,
+    model: gateway.Model,
+    isWaitedFor: boolean,
+  ): Option | undefined {
+    const source = sourceOf(server, model.name);
+    if (source === "store" && !this.#isStoreOpen) return undefined;
+    const loadMs = loadTime(model, source);
+    const base = server.busyMs + loadMs;
+    if (this.#freeMb(server) >= model.weightsMb) {
+      return { server, source, loadMs, victim: undefined, costMs: base };
+    }
+    const victim = this.#victimOn(server, isWaitedFor);
+    if (victim === undefined) return undefined;
+    const costMs = base + victim.costMs;
+    return { server, source, loadMs, victim: victim.name, costMs };
+  }
+
+  #freeMb(server: types.PagedServer): number {
+    const used = server.models.reduce(
+      (sum, held) => sum + this.#megabytesOf(held),
+      0,
+    );
+    const pending = [...server.pendingAdapters].reduce(
+      (sum, key) => sum + this.#adapterMb(key.split("/", 1)[0] ?? ""),
+      0,
+    );
+    const loading = server.loading !== undefined &&
+        !server.models.some(({ name }) => name === server.loading)
+      ? this.#models.get(server.loading)?.weightsMb ?? 0
+      : 0;
+    return this.#scene.engine.weightsMb - used - pending - loading;
+  }
+
+  #megabytesOf({ adapters, name }: gateway.HeldModel): number {
+    const weights = this.#models.get(name)?.weightsMb ?? 0;
+    return weights + adapters.length * this.#adapterMb(name);
+  }
+
+  #adapterMb(model: string): number {
+    return this.#models.get(model)?.adapterMb ?? 0;
+  }
+
+  /** The model whose loss costs least, or nothing if each is needed more. */
+  #victimOn(
+    server: types.PagedServer,
+    isWaitedFor: boolean,
+  ): { readonly name: string; readonly costMs: number } | undefined {
+    return server.models
+      .filter(({ name }) => this.#mayDrop(server, name, isWaitedFor))
+      .map(({ name }) => ({ name, costMs: this.#dropCost(server, name) }))
+      .sort((one, other) => one.costMs - other.costMs)[0];
+  }
+
+  #mayDrop(
+    server: types.PagedServer,
+    model: string,
+    isWaitedFor: boolean,
+  ): boolean {
+    const { loadedAt, now } = this.#scene;
+    const age = now - (loadedAt.get(`${server.id} ${model}`) ?? -Infinity);
+    if (age < MIN_RESIDENCE_MS) return false;
+    const copies = this.#copiesOf(model);
+    if (this.#waiting.has(model) && copies <= 1) return false;
+    const need = this.#needs.find((one) => one.model === model);
+    if (need !== undefined && copies <= this.#desiredCopies(need)) return false;
+    // A spare copy is no reason to drop a model that may be asked for again.
+    return isWaitedFor || copies > 1 || (need?.perSecond ?? 0) === 0;
+  }
+
+  /** Waits that dropping a model causes, and those that it has to wait for. */
+  #dropCost(server: types.PagedServer, name: string): number {
+    const { lastWanted, now } = this.#scene;
+    const running = server.running.get(name) ?? 0;
+    const restMs = running > 0 ? RUN_REST_MS : 0;
+    const need = this.#needs.find((one) => one.model === name);
+    const isSpare = this.#copiesOf(name) > 1;
+    const model = this.#models.get(name);
+    const reloadMs = isSpare || model === undefined ? 0 : model.diskLoadMs;
+    const sinceWanted = now - (lastWanted.get(name) ?? -Infinity);
+    // Among models that nobody wants lately, the one unused for longest goes.
+    const recency = RECENCY_MS / (1 + Math.min(sinceWanted, 1e6) / 1_000);
+    return restMs + reloadMs * (need?.perSecond ?? 0) + recency;
+  }
+
+  #planAdapters(): types.PagingOrder[] {
+    const wanted = this.#scene.needs
+      .filter(({ adapter, waiting }) => adapter !== undefined && waiting > 0);
+    const pending = new Map(
+      this.#scene.servers.map((server) => [
+        server.id,
+        server.pendingAdapters.size,
+      ]),
+    );
+    return wanted
+      .map((need) => this.#planAdapter(need, pending))
+      .filter((order) => order !== undefined);
+  }
+
+  #planAdapter(
+    { adapter, model }: types.Need,
+    pending: Map<string, number>,
+  ): types.PagingOrder | undefined {
+    if (adapter === undefined) return undefined;
+    const key = types.adapterKey(model, adapter);
+    const holders = this.#scene.servers.filter((server) =>
+      server.isUsable && heldOn(server, model) !== undefined
+    );
+    const isThere = holders.some((server) =>
+      heldOn(server, model)?.adapters.includes(adapter) ||
+      server.pendingAdapters.has(key)
+    );
+    if (isThere) return undefined;
+    const server = holders
+      .filter(({ id }) => (pending.get(id) ?? 0) < PENDING_ADAPTERS)
+      .sort((one, other) => adapterCount(one) - adapterCount(other))[0];
+    if (server === undefined) return undefined;
+    pending.set(server.id, (pending.get(server.id) ?? 0) + 1);
+    return this.#placeAdapter(server, model, adapter);
+  }
+
+  #placeAdapter(
+    server: types.PagedServer,
+    model: string,
+    adapter: string,
+  ): types.PagingOrder | undefined {
+    const hasPlace = adapterCount(server) < this.#scene.engine.adapterPlaces &&
+      this.#freeMb(server) >= this.#adapterMb(model);
+    if (hasPlace) {
+      return { kind: "load-adapter", server: server.id, model, adapter };
+    }
+    const victim = this.#adapterVictim(server);
+    if (victim === undefined) return undefined;
+    return { kind: "unload-adapter", server: server.id, ...victim };
+  }
+
+  #adapterVictim(
+    server: types.PagedServer,
+  ): { readonly model: string; readonly adapter: string } | undefined {
+    const { lastWanted } = this.#scene;
+    const wanted = new Set(
+      this.#scene.needs.filter(({ waiting }) => waiting > 0)
+        .map(({ adapter, model }) => types.adapterKey(model, adapter ?? "")),
+    );
+    return server.models
+      .flatMap(({ adapters, name }) =>
+        adapters.map((adapter) => ({
+          model: name,
+          adapter,
+          key: types.adapterKey(name, adapter),
+        }))
+      )
+      .filter(({ key }) => !wanted.has(key) && !server.running.get(key))
+      .sort((one, other) =>
+        (lastWanted.get(one.key) ?? 0) - (lastWanted.get(other.key) ?? 0)
+      )
+      .map(({ adapter, model }) => ({ model, adapter }))[0];
+  }
+}
+
+/** Requests for adapters are requests for their model as well. */
+function mergeAdapters(needs: readonly types.Need[]): types.Need[] {
+  const merged = new Map<string, types.Need>();
+  for (const need of needs) {
+    const known = merged.get(need.model);
+    merged.set(
+      need.model,
+      known === undefined ? { ...need, adapter: undefined } : {
+        model: need.model,
+        adapter: undefined,
+        waiting: known.waiting + need.waiting,
+        slackMs: Math.min(known.slackMs, need.slackMs),
+        perSecond: known.perSecond + need.perSecond,
+        concurrency: known.concurrency + need.concurrency,
+      },
+    );
+  }
+  return [...merged.values()];
+}
+
+function heldOn(
+  server: types.PagedServer,
+  model: string,
+): gateway.HeldModel | undefined {
+  return server.models.find(({ name }) => name === model);
+}
+
+function namesOn({ loading, models }: types.PagedServer): string[] {
+  const names = models.map(({ name }) => name);
+  return loading === undefined ? names : [...names, loading];
+}
+
+function adapterCount({ models, pendingAdapters }: types.PagedServer): number {
+  return models.reduce((sum, { adapters }) => sum + adapters.length, 0) +
+    pendingAdapters.size;
+}
+
+function sourceOf(
+  { inMemory, onDisk }: types.PagedServer,
+  model: string,
+): types.WeightSource {
+  if (inMemory.has(model)) return "memory";
+  return onDisk.has(model) ? "disk" : "store";
+}
+
+function loadTime(
+  model: gateway.Model,
+  source: types.WeightSource,
+): number {
+  switch (source) {
+    case "memory":
+      return model.memoryLoadMs;
+    case "disk":
+      return model.diskLoadMs;
+    case "store":
+      return model.storeLoadMs;
+  }
+}
--- /dev/null
+++ b/packages/core/src/gateway/paging_types.ts
@@ -0,0 +1,78 @@
+import type { gateway } from "@ebonypath/protocol";
+
+/** Where a server would load a model's weights from. */
+export type WeightSource = "memory" | "disk" | "store";
+
+/** A server that holds models, as the planner sees it. */
+export type PagedServer = {
+  readonly id: string;
+  readonly models: readonly gateway.HeldModel[];
+  /** Whether it can be given an order and requests. */
+  readonly isUsable: boolean;
+  /** Time until its order is complete; 0 when there is none, in ms. */
+  readonly busyMs: number;
+  /** Model that it loads. */
+  readonly loading: string | undefined;
+  readonly inMemory: ReadonlySet<string>;
+  readonly onDisk: ReadonlySet<string>;
+  /** Requests that run, by model and by `model/adapter`. */
+  readonly running: ReadonlyMap<string, number>;
+  /** Adapters on their way, as `model/adapter`. */
+  readonly pendingAdapters: ReadonlySet<string>;
+};
+
+/** What requests want of one model, or of one of its adapters. */
+export type Need = {
+  readonly model: string;
+  readonly adapter: string | undefined;
+  readonly waiting: number;
+  /** Time until the first waiting request is late, in milliseconds. */
+  readonly slackMs: number;
+  /** Arrivals per second lately. */
+  readonly perSecond: number;
+  /** Requests that run or wait, averaged. */
+  readonly concurrency: number;
+};
+
+/** An order to a server, to be given now. */
+export type PagingOrder =
+  | {
+    readonly kind: "load";
+    readonly server: string;
+    readonly model: string;
+    readonly source: WeightSource;
+    readonly expectedMs: number;
+  }
+  | { readonly kind: "unload"; readonly server: string; readonly model: string }
+  | {
+    readonly kind: "load-adapter" | "unload-adapter";
+    readonly server: string;
+    readonly model: string;
+    readonly adapter: string;
+  };
+
+/** All that one round of planning looks at. */
+export type Scene = {
+  readonly engine: gateway.Engine;
+  readonly servers: readonly PagedServer[];
+  readonly needs: readonly Need[];
+  /** Whether a load from the weight store may begin now. */
+  readonly isStoreOpen: boolean;
+  /** When each model was last wanted, by model and `model/adapter`. */
+  readonly lastWanted: ReadonlyMap<string, number>;
+  /** When each `server model` was loaded, in monotonic milliseconds. */
+  readonly loadedAt: ReadonlyMap<string, number>;
+  readonly now: number;
+};
+
+/**
+ * Names an adapter together with its model.
+ *
+ * @example
+ * ```ts
+ * adapterKey("advice", "a3"); // "advice/a3"
+ * ```
+ */
+export function adapterKey(model: string, adapter: string): string {
+  return `${model}/${adapter}`;
+}
--- /dev/null
+++ b/packages/core/src/gateway/roster.ts
@@ -0,0 +1,190 @@
+import type { gateway } from "@ebonypath/protocol";
+
+/** Time without a heartbeat after which a server is forgotten, in ms. */
+const FORGET_MS = 60_000;
+/**
+ * Time for which heartbeats of a server that was said to have ended are
+ * ignored where its start is not known, in milliseconds.
+ */
+const UNKNOWN_END_MS = 3_000;
+
+/** A server, with what the leader adds to its heartbeats. */
+type Entry = {
+  heartbeat: gateway.Heartbeat;
+  /** Monotonic time of the last heartbeat, in milliseconds. */
+  heardAt: number;
+  /** Revision of the roster at its last change. */
+  revision: number;
+  leaving: ReadonlySet<string>;
+};
+
+/**
+ * The backend servers that have announced themselves, as the leader knows
+ * them. A server's start is told apart by its time of birth, and its heartbeats
+ * by their sequence, so that a late one takes nothing back.
+ *
+ * @example
+ * ```ts
+ * const roster = new Roster();
+ * roster.hear(heartbeat, now);
+ * const changed = roster.since(0, now);
+ * ```
+ */
+export class Roster {
+  readonly #entries = new Map<string, Entry>();
+  /** Servers that ended without being known, and until when that counts. */
+  readonly #ended = new Map<string, number>();
+  #revision = 1;
+
+  /** Grows with each change that entry hosts have to know. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Notes a change beside the servers that entry hosts have to know. */
+  touch(): void {
+    this.#revision += 1;
+  }
+
+  /** Servers that have not ended. */
+  live(): gateway.Heartbeat[] {
+    return [...this.#entries.values()]
+      .map(({ heartbeat }) => heartbeat)
+      .filter(({ state }) => state !== "ended");
+  }
+
+  get(id: string): gateway.Heartbeat | undefined {
+    return this.#entries.get(id)?.heartbeat;
+  }
+
+  /** Time since the last heartbeat of a server, in milliseconds. */
+  silentMs(id: string, now: number): number {
+    const heardAt = this.#entries.get(id)?.heardAt;
+    return heardAt === undefined ? Infinity : now - heardAt;
+  }
+
+  /** Takes a heartbeat; returns whether it was newer than what is known. */
+  hear(heartbeat: gateway.Heartbeat, now: number): boolean {
+    const known = this.#entries.get(heartbeat.id);
+    if (!this.#isNewer(heartbeat, known?.heartbeat, now)) return false;
+    this.#endPredecessors(heartbeat);
+    const isSame = known !== undefined &&
+      isEqualContent(known.heartbeat, heartbeat);
+    const isReborn = known?.heartbeat.born !== heartbeat.born;
+    this.#entries.set(heartbeat.id, {
+      heartbeat,
+      heardAt: now,
+      revision: isSame ? known.revision : ++this.#revision,
+      leaving: isReborn ? new Set() : known?.leaving ?? new Set(),
+    });
+    return true;
+  }
+
+  /**
+   * Takes records that entry hosts kept from an earlier leader. They never
+   * replace what a server has said to this one.
+   */
+  adopt(records: readonly gateway.ServerRecord[], now: number): void {
+    for (const { silentMs, leaving: _, ...heartbeat } of records) {
+      const known = this.#entries.get(heartbeat.id)?.heartbeat;
+      if (known !== undefined && !isLater(heartbeat, known)) continue;
+      this.hear(heartbeat, now - silentMs);
+    }
+  }
+
+  /** Notes that a server has ended. */
+  end(id: string, now: number): void {
+    const known = this.#entries.get(id);
+    if (known === undefined) {
+      this.#ended.set(id, now + UNKNOWN_END_MS);
+      return;
+    }
+    if (known.heartbeat.state === "ended") return;
+    known.heartbeat = { ...known.heartbeat, state: "ended" };
+    known.revision = ++this.#revision;
+  }
+
+  /** Replaces what a server holds by what it answered when it was asked. */
+  observe(id: string, report: gateway.EngineReport): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    const { models, inMemory, onDisk } = report;
+    const heartbeat = { ...entry.heartbeat, models, inMemory, onDisk };
+    if (isEqualContent(entry.heartbeat, heartbeat)) return;
+    entry.heartbeat = heartbeat;
+    entry.revision = ++this.#revision;
+  }
+
+  /** Sets which models of a server take no new requests. */
+  setLeaving(id: string, models: ReadonlySet<string>): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined) return;
+    entry.leaving = models;
+    entry.revision = ++this.#revision;
+  }
+
+  /** Records changed after a revision; 0 lists all. */
+  since(revision: number, now: number): gateway.ServerRecord[] {
+    return [...this.#entries.values()]
+      .filter((entry) => entry.revision > revision)
+      .map(({ heartbeat, heardAt, leaving }) => ({
+        ...heartbeat,
+        silentMs: Math.max(0, now - heardAt),
+        leaving: [...leaving],
+      }));
+  }
+
+  /** Forgets servers that have been silent for long. */
+  expire(now: number): void {
+    for (const [id, { heardAt }] of this.#entries) {
+      if (now - heardAt > FORGET_MS) this.#entries.delete(id);
+    }
+    for (const [id, until] of this.#ended) {
+      if (now >= until) this.#ended.delete(id);
+    }
+  }
+
+  #isNewer(
+    heartbeat: gateway.Heartbeat,
+    known: gateway.Heartbeat | undefined,
+    now: number,
+  ): boolean {
+    const endedUntil = this.#ended.get(heartbeat.id) ?? -Infinity;
+    if (now < endedUntil) return false;
+    if (this.#hasSuccessor(heartbeat)) return false;
+    return known === undefined || isLater(heartbeat, known);
+  }
+
+  /** Whether a server that started later has its address. */
+  #hasSuccessor({ address, born, id }: gateway.Heartbeat): boolean {
+    return this.live().some((other) =>
+      other.id !== id && other.address === address && other.born > born
+    );
+  }
+
+  #endPredecessors({ address, born, id }: gateway.Heartbeat): void {
+    for (const entry of this.#entries.values()) {
+      const { heartbeat } = entry;
+      const isPredecessor = heartbeat.id !== id &&
+        heartbeat.address === address && heartbeat.born <= born;
+      if (!isPredecessor || heartbeat.state === "ended") continue;
+      entry.heartbeat = { ...heartbeat, state: "ended" };
+      entry.revision = ++this.#revision;
+    }
+  }
+}
+
+/** Whether a heartbeat was sent after another one of the same server. */
+function isLater(one: gateway.Heartbeat, other: gateway.Heartbeat): boolean {
+  if (one.born !== other.born) return one.born > other.born;
+  return other.state !== "ended" && one.sequence > other.sequence;
+}
+
+function isEqualContent(
+  one: gateway.Heartbeat,
+  other: gateway.Heartbeat,
+): boolean {
+  const strip = (heartbeat: gateway.Heartbeat) =>
+    JSON.stringify({ ...heartbeat, sequence: 0, coldMs: heartbeat.coldMs > 0 });
+  return strip(one) === strip(other);
+}
--- a/packages/daemon/src/fleet/leader_client.ts
+++ b/packages/daemon/src/fleet/leader_client.ts
@@ -45,15 +45,19 @@
  */
 export class LeaderClient {
   readonly #caller: Caller;
-  readonly #seeds: readonly string[];
+  readonly #seeds: () => readonly string[];
   #known: string[] = [];
   /** Peers that did not answer in the whole time of an attempt. */
   readonly #silent = new Set<string>();
   #leader: string | null = null;
 
-  constructor(caller: Caller, seeds: readonly string[]) {
+  /** @param seeds control hosts to begin with, or what tells them anew */
+  constructor(
+    caller: Caller,
+    seeds: readonly string[] | (() => readonly string[]),
+  ) {
     this.#caller = caller;
-    this.#seeds = seeds;
+    this.#seeds = typeof seeds === "function" ? seeds : () => seeds;
   }
 
   /** Fleet address of the last host that answered as leader. */
@@ -62,7 +66,9 @@
   }
 
   /** Takes the control hosts that the feed names. */
-  setControlHosts(hosts: readonly protocol.control.ControlHost[]): void {
+  setControlHosts(
+    hosts: readonly Pick<protocol.control.ControlHost, "address">[],
+  ): void {
     this.#known = hosts.map((host) => host.address);
   }
 
@@ -159,7 +165,7 @@
    */
   #candidates(): string[] {
     const first = this.#leader === null ? [] : [this.#leader];
-    const all = [...new Set([...first, ...this.#known, ...this.#seeds])];
+    const all = [...new Set([...first, ...this.#known, ...this.#seeds()])];
     const isSilent = (peer: string) => this.#silent.has(peer);
     return [
       ...all.filter((peer) => !isSilent(peer)),
--- /dev/null
+++ b/packages/daemon/src/gateway/control/directory.ts
@@ -0,0 +1,214 @@
+/**
+ * What the leader of a gateway fleet knows and tells; ends with its term.
+ *
+ * @module
+ */
+import * as timers from "node:timers";
+import * as core from "@ebonypath/core";
+import type { gateway } from "@ebonypath/protocol";
+import * as log from "../../log/mod.ts";
+import * as orderDesk from "./order_desk.ts";
+import * as pager from "./pager.ts";
+import type * as types from "./types.ts";
+
+const write = log.createLog("directory");
+
+/** Longest time that a question for changes waits, in milliseconds. */
+const WATCH_MS = 1_000;
+/** Time over which changes are collected before they are told, in ms. */
+const COLLECT_MS = 2;
+/** Time after which all live servers have been heard, in milliseconds. */
+const SETTLE_MS = 2_600;
+/** Time between two looks for servers to forget, in milliseconds. */
+const EXPIRY_MS = 1_000;
+
+/** What a directory needs of its host. */
+export interface DirectoryOptions {
+  readonly host: string;
+  readonly term: number;
+  readonly client: types.EngineClient;
+  /** When orders of earlier leaders can't arrive any more; monotonic. */
+  readonly ordersFrom: number;
+  readonly state: () => core.gateway.GatewayState;
+  readonly controlHosts: () => string[];
+  hasLease(): boolean;
+}
+
+interface Waiter {
+  readonly request: gateway.WatchRequest;
+  readonly resolve: (response: gateway.WatchResponse) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** The soft state of one leadership. */
+export class Directory implements Disposable {
+  readonly term: number;
+  readonly #options: DirectoryOptions;
+  readonly #roster = new core.gateway.Roster();
+  readonly #demand = new core.gateway.DemandBook();
+  readonly #desk: orderDesk.OrderDesk;
+  readonly #pager: pager.Pager;
+  readonly #since = performance.now();
+  readonly #waiters = new Set<Waiter>();
+  readonly #expiry: NodeJS.Timeout;
+  #collecting: NodeJS.Timeout | undefined;
+  #isOver = false;
+
+  constructor(options: DirectoryOptions) {
+    this.term = options.term;
+    this.#options = options;
+    this.#desk = new orderDesk.OrderDesk({
+      client: options.client,
+      roster: this.#roster,
+      holder: options.host,
+      token: options.term,
+      mayOrder: () => this.#mayOrder(),
+      onSettled: () => this.#onChange(),
+    });
+    this.#pager = new pager.Pager({
+      desk: this.#desk,
+      roster: this.#roster,
+      demand: this.#demand,
+      configuration: () => options.state().configuration,
+      withdrawnDomains: () => options.state().withdrawnDomains,
+      mayOrder: () => this.#mayOrder(),
+    });
+    this.#expiry = timers.setInterval(
+      () => this.#roster.expire(performance.now()),
+      EXPIRY_MS,
+    );
+    write("leading", { term: this.term });
+  }
+
+  /** Takes a heartbeat of a server. */
+  hear(relayed: gateway.RelayedHeartbeat): void {
+    const now = performance.now();
+    const { revision } = this.#roster;
+    if (relayed.kind === "ended") {
+      this.#roster.end(relayed.id, now);
+    } else {
+      this.#roster.hear(relayed.heartbeat, now);
+    }
+    if (this.#roster.revision === revision) return;
+    this.#logServer(relayed);
+    this.#onChange();
+  }
+
+  /** Tells of changes of the replicated state. */
+  stateChanged(): void {
+    this.#roster.touch();
+    this.#onChange();
+  }
+
+  /** Answers once something has changed, or after a while. */
+  watch(request: gateway.WatchRequest): Promise<gateway.WatchResponse> {
+    if (this.#isNews(request)) return Promise.resolve(this.#answer(request));
+    return new Promise((resolve) => {
+      const timer = timers.setTimeout(() => this.#release(waiter), WATCH_MS);
+      const waiter: Waiter = { request, resolve, timer };
+      this.#waiters.add(waiter);
+    });
+  }
+
+  /** Takes what a host reports, and answers what the others have reported. */
+  report(report: gateway.Report): gateway.ReportAnswer {
+    const now = performance.now();
+    const { revision } = this.#roster;
+    this.#roster.adopt(report.servers, now);
+    this.#demand.take(report, now);
+    if (report.demand.some(({ waiting }) => waiting > 0)) this.#pager.request();
+    if (this.#roster.revision !== revision) this.#onChange();
+    const reports = this.#demand.recent(now);
+    return {
+      term: this.term,
+      hosts: reports.map(({ host, usage }) => ({ host, usage })),
+      load: sumLoad(reports),
+    };
+  }
+
+  [Symbol.dispose](): void {
+    this.#isOver = true;
+    timers.clearInterval(this.#expiry);
+    timers.clearTimeout(this.#collecting);
+    this.#pager[Symbol.dispose]();
+    for (const waiter of [...this.#waiters]) this.#release(waiter);
+    write("not-leading", { term: this.term });
+  }
+
+  /** A server must not take turns between two leaders. */
+  #mayOrder(): boolean {
+    return !this.#isOver && performance.now() >= this.#options.ordersFrom &&
+      this.#options.hasLease();
+  }
+
+  get #isSettled(): boolean {
+    return performance.now() - this.#since >= SETTLE_MS;
+  }
+
+  #onChange(): void {
+    this.#pager.request();
+    this.#collecting ??= timers.setTimeout(() => {
+      this.#collecting = undefined;
+      for (const waiter of [...this.#waiters]) {
+        if (this.#isNews(waiter.request)) this.#release(waiter);
+      }
+    }, COLLECT_MS);
+  }
+
+  #release(waiter: Waiter): void {
+    this.#waiters.delete(waiter);
+    timers.clearTimeout(waiter.timer);
+    waiter.resolve(this.#answer(waiter.request));
+  }
+
+  #isNews({ configuration, revision, term }: gateway.WatchRequest): boolean {
+    const version = this.#options.state().configuration?.version ?? null;
+    return term !== this.term || revision !== this.#roster.revision ||
+      (version !== null && version !== configuration);
+  }
+
+  #answer(request: gateway.WatchRequest): gateway.WatchResponse {
+    const now = performance.now();
+    const state = this.#options.state();
+    const isWhole = request.term !== this.term;
+    const { configuration } = state;
+    const isNewer = configuration !== null &&
+      configuration.version > (request.configuration ?? -1);
+    return {
+      term: this.term,
+      revision: this.#roster.revision,
+      isWhole,
+      isSettled: this.#isSettled,
+      servers: this.#roster.since(isWhole ? 0 : request.revision, now),
+      withdrawnDomains: state.withdrawnDomains,
+      controlHosts: this.#options.controlHosts(),
+      ...(isNewer ? { configuration } : {}),
+    };
+  }
+
+  #logServer(relayed: gateway.RelayedHeartbeat): void {
+    if (relayed.kind === "ended") {
+      write("server-ended", { server: relayed.id });
+      return;
+    }
+    const { address, born, id, models, sequence, state } = relayed.heartbeat;
+    write("server", {
+      server: id,
+      born,
+      sequence,
+      state,
+      address,
+      models: models.map(({ name }) => name).join(","),
+    });
+  }
+}
+
+function sumLoad(reports: readonly gateway.Report[]): gateway.ServerLoad[] {
+  const totals = new Map<string, number>();
+  for (const { load } of reports) {
+    for (const { running, server } of load) {
+      totals.set(server, (totals.get(server) ?? 0) + running);
+    }
+  }
+  return [...totals].map(([server, running]) => ({ server, running }));
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/control/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Control hosts of a gateway fleet.
+ *
+ * @module
+ */
+export * from "./control_host.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -0,0 +1,353 @@
+/**
+ * Sends requests to servers until one has answered or none can.
+ *
+ * Repeats only what may be repeated: a request that a server states it did not
+ * run, or one whose route allows a second run.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type * as http from "node:http";
+import { errors, type gateway } from "@ebonypath/protocol";
+import * as log from "../../log/mod.ts";
+import * as eventRelay from "./event_relay.ts";
+import type * as placement from "./placement.ts";
+import * as reply from "./reply.ts";
+import type * as retries from "./retries.ts";
+import type * as serverBook from "./server_book.ts";
+import type * as types from "./types.ts";
+import * as upstream from "./upstream.ts";
+
+const write = log.createLog("dispatch");
+
+/** Largest answer that is not a stream, in bytes: it is held until whole. */
+const ANSWER_BYTES = 16 * 1024 * 1024;
+/** Time after which a refused request may find room, in seconds. */
+const RETRY_AFTER_SECONDS = 0.25;
+/** Status of a stream's head. */
+const OK = 200;
+/** Least status of a server's own failure. */
+const SERVER_ERROR = 500;
+
+/** What a dispatcher works with. */
+export interface DispatcherOptions {
+  readonly dialect: types.Dialect;
+  readonly placement: placement.Placement;
+  readonly book: serverBook.ServerBook;
+  readonly retries: retries.Retries;
+}
+
+/** A request with its two ends. */
+export interface Exchange {
+  readonly work: types.Work;
+  readonly request: http.IncomingMessage;
+  readonly body: Buffer | undefined;
+  readonly response: http.ServerResponse;
+}
+
+/** What came of one attempt. */
+type Attempt =
+  /** The caller has its answer, or has left. */
+  | { readonly kind: "done"; readonly outcome: string }
+  /** The server did not run it. */
+  | { readonly kind: "not-run"; readonly reason: string }
+  /** The server may have run it. */
+  | { readonly kind: "unknown"; readonly reason: string }
+  /** The server ran it and failed. */
+  | { readonly kind: "failed"; readonly answer: WholeAnswer };
+
+type WholeAnswer = {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+};
+
+type Answered = Extract<upstream.UpstreamResult, { kind: "answered" }>;
+
+/** How a request has fared so far. */
+type Progress = {
+  sent: number;
+  /** Servers that may have run it. */
+  runs: number;
+  reason: string;
+  failure: WholeAnswer | undefined;
+  relay: eventRelay.EventRelay | undefined;
+  servers: string[];
+};
+
+/** Runs requests. */
+export class Dispatcher {
+  readonly #options: DispatcherOptions;
+
+  constructor(options: DispatcherOptions) {
+    this.#options = options;
+  }
+
+  /** Serves a request to its end; what is refused has been answered. */
+  async serve(exchange: Exchange): Promise<void> {
+    const { work } = exchange;
+    const progress: Progress = {
+      sent: 0,
+      runs: 0,
+      reason: "none",
+      failure: undefined,
+      relay: undefined,
+      servers: [],
+    };
+    const outcome = await this.#run(exchange, progress);
+    write("request", {
+      id: work.facts.id,
+      route: work.route.name,
+      model: work.facts.model,
+      adapter: work.facts.adapter,
+      workspace: work.workspace?.name,
+      servers: progress.servers.join(","),
+      events: progress.relay?.events,
+      took_ms: Math.round(performance.now() - work.arrivedAt),
+      outcome,
+      reason: progress.reason === "none" ? undefined : progress.reason,
+    });
+  }
+
+  async #run(exchange: Exchange, progress: Progress): Promise<string> {
+    const { placement, retries } = this.#options;
+    const { work } = exchange;
+    const service = work.service.name;
+    while (true) {
+      const server = await placement.choose(work);
+      if (server === undefined) return this.#giveUp(exchange, progress);
+      const now = performance.now();
+      if (progress.sent === 0) retries.first(service, now);
+      else if (!retries.again(service, now)) {
+        progress.reason += ", and the retry budget is used up";
+        return this.#giveUp(exchange, progress);
+      }
+      progress.sent += 1;
+      progress.servers.push(server.id);
+      const attempt = await this.#attempt(exchange, server, progress);
+      if (attempt.kind === "done") return attempt.outcome;
+      if (!this.#mayGoOn(work, attempt, progress)) {
+        return this.#giveUp(exchange, progress);
+      }
+    }
+  }
+
+  /** Notes a failed attempt; returns whether another one is allowed. */
+  #mayGoOn(work: types.Work, attempt: Attempt, progress: Progress): boolean {
+    switch (attempt.kind) {
+      case "done":
+        return false;
+      case "not-run":
+        progress.reason = attempt.reason;
+        return true;
+      case "unknown":
+        progress.reason = attempt.reason;
+        progress.runs += 1;
+        return work.isRepeatable && progress.runs < work.route.maxAttempts;
+      case "failed":
+        progress.reason = `status ${attempt.answer.status}`;
+        progress.runs += 1;
+        progress.failure = attempt.answer;
+        return work.isRepeatable && progress.runs < work.route.maxAttempts;
+      default:
+        return errors.assertNever(attempt);
+    }
+  }
+
+  async #attempt(
+    exchange: Exchange,
+    server: gateway.ServerRecord,
+    progress: Progress,
+  ): Promise<Attempt> {
+    const { book } = this.#options;
+    const end = book.begin(server.id, exchange.work);
+    try {
+      return await this.#send(exchange, server, progress);
+    } finally {
+      end();
+      this.#options.placement.pump();
+    }
+  }
+
+  async #send(
+    exchange: Exchange,
+    server: gateway.ServerRecord,
+    progress: Progress,
+  ): Promise<Attempt> {
+    const { body, request, work } = exchange;
+    const { dialect } = this.#options;
+    const now = performance.now();
+    const result = await upstream.send({
+      address: server.address,
+      method: request.method ?? "GET",
+      path: request.url ?? "/",
+      headers: dialect.forward(request, {
+        server: server.id,
+        deadlineMs: Math.max(1, Math.floor(work.deadline - now)),
+        workspace: work.workspace?.name,
+        priority: work.service.engine === undefined ? undefined : work.priority,
+        lastEventId: progress.relay?.lastEventId ??
+          (work.route.isResumable ? work.facts.lastEventId : undefined),
+        bodyBytes: body?.length,
+      }),
+      body,
+      isReusable: work.route.kind === "safe",
+      signal: work.signal,
+    });
+    switch (result.kind) {
+      case "not-sent":
+        if (work.signal.aborted) return { kind: "done", outcome: "left" };
+        this.#fail(work, server.id);
+        return { kind: "not-run", reason: result.reason };
+      case "no-answer":
+        if (!work.signal.aborted) this.#fail(work, server.id);
+        return { kind: "unknown", reason: result.reason };
+      case "answered":
+        return await this.#receive(exchange, server, result, progress);
+      default:
+        return errors.assertNever(result);
+    }
+  }
+
+  #fail(work: types.Work, server: string): void {
+    this.#options.book.failed(server, performance.now());
+    work.failed.add(server);
+  }
+
+  async #receive(
+    exchange: Exchange,
+    server: gateway.ServerRecord,
+    result: Answered,
+    progress: Progress,
+  ): Promise<Attempt> {
+    const { work } = exchange;
+    const { book, dialect } = this.#options;
+    const facts = dialect.readAnswer(result.message, work.facts.id, server.id);
+    if (facts.isCrossed) {
+      result.cancel();
+      return { kind: "unknown", reason: "the answer to another request" };
+    }
+    if (facts.isNotRun) return this.#notRun(work, server.id, result, facts);
+    if (facts.isEventStream && result.status === OK) {
+      return await this.#stream(exchange, server, result, progress);
+    }
+    try {
+      const answer = await this.#collect(result);
+      const isFailure = answer.status >= SERVER_ERROR;
+      if (isFailure) work.failed.add(server.id);
+      else book.succeeded(server.id);
+      if (isFailure && work.isRepeatable) return { kind: "failed", answer };
+      return this.#deliver(exchange, answer, progress);
+    } catch (error) {
+      result.cancel();
+      if (!work.signal.aborted) this.#fail(work, server.id);
+      return { kind: "unknown", reason: messageOf(error) };
+    }
+  }
+
+  #notRun(
+    work: types.Work,
+    server: string,
+    { message, status }: Answered,
+    { reason }: types.AnswerFacts,
+  ): Attempt {
+    message.resume();
+    const now = performance.now();
+    if (reason === "no-model") this.#options.book.lacks(server, work, now);
+    else this.#fail(work, server);
+    return { kind: "not-run", reason: `${reason} (${status})` };
+  }
+
+  /** An answer that is no stream is passed on only when it is whole. */
+  async #collect({ end, message, status }: Answered): Promise<WholeAnswer> {
+    const parts: Buffer[] = [];
+    let bytes = 0;
+    message.on("data", (part: Buffer) => {
+      parts.push(part);
+      bytes += part.length;
+      if (bytes > ANSWER_BYTES) {
+        message.destroy(new Error("the answer is too large"));
+      }
+    });
+    await end;
+    const headers = this.#options.dialect.answerHeaders(message);
+    return { status, headers, body: Buffer.concat(parts) };
+  }
+
+  #deliver(
+    { response }: Exchange,
+    { body, headers, status }: WholeAnswer,
+    progress: Progress,
+  ): Attempt {
+    if (progress.relay !== undefined) {
+      // The caller has a part of a stream: nothing else can follow it.
+      response.destroy();
+      return { kind: "done", outcome: "cut" };
+    }
+    reply.deliver(response, status, headers, body);
+    return { kind: "done", outcome: `answered ${status}` };
+  }
+
+  async #stream(
+    exchange: Exchange,
+    server: gateway.ServerRecord,
+    result: Answered,
+    progress: Progress,
+  ): Promise<Attempt> {
+    const { response, work } = exchange;
+    if (progress.relay === undefined) {
+      const { headers } = result.message;
+      const isFramed = headers["content-length"] !== undefined ||
+        headers["transfer-encoding"] !== undefined;
+      const passed = this.#options.dialect.answerHeaders(result.message);
+      reply.beginStream(response, result.status, passed, isFramed);
+      progress.relay = new eventRelay.EventRelay(response);
+    }
+    try {
+      await progress.relay.relay(result.message, result.end);
+      this.#options.book.succeeded(server.id);
+      response.end();
+      return { kind: "done", outcome: "streamed" };
+    } catch (error) {
+      result.cancel();
+      if (!work.signal.aborted) this.#fail(work, server.id);
+      return { kind: "unknown", reason: messageOf(error) };
+    }
+  }
+
+  /** Ends a request that no server will answer any more. */
+  #giveUp(exchange: Exchange, progress: Progress): string {
+    const { response, work } = exchange;
+    if (progress.relay !== undefined) {
+      response.destroy();
+      return "cut";
+    }
+    if (progress.failure !== undefined) {
+      const { body, headers, status } = progress.failure;
+      reply.deliver(response, status, headers, body);
+      return `answered ${status}`;
+    }
+    const refusal = refusalOf(work, progress);
+    reply.refuse(response, this.#options.dialect, work.facts.id, refusal);
+    return `refused ${refusal.definition.status}`;
+  }
+}
+
+/** Says that a request has not run only where that is certain. */
+function refusalOf(work: types.Work, progress: Progress): errors.Refusal {
+  const { reason, runs } = progress;
+  if (runs === 0) {
+    return new errors.Refusal(
+      errors.NO_CAPACITY,
+      `no server took the request in time: ${reason}`,
+      { retryAfterSeconds: RETRY_AFTER_SECONDS },
+    );
+  }
+  const isLate = performance.now() >= work.deadline;
+  const definition = isLate ? errors.DEADLINE_EXCEEDED : errors.BACKEND_FAILED;
+  return new errors.Refusal(definition, reason);
+}
+
+function messageOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/entry/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Entry hosts of a gateway fleet.
+ *
+ * @module
+ */
+export * from "./entry_host.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -0,0 +1,174 @@
+/**
+ * Requests to backend servers and their answers.
+ *
+ * `node:http` is the client here, not undici: undici takes a reset for the end
+ * of an answer without a length, so that a broken answer would pass for a whole
+ * one.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import * as http from "node:http";
+import type * as net from "node:net";
+
+/** Longest time to open a connection, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Longest time that a connection stays unused, in milliseconds. */
+const IDLE_MS = 2_000;
+/** Unused connections that are kept to one server. */
+const UNUSED = 8;
+/** Largest head of an answer, in bytes. */
+const HEAD_BYTES = 32 * 1_024;
+
+/** One request to one server. */
+export interface UpstreamRequest {
+  /** `IP:PORT`. */
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn, as they are sent. */
+  readonly headers: readonly string[];
+  readonly body: Buffer | undefined;
+  /** Whether a connection may be used that carried other requests. */
+  readonly isReusable: boolean;
+  readonly signal: AbortSignal;
+}
+
+/** What became of a request until the head of its answer. */
+export type UpstreamResult =
+  | {
+    readonly kind: "answered";
+    readonly status: number;
+    readonly message: http.IncomingMessage;
+    /** Rejects when the answer broke off, resolves when it was whole. */
+    readonly end: Promise<void>;
+    /** Ends the exchange with its connection. */
+    cancel(): void;
+  }
+  /** Nothing was sent: the server did not get the request. */
+  | { readonly kind: "not-sent"; readonly reason: string }
+  /** Sent without an answer: the server may have run it. */
+  | { readonly kind: "no-answer"; readonly reason: string };
+
+const pooled = new http.Agent({
+  keepAlive: true,
+  keepAliveMsecs: IDLE_MS,
+  maxFreeSockets: UNUSED,
+  timeout: IDLE_MS,
+  scheduling: "lifo",
+});
+
+/**
+ * Sends a request and waits for the head of its answer.
+ *
+ * @example
+ * ```ts
+ * const result = await send({ address: "10.0.0.1:80", method: "GET", ... });
+ * ```
+ */
+export function send(request: UpstreamRequest): Promise<UpstreamResult> {
+  return new Promise((resolve) => new Exchange(request, resolve).begin());
+}
+
+/** Follows one request to the end of its answer. */
+class Exchange {
+  readonly #request: UpstreamRequest;
+  readonly #resolve: (result: UpstreamResult) => void;
+  #client: http.ClientRequest | undefined;
+  #connectTimer: NodeJS.Timeout | undefined;
+  #isConnected = false;
+  #failure: Error | undefined;
+  readonly #abort = () => this.#client?.destroy(new Error("cancelled"));
+
+  constructor(
+    request: UpstreamRequest,
+    resolve: (result: UpstreamResult) => void,
+  ) {
+    this.#request = request;
+    this.#resolve = resolve;
+  }
+
+  begin(): void {
+    const { address, body, headers, isReusable, method, path, signal } =
+      this.#request;
+    if (signal.aborted) {
+      this.#resolve({ kind: "not-sent", reason: "cancelled" });
+      return;
+    }
+    const separator = address.lastIndexOf(":");
+    const client = http.request({
+      host: address.slice(0, separator),
+      port: address.slice(separator + 1),
+      method,
+      path,
+      headers,
+      setHost: false,
+      maxHeaderSize: HEAD_BYTES,
+      agent: isReusable ? pooled : false,
+    });
+    this.#client = client;
+    signal.addEventListener("abort", this.#abort);
+    client.on("socket", (socket) => this.#onSocket(socket));
+    client.on("response", (message) => this.#onResponse(message));
+    client.on("error", (error) => this.#onError(error));
+    client.on("close", () => this.#onClose());
+    client.end(body);
+  }
+
+  #onSocket(socket: net.Socket): void {
+    socket.setNoDelay(true);
+    if (!socket.connecting) {
+      this.#isConnected = true;
+      return;
+    }
+    this.#connectTimer = setTimeout(
+      () => this.#client?.destroy(new Error("no connection in time")),
+      CONNECT_TIMEOUT_MS,
+    );
+    socket.once("connect", () => {
+      this.#isConnected = true;
+      clearTimeout(this.#connectTimer);
+    });
+  }
+
+  #onResponse(message: http.IncomingMessage): void {
+    const end = new Promise<void>((resolve, reject) => {
+      message.on("end", () => {
+        const failure = isFramed(message) ? undefined : this.#failure;
+        if (failure === undefined && message.complete) resolve();
+        else reject(failure ?? new Error("the answer broke off"));
+      });
+      message.on("error", reject);
+      message.on("close", () => reject(new Error("the answer broke off")));
+    });
+    // Whoever reads the answer waits for its end; others need not.
+    end.catch(() => undefined);
+    this.#resolve({
+      kind: "answered",
+      status: message.statusCode ?? 0,
+      message,
+      end,
+      cancel: () => this.#abort(),
+    });
+  }
+
+  /** Also called when a reset follows an answer without a length. */
+  #onError(error: Error): void {
+    this.#failure ??= error;
+    const kind = this.#isConnected ? "no-answer" : "not-sent";
+    this.#resolve({ kind, reason: error.message });
+  }
+
+  #onClose(): void {
+    clearTimeout(this.#connectTimer);
+    this.#request.signal.removeEventListener("abort", this.#abort);
+    const kind = this.#isConnected ? "no-answer" : "not-sent";
+    this.#resolve({ kind, reason: "the connection was closed" });
+  }
+}
+
+/** Whether an answer says where it ends, so that what follows is not part. */
+function isFramed({ headers }: http.IncomingMessage): boolean {
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
--- a/packages/daemon/src/log/log.ts
+++ b/packages/daemon/src/log/log.ts
@@ -1,5 +1,6 @@
 import debug from "debug";
 import process from "node:process";
+import * as util from "node:util";
 import * as format from "./format.ts";
 
 const ROOT = "ebonypath";
@@ -26,15 +27,19 @@
 
 /**
  * Turns the logs on, unless the variable `DEBUG` chooses which to write.
- * Lines go to the standard error stream.
+ *
+ * @param target where lines go; the standard error stream by default
  *
  * @example
  * ```ts
  * enableLogs();
  * ```
  */
-export function enableLogs(): void {
+export function enableLogs(target?: NodeJS.WritableStream): void {
   debug.formatArgs = formatArguments;
+  if (target !== undefined) {
+    debug.log = (...args) => target.write(`${util.format(...args)}\n`);
+  }
   if (process.env["DEBUG"] === undefined) debug.enable(DEFAULT_NAMESPACES);
 }
 
--- a/packages/protocol/src/mod.ts
+++ b/packages/protocol/src/mod.ts
@@ -7,6 +7,7 @@
 export * as configuration from "./configuration/mod.ts";
 export * as control from "./control/mod.ts";
 export * as errors from "./errors/mod.ts";
+export * as gateway from "./gateway/mod.ts";
 export * as limits from "./limits/mod.ts";
 export * as operators from "./operators/mod.ts";
 export * as quantity from "./quantity/mod.ts";
