--- a/packages/core/src/gateway/paging.ts
+++ b/packages/core/src/gateway/paging.ts
@@ -265,7 +265,9 @@
       server.pendingAdapters.has(key)
     );
     if (isThere) return undefined;
+    // A server refuses an adapter while it loads a model.
     const server = holders
+      .filter(({ busyMs }) => busyMs === 0)
       .filter(({ id }) => (pending.get(id) ?? 0) < PENDING_ADAPTERS)
       .sort((one, other) => adapterCount(one) - adapterCount(other))[0];
     if (server === undefined) return undefined;
--- /dev/null
+++ b/packages/core/test/gateway/fixtures.ts
@@ -0,0 +1,97 @@
+import type { gateway as protocol } from "@ebonypath/protocol";
+import type * as core from "../../src/gateway/mod.ts";
+
+/** A heartbeat with what a test does not care about filled in. */
+export function heartbeat(
+  given: Partial<protocol.Heartbeat> = {},
+): protocol.Heartbeat {
+  return {
+    id: "s1",
+    born: 1_000,
+    sequence: 1,
+    service: "advice",
+    address: "10.0.0.1:80",
+    failureDomain: "a",
+    slots: 8,
+    state: "ready",
+    coldMs: 0,
+    models: [],
+    inMemory: [],
+    onDisk: [],
+    ...given,
+  };
+}
+
+/** A model of 10 MB that loads in 6 s, 2 s or 1 s. */
+export function model(name: string): protocol.Model {
+  return {
+    name,
+    weightsMb: 10,
+    storeLoadMs: 6_000,
+    diskLoadMs: 2_000,
+    memoryLoadMs: 1_000,
+    adapters: 8,
+    adapterMb: 0.1,
+  };
+}
+
+/** An engine whose servers hold three models. */
+export function engine(models: readonly string[]): protocol.Engine {
+  return {
+    slots: 10,
+    memoryTokens: 10_000,
+    weightsMb: 31,
+    adapterPlaces: 4,
+    storeLoadsPerSecond: 2,
+    models: models.map(model),
+  };
+}
+
+export function held(
+  name: string,
+  adapters: string[] = [],
+): protocol.HeldModel {
+  return { name, version: 1, adapters };
+}
+
+export function server(
+  given: Partial<core.PagedServer> & { readonly id: string },
+): core.PagedServer {
+  return {
+    models: [],
+    isUsable: true,
+    busyMs: 0,
+    loading: undefined,
+    inMemory: new Set(),
+    onDisk: new Set(),
+    running: new Map(),
+    pendingAdapters: new Set(),
+    ...given,
+  };
+}
+
+export function need(
+  given: Partial<core.Need> & { readonly model: string },
+): core.Need {
+  return {
+    adapter: undefined,
+    waiting: 1,
+    slackMs: 1_000,
+    perSecond: 0.1,
+    concurrency: 0.1,
+    ...given,
+  };
+}
+
+export function scene(given: Partial<core.Scene>): core.Scene {
+  return {
+    engine: engine(["a", "b", "c", "d", "e", "f"]),
+    servers: [],
+    needs: [],
+    isStoreOpen: true,
+    lastWanted: new Map(),
+    loadedAt: new Map(),
+    now: 100_000,
+    ...given,
+  };
+}
--- /dev/null
+++ b/packages/core/test/gateway/next_change_test.ts
@@ -0,0 +1,114 @@
+import { expect } from "chai";
+import { type MembershipScene, nextChange } from "../../src/gateway/mod.ts";
+
+type Given = {
+  readonly voters: readonly string[];
+  readonly learners?: readonly string[];
+  readonly joining?: readonly string[];
+  readonly silent?: readonly string[];
+};
+
+/** Members are named `ADDRESS-DISK`; the first voter leads. */
+function scene(
+  { joining = [], learners = [], silent = [], voters }: Given,
+): MembershipScene {
+  const member = (id: string) => ({ id, address: id.split("-")[0] ?? "" });
+  return {
+    membership: {
+      voters: voters.map(member),
+      learners: learners.map(member),
+    },
+    joining: joining.map(member),
+    silenceMs: (id) => silent.includes(id) ? 10_000 : 50,
+    self: voters[0] ?? "",
+    leastVoters: 5,
+  };
+}
+
+const FIVE = ["a-1", "b-1", "c-1", "d-1", "e-1"];
+
+describe("gateway membership", () => {
+  const cases: [string, Given, ReturnType<typeof nextChange>][] = [
+    [
+      "changes nothing while all is well",
+      { voters: FIVE, joining: FIVE },
+      undefined,
+    ],
+    ["adds a host as a learner first", {
+      voters: ["a-1", "b-1", "c-1"],
+      joining: ["d-1"],
+    }, { kind: "addLearner", member: { id: "d-1", address: "d" } }],
+    ["adds one host at a time", {
+      voters: ["a-1", "b-1", "c-1"],
+      learners: ["d-1"],
+      joining: ["d-1", "e-1"],
+    }, { kind: "promote", id: "d-1" }],
+    ["keeps a silent voter while no other can vote instead", {
+      voters: FIVE,
+      joining: ["a-1", "b-1", "c-1", "d-1"],
+      silent: ["e-1"],
+    }, undefined],
+    ["adds a new disk before it removes the lost one", {
+      voters: FIVE,
+      joining: ["a-1", "b-1", "c-1", "d-1", "e-2"],
+      silent: ["e-1"],
+    }, { kind: "addLearner", member: { id: "e-2", address: "e" } }],
+    ["removes a voter whose address has a newer one", {
+      voters: [...FIVE, "e-2"],
+      joining: ["a-1", "b-1", "c-1", "d-1", "e-2"],
+      silent: ["e-1"],
+    }, { kind: "remove", id: "e-1" }],
+    ["removes a silent voter when one joined elsewhere", {
+      voters: [...FIVE, "f-1"],
+      joining: ["a-1", "b-1", "c-1", "d-1", "f-1"],
+      silent: ["e-1"],
+    }, { kind: "remove", id: "e-1" }],
+    ["lets a voter that was removed join again", {
+      voters: ["a-1", "b-1", "c-1", "d-1", "f-1"],
+      joining: ["e-1"],
+    }, { kind: "addLearner", member: { id: "e-1", address: "e" } }],
+    ["forgets a learner that does not ask any more", {
+      voters: FIVE,
+      learners: ["f-1"],
+      joining: ["g-1"],
+    }, { kind: "remove", id: "f-1" }],
+  ];
+  for (const [name, given, expected] of cases) {
+    it(name, () => {
+      expect(nextChange(scene(given))).to.deep.equal(expected);
+    });
+  }
+
+  it("comes to an end that all hosts vote in, whatever was lost", () => {
+    const current = {
+      voters: [...FIVE],
+      learners: [] as string[],
+    };
+    const alive = ["a-1", "b-1", "c-1", "d-2", "f-1"];
+    const silent = ["d-1", "e-1"];
+    for (let step = 0; step < 20; step += 1) {
+      const change = nextChange(scene({ ...current, joining: alive, silent }));
+      if (change === undefined) break;
+      apply(current, change);
+    }
+    expect([...current.voters].sort()).to.deep.equal(alive.sort());
+  });
+});
+
+function apply(
+  current: { voters: string[]; learners: string[] },
+  change: NonNullable<ReturnType<typeof nextChange>>,
+): void {
+  switch (change.kind) {
+    case "addLearner":
+      current.learners.push(change.member.id);
+      return;
+    case "promote":
+      current.learners = current.learners.filter((id) => id !== change.id);
+      current.voters.push(change.id);
+      return;
+    case "remove":
+      current.learners = current.learners.filter((id) => id !== change.id);
+      current.voters = current.voters.filter((id) => id !== change.id);
+  }
+}
--- /dev/null
+++ b/packages/core/test/gateway/routes_and_state_test.ts
@@ -0,0 +1,94 @@
+import type { gateway as protocol } from "@ebonypath/protocol";
+import { expect } from "chai";
+import { GatewayState, RouteTable, serviceOf } from "../../src/gateway/mod.ts";
+
+function route(
+  host: string,
+  pathPrefix: string,
+  split = [{ service: "s", weight: 1 }],
+): protocol.Route {
+  return {
+    name: `${host}${pathPrefix}`,
+    host,
+    pathPrefix,
+    kind: "safe",
+    timeoutMs: 1_000,
+    targetMs: 100,
+    priority: 1,
+    split,
+    maxAttempts: 1,
+    isPublic: false,
+    isResumable: false,
+  };
+}
+
+function configure(version: number): protocol.Command {
+  const configuration = {
+    version,
+    routes: [],
+    services: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  };
+  return { kind: "configure", configuration, source: `v${version}` };
+}
+
+describe("gateway routes", () => {
+  const routes = new RouteTable([
+    route("a.example", "/"),
+    route("a.example", "/x/"),
+    route("a.example", "/x/y/"),
+    route("b.example", "/x/"),
+  ]);
+  const cases: [string, string, string | undefined][] = [
+    ["a.example", "/x/y/z", "a.example/x/y/"],
+    ["a.example", "/x/yz", "a.example/x/"],
+    ["A.Example:8080", "/x/?q=/y/", "a.example/x/"],
+    ["a.example", "/x", "a.example/"],
+    ["b.example", "/", undefined],
+    ["c.example", "/x/", undefined],
+  ];
+  for (const [host, path, expected] of cases) {
+    it(`finds ${expected ?? "none"} for ${host}${path}`, () => {
+      expect(routes.match(host, path)?.name).to.equal(expected);
+    });
+  }
+
+  it("splits by weight and never sends to a weight of 0", () => {
+    const split = [
+      { service: "none", weight: 0 },
+      { service: "most", weight: 90 },
+      { service: "few", weight: 10 },
+      { service: "last", weight: 0 },
+    ];
+    const at = (random: number) => serviceOf(route("h", "/", split), random);
+    expect([0, 0.89, 0.91, 0.999_999].map(at))
+      .to.deep.equal(["most", "most", "few", "few"]);
+  });
+});
+
+describe("gateway state", () => {
+  it("keeps the highest version, whatever comes later", () => {
+    const state = new GatewayState();
+    expect(state.apply(configure(7))).to.equal(true);
+    expect(state.apply(configure(3))).to.equal(false);
+    const same = { ...configure(7), source: "other" } as protocol.Command;
+    expect(state.apply(same)).to.equal(false);
+    expect(state.source).to.equal("v7");
+  });
+
+  it("is the same after a snapshot", () => {
+    const state = new GatewayState();
+    state.apply(configure(7));
+    state.apply({ kind: "withdraw-domain", domain: "a" });
+    state.apply({ kind: "withdraw-domain", domain: "b" });
+    state.apply({ kind: "restore-domain", domain: "a" });
+    const copy = GatewayState.fromSnapshot(state.toSnapshot());
+    expect(copy.toSnapshot()).to.equal(state.toSnapshot());
+    expect(copy.withdrawnDomains).to.deep.equal(["b"]);
+  });
+});
--- a/packages/daemon/src/gateway/control/order_desk.ts
+++ b/packages/daemon/src/gateway/control/order_desk.ts
@@ -144,7 +144,7 @@
       adapter: "adapter" in order ? order.adapter : undefined,
       source: "source" in order ? order.source : undefined,
       expected,
-      token,
+      fence: token,
       answer: answer.kind,
       took_ms: Math.round(performance.now() - sentAt),
     });
