Count adapters that one round adds, and believe reports before heartbeats

Also: heartbeats that were on their way for seconds could replace what a report had said since; servers that refuse connections got an order each 3 ms; adapters were ordered from servers that load and refuse them.

Tests first failed: the last place for an adapter, one drop at a time, late heartbeats.

--- a/packages/core/src/gateway/paging.ts
+++ b/packages/core/src/gateway/paging.ts
@@ -63,6 +63,10 @@
   readonly #taken = new Set<string>();
   readonly #waiting: ReadonlySet<string>;
   readonly #copies = new Map<string, number>();
+  /** Adapters that this round adds, by server. */
+  readonly #added = new Map<string, number>();
+  /** Servers that this round tells to drop an adapter. */
+  readonly #dropping = new Set<string>();
   #isStoreOpen: boolean;
 
   constructor(scene: types.Scene) {
@@ -177,7 +181,7 @@
     );
     const pending = [...server.pendingAdapters].reduce(
       (sum, key) => sum + this.#adapterMb(key.split("/", 1)[0] ?? ""),
-      0,
+      (this.#added.get(server.id) ?? 0) * this.#largestAdapterMb,
     );
     const loading = server.loading !== undefined &&
         !server.models.some(({ name }) => name === server.loading)
@@ -191,6 +195,13 @@
     return weights + adapters.length * this.#adapterMb(name);
   }
 
+  get #largestAdapterMb(): number {
+    return Math.max(
+      0,
+      ...this.#scene.engine.models.map((one) => one.adapterMb),
+    );
+  }
+
   #adapterMb(model: string): number {
     return this.#models.get(model)?.adapterMb ?? 0;
   }
@@ -238,41 +249,37 @@
   }
 
   #planAdapters(): types.PagingOrder[] {
-    const wanted = this.#scene.needs
-      .filter(({ adapter, waiting }) => adapter !== undefined && waiting > 0);
-    const pending = new Map(
-      this.#scene.servers.map((server) => [
-        server.id,
-        server.pendingAdapters.size,
-      ]),
-    );
-    return wanted
-      .map((need) => this.#planAdapter(need, pending))
+    return this.#scene.needs
+      .filter(({ adapter, waiting }) => adapter !== undefined && waiting > 0)
+      .sort((one, other) => one.slackMs - other.slackMs)
+      .map((need) => this.#planAdapter(need))
       .filter((order) => order !== undefined);
   }
 
-  #planAdapter(
-    { adapter, model }: types.Need,
-    pending: Map<string, number>,
-  ): types.PagingOrder | undefined {
+  #planAdapter({ adapter, model }: types.Need): types.PagingOrder | undefined {
     if (adapter === undefined) return undefined;
     const key = types.adapterKey(model, adapter);
     const holders = this.#scene.servers.filter((server) =>
       server.isUsable && heldOn(server, model) !== undefined
     );
-    const isThere = holders.some((server) =>
-      heldOn(server, model)?.adapters.includes(adapter) ||
-      server.pendingAdapters.has(key)
-    );
-    if (isThere) return undefined;
+    if (holders.some((server) => hasAdapter(server, key))) return undefined;
     // A server refuses an adapter while it loads a model.
     const server = holders
       .filter(({ busyMs }) => busyMs === 0)
-      .filter(({ id }) => (pending.get(id) ?? 0) < PENDING_ADAPTERS)
-      .sort((one, other) => adapterCount(one) - adapterCount(other))[0];
-    if (server === undefined) return undefined;
-    pending.set(server.id, (pending.get(server.id) ?? 0) + 1);
-    return this.#placeAdapter(server, model, adapter);
+      .filter((one) => this.#pendingOn(one) < PENDING_ADAPTERS)
+      .sort((one, other) => this.#adaptersOn(one) - this.#adaptersOn(other))[0];
+    return server && this.#placeAdapter(server, model, adapter);
+  }
+
+  /** Adapters on their way to a server, those of this round included. */
+  #pendingOn(server: types.PagedServer): number {
+    return server.pendingAdapters.size + (this.#added.get(server.id) ?? 0);
+  }
+
+  /** Adapters that take a place, those that are being dropped included. */
+  #adaptersOn({ id, models, pendingAdapters }: types.PagedServer): number {
+    const held = models.reduce((sum, { adapters }) => sum + adapters.length, 0);
+    return held + pendingAdapters.size + (this.#added.get(id) ?? 0);
   }
 
   #placeAdapter(
@@ -280,13 +287,19 @@
     model: string,
     adapter: string,
   ): types.PagingOrder | undefined {
-    const hasPlace = adapterCount(server) < this.#scene.engine.adapterPlaces &&
+    const hasPlace =
+      this.#adaptersOn(server) < this.#scene.engine.adapterPlaces &&
       this.#freeMb(server) >= this.#adapterMb(model);
     if (hasPlace) {
+      this.#added.set(server.id, (this.#added.get(server.id) ?? 0) + 1);
       return { kind: "load-adapter", server: server.id, model, adapter };
     }
+    if (server.droppedAdapters.size > 0 || this.#dropping.has(server.id)) {
+      return undefined;
+    }
     const victim = this.#adapterVictim(server);
     if (victim === undefined) return undefined;
+    this.#dropping.add(server.id);
     return { kind: "unload-adapter", server: server.id, ...victim };
   }
 
@@ -346,9 +359,15 @@
   return loading === undefined ? names : [...names, loading];
 }
 
-function adapterCount({ models, pendingAdapters }: types.PagedServer): number {
-  return models.reduce((sum, { adapters }) => sum + adapters.length, 0) +
-    pendingAdapters.size;
+/** Whether an adapter is on a server, or on its way there. */
+function hasAdapter(
+  { models, pendingAdapters }: types.PagedServer,
+  key: string,
+): boolean {
+  return pendingAdapters.has(key) ||
+    models.some(({ adapters, name }) =>
+      adapters.some((adapter) => types.adapterKey(name, adapter) === key)
+    );
 }
 
 function sourceOf(
--- a/packages/core/src/gateway/paging_types.ts
+++ b/packages/core/src/gateway/paging_types.ts
@@ -19,6 +19,8 @@
   readonly running: ReadonlyMap<string, number>;
   /** Adapters on their way, as `model/adapter`. */
   readonly pendingAdapters: ReadonlySet<string>;
+  /** Adapters that it is told to drop, as `model/adapter`. */
+  readonly droppedAdapters: ReadonlySet<string>;
 };
 
 /** What requests want of one model, or of one of its adapters. */
--- a/packages/core/src/gateway/roster.ts
+++ b/packages/core/src/gateway/roster.ts
@@ -16,6 +16,8 @@
   /** Revision of the roster at its last change. */
   revision: number;
   leaving: ReadonlySet<string>;
+  /** Whether what it holds is known from its answers to the leader. */
+  isObserved: boolean;
 };
 
 /**
@@ -68,14 +70,18 @@
     const known = this.#entries.get(heartbeat.id);
     if (!this.#isNewer(heartbeat, known?.heartbeat, now)) return false;
     this.#endPredecessors(heartbeat);
+    const sameStart = known?.heartbeat.born === heartbeat.born
+      ? known
+      : undefined;
+    const merged = merge(heartbeat, sameStart);
     const isSame = known !== undefined &&
-      isEqualContent(known.heartbeat, heartbeat);
-    const isReborn = known?.heartbeat.born !== heartbeat.born;
+      isEqualContent(known.heartbeat, merged);
     this.#entries.set(heartbeat.id, {
-      heartbeat,
+      heartbeat: merged,
       heardAt: now,
       revision: isSame ? known.revision : ++this.#revision,
-      leaving: isReborn ? new Set() : known?.leaving ?? new Set(),
+      leaving: sameStart?.leaving ?? new Set(),
+      isObserved: sameStart?.isObserved ?? false,
     });
     return true;
   }
@@ -109,6 +115,7 @@
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
     const { models, inMemory, onDisk } = report;
+    entry.isObserved = true;
     const heartbeat = { ...entry.heartbeat, models, inMemory, onDisk };
     if (isEqualContent(entry.heartbeat, heartbeat)) return;
     entry.heartbeat = heartbeat;
@@ -174,6 +181,19 @@
   }
 }
 
+/**
+ * A heartbeat may have been on its way for seconds, during which the server has
+ * carried out orders: what its answers say of its models goes before.
+ */
+function merge(
+  heartbeat: gateway.Heartbeat,
+  known: Entry | undefined,
+): gateway.Heartbeat {
+  if (known?.isObserved !== true) return heartbeat;
+  const { inMemory, models, onDisk } = known.heartbeat;
+  return { ...heartbeat, models, inMemory, onDisk };
+}
+
 /** Whether a heartbeat was sent after another one of the same server. */
 function isLater(one: gateway.Heartbeat, other: gateway.Heartbeat): boolean {
   if (one.born !== other.born) return one.born > other.born;
--- a/packages/core/test/gateway/fixtures.ts
+++ b/packages/core/test/gateway/fixtures.ts
@@ -66,6 +66,7 @@
     onDisk: new Set(),
     running: new Map(),
     pendingAdapters: new Set(),
+    droppedAdapters: new Set(),
     ...given,
   };
 }
--- a/packages/core/test/gateway/paging_test.ts
+++ b/packages/core/test/gateway/paging_test.ts
@@ -109,6 +109,29 @@
     ]);
   });
 
+  it("fills the last place for an adapter once in a round", () => {
+    const servers = [
+      server({ id: "s1", models: [held("a", ["a1", "a2", "a3"])] }),
+    ];
+    const needs = ["a5", "a6"].map((adapter) => need({ model: "a", adapter }));
+    const orders = planOrders(scene({ servers, needs }));
+    expect(orders.map(({ kind }) => kind))
+      .to.deep.equal(["load-adapter", "unload-adapter"]);
+  });
+
+  it("drops one adapter at a time on a server", () => {
+    const adapters = ["a1", "a2", "a3", "a4"];
+    const servers = [
+      server({
+        id: "s1",
+        models: [held("a", adapters)],
+        droppedAdapters: new Set(["a/a1"]),
+      }),
+    ];
+    const needs = [need({ model: "a", adapter: "a5" })];
+    expect(planOrders(scene({ servers, needs }))).to.deep.equal([]);
+  });
+
   it("never orders more than a server holds, in any scene", () => {
     const names = ["a", "b", "c", "d", "e", "f"];
     const servers = fastCheck.array(
--- a/packages/core/test/gateway/roster_test.ts
+++ b/packages/core/test/gateway/roster_test.ts
@@ -56,6 +56,25 @@
       .to.deep.equal(["draining"]);
   });
 
+  it("believes answers to the leader rather than late heartbeats", () => {
+    const roster = new Roster();
+    roster.hear(heartbeat(), 0);
+    const report = {
+      models: [fixtures.held("a")],
+      isBusy: false,
+      orders: 1,
+      pendingAdapters: 0,
+      inMemory: ["a"],
+      onDisk: ["a"],
+    };
+    roster.observe("s1", report);
+    roster.hear(heartbeat({ sequence: 2, state: "draining" }), 1);
+    expect(roster.get("s1")).to.include({ state: "draining" });
+    expect(roster.get("s1")?.models).to.deep.equal([fixtures.held("a")]);
+    roster.hear(heartbeat({ sequence: 1, born: 2_000 }), 2);
+    expect(roster.get("s1")?.models).to.deep.equal([]);
+  });
+
   it("adopts records of entry hosts unless the server itself was heard", () => {
     const roster = new Roster();
     roster.hear(heartbeat({ sequence: 3 }), 0);
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -21,7 +21,7 @@
 const write = log.createLog("control");
 
 /** Time between two looks at whether this host leads, in milliseconds. */
-const WATCH_MS = 20;
+const WATCH_MS = 100;
 /** Time between two requests to be a member, in milliseconds. */
 const JOIN_MS = 1_000;
 /** Time for a host to say who it is, in milliseconds. */
@@ -137,6 +137,7 @@
         this.#stop.signal,
       );
     }
+    this.#driver.onStatus(() => timers.setImmediate(() => this.#watch()));
     const watch = timers.setInterval(() => this.#watch(), WATCH_MS);
     this.#resources.defer(() => timers.clearInterval(watch));
     const join = timers.setInterval(() => void this.#join(), JOIN_MS);
--- a/packages/daemon/src/gateway/control/order_desk.ts
+++ b/packages/daemon/src/gateway/control/order_desk.ts
@@ -23,6 +23,8 @@
 const UNKNOWN_PAUSE_MS = 400;
 /** Time for a server to fetch an adapter, in milliseconds. */
 const ADAPTER_MS = 45;
+/** Pause after a failure to talk to a server, in milliseconds. */
+const FAILURE_PAUSE_MS = 500;
 /** A model that is dropped takes no time once nothing runs, in ms. */
 const UNLOAD_POLL_MS = 30;
 
@@ -35,6 +37,7 @@
   /** When the order under way is expected to be complete; monotonic, in ms. */
   busyUntil = 0;
   readonly pendingAdapters = new Set<string>();
+  readonly droppedAdapters = new Set<string>();
   /** Orders are sent one after the other. */
   last: Promise<void> = Promise.resolve();
 
@@ -71,6 +74,7 @@
     readonly busyMs: number;
     readonly loading: string | undefined;
     readonly pendingAdapters: ReadonlySet<string>;
+    readonly droppedAdapters: ReadonlySet<string>;
   } {
     const desk = this.#deskOf(server);
     const { current } = desk;
@@ -80,6 +84,7 @@
         : Math.max(1, desk.busyUntil - now),
       loading: current?.kind === "load" ? current.model : undefined,
       pendingAdapters: desk.pendingAdapters,
+      droppedAdapters: desk.droppedAdapters,
     };
   }
 
@@ -104,6 +109,7 @@
         desk.pendingAdapters.add(adapterOf(order));
         break;
       case "unload-adapter":
+        desk.droppedAdapters.add(adapterOf(order));
         break;
       default:
         errors.assertNever(order);
@@ -115,7 +121,7 @@
       .then(() => this.#carryOut(server, desk, order))
       .catch((error: unknown) => {
         write("order-failed", { server: server.id, order: order.kind, error });
-        this.#release(server, desk, order);
+        this.#release(server, desk, order, FAILURE_PAUSE_MS);
       });
   }
 
@@ -125,8 +131,7 @@
     order: core.gateway.PagingOrder,
   ): Promise<void> {
     if (!this.#options.mayOrder() || !await this.#learn(server, desk)) {
-      await timers.setTimeout(CONFLICT_PAUSE_MS);
-      this.#release(server, desk, order);
+      this.#release(server, desk, order, CONFLICT_PAUSE_MS);
       return;
     }
     const expected = desk.expected ?? 0;
@@ -163,26 +168,19 @@
         this.#accepted(server, desk, order);
         return;
       case "holds":
-        if (order.kind === "unload-adapter") {
-          // An adapter without requests is dropped before the answer.
-          desk.expected = (desk.expected ?? 0) + 1;
-          this.#complete(server, desk, order);
-          return;
-        }
+        // Whether it was so before or was done at once, the number of orders
+        // that the server has accepted is not certain any more.
         desk.expected = undefined;
-        await this.#learn(server, desk);
-        this.#release(server, desk, order);
+        this.#complete(server, desk, order, CONFLICT_PAUSE_MS);
         return;
       case "conflict":
       case "refused":
         desk.expected = undefined;
-        await timers.setTimeout(CONFLICT_PAUSE_MS);
-        this.#release(server, desk, order);
+        this.#release(server, desk, order, CONFLICT_PAUSE_MS);
         return;
       case "unknown":
         desk.expected = undefined;
-        await timers.setTimeout(UNKNOWN_PAUSE_MS);
-        this.#release(server, desk, order);
+        this.#release(server, desk, order, UNKNOWN_PAUSE_MS);
         return;
       default:
         errors.assertNever(answer);
@@ -194,7 +192,7 @@
     if (desk.expected !== undefined) return true;
     const report = await this.#options.client.report(server);
     this.#options.roster.observe(server.id, report);
-    if (report.isBusy) return false;
+    if (report.isBusy || report.pendingAdapters > 0) return false;
     desk.expected = report.orders;
     return true;
   }
@@ -272,6 +270,7 @@
     server: gateway.Heartbeat,
     desk: Desk,
     order: core.gateway.PagingOrder,
+    pauseMs = 0,
   ): void {
     const { roster } = this.#options;
     if (order.kind === "load") {
@@ -285,26 +284,36 @@
         models: withAdapter(known.models, order),
         isBusy: false,
         orders: desk.expected ?? 0,
+        pendingAdapters: 0,
       });
     }
-    this.#release(server, desk, order);
+    this.#release(server, desk, order, pauseMs);
   }
 
+  /** @param pauseMs time for which the server gets no other order */
   #release(
     server: gateway.Heartbeat,
     desk: Desk,
     order: core.gateway.PagingOrder,
+    pauseMs = 0,
   ): void {
     if (desk.current === order) {
       desk.current = undefined;
       desk.busyUntil = 0;
     }
+    if (pauseMs > 0) {
+      const until = performance.now() + pauseMs;
+      desk.busyUntil = Math.max(desk.busyUntil, until);
+    }
     if (order.kind === "unload") {
       this.#options.roster.setLeaving(server.id, new Set());
     }
     if (order.kind === "load-adapter") {
       desk.pendingAdapters.delete(adapterOf(order));
     }
+    if (order.kind === "unload-adapter") {
+      desk.droppedAdapters.delete(adapterOf(order));
+    }
     this.#options.onSettled();
   }
 
--- a/packages/daemon/src/gateway/entry/placement.ts
+++ b/packages/daemon/src/gateway/entry/placement.ts
@@ -38,11 +38,10 @@
   readonly #waiting = new Set<Waiter>();
   /** Server that last read each shared prompt. */
   readonly #prefixes = new Map<string, string>();
-  readonly #interval: NodeJS.Timeout;
+  #interval: NodeJS.Timeout | undefined;
 
   constructor(options: PlacementOptions) {
     this.#options = options;
-    this.#interval = timers.setInterval(() => this.pump(), PUMP_MS);
     options.view.on("change", () => this.pump());
   }
 
@@ -64,7 +63,11 @@
 
   /** Looks again for servers for requests that wait, urgent ones first. */
   pump(): void {
-    if (this.#waiting.size === 0) return;
+    if (this.#waiting.size === 0) {
+      timers.clearInterval(this.#interval);
+      this.#interval = undefined;
+      return;
+    }
     const now = performance.now();
     const ordered = [...this.#waiting].sort((one, other) =>
       one.work.priority - other.work.priority ||
@@ -89,6 +92,7 @@
   #wait(work: types.Work): Promise<gateway.ServerRecord | undefined> {
     return new Promise((resolve) => {
       this.#waiting.add({ work, resolve });
+      this.#interval ??= timers.setInterval(() => this.pump(), PUMP_MS);
       this.#options.onWaiting();
     });
   }
--- a/packages/protocol/src/gateway/server.ts
+++ b/packages/protocol/src/gateway/server.ts
@@ -56,6 +56,8 @@
   isBusy: v.boolean(),
   /** Orders that it has accepted since its start. */
   orders: Count,
+  /** Adapters on their way to it. */
+  pendingAdapters: Count,
   inMemory: Names,
   onDisk: Names,
 });
