Tell a reset from the end of an answer without a length

Ruled out: a wrong order of events in node:http; a later reset is reported.

Change: at the end of an answer without a length an empty line is written; the write fails after a reset.

--- a/packages/daemon/src/gateway/entry/upstream.ts
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -77,7 +77,11 @@
   #client: http.ClientRequest | undefined;
   #connectTimer: NodeJS.Timeout | undefined;
   #isConnected = false;
+  /** Whether the answer ends with its connection. */
+  #needsProbe = false;
   #failure: Error | undefined;
+  /** Settles once the end of the connection is known to be no reset. */
+  #probe: Promise<void> = Promise.resolve();
   readonly #abort = () => this.#client?.destroy(new Error("cancelled"));
 
   constructor(
@@ -117,6 +121,7 @@
 
   #onSocket(socket: net.Socket): void {
     socket.setNoDelay(true);
+    socket.prependOnceListener("end", () => this.#probeEnd(socket));
     if (!socket.connecting) {
       this.#isConnected = true;
       return;
@@ -131,16 +136,24 @@
     });
   }
 
-  #onResponse(message: http.IncomingMessage): void {
-    const end = new Promise<void>((resolve, reject) => {
-      message.on("end", () => {
-        const failure = isFramed(message) ? undefined : this.#failure;
-        if (failure === undefined && message.complete) resolve();
-        else reject(failure ?? new Error("the answer broke off"));
+  /**
+   * A reset that comes together with the last bytes shows as the usual end of
+   * the connection: libuv reports a hang-up after a partial read as such. A
+   * write tells them apart; an empty line is no request.
+   */
+  #probeEnd(socket: net.Socket): void {
+    if (!this.#needsProbe || socket.destroyed) return;
+    this.#probe = new Promise((resolve) => {
+      socket.write("\r\n", (error) => {
+        if (error) this.#failure ??= error;
+        setImmediate(resolve);
       });
-      message.on("error", reject);
-      message.on("close", () => reject(new Error("the answer broke off")));
     });
+  }
+
+  #onResponse(message: http.IncomingMessage): void {
+    this.#needsProbe = !isFramed(message);
+    const end = this.#endOf(message);
     // Whoever reads the answer waits for its end; others need not.
     end.catch(() => undefined);
     this.#resolve({
@@ -152,6 +165,19 @@
     });
   }
 
+  /** Resolves when the answer is whole, and rejects when it broke off. */
+  async #endOf(message: http.IncomingMessage): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      message.on("end", resolve);
+      message.on("error", reject);
+      message.on("close", () => reject(new Error("the answer broke off")));
+    });
+    await this.#probe;
+    const failure = isFramed(message) ? undefined : this.#failure;
+    if (failure === undefined && message.complete) return;
+    throw failure ?? new Error("the answer broke off");
+  }
+
   /** Also called when a reset follows an answer without a length. */
   #onError(error: Error): void {
     this.#failure ??= error;
