--- a/packages/core/src/gateway/demand_book.ts
+++ b/packages/core/src/gateway/demand_book.ts
@@ -46,7 +46,8 @@
       const record = this.#recordOf(demand, now);
       this.#decay(record, now);
       record.perSecond += demand.arrivals * SECOND_MS / AVERAGE_MS;
-      if (demand.waiting + demand.running + demand.arrivals === 0) continue;
+      const { arrivals, running, slacksMs } = demand;
+      if (slacksMs.length + running + arrivals === 0) continue;
       this.lastWanted.set(demand.model, now);
       if (demand.adapter !== undefined) {
         this.lastWanted.set(adapterKey(demand.model, demand.adapter), now);
@@ -72,8 +73,8 @@
       const demands = reports.flatMap(({ demand }) =>
         demand.filter((one) => keyOf(one) === key)
       );
-      const waiting = sum(demands.map((one) => one.waiting));
-      const active = waiting + sum(demands.map((one) => one.running));
+      const slacksMs = demands.flatMap((one) => one.slacksMs);
+      const active = slacksMs.length + sum(demands.map((one) => one.running));
       this.#average(record, active, now);
       const isNegligible = active === 0 &&
         record.perSecond < NEGLIGIBLE_PER_SECOND;
@@ -81,12 +82,7 @@
       needs.push({
         model: record.model,
         adapter: record.adapter,
-        waiting,
-        slackMs: Math.min(
-          Infinity,
-          ...demands.filter((one) => one.waiting > 0)
-            .map((one) => one.slackMs),
-        ),
+        slacksMs,
         perSecond: record.perSecond,
         concurrency: record.concurrency,
       });
--- a/packages/core/src/gateway/paging.ts
+++ b/packages/core/src/gateway/paging.ts
@@ -32,6 +32,15 @@
 /** Adapters that may be on their way to one server at once. */
 const PENDING_ADAPTERS = 4;
 
+/** What serving a late request is worth, against one in time. */
+const LATE_GAIN = 0.25;
+/** Lateness at which a request counts as much as one in time, in ms. */
+const LATE_LIMIT_MS = 8_000;
+/** Time for which a model that was loaded is expected to stay, in seconds. */
+const STAY_SECONDS = 4;
+/** Most requests to come that count for a load. */
+const COMING_LIMIT = 8;
+
 /** A way to bring a model to a server. */
 type Option = {
   readonly server: types.PagedServer;
@@ -75,11 +84,9 @@
     this.#models = new Map(
       scene.engine.models.map((model) => [model.name, model]),
     );
-    this.#needs = mergeAdapters(scene.needs)
-      .sort((one, other) => one.slackMs - other.slackMs);
+    this.#needs = mergeAdapters(scene.needs);
     this.#waiting = new Set(
-      this.#needs.filter(({ waiting }) => waiting > 0)
-        .map(({ model }) => model),
+      this.#needs.filter(isWaitedFor).map(({ model }) => model),
     );
     for (const server of scene.servers.filter(({ isUsable }) => isUsable)) {
       for (const name of namesOn(server)) {
@@ -90,13 +97,27 @@
 
   plan(): types.PagingOrder[] {
     const adapters = this.#planAdapters();
-    const wanted = this.#needs.filter(({ waiting }) => waiting > 0)
+    const wanted = this.#needs.filter(isWaitedFor)
       .filter(({ model }) => this.#copiesOf(model) === 0);
     const short = this.#needs.filter((need) => this.#isShort(need));
-    const loads = [...wanted, ...short].map((need) => this.#planLoad(need));
+    const loads = [...this.#byGain(wanted), ...short]
+      .map((need) => this.#planLoad(need));
     return [...adapters, ...loads.filter((order) => order !== undefined)];
   }
 
+  /** Needs in the order of what a load brings for the time that it takes. */
+  #byGain(needs: readonly types.Need[]): types.Need[] {
+    return needs
+      .map((need) => ({ need, rate: this.#gainRate(need) }))
+      .sort((one, other) => other.rate - one.rate)
+      .map(({ need }) => need);
+  }
+
+  #gainRate(need: types.Need): number {
+    const costMs = this.#bestOption(need)?.costMs;
+    return costMs === undefined ? 0 : gainOf(need, costMs) / costMs;
+  }
+
   /** Whether a model that is wanted all the time has too few places. */
   #isShort(need: types.Need): boolean {
     const copies = this.#copiesOf(need.model);
@@ -118,21 +139,22 @@
     return this.#copies.get(model) ?? 0;
   }
 
-  #planLoad({ model: name, waiting }: types.Need):
-    | types.PagingOrder
-    | undefined {
-    const model = this.#models.get(name);
-    if (model === undefined) return undefined;
-    const options = this.#scene.servers
-      .filter((server) => this.#canTake(server, name))
-      .map((server) => this.#optionAt(server, model, waiting > 0))
-      .filter((option) => option !== undefined)
-      .sort((one, other) => one.costMs - other.costMs);
-    const best = options[0];
+  #planLoad(need: types.Need): types.PagingOrder | undefined {
+    const best = this.#bestOption(need);
     if (best === undefined) return undefined;
     this.#taken.add(best.server.id);
     // A server that is ready soon may be better than one that is idle now.
-    return best.server.busyMs > 0 ? undefined : this.#orderOf(best, name);
+    return best.server.busyMs > 0 ? undefined : this.#orderOf(best, need.model);
+  }
+
+  #bestOption(need: types.Need): Option | undefined {
+    const model = this.#models.get(need.model);
+    if (model === undefined) return undefined;
+    return this.#scene.servers
+      .filter((server) => this.#canTake(server, need.model))
+      .map((server) => this.#optionAt(server, model, isWaitedFor(need)))
+      .filter((option) => option !== undefined)
+      .sort((one, other) => one.costMs - other.costMs)[0];
   }
 
   #orderOf(option: Option, model: string): types.PagingOrder {
@@ -159,7 +181,7 @@
   #optionAt(
     server: types.PagedServer,
     model: gateway.Model,
-    isWaitedFor: boolean,
+    isWanted: boolean,
   ): Option | undefined {
     const source = sourceOf(server, model.name);
     if (source === "store" && !this.#isStoreOpen) return undefined;
@@ -168,7 +190,7 @@
     if (this.#freeMb(server) >= model.weightsMb) {
       return { server, source, loadMs, victim: undefined, costMs: base };
     }
-    const victim = this.#victimOn(server, isWaitedFor);
+    const victim = this.#victimOn(server, isWanted);
     if (victim === undefined) return undefined;
     const costMs = base + victim.costMs;
     return { server, source, loadMs, victim: victim.name, costMs };
@@ -209,10 +231,10 @@
   /** The model whose loss costs least, or nothing if each is needed more. */
   #victimOn(
     server: types.PagedServer,
-    isWaitedFor: boolean,
+    isWanted: boolean,
   ): { readonly name: string; readonly costMs: number } | undefined {
     return server.models
-      .filter(({ name }) => this.#mayDrop(server, name, isWaitedFor))
+      .filter(({ name }) => this.#mayDrop(server, name, isWanted))
       .map(({ name }) => ({ name, costMs: this.#dropCost(server, name) }))
       .sort((one, other) => one.costMs - other.costMs)[0];
   }
@@ -220,7 +242,7 @@
   #mayDrop(
     server: types.PagedServer,
     model: string,
-    isWaitedFor: boolean,
+    isWanted: boolean,
   ): boolean {
     const { loadedAt, now } = this.#scene;
     const age = now - (loadedAt.get(`${server.id} ${model}`) ?? -Infinity);
@@ -230,7 +252,7 @@
     const need = this.#needs.find((one) => one.model === model);
     if (need !== undefined && copies <= this.#desiredCopies(need)) return false;
     // A spare copy is no reason to drop a model that may be asked for again.
-    return isWaitedFor || copies > 1 || (need?.perSecond ?? 0) === 0;
+    return isWanted || copies > 1 || (need?.perSecond ?? 0) === 0;
   }
 
   /** Waits that dropping a model causes, and those that it has to wait for. */
@@ -250,8 +272,8 @@
 
   #planAdapters(): types.PagingOrder[] {
     return this.#scene.needs
-      .filter(({ adapter, waiting }) => adapter !== undefined && waiting > 0)
-      .sort((one, other) => one.slackMs - other.slackMs)
+      .filter((need) => need.adapter !== undefined && isWaitedFor(need))
+      .sort((one, other) => firstSlack(one) - firstSlack(other))
       .map((need) => this.#planAdapter(need))
       .filter((order) => order !== undefined);
   }
@@ -308,7 +330,7 @@
   ): { readonly model: string; readonly adapter: string } | undefined {
     const { lastWanted } = this.#scene;
     const wanted = new Set(
-      this.#scene.needs.filter(({ waiting }) => waiting > 0)
+      this.#scene.needs.filter(isWaitedFor)
         .map(({ adapter, model }) => types.adapterKey(model, adapter ?? "")),
     );
     return server.models
@@ -327,6 +349,35 @@
   }
 }
 
+function isWaitedFor({ slacksMs }: types.Need): boolean {
+  return slacksMs.length > 0;
+}
+
+function firstSlack({ slacksMs }: types.Need): number {
+  return Math.min(Infinity, ...slacksMs);
+}
+
+/**
+ * What a load that is complete after some time brings: requests that it makes
+ * in time, late ones for less, and those that will come while the model stays.
+ */
+function gainOf(
+  { perSecond, slacksMs }: types.Need,
+  completeMs: number,
+): number {
+  const waiting = slacksMs.map((slackMs) =>
+    slackMs >= completeMs ? 1 : lateGain(-slackMs)
+  );
+  const coming = Math.min(perSecond * STAY_SECONDS, COMING_LIMIT);
+  return coming + waiting.reduce((sum, gain) => sum + gain, 0);
+}
+
+/** A late request gains weight as it waits, so that none waits in vain. */
+function lateGain(lateMs: number): number {
+  const waited = Math.min(1, Math.max(0, lateMs / LATE_LIMIT_MS));
+  return LATE_GAIN + (1 - LATE_GAIN) * waited;
+}
+
 /** Requests for adapters are requests for their model as well. */
 function mergeAdapters(needs: readonly types.Need[]): types.Need[] {
   const merged = new Map<string, types.Need>();
@@ -337,8 +388,7 @@
       known === undefined ? { ...need, adapter: undefined } : {
         model: need.model,
         adapter: undefined,
-        waiting: known.waiting + need.waiting,
-        slackMs: Math.min(known.slackMs, need.slackMs),
+        slacksMs: [...known.slacksMs, ...need.slacksMs],
         perSecond: known.perSecond + need.perSecond,
         concurrency: known.concurrency + need.concurrency,
       },
--- a/packages/core/src/gateway/paging_types.ts
+++ b/packages/core/src/gateway/paging_types.ts
@@ -27,9 +27,8 @@
 export type Need = {
   readonly model: string;
   readonly adapter: string | undefined;
-  readonly waiting: number;
-  /** Time until the first waiting request is late, in milliseconds. */
-  readonly slackMs: number;
+  /** Of each waiting request the time until it is late; in milliseconds. */
+  readonly slacksMs: readonly number[];
   /** Arrivals per second lately. */
   readonly perSecond: number;
   /** Requests that run or wait, averaged. */
--- a/packages/core/test/gateway/fixtures.ts
+++ b/packages/core/test/gateway/fixtures.ts
@@ -76,8 +76,7 @@
 ): core.Need {
   return {
     adapter: undefined,
-    waiting: 1,
-    slackMs: 1_000,
+    slacksMs: [1_000],
     perSecond: 0.1,
     concurrency: 0.1,
     ...given,
--- a/packages/core/test/gateway/paging_test.ts
+++ b/packages/core/test/gateway/paging_test.ts
@@ -44,9 +44,9 @@
     ];
     const needs = [
       need({ model: "a" }),
-      need({ model: "b", waiting: 0, perSecond: 0.4 }),
-      need({ model: "c", waiting: 0, perSecond: 0.01 }),
-      need({ model: "d", waiting: 0, perSecond: 0.3 }),
+      need({ model: "b", slacksMs: [], perSecond: 0.4 }),
+      need({ model: "c", slacksMs: [], perSecond: 0.01 }),
+      need({ model: "d", slacksMs: [], perSecond: 0.3 }),
     ];
     expect(planOrders(scene({ servers, needs }))).to.deep.equal([
       { kind: "unload", server: "s1", model: "c" },
@@ -60,7 +60,7 @@
     const needs = [
       need({ model: "a" }),
       ...["b", "c", "d"].map((model) =>
-        need({ model, waiting: 0, perSecond: 3, concurrency: 2 })
+        need({ model, slacksMs: [], perSecond: 3, concurrency: 2 })
       ),
     ];
     expect(planOrders(scene({ servers, needs }))).to.deep.equal([]);
@@ -77,6 +77,28 @@
     expect(planOrders(scene({ servers, needs, loadedAt }))).to.deep.equal([]);
   });
 
+  it("loads first what more requests gain from", () => {
+    const onDisk = new Set(["a", "b"]);
+    const servers = [server({ id: "s1", onDisk })];
+    const first = (needs: Parameters<typeof need>[0][]) =>
+      planOrders(scene({ servers, needs: needs.map(need) }))[0]?.model;
+    // One that can be in time goes before one that is late anyway.
+    expect(first([
+      { model: "a", slacksMs: [-500] },
+      { model: "b", slacksMs: [2_500] },
+    ])).to.equal("b");
+    // A model that many requests will come for goes before a rare one.
+    expect(first([
+      { model: "a", slacksMs: [600], perSecond: 3 },
+      { model: "b", slacksMs: [2_500], perSecond: 0.1 },
+    ])).to.equal("a");
+    // A request that has waited for long is not passed over for ever.
+    expect(first([
+      { model: "a", slacksMs: [-8_000, -7_500] },
+      { model: "b", slacksMs: [2_500] },
+    ])).to.equal("a");
+  });
+
   it("fetches an adapter where its model is", () => {
     const servers = [
       server({ id: "s1", models: [held("a")] }),
@@ -148,7 +170,10 @@
     const needs = fastCheck.array(
       fastCheck.record({
         model: fastCheck.constantFrom(...names),
-        waiting: fastCheck.nat(3),
+        slacksMs: fastCheck.array(
+          fastCheck.integer({ min: -9_000, max: 3_000 }),
+          { maxLength: 3 },
+        ),
         perSecond: fastCheck.double({ min: 0, max: 5, noNaN: true }),
         concurrency: fastCheck.double({ min: 0, max: 30, noNaN: true }),
       }),
--- a/packages/daemon/src/gateway/control/directory.ts
+++ b/packages/daemon/src/gateway/control/directory.ts
@@ -86,8 +86,8 @@
     const { revision } = this.#roster;
     if (relayed.kind === "ended") {
       this.#roster.end(relayed.id, now);
-    } else {
-      this.#roster.hear(relayed.heartbeat, now);
+    } else if (this.#roster.hear(relayed.heartbeat, now)) {
+      this.#desk.hear(relayed.heartbeat);
     }
     if (this.#roster.revision === revision) return;
     this.#logServer(relayed);
@@ -116,7 +116,8 @@
     const { revision } = this.#roster;
     this.#roster.adopt(report.servers, now);
     this.#demand.take(report, now);
-    if (report.demand.some(({ waiting }) => waiting > 0)) this.#pager.request();
+    const isWaiting = report.demand.some(({ slacksMs }) => slacksMs.length > 0);
+    if (isWaiting) this.#pager.request();
     if (this.#roster.revision !== revision) this.#onChange();
     const reports = this.#demand.recent(now);
     return {
--- a/packages/daemon/src/gateway/control/order_desk.ts
+++ b/packages/daemon/src/gateway/control/order_desk.ts
@@ -11,10 +11,13 @@
 
 const write = log.createLog("orders");
 
-/** Lag of what a server reports of itself, in milliseconds. */
-const REPORT_LAG_MS = 110;
+/**
+ * Time after the expected end of an order at which the server is asked, if it
+ * has not told by itself, in milliseconds.
+ */
+const FIRST_POLL_MS = 300;
 /** Time between two questions whether an order is complete, in ms. */
-const POLL_MS = 150;
+const POLL_MS = 250;
 /** Time after which an order counts as lost, in milliseconds. */
 const ORDER_TIMEOUT_MS = 30_000;
 /** Pause after an order that a server did not take, in milliseconds. */
@@ -34,6 +37,10 @@
   /** Orders that the server has accepted; unknown before the first report. */
   expected: number | undefined;
   current: core.gateway.PagingOrder | undefined;
+  /** Whether the server has accepted the current order. */
+  isAccepted = false;
+  /** When it did; monotonic, in milliseconds. */
+  acceptedAt = 0;
   /** When the order under way is expected to be complete; monotonic, in ms. */
   busyUntil = 0;
   readonly pendingAdapters = new Set<string>();
@@ -88,6 +95,25 @@
     };
   }
 
+  /** A server tells by itself when it has loaded or dropped a model. */
+  hear(heartbeat: gateway.Heartbeat): void {
+    const desk = this.#deskOf(heartbeat);
+    const order = desk.current;
+    if (order === undefined || !desk.isAccepted) return;
+    const isHeld = heartbeat.models.some(({ name }) => name === order.model);
+    if (isHeld !== (order.kind === "load")) return;
+    const { inMemory, models, onDisk } = heartbeat;
+    this.#options.roster.observe(heartbeat.id, {
+      models,
+      inMemory,
+      onDisk,
+      isBusy: false,
+      orders: desk.expected ?? 0,
+      pendingAdapters: 0,
+    });
+    this.#done(heartbeat, desk, order, "heartbeat");
+  }
+
   /** Loads from the weight store that are under way. */
   get storeLoads(): number {
     return [...this.#desks.values()].filter(({ current }) =>
@@ -102,6 +128,7 @@
       case "load":
       case "unload":
         desk.current = order;
+        desk.isAccepted = false;
         desk.busyUntil = performance.now() +
           (order.kind === "load" ? order.expectedMs : UNLOAD_POLL_MS);
         break;
@@ -153,15 +180,15 @@
       answer: answer.kind,
       took_ms: Math.round(performance.now() - sentAt),
     });
-    await this.#follow(server, desk, order, answer);
+    this.#follow(server, desk, order, answer);
   }
 
-  async #follow(
+  #follow(
     server: gateway.Heartbeat,
     desk: Desk,
     order: core.gateway.PagingOrder,
     answer: types.OrderAnswer,
-  ): Promise<void> {
+  ): void {
     switch (answer.kind) {
       case "accepted":
         desk.expected = (desk.expected ?? 0) + 1;
@@ -221,28 +248,22 @@
     }
   }
 
-  /** Waits until a server says that it has carried an order out. */
+  /** Asks a server whether it has carried an order out, unless it told. */
   async #await(
     server: gateway.Heartbeat,
     desk: Desk,
     order: core.gateway.PagingOrder & { kind: "load" | "unload" },
     expectedMs: number,
   ): Promise<void> {
-    const begun = performance.now();
-    await timers.setTimeout(expectedMs + REPORT_LAG_MS);
-    while (performance.now() - begun < ORDER_TIMEOUT_MS) {
+    desk.isAccepted = true;
+    desk.acceptedAt = performance.now();
+    await timers.setTimeout(expectedMs + FIRST_POLL_MS);
+    while (performance.now() - desk.acceptedAt < ORDER_TIMEOUT_MS) {
+      if (desk.current !== order) return;
       if (!this.#isKnown(server)) break;
-      if (await this.#isDone(server, order)) {
-        const took = Math.round(performance.now() - begun);
-        write("order-done", {
-          server: server.id,
-          order: order.kind,
-          model: order.model,
-          took_ms: took,
-        });
-        this.#complete(server, desk, order);
-        return;
-      }
+      const isDone = await this.#isDone(server, order);
+      if (desk.current !== order) return;
+      if (isDone) return this.#done(server, desk, order, "report");
       await timers.setTimeout(POLL_MS);
     }
     desk.expected = undefined;
@@ -250,6 +271,22 @@
     this.#release(server, desk, order);
   }
 
+  #done(
+    server: gateway.Heartbeat,
+    desk: Desk,
+    order: core.gateway.PagingOrder,
+    from: "heartbeat" | "report",
+  ): void {
+    write("order-done", {
+      server: server.id,
+      order: order.kind,
+      model: order.model,
+      from,
+      took_ms: Math.round(performance.now() - desk.acceptedAt),
+    });
+    this.#complete(server, desk, order);
+  }
+
   async #isDone(
     server: gateway.Heartbeat,
     order: core.gateway.PagingOrder & { kind: "load" | "unload" },
--- a/packages/daemon/src/gateway/control/pager.ts
+++ b/packages/daemon/src/gateway/control/pager.ts
@@ -64,7 +64,9 @@
   #planService(service: string, engine: gateway.Engine, now: number): void {
     const { demand, desk, roster } = this.#options;
     const needs = demand.needs(service, now);
-    if (!needs.some((need) => need.waiting > 0 || need.perSecond > 0)) return;
+    if (!needs.some((need) => need.slacksMs.length > 0 || need.perSecond > 0)) {
+      return;
+    }
     const live = roster.live().filter((one) => one.service === service);
     const gate = this.#gateOf(service, engine, now);
     const running = countRunning(demand.recent(now));
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -20,9 +20,6 @@
 
 const write = log.createLog("entry");
 
-/** Slack of a model for which nothing waits, in milliseconds. */
-const LONG_SLACK_MS = 1_000_000;
-
 /** What an entry host is made of. */
 export interface EntryHostOptions {
   /** Name and start of the host. */
@@ -168,10 +165,9 @@
         service,
         model,
         ...(adapter === undefined ? {} : { adapter }),
-        waiting: 0,
+        slacksMs: [],
         running: 0,
         arrivals: 0,
-        slackMs: LONG_SLACK_MS,
       };
       demands.set(key, known);
       return known;
@@ -184,9 +180,7 @@
     ) {
       if (facts.model === undefined || service.engine === undefined) continue;
       const demand = demandOf(service.name, facts.model, facts.adapter);
-      demand.waiting += 1;
-      const slackMs = arrivedAt + route.targetMs - now;
-      demand.slackMs = Math.min(demand.slackMs, slackMs);
+      demand.slacksMs.push(Math.round(arrivedAt + route.targetMs - now));
     }
     for (const { adapter, count, model, server } of this.#book.models()) {
       const service = this.view.server(server)?.record.service;
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -55,13 +55,15 @@
   service: Name,
   model: Name,
   adapter: v.optional(Name),
-  waiting: Count,
+  /** Of each waiting request the time until it is late; in milliseconds. */
+  slacksMs: v.pipe(
+    v.array(v.pipe(v.number(), v.finite())),
+    v.maxLength(LISTED),
+  ),
   /** Requests that run. */
   running: Count,
   /** Requests that arrived since the previous report. */
   arrivals: Count,
-  /** Time until the first of the waiting is late, in ms; may be negative. */
-  slackMs: v.pipe(v.number(), v.finite()),
 });
 export type ModelDemand = v.InferOutput<typeof ModelDemand>;
 
