Check a server's room just before an order, by current reports only

Cause of LIMIT: an adapter in use is dropped when its requests end (202), but its place counted as free at once. Found with it by an engine of our own that loses and delays answers (packages/testing/src/paged_engine): a report of a moment ago replaced what was ordered since; orders that waited behind one without an answer were sent on a plan that the server's report had overtaken; a heartbeat of seconds ago could have done the same.

--- a/packages/core/src/gateway/roster.ts
+++ b/packages/core/src/gateway/roster.ts
@@ -111,7 +111,10 @@
   }
 
   /** Replaces what a server holds by what it answered when it was asked. */
-  observe(id: string, report: gateway.EngineReport): void {
+  observe(
+    id: string,
+    report: Pick<gateway.EngineReport, "models" | "inMemory" | "onDisk">,
+  ): void {
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
     const { models, inMemory, onDisk } = report;
--- a/packages/daemon/src/gateway/control/directory.ts
+++ b/packages/daemon/src/gateway/control/directory.ts
@@ -63,6 +63,9 @@
       holder: options.host,
       token: options.term,
       mayOrder: () => this.#mayOrder(),
+      engineOf: (service) =>
+        options.state().configuration?.services
+          .find(({ name }) => name === service)?.engine,
       onSettled: () => this.#onChange(),
     });
     this.#pager = new pager.Pager({
--- a/packages/daemon/src/gateway/control/order_desk.ts
+++ b/packages/daemon/src/gateway/control/order_desk.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as timers from "node:timers/promises";
-import type * as core from "@ebonypath/core";
+import * as core from "@ebonypath/core";
 import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
 import type * as types from "./types.ts";
@@ -45,6 +45,8 @@
   busyUntil = 0;
   readonly pendingAdapters = new Set<string>();
   readonly droppedAdapters = new Set<string>();
+  /** Those on their way whose order was accepted. */
+  readonly sentAdapters = new Set<string>();
   /** Orders are sent one after the other. */
   last: Promise<void> = Promise.resolve();
 
@@ -61,6 +63,8 @@
   readonly token: number;
   /** Whether this host may give orders now. */
   mayOrder(): boolean;
+  /** How the servers of a service hold models. */
+  engineOf(service: string): gateway.Engine | undefined;
   /** Called when a server's state has become known. */
   onSettled(): void;
 }
@@ -100,17 +104,13 @@
     const desk = this.#deskOf(heartbeat);
     const order = desk.current;
     if (order === undefined || !desk.isAccepted) return;
-    const isHeld = heartbeat.models.some(({ name }) => name === order.model);
-    if (isHeld !== (order.kind === "load")) return;
-    const { inMemory, models, onDisk } = heartbeat;
-    this.#options.roster.observe(heartbeat.id, {
-      models,
-      inMemory,
-      onDisk,
-      isBusy: false,
-      orders: desk.expected ?? 0,
-      pendingAdapters: 0,
-    });
+    if (!hasTakenEffect(order, heartbeat.models)) return;
+    const known = this.#options.roster.get(heartbeat.id);
+    if (known === undefined) return;
+    // The heartbeat may be old: only what was ordered is taken from it.
+    const { inMemory, onDisk } = heartbeat;
+    const models = withModel(known.models, order);
+    this.#options.roster.observe(heartbeat.id, { models, inMemory, onDisk });
     this.#done(heartbeat, desk, order, "heartbeat");
   }
 
@@ -157,7 +157,9 @@
     desk: Desk,
     order: core.gateway.PagingOrder,
   ): Promise<void> {
-    if (!this.#options.mayOrder() || !await this.#learn(server, desk)) {
+    const isKnown = this.#options.mayOrder() &&
+      await this.#learn(server, desk);
+    if (!isKnown || !this.#hasRoom(server, desk, order)) {
       this.#release(server, desk, order, CONFLICT_PAUSE_MS);
       return;
     }
@@ -183,6 +185,20 @@
     this.#follow(server, desk, order, answer);
   }
 
+  /** Orders wait behind others, whose answers may have told of less room. */
+  #hasRoom(
+    { id, service }: gateway.Heartbeat,
+    desk: Desk,
+    order: core.gateway.PagingOrder,
+  ): boolean {
+    const engine = this.#options.engineOf(service);
+    const known = this.#options.roster.get(id);
+    if (engine === undefined || known === undefined) return false;
+    const pendingAdapters = new Set(desk.sentAdapters);
+    const { models } = known;
+    return core.gateway.hasRoom(engine, { models, pendingAdapters }, order);
+  }
+
   #follow(
     server: gateway.Heartbeat,
     desk: Desk,
@@ -237,17 +253,37 @@
         void this.#await(server, desk, order, 0);
         return;
       case "load-adapter":
+        desk.sentAdapters.add(adapterOf(order));
         void timers.setTimeout(ADAPTER_MS)
           .then(() => this.#complete(server, desk, order));
         return;
       case "unload-adapter":
-        this.#complete(server, desk, order);
+        // It is in use: its place is free only when its requests have ended.
+        void this.#awaitDrop(server, desk, order);
         return;
       default:
         errors.assertNever(order);
     }
   }
 
+  async #awaitDrop(
+    server: gateway.Heartbeat,
+    desk: Desk,
+    order: AdapterOrder,
+  ): Promise<void> {
+    const begun = performance.now();
+    while (performance.now() - begun < ORDER_TIMEOUT_MS) {
+      await timers.setTimeout(POLL_MS);
+      if (!this.#isKnown(server)) return;
+      if (await this.#isDone(server, desk, order)) {
+        this.#complete(server, desk, order);
+        return;
+      }
+    }
+    desk.expected = undefined;
+    this.#release(server, desk, order);
+  }
+
   /** Asks a server whether it has carried an order out, unless it told. */
   async #await(
     server: gateway.Heartbeat,
@@ -261,7 +297,7 @@
     while (performance.now() - desk.acceptedAt < ORDER_TIMEOUT_MS) {
       if (desk.current !== order) return;
       if (!this.#isKnown(server)) break;
-      const isDone = await this.#isDone(server, order);
+      const isDone = await this.#isDone(server, desk, order);
       if (desk.current !== order) return;
       if (isDone) return this.#done(server, desk, order, "report");
       await timers.setTimeout(POLL_MS);
@@ -289,12 +325,15 @@
 
   async #isDone(
     server: gateway.Heartbeat,
-    order: core.gateway.PagingOrder & { kind: "load" | "unload" },
+    desk: Desk,
+    order: core.gateway.PagingOrder,
   ): Promise<boolean> {
     try {
       const report = await this.#options.client.report(server);
-      const isHeld = report.models.some(({ name }) => name === order.model);
-      if (report.isBusy || isHeld !== (order.kind === "load")) return false;
+      // A report of a moment ago lacks what was ordered since.
+      const isCurrent = report.orders === desk.expected && !report.isBusy &&
+        report.pendingAdapters === 0;
+      if (!isCurrent || !hasTakenEffect(order, report.models)) return false;
       this.#options.roster.observe(server.id, report);
       return true;
     } catch (error) {
@@ -319,9 +358,6 @@
       roster.observe(server.id, {
         ...known,
         models: withAdapter(known.models, order),
-        isBusy: false,
-        orders: desk.expected ?? 0,
-        pendingAdapters: 0,
       });
     }
     this.#release(server, desk, order, pauseMs);
@@ -347,6 +383,7 @@
     }
     if (order.kind === "load-adapter") {
       desk.pendingAdapters.delete(adapterOf(order));
+      desk.sentAdapters.delete(adapterOf(order));
     }
     if (order.kind === "unload-adapter") {
       desk.droppedAdapters.delete(adapterOf(order));
@@ -373,10 +410,40 @@
   { readonly kind: "load-adapter" | "unload-adapter" }
 >;
 
+/** Whether a server that holds these models has carried an order out. */
+function hasTakenEffect(
+  order: core.gateway.PagingOrder,
+  models: readonly gateway.HeldModel[],
+): boolean {
+  const held = models.find(({ name }) => name === order.model);
+  switch (order.kind) {
+    case "load":
+      return held !== undefined;
+    case "unload":
+      return held === undefined;
+    case "load-adapter":
+      return held?.adapters.includes(order.adapter) ?? false;
+    case "unload-adapter":
+      return !(held?.adapters.includes(order.adapter) ?? false);
+    default:
+      return errors.assertNever(order);
+  }
+}
+
 function adapterOf({ adapter, model }: AdapterOrder): string {
   return `${model}/${adapter}`;
 }
 
+function withModel(
+  models: readonly gateway.HeldModel[],
+  { kind, model }: core.gateway.PagingOrder,
+): gateway.HeldModel[] {
+  const others = models.filter(({ name }) => name !== model);
+  return kind === "load"
+    ? [...others, { name: model, version: 0, adapters: [] }]
+    : others;
+}
+
 function withAdapter(
   models: readonly gateway.HeldModel[],
   { adapter, kind, model }: AdapterOrder,
--- /dev/null
+++ b/packages/testing/src/paged_engine/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * An engine that loads and drops models by order.
+ *
+ * @module
+ */
+export * from "./engine.ts";
