--- a/packages/daemon/src/log/log.ts
+++ b/packages/daemon/src/log/log.ts
@@ -2,9 +2,11 @@
 import process from "node:process";
 import * as util from "node:util";
 import * as format from "./format.ts";
+import * as sinks from "./sink.ts";
 
 const ROOT = "ebonypath";
 const DEFAULT_NAMESPACES = `${ROOT}:*`;
+const limit = new sinks.LineLimit();
 
 /** Writes an event of one part of the daemon. */
 export type Log = (event: string, fields?: format.Fields) => void;
@@ -21,24 +23,29 @@
 export function createLog(part: string): Log {
   const write = debug(`${ROOT}:${part}`);
   return (event, fields = {}) => {
-    if (write.enabled) write("%s", format.formatLine(event, fields));
+    if (!write.enabled) return;
+    const kind = `${part} ${event}`;
+    const { isAdmitted, leftOut } = limit.admit(kind, performance.now());
+    if (!isAdmitted) return;
+    const more = leftOut === 0 ? {} : { left_out: leftOut };
+    write("%s", format.formatLine(event, { ...fields, ...more }));
   };
 }
 
 /**
  * Turns the logs on, unless the variable `DEBUG` chooses which to write.
  *
- * @param target where lines go; the standard error stream by default
+ * @param sink where lines go; the standard error stream by default
  *
  * @example
  * ```ts
  * enableLogs();
  * ```
  */
-export function enableLogs(target?: NodeJS.WritableStream): void {
+export function enableLogs(sink?: sinks.LineSink): void {
   debug.formatArgs = formatArguments;
-  if (target !== undefined) {
-    debug.log = (...args) => target.write(`${util.format(...args)}\n`);
+  if (sink !== undefined) {
+    debug.log = (...args) => sink.write(util.format(...args));
   }
   if (process.env["DEBUG"] === undefined) debug.enable(DEFAULT_NAMESPACES);
 }
--- a/packages/daemon/src/log/mod.ts
+++ b/packages/daemon/src/log/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from "./format.ts";
 export * from "./log.ts";
+export * from "./sink.ts";
