Bound requests to cold servers over all hosts, and mark silent servers as lost

Cold servers: each host has an equal part of what one bears per second; a flush of waiting requests after a return went over it. Lost servers: a new leader that had not heard a server yet never told entry hosts that it was gone. Orders pause after a suspension of the leader's machine, during which its lease stood still. A safe request leaves a server that does not begin its answer; tokens of a request that did not run are given back.

--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -10,4 +10,6 @@
 export * from "./roster.ts";
 export * from "./route_table.ts";
 export * from "./state.ts";
+export * from "./suspension.ts";
+export * from "./cold_limit.ts";
 export * from "./usage_meter.ts";
--- a/packages/core/src/gateway/roster.ts
+++ b/packages/core/src/gateway/roster.ts
@@ -1,5 +1,10 @@
 import type { gateway } from "@ebonypath/protocol";
 
+/**
+ * Time without a heartbeat after which entry hosts are told that a server is
+ * lost: several heartbeats, and the time that one may be late. In milliseconds.
+ */
+const LOST_MS = 8_000;
 /** Time without a heartbeat after which a server is forgotten, in ms. */
 const FORGET_MS = 60_000;
 /**
@@ -144,14 +149,25 @@
       }));
   }
 
-  /** Forgets servers that have been silent for long. */
-  expire(now: number): void {
-    for (const [id, { heardAt }] of this.#entries) {
-      if (now - heardAt > FORGET_MS) this.#entries.delete(id);
+  /** Marks silent servers as lost; returns whether any fell silent. */
+  expire(now: number): boolean {
+    const { revision } = this;
+    for (const [id, entry] of this.#entries) {
+      const silentMs = now - entry.heardAt;
+      if (silentMs > FORGET_MS) this.#entries.delete(id);
+      else if (silentMs > LOST_MS) this.#lose(entry);
     }
     for (const [id, until] of this.#ended) {
       if (now >= until) this.#ended.delete(id);
     }
+    return this.revision !== revision;
+  }
+
+  #lose(entry: Entry): void {
+    const { state } = entry.heartbeat;
+    if (state === "lost" || state === "ended") return;
+    entry.heartbeat = { ...entry.heartbeat, state: "lost" };
+    entry.revision = ++this.#revision;
   }
 
   #isNewer(
--- a/packages/core/test/gateway/roster_test.ts
+++ b/packages/core/test/gateway/roster_test.ts
@@ -56,6 +56,16 @@
       .to.deep.equal(["draining"]);
   });
 
+  it("tells that a server is lost, and takes it back when it is heard", () => {
+    const roster = new Roster();
+    roster.hear(heartbeat(), 0);
+    expect(roster.expire(5_000)).to.equal(false);
+    expect(roster.expire(9_000)).to.equal(true);
+    expect(roster.get("s1")?.state).to.equal("lost");
+    expect(roster.hear(heartbeat({ sequence: 2 }), 9_500)).to.equal(true);
+    expect(roster.get("s1")?.state).to.equal("ready");
+  });
+
   it("believes answers to the leader rather than late heartbeats", () => {
     const roster = new Roster();
     roster.hear(heartbeat(), 0);
--- a/packages/daemon/src/gateway/control/directory.ts
+++ b/packages/daemon/src/gateway/control/directory.ts
@@ -19,6 +19,12 @@
 const COLLECT_MS = 2;
 /** Time after which all live servers have been heard, in milliseconds. */
 const SETTLE_MS = 2_600;
+/**
+ * Time after a suspension in which a lease from before it has run out: the
+ * shortest election timeout. In milliseconds.
+ */
+const LEASE_RENEWAL_MS = core.replication.DEFAULT_SETTINGS
+  .electionTimeoutMinimumMs;
 /** Time between two looks for servers to forget, in milliseconds. */
 const EXPIRY_MS = 1_000;
 
@@ -51,6 +57,11 @@
   readonly #since = performance.now();
   readonly #waiters = new Set<Waiter>();
   readonly #expiry: NodeJS.Timeout;
+  readonly #suspension = new core.gateway.SuspensionGuard(
+    performance.now(),
+    Date.now(),
+  );
+  #pausedUntil = 0;
   #collecting: NodeJS.Timeout | undefined;
   #isOver = false;
 
@@ -77,7 +88,9 @@
       mayOrder: () => this.#mayOrder(),
     });
     this.#expiry = timers.setInterval(
-      () => this.#roster.expire(performance.now()),
+      () => {
+        if (this.#roster.expire(performance.now())) this.#onChange();
+      },
       EXPIRY_MS,
     );
     write("leading", { term: this.term });
@@ -141,8 +154,13 @@
 
   /** A server must not take turns between two leaders. */
   #mayOrder(): boolean {
-    return !this.#isOver && performance.now() >= this.#options.ordersFrom &&
-      this.#options.hasLease();
+    const now = performance.now();
+    if (this.#suspension.hasJumped(now, Date.now())) {
+      write("clock-jumped", { term: this.term });
+      this.#pausedUntil = now + LEASE_RENEWAL_MS;
+    }
+    return !this.#isOver && now >= this.#options.ordersFrom &&
+      now >= this.#pausedUntil && this.#options.hasLease();
   }
 
   get #isSettled(): boolean {
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -26,6 +26,14 @@
 const RETRY_AFTER_SECONDS = 0.25;
 /** Status of a stream's head. */
 const OK = 200;
+/** Time without an answer after which a server is left out, in ms. */
+const SILENT_SERVER_MS = 1_000;
+/** Least time for a server to begin its answer, in milliseconds. */
+const SLOW_HEAD_MS = 250;
+/** The same in times within which the route wants its answers. */
+const SLOW_HEAD_TARGETS = 3;
+/** Part of the time that is left which one server may take. */
+const SLOW_HEAD_PART = 0.5;
 /** Least status of a server's own failure. */
 const SERVER_ERROR = 500;
 
@@ -73,6 +81,8 @@
   failure: WholeAnswer | undefined;
   relay: eventRelay.EventRelay | undefined;
   servers: string[];
+  /** Whether a server's own answer reached the caller. */
+  isAnswered: boolean;
 };
 
 /** Runs requests. */
@@ -83,8 +93,11 @@
     this.#options = options;
   }
 
-  /** Serves a request to its end; what is refused has been answered. */
-  async serve(exchange: Exchange): Promise<void> {
+  /**
+   * Serves a request to its end; what is refused has been answered. Resolves
+   * to whether a server may have run it.
+   */
+  async serve(exchange: Exchange): Promise<boolean> {
     const { work } = exchange;
     const progress: Progress = {
       sent: 0,
@@ -93,6 +106,7 @@
       failure: undefined,
       relay: undefined,
       servers: [],
+      isAnswered: false,
     };
     const outcome = await this.#run(exchange, progress);
     write("request", {
@@ -107,6 +121,7 @@
       outcome,
       reason: progress.reason === "none" ? undefined : progress.reason,
     });
+    return progress.runs > 0 || progress.isAnswered;
   }
 
   async #run(exchange: Exchange, progress: Progress): Promise<string> {
@@ -193,15 +208,20 @@
       body,
       isReusable: work.route.kind === "safe",
       signal: work.signal,
+      headTimeoutMs: headTimeoutOf(work, progress),
     });
     switch (result.kind) {
       case "not-sent":
         if (work.signal.aborted) return { kind: "done", outcome: "left" };
         this.#fail(work, server.id);
         return { kind: "not-run", reason: result.reason };
-      case "no-answer":
-        if (!work.signal.aborted) this.#fail(work, server.id);
+      case "no-answer": {
+        const silentMs = performance.now() - now;
+        if (!work.signal.aborted || silentMs > SILENT_SERVER_MS) {
+          this.#fail(work, server.id);
+        }
         return { kind: "unknown", reason: result.reason };
+      }
       case "answered":
         return await this.#receive(exchange, server, result, progress);
       default:
@@ -285,6 +305,7 @@
       return { kind: "done", outcome: "cut" };
     }
     reply.deliver(response, status, headers, body);
+    progress.isAnswered = true;
     return { kind: "done", outcome: `answered ${status}` };
   }
 
@@ -306,6 +327,7 @@
     try {
       await progress.relay.relay(result.message, result.end);
       this.#options.book.succeeded(server.id);
+      progress.isAnswered = true;
       response.end();
       return { kind: "done", outcome: "streamed" };
     } catch (error) {
@@ -333,6 +355,21 @@
   }
 }
 
+/**
+ * Time for a server to begin its answer. A request that may run again does not
+ * wait to its end for a server, or a connection, that has fallen silent.
+ */
+function headTimeoutOf(
+  { deadline, isRepeatable, route }: types.Work,
+  { runs }: Progress,
+): number | undefined {
+  const isLast = runs + 1 >= route.maxAttempts;
+  if (!isRepeatable || isLast || route.kind === "streaming") return undefined;
+  const restMs = deadline - performance.now();
+  const usualMs = Math.max(SLOW_HEAD_MS, SLOW_HEAD_TARGETS * route.targetMs);
+  return Math.min(restMs * SLOW_HEAD_PART, usualMs);
+}
+
 /** Says that a request has not run only where that is certain. */
 function refusalOf(work: types.Work, progress: Progress): errors.Refusal {
   const { reason, runs } = progress;
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -36,6 +36,7 @@
   readonly view = new fleetView.FleetView();
   readonly #book = new serverBook.ServerBook();
   readonly #meter = new core.gateway.UsageMeter();
+  readonly #cold = new core.gateway.ColdLimit();
   readonly #placement: placement.Placement;
   readonly #retries: retries.Retries;
   readonly #reception: reception.Reception;
@@ -59,6 +60,7 @@
       new placement.Placement({
         view: this.view,
         book: this.#book,
+        cold: this.#cold,
         onWaiting: () => this.#follower.request(),
       }),
     );
@@ -127,6 +129,7 @@
     const others = answer.hosts.filter((one) => one.host !== host);
     this.#meter.observe(others, performance.now());
     this.#retries.setHosts(answer.hosts.length);
+    this.#cold.setHosts(answer.hosts.map((one) => one.host), host);
     this.#book.observe(answer.load);
   }
 
--- a/packages/daemon/src/gateway/entry/placement.ts
+++ b/packages/daemon/src/gateway/entry/placement.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as timers from "node:timers";
+import type * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import type * as fleetView from "./fleet_view.ts";
 import type * as serverBook from "./server_book.ts";
@@ -28,6 +29,7 @@
 export interface PlacementOptions {
   readonly view: fleetView.FleetView;
   readonly book: serverBook.ServerBook;
+  readonly cold: core.gateway.ColdLimit;
   /** Called when a request begins to wait for a model. */
   onWaiting(): void;
 }
@@ -100,6 +102,7 @@
   #find(work: types.Work, now: number): gateway.ServerRecord | undefined {
     const { book, view } = this.#options;
     const able = view.ready(work.service.name)
+      .filter((known) => this.#bears(known, work, now))
       .map(({ record }) => record)
       .filter((record) => holds(record, work))
       .filter(({ id }) => !book.isLacking(id, work, now));
@@ -109,7 +112,23 @@
     const candidates = (sound.length > 0 ? sound : able)
       .map((record) => ({ record, fill: this.#fill(record) }))
       .filter(({ fill }) => fill < (work.service.engine ? 1 : PLAIN_FILL));
-    return this.#best(work, candidates);
+    const chosen = this.#best(work, candidates);
+    if (chosen !== undefined && chosen.coldMs > 0) {
+      this.#options.cold.note(chosen.id, now);
+    }
+    return chosen;
+  }
+
+  /** A cold server falls over under more than a few requests per second. */
+  #bears(
+    { heardAt, record }: fleetView.KnownServer,
+    { service }: types.Work,
+    now: number,
+  ): boolean {
+    const isWarm = now - heardAt > record.coldMs;
+    const { coldRequestsPerSecond } = service;
+    return isWarm || coldRequestsPerSecond === 0 ||
+      this.#options.cold.admits(record.id, coldRequestsPerSecond, now);
   }
 
   #best(
--- a/packages/daemon/src/gateway/entry/reception.ts
+++ b/packages/daemon/src/gateway/entry/reception.ts
@@ -105,7 +105,7 @@
     admission: Extract<Admission, { kind: "admitted" }>,
     arrivedAt: number,
   ): Promise<void> {
-    const { route, service, workspace } = admission;
+    const { route, service, tokens, workspace } = admission;
     const allowedMs = Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs);
     const deadline = arrivedAt + allowedMs;
     const stop = new AbortController();
@@ -128,7 +128,11 @@
     };
     this.#options.onArrival(work);
     try {
-      await this.#options.dispatcher.serve({ work, request, body, response });
+      const exchange = { work, request, body, response };
+      const mayHaveRun = await this.#options.dispatcher.serve(exchange);
+      if (!mayHaveRun && workspace?.rate !== undefined) {
+        this.#options.meter.giveBack(workspace.name, tokens);
+      }
     } finally {
       clearTimeout(timer);
     }
--- a/packages/daemon/src/gateway/entry/upstream.ts
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -32,6 +32,8 @@
   /** Whether a connection may be used that carried other requests. */
   readonly isReusable: boolean;
   readonly signal: AbortSignal;
+  /** Time for the answer to begin, in milliseconds; without it, no limit. */
+  readonly headTimeoutMs?: number | undefined;
 }
 
 /** What became of a request until the head of its answer. */
@@ -76,6 +78,7 @@
   readonly #resolve: (result: UpstreamResult) => void;
   #client: http.ClientRequest | undefined;
   #connectTimer: NodeJS.Timeout | undefined;
+  #headTimer: NodeJS.Timeout | undefined;
   #isConnected = false;
   /** Whether the answer ends with its connection. */
   #needsProbe = false;
@@ -111,6 +114,13 @@
       agent: isReusable ? pooled : false,
     });
     this.#client = client;
+    const { headTimeoutMs } = this.#request;
+    if (headTimeoutMs !== undefined) {
+      this.#headTimer = setTimeout(
+        () => client.destroy(new Error("no answer in time")),
+        headTimeoutMs,
+      );
+    }
     signal.addEventListener("abort", this.#abort);
     client.on("socket", (socket) => this.#onSocket(socket));
     client.on("response", (message) => this.#onResponse(message));
@@ -152,6 +162,7 @@
   }
 
   #onResponse(message: http.IncomingMessage): void {
+    clearTimeout(this.#headTimer);
     this.#needsProbe = !isFramed(message);
     const end = this.#endOf(message);
     // Whoever reads the answer waits for its end; others need not.
@@ -187,6 +198,7 @@
 
   #onClose(): void {
     clearTimeout(this.#connectTimer);
+    clearTimeout(this.#headTimer);
     this.#request.signal.removeEventListener("abort", this.#abort);
     const kind = this.#isConnected ? "no-answer" : "not-sent";
     this.#resolve({ kind, reason: "the connection was closed" });
--- a/packages/daemon/test/gateway/upstream_test.ts
+++ b/packages/daemon/test/gateway/upstream_test.ts
@@ -128,6 +128,24 @@
     expect(result.kind).to.equal("not-sent");
   });
 
+  it("gives up a server that does not begin its answer in time", async () => {
+    const server = await serve(() => {});
+    const begun = performance.now();
+    const result = await upstream.send({
+      address: addressOf(server),
+      method: "GET",
+      path: "/",
+      headers: [],
+      body: undefined,
+      isReusable: true,
+      signal: AbortSignal.timeout(2_000),
+      headTimeoutMs: 100,
+    });
+    server.close();
+    expect(result.kind).to.equal("no-answer");
+    expect(performance.now() - begun).to.be.within(90, 1_000);
+  });
+
   it("does not send what was cancelled before", async () => {
     const result = await upstream.send({
       address: "127.0.0.1:1",
--- a/packages/protocol/src/gateway/server.ts
+++ b/packages/protocol/src/gateway/server.ts
@@ -22,8 +22,8 @@
 });
 export type HeldModel = v.InferOutput<typeof HeldModel>;
 
-/** Whether a server takes new work. */
-export const ServerState = v.picklist(["ready", "draining", "ended"]);
+/** Whether a server takes new work; `lost` is one that fell silent. */
+export const ServerState = v.picklist(["ready", "draining", "lost", "ended"]);
 export type ServerState = v.InferOutput<typeof ServerState>;
 
 /** A heartbeat of a backend server. */
