--- a/packages/core/src/gateway/paging.ts
+++ b/packages/core/src/gateway/paging.ts
@@ -21,8 +21,14 @@
  * report what runs within it. In milliseconds.
  */
 const MIN_RESIDENCE_MS = 1_000;
-/** Expected rest of a run that an unload has to wait for, in milliseconds. */
-const RUN_REST_MS = 1_500;
+/** Expected rest of the runs that an unload has to wait for, in ms. */
+const RUN_REST_MS = 3_000;
+/**
+ * Lateness from which a model is dropped although requests run on it. An unload
+ * that waits for its runs keeps the server from any other order, so that it is
+ * better to wait for a model on which nothing runs. In milliseconds.
+ */
+const DROP_RUNNING_MS = 2_500;
 /**
  * Weight of recency among models that are dropped; below the cost of waiting
  * for a run, in milliseconds.
@@ -32,6 +38,13 @@
 /** Adapters that may be on their way to one server at once. */
 const PENDING_ADAPTERS = 4;
 
+/** A model that may be dropped, and what that costs. */
+type Victim = {
+  readonly name: string;
+  readonly isRunning: boolean;
+  readonly costMs: number;
+};
+
 /** What serving a late request is worth, against one in time. */
 const LATE_GAIN = 0.25;
 /** Lateness at which a request counts as much as one in time, in ms. */
@@ -192,9 +205,11 @@
   #bestOption(need: types.Need): Option | undefined {
     const model = this.#models.get(need.model);
     if (model === undefined) return undefined;
+    const isWanted = isWaitedFor(need);
+    const mayInterrupt = firstSlack(need) < -DROP_RUNNING_MS;
     return this.#scene.servers
       .filter((server) => this.#canTake(server, need.model))
-      .map((server) => this.#optionAt(server, model, isWaitedFor(need)))
+      .map((server) => this.#optionAt(server, model, isWanted, mayInterrupt))
       .filter((option) => option !== undefined)
       .sort((one, other) => one.costMs - other.costMs)[0];
   }
@@ -224,6 +239,7 @@
     server: types.PagedServer,
     model: gateway.Model,
     isWanted: boolean,
+    mayInterrupt: boolean,
   ): Option | undefined {
     const source = sourceOf(server, model.name);
     if (source === "store" && !this.#isStoreOpen) return undefined;
@@ -234,6 +250,7 @@
     }
     const victim = this.#victimOn(server, isWanted);
     if (victim === undefined) return undefined;
+    if (victim.isRunning && !mayInterrupt) return undefined;
     const costMs = base + victim.costMs;
     return { server, source, loadMs, victim: victim.name, costMs };
   }
@@ -274,10 +291,14 @@
   #victimOn(
     server: types.PagedServer,
     isWanted: boolean,
-  ): { readonly name: string; readonly costMs: number } | undefined {
+  ): Victim | undefined {
     return server.models
       .filter(({ name }) => this.#mayDrop(server, name, isWanted))
-      .map(({ name }) => ({ name, costMs: this.#dropCost(server, name) }))
+      .map(({ name }) => ({
+        name,
+        isRunning: (server.running.get(name) ?? 0) > 0,
+        costMs: this.#dropCost(server, name),
+      }))
       .sort((one, other) => one.costMs - other.costMs)[0];
   }
 
--- a/packages/core/test/gateway/paging_test.ts
+++ b/packages/core/test/gateway/paging_test.ts
@@ -66,6 +66,18 @@
     expect(planOrders(scene({ servers, needs }))).to.deep.equal([]);
   });
 
+  it("waits for a model that nothing runs on, unless requests are very late", () => {
+    const running = new Map([["b", 1], ["c", 2], ["d", 1]]);
+    const models = [held("b"), held("c"), held("d")];
+    const servers = [server({ id: "s1", models, running })];
+    const orders = (slackMs: number) =>
+      planOrders(
+        scene({ servers, needs: [need({ model: "a", slacksMs: [slackMs] })] }),
+      );
+    expect(orders(500)).to.deep.equal([]);
+    expect(orders(-3_000).map(({ kind }) => kind)).to.deep.equal(["unload"]);
+  });
+
   it("does not drop what it has just loaded", () => {
     const servers = [
       server({ id: "s1", models: [held("b"), held("c"), held("d")] }),
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -13,6 +13,7 @@
 import * as replication from "../../replication/mod.ts";
 import * as resources from "../../resources/mod.ts";
 import * as storage from "../../storage/mod.ts";
+import type * as metrics from "../metrics.ts";
 import * as directory from "./directory.ts";
 import * as membership from "./membership.ts";
 import * as replicated from "./replicated.ts";
@@ -52,6 +53,7 @@
   readonly rpcServer: fleet.RpcServer;
   readonly rpcClient: fleet.RpcClient;
   readonly engines: types.EngineClient;
+  readonly metrics: metrics.GatewayMetrics;
   /** The disk or the state has failed: the process has to end. */
   onFailure(error: unknown): void;
 }
@@ -292,6 +294,7 @@
   async #commit(command: protocol.gateway.Command): Promise<null> {
     this.#lead();
     await this.#driver.propose(JSON.stringify(command));
+    this.#options.metrics.commits.inc();
     return null;
   }
 
@@ -336,6 +339,7 @@
       host: this.#options.name,
       term,
       client: this.#options.engines,
+      metrics: this.#options.metrics,
       ordersFrom: this.#ordersFrom,
       state: () => this.#replicated.state,
       controlHosts: () =>
--- a/packages/daemon/src/gateway/control/directory.ts
+++ b/packages/daemon/src/gateway/control/directory.ts
@@ -7,6 +7,7 @@
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
+import type * as metrics from "../metrics.ts";
 import * as orderDesk from "./order_desk.ts";
 import * as pager from "./pager.ts";
 import type * as types from "./types.ts";
@@ -33,6 +34,7 @@
   readonly host: string;
   readonly term: number;
   readonly client: types.EngineClient;
+  readonly metrics: metrics.GatewayMetrics;
   /** When orders of earlier leaders can't arrive any more; monotonic. */
   readonly ordersFrom: number;
   readonly state: () => core.gateway.GatewayState;
@@ -73,6 +75,7 @@
       roster: this.#roster,
       holder: options.host,
       token: options.term,
+      metrics: options.metrics,
       mayOrder: () => this.#mayOrder(),
       engineOf: (service) =>
         options.state().configuration?.services
@@ -93,6 +96,7 @@
       },
       EXPIRY_MS,
     );
+    options.metrics.leading.set(1);
     write("leading", { term: this.term });
   }
 
@@ -149,6 +153,7 @@
     timers.clearTimeout(this.#collecting);
     this.#pager[Symbol.dispose]();
     for (const waiter of [...this.#waiters]) this.#release(waiter);
+    this.#options.metrics.leading.set(0);
     write("not-leading", { term: this.term });
   }
 
--- a/packages/daemon/src/gateway/control/order_desk.ts
+++ b/packages/daemon/src/gateway/control/order_desk.ts
@@ -7,6 +7,7 @@
 import * as core from "@ebonypath/core";
 import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
+import type * as metrics from "../metrics.ts";
 import type * as types from "./types.ts";
 
 const write = log.createLog("orders");
@@ -61,6 +62,7 @@
   readonly roster: core.gateway.Roster;
   readonly holder: string;
   readonly token: number;
+  readonly metrics: metrics.GatewayMetrics;
   /** Whether this host may give orders now. */
   mayOrder(): boolean;
   /** How the servers of a service hold models. */
@@ -171,6 +173,10 @@
       token,
       expected,
     });
+    this.#options.metrics.orders.inc({
+      order: order.kind,
+      answer: answer.kind,
+    });
     write("order", {
       server: server.id,
       order: order.kind,
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -10,6 +10,7 @@
 import type * as http from "node:http";
 import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
+import type * as metrics from "../metrics.ts";
 import * as eventRelay from "./event_relay.ts";
 import type * as placement from "./placement.ts";
 import * as reply from "./reply.ts";
@@ -24,6 +25,7 @@
 const ANSWER_BYTES = 16 * 1024 * 1024;
 /** Time after which a refused request may find room, in seconds. */
 const RETRY_AFTER_SECONDS = 0.25;
+const SECOND_MS = 1_000;
 /** Status of a stream's head. */
 const OK = 200;
 /** Time without an answer after which a server is left out, in ms. */
@@ -43,6 +45,7 @@
   readonly placement: placement.Placement;
   readonly book: serverBook.ServerBook;
   readonly retries: retries.Retries;
+  readonly metrics: metrics.GatewayMetrics;
 }
 
 /** A request with its two ends. */
@@ -81,6 +84,10 @@
   failure: WholeAnswer | undefined;
   relay: eventRelay.EventRelay | undefined;
   servers: string[];
+  /** Time until it was first sent to a server, in milliseconds. */
+  waitedMs: number | undefined;
+  /** Time until a server's answer began, in milliseconds. */
+  headMs: number | undefined;
   /** Whether a server's own answer reached the caller. */
   isAnswered: boolean;
 };
@@ -106,9 +113,12 @@
       failure: undefined,
       relay: undefined,
       servers: [],
+      waitedMs: undefined,
+      headMs: undefined,
       isAnswered: false,
     };
     const outcome = await this.#run(exchange, progress);
+    this.#options.metrics.requests.inc({ outcome });
     write("request", {
       id: work.facts.id,
       route: work.route.name,
@@ -117,7 +127,9 @@
       workspace: work.workspace?.name,
       servers: progress.servers.join(","),
       events: progress.relay?.events,
-      took_ms: Math.round(performance.now() - work.arrivedAt),
+      waited_ms: rounded(progress.waitedMs),
+      head_ms: rounded(progress.headMs),
+      took_ms: rounded(performance.now() - work.arrivedAt),
       outcome,
       reason: progress.reason === "none" ? undefined : progress.reason,
     });
@@ -138,6 +150,7 @@
         return this.#giveUp(exchange, progress);
       }
       progress.sent += 1;
+      progress.waitedMs ??= now - work.arrivedAt;
       progress.servers.push(server.id);
       const attempt = await this.#attempt(exchange, server, progress);
       if (attempt.kind === "done") return attempt.outcome;
@@ -177,7 +190,9 @@
     const { book } = this.#options;
     const end = book.begin(server.id, exchange.work);
     try {
-      return await this.#send(exchange, server, progress);
+      const attempt = await this.#send(exchange, server, progress);
+      this.#options.metrics.attempts.inc({ result: attempt.kind });
+      return attempt;
     } finally {
       end();
       this.#options.placement.pump();
@@ -243,6 +258,8 @@
     const { work } = exchange;
     const { book, dialect } = this.#options;
     const facts = dialect.readAnswer(result.message, work.facts.id, server.id);
+    progress.headMs = performance.now() - work.arrivedAt;
+    this.#options.metrics.latency.observe(progress.headMs / SECOND_MS);
     if (facts.isCrossed) {
       result.cancel();
       return { kind: "unknown", reason: "the answer to another request" };
@@ -385,6 +402,10 @@
   return new errors.Refusal(definition, reason);
 }
 
+function rounded(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
+
 function messageOf(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
 }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -9,6 +9,7 @@
 import * as fleet from "../../fleet/mod.ts";
 import * as log from "../../log/mod.ts";
 import * as resources from "../../resources/mod.ts";
+import type * as metrics from "../metrics.ts";
 import * as dispatcher from "./dispatcher.ts";
 import * as fleetView from "./fleet_view.ts";
 import * as follower from "./follower.ts";
@@ -29,24 +30,28 @@
   /** Fleet addresses of control hosts to begin with. */
   seeds(): readonly string[];
   readonly retries: retries.FleetRetries;
+  readonly metrics: metrics.GatewayMetrics;
 }
 
 /** Takes callers' requests and sends them to servers. */
 export class EntryHost implements AsyncDisposable {
   readonly view = new fleetView.FleetView();
-  readonly #book = new serverBook.ServerBook();
+  // The leader drops models on which nothing runs: it has to know soon.
+  readonly #book = new serverBook.ServerBook(() => this.#follower.request());
   readonly #meter = new core.gateway.UsageMeter();
   readonly #cold = new core.gateway.ColdLimit();
   readonly #placement: placement.Placement;
   readonly #retries: retries.Retries;
   readonly #reception: reception.Reception;
   readonly #follower: follower.Follower;
+  readonly #metrics: metrics.GatewayMetrics;
   readonly #resources = new resources.ResourceStack();
   /** Arrivals since the last report, by service, model and adapter. */
   #arrivals = new Map<string, ArrivalCount>();
 
   constructor(options: EntryHostOptions) {
     const { dialect, host, rpcClient, seeds } = options;
+    this.#metrics = options.metrics;
     this.#follower = this.#resources.use(
       new follower.Follower({
         host,
@@ -74,6 +79,7 @@
         placement: this.#placement,
         book: this.#book,
         retries: this.#retries,
+        metrics: options.metrics,
       }),
       onArrival: (work) => this.#count(work),
     });
@@ -106,6 +112,15 @@
     return this.#reception.handle(request, response);
   }
 
+  /** Sets the gauges, before they are read. */
+  updateMetrics(): void {
+    const { answeredAt, configuration } = this.view;
+    const ageMs = performance.now() - answeredAt;
+    this.#metrics.waiting.set([...this.#placement.waiting()].length);
+    this.#metrics.version.set(configuration?.version ?? 0);
+    if (Number.isFinite(ageMs)) this.#metrics.leaderAge.set(ageMs / 1_000);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#resources[Symbol.asyncDispose]();
   }
--- a/packages/daemon/src/gateway/entry/server_book.ts
+++ b/packages/daemon/src/gateway/entry/server_book.ts
@@ -29,6 +29,7 @@
 
 /** Requests that run, and servers that failed, as this host knows them. */
 export class ServerBook {
+  readonly #onTurn: () => void;
   readonly #records = new Map<string, Record>();
   readonly #running = new Map<string, Running>();
   readonly #own = new Map<string, number>();
@@ -38,6 +39,14 @@
   #ownThen = new Map<string, number>();
   readonly #missing = new Map<string, number>();
 
+  /**
+   * @param onTurn called when a server begins or ceases to run a model for
+   * this host
+   */
+  constructor(onTurn: () => void) {
+    this.#onTurn = onTurn;
+  }
+
   /** Counts a request; the result ends it. */
   begin(server: string, { facts }: types.Work): () => void {
     const { adapter, model } = facts;
@@ -45,6 +54,7 @@
     const running = this.#running.get(key) ??
       { server, model, adapter, count: 0 };
     running.count += 1;
+    if (running.count === 1 && model !== undefined) this.#onTurn();
     this.#running.set(key, running);
     this.#own.set(server, (this.#own.get(server) ?? 0) + 1);
     let isOver = false;
@@ -52,7 +62,10 @@
       if (isOver) return;
       isOver = true;
       running.count -= 1;
-      if (running.count === 0) this.#running.delete(key);
+      if (running.count === 0) {
+        this.#running.delete(key);
+        if (model !== undefined) this.#onTurn();
+      }
       this.#own.set(server, (this.#own.get(server) ?? 1) - 1);
     };
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -0,0 +1,75 @@
+/**
+ * Counters and latencies of gateway hosts.
+ *
+ * @module
+ */
+import * as prometheus from "prom-client";
+
+/** Bounds of latency buckets, in seconds; objectives lie between them. */
+const LATENCY_BUCKETS = [
+  0.05,
+  0.1,
+  0.2,
+  0.3,
+  0.6,
+  1,
+  2,
+  3,
+  6,
+  12,
+  25,
+];
+
+/** Metrics of one process; those of the other role stay at zero. */
+export class GatewayMetrics {
+  readonly registry = new prometheus.Registry();
+  readonly requests = new prometheus.Counter({
+    name: "ebonypath_gateway_requests_total",
+    help: "Requests by how they ended",
+    labelNames: ["outcome"] as const,
+    registers: [this.registry],
+  });
+  readonly latency = new prometheus.Histogram({
+    name: "ebonypath_gateway_latency_seconds",
+    help: "Time from a request's arrival to the first byte of its answer",
+    buckets: LATENCY_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly waiting = new prometheus.Gauge({
+    name: "ebonypath_gateway_waiting_requests",
+    help: "Requests that wait for a server",
+    registers: [this.registry],
+  });
+  readonly attempts = new prometheus.Counter({
+    name: "ebonypath_gateway_attempts_total",
+    help: "Requests sent to servers by what became of them",
+    labelNames: ["result"] as const,
+    registers: [this.registry],
+  });
+  readonly leaderAge = new prometheus.Gauge({
+    name: "ebonypath_gateway_leader_age_seconds",
+    help: "Time since the leader's last answer",
+    registers: [this.registry],
+  });
+  readonly version = new prometheus.Gauge({
+    name: "ebonypath_gateway_configuration_version",
+    help: "Version of the configuration in force here",
+    registers: [this.registry],
+  });
+  readonly orders = new prometheus.Counter({
+    name: "ebonypath_gateway_orders_total",
+    help: "Orders to servers by kind and answer",
+    labelNames: ["order", "answer"] as const,
+    registers: [this.registry],
+  });
+  readonly leading = new prometheus.Gauge({
+    name: "ebonypath_gateway_leading",
+    help: "Whether this host leads",
+    registers: [this.registry],
+  });
+  readonly commits = new prometheus.Counter({
+    name: "ebonypath_gateway_commits_total",
+    help: "Changes that this host has committed as the leader",
+    registers: [this.registry],
+  });
+}
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -5,3 +5,4 @@
  */
 export * as control from "./control/mod.ts";
 export * as entry from "./entry/mod.ts";
+export * from "./metrics.ts";
--- a/packages/daemon/test/gateway/order_desk_test.ts
+++ b/packages/daemon/test/gateway/order_desk_test.ts
@@ -4,6 +4,7 @@
 import * as testing from "@ebonypath/testing";
 import { expect } from "chai";
 import * as orderDesk from "../../src/gateway/control/order_desk.ts";
+import { GatewayMetrics } from "../../src/gateway/metrics.ts";
 import type * as types from "../../src/gateway/control/types.ts";
 
 const MODELS = ["a", "b", "c", "d", "e"];
@@ -73,6 +74,7 @@
       roster: this.roster,
       holder: "control-1",
       token: 4,
+      metrics: new GatewayMetrics(),
       mayOrder: () => true,
       engineOf: () => ENGINE,
       onSettled: () => undefined,
