--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -7,6 +7,7 @@
 export * from "./next_change.ts";
 export * from "./paging.ts";
 export * from "./paging_types.ts";
+export * from "./room.ts";
 export * from "./roster.ts";
 export * from "./route_table.ts";
 export * from "./state.ts";
--- a/packages/core/src/gateway/paging.ts
+++ b/packages/core/src/gateway/paging.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type { gateway } from "@ebonypath/protocol";
+import { gainOf } from "./gain.ts";
 import * as types from "./paging_types.ts";
 
 /** Part of a server's slots that running requests of one model may fill. */
@@ -45,15 +46,6 @@
   readonly costMs: number;
 };
 
-/** What serving a late request is worth, against one in time. */
-const LATE_GAIN = 0.25;
-/** Lateness at which a request counts as much as one in time, in ms. */
-const LATE_LIMIT_MS = 8_000;
-/** Time for which a model that was loaded is expected to stay, in seconds. */
-const STAY_SECONDS = 4;
-/** Most requests to come that count for a load. */
-const COMING_LIMIT = 8;
-
 /** A way to bring a model to a server. */
 type Option = {
   readonly server: types.PagedServer;
@@ -77,48 +69,6 @@
   return new Round(scene).plan();
 }
 
-/**
- * Whether a server has room for what an order brings, by what is known of it
- * now. To be asked again just before an order is sent: what was planned may
- * have been overtaken by what the server has said since.
- *
- * @example
- * ```ts
- * if (!hasRoom(engine, known, order)) return postpone(order);
- * ```
- */
-export function hasRoom(
-  engine: gateway.Engine,
-  server: Pick<types.PagedServer, "models" | "pendingAdapters">,
-  order: types.PagingOrder,
-): boolean {
-  const sizes = new Map(engine.models.map((model) => [model.name, model]));
-  const adapters = [
-    ...server.models.flatMap((held) =>
-      held.adapters.map((adapter) => types.adapterKey(held.name, adapter))
-    ),
-    ...server.pendingAdapters,
-  ];
-  const usedMb = sum(
-    server.models.map(({ name }) => sizes.get(name)?.weightsMb ?? 0),
-  ) + sum(
-    adapters.map((key) =>
-      sizes.get(key.split("/", 1)[0] ?? "")?.adapterMb ?? 0
-    ),
-  );
-  const size = sizes.get(order.model);
-  switch (order.kind) {
-    case "unload":
-    case "unload-adapter":
-      return true;
-    case "load":
-      return usedMb + (size?.weightsMb ?? 0) <= engine.weightsMb;
-    case "load-adapter":
-      return adapters.length < engine.adapterPlaces &&
-        usedMb + (size?.adapterMb ?? 0) <= engine.weightsMb;
-  }
-}
-
 class Round {
   readonly #scene: types.Scene;
   readonly #models: ReadonlyMap<string, gateway.Model>;
@@ -412,10 +362,6 @@
   }
 }
 
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
-
 function isWaitedFor({ slacksMs }: types.Need): boolean {
   return slacksMs.length > 0;
 }
@@ -424,27 +370,6 @@
   return Math.min(Infinity, ...slacksMs);
 }
 
-/**
- * What a load that is complete after some time brings: requests that it makes
- * in time, late ones for less, and those that will come while the model stays.
- */
-function gainOf(
-  { perSecond, slacksMs }: types.Need,
-  completeMs: number,
-): number {
-  const waiting = slacksMs.map((slackMs) =>
-    slackMs >= completeMs ? 1 : lateGain(-slackMs)
-  );
-  const coming = Math.min(perSecond * STAY_SECONDS, COMING_LIMIT);
-  return coming + waiting.reduce((sum, gain) => sum + gain, 0);
-}
-
-/** A late request gains weight as it waits, so that none waits in vain. */
-function lateGain(lateMs: number): number {
-  const waited = Math.min(1, Math.max(0, lateMs / LATE_LIMIT_MS));
-  return LATE_GAIN + (1 - LATE_GAIN) * waited;
-}
-
 /** Requests for adapters are requests for their model as well. */
 function mergeAdapters(needs: readonly types.Need[]): types.Need[] {
   const merged = new Map<string, types.Need>();
