Drive automatic membership through the replication harness

Leaders change the members by nextChange while disks are wiped, hosts stop and links break; the checker watches the log, and in the end all hosts vote.

--- /dev/null
+++ b/packages/core/test/replication/auto_membership_test.ts
@@ -0,0 +1,96 @@
+import * as fc from "fast-check";
+import { expect } from "chai";
+import process from "node:process";
+import { Cluster } from "./cluster.ts";
+import type { Event } from "./event.ts";
+
+const CI_SEEDS = [21, 22, 23];
+const CI_RUNS = 40;
+const LONG_MODE_MS = 24 * 60 * 60 * 1000;
+/** Losses at once that the group has to bear. */
+const MAY_LOSE = 2;
+const GROUP = 2 * MAY_LOSE + 1;
+
+const node = fc.nat(9);
+
+function onNode<K extends string>(kind: K) {
+  return fc.record({ kind: fc.constant(kind), node });
+}
+
+/** Disks are wiped, hosts stop, and links break, again and again. */
+const event: fc.Arbitrary<Event> = fc.oneof(
+  {
+    weight: 10,
+    arbitrary: fc.record({
+      kind: fc.constant("run" as const),
+      ms: fc.integer({ min: 50, max: 4_000 }),
+    }),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      kind: fc.constant("propose" as const),
+      node,
+      count: fc.integer({ min: 1, max: 9 }),
+    }),
+  },
+  { weight: 4, arbitrary: onNode("loseDisk") },
+  { weight: 2, arbitrary: onNode("crash") },
+  { weight: 3, arbitrary: onNode("restart") },
+  { weight: 3, arbitrary: onNode("reboot") },
+  { weight: 3, arbitrary: onNode("isolate") },
+  { weight: 1, arbitrary: onNode("transfer") },
+  { weight: 5, arbitrary: fc.constant<Event>({ kind: "heal" }) },
+  { weight: 1, arbitrary: fc.constant<Event>({ kind: "snapshot" }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("pause" as const),
+      node,
+      ms: fc.integer({ min: 100, max: 5_000 }),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("cut" as const),
+      from: node,
+      to: node,
+      both: fc.boolean(),
+    }),
+  },
+);
+
+const run = fc.record({
+  seed: fc.integer(),
+  size: fc.constantFrom(3, 5),
+  events: fc.array(event, { minLength: 40, maxLength: 90, size: "max" }),
+});
+
+/** The checker refuses every step that breaks a promise of the log. */
+function check(seed: number, numRuns: number): number {
+  let steps = 0;
+  const property = fc.property(run, ({ events, seed, size }) => {
+    const cluster = new Cluster(seed, size);
+    cluster.tend(GROUP);
+    cluster.happen({ kind: "run", ms: 2_000 });
+    events.forEach((one) => cluster.happen(one));
+    cluster.recover();
+    cluster.expectAllToVote();
+    steps += cluster.checker.steps;
+  });
+  fc.assert(property, { seed, numRuns });
+  return steps;
+}
+
+describe("automatic membership under interleavings", () => {
+  const given = process.env["EBONYPATH_SEED"];
+  const runs = Number(process.env["EBONYPATH_RUNS"] ?? CI_RUNS);
+  const seeds = given === undefined ? CI_SEEDS : [Number(given)];
+  for (const seed of seeds) {
+    it(`keeps the log, and lets all hosts vote in the end, seed ${seed}, ${runs} runs`, function () {
+      if (runs > CI_RUNS) this.timeout(LONG_MODE_MS);
+      expect(check(seed, runs)).to.be.greaterThan(10_000);
+    });
+  }
+});
--- a/packages/core/test/replication/cluster.ts
+++ b/packages/core/test/replication/cluster.ts
@@ -5,6 +5,7 @@
  */
 
 import * as protocol from "@ebonypath/protocol";
+import { nextChange } from "../../src/gateway/mod.ts";
 import * as replication from "../../src/replication/mod.ts";
 import { Ambush, type Cut } from "./ambush.ts";
 import { Checker } from "./checker.ts";
@@ -26,6 +27,8 @@
 const ROUNDS_PER_STEP = 4;
 const RECOVERY_MS = 60_000;
 const SPARE_NODES = 1;
+/** Time between two looks of a leader at the members, in milliseconds. */
+const TEND_MS = 200;
 const ELECTION_TIMEOUT_MS = { narrow: 610, wide: 1200 };
 
 /** Node numbers from here on pick the present leader. */
@@ -46,6 +49,8 @@
   #time = 0;
   #generation = 0;
   #proposal = 0;
+  /** Voters below which a leader removes no silent one; null without tending. */
+  #leastVoters: number | null = null;
 
   constructor(seed: number, size: number) {
     this.#random = random.randomSource(seed);
@@ -71,6 +76,15 @@
     this.#nodes.forEach((node) => node.start(0));
   }
 
+  /**
+   * From now on leaders add and remove members by themselves.
+   *
+   * @param leastVoters voters below which no silent one is removed
+   */
+  tend(leastVoters: number): void {
+    this.#leastVoters = leastVoters;
+  }
+
   /** Lets one event happen. */
   happen(event: Event): void {
     switch (event.kind) {
@@ -146,6 +160,22 @@
     }
   }
 
+  /** All nodes vote, and no others, a limited time after all faults ended. */
+  expectAllToVote(): void {
+    const deadline = this.#time + RECOVERY_MS;
+    while (this.#voters.join() !== [...this.#present].sort().join()) {
+      if (this.#time > deadline) {
+        throw new Error(`not all vote: ${this.#describe()}`);
+      }
+      this.#run(100);
+    }
+  }
+
+  get #voters(): string[] {
+    const voters = this.#leader()?.replica?.membership.voters ?? [];
+    return voters.map(({ id }) => id).sort();
+  }
+
   /** Ends all faults; every voter must apply a new entry in limited time. */
   recover(): void {
     this.happen({ kind: "heal" });
@@ -198,6 +228,33 @@
         }
         this.#checkLeases();
       }
+      if (this.#time % TEND_MS === 0) this.#tendMembers();
+    }
+  }
+
+  /** Each leader knows those that reach it. */
+  #tendMembers(): void {
+    const leastVoters = this.#leastVoters;
+    if (leastVoters === null) return;
+    for (const node of this.#nodes) {
+      const { replica } = node;
+      const now = node.clock(this.#time);
+      if (!node.isRunning(this.#time) || !replica?.hasLease(now)) continue;
+      const slot = slotOf(node.id);
+      const change = nextChange({
+        membership: replica.membership,
+        joining: this.#nodes
+          .filter((other) => other.isRunning(this.#time))
+          .filter(({ id }) => this.#network.isConnected(slot, slotOf(id)))
+          .map(({ id }) => memberOf(id)),
+        silenceMs: (id) => replica.silenceOf(id, now) ?? Infinity,
+        self: node.id,
+        leastVoters,
+      });
+      if (change === undefined) continue;
+      this.#proposal += 1;
+      const id = this.#proposal;
+      node.step({ kind: "changeMembership", id, change }, this.#time);
     }
   }
 
--- a/packages/core/test/replication/network.ts
+++ b/packages/core/test/replication/network.ts
@@ -58,6 +58,12 @@
     this.loss = 0;
   }
 
+  /** Whether two slots reach each other, both ways. */
+  isConnected(one: string, other: string): boolean {
+    return !this.#cuts.has(`${one}>${other}`) &&
+      !this.#cuts.has(`${other}>${one}`);
+  }
+
   /** Takes a message, unless it is lost. */
   send(
     from: string,
