Ask for the lease again just before an order is sent

A question for the server's state lies between the check and the order; a lease that ends meanwhile left less than the pause between two holders' orders.

--- a/packages/daemon/src/gateway/control/order_desk.ts
+++ b/packages/daemon/src/gateway/control/order_desk.ts
@@ -161,7 +161,9 @@
   ): Promise<void> {
     const isKnown = this.#options.mayOrder() &&
       await this.#learn(server, desk);
-    if (!isKnown || !this.#hasRoom(server, desk, order)) {
+    // The lease may have ended while the server was asked.
+    const mayOrder = isKnown && this.#options.mayOrder();
+    if (!mayOrder || !this.#hasRoom(server, desk, order)) {
       this.#release(server, desk, order, CONFLICT_PAUSE_MS);
       return;
     }
--- a/packages/daemon/test/gateway/order_desk_test.ts
+++ b/packages/daemon/test/gateway/order_desk_test.ts
@@ -43,6 +43,10 @@
   readonly statuses: number[] = [];
   readonly desk: orderDesk.OrderDesk;
   fate: () => Fate = () => "arrives";
+  /** Whether the leader still holds its lease. */
+  mayOrder = true;
+  /** Called when the server is asked for its state. */
+  onReport: () => void = () => {};
 
   constructor() {
     this.roster.hear({
@@ -60,6 +64,7 @@
     const client: types.EngineClient = {
       order: (_server, order, fence) => this.#order(order, fence),
       report: () => {
+        this.onReport();
         const state = this.engine.report();
         return Promise.resolve({
           ...contentOf(state),
@@ -75,7 +80,7 @@
       holder: "control-1",
       token: 4,
       metrics: new GatewayMetrics(),
-      mayOrder: () => true,
+      mayOrder: () => this.mayOrder,
       engineOf: () => ENGINE,
       onSettled: () => undefined,
     });
@@ -207,6 +212,17 @@
     expect(world.engine.overfilled).to.equal(0);
   });
 
+  it("gives no order when the lease ends while the server is asked", async () => {
+    const world = new World();
+    world.onReport = () => {
+      world.mayOrder = false;
+    };
+    world.plan([need("d")]);
+    await timers.setTimeout(200);
+    expect(world.statuses).to.deep.equal([]);
+    expect(world.engine.state().orders).to.equal(0);
+  });
+
   it("takes a server's own word for the end of an order", async () => {
     const world = new World();
     world.desk.give(world.server, { kind: "unload", server: "s1", model: "a" });
--- a/packages/daemon/test/integration/server_and_leader.ts
+++ b/packages/daemon/test/integration/server_and_leader.ts
@@ -11,6 +11,8 @@
 const LOOK_MS = 5;
 /** Hosts that may lead; callers ask another one. */
 const VOTERS = 3;
+/** Log lines of a host that a failed case prints. */
+const PRINTED_LINES = 80;
 /** Longest wait for service after both have died, in milliseconds. */
 const SERVED_MS = 20_000;
 
@@ -52,7 +54,8 @@
     await scenario?.[Symbol.asyncDispose]();
   });
 
-  afterEach(async () => {
+  afterEach(async function () {
+    if (this.currentTest?.state === "failed") printLogs();
     for (const host of scenario.fleet.hosts) {
       if (!host.isRunning) await host.restart();
     }
@@ -67,6 +70,16 @@
     }
   });
 
+  /** What the hosts decided about servers and models, for tracing. */
+  function printLogs(): void {
+    for (const { process } of scenario.fleet.hosts) {
+      const lines = process.lines.filter((line) =>
+        /part=(control|placement|orders|daemon|replication)/.test(line)
+      );
+      console.error(lines.slice(-PRINTED_LINES).join("\n"));
+    }
+  }
+
   function look(): void {
     for (const model of [MODEL, OTHER_MODEL]) {
       const count = scenario.engines
