Share what the gateway did twice

Whether an answer is framed, the memory in use on a server, keys of models and adapters each in one place; demand is indexed once a plan and not searched for each model.

--- a/packages/core/src/gateway/demand_book.ts
+++ b/packages/core/src/gateway/demand_book.ts
@@ -66,13 +66,15 @@
 
   /** What requests want of the models of a service. */
   needs(service: string, now: number): Need[] {
-    const reports = this.recent(now);
+    const reported = new Map<string, gateway.ModelDemand[]>();
+    for (const demand of this.recent(now).flatMap((report) => report.demand)) {
+      const key = keyOf(demand);
+      reported.set(key, [...reported.get(key) ?? [], demand]);
+    }
     const needs: Need[] = [];
     for (const [key, record] of this.#records) {
       if (record.service !== service) continue;
-      const demands = reports.flatMap(({ demand }) =>
-        demand.filter((one) => keyOf(one) === key)
-      );
+      const demands = reported.get(key) ?? [];
       const slacksMs = demands.flatMap((one) => one.slacksMs);
       const active = slacksMs.length + sum(demands.map((one) => one.running));
       this.#average(record, active, now);
--- a/packages/core/src/gateway/paging.ts
+++ b/packages/core/src/gateway/paging.ts
@@ -10,6 +10,7 @@
 import type { gateway } from "@ebonypath/protocol";
 import { gainOf } from "./gain.ts";
 import * as types from "./paging_types.ts";
+import { usedMb } from "./room.ts";
 
 /** Part of a server's slots that running requests of one model may fill. */
 const TARGET_FILL = 0.4;
@@ -206,24 +207,13 @@
   }
 
   #freeMb(server: types.PagedServer): number {
-    const used = server.models.reduce(
-      (sum, held) => sum + this.#megabytesOf(held),
-      0,
-    );
-    const pending = [...server.pendingAdapters].reduce(
-      (sum, key) => sum + this.#adapterMb(key.split("/", 1)[0] ?? ""),
-      (this.#added.get(server.id) ?? 0) * this.#largestAdapterMb,
-    );
+    const added = (this.#added.get(server.id) ?? 0) * this.#largestAdapterMb;
     const loading = server.loading !== undefined &&
         !server.models.some(({ name }) => name === server.loading)
       ? this.#models.get(server.loading)?.weightsMb ?? 0
       : 0;
-    return this.#scene.engine.weightsMb - used - pending - loading;
-  }
-
-  #megabytesOf({ adapters, name }: gateway.HeldModel): number {
-    const weights = this.#models.get(name)?.weightsMb ?? 0;
-    return weights + adapters.length * this.#adapterMb(name);
+    const used = usedMb(this.#models, server) + added + loading;
+    return this.#scene.engine.weightsMb - used;
   }
 
   get #largestAdapterMb(): number {
--- a/packages/daemon/src/gateway/control/order_desk.ts
+++ b/packages/daemon/src/gateway/control/order_desk.ts
@@ -439,7 +439,7 @@
 }
 
 function adapterOf({ adapter, model }: AdapterOrder): string {
-  return `${model}/${adapter}`;
+  return core.gateway.adapterKey(model, adapter);
 }
 
 function withModel(
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -334,9 +334,7 @@
   ): Promise<Attempt> {
     const { response, work } = exchange;
     if (progress.relay === undefined) {
-      const { headers } = result.message;
-      const isFramed = headers["content-length"] !== undefined ||
-        headers["transfer-encoding"] !== undefined;
+      const isFramed = upstream.isFramed(result.message);
       const passed = this.#options.dialect.answerHeaders(result.message);
       reply.beginStream(response, result.status, passed, isFramed);
       progress.relay = new eventRelay.EventRelay(response);
--- a/packages/daemon/src/gateway/entry/server_book.ts
+++ b/packages/daemon/src/gateway/entry/server_book.ts
@@ -50,7 +50,7 @@
   /** Counts a request; the result ends it. */
   begin(server: string, { facts }: types.Work): () => void {
     const { adapter, model } = facts;
-    const key = `${server} ${model ?? ""} ${adapter ?? ""}`;
+    const key = modelKey(server, facts);
     const running = this.#running.get(key) ??
       { server, model, adapter, count: 0 };
     running.count += 1;
@@ -126,14 +126,14 @@
 
   /** Notes that a server does not hold a model, whatever it announced. */
   lacks(server: string, { facts }: types.Work, now: number): void {
-    this.#missing.set(missingKey(server, facts), now + MISSING_MS);
+    this.#missing.set(modelKey(server, facts), now + MISSING_MS);
     for (const [key, until] of this.#missing) {
       if (until <= now) this.#missing.delete(key);
     }
   }
 
   isLacking(server: string, { facts }: types.Work, now: number): boolean {
-    return (this.#missing.get(missingKey(server, facts)) ?? 0) > now;
+    return (this.#missing.get(modelKey(server, facts)) ?? 0) > now;
   }
 
   /** Forgets servers that are gone. */
@@ -147,7 +147,7 @@
   }
 }
 
-function missingKey(
+function modelKey(
   server: string,
   { adapter, model }: types.RequestFacts,
 ): string {
--- a/packages/daemon/src/gateway/entry/upstream.ts
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -205,8 +205,15 @@
   }
 }
 
-/** Whether an answer says where it ends, so that what follows is not part. */
-function isFramed({ headers }: http.IncomingMessage): boolean {
+/**
+ * Whether an answer says where it ends, so that what follows is not part.
+ *
+ * @example
+ * ```ts
+ * beginStream(response, status, headers, isFramed(message));
+ * ```
+ */
+export function isFramed({ headers }: http.IncomingMessage): boolean {
   return headers["content-length"] !== undefined ||
     headers["transfer-encoding"] !== undefined;
 }
