Mend two rare refusals and doubts after a leader's death

A suspect whose named server is lost waited to its deadline: the leader kept the admission, and the host asked for no other one as long as it had it. It was ruled out that slots or the retry budget lacked. A host now hands such an admission back.

A host that shut down left too early: after a lapse of its lease a leader of the same term began a new leadership that knew nothing of assignments still in the log, and a proposal without an outcome in time was taken for none. A leadership now begins once the whole log is applied, and an assignment of unknown outcome counts until the log has passed it.

--- a/packages/core/src/suspicion/watch.ts
+++ b/packages/core/src/suspicion/watch.ts
@@ -69,6 +69,12 @@
     this.#wishes.set(fingerprint, { servers, runMs });
   }
 
+  /** Hands an admission back: its server can't run the suspect any more. */
+  decline(fingerprint: string): void {
+    this.#withdrawAdmission(fingerprint);
+    this.#add({ kind: "ended", fingerprint, survived: false });
+  }
+
   /** Notes that an admitted suspect is sent to its server. */
   started(fingerprint: string): void {
     this.#wishes.delete(fingerprint);
--- a/packages/core/test/suspicion/suspicion_test.ts
+++ b/packages/core/test/suspicion/suspicion_test.ts
@@ -163,6 +163,23 @@
     expect(watch!.clearanceOf("x", scene.now).kind).to.equal("wait");
   });
 
+  it("an admission that is handed back makes place for another", () => {
+    const scene = new Scene();
+    scene.crash("s0", ["a"]);
+    scene.exchange();
+    const watch = scene.watches[0]!;
+    watch.want("a", ["s0"], RUN_MS);
+    scene.exchange();
+    const admitted = { kind: "admitted", server: "s0" };
+    expect(watch.clearanceOf("a", scene.now)).to.deep.equal(admitted);
+    watch.decline("a");
+    expect(watch.clearanceOf("a", scene.now).kind).to.equal("wait");
+    watch.want("a", ["s1"], RUN_MS);
+    scene.exchange();
+    expect(watch.clearanceOf("a", scene.now))
+      .to.deep.equal({ kind: "admitted", server: "s1" });
+  });
+
   it("the admission of a host that vanished ends with its time", () => {
     const ledger = new suspicion.SuspicionLedger();
     const waiting = {
--- a/packages/daemon/src/control/control_node.ts
+++ b/packages/daemon/src/control/control_node.ts
@@ -24,6 +24,8 @@
 export interface ReplicatedLog extends replicatedState.CommandLog {
   readonly role: string;
   readonly term: number;
+  /** Index of the last entry, committed or not. */
+  readonly lastIndex: number;
   /** Fleet address of the leader, where it is known. */
   readonly leaderAddress: string | null;
   /** Whether no other member can lead at this moment. */
@@ -227,9 +229,15 @@
     }
   }
 
-  /** A leader knows everything committed once it applied its own term. */
+  /**
+   * A leader knows everything committed once it applied its own term. After a
+   * lapse of its lease it also waits for what it proposed before, which the new
+   * leadership would know nothing of.
+   */
   #isCaughtUp(): boolean {
-    return this.#options.replicated.appliedTerm === this.#options.log.term;
+    const { log, replicated } = this.#options;
+    return replicated.appliedTerm === log.term &&
+      replicated.appliedIndex >= log.lastIndex;
   }
 
   #startLeadership(): leaderships.Leadership {
@@ -240,6 +248,7 @@
       metrics,
       controlHosts: () => log.members(),
       hasLease: () => log.hasLease(),
+      lastIndex: () => log.lastIndex,
       propose: (command) => this.propose(command),
     });
   }
--- a/packages/daemon/src/control/deferred_driver.ts
+++ b/packages/daemon/src/control/deferred_driver.ts
@@ -7,7 +7,6 @@
 import * as protocol from "@ebonypath/protocol";
 import * as log from "../log/mod.ts";
 import type * as hostRegistry from "./host_registry.ts";
-import type * as replicatedState from "./replicated_state.ts";
 import type * as serverTable from "./server_table.ts";
 
 const write = log.createLog("deferred");
@@ -21,10 +20,21 @@
 
 /** What the planning of deferred requests needs of the leadership. */
 export interface DeferredDriverOptions {
-  readonly replicated: replicatedState.ReplicatedState;
-  readonly placement: core.placement.Placement;
-  readonly servers: serverTable.ServerTable;
-  readonly hosts: hostRegistry.HostRegistry;
+  readonly replicated: {
+    readonly appliedIndex: number;
+    readonly state: Pick<
+      core.state.State,
+      "assignedDeferred" | "pendingDeferred"
+    >;
+  };
+  readonly placement: Pick<
+    core.placement.Placement,
+    "capacity" | "demandOf" | "wantDeferred"
+  >;
+  readonly servers: Pick<serverTable.ServerTable, "statuses">;
+  readonly hosts: Pick<hostRegistry.HostRegistry, "live">;
+  /** Index of the last entry of the log, committed or not. */
+  lastIndex(): number;
   propose(
     command: protocol.state.Command,
   ): Promise<protocol.state.CommandResult>;
@@ -41,6 +51,8 @@
   readonly #options: DeferredDriverOptions;
   /** Assignments that are being committed. */
   #proposed: readonly core.deferred.Assignment[] = [];
+  /** Assignments of unknown outcome are settled once this index is applied. */
+  #uncertainTo = 0;
 
   constructor(options: DeferredDriverOptions) {
     this.#options = options;
@@ -90,10 +102,11 @@
     };
   }
 
-  /** Whether assignments to a host are being committed. */
+  /** Whether assignments to a host are being committed, or may be. */
   isAssigningTo(
     { name, incarnation }: protocol.control.HostIdentity,
   ): boolean {
+    if (this.#options.replicated.appliedIndex < this.#uncertainTo) return true;
     return this.#proposed.some((one) =>
       one.host === name && one.hostIncarnation === incarnation
     );
@@ -114,7 +127,8 @@
         })
       ));
     } catch (error) {
-      write("not-assigned", { error });
+      this.#uncertainTo = this.#options.lastIndex();
+      write("not-assigned", { error, uncertainTo: this.#uncertainTo });
     } finally {
       this.#proposed = [];
     }
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -55,6 +55,8 @@
   controlHosts(): protocol.control.ControlHost[];
   /** Whether no other host can lead at this moment. */
   hasLease(): boolean;
+  /** Index of the last entry of the log, committed or not. */
+  lastIndex(): number;
   /** Proposes a change of the leader itself. */
   propose(
     command: protocol.state.Command,
@@ -116,6 +118,7 @@
       placement,
       servers: this.#servers,
       hosts: this.hosts,
+      lastIndex: options.lastIndex,
       propose: options.propose,
     });
     this.#upkeep = new upkeep.Upkeep({
--- a/packages/daemon/src/daemon/member_group.ts
+++ b/packages/daemon/src/daemon/member_group.ts
@@ -24,7 +24,7 @@
   & replication.HandingOver
   & Pick<
     replication.ReplicationDriver,
-    "commitIndex" | "hasLease" | "propose" | "changeMembership"
+    "changeMembership" | "commitIndex" | "hasLease" | "lastIndex" | "propose"
   >;
 
 /** What became of a change of members. */
@@ -57,6 +57,10 @@
     return this.#driver.status.term;
   }
 
+  get lastIndex(): number {
+    return this.#driver.lastIndex;
+  }
+
   get leaderAddress(): string | null {
     return this.#driver.status.leader?.address ?? null;
   }
--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -330,15 +330,17 @@
     servers: readonly protocol.control.ServerStatus[],
     now: number,
   ): readonly protocol.control.ServerStatus[] {
+    const { watch } = this.#options;
+    const { deadline, fingerprint } = waiter.work;
     const clearance = this.#clearance(waiter, now);
-    if (clearance.kind === "wait") {
-      this.#options.watch.want(
-        waiter.work.fingerprint,
-        servers.map((server) => server.id),
-        waiter.work.deadline - now,
-      );
+    const allowed = allowedBy(clearance, servers);
+    // A server may be lost after it was named: the leader knew of no other.
+    const isStranded = clearance.kind === "admitted" && allowed.length === 0;
+    if (isStranded) watch.decline(fingerprint);
+    if (isStranded || clearance.kind === "wait") {
+      watch.want(fingerprint, servers.map(({ id }) => id), deadline - now);
     }
-    return allowedBy(clearance, servers);
+    return allowed;
   }
 
   /**
--- a/packages/daemon/src/replication/driver.ts
+++ b/packages/daemon/src/replication/driver.ts
@@ -111,6 +111,11 @@
     return this.#replica.appliedIndex;
   }
 
+  /** Index of the last entry, committed or not. */
+  get lastIndex(): number {
+    return this.#replica.lastIndex;
+  }
+
   /** Whether this replica holds a log, so that it belongs to a group. */
   get hasLog(): boolean {
     return this.#replica.lastIndex > 0;
