Serve again sooner after all hosts have died at once

Servers were not what lacked: all were known within 50 ms.

- A request that meets a host without a configuration waits for it, for half of its time and 2 s at most.
- A voter asks after its start whether anyone leads.
Where all voters say no, in its own term, nobody holds a lease and it may be elected at once.
- Who gives orders to servers is replicated state: a leader that was the last one to give them goes on without a pause, and one that never was need not be waited for.
A former leader asks first, so that it mostly stays.

--- a/packages/core/src/gateway/state.ts
+++ b/packages/core/src/gateway/state.ts
@@ -5,6 +5,8 @@
   readonly configuration: gateway.Configuration | null;
   readonly source: string;
   readonly withdrawnDomains: readonly string[];
+  /** Absent in snapshots of early builds. */
+  readonly orderHolder?: string | null;
 };
 
 /**
@@ -20,6 +22,7 @@
 export class GatewayState {
   #configuration: gateway.Configuration | null = null;
   #source = "";
+  #orderHolder: string | null = null;
   readonly #withdrawn: Set<string>;
 
   constructor(withdrawn: readonly string[] = []) {
@@ -41,6 +44,11 @@
     return [...this.#withdrawn].sort();
   }
 
+  /** The host that may have given orders to servers; null if none has. */
+  get orderHolder(): string | null {
+    return this.#orderHolder;
+  }
+
   /** Applies a committed command; returns whether it changed anything. */
   apply(command: gateway.Command): boolean {
     switch (command.kind) {
@@ -50,6 +58,8 @@
         return this.#withdraw(command.domain);
       case "restore-domain":
         return this.#withdrawn.delete(command.domain);
+      case "hold-orders":
+        return this.#holdOrders(command.host);
       case "barrier":
         return false;
       default:
@@ -62,6 +72,7 @@
       configuration: this.#configuration,
       source: this.#source,
       withdrawnDomains: this.withdrawnDomains,
+      orderHolder: this.#orderHolder,
     };
     return JSON.stringify(saved);
   }
@@ -71,6 +82,7 @@
     const state = new GatewayState(saved.withdrawnDomains);
     state.#configuration = saved.configuration;
     state.#source = saved.source;
+    state.#orderHolder = saved.orderHolder ?? null;
     return state;
   }
 
@@ -83,6 +95,12 @@
     return true;
   }
 
+  #holdOrders(host: string): boolean {
+    if (this.#orderHolder === host) return false;
+    this.#orderHolder = host;
+    return true;
+  }
+
   #withdraw(domain: string): boolean {
     if (this.#withdrawn.has(domain)) return false;
     this.#withdrawn.add(domain);
--- a/packages/core/src/replication/context.ts
+++ b/packages/core/src/replication/context.ts
@@ -37,6 +37,8 @@
   /** When a leader was last heard; a start counts as hearing one. */
   lastLeaderContact: number;
   electionDeadline = 0;
+  /** Whether there was a leader since the start, here or elsewhere. */
+  hasKnownLeader = false;
   #random: () => number;
   #effects: Effect[] = [];
 
@@ -164,6 +166,7 @@
       this.becomeFollower(this.term, leader);
     }
     this.lastLeaderContact = this.now;
+    this.hasKnownLeader = true;
     this.resetElectionDeadline();
   }
 
@@ -171,9 +174,13 @@
   resetElectionDeadline(): void {
     const { electionTimeoutMinimumMs, electionTimeoutMaximumMs } =
       this.settings;
-    const spread = electionTimeoutMaximumMs - electionTimeoutMinimumMs;
-    const timeout = electionTimeoutMinimumMs + this.#random() * spread;
-    this.electionDeadline = this.now + timeout;
+    this.electionDeadline = this.now +
+      this.between(electionTimeoutMinimumMs, electionTimeoutMaximumMs);
+  }
+
+  /** Draws a number between two others. */
+  between(least: number, most: number): number {
+    return least + this.#random() * (most - least);
   }
 
   /** Raises the commit index. */
--- a/packages/core/src/replication/election.ts
+++ b/packages/core/src/replication/election.ts
@@ -21,6 +21,12 @@
   #onWon: () => void;
   #granted = new Set<string>();
   #ownVoteSequence = 0;
+  /** When to ask next whether anyone leads. */
+  #probeAt: number;
+  /** Voters that said they do not lead; true for those that would vote. */
+  #free = new Map<string, boolean>();
+  /** Term in which they said so. */
+  #freeTerm = 0;
 
   constructor(
     context: Context,
@@ -30,6 +36,7 @@
     this.#context = context;
     this.#isLeaderHeld = isLeaderHeld;
     this.#onWon = onWon;
+    this.#probeAt = context.now + (hasLed(context) ? 0 : this.#probeDelay());
   }
 
   /** Starts an election when no leader was heard for too long. */
@@ -38,13 +45,31 @@
     if (context.role === "leader" || !this.#isEligible()) {
       return;
     }
-    const alone = context.memberships.isAlwaysAlone(context.self);
-    const startsAlone = alone && context.role === "follower";
+    const startsAlone = this.#isAlone && context.role === "follower";
     if (startsAlone || context.now >= context.electionDeadline) {
+      context.resetElectionDeadline();
       this.#startPreVote();
+    } else if (!context.hasKnownLeader && context.now >= this.#probeAt) {
+      this.#probe();
     }
   }
 
+  /**
+   * Asks after a start whether anyone leads. A voter that restarts has to keep
+   * to a leader that it may have promised its vote, for one election timeout.
+   * Where every voter says that it does not lead, nobody holds a lease: after a
+   * failure of all of them the next leader need not wait for it.
+   */
+  #probe(): void {
+    this.#probeAt = this.#context.now + this.#probeDelay();
+    if (this.#context.role !== "candidate") this.#startPreVote();
+  }
+
+  #probeDelay(): number {
+    const { probeMaximumMs, probeMinimumMs } = this.#context.settings;
+    return this.#context.between(probeMinimumMs, probeMaximumMs);
+  }
+
   /** Counts the own vote once it is synced. */
   persisted(sequence: number): void {
     if (
@@ -58,13 +83,16 @@
   /** Answers whether this replica would vote for the sender. */
   preVote(from: string, message: PreVote): void {
     const context = this.#context;
+    const isUpToDate = this.#isUpToDate(message);
     const granted = message.term > context.term && !this.#isLeaderHeld() &&
-      this.#isUpToDate(message);
+      isUpToDate;
     context.reply(from, {
       kind: "preVoteReply",
       term: context.term,
       requestTerm: message.term,
       granted,
+      isFree: context.role !== "leader" && context.role !== "candidate",
+      isUpToDate,
     });
   }
 
@@ -92,10 +120,40 @@
     }
     const current = context.role === "preCandidate" &&
       message.requestTerm === context.term + 1;
-    if (current && message.granted) {
+    if (!current) return;
+    if (message.granted) {
       this.#granted.add(from);
       this.#finishPreVote();
     }
+    // One that is behind could still win a term up to this one.
+    if (message.isFree && message.term === context.term) {
+      this.#noteFree(from, message.isUpToDate);
+    }
+  }
+
+  /** What a voter has said holds for the term: it can only lead a later one. */
+  #noteFree(from: string, isUpToDate: boolean): void {
+    const { term } = this.#context;
+    if (this.#freeTerm !== term) this.#free.clear();
+    this.#freeTerm = term;
+    this.#free.set(from, isUpToDate);
+    if (this.#isUncontested()) this.#startVote(true);
+  }
+
+  /** Whether no voter leads, and enough of them would vote for this one. */
+  #isUncontested(): boolean {
+    const { memberships, role, self } = this.#context;
+    if (role !== "preCandidate") return false;
+    const others = [
+      ...memberships.current.voters,
+      ...(this.#isSettled() ? [] : memberships.previous.voters),
+    ].filter(({ id }) => id !== self);
+    if (!others.every(({ id }) => this.#free.has(id))) return false;
+    const willing = others.filter(({ id }) => this.#free.get(id) === true);
+    return hasQuorum(
+      memberships.current,
+      new Set([self, ...willing.map(({ id }) => id)]),
+    );
   }
 
   /** Counts an answer to a request for a vote. */
@@ -127,10 +185,14 @@
    * hold the longest log of a quorum that can't be formed without its vote.
    */
   #isEligible(): boolean {
-    const { memberships, self, commitIndex } = this.#context;
-    const isSettled = memberships.currentIndex <= commitIndex;
+    const { memberships, self } = this.#context;
     return isVoter(memberships.current, self) ||
-      (!isSettled && isVoter(memberships.previous, self));
+      (!this.#isSettled() && isVoter(memberships.previous, self));
+  }
+
+  #isSettled(): boolean {
+    const { memberships, commitIndex } = this.#context;
+    return memberships.currentIndex <= commitIndex;
   }
 
   #adoptTerm(from: string, term: number): void {
@@ -160,12 +222,18 @@
     return request.lastIndex >= log.lastIndex;
   }
 
+  get #isAlone(): boolean {
+    const { memberships, self } = this.#context;
+    return memberships.isAlwaysAlone(self);
+  }
+
   #startPreVote(): void {
     const context = this.#context;
     context.role = "preCandidate";
     context.leader = null;
-    context.resetElectionDeadline();
-    this.#granted = new Set([context.self]);
+    // A probe comes before this voter itself is free of its last leader.
+    const isBound = this.#isLeaderHeld() && !this.#isAlone;
+    this.#granted = new Set(isBound ? [] : [context.self]);
     this.#sendToVoters({
       kind: "preVote",
       term: context.term + 1,
@@ -216,3 +284,8 @@
     }
   }
 }
+
+/** Whether a replica that starts has led its term: it alone appended to it. */
+function hasLed({ log, self, term, vote }: Context): boolean {
+  return vote === self && log.lastTerm === term;
+}
--- a/packages/core/src/replication/leadership.ts
+++ b/packages/core/src/replication/leadership.ts
@@ -73,6 +73,7 @@
     const context = this.#context;
     context.role = "leader";
     context.leader = context.self;
+    context.hasKnownLeader = true;
     this.#electedAt = context.now;
     this.#transfer = null;
     this.#progress.clear();
--- a/packages/core/src/replication/types.ts
+++ b/packages/core/src/replication/types.ts
@@ -113,6 +113,10 @@
   electionTimeoutMinimumMs: number;
   /** Longest election timeout. */
   electionTimeoutMaximumMs: number;
+  /** Shortest time between questions whether anyone leads, after a start. */
+  probeMinimumMs: number;
+  /** Longest such time. */
+  probeMaximumMs: number;
   /** Share of the shortest election timeout by which a lease is shorter. */
   leaseMargin: number;
   /** Bytes of payload in one append message. */
@@ -144,6 +148,9 @@
   heartbeatMs: 100,
   electionTimeoutMinimumMs: 600,
   electionTimeoutMaximumMs: 1200,
+  // Several round trips apart, so that few of five voters ask at once.
+  probeMinimumMs: 50,
+  probeMaximumMs: 350,
   leaseMargin: 0.1,
   appendBytes: 256 * 1024,
   appendEntries: 512,
--- a/packages/core/test/gateway/routes_and_state_test.ts
+++ b/packages/core/test/gateway/routes_and_state_test.ts
@@ -87,8 +87,10 @@
     state.apply({ kind: "withdraw-domain", domain: "a" });
     state.apply({ kind: "withdraw-domain", domain: "b" });
     state.apply({ kind: "restore-domain", domain: "a" });
+    state.apply({ kind: "hold-orders", host: "c1" });
     const copy = GatewayState.fromSnapshot(state.toSnapshot());
     expect(copy.toSnapshot()).to.equal(state.toSnapshot());
     expect(copy.withdrawnDomains).to.deep.equal(["b"]);
+    expect(copy.orderHolder).to.equal("c1");
   });
 });
--- a/packages/core/test/replication/interleavings_test.ts
+++ b/packages/core/test/replication/interleavings_test.ts
@@ -137,6 +137,29 @@
   { kind: "run", ms: 3000 },
 ]);
 
+/**
+ * All or most members fail together: they may lead soon only where none of
+ * them is left that holds a lease.
+ */
+const herdAttack: fc.Arbitrary<Event[]> = fc.record({
+  isolated: fc.constantFrom<Event[]>(
+    [],
+    [{ kind: "isolate", node: LEADER }],
+    [{ kind: "pause", node: LEADER, ms: 400 }],
+  ),
+  spared: fc.nat(5),
+  ms: fc.nat(600),
+}).map(({ isolated, ms, spared }) => [
+  { kind: "heal" },
+  { kind: "run", ms: 1500 },
+  ...isolated,
+  ...[0, 1, 2, 3, 4].filter((node) => node !== spared)
+    .map((node) => ({ kind: "reboot", node }) as const),
+  { kind: "run", ms },
+  { kind: "heal" },
+  { kind: "run", ms: 300 },
+]);
+
 function alone(one: fc.Arbitrary<Event>): fc.Arbitrary<Event[]> {
   return one.map((event) => [event]);
 }
@@ -160,6 +183,7 @@
   fc.record({ size: fc.constant(3), events: olderTermAttack }),
   fc.record({ size: fc.constant(5), events: pairAttack }),
   fc.record({ size: fc.constant(4), events: successionAttack }),
+  fc.record({ size: fc.constant(5), events: herdAttack }),
 ).chain(({ size, events }) =>
   fc.record({
     seed: fc.integer(),
--- a/packages/core/test/replication/replica_test.ts
+++ b/packages/core/test/replication/replica_test.ts
@@ -75,6 +75,8 @@
       term: this.replica.term,
       requestTerm,
       granted: true,
+      isFree: false,
+      isUpToDate: true,
     });
     const { term } = this.replica;
     this.receive("b", { kind: "voteReply", term, granted: true });
@@ -133,6 +135,84 @@
     expect(granted(vote(7))).to.equal(true);
   });
 
+  describe("asks after its start whether anyone leads, and", () => {
+    const PROBE_MS = replication.DEFAULT_SETTINGS.probeMaximumMs;
+
+    function asked(): Subject {
+      const subject = new Subject(voters);
+      subject.now += PROBE_MS;
+      subject.step({ kind: "tick" });
+      expect(subject.replies("preVote")).to.have.length(2);
+      return subject;
+    }
+
+    function reply(
+      fields: Partial<Extract<replication.Message, { kind: "preVoteReply" }>>,
+    ): replication.Message {
+      return {
+        kind: "preVoteReply",
+        term: 1,
+        requestTerm: 2,
+        granted: false,
+        isFree: true,
+        isUpToDate: true,
+        ...fields,
+      };
+    }
+
+    const cases = [
+      { name: "leads if nobody does", c: {}, role: "candidate" },
+      {
+        name: "leads if one voter holds more, and enough do not",
+        c: { isUpToDate: false },
+        role: "candidate",
+      },
+      {
+        name: "waits if one leads or asks for votes",
+        c: { isFree: false },
+        role: "preCandidate",
+      },
+      {
+        name: "waits if one is of an earlier term",
+        c: { term: 0 },
+        role: "preCandidate",
+      },
+    ];
+    for (const { name, c, role } of cases) {
+      it(name, () => {
+        const subject = asked();
+        subject.receive("b", reply({}));
+        expect(subject.replica.role).to.equal("preCandidate");
+        subject.receive("c", reply(c));
+        expect(subject.replica.role).to.equal(role);
+        if (role !== "candidate") return;
+        expect(subject.replies("vote").map(({ transfer }) => transfer))
+          .to.deep.equal([true, true]);
+      });
+    }
+
+    it("waits if too many voters hold more", () => {
+      const subject = asked();
+      subject.receive("b", reply({ isUpToDate: false }));
+      subject.receive("c", reply({ isUpToDate: false }));
+      expect(subject.replica.role).to.equal("preCandidate");
+    });
+
+    it("does not count its own vote while it may owe it to a leader", () => {
+      const subject = asked();
+      subject.receive("b", reply({ granted: true }));
+      expect(subject.replica.role).to.equal("preCandidate");
+    });
+
+    it("does not ask again once it has heard a leader", () => {
+      const subject = asked();
+      subject.receive("b", append(1, 2));
+      subject.now += PROBE_MS;
+      subject.step({ kind: "tick" });
+      expect(subject.replica.role).to.equal("follower");
+    });
+  });
+
   it("holds a lease from the send time of the answered heartbeat", () => {
     const subject = new Subject(voters);
     subject.lead();
--- a/packages/daemon/src/control/host_registry.ts
+++ b/packages/daemon/src/control/host_registry.ts
@@ -37,14 +37,17 @@
 
   /** Takes what a host said in its exchange. */
   hear(request: protocol.control.ExchangeRequest, now: number): void {
-    this.#hosts.set(keyOf(request.host), {
+    const key = keyOf(request.host);
+    // An exchange that waited for a commit may be older than the last one.
+    const wasDraining = this.#hosts.get(key)?.draining ?? false;
+    this.#hosts.set(key, {
       identity: request.host,
       roles: request.roles,
       version: request.version,
       current: request.current,
       heardAt: now,
       appliedIndex: request.appliedIndex,
-      draining: request.draining,
+      draining: request.draining || wasDraining,
       demand: request.demand,
       lingering: request.lingering,
       deferredCapacity: request.deferredCapacity,
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -66,7 +66,7 @@
   #control: controlRole.ControlRole | undefined;
   readonly #listeners = new Map<settings.ListenerName, listener.Listener>();
   #draining = false;
-  /** The work of a draining host is done: it begins nothing any more. */
+  /** A draining host takes no deferred work any more. */
   #leaving = false;
   #wasCurrent = false;
   #reportedIndex = -1;
@@ -187,6 +187,8 @@
     await timers.setImmediate();
     callers?.stopAccepting();
     const until = performance.now() + limits.drainTimeoutMs;
+    this.#leaving = true;
+    this.#entry?.handBack();
     await timers.setTimeout(FIRST_REQUEST_MS);
     await this.#waitUntilIdle(until);
     callers?.closeIdle();
@@ -202,7 +204,6 @@
    * nothing is assigned to this host and nothing will be.
    */
   async #takeLeave(until: number): Promise<void> {
-    this.#leaving = true;
     let failures = 0;
     while (failures < LEAVE_ATTEMPTS) {
       await this.#waitUntilIdle(until);
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -174,6 +174,14 @@
     this.pump();
   }
 
+  /** Returns deferred requests that were sent to no server yet. */
+  handBack(): void {
+    this.deferred.handBack([
+      ...this.#admission.waiting(),
+      ...this.#placement.untried(),
+    ]);
+  }
+
   deferredCapacity(): number {
     return this.deferred.capacity;
   }
--- a/packages/daemon/src/entry/deferred.ts
+++ b/packages/daemon/src/entry/deferred.ts
@@ -55,7 +55,8 @@
 /** A deferred request that this host executes. */
 interface Execution {
   readonly cancelled: AbortController;
-  readonly ended: Promise<void>;
+  /** Absent until it is restored. */
+  work?: types.Work;
 }
 
 /** What a host says of a request that it was handed. */
@@ -168,10 +169,23 @@
     for (const assignment of assignments) {
       if (!this.#take(assignment)) continue;
       const name = nameOf(assignment);
-      const cancelled = new AbortController();
-      const ended = this.#execute(assignment, cancelled.signal)
+      const execution: Execution = { cancelled: new AbortController() };
+      this.#executing.set(name, execution);
+      void this.#execute(assignment, execution)
         .finally(() => this.#executing.delete(name));
-      this.#executing.set(name, { cancelled, ended });
+    }
+  }
+
+  /**
+   * Returns requests that wait here, as the host leaves: another host may find
+   * them a slot sooner than this one, whose time is limited.
+   *
+   * @param unbegun Works that wait and were sent to no server yet.
+   */
+  handBack(unbegun: Iterable<types.Work>): void {
+    const waiting = new Set(unbegun);
+    for (const { cancelled, work } of this.#executing.values()) {
+      if (work !== undefined && waiting.has(work)) cancelled.abort();
     }
   }
 
@@ -209,19 +223,20 @@
 
   async #execute(
     assignment: protocol.control.Assignment,
-    cancelled: AbortSignal,
+    execution: Execution,
   ): Promise<void> {
     const { proposals } = this.#options;
     const held = this.#holding(assignment);
     const deadline = performance.now() + assignment.remainingMs;
     const sink = new collecting.CollectingSink(this.#options.maxAnswerBytes);
-    await this.#run(assignment, sink, cancelled);
+    await this.#run(assignment, sink, execution);
     const answer = sink.collected;
+    const { aborted } = execution.cancelled.signal;
     const mayRunLater = answer.outcome === "not-run" &&
       isTransient(answer.status) && performance.now() < deadline;
     // The state ends a returned request that was cancelled.
     await proposals.send(
-      mayRunLater || (cancelled.aborted && answer.outcome === "not-run")
+      mayRunLater || (aborted && answer.outcome === "not-run")
         ? { kind: "return-deferred", ...held }
         : { kind: "finish-deferred", ...held, answer },
     );
@@ -249,12 +264,13 @@
   async #run(
     assignment: protocol.control.Assignment,
     sink: types.Sink,
-    cancelled: AbortSignal,
+    execution: Execution,
   ): Promise<void> {
     const { restore, run } = this.#options;
     try {
       const work = restore(assignment.request, assignment.remainingMs);
-      await run(work, sink, cancelled);
+      execution.work = work;
+      await run(work, sink, execution.cancelled.signal);
     } catch (error) {
       if (!(error instanceof protocol.errors.Refusal)) throw error;
       sink.refuse(error);
--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -82,6 +82,13 @@
     for (const waiter of this.#waiters.all()) yield waiter.work;
   }
 
+  /** Works among them that were sent to no server yet. */
+  *untried(): Generator<types.Work> {
+    for (const { tried, work } of this.#waiters.all()) {
+      if (tried.ids.size === 0) yield work;
+    }
+  }
+
   /**
    * Waits for a slot as long as a server can still answer by the deadline. What
    * cannot start in time, as far as is known, is refused at once.
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -68,10 +68,6 @@
   readonly #leader: fleet.LeaderClient;
   readonly #stop = new AbortController();
   #directory: directory.Directory | undefined;
-  /** Term in which this host last led. */
-  #lastLed = 0;
-  /** When orders of the last other leader can't arrive any more. */
-  #ordersFrom = 0;
 
   private constructor(
     options: ControlHostOptions,
@@ -331,16 +327,16 @@
     const isCurrent = role === "leader" && this.#driver.hasLease() &&
       this.#replicated.appliedTerm === term;
     if (!isCurrent) return;
-    if (this.#lastLed !== term - 1) {
-      this.#ordersFrom = performance.now() + this.#options.orderPauseMs;
-    }
-    this.#lastLed = term;
+    const { address, engines, metrics, name, orderPauseMs } = this.#options;
     this.#directory = new directory.Directory({
-      host: this.#options.name,
+      host: name,
+      // A machine that replaces another one may bear its name.
+      orderHolder: `${name} ${address}`,
       term,
-      client: this.#options.engines,
-      metrics: this.#options.metrics,
-      ordersFrom: this.#ordersFrom,
+      client: engines,
+      metrics,
+      orderPauseMs,
+      commit: (command) => this.#commit(command),
       state: () => this.#replicated.state,
       controlHosts: () =>
         core.replication.allMembers(this.#driver.membership)
--- a/packages/daemon/src/gateway/control/directory.ts
+++ b/packages/daemon/src/gateway/control/directory.ts
@@ -26,6 +26,8 @@
  */
 const LEASE_RENEWAL_MS = core.replication.DEFAULT_SETTINGS
   .electionTimeoutMinimumMs;
+/** Pause after a failure to become the one that gives orders, in ms. */
+const CLAIM_RETRY_MS = 200;
 /** Time between two looks for servers to forget, in milliseconds. */
 const EXPIRY_MS = 1_000;
 
@@ -35,11 +37,19 @@
   readonly term: number;
   readonly client: types.EngineClient;
   readonly metrics: metrics.GatewayMetrics;
-  /** When orders of earlier leaders can't arrive any more; monotonic. */
-  readonly ordersFrom: number;
+  /** Names this host as the one that gives orders, also after a restart. */
+  readonly orderHolder: string;
+  /** Time during which orders of two hosts must not alternate, in ms. */
+  readonly orderPauseMs: number;
   readonly state: () => core.gateway.GatewayState;
   readonly controlHosts: () => string[];
   hasLease(): boolean;
+  /**
+   * Commits a change of the state.
+   *
+   * @throws {Error} it is not known to be committed
+   */
+  commit(command: gateway.Command): Promise<unknown>;
 }
 
 interface Waiter {
@@ -64,6 +74,7 @@
     Date.now(),
   );
   #pausedUntil = 0;
+  #claiming: NodeJS.Timeout | undefined;
   #collecting: NodeJS.Timeout | undefined;
   #isOver = false;
 
@@ -97,7 +108,11 @@
       EXPIRY_MS,
     );
     options.metrics.leading.set(1);
-    write("leading", { term: this.term });
+    const { orderHolder } = options.state();
+    write("leading", { term: this.term, orderHolder });
+    // Orders of another host may still be on their way.
+    const pauseMs = orderHolder === null ? 0 : options.orderPauseMs;
+    if (!this.#holdsOrders) this.#claimOrders(pauseMs);
   }
 
   /** Takes a heartbeat of a server. */
@@ -151,12 +166,32 @@
     this.#isOver = true;
     timers.clearInterval(this.#expiry);
     timers.clearTimeout(this.#collecting);
+    timers.clearTimeout(this.#claiming);
     this.#pager[Symbol.dispose]();
     for (const waiter of [...this.#waiters]) this.#release(waiter);
     this.#options.metrics.leading.set(0);
     write("not-leading", { term: this.term });
   }
 
+  get #holdsOrders(): boolean {
+    const { orderHolder, state } = this.#options;
+    return state().orderHolder === orderHolder;
+  }
+
+  /** Becomes the host that gives orders, after a pause. */
+  #claimOrders(pauseMs: number): void {
+    const host = this.#options.orderHolder;
+    this.#claiming = timers.setTimeout(() => {
+      this.#options.commit({ kind: "hold-orders", host }).then(
+        () => write("holds-orders", { term: this.term }),
+        (error: unknown) => {
+          write("holds-no-orders", { term: this.term, error });
+          if (!this.#isOver) this.#claimOrders(CLAIM_RETRY_MS);
+        },
+      );
+    }, pauseMs);
+  }
+
   /** A server must not take turns between two leaders. */
   #mayOrder(): boolean {
     const now = performance.now();
@@ -164,7 +199,7 @@
       write("clock-jumped", { term: this.term });
       this.#pausedUntil = now + LEASE_RENEWAL_MS;
     }
-    return !this.#isOver && now >= this.#options.ordersFrom &&
+    return !this.#isOver && this.#holdsOrders &&
       now >= this.#pausedUntil && this.#options.hasLease();
   }
 
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -37,6 +37,10 @@
   #term = 0;
   #revision = 0;
   #answeredAt = -Infinity;
+  /** Resolves with the first configuration. */
+  readonly configured = new Promise<void>((resolve) =>
+    this.once("configuration", () => resolve())
+  );
 
   get configuration(): gateway.Configuration | null {
     return this.#configuration;
--- a/packages/daemon/src/gateway/entry/reception.ts
+++ b/packages/daemon/src/gateway/entry/reception.ts
@@ -5,6 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import * as timers from "node:timers/promises";
 import * as core from "@ebonypath/core";
 import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
@@ -17,6 +18,13 @@
 
 /** Time before the deadline at which a request is no longer sent, in ms. */
 const LEAST_RUN_MS = 40;
+/**
+ * Longest wait of a request for the first configuration, in milliseconds: a
+ * leader is elected within it after a failure of all hosts.
+ */
+const CONFIGURATION_WAIT_MS = 2_000;
+/** Part of its time after which a request may better be sent elsewhere. */
+const CONFIGURATION_WAIT_PART = 0.5;
 /** Priorities that servers tell apart. */
 const PRIORITIES = 9;
 /** Longest wait that a refusal for rate names, in seconds. */
@@ -90,6 +98,8 @@
     }
     // The caller left before its request was whole.
     if (body === "broken") return;
+    await this.#awaitConfiguration(facts, response);
+    if (response.destroyed) return;
     const admission = this.#admit(request, facts, arrivedAt);
     if (admission.kind === "refused") {
       return this.#refuse(response, facts, admission.refusal);
@@ -97,6 +107,29 @@
     await this.#dispatch(request, response, facts, body, admission, arrivedAt);
   }
 
+  /** A host that has just started hears of the configuration soon. */
+  async #awaitConfiguration(
+    { deadlineMs }: types.RequestFacts,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const { view } = this.#options;
+    if (view.configuration !== null) return;
+    const waitMs = Math.min(
+      CONFIGURATION_WAIT_MS,
+      (deadlineMs ?? Infinity) * CONFIGURATION_WAIT_PART,
+    );
+    const stop = new AbortController();
+    const { signal } = stop;
+    const left = () => stop.abort();
+    response.once("close", left);
+    // A wait that ends early is one whose caller has left, or is not needed.
+    const isOver = timers.setTimeout(waitMs, undefined, { signal })
+      .catch(() => undefined);
+    await Promise.race([view.configured, isOver]);
+    response.off("close", left);
+    stop.abort();
+  }
+
   async #dispatch(
     request: http.IncomingMessage,
     response: http.ServerResponse,
--- a/packages/daemon/test/control/host_registry_test.ts
+++ b/packages/daemon/test/control/host_registry_test.ts
@@ -78,3 +78,18 @@
     expect(hosts.lingeringOn(REPLICA, now, now)).to.equal(0);
   });
 });
+
+describe("a host that drains", () => {
+  it("goes on draining, whatever it said before comes late", () => {
+    const hosts = new registry.HostRegistry();
+    const exchange = exchangeOf("entry-1", []);
+    hosts.hear({ ...exchange, draining: true }, 1);
+    hosts.hear(exchange, 2);
+    expect(hosts.live(2).map(({ draining }) => draining))
+      .to.deep.equal([true]);
+    const host = { ...exchange.host, incarnation: "2" };
+    hosts.hear({ ...exchange, host }, 3);
+    expect(hosts.live(3).map(({ draining }) => draining))
+      .to.deep.equal([true, false]);
+  });
+});
--- a/packages/daemon/test/entry/deferred_test.ts
+++ b/packages/daemon/test/entry/deferred_test.ts
@@ -2,6 +2,8 @@
 import type * as http from "node:http";
 import * as protocol from "@ebonypath/protocol";
 import { expect } from "chai";
+import * as timers from "node:timers/promises";
+import * as admission from "../../src/entry/admission.ts";
 import * as deferred from "../../src/entry/deferred.ts";
 import type * as types from "../../src/entry/types.ts";
 
@@ -85,4 +87,49 @@
       expect(count).to.equal(proposed);
     });
   }
+
+  it("returns what waits when its host leaves, and nothing else", async () => {
+    const sent: protocol.state.Command[] = [];
+    const works = ["waiting", "running"].map((requestId) => ({
+      ...workWith(TEXT),
+      requestId,
+    }));
+    const restored = [...works];
+    const requests = new deferred.DeferredRequests(
+      {
+        identity: { name: "entry-1", incarnation: "a", failureDomain: "d1" },
+        maxAnswerBytes: 1_000,
+        proposals: {
+          send: (command: protocol.state.Command) => {
+            sent.push(command);
+            return Promise.resolve();
+          },
+        },
+        restore: () => restored.shift(),
+        run: (_: types.Work, sink: types.Sink, signal: AbortSignal) =>
+          new Promise<void>((resolve) =>
+            signal.addEventListener("abort", () => {
+              sink.refuse(admission.callerGone());
+              resolve();
+            })
+          ),
+      } as unknown as deferred.DeferredOptions,
+    );
+    requests.execute(works.map(({ requestId }, index) => ({
+      id: requestId,
+      assignment: index,
+      request: {} as protocol.state.StoredRequest,
+      remainingMs: 10_000,
+    })));
+    requests.handBack(works.slice(0, 1));
+    await timers.setImmediate();
+    expect(sent).to.deep.equal([{
+      kind: "return-deferred",
+      id: "waiting",
+      assignment: 0,
+      host: "entry-1",
+      hostIncarnation: "a",
+    }]);
+    expect(requests.executingCount).to.equal(1);
+  });
 });
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -114,6 +114,8 @@
   }),
   v.object({ kind: v.literal("withdraw-domain"), domain: Name }),
   v.object({ kind: v.literal("restore-domain"), domain: Name }),
+  // Names the only control host that may give orders to servers from now on.
+  v.object({ kind: v.literal("hold-orders"), host: Name }),
   // Once it is committed, the state before it is known to be current.
   v.object({ kind: v.literal("barrier") }),
 ]);
--- a/packages/protocol/src/replication/mod.ts
+++ b/packages/protocol/src/replication/mod.ts
@@ -102,6 +102,10 @@
     term: count,
     requestTerm: count,
     granted: v.boolean(),
+    /** The sender neither leads nor asks for votes, in its term. */
+    isFree: v.optional(v.boolean(), false),
+    /** The log of the one who asks is as long as the sender's. */
+    isUpToDate: v.optional(v.boolean(), false),
   }),
   v.object({
     kind: v.literal("vote"),
