--- a/packages/core/test/replication/auto_membership_test.ts
+++ b/packages/core/test/replication/auto_membership_test.ts
@@ -1,8 +1,8 @@
 import * as fc from "fast-check";
 import { expect } from "chai";
 import process from "node:process";
-import { Cluster } from "./cluster.ts";
 import type { Event } from "./event.ts";
+import { playRuns } from "./played_runs.ts";
 
 const CI_SEEDS = [21, 22, 23];
 const CI_RUNS = 40;
@@ -67,22 +67,6 @@
   events: fc.array(event, { minLength: 40, maxLength: 90, size: "max" }),
 });
 
-/** The checker refuses every step that breaks a promise of the log. */
-function check(seed: number, numRuns: number): number {
-  let steps = 0;
-  const property = fc.property(run, ({ events, seed, size }) => {
-    const cluster = new Cluster(seed, size);
-    cluster.tend(GROUP);
-    cluster.happen({ kind: "run", ms: 2_000 });
-    events.forEach((one) => cluster.happen(one));
-    cluster.recover();
-    cluster.expectAllToVote();
-    steps += cluster.checker.steps;
-  });
-  fc.assert(property, { seed, numRuns });
-  return steps;
-}
-
 describe("automatic membership under interleavings", () => {
   const given = process.env["EBONYPATH_SEED"];
   const runs = Number(process.env["EBONYPATH_RUNS"] ?? CI_RUNS);
@@ -90,7 +74,13 @@
   for (const seed of seeds) {
     it(`keeps the log, and lets all hosts vote in the end, seed ${seed}, ${runs} runs`, function () {
       if (runs > CI_RUNS) this.timeout(LONG_MODE_MS);
-      expect(check(seed, runs)).to.be.greaterThan(10_000);
+      const steps = playRuns(run, {
+        seed,
+        numRuns: runs,
+        before: (cluster) => cluster.tend(GROUP),
+        after: (cluster) => cluster.expectAllToVote(),
+      });
+      expect(steps).to.be.greaterThan(10_000);
     });
   }
 });
--- a/packages/core/test/replication/interleavings_test.ts
+++ b/packages/core/test/replication/interleavings_test.ts
@@ -1,8 +1,9 @@
 import * as fc from "fast-check";
 import { expect } from "chai";
 import process from "node:process";
-import { Cluster, ISOLATED, LEADER } from "./cluster.ts";
+import { ISOLATED, LEADER } from "./cluster.ts";
 import type { Event } from "./event.ts";
+import { playRuns } from "./played_runs.ts";
 
 const CI_SEEDS = [11, 12, 13, 14];
 const CI_RUNS = 60;
@@ -192,21 +193,6 @@
   })
 );
 
-type Run = { seed: number; size: number; events: Event[] };
-
-function check(runs: fc.Arbitrary<Run>, seed: number, numRuns: number): number {
-  let steps = 0;
-  const property = fc.property(runs, ({ seed, size, events }) => {
-    const cluster = new Cluster(seed, size);
-    cluster.happen({ kind: "run", ms: 2000 });
-    events.forEach((event) => cluster.happen(event));
-    cluster.recover();
-    steps += cluster.checker.steps;
-  });
-  fc.assert(property, { seed, numRuns });
-  return steps;
-}
-
 describe("replication under interleavings", () => {
   const seed = process.env["EBONYPATH_SEED"];
   const runs = Number(process.env["EBONYPATH_RUNS"] ?? CI_RUNS);
@@ -217,13 +203,15 @@
       if (runs > CI_RUNS) {
         this.timeout(LONG_MODE_MS);
       }
-      expect(check(run, seed, runs)).to.be.greaterThan(1000);
+      expect(playRuns(run, { seed, numRuns: runs })).to.be.greaterThan(1000);
     });
     it(`withstands attacks, seed ${seed}, ${attacks} runs`, function () {
       if (runs > CI_RUNS) {
         this.timeout(LONG_MODE_MS);
       }
-      expect(check(attack, seed, attacks)).to.be.greaterThan(1000);
+      expect(playRuns(attack, { seed, numRuns: attacks })).to.be.greaterThan(
+        1000,
+      );
     });
   }
 });
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -218,6 +218,7 @@
     return await this.#leader.call(method, params, limits);
   }
 
+  /** Answers what any control host takes and the leader decides. */
   #answer(method: string, params: object): unknown {
     const { METHODS } = protocol.gateway;
     switch (method) {
@@ -248,24 +249,18 @@
       v.object({}),
       () => this.#driver.identity(),
     );
-    rpc.addMethod(
-      gateway.METHODS.command,
-      gateway.Command,
-      (command) => this.#commit(command),
-    );
-    rpc.addMethod(
-      gateway.METHODS.read,
-      v.object({}),
-      () => this.#readHere(),
-    );
-    rpc.addMethod(
-      gateway.METHODS.heartbeat,
-      gateway.RelayedHeartbeat,
-      (relayed) => {
-        this.#lead().hear(relayed);
-        return null;
-      },
-    );
+    const relayed = [
+      [gateway.METHODS.command, gateway.Command],
+      [gateway.METHODS.read, v.object({})],
+      [gateway.METHODS.heartbeat, gateway.RelayedHeartbeat],
+    ] as const;
+    for (const [method, schema] of relayed) {
+      rpc.addMethod<v.GenericSchema<object>>(
+        method,
+        schema,
+        (params) => this.#answer(method, params),
+      );
+    }
     rpc.addMethod(
       gateway.METHODS.watch,
       gateway.WatchRequest,
--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -9,6 +9,7 @@
 import * as serverBook from "../../src/gateway/entry/server_book.ts";
 import type * as types from "../../src/gateway/entry/types.ts";
 import { GatewayMetrics } from "../../src/gateway/metrics.ts";
+import { FACTS } from "./facts.ts";
 
 /** What a server does with a request; the text is the request's head. */
 type Script = (socket: net.Socket, head: string) => void;
@@ -62,17 +63,6 @@
   refusalHeaders: () => ({}),
 };
 
-const FACTS: types.RequestFacts = {
-  id: "7f",
-  deadlineMs: undefined,
-  key: undefined,
-  model: undefined,
-  adapter: undefined,
-  tokens: undefined,
-  prefixKey: undefined,
-  lastEventId: undefined,
-};
-
 function record(id: string, address: string): gateway.ServerRecord {
   return {
     id,
--- /dev/null
+++ b/packages/daemon/test/gateway/facts.ts
@@ -0,0 +1,13 @@
+import type * as types from "../../src/gateway/entry/types.ts";
+
+/** What the head of a request says that names nothing but itself. */
+export const FACTS: types.RequestFacts = {
+  id: "7f",
+  deadlineMs: undefined,
+  key: undefined,
+  model: undefined,
+  adapter: undefined,
+  tokens: undefined,
+  prefixKey: undefined,
+  lastEventId: undefined,
+};
--- a/packages/daemon/test/gateway/reception_test.ts
+++ b/packages/daemon/test/gateway/reception_test.ts
@@ -9,17 +9,7 @@
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
 import * as reception from "../../src/gateway/entry/reception.ts";
 import type * as types from "../../src/gateway/entry/types.ts";
-
-const FACTS: types.RequestFacts = {
-  id: "7f",
-  deadlineMs: undefined,
-  key: undefined,
-  model: undefined,
-  adapter: undefined,
-  tokens: undefined,
-  prefixKey: undefined,
-  lastEventId: undefined,
-};
+import { FACTS } from "./facts.ts";
 
 const ANSWER: gateway.WatchResponse = {
   term: 1,
--- a/packages/daemon/test/gateway/retry_fleet.ts
+++ b/packages/daemon/test/gateway/retry_fleet.ts
@@ -1,4 +1,5 @@
 import fastCheck from "fast-check";
+import * as testing from "@ebonypath/testing";
 import { expect } from "chai";
 import * as retries from "../../src/gateway/entry/retries.ts";
 
@@ -26,17 +27,8 @@
 /** Times at which requests and retries were sent. */
 type Sent = { readonly first: number[]; readonly again: number[] };
 
-/** Numbers from 0 to 1 that follow from a seed (Park and Miller). */
-function numbers(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = state * 48_271 % 0x7fffffff;
-    return state / 0x7fffffff;
-  };
-}
-
 function play({ hosts, perSecond, seed, skew, wanted }: Fleet): Sent {
-  const random = numbers(seed);
+  const random = testing.fakeBackend.seededRandom(seed);
   const members = Array.from(
     { length: hosts },
     () => new retries.Retries(FLEET),
