Keep a control host running when a caller's connection is lost

Cause: reading the body of a call between hosts rejects with "aborted" when its connection is reset, and the control program took every rejection of the call handler for a failure of its state and ended.

Ruled out: the control and callers' listeners answer or drop such requests; the test shows it for each listener and each byte position of a request.

Failures of the disk and of the state machine still end the process through onFailure.

--- a/packages/daemon/src/fleet/rpc_server.ts
+++ b/packages/daemon/src/fleet/rpc_server.ts
@@ -9,8 +9,11 @@
 import * as jsonRpc from "json-rpc-2.0";
 import * as v from "valibot";
 import * as security from "../security/mod.ts";
+import * as log from "../log/mod.ts";
 import * as errors from "./errors.ts";
 
+const write = log.createLog("rpc");
+
 /** Maximum size of a request body, in bytes. */
 const MAX_REQUEST_BYTES = 16 * 1024 * 1024;
 
@@ -68,7 +71,10 @@
     this.#streams.set(path, handler);
   }
 
-  /** Handles one HTTP request of the fleet listener. */
+  /**
+   * Handles one HTTP request of the fleet listener. A request whose connection
+   * is lost before it is complete is logged and gets no response.
+   */
   async handle(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -85,6 +91,11 @@
       return sendJson(response, 404, { error: "no such path" });
     }
     const body = await readJson(request);
+    if (body === "lost") {
+      write("connection-lost", { peer: request.socket.remoteAddress });
+      response.destroy();
+      return;
+    }
     if (body === undefined) {
       return sendJson(response, 400, { error: "the body is not JSON" });
     }
@@ -123,14 +134,24 @@
   return jsonRpc.createJSONRPCErrorResponse(id, code, message);
 }
 
-/** Parses the request body; returns undefined if it is too large or not JSON. */
-async function readJson(request: http.IncomingMessage): Promise<unknown> {
+/**
+ * Parses the request body; returns undefined if it is too large or not JSON, and
+ * "lost" if the connection ends before the body is complete.
+ */
+async function readJson(
+  request: http.IncomingMessage,
+): Promise<unknown | "lost"> {
   const chunks: Buffer[] = [];
   let bytes = 0;
-  for await (const chunk of request) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > MAX_REQUEST_BYTES) return undefined;
-    chunks.push(chunk as Buffer);
+  try {
+    for await (const chunk of request) {
+      bytes += (chunk as Buffer).length;
+      if (bytes > MAX_REQUEST_BYTES) return undefined;
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    // Reading fails only when the connection is lost; the caller logs it.
+    return "lost";
   }
   try {
     return JSON.parse(Buffer.concat(chunks).toString("utf8"));
