--- a/packages/core/src/gateway/demand_tracker.ts
+++ b/packages/core/src/gateway/demand_tracker.ts
@@ -4,16 +4,27 @@
 const SECOND_MS = 1_000;
 /** Time constant of the averages of arrivals and concurrency, in ms. */
 const AVERAGE_MS = 8_000;
-/** Age from which a host's report is ignored, in milliseconds. */
-const REPORT_LIFETIME_MS = 2_000;
+/** Time without a message after which a host's report is dropped, in ms. */
+const REPORT_LIFETIME_MS = 3_000;
 /** Arrival rate below which an idle model is forgotten, per second. */
 const NEGLIGIBLE_PER_SECOND = 0.001;
 
-/** Averaged demand for one model or adapter. */
+/** The parts of a report that describe demand. */
+export type DemandReport = Pick<
+  gateway.ReportRequest,
+  "host" | "demand" | "load"
+>;
+
+/** Waiting requests of one host, as of its last report. */
+type WaitingRequests = { readonly slacksMs: readonly number[]; at: number };
+
+/** Demand for one model or adapter. */
 type DemandRecord = {
   readonly service: string;
   readonly model: string;
   readonly adapter: string | undefined;
+  readonly waiting: Map<string, WaitingRequests>;
+  running: number;
   arrivalsPerSecond: number;
   concurrency: number;
   updatedAt: number;
@@ -21,12 +32,23 @@
 
 /** The last report of one host. */
 type HostReport = {
-  readonly report: gateway.ReportRequest;
-  readonly at: number;
+  readonly report: DemandReport;
+  /** Time of the last message of the host. */
+  heardAt: number;
+};
+
+/** Requests in progress on one server. */
+type ServerRecord = {
+  total: number;
+  /** By model and by `model/adapter`. */
+  readonly byModel: Map<string, number>;
 };
 
 /**
- * Aggregates the demand for each model from the reports of all entry hosts.
+ * Aggregates the demand for each model and the load of each server from the
+ * reports of all entry hosts. A report replaces the previous one of its host,
+ * so the cost of a report grows with what it contains and not with the number
+ * of hosts or servers.
  *
  * @example
  * ```ts
@@ -35,59 +57,82 @@
  * ```
  */
 export class DemandTracker {
-  readonly #reports = new Map<string, HostReport>();
+  readonly #hosts = new Map<string, HostReport>();
   readonly #records = new Map<string, DemandRecord>();
+  readonly #servers = new Map<string, ServerRecord>();
   /** Time of the last demand for each model, by model and `model/adapter`. */
   readonly lastRequestedAt = new Map<string, number>();
 
+  /** Number of hosts that were heard of lately. */
+  get hostCount(): number {
+    return this.#hosts.size;
+  }
+
   /** Adds a report, which replaces the previous one of the same host. */
-  addReport(report: gateway.ReportRequest, now: number): void {
+  addReport(report: DemandReport, now: number): void {
+    const previous = this.#hosts.get(report.host)?.report;
+    if (previous !== undefined) this.#remove(previous, now);
+    this.#hosts.set(report.host, { report, heardAt: now });
     for (const demand of report.demand) {
-      const record = this.#recordFor(demand, now);
-      this.#decay(record, now);
-      record.arrivalsPerSecond += demand.arrivals * SECOND_MS / AVERAGE_MS;
       const { arrivals, running, slacksMs } = demand;
+      const record = this.#recordFor(demand, now);
+      this.#average(record, now);
+      record.arrivalsPerSecond += arrivals * SECOND_MS / AVERAGE_MS;
+      record.running += running;
+      if (slacksMs.length > 0) {
+        record.waiting.set(report.host, { slacksMs, at: now });
+      }
       if (slacksMs.length + running + arrivals === 0) continue;
       this.lastRequestedAt.set(demand.model, now);
       if (demand.adapter !== undefined) {
         this.lastRequestedAt.set(adapterKey(demand.model, demand.adapter), now);
       }
     }
-    this.#reports.set(report.host, { report, at: now });
+    for (const load of report.load) this.#addLoad(load, 1);
   }
 
-  /** The last report of each host, unless it is too old. */
-  recentReports(now: number): gateway.ReportRequest[] {
-    for (const [host, { at }] of this.#reports) {
-      if (now - at > REPORT_LIFETIME_MS) this.#reports.delete(host);
+  /** Records that a host is alive and has nothing new to report. */
+  touch(host: string, now: number): void {
+    const known = this.#hosts.get(host);
+    if (known !== undefined) known.heardAt = now;
+  }
+
+  /** Drops the reports of hosts that have been silent; returns their names. */
+  expire(now: number): string[] {
+    const expired = [...this.#hosts]
+      .filter(([, { heardAt }]) => now - heardAt > REPORT_LIFETIME_MS)
+      .map(([host]) => host);
+    for (const host of expired) {
+      const report = this.#hosts.get(host)?.report;
+      this.#hosts.delete(host);
+      if (report !== undefined) this.#remove(report, now);
     }
-    return [...this.#reports.values()].map(({ report }) => report);
+    return expired;
+  }
+
+  /** Requests in progress on a server, over all hosts. */
+  loadOf(server: string): number {
+    return this.#servers.get(server)?.total ?? 0;
+  }
+
+  /** Requests in progress on a server, by model and by `model/adapter`. */
+  runningOn(server: string): ReadonlyMap<string, number> {
+    return this.#servers.get(server)?.byModel ?? new Map();
   }
 
   /** Demand of all hosts for each model and adapter of a service. */
   aggregate(service: string, now: number): AggregateDemand[] {
-    const reported = new Map<string, gateway.ModelDemand[]>();
-    for (
-      const demand of this.recentReports(now).flatMap((report) => report.demand)
-    ) {
-      const key = keyOf(demand);
-      reported.set(key, [...reported.get(key) ?? [], demand]);
-    }
     const aggregates: AggregateDemand[] = [];
     for (const [key, record] of this.#records) {
       if (record.service !== service) continue;
-      const demands = reported.get(key) ?? [];
-      const slacksMs = demands.flatMap((demand) => demand.slacksMs);
-      const active = slacksMs.length +
-        sum(demands.map((demand) => demand.running));
-      this.#average(record, active, now);
-      const isNegligible = active === 0 &&
+      this.#average(record, now);
+      const isNegligible = record.running + record.waiting.size === 0 &&
         record.arrivalsPerSecond < NEGLIGIBLE_PER_SECOND;
       if (isNegligible) this.#records.delete(key);
       aggregates.push({
         model: record.model,
         adapter: record.adapter,
-        slacksMs,
+        slacksMs: currentSlacks(record, now),
         arrivalsPerSecond: record.arrivalsPerSecond,
         concurrency: record.concurrency,
       });
@@ -95,6 +140,38 @@
     return aggregates;
   }
 
+  /** Removes what a report has added; averages stay. */
+  #remove({ demand, host, load }: DemandReport, now: number): void {
+    for (const one of demand) {
+      const record = this.#records.get(keyOf(one));
+      if (record === undefined) continue;
+      this.#average(record, now);
+      record.running -= one.running;
+      record.waiting.delete(host);
+    }
+    for (const one of load) this.#addLoad(one, -1);
+  }
+
+  #addLoad(
+    { adapter, model, running, server }: gateway.ServerLoad,
+    sign: 1 | -1,
+  ): void {
+    const record = this.#servers.get(server) ??
+      { total: 0, byModel: new Map<string, number>() };
+    this.#servers.set(server, record);
+    const change = sign * running;
+    record.total += change;
+    if (model !== undefined) {
+      addCount(record.byModel, model, change);
+      if (adapter !== undefined) {
+        addCount(record.byModel, adapterKey(model, adapter), change);
+      }
+    }
+    if (record.total <= 0 && record.byModel.size === 0) {
+      this.#servers.delete(server);
+    }
+  }
+
   #recordFor(demand: gateway.ModelDemand, now: number): DemandRecord {
     const key = keyOf(demand);
     const { adapter, model, service } = demand;
@@ -103,6 +180,8 @@
         service,
         model,
         adapter,
+        waiting: new Map(),
+        running: 0,
         arrivalsPerSecond: 0,
         concurrency: 0,
         updatedAt: now,
@@ -111,12 +190,9 @@
     return record;
   }
 
-  #decay(record: DemandRecord, now: number): void {
-    this.#average(record, record.concurrency, now);
-  }
-
-  #average(record: DemandRecord, active: number, now: number): void {
+  #average(record: DemandRecord, now: number): void {
     const retained = Math.exp(-(now - record.updatedAt) / AVERAGE_MS);
+    const active = record.running + waitingCount(record);
     record.arrivalsPerSecond *= retained;
     record.concurrency = record.concurrency * retained +
       active * (1 - retained);
@@ -124,12 +200,33 @@
   }
 }
 
+function waitingCount({ waiting }: DemandRecord): number {
+  let count = 0;
+  for (const { slacksMs } of waiting.values()) count += slacksMs.length;
+  return count;
+}
+
+/** Slacks of all waiting requests, less the time since they were reported. */
+function currentSlacks({ waiting }: DemandRecord, now: number): number[] {
+  const slacks: number[] = [];
+  for (const { at, slacksMs } of waiting.values()) {
+    for (const slackMs of slacksMs) slacks.push(slackMs - (now - at));
+  }
+  return slacks;
+}
+
+function addCount(
+  counts: Map<string, number>,
+  key: string,
+  change: number,
+): void {
+  const count = (counts.get(key) ?? 0) + change;
+  if (count > 0) counts.set(key, count);
+  else counts.delete(key);
+}
+
 function keyOf({ adapter, model, service }: gateway.ModelDemand): string {
   return `${service} ${
     adapter === undefined ? model : adapterKey(model, adapter)
   }`;
 }
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- /dev/null
+++ b/packages/core/src/gateway/limited_workspaces.ts
@@ -0,0 +1,69 @@
+import type { gateway } from "@ebonypath/protocol";
+import { SharedRateLimiter } from "./shared_rate_limiter.ts";
+
+/** Part of the burst that is left when a workspace counts as near its rate. */
+const LIMITED_FRACTION = 0.5;
+/** Part of the burst that is available when it no longer does. */
+const UNLIMITED_FRACTION = 0.9;
+
+/**
+ * Workspaces whose usage over all hosts is near their rate. Entry hosts ask the
+ * leader before they admit a request of these, and admit those of the others
+ * by what they know. The two thresholds keep a workspace from changing between
+ * the two with each request.
+ *
+ * @example
+ * ```ts
+ * limited.setRates(workspaces, now);
+ * limited.recordUsage("shop", 1_600, now);
+ * if (limited.update(now)) tellHosts(limited.names);
+ * ```
+ */
+export class LimitedWorkspaces {
+  readonly #limiter = new SharedRateLimiter();
+  #workspaces: readonly gateway.Workspace[] = [];
+  #names: ReadonlySet<string> = new Set();
+
+  /** Names of the workspaces, as of the last update. */
+  get names(): ReadonlySet<string> {
+    return this.#names;
+  }
+
+  /** Sets the rates; does nothing if they are those set last. */
+  setRates(workspaces: readonly gateway.Workspace[], now: number): void {
+    if (workspaces === this.#workspaces) return;
+    this.#workspaces = workspaces;
+    this.#limiter.retainWorkspaces(
+      new Set(
+        workspaces.filter(({ rate }) => rate !== undefined)
+          .map(({ name }) => name),
+      ),
+    );
+    for (const { name, rate } of workspaces) {
+      if (rate !== undefined) this.#limiter.setRate(name, rate, now);
+    }
+  }
+
+  /** Records usage that a host has reported. */
+  recordUsage(workspace: string, tokens: number, now: number): void {
+    this.#limiter.charge(workspace, tokens, now);
+  }
+
+  /** Updates the names; returns whether they have changed. */
+  update(now: number): boolean {
+    const names = this.#workspaces
+      .filter(({ rate }) => rate !== undefined)
+      .map(({ name }) => name)
+      .filter((name) => {
+        const threshold = this.#names.has(name)
+          ? UNLIMITED_FRACTION
+          : LIMITED_FRACTION;
+        return this.#limiter.availableFraction(name, now) < threshold;
+      });
+    const isSame = names.length === this.#names.size &&
+      names.every((name) => this.#names.has(name));
+    if (isSame) return false;
+    this.#names = new Set(names);
+    return true;
+  }
+}
--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -78,6 +78,7 @@
   readonly #models: ReadonlyMap<string, gateway.Model>;
   /** Demand by model, including the demand for its adapters. */
   readonly #demand: readonly types.AggregateDemand[];
+  readonly #demandByModel: ReadonlyMap<string, types.AggregateDemand>;
   /** Servers with an order of this round, or reserved for a load. */
   readonly #assigned = new Set<string>();
   /** Models with waiting requests. */
@@ -97,6 +98,9 @@
       input.engine.models.map((model) => [model.name, model]),
     );
     this.#demand = mergeAdapters(input.demand);
+    this.#demandByModel = new Map(
+      this.#demand.map((demand) => [demand.model, demand]),
+    );
     this.#requested = new Set(
       this.#demand.filter(hasWaiting).map(({ model }) => model),
     );
@@ -271,7 +275,7 @@
     if (age < MIN_RESIDENCE_MS) return false;
     const replicas = this.#replicaCount(model);
     if (this.#requested.has(model) && replicas <= 1) return false;
-    const demand = this.#demand.find((one) => one.model === model);
+    const demand = this.#demandByModel.get(model);
     if (demand !== undefined && replicas <= this.#targetReplicas(demand)) {
       return false;
     }
@@ -289,7 +293,7 @@
     const { lastRequestedAt, now } = this.#input;
     const running = server.running.get(name) ?? 0;
     const runMs = running > 0 ? REMAINING_RUN_MS : 0;
-    const demand = this.#demand.find((one) => one.model === name);
+    const demand = this.#demandByModel.get(name);
     const hasOtherReplica = this.#replicaCount(name) > 1;
     const model = this.#models.get(name);
     const reloadMs = hasOtherReplica || model === undefined
--- a/packages/core/src/gateway/server_registry.ts
+++ b/packages/core/src/gateway/server_registry.ts
@@ -1,4 +1,5 @@
 import type { gateway } from "@ebonypath/protocol";
+import { adapterKey } from "./load_planner_types.ts";
 
 /**
  * Time without a heartbeat after which entry hosts are told that a server is
@@ -26,6 +27,19 @@
   unloading: ReadonlySet<string>;
   /** Whether it has answered the leader with a report of its models. */
   hasReport: boolean;
+  /**
+   * Whether the leader has heard the server itself, rather than of it from an
+   * entry host.
+   */
+  isHeard: boolean;
+};
+
+/** Models that one entry host has requests for. */
+export type HostInterest = {
+  /** Models, and adapters as `model/adapter`, that requests wait for. */
+  readonly waiting: ReadonlySet<string>;
+  /** Models with requests that run or arrived lately. */
+  readonly used: ReadonlySet<string>;
 };
 
 /**
@@ -45,15 +59,31 @@
   /** Servers reported as ended before they were known, with the expiry time. */
   readonly #unknownEnded = new Map<string, number>();
   #revision = 1;
+  #urgentRevision = 1;
 
   /** Increases with each change that entry hosts have to be sent. */
   get revision(): number {
     return this.#revision;
   }
 
-  /** Increases the revision for a change of other data sent to entry hosts. */
+  /**
+   * Revision of the last change that all entry hosts have to be sent at once:
+   * one of a server's state, or of other data. A change of its models concerns
+   * the hosts with requests for them.
+   */
+  get urgentRevision(): number {
+    return this.#urgentRevision;
+  }
+
+  /** Increases the revisions for a change of other data sent to entry hosts. */
   bumpRevision(): void {
+    this.#nextRevision(true);
+  }
+
+  #nextRevision(isUrgent: boolean): number {
     this.#revision += 1;
+    if (isUrgent) this.#urgentRevision = this.#revision;
+    return this.#revision;
   }
 
   /** Servers that have not ended. */
@@ -73,8 +103,21 @@
     return heartbeatAt === undefined ? Infinity : now - heartbeatAt;
   }
 
+  /** Whether the leader has heard the server itself. */
+  isHeard(id: string): boolean {
+    return this.#entries.get(id)?.isHeard ?? false;
+  }
+
   /** Applies a heartbeat; returns false if it is outdated. */
   applyHeartbeat(heartbeat: gateway.Heartbeat, now: number): boolean {
+    return this.#apply(heartbeat, now, true);
+  }
+
+  #apply(
+    heartbeat: gateway.Heartbeat,
+    now: number,
+    isHeard: boolean,
+  ): boolean {
     const known = this.#entries.get(heartbeat.id);
     if (!this.#isNewer(heartbeat, known?.heartbeat, now)) return false;
     this.#endPredecessors(heartbeat);
@@ -84,12 +127,14 @@
     const merged = keepReportedModels(heartbeat, sameStart);
     const isSame = known !== undefined &&
       isEqualContent(known.heartbeat, merged);
+    const isSameState = sameStart?.heartbeat.state === merged.state;
     this.#entries.set(heartbeat.id, {
       heartbeat: merged,
       heartbeatAt: now,
-      revision: isSame ? known.revision : ++this.#revision,
+      revision: isSame ? known.revision : this.#nextRevision(!isSameState),
       unloading: sameStart?.unloading ?? new Set(),
       hasReport: sameStart?.hasReport ?? false,
+      isHeard: isHeard || (sameStart?.isHeard ?? false),
     });
     return true;
   }
@@ -99,10 +144,11 @@
    * that are newer than the last known heartbeat of their server are used.
    */
   mergeRecords(records: readonly gateway.ServerRecord[], now: number): void {
-    for (const { silentMs, leaving: _, ...heartbeat } of records) {
+    for (const { silentMs, leaving: _, ...record } of records) {
+      const heartbeat = { ...record, inMemory: [], onDisk: [] };
       const known = this.#entries.get(heartbeat.id)?.heartbeat;
       if (known !== undefined && !isLater(heartbeat, known)) continue;
-      this.applyHeartbeat(heartbeat, now - silentMs);
+      this.#apply(heartbeat, now - silentMs, false);
     }
   }
 
@@ -115,7 +161,7 @@
     }
     if (known.heartbeat.state === "ended") return;
     known.heartbeat = { ...known.heartbeat, state: "ended" };
-    known.revision = ++this.#revision;
+    known.revision = this.#nextRevision(true);
   }
 
   /** Replaces the models of a server with those that it reported on request. */
@@ -128,9 +174,9 @@
     const { models, inMemory, onDisk } = report;
     entry.hasReport = true;
     const heartbeat = { ...entry.heartbeat, models, inMemory, onDisk };
-    if (isEqualContent(entry.heartbeat, heartbeat)) return;
+    const isSame = isEqualContent(entry.heartbeat, heartbeat);
     entry.heartbeat = heartbeat;
-    entry.revision = ++this.#revision;
+    if (!isSame) entry.revision = this.#nextRevision(false);
   }
 
   /** Sets the models of a server that get no new requests. */
@@ -138,18 +184,35 @@
     const entry = this.#entries.get(id);
     if (entry === undefined) return;
     entry.unloading = models;
-    entry.revision = ++this.#revision;
+    entry.revision = this.#nextRevision(false);
   }
 
   /** Servers that have changed after a revision; 0 returns all. */
   changesSince(revision: number, now: number): gateway.ServerRecord[] {
     return [...this.#entries.values()]
       .filter((entry) => entry.revision > revision)
-      .map(({ heartbeat, heartbeatAt, unloading }) => ({
-        ...heartbeat,
-        silentMs: Math.max(0, now - heartbeatAt),
-        leaving: [...unloading],
-      }));
+      .map(({ heartbeat, heartbeatAt, unloading }) => {
+        const { inMemory: _, onDisk: __, ...record } = heartbeat;
+        return {
+          ...record,
+          silentMs: Math.max(0, now - heartbeatAt),
+          leaving: [...unloading],
+        };
+      });
+  }
+
+  /**
+   * Whether a change after a revision concerns a host at once: a model that its
+   * requests wait for has been loaded, or one that they use is to be unloaded.
+   */
+  concerns(interest: HostInterest, revision: number): boolean {
+    if (interest.waiting.size + interest.used.size === 0) return false;
+    for (const entry of this.#entries.values()) {
+      if (entry.revision > revision && concernsHost(entry, interest)) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /**
@@ -174,7 +237,7 @@
     const { state } = entry.heartbeat;
     if (state === "lost" || state === "ended") return;
     entry.heartbeat = { ...entry.heartbeat, state: "lost" };
-    entry.revision = ++this.#revision;
+    entry.revision = this.#nextRevision(true);
   }
 
   #isNewer(
@@ -203,7 +266,7 @@
         heartbeat.address === address && heartbeat.born <= born;
       if (!isPredecessor || heartbeat.state === "ended") continue;
       entry.heartbeat = { ...heartbeat, state: "ended" };
-      entry.revision = ++this.#revision;
+      entry.revision = this.#nextRevision(true);
     }
   }
 }
@@ -221,17 +284,36 @@
   return { ...heartbeat, models, inMemory, onDisk };
 }
 
+function concernsHost(
+  { heartbeat, unloading }: Entry,
+  { used, waiting }: HostInterest,
+): boolean {
+  for (const model of unloading) if (used.has(model)) return true;
+  return waiting.size > 0 &&
+    heartbeat.models.some(({ adapters, name }) =>
+      waiting.has(name) ||
+      adapters.some((adapter) => waiting.has(adapterKey(name, adapter)))
+    );
+}
+
 /** Whether a heartbeat is newer than another one of the same server. */
 function isLater(one: gateway.Heartbeat, other: gateway.Heartbeat): boolean {
   if (one.born !== other.born) return one.born > other.born;
   return other.state !== "ended" && one.sequence > other.sequence;
 }
 
+/** Whether two heartbeats are the same to entry hosts. */
 function isEqualContent(
   one: gateway.Heartbeat,
   other: gateway.Heartbeat,
 ): boolean {
   const strip = (heartbeat: gateway.Heartbeat) =>
-    JSON.stringify({ ...heartbeat, sequence: 0, coldMs: heartbeat.coldMs > 0 });
+    JSON.stringify({
+      ...heartbeat,
+      sequence: 0,
+      coldMs: heartbeat.coldMs > 0,
+      inMemory: [],
+      onDisk: [],
+    });
   return strip(one) === strip(other);
 }
--- a/packages/core/src/gateway/shared_rate_limiter.ts
+++ b/packages/core/src/gateway/shared_rate_limiter.ts
@@ -1,15 +1,6 @@
 import type { gateway } from "@ebonypath/protocol";
 
 const SECOND_MS = 1_000;
-/**
- * Host starts whose counters are kept. The target is a fleet of 1,100 hosts,
- * and every restart of a host adds one.
- */
-const MAX_HOSTS = 4_096;
-
-/** Usage that another host has reported. */
-type HostUsage = gateway.ReportResponse["usage"][number];
-
 /** Token bucket of one workspace. */
 type TokenBucket = {
   rate: gateway.RateLimit;
@@ -18,16 +9,28 @@
   refilledAt: number;
 };
 
+/** Tokens used at this host since it started. */
+type LocalCounter = {
+  tokens: number;
+  /** Its value in the last report that a leader has answered. */
+  acknowledged: number;
+};
+
+/** Usage of the other hosts, as last told by the leader of one term. */
+type RemoteUsage = {
+  readonly term: number;
+  readonly tokens: Map<string, number>;
+};
+
 /**
  * Rate limiter with a token bucket per workspace that all entry hosts share.
- * Each host deducts its own usage at once and that of the other hosts when it
- * is reported. Usage that is reported late leaves the bucket in debt, so the
- * total keeps to the rate over a longer time. No host waits for another one to
- * admit a request.
+ * Each host deducts its own usage at once and the sum of the other hosts' when
+ * the leader tells it. Usage that is told late leaves the bucket in debt, so
+ * the total keeps to the rate over a longer time.
  *
- * Overuse is bounded by the requests that arrive within one exchange of
- * reports. Leasing parts of the rate to hosts would bound it exactly, but would
- * refuse requests within the rate while a part moves between hosts.
+ * Overuse is bounded by the requests that are admitted between two answers of
+ * the leader. Leasing parts of the rate to hosts would bound it exactly, but
+ * would refuse requests within the rate while a part moves between hosts.
  *
  * @example
  * ```ts
@@ -38,10 +41,8 @@
 export class SharedRateLimiter {
   readonly #buckets = new Map<string, TokenBucket>();
   /** Tokens used at this host since it started, by workspace. */
-  readonly #localUsage = new Map<string, number>();
-  /** Tokens that other hosts have reported, by host and workspace. */
-  readonly #remoteUsage = new Map<string, Map<string, number>>();
-  #hasBaseline = false;
+  readonly #localUsage = new Map<string, LocalCounter>();
+  #remoteUsage: RemoteUsage | undefined;
 
   /** Sets the rate of a workspace; changing it keeps the bucket's level. */
   setRate(workspace: string, rate: gateway.RateLimit, now: number): void {
@@ -63,6 +64,19 @@
     }
   }
 
+  /** Fraction of a workspace's burst that is available now; 1 without a limit. */
+  availableFraction(workspace: string, now: number): number {
+    const bucket = this.#buckets.get(workspace);
+    if (bucket === undefined || bucket.rate.burst <= 0) return 1;
+    this.#refill(bucket, now);
+    return bucket.level / bucket.rate.burst;
+  }
+
+  /** Deducts tokens whatever the level, for usage that was admitted elsewhere. */
+  charge(workspace: string, tokens: number, now: number): void {
+    this.#deduct(workspace, tokens, now);
+  }
+
   /** Deducts a request's tokens; returns false if the bucket has too few. */
   tryConsume(workspace: string, tokens: number, now: number): boolean {
     const bucket = this.#buckets.get(workspace);
@@ -73,10 +87,7 @@
       if (bucket.level < required) return false;
       bucket.level -= tokens;
     }
-    this.#localUsage.set(
-      workspace,
-      (this.#localUsage.get(workspace) ?? 0) + tokens,
-    );
+    this.#localCounter(workspace).tokens += tokens;
     return true;
   }
 
@@ -98,38 +109,56 @@
     if (bucket !== undefined) {
       bucket.level = Math.min(bucket.rate.burst, bucket.level + tokens);
     }
-    this.#localUsage.set(
-      workspace,
-      (this.#localUsage.get(workspace) ?? 0) - tokens,
-    );
+    this.#localCounter(workspace).tokens -= tokens;
+  }
+
+  /** Counters that have changed since the last answered report. */
+  usage(): gateway.ReportedUsage[] {
+    return [...this.#localUsage]
+      .filter(([, { acknowledged, tokens }]) => tokens !== acknowledged)
+      .map(([workspace, { acknowledged, tokens }]) => ({
+        workspace,
+        tokens,
+        acknowledged,
+      }));
   }
 
-  /** Tokens used at this host, for the report to the leader. */
-  usage(): gateway.WorkspaceUsage[] {
-    return [...this.#localUsage].map(([workspace, tokens]) => ({
-      workspace,
-      tokens: Math.max(0, tokens),
-    }));
+  /** Records that a leader has answered a report. */
+  acknowledgeUsage(reported: readonly gateway.ReportedUsage[]): void {
+    for (const { tokens, workspace } of reported) {
+      this.#localCounter(workspace).acknowledged = tokens;
+    }
   }
 
   /**
-   * Deducts what other hosts have used since their last reports. The first
-   * reports that this host receives are only a baseline; usage before them is
-   * not deducted.
+   * Deducts what other hosts have used since the last answer. A leader sums
+   * usage from the start of its term, and the first answer that a host gets
+   * after its own start is only a baseline.
    *
-   * @param hosts total usage of each host since it started
+   * @param usage tokens of all other hosts since the term began
    */
-  applyRemoteUsage(hosts: readonly HostUsage[], now: number): void {
-    for (const { host, usage } of hosts) {
-      const counters = this.#countersOf(host);
-      for (const { tokens, workspace } of usage) {
-        const previous = counters.get(workspace) ??
-          (this.#hasBaseline ? 0 : tokens);
-        counters.set(workspace, tokens);
-        this.#deduct(workspace, tokens - previous, now);
-      }
+  applyRemoteUsage(
+    term: number,
+    usage: readonly gateway.WorkspaceUsage[],
+    now: number,
+  ): void {
+    const isFirst = this.#remoteUsage === undefined;
+    const known = this.#remoteUsage?.term === term
+      ? this.#remoteUsage
+      : { term, tokens: new Map<string, number>() };
+    this.#remoteUsage = known;
+    for (const { tokens, workspace } of usage) {
+      const previous = known.tokens.get(workspace) ?? (isFirst ? tokens : 0);
+      known.tokens.set(workspace, tokens);
+      this.#deduct(workspace, tokens - previous, now);
     }
-    this.#hasBaseline ||= hosts.length > 0;
+  }
+
+  #localCounter(workspace: string): LocalCounter {
+    const counter = this.#localUsage.get(workspace) ??
+      { tokens: 0, acknowledged: 0 };
+    this.#localUsage.set(workspace, counter);
+    return counter;
   }
 
   #deduct(workspace: string, tokens: number, now: number): void {
@@ -139,22 +168,6 @@
     bucket.level = Math.min(bucket.rate.burst, bucket.level - tokens);
   }
 
-  /**
-   * Counters of a host, marked as the most recently used. They are kept while
-   * the host is silent; otherwise its usage would be deducted again when it
-   * reports the next time.
-   */
-  #countersOf(host: string): Map<string, number> {
-    const counters = this.#remoteUsage.get(host) ?? new Map<string, number>();
-    this.#remoteUsage.delete(host);
-    this.#remoteUsage.set(host, counters);
-    const oldest = this.#remoteUsage.keys().next();
-    if (this.#remoteUsage.size > MAX_HOSTS && !oldest.done) {
-      this.#remoteUsage.delete(oldest.value);
-    }
-    return counters;
-  }
-
   #refill(bucket: TokenBucket, now: number): void {
     const { burst, perSecond } = bucket.rate;
     const added = (now - bucket.refilledAt) / SECOND_MS * perSecond;
--- a/packages/core/test/gateway/shared_rate_limiter_test.ts
+++ b/packages/core/test/gateway/shared_rate_limiter_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import fastCheck from "fast-check";
-import { SharedRateLimiter } from "../../src/gateway/mod.ts";
+import { SharedRateLimiter, UsageTracker } from "../../src/gateway/mod.ts";
 
 const RATE = {
   unit: "tokens",
@@ -32,24 +32,46 @@
     expect(limiter.tryConsume("shop", 1, 2_100)).to.equal(true);
   });
 
-  it("deducts all usage of a host that starts later", () => {
+  it("deducts the usage of others since the last answer", () => {
     const limiter = new SharedRateLimiter();
     limiter.setRate("shop", RATE, 0);
-    limiter.applyRemoteUsage([{ host: "b", usage: [usageOf(500)] }], 0);
+    limiter.applyRemoteUsage(1, [usageOf(500)], 0);
     expect(limiter.tryConsume("shop", 600, 0)).to.equal(true);
-    limiter.applyRemoteUsage([{ host: "c", usage: [usageOf(400)] }], 0);
+    limiter.applyRemoteUsage(1, [usageOf(900)], 0);
     expect(limiter.tryConsume("shop", 1, 0)).to.equal(false);
   });
 
-  it("does not deduct usage twice after a silence of its host", () => {
+  it("does not deduct usage twice when the same sum is told again", () => {
     const limiter = new SharedRateLimiter();
     limiter.setRate("shop", RATE, 0);
-    limiter.applyRemoteUsage([{ host: "b", usage: [usageOf(500)] }], 0);
-    limiter.applyRemoteUsage([{ host: "c", usage: [usageOf(0)] }], 10);
-    limiter.applyRemoteUsage([{ host: "b", usage: [usageOf(500)] }], 20);
+    limiter.applyRemoteUsage(1, [usageOf(500)], 0);
+    limiter.applyRemoteUsage(1, [usageOf(500)], 20);
     expect(limiter.tryConsume("shop", 1_000, 20)).to.equal(true);
   });
 
+  it("deducts all that a new leader has summed since its term began", () => {
+    const limiter = new SharedRateLimiter();
+    limiter.setRate("shop", RATE, 0);
+    limiter.applyRemoteUsage(1, [usageOf(500)], 0);
+    limiter.applyRemoteUsage(2, [usageOf(400)], 0);
+    expect(limiter.tryConsume("shop", 601, 0)).to.equal(false);
+    expect(limiter.tryConsume("shop", 600, 0)).to.equal(true);
+  });
+
+  it("reports what has changed since the last answer", () => {
+    const limiter = new SharedRateLimiter();
+    limiter.tryConsume("shop", 300, 0);
+    const report = limiter.usage();
+    expect(report)
+      .to.deep.equal([{ workspace: "shop", tokens: 300, acknowledged: 0 }]);
+    limiter.tryConsume("shop", 50, 0);
+    limiter.acknowledgeUsage(report);
+    expect(limiter.usage())
+      .to.deep.equal([{ workspace: "shop", tokens: 350, acknowledged: 300 }]);
+    limiter.acknowledgeUsage(limiter.usage());
+    expect(limiter.usage()).to.deep.equal([]);
+  });
+
   it("exceeds the rate over all hosts by one exchange at most", () => {
     const arrivals = fastCheck.array(
       fastCheck.record({
@@ -82,7 +104,7 @@
   const hosts = Array.from({ length: 4 }, () => new SharedRateLimiter());
   for (const host of hosts) {
     host.setRate("shop", RATE, 0);
-    host.applyRemoteUsage([{ host: "none", usage: [] }], 0);
+    host.applyRemoteUsage(1, [], 0);
   }
   let now = 0;
   let admitted = 0;
@@ -90,10 +112,11 @@
   let tokensSinceExchange = 0;
   let maxPerExchange = 0;
   let nextExchangeAt = EXCHANGE_MS;
+  const tracker = new UsageTracker();
   for (const { gapMs, host, tokens } of steps) {
     now += gapMs;
     if (now >= nextExchangeAt) {
-      exchange(hosts, now);
+      exchange(tracker, hosts, now);
       nextExchangeAt = now + EXCHANGE_MS;
       tokensSinceExchange = 0;
     }
@@ -107,16 +130,18 @@
   return { overuse, maxPerExchange };
 }
 
-function exchange(hosts: readonly SharedRateLimiter[], now: number): void {
-  const reports = hosts.map((host, at) => ({
-    host: `h${at}`,
-    usage: host.usage(),
-  }));
+function exchange(
+  tracker: UsageTracker,
+  hosts: readonly SharedRateLimiter[],
+  now: number,
+): void {
+  hosts.forEach((host, at) => {
+    const usage = host.usage();
+    tracker.recordUsage(`h${at}`, usage);
+    host.acknowledgeUsage(usage);
+  });
   hosts.forEach((host, at) =>
-    host.applyRemoteUsage(
-      reports.filter((report) => report.host !== `h${at}`),
-      now,
-    )
+    host.applyRemoteUsage(1, tracker.othersUsage(`h${at}`, 0), now)
   );
 }
 
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -53,6 +53,8 @@
    * Orders of two hosts must not alternate at a server.
    */
   readonly orderTakeoverDelayMs: number;
+  /** Retries that all entry hosts together may send to each service. */
+  readonly retryBudget: core.gateway.FleetRetryBudget;
   readonly rpcServer: fleet.RpcServer;
   readonly rpcClient: fleet.RpcClient;
   readonly engineClient: types.EngineClient;
@@ -355,6 +357,7 @@
       metrics,
       name,
       orderTakeoverDelayMs,
+      retryBudget,
     } = this.#options;
     this.#coordinator = new fleetCoordinator.FleetCoordinator({
       host: name,
@@ -364,6 +367,7 @@
       engineClient,
       metrics,
       orderTakeoverDelayMs,
+      retryBudget,
       commit: (command) => this.#commit(command),
       state: () => this.#stateMachine.state,
       controlHosts: () =>
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -10,6 +10,7 @@
 import * as log from "../../log/mod.ts";
 import type * as metrics from "../metrics.ts";
 import * as orderExecutor from "./order_executor.ts";
+import * as limitLender from "./limit_lender.ts";
 import * as loadScheduler from "./load_scheduler.ts";
 import type * as types from "./types.ts";
 
@@ -29,8 +30,12 @@
   .electionTimeoutMinimumMs;
 /** Delay before another attempt to become the order holder, in ms. */
 const CLAIM_RETRY_MS = 200;
-/** Interval of the checks for silent servers, in milliseconds. */
+/** Interval of the checks for silent servers and hosts, in milliseconds. */
 const EXPIRY_CHECK_INTERVAL_MS = 1_000;
+const NO_INTEREST: core.gateway.HostInterest = {
+  waiting: new Set(),
+  used: new Set(),
+};
 
 /** Options of a fleet coordinator. */
 export interface FleetCoordinatorOptions {
@@ -45,6 +50,8 @@
    * of two hosts must not alternate at a server.
    */
   readonly orderTakeoverDelayMs: number;
+  /** Retries that all entry hosts together may send. */
+  readonly retryBudget: core.gateway.FleetRetryBudget;
   readonly state: () => core.gateway.GatewayState;
   readonly controlHosts: () => string[];
   hasLease(): boolean;
@@ -70,6 +77,10 @@
   readonly #registry = new core.gateway.ServerRegistry();
   readonly #demandTracker = new core.gateway.DemandTracker();
   readonly #usageTracker = new core.gateway.UsageTracker();
+  readonly #limitedWorkspaces = new core.gateway.LimitedWorkspaces();
+  readonly #lender: limitLender.LimitLender;
+  /** Models that each host has requests for, as of its last report. */
+  readonly #interests = new Map<string, core.gateway.HostInterest>();
   readonly #executor: orderExecutor.OrderExecutor;
   readonly #scheduler: loadScheduler.LoadScheduler;
   readonly #startedAt = performance.now();
@@ -79,6 +90,7 @@
     performance.now(),
     Date.now(),
   );
+  #entryConfiguration: gateway.Configuration | undefined;
   #ordersPausedUntil = 0;
   #claimTimer: NodeJS.Timeout | undefined;
   #collectTimer: NodeJS.Timeout | undefined;
@@ -94,9 +106,7 @@
       token: options.term,
       metrics: options.metrics,
       canSendOrders: () => this.#canSendOrders(),
-      engineOf: (service) =>
-        options.state().configuration?.services
-          .find(({ name }) => name === service)?.engine,
+      engineOf: (service) => this.#serviceOf(service)?.engine,
       onOrderFinished: () => this.#onChange(),
     });
     this.#scheduler = new loadScheduler.LoadScheduler({
@@ -107,10 +117,12 @@
       withdrawnDomains: () => options.state().withdrawnDomains,
       canSendOrders: () => this.#canSendOrders(),
     });
+    this.#lender = new limitLender.LimitLender({
+      retryBudget: options.retryBudget,
+      coldRequestsPerSecond: (server) => this.#coldRequestsPerSecond(server),
+    });
     this.#expiryTimer = timers.setInterval(
-      () => {
-        if (this.#registry.expire(performance.now())) this.#onChange();
-      },
+      () => this.#expire(),
       EXPIRY_CHECK_INTERVAL_MS,
     );
     options.metrics.leading.set(1);
@@ -141,9 +153,13 @@
     this.#onChange();
   }
 
-  /** Answers when something has changed, or after a timeout. */
+  /**
+   * Answers when something has changed that the host needs at once, or after a
+   * timeout with all changes.
+   */
   watch(request: gateway.WatchRequest): Promise<gateway.WatchResponse> {
-    if (this.#hasChanges(request)) {
+    this.#demandTracker.touch(request.host, performance.now());
+    if (this.#hasNews(request)) {
       return Promise.resolve(this.#createResponse(request));
     }
     return new Promise((resolve) => {
@@ -156,28 +172,35 @@
     });
   }
 
-  /** Records the report of a host; answers with data from all reports. */
+  /** Records the report of a host; answers with what it needs of the others. */
   report(report: gateway.ReportRequest): gateway.ReportResponse {
     const now = performance.now();
     const { revision } = this.#registry;
     this.#registry.mergeRecords(report.servers, now);
     this.#demandTracker.addReport(report, now);
-    const isWaiting = report.demand.some(({ slacksMs }) => slacksMs.length > 0);
-    if (isWaiting) this.#scheduler.requestPlan();
+    this.#interests.set(report.host, interestOf(report));
+    if (report.demand.some(({ slacksMs }) => slacksMs.length > 0)) {
+      this.#scheduler.requestPlan();
+    }
     if (this.#registry.revision !== revision) this.#onChange();
-    this.#usageTracker.recordUsage(report.host, report.usage);
-    const reports = this.#demandTracker.recentReports(now);
-    const hosts = reports.map(({ host }) => host);
-    this.#usageTracker.retainHosts(new Set(hosts));
+    this.#releaseWatchOf(report.host);
+    this.#recordUsage(report, now);
     const { term, usageRevision } = report.answered;
     return {
       term: this.term,
-      hosts,
-      usage: this.#usageTracker.changesSince(
+      hostCount: this.#demandTracker.hostCount,
+      usage: this.#usageTracker.othersUsage(
+        report.host,
         term === this.term ? usageRevision : 0,
       ),
       usageRevision: this.#usageTracker.revision,
-      load: totalLoad(reports),
+      load: this.#loadFor(report),
+      lent: this.#lender.lend(
+        this.#demandTracker.hostCount,
+        report.requests,
+        report.wanted,
+        now,
+      ),
     };
   }
 
@@ -229,12 +252,82 @@
     return performance.now() - this.#startedAt >= SETTLE_MS;
   }
 
+  #expire(): void {
+    const now = performance.now();
+    for (const host of this.#demandTracker.expire(now)) {
+      this.#interests.delete(host);
+    }
+    this.#updateLimitedWorkspaces(now);
+    if (this.#registry.expire(now)) this.#onChange();
+  }
+
+  #recordUsage({ host, usage }: gateway.ReportRequest, now: number): void {
+    const { configuration } = this.#options.state();
+    this.#limitedWorkspaces.setRates(configuration?.workspaces ?? [], now);
+    this.#usageTracker.recordUsage(
+      host,
+      usage,
+      (workspace, tokens) =>
+        this.#limitedWorkspaces.recordUsage(workspace, tokens, now),
+    );
+    this.#updateLimitedWorkspaces(now);
+  }
+
+  #updateLimitedWorkspaces(now: number): void {
+    if (!this.#limitedWorkspaces.update(now)) return;
+    write("limited-workspaces", {
+      names: [...this.#limitedWorkspaces.names].join(","),
+    });
+    this.#registry.bumpRevision();
+    this.#onChange();
+  }
+
+  /** Load of the servers that may take the requests of a report. */
+  #loadFor(
+    { demand, load, requests }: gateway.ReportRequest,
+  ): gateway.ServerLoad[] {
+    const models = new Set(demand.map(({ model }) => model));
+    const services = new Set(requests.map(({ service }) => service));
+    const ids = new Set(load.map(({ server }) => server));
+    return this.#registry.activeServers()
+      .filter((server) => {
+        if (ids.has(server.id)) return true;
+        return this.#serviceOf(server.service)?.engine === undefined
+          ? services.has(server.service)
+          : server.models.some(({ name }) => models.has(name));
+      })
+      .map(({ id }) => ({
+        server: id,
+        running: this.#demandTracker.loadOf(id),
+      }));
+  }
+
+  #coldRequestsPerSecond(id: string): number {
+    const service = this.#registry.get(id)?.service;
+    return service === undefined
+      ? 0
+      : this.#serviceOf(service)?.coldRequestsPerSecond ?? 0;
+  }
+
+  #serviceOf(name: string): gateway.Service | undefined {
+    return this.#options.state().configuration?.services
+      .find((service) => service.name === name);
+  }
+
+  #releaseWatchOf(host: string): void {
+    for (const pending of this.#pendingWatches) {
+      if (pending.request.host !== host) continue;
+      if (this.#hasNews(pending.request)) this.#release(pending);
+      return;
+    }
+  }
+
   #onChange(): void {
     this.#scheduler.requestPlan();
     this.#collectTimer ??= timers.setTimeout(() => {
       this.#collectTimer = undefined;
       for (const pending of [...this.#pendingWatches]) {
-        if (this.#hasChanges(pending.request)) this.#release(pending);
+        if (this.#hasNews(pending.request)) this.#release(pending);
       }
     }, COLLECT_MS);
   }
@@ -245,12 +338,17 @@
     pending.resolve(this.#createResponse(pending.request));
   }
 
-  #hasChanges(
-    { configuration, revision, term }: gateway.WatchRequest,
+  /** Whether there are changes that the host needs at once. */
+  #hasNews(
+    { configuration, host, revision, term }: gateway.WatchRequest,
   ): boolean {
     const version = this.#options.state().configuration?.version ?? null;
-    return term !== this.term || revision !== this.#registry.revision ||
-      (version !== null && version !== configuration);
+    return term !== this.term || this.#registry.urgentRevision > revision ||
+      (version !== null && version !== configuration) ||
+      this.#registry.concerns(
+        this.#interests.get(host) ?? NO_INTEREST,
+        revision,
+      );
   }
 
   #createResponse(request: gateway.WatchRequest): gateway.WatchResponse {
@@ -267,11 +365,30 @@
       isSettled: this.#isSettled,
       servers: this.#registry.changesSince(isWhole ? 0 : request.revision, now),
       withdrawnDomains: state.withdrawnDomains,
+      limitedWorkspaces: [...this.#limitedWorkspaces.names],
       controlHosts: this.#options.controlHosts(),
-      ...(isNewer ? { configuration } : {}),
+      ...(isNewer ? { configuration: this.#forEntryHosts(configuration) } : {}),
     };
   }
 
+  /**
+   * The configuration without the models of the engines. Only the leader uses
+   * them, and they are most of a document.
+   */
+  #forEntryHosts(configuration: gateway.Configuration): gateway.Configuration {
+    if (this.#entryConfiguration?.version !== configuration.version) {
+      this.#entryConfiguration = {
+        ...configuration,
+        services: configuration.services.map((service) =>
+          service.engine === undefined
+            ? service
+            : { ...service, engine: { ...service.engine, models: [] } }
+        ),
+      };
+    }
+    return this.#entryConfiguration;
+  }
+
   #logServer(relayed: gateway.ServerUpdate): void {
     if (relayed.kind === "ended") {
       write("server-ended", { server: relayed.id });
@@ -289,14 +406,15 @@
   }
 }
 
-function totalLoad(
-  reports: readonly gateway.ReportRequest[],
-): gateway.ServerLoad[] {
-  const totals = new Map<string, number>();
-  for (const { load } of reports) {
-    for (const { running, server } of load) {
-      totals.set(server, (totals.get(server) ?? 0) + running);
-    }
-  }
-  return [...totals].map(([server, running]) => ({ server, running }));
+function interestOf(
+  { demand }: gateway.ReportRequest,
+): core.gateway.HostInterest {
+  const waiting = demand.filter(({ slacksMs }) => slacksMs.length > 0)
+    .map(({ adapter, model }) =>
+      adapter === undefined ? model : core.gateway.adapterKey(model, adapter)
+    );
+  return {
+    waiting: new Set(waiting),
+    used: new Set(demand.map(({ model }) => model)),
+  };
 }
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -75,12 +75,9 @@
       one.service === service
     );
     const limiter = this.#storeLimiterOf(service, engine, now);
-    const running = countRunning(demandTracker.recentReports(now));
     const orders = core.gateway.planOrders({
       engine,
-      servers: servers.map((server) =>
-        this.#toPlannerServer(server, running, now)
-      ),
+      servers: servers.map((server) => this.#toPlannerServer(server, now)),
       demand,
       canLoadFromStore: limiter.admitsModelLoad(executor.activeStoreLoads, now),
       lastRequestedAt: demandTracker.lastRequestedAt,
@@ -115,11 +112,11 @@
 
   #toPlannerServer(
     server: gateway.Heartbeat,
-    running: ReadonlyMap<string, ReadonlyMap<string, number>>,
     now: number,
   ): core.gateway.PlannerServer {
-    const { executor, registry } = this.#options;
-    const hasHeartbeat =
+    const { demandTracker, executor, registry } = this.#options;
+    // What a server has on its disk is only known from the server itself.
+    const hasHeartbeat = registry.isHeard(server.id) &&
       registry.timeSinceHeartbeatMs(server.id, now) < SILENT_MS;
     const isWithdrawn = this.#options.withdrawnDomains()
       .includes(server.failureDomain);
@@ -130,33 +127,7 @@
       ...executor.status(server, now),
       inMemory: new Set(server.inMemory),
       onDisk: new Set(server.onDisk),
-      running: running.get(server.id) ?? new Map(),
+      running: demandTracker.runningOn(server.id),
     };
   }
 }
-
-/** Running requests by server, then by model and by `model/adapter`. */
-function countRunning(
-  reports: readonly gateway.ReportRequest[],
-): Map<string, Map<string, number>> {
-  const servers = new Map<string, Map<string, number>>();
-  for (const { load } of reports) {
-    for (const { adapter, model, running, server } of load) {
-      if (model === undefined) continue;
-      const counts = servers.get(server) ?? new Map<string, number>();
-      servers.set(server, counts);
-      add(counts, model, running);
-      if (adapter === undefined) continue;
-      add(counts, core.gateway.adapterKey(model, adapter), running);
-    }
-  }
-  return servers;
-}
-
-function add(
-  counts: Map<string, number>,
-  key: string,
-  count: number,
-): void {
-  counts.set(key, (counts.get(key) ?? 0) + count);
-}
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -158,7 +158,9 @@
       }
       const now = performance.now();
       if (progress.attempts === 0) retryBudgets.recordRequest(service, now);
-      else if (!retryBudgets.tryRetry(service, now)) {
+      else if (
+        !await retryBudgets.takeRetry(service, now, context.deadline - now)
+      ) {
         progress.reason += ", and the retry budget is used up";
         return this.#respondWithFailure(exchange, progress);
       }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -18,9 +18,16 @@
 import * as serverSelector from "./server_selector.ts";
 import * as serverTracker from "./server_tracker.ts";
 import type * as types from "./types.ts";
+import * as unitBorrower from "./unit_borrower.ts";
 
 const write = log.createLog("entry");
 
+/**
+ * Longest time that a request waits for the leader's count of its workspace's
+ * usage, in milliseconds.
+ */
+const USAGE_REFRESH_TIMEOUT_MS = 100;
+
 /** Settings and dependencies of an entry host. */
 export interface EntryHostOptions {
   /** Name and incarnation of this host. */
@@ -29,20 +36,20 @@
   readonly rpcClient: fleet.RpcClient;
   /** Fleet addresses of the control hosts to contact first. */
   seeds(): readonly string[];
-  readonly retryBudget: retryBudgets.FleetRetryBudget;
+  readonly retryBudget: core.gateway.FleetRetryBudget;
   readonly metrics: metrics.GatewayMetrics;
 }
 
 /** Accepts callers' requests and forwards them to backend servers. */
 export class EntryHost implements AsyncDisposable {
   readonly view = new fleetView.FleetView();
-  // The leader may unload models without running requests, so it has to learn
-  // early when the first request for a model starts and the last one ends.
   readonly #serverTracker = new serverTracker.ServerTracker(() =>
-    this.#leaderSync.reportSoon()
+    this.#hasNews = true
   );
   readonly #rateLimiter = new core.gateway.SharedRateLimiter();
-  readonly #coldLimiter = new core.gateway.ColdServerLimiter();
+  readonly #unitBorrower = new unitBorrower.UnitBorrower(() =>
+    this.#reportSoon()
+  );
   readonly #serverSelector: serverSelector.ServerSelector;
   readonly #retryBudgets: retryBudgets.RetryBudgets;
   readonly #requestHandler: requestHandler.RequestHandler;
@@ -51,6 +58,8 @@
   readonly #resources = new resources.ResourceStack();
   /** Admitted requests since the last report, by service, model and adapter. */
   #arrivals = new Map<string, ArrivalCount>();
+  /** Whether anything has changed since the last report. */
+  #hasNews = false;
 
   constructor(options: EntryHostOptions) {
     const { dialect, host, rpcClient, seeds } = options;
@@ -60,19 +69,26 @@
         host,
         leader: new fleet.LeaderClient(rpcClient, seeds),
         view: this.view,
+        hasNews: () => this.#hasNews || this.#unitBorrower.isWaiting,
         collectReport: () => this.#collectReport(),
-        onReportResponse: (response) => this.#onReportResponse(host, response),
+        onReportResponse: (response, report, requestedAt) =>
+          this.#onReportResponse(response, report, requestedAt),
+        onReportFailed: () => this.#hasNews = true,
       }),
     );
     this.#serverSelector = this.#resources.use(
       new serverSelector.ServerSelector({
         view: this.view,
         tracker: this.#serverTracker,
-        coldLimiter: this.#coldLimiter,
-        onQueued: () => this.#leaderSync.reportSoon(),
+        borrower: this.#unitBorrower,
+        onQueued: () => this.#reportSoon(),
+        onDequeued: () => this.#hasNews = true,
       }),
     );
-    this.#retryBudgets = new retryBudgets.RetryBudgets(options.retryBudget);
+    this.#retryBudgets = new retryBudgets.RetryBudgets(
+      options.retryBudget,
+      this.#unitBorrower,
+    );
     this.#requestHandler = new requestHandler.RequestHandler({
       dialect,
       view: this.view,
@@ -84,6 +100,7 @@
         retryBudgets: this.#retryBudgets,
         metrics: options.metrics,
       }),
+      refreshUsage: () => this.#leaderSync.refresh(USAGE_REFRESH_TIMEOUT_MS),
       onArrival: (context) => this.#countArrival(context),
     });
     this.view.on(
@@ -152,12 +169,23 @@
     this.#serverTracker.retain(new Set(listed));
   }
 
-  #onReportResponse(host: string, response: gateway.ReportResponse): void {
-    const otherHosts = response.usage.filter((one) => one.host !== host);
-    this.#rateLimiter.applyRemoteUsage(otherHosts, performance.now());
-    this.#retryBudgets.setHostCount(response.hosts.length);
-    this.#coldLimiter.setHosts(response.hosts, host);
-    this.#serverTracker.setFleetLoad(response.load);
+  #reportSoon(): void {
+    this.#hasNews = true;
+    this.#leaderSync.reportSoon();
+  }
+
+  #onReportResponse(
+    response: gateway.ReportResponse,
+    report: leaderSync.LocalReport,
+    requestedAt: core.gateway.ClockReading,
+  ): void {
+    const now = performance.now();
+    this.#rateLimiter.acknowledgeUsage(report.usage);
+    this.#rateLimiter.applyRemoteUsage(response.term, response.usage, now);
+    this.#retryBudgets.setHostCount(response.hostCount, now);
+    this.#serverTracker.applyFleetLoad(response.load);
+    this.#unitBorrower.onLent(response.lent, requestedAt);
+    this.#serverSelector.processQueue();
   }
 
   #countArrival({ metadata, service }: types.RequestContext): void {
@@ -168,15 +196,19 @@
       { service: service.name, model, adapter, count: 0 };
     arrivals.count += 1;
     this.#arrivals.set(key, arrivals);
+    this.#hasNews = true;
   }
 
   #collectReport(): leaderSync.LocalReport {
     const arrivals = this.#arrivals;
     this.#arrivals = new Map();
+    this.#hasNews = false;
     return {
       demand: this.#collectDemand(arrivals),
       usage: this.#rateLimiter.usage(),
       load: this.#serverTracker.ownLoad(),
+      requests: this.#retryBudgets.collectRequests(),
+      wanted: this.#unitBorrower.collectWanted(),
     };
   }
 
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -31,6 +31,7 @@
   #services = new Map<string, gateway.Service>();
   #workspacesByKey = new Map<string, gateway.Workspace>();
   #withdrawnDomains: ReadonlySet<string> = new Set();
+  #limitedWorkspaces: ReadonlySet<string> = new Set();
   #servers = new Map<string, KnownServer>();
   #serversByService = new Map<string, KnownServer[]>();
   #term = 0;
@@ -75,6 +76,11 @@
     return this.#withdrawnDomains.has(failureDomain);
   }
 
+  /** Whether the usage of a workspace over all hosts is near its rate. */
+  isWorkspaceLimited(workspace: string): boolean {
+    return this.#limitedWorkspaces.has(workspace);
+  }
+
   /** Servers of a service that accept new requests. */
   readyServers(service: string): KnownServer[] {
     return (this.#serversByService.get(service) ?? []).filter(({ record }) =>
@@ -104,6 +110,7 @@
     this.#revision = response.revision;
     this.#lastResponseAt = now;
     this.#withdrawnDomains = new Set(response.withdrawnDomains);
+    this.#limitedWorkspaces = new Set(response.limitedWorkspaces);
     this.#applyServers(response, now);
     if (response.configuration !== undefined) {
       this.#applyConfiguration(response.configuration);
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -1,14 +1,19 @@
 /**
  * Synchronizes an entry host with the leader of the control hosts.
  *
+ * The host watches the leader all the time, which also shows the leader that
+ * the host is alive. It reports only what is new.
+ *
  * @module
  */
 import * as timers from "node:timers/promises";
+import type * as core from "@ebonypath/core";
 import { gateway } from "@ebonypath/protocol";
 import * as v from "valibot";
 import type * as fleet from "../../fleet/mod.ts";
 import * as log from "../../log/mod.ts";
 import type * as fleetView from "./fleet_view.ts";
+import * as unitBorrower from "./unit_borrower.ts";
 
 const write = log.createLog("follower");
 
@@ -16,29 +21,45 @@
 const WATCH_LIMITS = { attemptMs: 1_600, totalMs: 3_200, retryable: true };
 /** Time limits of a report. */
 const REPORT_LIMITS = { attemptMs: 400, totalMs: 800, retryable: false };
-/** Interval between reports, in milliseconds. */
-const REPORT_INTERVAL_MS = 250;
+/** Shortest interval between reports that are not urgent, in milliseconds. */
+const MIN_REPORT_INTERVAL_MS = 250;
+/** Longest interval, in milliseconds, however many hosts there are. */
+const MAX_REPORT_INTERVAL_MS = 2_000;
+/** Reports per second that the leader gets from all hosts, unless urgent. */
+const FLEET_REPORTS_PER_SECOND = 400;
 /** Time over which requests for an early report are batched, in ms. */
 const EARLY_REPORT_DELAY_MS = 3;
 /** Delay after a failed watch call, in milliseconds. */
 const WATCH_RETRY_MS = 60;
+const SECOND_MS = 1_000;
 
 /** The part of a report that describes this host. */
-export type LocalReport = Pick<
+export type LocalReport = Omit<
   gateway.ReportRequest,
-  "demand" | "usage" | "load"
+  "host" | "answered" | "servers"
 >;
 
 /** Dependencies and callbacks of a `LeaderSync`. */
 export interface LeaderSyncOptions {
   /** Name and incarnation of this host. */
   readonly host: string;
-  readonly leader: fleet.LeaderClient;
+  readonly leader: Pick<
+    fleet.LeaderClient,
+    "call" | "leader" | "setControlHosts"
+  >;
   readonly view: fleetView.FleetView;
+  /** Whether there is anything to report. */
+  hasNews(): boolean;
   /** Collects the report of this host. */
   collectReport(): LocalReport;
-  /** Called with the leader's summary of all hosts' reports. */
-  onReportResponse(response: gateway.ReportResponse): void;
+  /** Called with the leader's answer to a report. */
+  onReportResponse(
+    response: gateway.ReportResponse,
+    report: LocalReport,
+    requestedAt: core.gateway.ClockReading,
+  ): void;
+  /** Called when a report was not answered. */
+  onReportFailed(): void;
 }
 
 /** Watches the leader for changes and reports to it until it is disposed. */
@@ -50,6 +71,9 @@
   #reportedTerm = 0;
   /** Term and usage revision of the last response to a report. */
   #acknowledged = { term: 0, usageRevision: 0 };
+  #reportIntervalMs = MIN_REPORT_INTERVAL_MS;
+  /** Waits for the next report that is sent and answered. */
+  #refreshes: (() => void)[] = [];
   /** Unknown until the first response or failure. */
   #isConnected: boolean | undefined;
 
@@ -67,6 +91,23 @@
     this.#earlyReport.abort();
   }
 
+  /**
+   * Reports early, and resolves when the leader has answered or after a time
+   * limit, in milliseconds.
+   */
+  async refresh(timeoutMs: number): Promise<void> {
+    const timeout = new AbortController();
+    const answered = new Promise<void>((resolve) =>
+      this.#refreshes.push(resolve)
+    );
+    this.reportSoon();
+    await Promise.race([
+      answered,
+      this.#sleep(timeoutMs, timeout.signal),
+    ]);
+    timeout.abort();
+  }
+
   [Symbol.dispose](): void {
     this.#disposed.abort();
     this.#earlyReport.abort();
@@ -110,21 +151,31 @@
 
   async #runReports(): Promise<void> {
     while (!this.#disposed.signal.aborted) {
-      await this.#sendReport();
-      await this.#sleep(REPORT_INTERVAL_MS, this.#earlyReport.signal);
-      if (this.#earlyReport.signal.aborted) {
+      const isEarly = this.#earlyReport.signal.aborted;
+      if (isEarly) {
         await this.#sleep(EARLY_REPORT_DELAY_MS);
         this.#earlyReport = new AbortController();
       }
+      if (isEarly || this.#isReportDue) await this.#sendReport();
+      await this.#sleep(this.#reportIntervalMs, this.#earlyReport.signal);
     }
   }
 
+  get #isReportDue(): boolean {
+    const { hasNews, view } = this.#options;
+    return hasNews() || view.term !== this.#reportedTerm;
+  }
+
   async #sendReport(): Promise<void> {
-    const { collectReport, host, leader, onReportResponse, view } =
+    const { collectReport, host, leader, onReportFailed, onReportResponse } =
       this.#options;
+    const { view } = this.#options;
+    const refreshes = this.#refreshes;
+    this.#refreshes = [];
     const report = collectReport();
     const isNewLeader = view.term !== this.#reportedTerm;
     const servers = isNewLeader ? view.serverRecords(performance.now()) : [];
+    const requestedAt = unitBorrower.readClocks();
     try {
       const answered = this.#acknowledged;
       const params = { host, ...report, answered, servers };
@@ -135,12 +186,15 @@
       if (isNewLeader && response.term === view.term) {
         this.#reportedTerm = response.term;
       }
-      const { term, usageRevision } = response;
+      const { hostCount, term, usageRevision } = response;
       this.#acknowledged = { term, usageRevision };
-      onReportResponse(response);
+      this.#reportIntervalMs = reportInterval(hostCount);
+      onReportResponse(response, report, requestedAt);
     } catch (error) {
       this.#recordConnectionLoss(error);
+      onReportFailed();
     }
+    for (const resolve of refreshes) resolve();
   }
 
   /** Resolves after a delay, or early on disposal or on the given signal. */
@@ -153,3 +207,17 @@
     await timers.setTimeout(ms, undefined, { signal }).catch(() => undefined);
   }
 }
+
+/**
+ * Interval between reports, in milliseconds. It grows with the number of hosts,
+ * so that the leader's work does not.
+ */
+function reportInterval(hostCount: number): number {
+  return Math.min(
+    MAX_REPORT_INTERVAL_MS,
+    Math.max(
+      MIN_REPORT_INTERVAL_MS,
+      hostCount / FLEET_REPORTS_PER_SECOND * SECOND_MS,
+    ),
+  );
+}
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -45,6 +45,8 @@
   readonly view: fleetView.FleetView;
   readonly dispatcher: dispatcher.Dispatcher;
   readonly rateLimiter: core.gateway.SharedRateLimiter;
+  /** Resolves when the leader has told the usage of all hosts, or in vain. */
+  refreshUsage(): Promise<void>;
   /** Called with each request that is admitted. */
   onArrival(context: types.RequestContext): void;
 }
@@ -107,6 +109,8 @@
     if (body === "broken") return;
     await this.#waitForConfiguration(metadata, response);
     if (response.destroyed) return;
+    await this.#refreshLimitedUsage(metadata);
+    if (response.destroyed) return;
     const admission = this.#admit(request, metadata, arrivedAt);
     if (admission.kind === "refused") {
       return this.#refuse(response, metadata, admission.refusal);
@@ -147,6 +151,21 @@
     abortController.abort();
   }
 
+  /**
+   * Asks the leader for the usage of a workspace that is near its rate. What
+   * this host knows may be older than the requests that other hosts admitted.
+   */
+  async #refreshLimitedUsage(
+    { key }: types.RequestMetadata,
+  ): Promise<void> {
+    const { refreshUsage, view } = this.#options;
+    const workspace = key === undefined ? undefined : view.workspaceForKey(key);
+    if (workspace === undefined || !view.isWorkspaceLimited(workspace.name)) {
+      return;
+    }
+    await refreshUsage();
+  }
+
   async #dispatch(
     request: http.IncomingMessage,
     response: http.ServerResponse,
--- a/packages/daemon/src/gateway/entry/retry_budgets.ts
+++ b/packages/daemon/src/gateway/entry/retry_budgets.ts
@@ -1,42 +1,53 @@
 /**
- * Limits the retries of this host to its share of the fleet's retry budget.
+ * Limits the retries of this host to its part of the fleet's retry budget.
+ *
+ * In a small fleet each host has a share of its own. Where a share would be less
+ * than one retry, hosts borrow retries from the leader.
  *
  * @module
  */
 import * as core from "@ebonypath/core";
+import type { gateway } from "@ebonypath/protocol";
+import type * as unitBorrower from "./unit_borrower.ts";
 
-/**
- * Fraction of the fleet's budget that hosts use. The rest covers the delay with
- * which hosts learn of changes, such as a new number of hosts.
- */
-const USED_FRACTION = 0.6;
-
-/** Retries that all hosts together may send to each service. */
-export interface FleetRetryBudget {
-  /** Retries per request. */
-  readonly ratio: number;
-  /** Additional retries in each window. */
-  readonly slack: number;
-  /** Length of a window, in milliseconds. */
-  readonly windowMs: number;
-}
-
-const SECOND_MS = 1_000;
+/** Longest wait for a borrowed retry, in milliseconds. */
+const BORROW_TIMEOUT_MS = 300;
 
 /** Retry budgets of one host, by service. */
 export class RetryBudgets {
-  readonly #fleetBudget: FleetRetryBudget;
+  readonly #fleetBudget: core.gateway.FleetRetryBudget;
+  readonly #borrower: Pick<unitBorrower.UnitBorrower, "take">;
   readonly #budgets = new Map<string, core.routing.RetryBudget>();
-  #hostCount = 1;
+  /** First attempts since the last report, by service. */
+  #requests = new Map<string, number>();
+  /** Numbers of hosts that were told within the last window. */
+  #hostCounts: { readonly count: number; readonly at: number }[] = [];
+  #hostCount = Infinity;
 
-  constructor(fleetBudget: FleetRetryBudget) {
+  constructor(
+    fleetBudget: core.gateway.FleetRetryBudget,
+    borrower: Pick<unitBorrower.UnitBorrower, "take">,
+  ) {
     this.#fleetBudget = fleetBudget;
+    this.#borrower = borrower;
   }
 
-  /** Sets the number of hosts that share the fleet's budget. */
-  setHostCount(hostCount: number): void {
-    if (hostCount === this.#hostCount || hostCount < 1) return;
-    this.#hostCount = hostCount;
+  /**
+   * Sets the number of hosts that share the fleet's budget. A smaller number
+   * takes effect after a window: a new leader has not heard of all hosts yet.
+   */
+  setHostCount(count: number, now: number): void {
+    if (count < 1) return;
+    const oldest = now - this.#fleetBudget.windowMs;
+    this.#hostCounts = [
+      ...this.#hostCounts.filter((told) =>
+        told.at > oldest && told.count > count
+      ),
+      { count, at: now },
+    ];
+    const largest = Math.max(...this.#hostCounts.map((told) => told.count));
+    if (largest === this.#hostCount) return;
+    this.#hostCount = largest;
     for (const budget of this.#budgets.values()) {
       budget.setOptions(this.#budgetOptions());
     }
@@ -44,25 +55,46 @@
 
   /** Records the first attempt of a request. */
   recordRequest(service: string, now: number): void {
-    this.#budgetOf(service, now).deposit();
+    this.#requests.set(service, (this.#requests.get(service) ?? 0) + 1);
+    if (!this.#isLent) this.#budgetOf(service, now).deposit();
   }
 
-  /** Takes a retry from the budget; returns false if none is left. */
+  /** First attempts since the last call, for the report to the leader. */
+  collectRequests(): gateway.RequestCount[] {
+    const requests = this.#requests;
+    this.#requests = new Map();
+    return [...requests].map(([service, count]) => ({ service, count }));
+  }
+
+  /** Takes a retry of this host's own share; false if there is none. */
   tryRetry(service: string, now: number): boolean {
-    return this.#budgetOf(service, now).tryWithdraw(now);
+    return !this.#isLent && this.#budgetOf(service, now).tryWithdraw(now);
+  }
+
+  /** Takes a retry, borrowed where hosts have no share of their own. */
+  async takeRetry(
+    service: string,
+    now: number,
+    remainingMs: number,
+  ): Promise<boolean> {
+    if (!this.#isLent) return this.tryRetry(service, now);
+    const timeoutMs = Math.min(BORROW_TIMEOUT_MS, remainingMs);
+    if (timeoutMs <= 0) return false;
+    return await this.#borrower.take("retries", service, timeoutMs);
+  }
+
+  get #isLent(): boolean {
+    return core.gateway.areRetriesLent(this.#fleetBudget, this.#hostCount);
   }
 
-  /**
-   * Half of this host's share of the slack, but at least one retry, may be saved
-   * up for a burst; the other half accrues at a constant rate.
-   */
   #budgetOptions(): core.routing.RetryBudgetOptions {
-    const { ratio, slack, windowMs } = this.#fleetBudget;
-    const hostSlack = slack * USED_FRACTION / this.#hostCount;
+    const { burst, perRequest, perSecond } = core.gateway.retryAllowance(
+      this.#fleetBudget,
+    );
     return {
-      ratio: ratio * USED_FRACTION,
-      burst: Math.max(1, hostSlack / 2),
-      minPerSecond: hostSlack / 2 / (windowMs / SECOND_MS),
+      ratio: perRequest,
+      burst: burst / this.#hostCount,
+      minPerSecond: perSecond / this.#hostCount,
     };
   }
 
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -5,11 +5,12 @@
  * @module
  */
 import * as timers from "node:timers";
-import type * as core from "@ebonypath/core";
+import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import type * as fleetView from "./fleet_view.ts";
 import type * as serverTracker from "./server_tracker.ts";
 import type * as types from "./types.ts";
+import type * as unitBorrower from "./unit_borrower.ts";
 
 /**
  * Requests in flight per slot that a plain server may get; it queues a few
@@ -19,12 +20,11 @@
 /** Interval at which the queue is processed, in milliseconds. */
 const QUEUE_INTERVAL_MS = 20;
 /**
- * By how much the utilization of the server that last processed the same prompt
- * prefix may exceed that of the least utilized one.
+ * By how much the utilization of a selected server may exceed that of the least
+ * utilized one. Within it, hosts with the same outdated counts spread their
+ * requests instead of all choosing the same server.
  */
-const AFFINITY_TOLERANCE = 0.15;
-/** Prompt prefixes whose last server is remembered. */
-const MAX_PREFIXES = 4_096;
+const UTILIZATION_TOLERANCE = 0.15;
 
 /** A request that waits for a server. */
 type QueuedRequest = {
@@ -36,17 +36,17 @@
 export interface ServerSelectorOptions {
   readonly view: fleetView.FleetView;
   readonly tracker: serverTracker.ServerTracker;
-  readonly coldLimiter: core.gateway.ColdServerLimiter;
+  readonly borrower: Pick<unitBorrower.UnitBorrower, "tryTake" | "want">;
   /** Called when a request is queued. */
   onQueued(): void;
+  /** Called when a request leaves the queue. */
+  onDequeued(): void;
 }
 
 /** Selects servers and holds the queue of requests that wait for one. */
 export class ServerSelector implements Disposable {
   readonly #options: ServerSelectorOptions;
   readonly #queue = new Set<QueuedRequest>();
-  /** Server that last processed each prompt prefix. */
-  readonly #serversByPrefix = new Map<string, string>();
   #interval: NodeJS.Timeout | undefined;
 
   constructor(options: ServerSelectorOptions) {
@@ -93,6 +93,7 @@
       const server = isExpired ? undefined : this.#findServer(context, now);
       if (server === undefined && !isExpired) continue;
       this.#queue.delete(queued);
+      this.#options.onDequeued();
       queued.resolve(server);
     }
   }
@@ -122,70 +123,41 @@
   ): gateway.ServerRecord | undefined {
     const { tracker, view } = this.#options;
     const eligible = view.readyServers(context.service.name)
-      .filter((known) => this.#isWithinColdLimit(known, context, now))
-      .map(({ record }) => record)
-      .filter((record) => hasModel(record, context))
-      .filter(({ id }) => !tracker.isModelMissing(id, context, now));
-    const healthy = eligible.filter(({ id }) =>
+      .filter(({ record }) => hasModel(record, context))
+      .filter(({ record }) => !tracker.isModelMissing(record.id, context, now));
+    const healthy = eligible.filter(({ record: { id } }) =>
       !tracker.isEjected(id, now) && !context.failedServers.has(id)
     );
+    const maxUtilization = context.service.engine ? 1 : MAX_PLAIN_UTILIZATION;
     const candidates = (healthy.length > 0 ? healthy : eligible)
-      .map((record) => ({ record, utilization: this.#utilization(record) }))
-      .filter(({ utilization }) =>
-        utilization < (context.service.engine ? 1 : MAX_PLAIN_UTILIZATION)
-      );
-    const selected = this.#selectCandidate(context, candidates);
-    if (selected !== undefined && selected.coldMs > 0) {
-      this.#options.coldLimiter.recordRequest(selected.id, now);
-    }
-    return selected;
-  }
-
-  /**
-   * Whether a server may get another request while it is cold: it fails under
-   * more than a few requests per second then.
-   */
-  #isWithinColdLimit(
-    { lastHeartbeatAt, record }: fleetView.KnownServer,
-    { service }: types.RequestContext,
-    now: number,
-  ): boolean {
-    const isWarm = now - lastHeartbeatAt > record.coldMs;
-    const { coldRequestsPerSecond } = service;
-    return isWarm || coldRequestsPerSecond === 0 ||
-      this.#options.coldLimiter.allows(record.id, coldRequestsPerSecond, now);
+      .map((known) => ({
+        id: known.record.id,
+        record: known.record,
+        utilization: this.#utilization(known.record),
+        isCold: isCold(known, context, now),
+      }))
+      .filter(({ utilization }) => utilization < maxUtilization);
+    const warm = candidates.filter((one) => !one.isCold);
+    return selectCandidate(context, warm)?.record ??
+      this.#selectCold(context, candidates);
   }
 
   /**
-   * Selects the least utilized candidate, or the server that last processed the
-   * prompt prefix where its utilization is close to that.
+   * Selects a server that is cold: it fails under more than a few requests per
+   * second then, so each request needs a unit of a limit for all hosts.
    */
-  #selectCandidate(
-    { metadata }: types.RequestContext,
-    candidates: { record: gateway.ServerRecord; utilization: number }[],
+  #selectCold(
+    context: types.RequestContext,
+    candidates: readonly Candidate[],
   ): gateway.ServerRecord | undefined {
-    const leastUtilized =
-      candidates.sort((one, other) => one.utilization - other.utilization)[0];
-    const { prefixKey } = metadata;
-    if (prefixKey === undefined || leastUtilized === undefined) {
-      return leastUtilized?.record;
-    }
-    const previousId = this.#serversByPrefix.get(prefixKey);
-    const previous = candidates.find(({ record }) => record.id === previousId);
-    const isPreferred = previous !== undefined &&
-      previous.utilization <= leastUtilized.utilization + AFFINITY_TOLERANCE;
-    const selected = isPreferred ? previous.record : leastUtilized.record;
-    this.#rememberServer(prefixKey, selected.id);
-    return selected;
-  }
-
-  #rememberServer(prefixKey: string, server: string): void {
-    this.#serversByPrefix.delete(prefixKey);
-    this.#serversByPrefix.set(prefixKey, server);
-    const oldest = this.#serversByPrefix.keys().next();
-    if (this.#serversByPrefix.size > MAX_PREFIXES && !oldest.done) {
-      this.#serversByPrefix.delete(oldest.value);
-    }
+    const { borrower } = this.#options;
+    const withUnit = candidates.find(({ id }) =>
+      borrower.tryTake("cold-server", id)
+    );
+    if (withUnit !== undefined) return withUnit.record;
+    const selected = selectCandidate(context, candidates);
+    if (selected !== undefined) borrower.want("cold-server", selected.id);
+    return undefined;
   }
 
   /** Requests in flight per slot. */
@@ -194,6 +166,31 @@
   }
 }
 
+/** A server that may take a request. */
+type Candidate = core.gateway.BalancedServer & {
+  readonly record: gateway.ServerRecord;
+  readonly isCold: boolean;
+};
+
+function selectCandidate(
+  { metadata }: types.RequestContext,
+  candidates: readonly Candidate[],
+): Candidate | undefined {
+  // Without a prompt prefix, any of the least utilized servers is as good.
+  const key = metadata.prefixKey ?? metadata.id ?? "";
+  return core.gateway.selectBalanced(candidates, key, UTILIZATION_TOLERANCE);
+}
+
+/** Whether a server has not warmed up yet and has a limit until then. */
+function isCold(
+  { lastHeartbeatAt, record }: fleetView.KnownServer,
+  { service }: types.RequestContext,
+  now: number,
+): boolean {
+  return service.coldRequestsPerSecond > 0 &&
+    now - lastHeartbeatAt <= record.coldMs;
+}
+
 /**
  * Whether a server has the model and adapter that a request needs, and is not
  * about to unload the model.
--- a/packages/daemon/src/gateway/entry/server_tracker.ts
+++ b/packages/daemon/src/gateway/entry/server_tracker.ts
@@ -32,27 +32,25 @@
   count: number;
 };
 
+/** Requests of other hosts at one server. */
+type FleetLoad = { readonly others: number };
+
 /** Tracks requests in flight and failures by server. */
 export class ServerTracker {
-  readonly #onModelActivity: () => void;
+  readonly #onLoadChange: () => void;
   readonly #failureRecords = new Map<string, FailureRecord>();
   /** Requests of this host by server, model and adapter. */
   readonly #inFlight = new Map<string, InFlight>();
   /** Requests of this host by server. */
   readonly #ownLoad = new Map<string, number>();
-  /** Requests of all hosts by server, from the leader's last response. */
-  #fleetLoad = new Map<string, number>();
-  /** Requests of this host by server when that response arrived. */
-  #ownLoadAtUpdate = new Map<string, number>();
+  /** Load of servers over all hosts, as last told by the leader. */
+  readonly #fleetLoad = new Map<string, FleetLoad>();
   /** Monotonic times until which models count as missing at a server. */
   readonly #missingModels = new Map<string, number>();
 
-  /**
-   * @param onModelActivity called when a server starts the first or ends the
-   * last request of this host for a model
-   */
-  constructor(onModelActivity: () => void) {
-    this.#onModelActivity = onModelActivity;
+  /** @param onLoadChange called when a request of this host starts or ends */
+  constructor(onLoadChange: () => void) {
+    this.#onLoadChange = onLoadChange;
   }
 
   /** Counts a request as in flight until the returned function is called. */
@@ -65,7 +63,7 @@
     const inFlight = this.#inFlight.get(key) ??
       { server, model, adapter, count: 0 };
     inFlight.count += 1;
-    if (inFlight.count === 1 && model !== undefined) this.#onModelActivity();
+    this.#onLoadChange();
     this.#inFlight.set(key, inFlight);
     this.#ownLoad.set(server, (this.#ownLoad.get(server) ?? 0) + 1);
     let isEnded = false;
@@ -73,10 +71,8 @@
       if (isEnded) return;
       isEnded = true;
       inFlight.count -= 1;
-      if (inFlight.count === 0) {
-        this.#inFlight.delete(key);
-        if (model !== undefined) this.#onModelActivity();
-      }
+      if (inFlight.count === 0) this.#inFlight.delete(key);
+      this.#onLoadChange();
       this.#ownLoad.set(server, (this.#ownLoad.get(server) ?? 1) - 1);
     };
   }
@@ -91,13 +87,6 @@
     }));
   }
 
-  /** Number of this host's requests in flight for a model. */
-  runningRequests(model: string, adapter: string | undefined): number {
-    return [...this.#inFlight.values()]
-      .filter((one) => one.model === model && one.adapter === adapter)
-      .reduce((sum, { count }) => sum + count, 0);
-  }
-
   /** Models and adapters with requests in flight. */
   *runningModels(): Generator<InFlight> {
     for (const one of this.#inFlight.values()) {
@@ -105,22 +94,21 @@
     }
   }
 
-  /** Sets the number of requests of all hosts at each server. */
-  setFleetLoad(load: readonly gateway.ServerLoad[]): void {
-    this.#fleetLoad = new Map(
-      load.map(({ running, server }) => [server, running]),
-    );
-    this.#ownLoadAtUpdate = new Map(this.#ownLoad);
+  /** Applies the leader's counts of the requests of all hosts. */
+  applyFleetLoad(load: readonly gateway.ServerLoad[]): void {
+    for (const { running, server } of load) {
+      const own = this.#ownLoad.get(server) ?? 0;
+      this.#fleetLoad.set(server, { others: Math.max(0, running - own) });
+    }
   }
 
   /**
    * Estimates the requests in flight at a server: this host's current ones, and
-   * those of other hosts from the leader's last response.
+   * those that other hosts had when the leader last told.
    */
   loadOf(server: string): number {
-    const own = this.#ownLoad.get(server) ?? 0;
-    const fleet = this.#fleetLoad.get(server) ?? 0;
-    return own + Math.max(0, fleet - (this.#ownLoadAtUpdate.get(server) ?? 0));
+    return (this.#ownLoad.get(server) ?? 0) +
+      (this.#fleetLoad.get(server)?.others ?? 0);
   }
 
   /** Ends the ejection of a server and resets its failure count. */
@@ -170,6 +158,9 @@
     for (const server of this.#failureRecords.keys()) {
       if (!servers.has(server)) this.#failureRecords.delete(server);
     }
+    for (const server of this.#fleetLoad.keys()) {
+      if (!servers.has(server)) this.#fleetLoad.delete(server);
+    }
     for (const [server, count] of this.#ownLoad) {
       if (count === 0 && !servers.has(server)) this.#ownLoad.delete(server);
     }
--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -79,8 +79,6 @@
     state: "ready",
     coldMs: 0,
     models: [],
-    inMemory: [],
-    onDisk: [],
     silentMs: 0,
     leaving: [],
   };
@@ -174,15 +172,16 @@
     signal: abortController.signal,
     failedServers: new Set(),
   };
+  const budgets = new retryBudgets.RetryBudgets(
+    { ratio: 1, slack: 100, windowMs: 1_000 },
+    { take: () => Promise.resolve(false) },
+  );
+  budgets.setHostCount(1, performance.now());
   await new dispatcher.Dispatcher({
     dialect: DIALECT,
     selector,
     tracker: new serverTracker.ServerTracker(() => {}),
-    retryBudgets: new retryBudgets.RetryBudgets({
-      ratio: 1,
-      slack: 100,
-      windowMs: 1_000,
-    }),
+    retryBudgets: budgets,
     metrics: new GatewayMetrics(),
   }).serve({ context, request, body: undefined, response });
 }
--- /dev/null
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -0,0 +1,273 @@
+import * as timers from "node:timers/promises";
+import * as core from "@ebonypath/core";
+import type { gateway } from "@ebonypath/protocol";
+import { expect } from "chai";
+import * as fleetCoordinator from "../../src/gateway/control/fleet_coordinator.ts";
+import { GatewayMetrics } from "../../src/gateway/metrics.ts";
+
+const TERM = 2;
+/** Time in which a change is told to the hosts that need it, in ms. */
+const PROMPT_MS = 100;
+const MODELS = Array.from({ length: 40 }, (_, index) => `m${index}`);
+
+function server(
+  id: string,
+  overrides: Partial<gateway.Heartbeat> = {},
+): gateway.Heartbeat {
+  return {
+    id,
+    born: 1,
+    sequence: 1,
+    service: "advice",
+    address: `10.0.0.${id.slice(1)}:80`,
+    failureDomain: "a",
+    slots: 8,
+    state: "ready",
+    coldMs: 0,
+    models: [],
+    inMemory: [],
+    onDisk: [],
+    ...overrides,
+  };
+}
+
+function loaded(...names: string[]): gateway.LoadedModel[] {
+  return names.map((name) => ({ name, version: 1, adapters: [] }));
+}
+
+function report(
+  host: string,
+  overrides: Partial<gateway.ReportRequest> = {},
+): gateway.ReportRequest {
+  return {
+    host,
+    demand: [],
+    usage: [],
+    load: [],
+    requests: [],
+    wanted: [],
+    answered: { term: 0, usageRevision: 0 },
+    servers: [],
+    ...overrides,
+  };
+}
+
+function demand(model: string, slacksMs: number[]): gateway.ModelDemand {
+  return {
+    service: "advice",
+    model,
+    slacksMs,
+    running: slacksMs.length === 0 ? 1 : 0,
+    arrivals: 1,
+  };
+}
+
+/** A leader that gives no orders. */
+function createCoordinator(): fleetCoordinator.FleetCoordinator {
+  const state = new core.gateway.GatewayState();
+  state.apply({
+    kind: "configure",
+    source: "",
+    configuration: {
+      version: 1,
+      routes: [],
+      services: [{
+        name: "advice",
+        maxConnections: 8,
+        coldRequestsPerSecond: 0,
+        engine: {
+          slots: 8,
+          memoryTokens: 1_000,
+          weightsMb: 30,
+          adapterPlaces: 1,
+          storeLoadsPerSecond: 1,
+          models: MODELS.map((name) => ({
+            name,
+            weightsMb: 10,
+            storeLoadMs: 60,
+            diskLoadMs: 20,
+            memoryLoadMs: 20,
+            adapters: 0,
+            adapterMb: 0,
+          })),
+        },
+      }],
+      limits: {
+        headerBytes: 1,
+        bodyBytes: 1,
+        headerTimeoutMs: 1,
+        idleTimeoutMs: 1,
+      },
+      workspaces: [{
+        name: "shop",
+        keys: ["k"],
+        rate: {
+          unit: "tokens",
+          perSecond: 1_000,
+          burst: 1_000,
+          plainTokens: 1,
+        },
+      }],
+    },
+  });
+  return new fleetCoordinator.FleetCoordinator({
+    host: "control-1",
+    orderHolder: "control-1",
+    orderTakeoverDelayMs: 60_000,
+    retryBudget: { ratio: 0.2, slack: 54, windowMs: 10_000 },
+    term: TERM,
+    engineClient: {
+      order: () => Promise.resolve({ kind: "accepted" }),
+      report: () => Promise.reject(new Error("no report")),
+    },
+    metrics: new GatewayMetrics(),
+    state: () => state,
+    controlHosts: () => [],
+    hasLease: () => false,
+    commit: () => Promise.resolve(),
+  });
+}
+
+/** A host that watches the leader from its current revision. */
+class Watcher {
+  /** Responses after the first, complete one. */
+  responses: gateway.WatchResponse[] = [];
+  readonly #coordinator: fleetCoordinator.FleetCoordinator;
+  readonly #host: string;
+
+  constructor(
+    coordinator: fleetCoordinator.FleetCoordinator,
+    host: string,
+  ) {
+    this.#coordinator = coordinator;
+    this.#host = host;
+  }
+
+  async start(): Promise<void> {
+    const first = await this.#coordinator.watch({
+      host: this.#host,
+      term: 0,
+      revision: 0,
+      configuration: null,
+    });
+    void this.#coordinator.watch({
+      host: this.#host,
+      term: TERM,
+      revision: first.revision,
+      configuration: 1,
+    }).then((response) => this.responses.push(response));
+  }
+}
+
+describe("a fleet coordinator", () => {
+  let coordinator: fleetCoordinator.FleetCoordinator;
+  let waiting: Watcher;
+  let idle: Watcher;
+
+  beforeEach(async () => {
+    coordinator = createCoordinator();
+    coordinator.handleHeartbeat({
+      kind: "heartbeat",
+      heartbeat: server("s1", { models: loaded("m1") }),
+    });
+    coordinator.report(report("waiting", { demand: [demand("m2", [500])] }));
+    coordinator.report(report("idle"));
+    waiting = new Watcher(coordinator, "waiting");
+    idle = new Watcher(coordinator, "idle");
+    await waiting.start();
+    await idle.start();
+  });
+
+  afterEach(() => coordinator[Symbol.dispose]());
+
+  function change(overrides: Partial<gateway.Heartbeat>): void {
+    coordinator.handleHeartbeat({
+      kind: "heartbeat",
+      heartbeat: server("s1", {
+        sequence: 2,
+        models: loaded("m1"),
+        ...overrides,
+      }),
+    });
+  }
+
+  it("tells a loaded model at once to the hosts that wait for it", async () => {
+    change({ models: loaded("m1", "m2") });
+    await timers.setTimeout(PROMPT_MS);
+    expect(waiting.responses).to.have.length(1);
+    expect(waiting.responses[0]?.servers[0]?.models).to.have.length(2);
+    expect(idle.responses).to.have.length(0);
+  });
+
+  it("tells a draining server at once to all hosts", async () => {
+    change({ state: "draining" });
+    await timers.setTimeout(PROMPT_MS);
+    expect(waiting.responses).to.have.length(1);
+    expect(idle.responses).to.have.length(1);
+  });
+
+  it("tells all changes to all hosts within a second", async () => {
+    change({ models: loaded("m1", "m3") });
+    await timers.setTimeout(1_000 + PROMPT_MS);
+    expect(idle.responses[0]?.servers[0]?.models).to.have.length(2);
+  });
+
+  it("answers a host that begins to wait for a model that it doesn't know of", async () => {
+    change({ models: loaded("m1", "m3") });
+    await timers.setTimeout(PROMPT_MS);
+    expect(idle.responses).to.have.length(0);
+    coordinator.report(report("idle", { demand: [demand("m3", [500])] }));
+    await timers.setTimeout(PROMPT_MS);
+    expect(idle.responses).to.have.length(1);
+  });
+
+  it("tells nobody of copies on disks", async () => {
+    change({ onDisk: ["m2", "m3"] });
+    await timers.setTimeout(PROMPT_MS);
+    expect(waiting.responses).to.have.length(0);
+  });
+
+  it("tells all hosts of a workspace near its rate", async () => {
+    coordinator.report(report("waiting", {
+      usage: [{ workspace: "shop", tokens: 800, acknowledged: 0 }],
+    }));
+    await timers.setTimeout(PROMPT_MS);
+    expect(idle.responses[0]?.limitedWorkspaces).to.deep.equal(["shop"]);
+  });
+
+  it("sends entry hosts no models of the engines", async () => {
+    const response = await coordinator.watch({
+      host: "new",
+      term: 0,
+      revision: 0,
+      configuration: null,
+    });
+    const engine = response.configuration?.services[0]?.engine;
+    expect(engine?.models).to.deep.equal([]);
+    expect(engine?.slots).to.equal(8);
+  });
+
+  it("answers a report in a size that doesn't grow with hosts and servers", () => {
+    const answer = () =>
+      JSON.stringify(coordinator.report(report("waiting", {
+        demand: [demand("m2", [500])],
+        usage: [{ workspace: "shop", tokens: 5, acknowledged: 0 }],
+      }))).length;
+    const before = answer();
+    for (let index = 2; index < 90; index += 1) {
+      const id = `s${index}`;
+      coordinator.handleHeartbeat({
+        kind: "heartbeat",
+        heartbeat: server(id, {
+          models: loaded(MODELS[index % 30 + 5] ?? "m9"),
+        }),
+      });
+      coordinator.report(report(`h${index}`, {
+        load: [{ server: id, model: "m9", running: 2 }],
+        usage: [{ workspace: "shop", tokens: 1, acknowledged: 0 }],
+      }));
+    }
+    // Only the digits of the counts differ.
+    expect(answer()).to.be.at.most(before + 20);
+  });
+});
--- a/packages/daemon/test/gateway/order_holder_test.ts
+++ b/packages/daemon/test/gateway/order_holder_test.ts
@@ -68,6 +68,8 @@
   }],
   usage: [],
   load: [],
+  requests: [],
+  wanted: [],
   answered: { term: 0, usageRevision: 0 },
   servers: [],
 };
@@ -94,6 +96,7 @@
       host: "control-1",
       orderHolder: OWN_HOLDER,
       orderTakeoverDelayMs: TAKEOVER_DELAY_MS,
+      retryBudget: { ratio: 0.2, slack: 54, windowMs: 10_000 },
       term: 2,
       engineClient: {
         order: () => {
--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -18,6 +18,7 @@
   isSettled: true,
   servers: [],
   withdrawnDomains: [],
+  limitedWorkspaces: [],
   controlHosts: [],
   configuration: {
     version: 1,
@@ -74,6 +75,7 @@
       view: this.view,
       dispatcher: { serve } as unknown as dispatcher.Dispatcher,
       rateLimiter: new core.gateway.SharedRateLimiter(),
+      refreshUsage: () => Promise.resolve(),
       onArrival: () => undefined,
     });
     this.#server = http.createServer((request, response) =>
--- a/packages/daemon/test/gateway/retry_budgets_test.ts
+++ b/packages/daemon/test/gateway/retry_budgets_test.ts
@@ -2,26 +2,78 @@
 import * as retryBudgets from "../../src/gateway/entry/retry_budgets.ts";
 import * as retryBudgetProperty from "./retry_budget_property.ts";
 
+const { FLEET_BUDGET, testFleetBudget } = retryBudgetProperty;
+const SERVICE = "advice";
+/** Hosts that have a share of one retry or more of their own. */
+const SMALL_FLEET = 9;
+const LARGE_FLEET = 195;
+
+/** A borrower that always or never gets a unit. */
+function borrower(isLent: boolean) {
+  return {
+    asked: 0,
+    take(): Promise<boolean> {
+      this.asked += 1;
+      return Promise.resolve(isLent);
+    },
+  };
+}
+
 describe("retry budgets of a fleet", () => {
-  // Each host may save up one retry, so the budget holds only for fleets with
-  // no more hosts than half of the slack.
-  retryBudgetProperty.testFleetBudget(
-    1,
-    retryBudgetProperty.FLEET_BUDGET.slack / 2,
-  );
+  testFleetBudget(1, FLEET_BUDGET.slack / 2);
+  testFleetBudget(FLEET_BUDGET.slack / 2, 2 * FLEET_BUDGET.slack);
+  testFleetBudget(2 * FLEET_BUDGET.slack, 200);
+  testFleetBudget(200, 1_100);
 
   it("allow a host the few retries that it needs", () => {
     const budgets = new retryBudgets.RetryBudgets(
-      retryBudgetProperty.FLEET_BUDGET,
+      FLEET_BUDGET,
+      borrower(false),
     );
-    budgets.setHostCount(9);
+    budgets.setHostCount(SMALL_FLEET, 0);
     let allowed = 0;
     for (let request = 0; request < 20; request += 1) {
-      budgets.recordRequest("advice", request * 500);
-      if (request % 10 === 0 && budgets.tryRetry("advice", request * 500)) {
+      budgets.recordRequest(SERVICE, request * 500);
+      if (request % 10 === 0 && budgets.tryRetry(SERVICE, request * 500)) {
         allowed += 1;
       }
     }
     expect(allowed).to.equal(2);
   });
+
+  it("borrow where a share would be less than one retry", async () => {
+    for (const isLent of [true, false]) {
+      const lender = borrower(isLent);
+      const budgets = new retryBudgets.RetryBudgets(FLEET_BUDGET, lender);
+      budgets.setHostCount(LARGE_FLEET, 0);
+      expect(await budgets.takeRetry(SERVICE, 0, 1_000)).to.equal(isLent);
+      expect(lender.asked).to.equal(1);
+    }
+  });
+
+  it("borrow until the number of hosts is known", async () => {
+    const lender = borrower(false);
+    const budgets = new retryBudgets.RetryBudgets(FLEET_BUDGET, lender);
+    expect(await budgets.takeRetry(SERVICE, 0, 1_000)).to.equal(false);
+    expect(lender.asked).to.equal(1);
+  });
+
+  it("do not grow when a new leader has not heard of all hosts", () => {
+    const budgets = new retryBudgets.RetryBudgets(
+      FLEET_BUDGET,
+      borrower(false),
+    );
+    budgets.setHostCount(SMALL_FLEET, 0);
+    const takeAll = (now: number) => {
+      let taken = 0;
+      while (budgets.tryRetry(SERVICE, now)) taken += 1;
+      return taken;
+    };
+    const share = takeAll(0);
+    budgets.setHostCount(1, 100);
+    // Half of the used slack accrues in a window, over nine hosts.
+    expect(takeAll(FLEET_BUDGET.windowMs)).to.be.at.most(share + 1);
+    budgets.setHostCount(1, FLEET_BUDGET.windowMs + 200);
+    expect(takeAll(2 * FLEET_BUDGET.windowMs)).to.be.above(share + 1);
+  });
 });
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -14,9 +14,12 @@
 const Count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const Amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 
-/** The leader's record of a backend server, as sent to entry hosts. */
+/**
+ * The leader's record of a backend server, as sent to entry hosts. It leaves out
+ * where the server keeps copies of weights, which only the leader uses.
+ */
 export const ServerRecord = v.object({
-  ...server.Heartbeat.entries,
+  ...v.omit(server.Heartbeat, ["inMemory", "onDisk"]).entries,
   /** Time since its last heartbeat when the message was sent, in ms. */
   silentMs: Amount,
   /** Models that it is about to unload, which get no new requests. */
@@ -45,6 +48,8 @@
   isSettled: v.boolean(),
   servers: v.pipe(v.array(ServerRecord), v.maxLength(MAX_RECORDS)),
   withdrawnDomains: v.array(Name),
+  /** Workspaces whose usage over all hosts is near their rate. */
+  limitedWorkspaces: v.array(Name),
   controlHosts: v.array(Name),
   /** Present if its version is higher than the requested one. */
   configuration: v.optional(configuration.Configuration),
@@ -71,10 +76,21 @@
 });
 export type ModelDemand = v.InferOutput<typeof ModelDemand>;
 
-/** Tokens that a workspace has used on one host since the host started. */
-export const WorkspaceUsage = v.object({ workspace: Name, tokens: Amount });
+/** Tokens that a workspace has used. */
+export const WorkspaceUsage = v.object({
+  workspace: Name,
+  tokens: v.pipe(v.number(), v.finite()),
+});
 export type WorkspaceUsage = v.InferOutput<typeof WorkspaceUsage>;
 
+/** Tokens that a workspace has used on one host since the host started. */
+export const ReportedUsage = v.object({
+  ...WorkspaceUsage.entries,
+  /** The value of `tokens` in the host's last report that was answered. */
+  acknowledged: v.pipe(v.number(), v.finite()),
+});
+export type ReportedUsage = v.InferOutput<typeof ReportedUsage>;
+
 /** Requests in progress on a server, by model unless the service is plain. */
 export const ServerLoad = v.object({
   server: Name,
@@ -84,13 +100,39 @@
 });
 export type ServerLoad = v.InferOutput<typeof ServerLoad>;
 
-/** Periodic report of an entry host to the leader. */
+/** First attempts of requests for a service. */
+export const RequestCount = v.object({ service: Name, count: Count });
+export type RequestCount = v.InferOutput<typeof RequestCount>;
+
+/** Limits for all hosts together, of which the leader lends whole units. */
+export const SharedLimit = v.picklist([
+  /** Retries to a service. */
+  "retries",
+  /** Requests to a server that is warming up. */
+  "cold-server",
+]);
+export type SharedLimit = v.InferOutput<typeof SharedLimit>;
+
+/** Units of a shared limit: wanted in a report, lent in its answer. */
+export const LimitUnits = v.object({
+  limit: SharedLimit,
+  /** Name of the service, or id of the server. */
+  name: Name,
+  units: Count,
+});
+export type LimitUnits = v.InferOutput<typeof LimitUnits>;
+
+/** Report of an entry host to the leader. */
 export const ReportRequest = v.object({
   /** Name of the host and a random id of its process. */
   host: Name,
   demand: v.pipe(v.array(ModelDemand), v.maxLength(MAX_RECORDS)),
-  usage: v.pipe(v.array(WorkspaceUsage), v.maxLength(MAX_RECORDS)),
+  /** Counters that have changed since the last answer. */
+  usage: v.pipe(v.array(ReportedUsage), v.maxLength(MAX_RECORDS)),
   load: v.pipe(v.array(ServerLoad), v.maxLength(MAX_RECORDS)),
+  /** First attempts since the previous report. */
+  requests: v.pipe(v.array(RequestCount), v.maxLength(MAX_RECORDS)),
+  wanted: v.pipe(v.array(LimitUnits), v.maxLength(MAX_RECORDS)),
   /** Term and usage revision of the last response; 0 before the first one. */
   answered: v.object({ term: Count, usageRevision: Count }),
   /** All servers that the host knows; empty unless the leader is new. */
@@ -98,16 +140,23 @@
 });
 export type ReportRequest = v.InferOutput<typeof ReportRequest>;
 
-/** The reports of all entry hosts, merged by the leader. */
+/** The leader's answer to a report. */
 export const ReportResponse = v.object({
   term: Count,
-  /** Hosts with a recent report, including the one that asks. */
-  hosts: v.array(Name),
-  /** Token usage of hosts for which it changed since the last response. */
-  usage: v.array(v.object({ host: Name, usage: v.array(WorkspaceUsage) })),
+  /** Number of hosts that were heard of lately, including the one that asks. */
+  hostCount: Count,
+  /**
+   * Tokens that all other hosts have used since the term began, of workspaces
+   * for which this has changed since the last response.
+   */
+  usage: v.array(WorkspaceUsage),
   usageRevision: Count,
-  /** Requests in progress on each server, summed over all hosts. */
+  /**
+   * Requests in progress over all hosts, on each server that the reported
+   * demand and requests may use.
+   */
   load: v.array(ServerLoad),
+  lent: v.array(LimitUnits),
 });
 export type ReportResponse = v.InferOutput<typeof ReportResponse>;
 
