--- a/packages/daemon/test/gateway/server_selector_test.ts
+++ b/packages/daemon/test/gateway/server_selector_test.ts
@@ -129,7 +129,7 @@
     expect(await patient).to.deep.equal({ kind: "expired" });
   });
 
-  it("lets requests for other models and services wait", async () => {
+  it("lets requests for other models and services wait", () => {
     using fixture = new Fixture([record("s1")]);
     void fixture.select("m2", 2_000);
     fixture.selector.applyForecasts([
