Bound what a server sends in vain, and keep only identified connections

A connection is closed when a head with all that precedes it passes 128 KB. All buffered answers together are bounded by 48 MB.

--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -26,6 +26,11 @@
  * is complete.
  */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+/**
+ * Limit of all responses that are buffered at the same time, in bytes. It leaves
+ * a host of 250 MB the memory for everything else.
+ */
+const MAX_BUFFERED_BYTES = 48 * 1024 * 1024;
 /** Retry delay in a refusal for lack of capacity, in seconds. */
 const RETRY_AFTER_SECONDS = 0.25;
 /** Part of the time left that a caller may be told to stay away. */
@@ -116,11 +121,17 @@
 /** Dispatches requests to backend servers. */
 export class Dispatcher {
   readonly #options: DispatcherOptions;
+  #bufferedBytes = 0;
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
   }
 
+  /** Size of the responses that are being buffered, in bytes. */
+  get bufferedBytes(): number {
+    return this.#bufferedBytes;
+  }
+
   /**
    * Serves a request, or refuses it if no server can. Resolves when the response
    * has been sent, to whether a server may have run the request.
@@ -309,6 +320,7 @@
     );
     progress.headMs = performance.now() - context.arrivedAt;
     this.#options.metrics.latency.observe(progress.headMs / SECOND_MS);
+    if (metadata.isIdentified) result.keepConnection();
     if (metadata.isMismatched) {
       result.cancel();
       return { kind: "unknown", reason: "the answer to another request" };
@@ -358,13 +370,20 @@
     message.on("data", (part: Buffer) => {
       parts.push(part);
       bytes += part.length;
+      this.#bufferedBytes += part.length;
       if (bytes > MAX_RESPONSE_BYTES) {
         message.destroy(new Error("the answer is too large"));
+      } else if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
+        message.destroy(new Error("too many answers are buffered"));
       }
     });
-    await completed;
-    const headers = this.#options.dialect.responseHeaders(message);
-    return { status, headers, body: Buffer.concat(parts) };
+    try {
+      await completed;
+      const headers = this.#options.dialect.responseHeaders(message);
+      return { status, headers, body: Buffer.concat(parts) };
+    } finally {
+      this.#bufferedBytes -= bytes;
+    }
   }
 
   #sendResponse(
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -44,6 +44,8 @@
   readonly reason: "none" | "busy" | "other-server" | "no-model";
   /** Whether the response belongs to another request. */
   readonly isMismatched: boolean;
+  /** Whether the response bears the id of the request. */
+  readonly isIdentified: boolean;
   readonly isEventStream: boolean;
 };
 
--- a/packages/daemon/src/gateway/entry/upstream.ts
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -19,6 +19,8 @@
 const MAX_IDLE_CONNECTIONS = 8;
 /** Limit of a response's head, in bytes. */
 const MAX_HEAD_BYTES = 32 * 1_024;
+/** Limit of a response's head with all interim responses before it, in bytes. */
+const MAX_BYTES_BEFORE_BODY = 4 * MAX_HEAD_BYTES;
 
 /** A request to a backend server. */
 export interface UpstreamRequest {
@@ -44,6 +46,12 @@
     readonly message: http.IncomingMessage;
     /** Resolves when the response is complete, rejects if it is cut short. */
     readonly completed: Promise<void>;
+    /**
+     * Lets the connection be used again after this response. Bytes that a server
+     * sends too late are only recognized by the request id that they bear, so
+     * this is for responses with their own.
+     */
+    keepConnection(): void;
     /** Aborts the request and closes its connection. */
     cancel(): void;
   }
@@ -85,6 +93,8 @@
   #failure: Error | undefined;
   /** Resolves when it is known whether the connection ended by a reset. */
   #resetProbe: Promise<void> = Promise.resolve();
+  /** Removes the limit of what precedes the response's body. */
+  #endHeadLimit: () => void = () => {};
   readonly #cancel = () => this.#client?.destroy(new Error("cancelled"));
 
   constructor(
@@ -131,6 +141,7 @@
 
   #onSocket(socket: net.Socket): void {
     socket.setNoDelay(true);
+    this.#limitHead(socket);
     socket.prependOnceListener("end", () => this.#probeForReset(socket));
     if (!socket.connecting) {
       this.#isConnected = true;
@@ -164,7 +175,10 @@
 
   #onResponse(message: http.IncomingMessage): void {
     clearTimeout(this.#headTimer);
+    this.#endHeadLimit();
     this.#isCloseDelimited = !isSelfDelimited(message);
+    const mayKeepConnection = this.#client?.shouldKeepAlive ?? false;
+    this.#setKeepConnection(false);
     const completed = this.#waitForCompletion(message);
     // Avoids an unhandled rejection where the response's body is not read.
     completed.catch(() => undefined);
@@ -173,10 +187,30 @@
       status: message.statusCode ?? 0,
       message,
       completed,
+      keepConnection: () => this.#setKeepConnection(mayKeepConnection),
       cancel: () => this.#cancel(),
     });
   }
 
+  /**
+   * Closes the connection when a server sends more than a head without
+   * completing one, for instance interim responses or empty lines without end.
+   */
+  #limitHead(socket: net.Socket): void {
+    let bytes = 0;
+    const onData = (data: Buffer) => {
+      bytes += data.length;
+      if (bytes <= MAX_BYTES_BEFORE_BODY) return;
+      this.#client?.destroy(new Error("the response's head does not end"));
+    };
+    socket.on("data", onData);
+    this.#endHeadLimit = () => socket.off("data", onData);
+  }
+
+  #setKeepConnection(isKept: boolean): void {
+    if (this.#client !== undefined) this.#client.shouldKeepAlive = isKept;
+  }
+
   /** Resolves when the response is complete, rejects if it is cut short. */
   async #waitForCompletion(message: http.IncomingMessage): Promise<void> {
     await new Promise<void>((resolve, reject) => {
@@ -200,6 +234,7 @@
   #onClose(): void {
     clearTimeout(this.#connectTimer);
     clearTimeout(this.#headTimer);
+    this.#endHeadLimit();
     this.#request.signal.removeEventListener("abort", this.#cancel);
     const kind = this.#isConnected ? "no-answer" : "not-sent";
     this.#resolve({ kind, reason: "the connection was closed" });
--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { once } from "node:events";
 import * as http from "node:http";
 import * as net from "node:net";
@@ -11,6 +12,11 @@
 import { GatewayMetrics } from "../../src/gateway/metrics.ts";
 import { EMPTY_METADATA } from "./request_metadata.ts";
 
+/** Answers without end that arrive at the same time. */
+const ENDLESS_ANSWERS = 50;
+/** Bytes of them that may be buffered: a host has 250 MB for everything. */
+const MAX_ENDLESS_BYTES = 50 * 2 ** 20;
+
 /** What a server does with a request, given the request's head. */
 type ServerScript = (socket: net.Socket, head: string) => void;
 
@@ -61,6 +67,7 @@
     isNotRun: headers["x-not-run"] !== undefined,
     reason: headers["x-not-run"] === undefined ? "none" : "busy",
     isMismatched: false,
+    isIdentified: false,
     isEventStream: headers["content-type"] === "text/event-stream",
   }),
   responseHeaders: () => [],
@@ -132,7 +139,7 @@
   }
 }
 
-/** Dispatches a request; the selector returns each server once, in order. */
+/** Dispatches a request to the servers in order. */
 async function dispatch(
   kind: gateway.RouteKind,
   isResumable: boolean,
@@ -140,6 +147,19 @@
   request: http.IncomingMessage,
   response: http.ServerResponse,
 ): Promise<void> {
+  await createDispatcher(records)
+    .serve({
+      context: createContext(kind, isResumable),
+      request,
+      body: undefined,
+      response,
+    });
+}
+
+/** Creates a dispatcher whose selector returns each server once, in order. */
+function createDispatcher(
+  records: readonly gateway.ServerRecord[],
+): dispatcher.Dispatcher {
   const remaining = [...records];
   const selector = {
     select: (): Promise<types.Selection> => {
@@ -150,9 +170,28 @@
     },
     processQueue: () => {},
   } as unknown as serverSelector.ServerSelector;
+  const budgets = new retryBudgets.RetryBudgets(
+    { ratio: 1, slack: 100, windowMs: 1_000 },
+    { take: () => Promise.resolve(false) },
+  );
+  budgets.setHostCount(1, performance.now());
+  return new dispatcher.Dispatcher({
+    dialect: DIALECT,
+    selector,
+    tracker: new serverTracker.ServerTracker(() => {}),
+    retryBudgets: budgets,
+    metrics: new GatewayMetrics(),
+    onReturnExpected: () => {},
+  });
+}
+
+function createContext(
+  kind: gateway.RouteKind,
+  isResumable: boolean,
+): types.RequestContext {
   const now = performance.now();
   const abortController = new AbortController();
-  const context: types.RequestContext = {
+  return {
     metadata: EMPTY_METADATA,
     route: {
       name: "r",
@@ -177,19 +216,6 @@
     signal: abortController.signal,
     failedServers: new Set(),
   };
-  const budgets = new retryBudgets.RetryBudgets(
-    { ratio: 1, slack: 100, windowMs: 1_000 },
-    { take: () => Promise.resolve(false) },
-  );
-  budgets.setHostCount(1, performance.now());
-  await new dispatcher.Dispatcher({
-    dialect: DIALECT,
-    selector,
-    tracker: new serverTracker.ServerTracker(() => {}),
-    retryBudgets: budgets,
-    metrics: new GatewayMetrics(),
-    onReturnExpected: () => {},
-  }).serve({ context, request, body: undefined, response });
 }
 
 function sendRequest(port: number): Promise<Omit<Observed, "arrivals">> {
@@ -317,4 +343,55 @@
       expect(observed.arrivals).to.deep.equal(isResumable ? [1, 1] : [1, 0]);
     }
   });
+
+  it("bounds the memory of endless answers, and serves the next request", async () => {
+    const block = Buffer.alloc(64 * 1_024, "x");
+    let buffered = 0;
+    const endless: ServerScript = (socket) => {
+      socket.write("HTTP/1.1 200 OK\r\n\r\n");
+      const write = () => {
+        while (!socket.destroyed) {
+          buffered = Math.max(buffered, shared.bufferedBytes);
+          if (!socket.write(block)) {
+            socket.once("drain", write);
+            return;
+          }
+        }
+      };
+      write();
+    };
+    const server = net.createServer((socket) => {
+      socket.on("error", () => {});
+      socket.once("data", (head) => endless(socket, head.toString()));
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as net.AddressInfo;
+    const records = Array.from(
+      { length: ENDLESS_ANSWERS },
+      (_, index) => serverRecord(`s${index}`, `127.0.0.1:${port}`),
+    );
+    const shared = createDispatcher(records);
+    const gatewayServer = http.createServer((request, response) => {
+      const context = createContext("unsafe", false);
+      void shared.serve({ context, request, body: undefined, response });
+    });
+    gatewayServer.listen(0, "127.0.0.1");
+    await once(gatewayServer, "listening");
+    try {
+      const address = gatewayServer.address() as net.AddressInfo;
+      const answers = await Promise.all(
+        records.map(() => sendRequest(address.port)),
+      );
+      expect(new Set(answers.map(({ status }) => status)))
+        .to.have.keys(502);
+      expect(buffered).to.be.within(1, MAX_ENDLESS_BYTES);
+      expect(shared.bufferedBytes).to.equal(0);
+    } finally {
+      gatewayServer.close();
+      server.close();
+    }
+    const next = await serve("unsafe", false, [respond(OK_RESPONSE)]);
+    expect(next.status).to.equal(200);
+  });
 });
