Let a request wait for its workspace's rate where it is in time then

Cause: a request beyond the rate was refused at once, also where the rate would have allowed it some hundred milliseconds later and its caller waits for seconds. Callers have few retries, and come back to other hosts.

Change: a request waits up to half of its route's target time for the rate, and asks for the usage of all hosts again afterwards; one that would have to wait longer is refused at once, as before. The wait ends with its caller.

Tests: admitted after the wait, refused at once, decided by all hosts' usage, ended with its caller.

--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -32,6 +32,14 @@
  * at most, so that the caller has time to try another host.
  */
 const CONFIGURATION_WAIT_FRACTION = 0.5;
+/**
+ * Fraction of a route's target time that a request waits for the rate of its
+ * workspace at most; the rest is left for a server.
+ */
+const RATE_WAIT_FRACTION = 0.5;
+/** Shortest wait for a rate, in milliseconds: two callers may need the same. */
+const MIN_RATE_WAIT_MS = 10;
+const SECOND_MS = 1_000;
 /** Least urgent priority that backend servers distinguish. */
 const MAX_PRIORITY = 9;
 /** Limit of the retry delay in a refusal for an exceeded rate, in seconds. */
@@ -60,7 +68,15 @@
     readonly workspace: gateway.Workspace | undefined;
     readonly tokens: number;
   }
-  | { readonly kind: "refused"; readonly refusal: errors.Refusal };
+  | { readonly kind: "refused"; readonly refusal: errors.Refusal }
+  /** The workspace has used up its rate for now. */
+  | {
+    readonly kind: "rate-exceeded";
+    readonly route: gateway.Route;
+    readonly workspace: string;
+    /** Time until the rate allows the request, in milliseconds. */
+    readonly waitMs: number;
+  };
 
 /** Handles callers' requests, from their arrival to the response. */
 export class RequestHandler {
@@ -110,10 +126,15 @@
     await this.#waitForConfiguration(metadata, response);
     if (response.destroyed) return;
     await this.#refreshLimitedUsage(metadata);
+    const admission = await this.#waitForRate(
+      () => this.#admit(request, metadata, performance.now()),
+      metadata,
+      response,
+      arrivedAt,
+    );
     if (response.destroyed) return;
-    const admission = this.#admit(request, metadata, arrivedAt);
-    if (admission.kind === "refused") {
-      return this.#refuse(response, metadata, admission.refusal);
+    if (admission.kind !== "admitted") {
+      return this.#refuse(response, metadata, refusalOf(admission));
     }
     await this.#dispatch(
       request,
@@ -139,16 +160,29 @@
       CONFIGURATION_WAIT_MS,
       (deadlineMs ?? Infinity) * CONFIGURATION_WAIT_FRACTION,
     );
-    const abortController = new AbortController();
-    const { signal } = abortController;
-    const onClose = () => abortController.abort();
-    response.once("close", onClose);
-    // The timer rejects when the caller disconnects or the wait has ended.
-    const timeout = timers.setTimeout(waitMs, undefined, { signal })
-      .catch(() => undefined);
-    await Promise.race([view.firstConfiguration, timeout]);
-    response.off("close", onClose);
-    abortController.abort();
+    await sleepWhileOpen(response, waitMs, view.firstConfiguration);
+  }
+
+  /**
+   * Admits a request, after a short wait if that is all that its workspace's
+   * rate requires. A request that would be late then is refused at once.
+   */
+  async #waitForRate(
+    admit: () => Admission,
+    metadata: types.RequestMetadata,
+    response: http.ServerResponse,
+    arrivedAt: number,
+  ): Promise<Admission> {
+    while (true) {
+      const admission = admit();
+      if (admission.kind !== "rate-exceeded") return admission;
+      const { route, waitMs } = admission;
+      const admittedAt = performance.now() + waitMs;
+      const latestAt = arrivedAt + route.targetMs * RATE_WAIT_FRACTION;
+      if (admittedAt > latestAt || response.destroyed) return admission;
+      await sleepWhileOpen(response, Math.max(MIN_RATE_WAIT_MS, waitMs));
+      await this.#refreshLimitedUsage(metadata);
+    }
   }
 
   /**
@@ -241,30 +275,18 @@
       return refused(errors.NO_CAPACITY, "the route has no service");
     }
     const tokens = rateCost(metadata, workspace);
-    const refusal = this.#applyRateLimit(workspace, tokens, now);
-    if (refusal !== undefined) return { kind: "refused", refusal };
-    return { kind: "admitted", route, service, workspace, tokens };
-  }
-
-  #applyRateLimit(
-    workspace: gateway.Workspace | undefined,
-    tokens: number,
-    now: number,
-  ): errors.Refusal | undefined {
-    if (workspace?.rate === undefined) return undefined;
     const { rateLimiter } = this.#options;
-    if (rateLimiter.tryConsume(workspace.name, tokens, now)) return undefined;
-    const waitMs = rateLimiter.waitMs(workspace.name, tokens, now);
-    return new errors.Refusal(
-      errors.RATE_EXCEEDED,
-      `workspace ${workspace.name} has used up its rate`,
-      {
-        retryAfterSeconds: Math.min(
-          waitMs / 1_000,
-          MAX_RETRY_AFTER_SECONDS,
-        ),
-      },
-    );
+    const isWithinRate = workspace?.rate === undefined ||
+      rateLimiter.tryConsume(workspace.name, tokens, now);
+    if (isWithinRate) {
+      return { kind: "admitted", route, service, workspace, tokens };
+    }
+    return {
+      kind: "rate-exceeded",
+      route,
+      workspace: workspace.name,
+      waitMs: rateLimiter.waitMs(workspace.name, tokens, now),
+    };
   }
 
   #refuse(
@@ -299,6 +321,46 @@
   return { kind: "refused", refusal: new errors.Refusal(definition, detail) };
 }
 
+function refusalOf(
+  admission: Exclude<Admission, { kind: "admitted" }>,
+): errors.Refusal {
+  switch (admission.kind) {
+    case "refused":
+      return admission.refusal;
+    case "rate-exceeded":
+      return new errors.Refusal(
+        errors.RATE_EXCEEDED,
+        `workspace ${admission.workspace} has used up its rate`,
+        {
+          retryAfterSeconds: Math.min(
+            admission.waitMs / SECOND_MS,
+            MAX_RETRY_AFTER_SECONDS,
+          ),
+        },
+      );
+    default:
+      return errors.assertNever(admission);
+  }
+}
+
+/** Waits until a time is over, the caller disconnects or `wakeUp` resolves. */
+async function sleepWhileOpen(
+  response: http.ServerResponse,
+  ms: number,
+  wakeUp?: Promise<void>,
+): Promise<void> {
+  const abortController = new AbortController();
+  const { signal } = abortController;
+  const onClose = () => abortController.abort();
+  response.once("close", onClose);
+  // The timer rejects when the caller disconnects or the wait has ended.
+  const timeout = timers.setTimeout(ms, undefined, { signal })
+    .catch(() => undefined);
+  await Promise.race(wakeUp === undefined ? [timeout] : [wakeUp, timeout]);
+  response.off("close", onClose);
+  abortController.abort();
+}
+
 /** What a request costs, in the unit of its workspace's rate. */
 function rateCost(
   { tokens }: types.RequestMetadata,
--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -54,9 +54,16 @@
   readonly view = new fleetView.FleetView();
   readonly dispatched: types.RequestContext[] = [];
   readonly handler: requestHandler.RequestHandler;
+  readonly rateLimiter = new core.gateway.SharedRateLimiter();
+  arrivals = 0;
+  /** Number of times that the usage of all hosts was asked for. */
+  refreshes = 0;
   readonly #server: http.Server;
 
-  constructor(deadlineMs: number | undefined) {
+  constructor(
+    deadlineMs: number | undefined,
+    metadata: Partial<types.RequestMetadata> = {},
+  ) {
     const serve = ({ context, response }: dispatcher.Exchange) => {
       this.dispatched.push(context);
       response.end("ok");
@@ -64,7 +71,7 @@
     };
     this.handler = new requestHandler.RequestHandler({
       dialect: {
-        readRequest: () => ({ ...EMPTY_METADATA, deadlineMs }),
+        readRequest: () => ({ ...EMPTY_METADATA, deadlineMs, ...metadata }),
         upstreamHeaders: () => [],
         readResponse: () => {
           throw new Error("no server is called");
@@ -74,13 +81,17 @@
       },
       view: this.view,
       dispatcher: { serve } as unknown as dispatcher.Dispatcher,
-      rateLimiter: new core.gateway.SharedRateLimiter(),
-      refreshUsage: () => Promise.resolve(),
+      rateLimiter: this.rateLimiter,
+      refreshUsage: () => {
+        this.refreshes += 1;
+        return Promise.resolve();
+      },
       onArrival: () => undefined,
     });
-    this.#server = http.createServer((request, response) =>
-      void this.handler.handle(request, response)
-    );
+    this.#server = http.createServer((request, response) => {
+      this.arrivals += 1;
+      void this.handler.handle(request, response);
+    });
   }
 
   async sendRequest(): Promise<http.ClientRequest> {
@@ -90,7 +101,7 @@
     const request = http.get({ port, headers: { host: "h" } });
     await wait.waitFor(
       "the request to arrive",
-      () => this.handler.openRequests > 0,
+      () => this.arrivals > 0,
     );
     return request;
   }
@@ -138,3 +149,78 @@
     expect(fixture.dispatched).to.deep.equal([]);
   });
 });
+
+describe("a request of a workspace that has used up its rate", () => {
+  const TOKENS = 100;
+  const RATE = {
+    unit: "tokens" as const,
+    perSecond: 1_000,
+    burst: TOKENS,
+    plainTokens: 1,
+  };
+
+  /** A handler whose workspace has used its burst and is `debt` tokens over. */
+  function createFixture(
+    targetMs: number,
+    debt: number,
+    limitedWorkspaces: string[] = [],
+  ): Fixture {
+    const fixture = new Fixture(4_000, { key: "k", tokens: TOKENS });
+    const { configuration } = WATCH_RESPONSE;
+    if (configuration === undefined) throw new TypeError("none to change");
+    fixture.view.apply({
+      ...WATCH_RESPONSE,
+      limitedWorkspaces,
+      configuration: {
+        ...configuration,
+        routes: configuration.routes.map((route) => ({
+          ...route,
+          targetMs,
+          isPublic: false,
+        })),
+        workspaces: [{ name: "shop", keys: ["k"], rate: RATE }],
+      },
+    }, performance.now());
+    const now = performance.now();
+    fixture.rateLimiter.setRate("shop", RATE, now);
+    fixture.rateLimiter.charge("shop", TOKENS + debt, now);
+    return fixture;
+  }
+
+  it("waits for the rate if it is in time then", async () => {
+    await using fixture = createFixture(1_000, 0);
+    const startedAt = performance.now();
+    const request = await fixture.sendRequest();
+    expect(await statusOf(request)).to.equal(200);
+    expect(performance.now() - startedAt).to.be.within(90, 400);
+  });
+
+  it("is refused at once if it is late then", async () => {
+    await using fixture = createFixture(1_000, 1_000);
+    const startedAt = performance.now();
+    const request = await fixture.sendRequest();
+    expect(await statusOf(request)).to.equal(429);
+    expect(performance.now() - startedAt).to.be.below(90);
+    expect(fixture.dispatched).to.deep.equal([]);
+  });
+
+  it("is decided by the usage of all hosts", async () => {
+    await using fixture = createFixture(1_000, 0, ["shop"]);
+    const request = await fixture.sendRequest();
+    expect(await statusOf(request)).to.equal(200);
+    // Once on arrival and once after the wait.
+    expect(fixture.refreshes).to.be.at.least(2);
+  });
+
+  it("ends its wait when the caller disconnects", async () => {
+    await using fixture = createFixture(4_000, 800);
+    const request = await fixture.sendRequest();
+    request.on("error", () => undefined);
+    request.destroy();
+    await wait.waitFor(
+      "the request to end",
+      () => fixture.handler.openRequests === 0,
+    );
+    expect(fixture.dispatched).to.deep.equal([]);
+  });
+});
