--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -94,11 +94,14 @@
     });
   }
 
+  /** Sends a request and returns the status of its response. */
+  async fetchStatus(): Promise<number> {
+    return await statusOf(await this.#startRequest());
+  }
+
+  /** Sends a request; resolves when it has arrived. */
   async sendRequest(): Promise<http.ClientRequest> {
-    this.#server.listen(0, "127.0.0.1");
-    await once(this.#server, "listening");
-    const { port } = this.#server.address() as net.AddressInfo;
-    const request = http.get({ port, headers: { host: "h" } });
+    const request = await this.#startRequest();
     await wait.waitFor(
       "the request to arrive",
       () => this.arrivals > 0,
@@ -106,6 +109,13 @@
     return request;
   }
 
+  async #startRequest(): Promise<http.ClientRequest> {
+    this.#server.listen(0, "127.0.0.1");
+    await once(this.#server, "listening");
+    const { port } = this.#server.address() as net.AddressInfo;
+    return http.get({ port, headers: { host: "h" } });
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.#server.closeAllConnections();
     this.#server.close();
@@ -190,24 +200,21 @@
   it("waits for the rate if it is in time then", async () => {
     await using fixture = createFixture(1_000, 0);
     const startedAt = performance.now();
-    const request = await fixture.sendRequest();
-    expect(await statusOf(request)).to.equal(200);
+    expect(await fixture.fetchStatus()).to.equal(200);
     expect(performance.now() - startedAt).to.be.within(90, 400);
   });
 
   it("is refused at once if it is late then", async () => {
     await using fixture = createFixture(1_000, 1_000);
     const startedAt = performance.now();
-    const request = await fixture.sendRequest();
-    expect(await statusOf(request)).to.equal(429);
+    expect(await fixture.fetchStatus()).to.equal(429);
     expect(performance.now() - startedAt).to.be.below(90);
     expect(fixture.dispatched).to.deep.equal([]);
   });
 
   it("is decided by the usage of all hosts", async () => {
     await using fixture = createFixture(1_000, 0, ["shop"]);
-    const request = await fixture.sendRequest();
-    expect(await statusOf(request)).to.equal(200);
+    expect(await fixture.fetchStatus()).to.equal(200);
     // Once on arrival and once after the wait.
     expect(fixture.refreshes).to.be.at.least(2);
   });
