--- a/packages/core/src/gateway/shared_rate_limiter.ts
+++ b/packages/core/src/gateway/shared_rate_limiter.ts
@@ -142,6 +142,8 @@
     usage: readonly gateway.WorkspaceUsage[],
     now: number,
   ): void {
+    // The sums of an earlier leader are in those that its successor tells.
+    if (term < (this.#remoteUsage?.term ?? 0)) return;
     const isFirst = this.#remoteUsage === undefined;
     const known = this.#remoteUsage?.term === term
       ? this.#remoteUsage
--- a/packages/core/test/gateway/shared_rate_limiter_test.ts
+++ b/packages/core/test/gateway/shared_rate_limiter_test.ts
@@ -58,6 +58,16 @@
     expect(limiter.tryConsume("shop", 600, 0)).to.equal(true);
   });
 
+  it("ignores a late answer of an earlier leader", () => {
+    const limiter = new SharedRateLimiter();
+    limiter.setRate("shop", RATE, 0);
+    limiter.applyRemoteUsage(1, [usageOf(500)], 0);
+    limiter.applyRemoteUsage(2, [usageOf(400)], 0);
+    limiter.applyRemoteUsage(1, [usageOf(600)], 0);
+    limiter.applyRemoteUsage(2, [usageOf(400)], 0);
+    expect(limiter.tryConsume("shop", 600, 0)).to.equal(true);
+  });
+
   it("reports what has changed since the last answer", () => {
     const limiter = new SharedRateLimiter();
     limiter.tryConsume("shop", 300, 0);
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -16,7 +16,7 @@
 const SILENT_MS = 4_000;
 /** Most adapters that are loaded from the store at once. */
 const ADAPTER_CONCURRENCY = 4;
-/** Most models that are loaded from the store at once, before it is measured. */
+/** Bound of the loads from the store at once, whatever is measured. */
 const MAX_STORE_LOADS = 64;
 /** Age from which a forecast is not used, in milliseconds. */
 const FORECAST_LIFETIME_MS = 1_000;
@@ -31,7 +31,7 @@
   canSendOrders(): boolean;
 }
 
-/** When a model will be loaded, in milliseconds from the time of the forecast. */
+/** When a model can be loaded, in milliseconds from the time of the forecast. */
 type Forecast = { readonly readyMs: number; readonly at: number };
 
 /** Turns demand into orders while its host is the leader. */
@@ -75,8 +75,8 @@
   }
 
   /**
-   * Time until a model that no server holds is loaded, in milliseconds;
-   * `undefined` if that is not known.
+   * Time until a model that no server holds can be loaded at the earliest, in
+   * milliseconds; `undefined` if that is not known.
    */
   readyMs(service: string, model: string, now: number): number | undefined {
     const forecast = this.#forecasts.get(`${service} ${model}`);
