--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -10,6 +10,7 @@
 import * as serverTracker from "../../src/gateway/entry/server_tracker.ts";
 import type * as types from "../../src/gateway/entry/types.ts";
 import { GatewayMetrics } from "../../src/gateway/metrics.ts";
+import * as fixtures from "./fixtures.ts";
 import { EMPTY_METADATA } from "./request_metadata.ts";
 
 /** Answers without end that arrive at the same time. */
@@ -75,20 +76,7 @@
 };
 
 function serverRecord(id: string, address: string): gateway.ServerRecord {
-  return {
-    id,
-    address,
-    born: 1,
-    sequence: 1,
-    service: "s",
-    failureDomain: "a",
-    slots: 8,
-    state: "ready",
-    coldMs: 0,
-    models: [],
-    silentMs: 0,
-    leaving: [],
-  };
+  return fixtures.serverRecord(id, { address, service: "s" });
 }
 
 /** What the caller and the servers observed of one request. */
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -4,54 +4,17 @@
 import { expect } from "chai";
 import * as fleetCoordinator from "../../src/gateway/control/fleet_coordinator.ts";
 import { GatewayMetrics } from "../../src/gateway/metrics.ts";
+import * as fixtures from "./fixtures.ts";
 
 const TERM = 2;
 /** Time in which a change is told to the hosts that need it, in ms. */
 const PROMPT_MS = 100;
 const MODELS = Array.from({ length: 40 }, (_, index) => `m${index}`);
 
-function server(
-  id: string,
-  overrides: Partial<gateway.Heartbeat> = {},
-): gateway.Heartbeat {
-  return {
-    id,
-    born: 1,
-    sequence: 1,
-    service: "advice",
-    address: `10.0.0.${id.slice(1)}:80`,
-    failureDomain: "a",
-    slots: 8,
-    state: "ready",
-    coldMs: 0,
-    models: [],
-    inMemory: [],
-    onDisk: [],
-    ...overrides,
-  };
-}
-
 function loaded(...names: string[]): gateway.LoadedModel[] {
   return names.map((name) => ({ name, version: 1, adapters: [] }));
 }
 
-function report(
-  host: string,
-  overrides: Partial<gateway.ReportRequest> = {},
-): gateway.ReportRequest {
-  return {
-    host,
-    demand: [],
-    usage: [],
-    load: [],
-    requests: [],
-    wanted: [],
-    answered: { term: 0, usageRevision: 0 },
-    servers: [],
-    ...overrides,
-  };
-}
-
 function demand(model: string, slacksMs: number[]): gateway.ModelDemand {
   return {
     service: "advice",
@@ -68,36 +31,7 @@
   state.apply({
     kind: "configure",
     source: "",
-    configuration: {
-      version: 1,
-      routes: [],
-      services: [{
-        name: "advice",
-        maxConnections: 8,
-        coldRequestsPerSecond: 0,
-        engine: {
-          slots: 8,
-          memoryTokens: 1_000,
-          weightsMb: 30,
-          adapterPlaces: 1,
-          storeLoadsPerSecond: 1,
-          models: MODELS.map((name) => ({
-            name,
-            weightsMb: 10,
-            storeLoadMs: 60,
-            diskLoadMs: 20,
-            memoryLoadMs: 20,
-            adapters: 0,
-            adapterMb: 0,
-          })),
-        },
-      }],
-      limits: {
-        headerBytes: 1,
-        bodyBytes: 1,
-        headerTimeoutMs: 1,
-        idleTimeoutMs: 1,
-      },
+    configuration: fixtures.configuration(MODELS, {
       workspaces: [{
         name: "shop",
         keys: ["k"],
@@ -108,7 +42,7 @@
           plainTokens: 1,
         },
       }],
-    },
+    }),
   });
   return new fleetCoordinator.FleetCoordinator({
     host: "control-1",
@@ -168,12 +102,12 @@
     coordinator = createCoordinator();
     coordinator.handleHeartbeat({
       kind: "heartbeat",
-      heartbeat: server("s1", { models: loaded("m1") }),
+      heartbeat: fixtures.heartbeat("s1", { models: loaded("m1") }),
     });
     void coordinator.report(
-      report("waiting", { demand: [demand("m2", [500])] }),
+      fixtures.report("waiting", { demand: [demand("m2", [500])] }),
     );
-    void coordinator.report(report("idle"));
+    void coordinator.report(fixtures.report("idle"));
     waiting = new Watcher(coordinator, "waiting");
     idle = new Watcher(coordinator, "idle");
     await waiting.start();
@@ -185,7 +119,7 @@
   function change(overrides: Partial<gateway.Heartbeat>): void {
     coordinator.handleHeartbeat({
       kind: "heartbeat",
-      heartbeat: server("s1", {
+      heartbeat: fixtures.heartbeat("s1", {
         sequence: 2,
         models: loaded("m1"),
         ...overrides,
@@ -218,7 +152,9 @@
     change({ models: loaded("m1", "m3") });
     await timers.setTimeout(PROMPT_MS);
     expect(idle.responses).to.have.length(0);
-    void coordinator.report(report("idle", { demand: [demand("m3", [500])] }));
+    void coordinator.report(
+      fixtures.report("idle", { demand: [demand("m3", [500])] }),
+    );
     await timers.setTimeout(PROMPT_MS);
     expect(idle.responses).to.have.length(1);
   });
@@ -230,7 +166,7 @@
   });
 
   it("tells all hosts of a workspace near its rate", async () => {
-    void coordinator.report(report("waiting", {
+    void coordinator.report(fixtures.report("waiting", {
       usage: [{ workspace: "shop", tokens: 800, acknowledged: 0 }],
     }));
     await timers.setTimeout(PROMPT_MS);
@@ -252,7 +188,7 @@
   it("answers a report in a size that doesn't grow with hosts and servers", async () => {
     const answer = async () =>
       JSON.stringify(
-        await coordinator.report(report("waiting", {
+        await coordinator.report(fixtures.report("waiting", {
           demand: [demand("m2", [500])],
           usage: [{ workspace: "shop", tokens: 5, acknowledged: 0 }],
         })),
@@ -262,11 +198,11 @@
       const id = `s${index}`;
       coordinator.handleHeartbeat({
         kind: "heartbeat",
-        heartbeat: server(id, {
+        heartbeat: fixtures.heartbeat(id, {
           models: loaded(MODELS[index % 30 + 5] ?? "m9"),
         }),
       });
-      void coordinator.report(report(`h${index}`, {
+      void coordinator.report(fixtures.report(`h${index}`, {
         load: [{ server: id, model: "m9", running: 2 }],
         usage: [{ workspace: "shop", tokens: 1, acknowledged: 0 }],
       }));
--- a/packages/daemon/test/gateway/leader_sync_test.ts
+++ b/packages/daemon/test/gateway/leader_sync_test.ts
@@ -4,6 +4,7 @@
 import { expect } from "chai";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
 import * as leaderSync from "../../src/gateway/entry/leader_sync.ts";
+import * as fixtures from "./fixtures.ts";
 
 const TERM = 3;
 const EMPTY_REPORT: leaderSync.LocalReport = {
@@ -65,16 +66,7 @@
         await timers.setTimeout(1_000, undefined, { signal })
           .catch(() => undefined);
       }
-      return {
-        term: TERM,
-        revision: 1,
-        isWhole: true,
-        isSettled: true,
-        servers: [],
-        withdrawnDomains: [],
-        limitedWorkspaces: [],
-        controlHosts: [],
-      } satisfies gateway.WatchResponse;
+      return fixtures.watchResponse({ term: TERM });
     }
     this.reports += 1;
     if (!this.isAnswering) throw new Error("no answer");
--- a/packages/daemon/test/gateway/order_holder_test.ts
+++ b/packages/daemon/test/gateway/order_holder_test.ts
@@ -1,78 +1,28 @@
 import * as timers from "node:timers/promises";
 import * as core from "@ebonypath/core";
-import type { gateway } from "@ebonypath/protocol";
 import { wait } from "@ebonypath/testing";
 import { expect } from "chai";
 import * as fleetCoordinator from "../../src/gateway/control/fleet_coordinator.ts";
 import { GatewayMetrics } from "../../src/gateway/metrics.ts";
+import * as fixtures from "./fixtures.ts";
 
 const OWN_HOLDER = "control-1 10.0.0.1:1";
 const TAKEOVER_DELAY_MS = 150;
 /** Time within which an order would have been sent, in milliseconds. */
 const ORDER_MARGIN_MS = 60;
-const MODEL = {
-  name: "a",
-  weightsMb: 10,
-  storeLoadMs: 60,
-  diskLoadMs: 20,
-  memoryLoadMs: 20,
-  adapters: 0,
-  adapterMb: 0,
-};
-const CONFIGURATION: gateway.Configuration = {
-  version: 1,
-  routes: [],
-  services: [{
-    name: "advice",
-    maxConnections: 8,
-    coldRequestsPerSecond: 0,
-    engine: {
-      slots: 8,
-      memoryTokens: 1_000,
-      weightsMb: 30,
-      adapterPlaces: 1,
-      storeLoadsPerSecond: 100,
-      models: [MODEL],
-    },
-  }],
-  limits: {
-    headerBytes: 1_000,
-    bodyBytes: 1_000,
-    headerTimeoutMs: 1_000,
-    idleTimeoutMs: 1_000,
-  },
-};
-const SERVER: gateway.Heartbeat = {
-  id: "s1",
-  born: 1,
-  sequence: 1,
-  service: "advice",
-  address: "10.0.0.9:80",
-  failureDomain: "a",
-  slots: 8,
-  state: "ready",
-  coldMs: 0,
-  models: [],
-  inMemory: [],
-  // The model is on disk, since a new leader delays loads from the store.
-  onDisk: [MODEL.name],
-};
-const REPORT: gateway.ReportRequest = {
-  host: "entry-1",
+const MODEL = "a";
+const CONFIGURATION = fixtures.configuration([MODEL]);
+// The model is on disk, since a new leader delays loads from the store.
+const SERVER = fixtures.heartbeat("s1", { onDisk: [MODEL] });
+const REPORT = fixtures.report("entry-1", {
   demand: [{
     service: "advice",
-    model: MODEL.name,
+    model: MODEL,
     slacksMs: [1_000],
     running: 0,
     arrivals: 1,
   }],
-  usage: [],
-  load: [],
-  requests: [],
-  wanted: [],
-  answered: { term: 0, usageRevision: 0 },
-  servers: [],
-};
+});
 
 /** A leader with one server, and reports of a request that waits for a model. */
 class Fixture implements Disposable {
@@ -110,7 +60,7 @@
             orders: 0,
             pendingAdapters: 0,
             inMemory: [],
-            onDisk: [MODEL.name],
+            onDisk: [MODEL],
           }),
       },
       metrics: new GatewayMetrics(),
--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -2,26 +2,17 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as core from "@ebonypath/core";
-import type { gateway } from "@ebonypath/protocol";
 import { wait } from "@ebonypath/testing";
 import { expect } from "chai";
 import type * as dispatcher from "../../src/gateway/entry/dispatcher.ts";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
 import * as requestHandler from "../../src/gateway/entry/request_handler.ts";
 import type * as types from "../../src/gateway/entry/types.ts";
+import * as fixtures from "./fixtures.ts";
 import { EMPTY_METADATA } from "./request_metadata.ts";
 
-const WATCH_RESPONSE: gateway.WatchResponse = {
-  term: 1,
-  revision: 1,
-  isWhole: true,
-  isSettled: true,
-  servers: [],
-  withdrawnDomains: [],
-  limitedWorkspaces: [],
-  controlHosts: [],
-  configuration: {
-    version: 1,
+const WATCH_RESPONSE = fixtures.watchResponse({
+  configuration: fixtures.configuration([], {
     routes: [{
       name: "stock",
       host: "h",
@@ -40,14 +31,8 @@
       maxConnections: 8,
       coldRequestsPerSecond: 0,
     }],
-    limits: {
-      headerBytes: 1_000,
-      bodyBytes: 1_000,
-      headerTimeoutMs: 1_000,
-      idleTimeoutMs: 1_000,
-    },
-  },
-};
+  }),
+});
 
 /** A request handler without a configuration, behind an HTTP server. */
 class Fixture implements AsyncDisposable {
--- a/packages/daemon/test/gateway/server_selector_test.ts
+++ b/packages/daemon/test/gateway/server_selector_test.ts
@@ -5,41 +5,18 @@
 import * as serverSelector from "../../src/gateway/entry/server_selector.ts";
 import * as serverTracker from "../../src/gateway/entry/server_tracker.ts";
 import type * as types from "../../src/gateway/entry/types.ts";
+import * as fixtures from "./fixtures.ts";
 import { EMPTY_METADATA } from "./request_metadata.ts";
 
-const SERVICE: gateway.Service = {
-  name: "advice",
-  maxConnections: 8,
-  coldRequestsPerSecond: 4,
-  engine: {
-    slots: 8,
-    memoryTokens: 1_000,
-    weightsMb: 30,
-    adapterPlaces: 1,
-    storeLoadsPerSecond: 1,
-    models: [],
-  },
-};
+const SERVICE = fixtures.engineService([], { coldRequestsPerSecond: 4 });
 
+/** A server that holds the model m1. */
 function record(
   id: string,
   overrides: Partial<gateway.ServerRecord> = {},
 ): gateway.ServerRecord {
-  return {
-    id,
-    address: `10.0.0.${id.slice(1)}:80`,
-    born: 1,
-    sequence: 1,
-    service: SERVICE.name,
-    failureDomain: "a",
-    slots: 8,
-    state: "ready",
-    coldMs: 0,
-    models: [{ name: "m1", version: 1, adapters: [] }],
-    silentMs: 0,
-    leaving: [],
-    ...overrides,
-  };
+  const models = [{ name: "m1", version: 1, adapters: [] }];
+  return fixtures.serverRecord(id, { models, ...overrides });
 }
 
 /** A selector before servers that the leader has told of. */
@@ -65,16 +42,10 @@
       onQueued: () => {},
       onDequeued: () => {},
     });
-    this.view.apply({
-      term: 1,
-      revision: 1,
-      isWhole: true,
-      isSettled: true,
-      servers,
-      withdrawnDomains: [],
-      limitedWorkspaces: [],
-      controlHosts: [],
-    }, performance.now());
+    this.view.apply(
+      fixtures.watchResponse({ servers }),
+      performance.now(),
+    );
   }
 
   /** Selects a server for a request that waits for up to `patienceMs`. */
