Ask for the load of servers whose requests wait

Cause: the leader answers a report with the load of the servers that the report's demand and first attempts may use. A request to a plain service that waits is neither, so that a host which had heard once that its servers were full never heard otherwise, and refused the request at its deadline.

Change: a report names the services that requests wait for, with no attempts.

The test plays a host that was told of a full server, which has room again later: 503 before, 200 after.

--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -229,11 +229,26 @@
       demand: this.#collectDemand(arrivals),
       usage: this.#rateLimiter.usage(),
       load: this.#serverTracker.ownLoad(),
-      requests: this.#retryBudgets.collectRequests(),
+      requests: this.#collectRequests(),
       wanted: this.#unitBorrower.collectWanted(),
     };
   }
 
+  /**
+   * First attempts by service, and the services that requests wait for without
+   * any: the leader's answer has the load of their servers.
+   */
+  #collectRequests(): gateway.RequestCount[] {
+    const requests = this.#retryBudgets.collectRequests();
+    const services = new Set(requests.map(({ service }) => service));
+    for (const { service } of this.#serverSelector.queuedRequests()) {
+      if (services.has(service.name)) continue;
+      services.add(service.name);
+      requests.push({ service: service.name, count: 0 });
+    }
+    return requests;
+  }
+
   /** Demand of this host by service, model and adapter. */
   #collectDemand(
     arrivals: ReadonlyMap<string, ArrivalCount>,
