--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -167,9 +167,14 @@
   }
 
   async #sendReport(): Promise<void> {
-    const { collectReport, host, leader, onReportFailed, onReportResponse } =
-      this.#options;
-    const { view } = this.#options;
+    const {
+      collectReport,
+      host,
+      leader,
+      onReportFailed,
+      onReportResponse,
+      view,
+    } = this.#options;
     const refreshes = this.#refreshes;
     this.#refreshes = [];
     const report = collectReport();
