Show how old a configuration is, and which hosts lack the newest one

For the incident of configurations in force too late. The logs could not tell how old the configuration was by which a host refused a request, nor whether a host that is behind had asked and was not answered, had not asked, or was itself late.

- The leader says for how long it held a watch, as long as its lease is certain (also after a suspension).
A host knows from that when its configuration was last known to be in force; 'refused' lines and a gauge have the age, by both clocks.
- The leader knows the version of each host from its watches: 'rolled-out' with the time, 'hosts-behind' with how many of these wait for an answer, a histogram and a gauge.

No decision uses any of it.

--- /dev/null
+++ b/packages/core/src/gateway/configuration_freshness.ts
@@ -0,0 +1,42 @@
+import type { ClockReading } from "./borrowed_units.ts";
+
+/**
+ * Tracks when a host's configuration was last known to be the one in force.
+ *
+ * The leader's answer to a request shows that the configuration was in force at
+ * some time after the request was sent. The age counts from then, not from the
+ * arrival of the answer, which may have been delayed. It is measured by both
+ * clocks, since the monotonic clock stops while the host is suspended.
+ *
+ * @example
+ * ```ts
+ * freshness.confirm(requestedAt, heldMs);
+ * if (freshness.ageMs(readClocks()) > MAX_AGE_MS) await askLeader();
+ * ```
+ */
+export class ConfigurationFreshness {
+  #confirmedAt: ClockReading | undefined;
+
+  /**
+   * Records an answer of the leader.
+   *
+   * @param heldMs time that the leader held the request before it answered
+   */
+  confirm(requestedAt: ClockReading, heldMs: number): void {
+    const monotonicMs = requestedAt.monotonicMs + heldMs;
+    if (monotonicMs <= (this.#confirmedAt?.monotonicMs ?? -Infinity)) return;
+    this.#confirmedAt = { monotonicMs, wallMs: requestedAt.wallMs + heldMs };
+  }
+
+  /**
+   * Time since the configuration was known to be in force, in milliseconds;
+   * `Infinity` before the first answer.
+   */
+  ageMs(now: ClockReading): number {
+    if (this.#confirmedAt === undefined) return Infinity;
+    return Math.max(
+      now.monotonicMs - this.#confirmedAt.monotonicMs,
+      now.wallMs - this.#confirmedAt.wallMs,
+    );
+  }
+}
--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -4,6 +4,8 @@
  *
  * @module
  */
+export * from "./configuration_freshness.ts";
+export * from "./configuration_rollout.ts";
 export * from "./demand_tracker.ts";
 export * from "./membership_change.ts";
 export * from "./load_forecast.ts";
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -23,15 +23,23 @@
 /** Time within which all running servers send a heartbeat, in milliseconds. */
 const SETTLE_MS = 2_600;
 /**
- * Pause of orders after a suspension, in milliseconds. A lease from before the
- * suspension expires within the shortest election timeout.
+ * Time after a suspension for which the lease is uncertain, in milliseconds. A
+ * lease from before it expires within the shortest election timeout.
  */
 const LEASE_RENEWAL_MS = core.replication.DEFAULT_SETTINGS
   .electionTimeoutMinimumMs;
 /** Delay before another attempt to become the order holder, in ms. */
 const CLAIM_RETRY_MS = 200;
+/**
+ * Time after which hosts without the newest configuration are logged, in ms. A
+ * host that watches all the time has it within some milliseconds.
+ */
+const ROLLOUT_WARNING_MS = 500;
+/** Most hosts that one log line names. */
+const MAX_LOGGED_HOSTS = 10;
 /** Interval of the checks for silent servers and hosts, in milliseconds. */
 const EXPIRY_CHECK_INTERVAL_MS = 1_000;
+const SECOND_MS = 1_000;
 const NO_INTEREST: core.gateway.HostInterest = {
   waiting: new Set(),
   used: new Set(),
@@ -66,6 +74,8 @@
 /** A watch request that waits for a change. */
 interface PendingWatch {
   readonly request: gateway.WatchRequest;
+  /** Monotonic time of its arrival, in milliseconds. */
+  readonly receivedAt: number;
   readonly resolve: (response: gateway.WatchResponse) => void;
   readonly timer: NodeJS.Timeout;
 }
@@ -79,6 +89,7 @@
   readonly #usageTracker = new core.gateway.UsageTracker();
   readonly #limitedWorkspaces = new core.gateway.LimitedWorkspaces();
   readonly #lender: limitLender.LimitLender;
+  readonly #rollout = new core.gateway.ConfigurationRollout();
   /** Models that each host has requests for, as of its last report. */
   readonly #interests = new Map<string, core.gateway.HostInterest>();
   readonly #executor: orderExecutor.OrderExecutor;
@@ -91,7 +102,7 @@
     Date.now(),
   );
   #entryConfiguration: gateway.Configuration | undefined;
-  #ordersPausedUntil = 0;
+  #leaseUncertainUntil = 0;
   #claimTimer: NodeJS.Timeout | undefined;
   #collectTimer: NodeJS.Timeout | undefined;
   #isDisposed = false;
@@ -123,6 +134,7 @@
       retryBudget: options.retryBudget,
       coldRequestsPerSecond: (server) => this.#coldRequestsPerSecond(server),
     });
+    this.#beginRollout();
     this.#expiryTimer = timers.setInterval(
       () => this.#expire(),
       EXPIRY_CHECK_INTERVAL_MS,
@@ -151,6 +163,7 @@
 
   /** Sends changes of the replicated state to entry hosts. */
   onStateChange(): void {
+    this.#beginRollout();
     this.#registry.bumpRevision();
     this.#onChange();
   }
@@ -160,16 +173,23 @@
    * timeout with all changes.
    */
   watch(request: gateway.WatchRequest): Promise<gateway.WatchResponse> {
-    this.#demandTracker.touch(request.host, performance.now());
+    const now = performance.now();
+    this.#demandTracker.touch(request.host, now);
+    this.#recordRollout(request, now);
     if (this.#hasNews(request)) {
-      return Promise.resolve(this.#createResponse(request));
+      return Promise.resolve(this.#createResponse(request, now));
     }
     return new Promise((resolve) => {
       const timer = timers.setTimeout(
         () => this.#release(pending),
         WATCH_TIMEOUT_MS,
       );
-      const pending: PendingWatch = { request, resolve, timer };
+      const pending: PendingWatch = {
+        request,
+        receivedAt: now,
+        resolve,
+        timer,
+      };
       this.#pendingWatches.add(pending);
     });
   }
@@ -244,13 +264,21 @@
    * alternate at a server.
    */
   #canSendOrders(): boolean {
+    return this.#holdsOrders && this.#isLeaseCertain();
+  }
+
+  /**
+   * Whether no other host can lead now. After a suspension the lease may only
+   * seem valid, because the monotonic clock stood still.
+   */
+  #isLeaseCertain(): boolean {
     const now = performance.now();
     if (this.#suspensionDetector.hasClockJumped(now, Date.now())) {
       write("clock-jumped", { term: this.term });
-      this.#ordersPausedUntil = now + LEASE_RENEWAL_MS;
+      this.#leaseUncertainUntil = now + LEASE_RENEWAL_MS;
     }
-    return !this.#isDisposed && this.#holdsOrders &&
-      now >= this.#ordersPausedUntil && this.#options.hasLease();
+    return !this.#isDisposed && now >= this.#leaseUncertainUntil &&
+      this.#options.hasLease();
   }
 
   get #isSettled(): boolean {
@@ -261,11 +289,57 @@
     const now = performance.now();
     for (const host of this.#demandTracker.expire(now)) {
       this.#interests.delete(host);
+      this.#rollout.removeHost(host);
     }
+    this.#logHostsBehind(now);
     this.#updateLimitedWorkspaces(now);
     if (this.#registry.expire(now)) this.#onChange();
   }
 
+  #beginRollout(): void {
+    const { configuration } = this.#options.state();
+    if (configuration === null) return;
+    this.#rollout.begin(configuration.version, performance.now());
+  }
+
+  #recordRollout(
+    { configuration, host }: gateway.WatchRequest,
+    now: number,
+  ): void {
+    const completed = this.#rollout.recordHost(host, configuration, now);
+    if (completed === undefined) return;
+    const { durationMs, hostCount, version } = completed;
+    this.#options.metrics.rollout.observe(durationMs / SECOND_MS);
+    write("rolled-out", {
+      version,
+      hosts: hostCount,
+      took_ms: Math.round(durationMs),
+    });
+  }
+
+  /**
+   * Logs the hosts that have not confirmed the newest configuration, and whether
+   * they have a watch open: if so, they wait for this host's answer.
+   */
+  #logHostsBehind(now: number): void {
+    const behind = this.#rollout.hostsBehind(now);
+    this.#options.metrics.hostsBehind.set(behind.length);
+    const late = behind.filter(({ behindMs }) =>
+      behindMs >= ROLLOUT_WARNING_MS
+    );
+    if (late.length === 0) return;
+    const watching = new Set(
+      [...this.#pendingWatches].map(({ request }) => request.host),
+    );
+    write("hosts-behind", {
+      version: this.#options.state().configuration?.version,
+      hosts: late.length,
+      behind_ms: Math.round(Math.max(...late.map(({ behindMs }) => behindMs))),
+      watching: late.filter(({ host }) => watching.has(host)).length,
+      names: late.slice(0, MAX_LOGGED_HOSTS).map(({ host }) => host).join(","),
+    });
+  }
+
   #recordUsage({ host, usage }: gateway.ReportRequest, now: number): void {
     const { configuration } = this.#options.state();
     this.#limitedWorkspaces.setRates(configuration?.workspaces ?? [], now);
@@ -354,7 +428,7 @@
   #release(pending: PendingWatch): void {
     this.#pendingWatches.delete(pending);
     timers.clearTimeout(pending.timer);
-    pending.resolve(this.#createResponse(pending.request));
+    pending.resolve(this.#createResponse(pending.request, pending.receivedAt));
   }
 
   /** Whether there are changes that the host needs at once. */
@@ -370,7 +444,10 @@
       );
   }
 
-  #createResponse(request: gateway.WatchRequest): gateway.WatchResponse {
+  #createResponse(
+    request: gateway.WatchRequest,
+    receivedAt: number,
+  ): gateway.WatchResponse {
     const now = performance.now();
     const state = this.#options.state();
     const isWhole = request.term !== this.term;
@@ -386,6 +463,7 @@
       withdrawnDomains: state.withdrawnDomains,
       limitedWorkspaces: [...this.#limitedWorkspaces.names],
       controlHosts: this.#options.controlHosts(),
+      ...(this.#isLeaseCertain() ? { heldMs: now - receivedAt } : {}),
       ...(isNewer ? { configuration: this.#forEntryHosts(configuration) } : {}),
     };
   }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -10,6 +10,7 @@
 import * as log from "../../log/mod.ts";
 import * as resources from "../../resources/mod.ts";
 import type * as metrics from "../metrics.ts";
+import * as clocks from "./clocks.ts";
 import * as dispatcher from "./dispatcher.ts";
 import * as fleetView from "./fleet_view.ts";
 import * as leaderSync from "./leader_sync.ts";
@@ -31,6 +32,7 @@
 const MAX_EXPECTED_RETURNS = 256;
 /** Time for which a model is kept for a caller after its return is due, in ms. */
 const RETURN_MARGIN_MS = 500;
+const SECOND_MS = 1_000;
 
 /** Settings and dependencies of an entry host. */
 export interface EntryHostOptions {
@@ -144,13 +146,19 @@
 
   /** Updates the gauges; to be called before each scrape. */
   updateMetrics(): void {
-    const { lastResponseAt, configuration } = this.view;
-    const ageMs = performance.now() - lastResponseAt;
+    const { configuration, lastResponseAt } = this.view;
+    const leaderAgeMs = performance.now() - lastResponseAt;
+    const ageMs = this.view.configurationAgeMs(clocks.readClocks());
     this.#metrics.waitingRequests.set(
       [...this.#serverSelector.queuedRequests()].length,
     );
     this.#metrics.configurationVersion.set(configuration?.version ?? 0);
-    if (Number.isFinite(ageMs)) this.#metrics.leaderAge.set(ageMs / 1_000);
+    if (Number.isFinite(leaderAgeMs)) {
+      this.#metrics.leaderAge.set(leaderAgeMs / SECOND_MS);
+    }
+    if (Number.isFinite(ageMs)) {
+      this.#metrics.configurationAge.set(ageMs / SECOND_MS);
+    }
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -168,7 +176,7 @@
     for (const { name, rate } of limited) {
       if (rate !== undefined) this.#rateLimiter.setRate(name, rate, now);
     }
-    write("configured", { version });
+    write("configured", { version, term: this.view.term });
   }
 
   /** Removes the records of servers that the leader no longer lists. */
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -37,6 +37,7 @@
   #term = 0;
   #revision = 0;
   #lastResponseAt = -Infinity;
+  readonly #freshness = new core.gateway.ConfigurationFreshness();
   /** Resolves when the first configuration arrives. */
   readonly firstConfiguration = new Promise<void>((resolve) =>
     this.once("configuration", () => resolve())
@@ -63,6 +64,14 @@
     return this.#lastResponseAt;
   }
 
+  /**
+   * Time since the configuration was known to be in force, in milliseconds;
+   * `Infinity` before the first one.
+   */
+  configurationAgeMs(now: core.gateway.ClockReading): number {
+    return this.#freshness.ageMs(now);
+  }
+
   service(name: string): gateway.Service | undefined {
     return this.#services.get(name);
   }
@@ -100,8 +109,16 @@
     }));
   }
 
-  /** Applies a leader's response unless it is older than the current state. */
-  apply(response: gateway.WatchResponse, now: number): void {
+  /**
+   * Applies a leader's response unless it is older than the current state.
+   *
+   * @param requestedAt when the request that it answers was sent
+   */
+  apply(
+    response: gateway.WatchResponse,
+    now: number,
+    requestedAt?: core.gateway.ClockReading,
+  ): void {
     if (response.term < this.#term) return;
     const isStale = response.term === this.#term &&
       response.revision < this.#revision;
@@ -115,6 +132,9 @@
     if (response.configuration !== undefined) {
       this.#applyConfiguration(response.configuration);
     }
+    if (requestedAt !== undefined && response.heldMs !== undefined) {
+      this.#freshness.confirm(requestedAt, response.heldMs);
+    }
     this.emit("change");
   }
 
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -12,8 +12,8 @@
 import * as v from "valibot";
 import type * as fleet from "../../fleet/mod.ts";
 import * as log from "../../log/mod.ts";
+import * as clocks from "./clocks.ts";
 import type * as fleetView from "./fleet_view.ts";
-import * as unitBorrower from "./unit_borrower.ts";
 
 const write = log.createLog("follower");
 
@@ -116,14 +116,18 @@
   async #runWatch(): Promise<void> {
     const { host, leader, view } = this.#options;
     while (!this.#disposed.signal.aborted) {
+      let requestedAt = clocks.readClocks();
       try {
-        const response = await leader.call(gateway.METHODS.watch, () => ({
-          host,
-          term: view.term,
-          revision: view.revision,
-          configuration: view.configuration?.version ?? null,
-        }), WATCH_LIMITS);
-        this.#apply(v.parse(gateway.WatchResponse, response));
+        const response = await leader.call(gateway.METHODS.watch, () => {
+          requestedAt = clocks.readClocks();
+          return {
+            host,
+            term: view.term,
+            revision: view.revision,
+            configuration: view.configuration?.version ?? null,
+          };
+        }, WATCH_LIMITS);
+        this.#apply(v.parse(gateway.WatchResponse, response), requestedAt);
       } catch (error) {
         this.#recordConnectionLoss(error);
         await this.#sleep(WATCH_RETRY_MS);
@@ -131,7 +135,10 @@
     }
   }
 
-  #apply(response: gateway.WatchResponse): void {
+  #apply(
+    response: gateway.WatchResponse,
+    requestedAt: core.gateway.ClockReading,
+  ): void {
     const { leader, view } = this.#options;
     if (this.#isConnected !== true) {
       this.#isConnected = true;
@@ -140,7 +147,7 @@
     leader.setControlHosts(
       response.controlHosts.map((address) => ({ address })),
     );
-    view.apply(response, performance.now());
+    view.apply(response, performance.now(), requestedAt);
   }
 
   #recordConnectionLoss(error: unknown): void {
@@ -180,7 +187,7 @@
     const report = collectReport();
     const isNewLeader = view.term !== this.#reportedTerm;
     const servers = isNewLeader ? view.serverRecords(performance.now()) : [];
-    const requestedAt = unitBorrower.readClocks();
+    const requestedAt = clocks.readClocks();
     try {
       const answered = this.#acknowledged;
       const params = { host, ...report, answered, servers };
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -10,6 +10,7 @@
 import * as core from "@ebonypath/core";
 import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
+import * as clocks from "./clocks.ts";
 import type * as dispatcher from "./dispatcher.ts";
 import type * as fleetView from "./fleet_view.ts";
 import * as responses from "./responses.ts";
@@ -294,11 +295,15 @@
     metadata: types.RequestMetadata,
     refusal: errors.Refusal,
   ): void {
+    const { view } = this.#options;
+    const ageMs = view.configurationAgeMs(clocks.readClocks());
     write("refused", {
       id: metadata.id,
       status: refusal.definition.status,
       reason: refusal.message,
-      version: this.#options.view.configuration?.version,
+      version: view.configuration?.version,
+      age_ms: Math.round(ageMs),
+      term: view.term,
     });
     responses.sendRefusal(
       response,
--- a/packages/daemon/src/gateway/entry/unit_borrower.ts
+++ b/packages/daemon/src/gateway/entry/unit_borrower.ts
@@ -6,6 +6,7 @@
 import * as timers from "node:timers";
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
+import * as clocks from "./clocks.ts";
 
 /** Most units of one limit that are asked for without a waiting request. */
 const MAX_WANTED = 4;
@@ -25,11 +26,6 @@
   wanted: number;
 };
 
-/** Reads the clocks that the lifetime of a unit is measured by. */
-export function readClocks(): core.gateway.ClockReading {
-  return { monotonicMs: performance.now(), wallMs: Date.now() };
-}
-
 /** Keeps the borrowed units of one host. */
 export class UnitBorrower {
   readonly #onWanted: () => void;
@@ -37,9 +33,9 @@
   readonly #stocks = new Map<string, Stock>();
 
   /** @param onWanted called when units are wanted that the host doesn't have */
-  constructor(onWanted: () => void, clocks = readClocks) {
+  constructor(onWanted: () => void, readClocks = clocks.readClocks) {
     this.#onWanted = onWanted;
-    this.#readClocks = clocks;
+    this.#readClocks = readClocks;
   }
 
   /** Takes a unit that the host has. */
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -20,6 +20,9 @@
   25,
 ];
 
+/** Upper bounds of rollout durations, in seconds; they are to end within 2 s. */
+const ROLLOUT_BUCKETS = [0.01, 0.03, 0.1, 0.3, 1, 2, 4, 8];
+
 /**
  * Metrics of one process. It registers those of both roles, entry and control;
  * the ones of the role that it does not have stay at zero.
@@ -54,11 +57,27 @@
     help: "Time since the leader's last answer",
     registers: [this.registry],
   });
+  readonly configurationAge = new prometheus.Gauge({
+    name: "ebonypath_gateway_configuration_age_seconds",
+    help: "Time since the configuration was known to be in force",
+    registers: [this.registry],
+  });
   readonly configurationVersion = new prometheus.Gauge({
     name: "ebonypath_gateway_configuration_version",
     help: "Version of the configuration in force here",
     registers: [this.registry],
   });
+  readonly rollout = new prometheus.Histogram({
+    name: "ebonypath_gateway_configuration_rollout_seconds",
+    help: "Time from the commit of a configuration until all hosts have it",
+    buckets: ROLLOUT_BUCKETS,
+    registers: [this.registry],
+  });
+  readonly hostsBehind = new prometheus.Gauge({
+    name: "ebonypath_gateway_hosts_behind",
+    help: "Entry hosts without the newest configuration, as the leader knows",
+    registers: [this.registry],
+  });
   readonly orders = new prometheus.Counter({
     name: "ebonypath_gateway_orders_total",
     help: "Orders to servers by kind and answer",
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -26,7 +26,12 @@
 }
 
 /** A leader that gives no orders. */
-function createCoordinator(): fleetCoordinator.FleetCoordinator {
+function createCoordinator(
+  { metrics = new GatewayMetrics(), hasLease = () => false }: {
+    readonly metrics?: GatewayMetrics;
+    readonly hasLease?: () => boolean;
+  } = {},
+): fleetCoordinator.FleetCoordinator {
   const state = new core.gateway.GatewayState();
   state.apply({
     kind: "configure",
@@ -54,10 +59,10 @@
       order: () => Promise.resolve({ kind: "accepted" }),
       report: () => Promise.reject(new Error("no report")),
     },
-    metrics: new GatewayMetrics(),
+    metrics,
     state: () => state,
     controlHosts: () => [],
-    hasLease: () => false,
+    hasLease,
     commit: () => Promise.resolve(),
   });
 }
@@ -173,6 +178,33 @@
     expect(idle.responses[0]?.limitedWorkspaces).to.deep.equal(["shop"]);
   });
 
+  it("tells how long it held a watch, for as long as it holds the lease", async () => {
+    let hasLease = true;
+    using leader = createCoordinator({ hasLease: () => hasLease });
+    const watch = (term: number) =>
+      leader.watch({ host: "h", term, revision: 99, configuration: 1 });
+    expect((await watch(0)).heldMs).to.be.within(0, PROMPT_MS);
+    expect((await watch(TERM)).heldMs).to.be.within(990, 1_000 + PROMPT_MS);
+    hasLease = false;
+    expect((await watch(0)).heldMs).to.equal(undefined);
+  });
+
+  it("measures the time until all hosts have a configuration", async () => {
+    const metrics = new GatewayMetrics();
+    using leader = createCoordinator({ metrics });
+    const watch = (host: string, configuration: number | null) =>
+      leader.watch({ host, term: 0, revision: 0, configuration });
+    const rollouts = async () =>
+      (await metrics.rollout.get()).values
+        .find(({ metricName }) => metricName?.endsWith("_count"))?.value;
+    await watch("a", null);
+    await watch("b", null);
+    await watch("a", 1);
+    expect(await rollouts()).to.equal(0);
+    await watch("b", 1);
+    expect(await rollouts()).to.equal(1);
+  });
+
   it("sends entry hosts no models of the engines", async () => {
     const response = await coordinator.watch({
       host: "new",
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -51,6 +51,11 @@
   /** Workspaces whose usage over all hosts is near their rate. */
   limitedWorkspaces: v.array(Name),
   controlHosts: v.array(Name),
+  /**
+   * Time from the request's arrival until this answer, in milliseconds. Absent
+   * if the leader can't tell that it still led then.
+   */
+  heldMs: v.optional(Amount),
   /** Present if its version is higher than the requested one. */
   configuration: v.optional(configuration.Configuration),
 });
