Don't wait again for a control host that is known to be silent

Callers saw 401 and 404 for routes and keys that had been published seconds before, at every entry host at once, after two of five control hosts had gone silent. All hosts try control hosts in the same order and were stuck at the same one.

Cause, in the search for the leader, two faults: - The second silent host of a call got what was left of the call's time, a few ms less than a whole attempt, and so was not marked as silent. The next call began with it again: 1.6 + 1.6 + 1.6 s for a watch. - Where a follower still named the silent leader, the call waited for that leader a second time, and the follower was marked as silent instead of it.

Evidence: the two new unit tests failed before (peers called: silent-2, leader; and old-leader, follower, old-leader, new-leader).

Ruled out: an older leader's answer (terms only grow), and a late commit (the publishing is acknowledged by the new leader).

A peer that doesn't answer for half an attempt is marked, whoever named it. A marked leader that a follower names is called after the others, not at once; the third test checks that it is called in the end.

--- a/packages/daemon/src/fleet/leader_client.ts
+++ b/packages/daemon/src/fleet/leader_client.ts
@@ -10,6 +10,11 @@
 
 /** Delay before all control hosts are tried again, in milliseconds. */
 const ROUND_DELAY_MS = 50;
+/**
+ * Fraction of an attempt's timeout after which a peer without an answer counts
+ * as unresponsive. What is left of a call may be too short for any answer.
+ */
+const UNRESPONSIVE_FRACTION = 0.5;
 
 /** Timeouts and retry policy of one call to the leader. */
 export interface CallLimits {
@@ -31,6 +36,14 @@
  */
 export type CallParams = object | (() => object);
 
+/** A call and the monotonic time by which it ends, in milliseconds. */
+interface Attempt {
+  readonly method: string;
+  readonly params: CallParams;
+  readonly limits: CallLimits;
+  readonly deadline: number;
+}
+
 /** The part of {@link rpcClient.RpcClient} that {@link LeaderClient} uses. */
 export type RpcCaller = Pick<rpcClient.RpcClient, "call">;
 
@@ -49,7 +62,7 @@
   readonly #seeds: () => readonly string[];
   /** Addresses of the control hosts from the feed. */
   #controlHosts: string[] = [];
-  /** Peers that did not answer within a full attempt timeout. */
+  /** Peers that did not answer the last attempt. */
   readonly #unresponsive = new Set<string>();
   #leader: string | null = null;
 
@@ -100,25 +113,22 @@
     const deadline = performance.now() + limits.totalMs;
     let lastError: Error | undefined;
     while (true) {
-      for (const peer of this.#orderedPeers()) {
-        const remaining = deadline - performance.now();
-        if (remaining <= 0) throw lastError ?? noLeaderError(method);
-        const timeoutMs = Math.min(limits.attemptMs, remaining);
+      const peers = this.#orderedPeers();
+      // An unresponsive leader that a peer names is appended during the loop.
+      for (const peer of peers) {
+        if (performance.now() >= deadline) {
+          throw lastError ?? noLeaderError(method);
+        }
         try {
-          const result = await this.#callWithRedirect(
-            peer,
-            method,
-            params,
-            timeoutMs,
-          );
-          return result;
+          const attempt = { method, params, limits, deadline };
+          return await this.#callWithRedirect(peer, attempt);
         } catch (error) {
-          const hadFullTimeout = timeoutMs === limits.attemptMs;
-          if (hadFullTimeout && !isPeerResponse(error)) {
-            this.#unresponsive.add(peer);
-          }
           if (!this.#canRetry(error, limits)) throw error;
           lastError = error as Error;
+          const leader = error instanceof errors.NotLeader
+            ? error.leader
+            : null;
+          if (leader !== null && !peers.includes(leader)) peers.push(leader);
         }
       }
       if (performance.now() + ROUND_DELAY_MS >= deadline) {
@@ -128,28 +138,28 @@
     }
   }
 
-  /** Calls `peer` and follows at most one redirect to the leader. */
-  async #callWithRedirect(
-    peer: string,
-    method: string,
-    params: CallParams,
-    timeoutMs: number,
-  ): Promise<unknown> {
+  /**
+   * Calls `peer` and follows at most one redirect to the leader. A peer may name
+   * a leader that has just been lost, so an unresponsive one is not called.
+   */
+  async #callWithRedirect(peer: string, attempt: Attempt): Promise<unknown> {
     try {
-      return await this.#callOne(peer, method, params, timeoutMs);
+      return await this.#callOne(peer, attempt);
     } catch (error) {
       if (!(error instanceof errors.NotLeader)) throw error;
-      if (error.leader === null || error.leader === peer) throw error;
-      return await this.#callOne(error.leader, method, params, timeoutMs);
+      const { leader } = error;
+      if (leader === null || leader === peer) throw error;
+      if (this.#unresponsive.has(leader)) throw error;
+      return await this.#callOne(leader, attempt);
     }
   }
 
   async #callOne(
     peer: string,
-    method: string,
-    params: CallParams,
-    timeoutMs: number,
+    { deadline, limits, method, params }: Attempt,
   ): Promise<unknown> {
+    const remainingMs = Math.max(1, deadline - performance.now());
+    const timeoutMs = Math.min(limits.attemptMs, remainingMs);
     try {
       const resolved = typeof params === "function" ? params() : params;
       const result = await this.#rpc.call(peer, method, resolved, timeoutMs);
@@ -158,7 +168,11 @@
       return result;
     } catch (error) {
       if (!(error instanceof errors.RemoteError)) this.forgetLeader(peer);
-      if (isPeerResponse(error)) this.#unresponsive.delete(peer);
+      if (isPeerResponse(error)) {
+        this.#unresponsive.delete(peer);
+      } else if (timeoutMs >= limits.attemptMs * UNRESPONSIVE_FRACTION) {
+        this.#unresponsive.add(peer);
+      }
       throw error;
     }
   }
--- a/packages/daemon/test/fleet/leader_client_test.ts
+++ b/packages/daemon/test/fleet/leader_client_test.ts
@@ -26,6 +26,69 @@
     expect(calledPeers).to.deep.equal(["leader"]);
   });
 
+  it("tries a host last that was silent for what was left of a call", async () => {
+    const calledPeers: string[] = [];
+    const client = new fleet.LeaderClient({
+      async call(peer, method, _params, timeoutMs) {
+        calledPeers.push(peer);
+        if (peer === "leader") return "done";
+        await timers.setTimeout(timeoutMs);
+        throw new fleet.OutcomeUnknown(method, peer, "no answer");
+      },
+    }, ["silent-1", "silent-2", "leader"]);
+    const limits = { attemptMs: 200, totalMs: 390, retryable: true };
+    await client.call("m", {}, limits).then(
+      () => expect.fail("the first call reached the leader"),
+      (error) => expect(error).to.be.instanceOf(fleet.OutcomeUnknown),
+    );
+    calledPeers.length = 0;
+    expect(await client.call("m", {}, limits)).to.equal("done");
+    expect(calledPeers).to.deep.equal(["leader"]);
+  });
+
+  it("does not follow a host's hint to a leader that is silent", async () => {
+    const calledPeers: string[] = [];
+    const client = new fleet.LeaderClient({
+      async call(peer, method, _params, timeoutMs) {
+        calledPeers.push(peer);
+        if (peer === "new-leader") return "done";
+        if (peer === "follower") {
+          throw new fleet.NotLeader(method, peer, "old-leader");
+        }
+        await timers.setTimeout(timeoutMs);
+        throw new fleet.OutcomeUnknown(method, peer, "no answer");
+      },
+    }, ["old-leader", "follower", "new-leader"]);
+    const limits = { attemptMs: 200, totalMs: 1_000, retryable: true };
+    expect(await client.call("m", {}, limits)).to.equal("done");
+    expect(calledPeers).to.deep.equal(["old-leader", "follower", "new-leader"]);
+    calledPeers.length = 0;
+    client.forgetLeader("new-leader");
+    expect(await client.call("m", {}, limits)).to.equal("done");
+    expect(calledPeers).to.deep.equal(["follower", "new-leader"]);
+  });
+
+  it("tries a silent leader again that only another host knows of", async () => {
+    let isSilent = true;
+    const client = new fleet.LeaderClient({
+      async call(peer, method, _params, timeoutMs) {
+        if (peer === "seed") {
+          throw new fleet.NotLeader(method, peer, "leader");
+        }
+        if (!isSilent) return "done";
+        await timers.setTimeout(timeoutMs);
+        throw new fleet.OutcomeUnknown(method, peer, "no answer");
+      },
+    }, ["seed"]);
+    const limits = { attemptMs: 100, totalMs: 180, retryable: true };
+    await client.call("m", {}, limits).then(
+      () => expect.fail("the silent leader answered"),
+      (error) => expect(error).to.be.instanceOf(Error),
+    );
+    isSilent = false;
+    expect(await client.call("m", {}, limits)).to.equal("done");
+  });
+
   it("creates the parameters again for each attempt", async () => {
     const sent: unknown[] = [];
     const client = new fleet.LeaderClient({
