Refuse no request by a configuration that may have been replaced

Callers saw 401 and 404 for routes and keys that a newer, acknowledged configuration has. Nobody repeats a 401 or 404, so the host's delay became the caller's failure.

Cause: an entry host of the gateway judged a request by the configuration that it had, however old the leader's last word was. An unknown route and one that it had not heard of yet looked the same. The daemon's own way of serving asks first whether its view is current (requireReady before authenticate); the gateway had no such check. Class of fault: acting on what was known without knowing how old it is.

The proof is an answer of a leader with a certain lease to a request of this host; its age counts from the request by both clocks, so that a suspended host has none. Without it the host asks the leader at once (one call for all that wait; 300 ms a control host) and judges again; without an answer it refuses with 503, not run. While the leader is heard, the open watch is proof enough and no call is added. Requests that the old configuration allows are served as before.

--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -176,13 +176,14 @@
     const now = performance.now();
     this.#demandTracker.touch(request.host, now);
     this.#recordRollout(request, now);
-    if (this.#hasNews(request)) {
+    const waitMs = Math.min(request.waitMs ?? Infinity, WATCH_TIMEOUT_MS);
+    if (waitMs === 0 || this.#hasNews(request)) {
       return Promise.resolve(this.#createResponse(request, now));
     }
     return new Promise((resolve) => {
       const timer = timers.setTimeout(
         () => this.#release(pending),
-        WATCH_TIMEOUT_MS,
+        waitMs,
       );
       const pending: PendingWatch = {
         request,
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -43,6 +43,11 @@
   /** Fleet addresses of the control hosts to contact first. */
   seeds(): readonly string[];
   readonly retryBudget: core.gateway.FleetRetryBudget;
+  /**
+   * Age of a configuration from which on no request is refused by it, in
+   * milliseconds.
+   */
+  readonly maxConfigurationAgeMs: number;
   readonly metrics: metrics.GatewayMetrics;
 }
 
@@ -112,6 +117,8 @@
         onReturnExpected: (context, delayMs) =>
           this.#expectReturn(context, delayMs),
       }),
+      maxConfigurationAgeMs: options.maxConfigurationAgeMs,
+      confirmConfiguration: () => this.#leaderSync.confirm(),
       refreshUsage: () => this.#leaderSync.refresh(USAGE_REFRESH_TIMEOUT_MS),
       onArrival: (context) => this.#countArrival(context),
     });
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -19,6 +19,8 @@
 
 /** Time limits of a watch call; the leader holds it open for up to 1 s. */
 const WATCH_LIMITS = { attemptMs: 1_600, totalMs: 3_200, retryable: true };
+/** Time limits of a confirmation; a few silent control hosts fit into it. */
+const CONFIRMATION_LIMITS = { attemptMs: 300, totalMs: 1_200, retryable: true };
 /** Time limits of a report. */
 const REPORT_LIMITS = { attemptMs: 400, totalMs: 800, retryable: false };
 /** Shortest interval between reports that are not urgent, in milliseconds. */
@@ -74,6 +76,8 @@
   #reportIntervalMs = MIN_REPORT_INTERVAL_MS;
   /** Waits for the next report that is sent and answered. */
   #refreshes: (() => void)[] = [];
+  /** The confirmation that is in progress. */
+  #confirmation: Promise<void> | undefined;
   /** Unknown until the first response or failure. */
   #isConnected: boolean | undefined;
 
@@ -108,26 +112,26 @@
     timeout.abort();
   }
 
+  /**
+   * Asks the leader for what is in force now, and resolves when it has answered
+   * or could not be reached in time. A call in progress is shared.
+   */
+  confirm(): Promise<void> {
+    this.#confirmation ??= this.#callWatch(CONFIRMATION_LIMITS, 0)
+      .catch((error: unknown) => write("not-confirmed", { error }))
+      .finally(() => this.#confirmation = undefined);
+    return this.#confirmation;
+  }
+
   [Symbol.dispose](): void {
     this.#disposed.abort();
     this.#earlyReport.abort();
   }
 
   async #runWatch(): Promise<void> {
-    const { host, leader, view } = this.#options;
     while (!this.#disposed.signal.aborted) {
-      let requestedAt = clocks.readClocks();
       try {
-        const response = await leader.call(gateway.METHODS.watch, () => {
-          requestedAt = clocks.readClocks();
-          return {
-            host,
-            term: view.term,
-            revision: view.revision,
-            configuration: view.configuration?.version ?? null,
-          };
-        }, WATCH_LIMITS);
-        this.#apply(v.parse(gateway.WatchResponse, response), requestedAt);
+        await this.#callWatch(WATCH_LIMITS);
       } catch (error) {
         this.#recordConnectionLoss(error);
         await this.#sleep(WATCH_RETRY_MS);
@@ -135,6 +139,23 @@
     }
   }
 
+  /** @param waitMs longest time that the leader holds the call, in ms */
+  async #callWatch(limits: fleet.CallLimits, waitMs?: number): Promise<void> {
+    const { host, leader, view } = this.#options;
+    let requestedAt = clocks.readClocks();
+    const response = await leader.call(gateway.METHODS.watch, () => {
+      requestedAt = clocks.readClocks();
+      return {
+        host,
+        term: view.term,
+        revision: view.revision,
+        configuration: view.configuration?.version ?? null,
+        ...(waitMs === undefined ? {} : { waitMs }),
+      };
+    }, limits);
+    this.#apply(v.parse(gateway.WatchResponse, response), requestedAt);
+  }
+
   #apply(
     response: gateway.WatchResponse,
     requestedAt: core.gateway.ClockReading,
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -48,12 +48,30 @@
 /** Limit of a body while no configuration is known, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+/**
+ * Longest time that a refusal waits for the leader to confirm the configuration,
+ * in milliseconds. A new leader is found within it.
+ */
+const CONFIRMATION_WAIT_MS = 1_200;
+/**
+ * Fraction of a request's time limit that a refusal waits at most, so that the
+ * caller has time to try another host.
+ */
+const CONFIRMATION_WAIT_FRACTION = 0.5;
+
 /** Dependencies and callbacks of a `RequestHandler`. */
 export interface RequestHandlerOptions {
   readonly dialect: types.Dialect;
   readonly view: fleetView.FleetView;
   readonly dispatcher: dispatcher.Dispatcher;
   readonly rateLimiter: core.gateway.SharedRateLimiter;
+  /**
+   * Age of a configuration from which on no request is refused by it, in
+   * milliseconds: a newer one may be in force.
+   */
+  readonly maxConfigurationAgeMs: number;
+  /** Resolves when the leader has told what is in force, or in vain. */
+  confirmConfiguration(): Promise<void>;
   /** Resolves when the leader has told the usage of all hosts, or in vain. */
   refreshUsage(): Promise<void>;
   /** Called with each request that is admitted. */
@@ -69,6 +87,9 @@
     readonly workspace: gateway.Workspace | undefined;
     readonly tokens: number;
   }
+  /** The host has no configuration, or one that is not known to be in force. */
+  | { readonly kind: "not-current"; readonly refusal: errors.Refusal }
+  /** The configuration does not allow the request. */
   | { readonly kind: "refused"; readonly refusal: errors.Refusal }
   /** The workspace has used up its rate for now. */
   | {
@@ -127,11 +148,18 @@
     await this.#waitForConfiguration(metadata, response);
     if (response.destroyed) return;
     await this.#refreshLimitedUsage(metadata);
-    const admission = await this.#waitForRate(
-      () => this.#admit(request, metadata, performance.now()),
+    const admit = () =>
+      this.#waitForRate(
+        () => this.#admit(request, metadata, performance.now()),
+        metadata,
+        response,
+        arrivedAt,
+      );
+    const admission = await this.#confirmRefusal(
+      await admit(),
+      admit,
       metadata,
       response,
-      arrivedAt,
     );
     if (response.destroyed) return;
     if (admission.kind !== "admitted") {
@@ -186,6 +214,37 @@
     }
   }
 
+  /**
+   * Confirms a refusal by a configuration that may have been replaced: a newer
+   * one may have the route or key.
+   */
+  async #confirmRefusal(
+    admission: Admission,
+    admit: () => Promise<Admission>,
+    { deadlineMs }: types.RequestMetadata,
+    response: http.ServerResponse,
+  ): Promise<Admission> {
+    if (admission.kind !== "refused" || this.#isConfigurationCurrent) {
+      return admission;
+    }
+    const waitMs = Math.min(
+      CONFIRMATION_WAIT_MS,
+      (deadlineMs ?? Infinity) * CONFIRMATION_WAIT_FRACTION,
+    );
+    const confirmed = this.#options.confirmConfiguration();
+    await sleepWhileOpen(response, waitMs, confirmed);
+    const next = await admit();
+    return next.kind === "refused" && !this.#isConfigurationCurrent
+      ? notCurrent("the configuration is not known to be in force")
+      : next;
+  }
+
+  get #isConfigurationCurrent(): boolean {
+    const { maxConfigurationAgeMs, view } = this.#options;
+    const ageMs = view.configurationAgeMs(clocks.readClocks());
+    return ageMs <= maxConfigurationAgeMs;
+  }
+
   /**
    * Asks the leader for the usage of a workspace that is near its rate. What
    * this host knows may be older than the requests that other hosts admitted.
@@ -253,7 +312,7 @@
     const { view } = this.#options;
     const { configuration } = view;
     if (configuration === null) {
-      return refused(errors.NOT_CURRENT, "no configuration has arrived yet");
+      return notCurrent("no configuration has arrived yet");
     }
     const route = view.routes.match(
       request.headers.host ?? "",
@@ -326,10 +385,18 @@
   return { kind: "refused", refusal: new errors.Refusal(definition, detail) };
 }
 
+function notCurrent(detail: string): Admission {
+  return {
+    kind: "not-current",
+    refusal: new errors.Refusal(errors.NOT_CURRENT, detail),
+  };
+}
+
 function refusalOf(
   admission: Exclude<Admission, { kind: "admitted" }>,
 ): errors.Refusal {
   switch (admission.kind) {
+    case "not-current":
     case "refused":
       return admission.refusal;
     case "rate-exceeded":
--- a/packages/daemon/test/gateway/entry_host_test.ts
+++ b/packages/daemon/test/gateway/entry_host_test.ts
@@ -90,6 +90,7 @@
       rpcClient: { call } as unknown as fleet.RpcClient,
       seeds: () => ["control-1"],
       retryBudget: { ratio: 0.2, slack: 54, windowMs: 10_000 },
+      maxConfigurationAgeMs: 1_000,
       metrics: new GatewayMetrics(),
     });
     const server = http.createServer((request, response) =>
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -189,6 +189,22 @@
     expect((await watch(0)).heldMs).to.equal(undefined);
   });
 
+  it("holds a watch no longer than its host wants", async () => {
+    const watch = (waitMs: number) =>
+      coordinator.watch({
+        host: "h",
+        term: TERM,
+        revision: 99,
+        configuration: 1,
+        waitMs,
+      });
+    const startedAt = performance.now();
+    await watch(0);
+    expect(performance.now() - startedAt).to.be.below(PROMPT_MS);
+    await watch(300);
+    expect(performance.now() - startedAt).to.be.within(295, 300 + PROMPT_MS);
+  });
+
   it("measures the time until all hosts have a configuration", async () => {
     const metrics = new GatewayMetrics();
     using leader = createCoordinator({ metrics });
--- a/packages/daemon/test/gateway/leader_sync_test.ts
+++ b/packages/daemon/test/gateway/leader_sync_test.ts
@@ -2,6 +2,7 @@
 import { gateway } from "@ebonypath/protocol";
 import { wait } from "@ebonypath/testing";
 import { expect } from "chai";
+import { readClocks } from "../../src/gateway/entry/clocks.ts";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
 import * as leaderSync from "../../src/gateway/entry/leader_sync.ts";
 import * as fixtures from "./fixtures.ts";
@@ -25,6 +26,8 @@
   hostCount = 1;
   isAnswering = true;
   failures = 0;
+  /** Watches that the leader has received. */
+  watches: gateway.WatchRequest[] = [];
   readonly view = new fleetView.FleetView();
   readonly sync: leaderSync.LeaderSync;
   readonly #ended = new AbortController();
@@ -35,7 +38,11 @@
       leader: {
         leader: "control-1",
         setControlHosts: () => undefined,
-        call: (method) => this.#answer(method),
+        call: (method, params) =>
+          this.#answer(
+            method,
+            typeof params === "function" ? params() : params,
+          ),
       },
       view: this.view,
       hasNews: () => this.hasNews,
@@ -59,14 +66,16 @@
     this.#ended.abort();
   }
 
-  async #answer(method: string): Promise<unknown> {
+  async #answer(method: string, params: object): Promise<unknown> {
     const { signal } = this.#ended;
     if (method === gateway.METHODS.watch) {
-      if (this.view.term === TERM) {
+      const watch = params as gateway.WatchRequest;
+      this.watches.push(watch);
+      if (this.view.term === TERM && watch.waitMs !== 0) {
         await timers.setTimeout(1_000, undefined, { signal })
           .catch(() => undefined);
       }
-      return fixtures.watchResponse({ term: TERM });
+      return fixtures.watchResponse({ term: TERM, heldMs: 0 });
     }
     this.reports += 1;
     if (!this.isAnswering) throw new Error("no answer");
@@ -143,6 +152,20 @@
     expect(performance.now() - startedAt).to.be.within(95, 700);
   });
 
+  it("confirms what is in force by one call for all that wait", async () => {
+    using fixture = new Fixture();
+    await fixture.start();
+    await timers.setTimeout(300);
+    const { watches } = fixture;
+    const before = watches.length;
+    const ageMs = () => fixture.view.configurationAgeMs(readClocks());
+    expect(ageMs()).to.be.above(250);
+    await Promise.all([fixture.sync.confirm(), fixture.sync.confirm()]);
+    expect(ageMs()).to.be.below(250);
+    expect(watches.slice(before).map(({ waitMs }) => waitMs))
+      .to.deep.equal([0]);
+  });
+
   it("tells when a report was not answered", async () => {
     using fixture = new Fixture();
     await fixture.start();
--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -2,8 +2,10 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as core from "@ebonypath/core";
+import type { gateway } from "@ebonypath/protocol";
 import { wait } from "@ebonypath/testing";
 import { expect } from "chai";
+import { readClocks } from "../../src/gateway/entry/clocks.ts";
 import type * as dispatcher from "../../src/gateway/entry/dispatcher.ts";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
 import * as requestHandler from "../../src/gateway/entry/request_handler.ts";
@@ -34,6 +36,9 @@
   }),
 });
 
+/** Age from which on a configuration refuses no requests, in milliseconds. */
+const MAX_AGE_MS = 500;
+
 /** A request handler without a configuration, behind an HTTP server. */
 class Fixture implements AsyncDisposable {
   readonly view = new fleetView.FleetView();
@@ -43,6 +48,10 @@
   arrivals = 0;
   /** Number of times that the usage of all hosts was asked for. */
   refreshes = 0;
+  /** Number of times that the leader was asked for what is in force. */
+  confirmations = 0;
+  /** What the leader does when it is asked. */
+  onConfirm: () => Promise<void> = () => Promise.resolve();
   readonly #server: http.Server;
 
   constructor(
@@ -67,6 +76,11 @@
       view: this.view,
       dispatcher: { serve } as unknown as dispatcher.Dispatcher,
       rateLimiter: this.rateLimiter,
+      maxConfigurationAgeMs: MAX_AGE_MS,
+      confirmConfiguration: () => {
+        this.confirmations += 1;
+        return this.onConfirm();
+      },
       refreshUsage: () => {
         this.refreshes += 1;
         return Promise.resolve();
@@ -216,3 +230,104 @@
     expect(fixture.dispatched).to.deep.equal([]);
   });
 });
+
+describe("a request that the configuration of a host does not allow", () => {
+  /** The configuration of above, by another version and for another host. */
+  function configurationFor(
+    host: string,
+    version: number,
+  ): gateway.Configuration {
+    const { configuration } = WATCH_RESPONSE;
+    if (configuration === undefined) throw new TypeError("none to change");
+    return {
+      ...configuration,
+      version,
+      routes: configuration.routes.map((route) => ({ ...route, host })),
+    };
+  }
+
+  function applyConfiguration(
+    { view }: Fixture,
+    configuration: gateway.Configuration,
+    ageMs: number,
+  ): void {
+    const { monotonicMs, wallMs } = readClocks();
+    view.apply(
+      { ...WATCH_RESPONSE, heldMs: 0, configuration },
+      performance.now(),
+      { monotonicMs: monotonicMs - ageMs, wallMs: wallMs - ageMs },
+    );
+  }
+
+  function createFixture(ageMs: number): Fixture {
+    const fixture = new Fixture(4_000);
+    applyConfiguration(fixture, configurationFor("other", 1), ageMs);
+    return fixture;
+  }
+
+  it("is refused at once if the configuration is known to be in force", async () => {
+    await using fixture = createFixture(0);
+    expect(await fixture.fetchStatus()).to.equal(404);
+    expect(fixture.confirmations).to.equal(0);
+  });
+
+  it("is served if the leader has a newer one that allows it", async () => {
+    await using fixture = createFixture(2 * MAX_AGE_MS);
+    fixture.onConfirm = () => {
+      applyConfiguration(fixture, configurationFor("h", 2), 0);
+      return Promise.resolve();
+    };
+    expect(await fixture.fetchStatus()).to.equal(200);
+    expect(fixture.dispatched).to.have.length(1);
+  });
+
+  it("is refused if the leader confirms the configuration", async () => {
+    await using fixture = createFixture(2 * MAX_AGE_MS);
+    fixture.onConfirm = () => {
+      applyConfiguration(fixture, configurationFor("other", 1), 0);
+      return Promise.resolve();
+    };
+    expect(await fixture.fetchStatus()).to.equal(404);
+    expect(fixture.confirmations).to.equal(1);
+  });
+
+  it("is sent to another host if the leader does not answer", async () => {
+    await using fixture = createFixture(2 * MAX_AGE_MS);
+    expect(await fixture.fetchStatus()).to.equal(503);
+  });
+
+  it("leaves its caller the time to try another host", async () => {
+    await using fixture = new Fixture(300);
+    applyConfiguration(
+      fixture,
+      configurationFor("other", 1),
+      2 * MAX_AGE_MS,
+    );
+    fixture.onConfirm = () => new Promise(() => undefined);
+    const startedAt = performance.now();
+    expect(await fixture.fetchStatus()).to.equal(503);
+    expect(performance.now() - startedAt).to.be.within(145, 280);
+  });
+
+  it("is not refused by a configuration from before a suspension", async () => {
+    await using fixture = new Fixture(4_000);
+    const { monotonicMs, wallMs } = readClocks();
+    fixture.view.apply(
+      {
+        ...WATCH_RESPONSE,
+        heldMs: 0,
+        configuration: configurationFor("other", 1),
+      },
+      performance.now(),
+      { monotonicMs, wallMs: wallMs - 5_000 },
+    );
+    expect(await fixture.fetchStatus()).to.equal(503);
+  });
+
+  it("is served by an old configuration that allows it", async () => {
+    await using fixture = new Fixture(4_000);
+    applyConfiguration(fixture, configurationFor("h", 1), 60_000);
+    expect(await fixture.fetchStatus()).to.equal(200);
+    expect(fixture.confirmations).to.equal(0);
+  });
+});
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -35,6 +35,8 @@
   revision: Count,
   /** Version of the configuration that the host has, if any. */
   configuration: v.nullable(Count),
+  /** Longest time that the leader holds it, in ms; its own limit if absent. */
+  waitMs: v.optional(Amount),
 });
 export type WatchRequest = v.InferOutput<typeof WatchRequest>;
 
