Ask anew what is in force when the open watch doesn't confirm it

With the check of refusals, a host that had lost its leader without noticing still served by an old configuration, and sent requests to servers that had left, for as long as its watch waited: 1.6 s for each silent control host that is tried (tolerated: two at once).

A host now asks the leader at once for what is in force when its configuration is older than the limit for refusals, independent of requests and beside the open watch, with 300 ms a control host; every 500 ms if that fails. A watch that is answered in time confirms the configuration once a second, so that a sound leader gets no call more.

--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -75,13 +75,14 @@
   #hasNews = false;
 
   constructor(options: EntryHostOptions) {
-    const { dialect, host, rpcClient, seeds } = options;
+    const { dialect, host, maxConfigurationAgeMs, rpcClient, seeds } = options;
     this.#metrics = options.metrics;
     this.#leaderSync = this.#resources.use(
       new leaderSync.LeaderSync({
         host,
         leader: new fleet.LeaderClient(rpcClient, seeds),
         view: this.view,
+        maxConfigurationAgeMs,
         hasNews: () =>
           this.#hasNews || this.#unitBorrower.isWaiting ||
           this.#serverSelector.isWaiting,
@@ -117,7 +118,7 @@
         onReturnExpected: (context, delayMs) =>
           this.#expectReturn(context, delayMs),
       }),
-      maxConfigurationAgeMs: options.maxConfigurationAgeMs,
+      maxConfigurationAgeMs,
       confirmConfiguration: () => this.#leaderSync.confirm(),
       refreshUsage: () => this.#leaderSync.refresh(USAGE_REFRESH_TIMEOUT_MS),
       onArrival: (context) => this.#countArrival(context),
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -21,6 +21,10 @@
 const WATCH_LIMITS = { attemptMs: 1_600, totalMs: 3_200, retryable: true };
 /** Time limits of a confirmation; a few silent control hosts fit into it. */
 const CONFIRMATION_LIMITS = { attemptMs: 300, totalMs: 1_200, retryable: true };
+/** Interval of confirmations that fail, and before the first answer, in ms. */
+const CONFIRMATION_INTERVAL_MS = 500;
+/** Shortest time until the age is looked at again, in milliseconds. */
+const MIN_AGE_CHECK_MS = 20;
 /** Time limits of a report. */
 const REPORT_LIMITS = { attemptMs: 400, totalMs: 800, retryable: false };
 /** Shortest interval between reports that are not urgent, in milliseconds. */
@@ -50,6 +54,11 @@
     "call" | "leader" | "setControlHosts"
   >;
   readonly view: fleetView.FleetView;
+  /**
+   * Age of the configuration from which on the leader is asked for it anew, in
+   * milliseconds. The open watch confirms it about once a second.
+   */
+  readonly maxConfigurationAgeMs: number;
   /** Whether there is anything to report. */
   hasNews(): boolean;
   /** Collects the report of this host. */
@@ -87,6 +96,7 @@
 
   start(): void {
     void this.#runWatch();
+    void this.#runConfirmations();
     void this.#runReports();
   }
 
@@ -177,6 +187,23 @@
     write("leader-lost", { error });
   }
 
+  /** Asks anew for what is in force when the watch has not confirmed it. */
+  async #runConfirmations(): Promise<void> {
+    const { maxConfigurationAgeMs, view } = this.#options;
+    const remainingMs = () =>
+      maxConfigurationAgeMs - view.configurationAgeMs(clocks.readClocks());
+    while (!this.#disposed.signal.aborted) {
+      const isDue = view.configuration !== null && remainingMs() <= 0;
+      if (isDue) await this.confirm();
+      const delayMs = remainingMs();
+      await this.#sleep(
+        delayMs > 0
+          ? Math.max(MIN_AGE_CHECK_MS, delayMs)
+          : CONFIRMATION_INTERVAL_MS,
+      );
+    }
+  }
+
   async #runReports(): Promise<void> {
     while (!this.#disposed.signal.aborted) {
       const isEarly = this.#earlyReport.signal.aborted;
--- a/packages/daemon/test/gateway/leader_sync_test.ts
+++ b/packages/daemon/test/gateway/leader_sync_test.ts
@@ -8,6 +8,8 @@
 import * as fixtures from "./fixtures.ts";
 
 const TERM = 3;
+/** Age from which on a configuration has to be confirmed, in milliseconds. */
+const MAX_AGE_MS = 1_200;
 const EMPTY_REPORT: leaderSync.LocalReport = {
   demand: [],
   usage: [],
@@ -28,6 +30,8 @@
   failures = 0;
   /** Watches that the leader has received. */
   watches: gateway.WatchRequest[] = [];
+  /** Time after which the leader answers a watch without news, in ms. */
+  holdMs = 1_000;
   readonly view = new fleetView.FleetView();
   readonly sync: leaderSync.LeaderSync;
   readonly #ended = new AbortController();
@@ -45,6 +49,7 @@
           ),
       },
       view: this.view,
+      maxConfigurationAgeMs: MAX_AGE_MS,
       hasNews: () => this.hasNews,
       collectReport: () => {
         this.hasNews = false;
@@ -71,11 +76,15 @@
     if (method === gateway.METHODS.watch) {
       const watch = params as gateway.WatchRequest;
       this.watches.push(watch);
-      if (this.view.term === TERM && watch.waitMs !== 0) {
-        await timers.setTimeout(1_000, undefined, { signal })
-          .catch(() => undefined);
-      }
-      return fixtures.watchResponse({ term: TERM, heldMs: 0 });
+      const isHeld = watch.term === TERM && watch.waitMs !== 0;
+      const heldMs = isHeld ? this.holdMs : 0;
+      await timers.setTimeout(heldMs, undefined, { signal })
+        .catch(() => undefined);
+      return fixtures.watchResponse({
+        term: TERM,
+        heldMs,
+        configuration: fixtures.configuration([]),
+      });
     }
     this.reports += 1;
     if (!this.isAnswering) throw new Error("no answer");
@@ -166,6 +175,28 @@
       .to.deep.equal([0]);
   });
 
+  it("asks anew what is in force when the open watch is not answered", async () => {
+    using fixture = new Fixture();
+    fixture.holdMs = 60_000;
+    await fixture.start();
+    const ages: number[] = [];
+    for (let sample = 0; sample < 40; sample += 1) {
+      await timers.setTimeout(100);
+      ages.push(fixture.view.configurationAgeMs(readClocks()));
+    }
+    expect(Math.max(...ages)).to.be.below(MAX_AGE_MS + 200);
+    const confirmations = fixture.watches.filter(({ waitMs }) => waitMs === 0);
+    expect(confirmations.length).to.be.within(2, 4);
+  });
+
+  it("asks nothing more as long as the open watch is answered", async () => {
+    using fixture = new Fixture();
+    await fixture.start();
+    await timers.setTimeout(3_000);
+    expect(fixture.watches.filter(({ waitMs }) => waitMs === 0))
+      .to.deep.equal([]);
+  });
+
   it("tells when a report was not answered", async () => {
     using fixture = new Fixture();
     await fixture.start();
