Count a route's timeout from the arrival of its request

A request that waited for the first configuration, for its workspace's rate or for a slow body was given up a whole route timeout after that wait, up to 2 s late where the configuration came last: callers are promised the timeout from when they send.

The timer was set to the timeout when the request was dispatched, while the deadline beside it, which servers are told, already counted from the arrival.

The new test failed before: a request with a timeout of 2 s that got its configuration after 0.9 s was given up after 2.92 s.

--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -275,7 +275,10 @@
     );
     const deadline = arrivedAt + timeoutMs;
     const abortController = new AbortController();
-    const timer = setTimeout(() => abortController.abort(), timeoutMs);
+    const timer = setTimeout(
+      () => abortController.abort(),
+      Math.max(0, deadline - performance.now()),
+    );
     response.on("close", () => abortController.abort());
     const patienceMs = route.patienceMs ?? Infinity;
     const context: types.RequestContext = {
--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as timers from "node:timers/promises";
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import { wait } from "@ebonypath/testing";
@@ -50,6 +51,8 @@
   refreshes = 0;
   /** Number of times that the leader was asked for what is in force. */
   confirmations = 0;
+  /** Whether requests are served at once, or not before their time is over. */
+  servesAtOnce = true;
   /** What the leader does when it is asked. */
   onConfirm: () => Promise<void> = () => Promise.resolve();
   readonly #server: http.Server;
@@ -58,10 +61,11 @@
     deadlineMs: number | undefined,
     metadata: Partial<types.RequestMetadata> = {},
   ) {
-    const serve = ({ context, response }: dispatcher.Exchange) => {
+    const serve = async ({ context, response }: dispatcher.Exchange) => {
       this.dispatched.push(context);
+      if (!this.servesAtOnce) await once(context.signal, "abort");
       response.end("ok");
-      return Promise.resolve(true);
+      return true;
     };
     this.handler = new requestHandler.RequestHandler({
       dialect: {
@@ -136,6 +140,17 @@
     expect(await statusOf(request)).to.equal(200);
   });
 
+  it("is given up at its route's timeout, counted from its arrival", async () => {
+    await using fixture = new Fixture(undefined);
+    fixture.servesAtOnce = false;
+    const startedAt = performance.now();
+    const request = await fixture.sendRequest();
+    await timers.setTimeout(900);
+    fixture.view.apply(WATCH_RESPONSE, performance.now());
+    await statusOf(request);
+    expect(performance.now() - startedAt).to.be.within(1_990, 2_300);
+  });
+
   it("is refused while its caller has time to try another host", async () => {
     await using fixture = new Fixture(300);
     const startedAt = performance.now();
