Relay calls to the leader that replication knows

The new leader of the replicated log is now called first. The unit test has a client that is told of a leader while the one before is silent; without that it calls the silent one first.

--- a/packages/daemon/src/fleet/leader_client.ts
+++ b/packages/daemon/src/fleet/leader_client.ts
@@ -90,6 +90,11 @@
     this.#controlHosts = hosts.map((host) => host.address);
   }
 
+  /** Sets the leader that is called first, as learned from elsewhere. */
+  setLeader(address: string): void {
+    this.#leader = address;
+  }
+
   /**
    * Clears the known leader if it is at `address`, for instance after its feed
    * connection was lost.
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -237,6 +237,11 @@
     }
     const members = core.replication.allMembers(this.#driver.membership);
     this.#leaderClient.setControlHosts(members);
+    // Replication notices a new leader before a call to the old one times out.
+    const leader = this.leaderAddress;
+    if (leader !== null && leader !== this.#options.address) {
+      this.#leaderClient.setLeader(leader);
+    }
     return await this.#leaderClient.call(method, params, limits);
   }
 
--- a/packages/daemon/test/fleet/leader_client_test.ts
+++ b/packages/daemon/test/fleet/leader_client_test.ts
@@ -89,6 +89,25 @@
     expect(await client.call("m", {}, limits)).to.equal("done");
   });
 
+  it("calls the leader that it is told of instead of one that went silent", async () => {
+    let leader = "old-leader";
+    const calledPeers: string[] = [];
+    const client = new fleet.LeaderClient({
+      async call(peer, method, _params, timeoutMs) {
+        calledPeers.push(peer);
+        if (peer === leader) return "done";
+        await timers.setTimeout(timeoutMs);
+        throw new fleet.OutcomeUnknown(method, peer, "no answer");
+      },
+    }, ["old-leader", "new-leader"]);
+    await client.call("m", {}, LIMITS);
+    leader = "new-leader";
+    calledPeers.length = 0;
+    client.setLeader("new-leader");
+    await client.call("m", {}, LIMITS);
+    expect(calledPeers).to.deep.equal(["new-leader"]);
+  });
+
   it("creates the parameters again for each attempt", async () => {
     const sent: unknown[] = [];
     const client = new fleet.LeaderClient({
