Keep a workspace's rate while no leader is heard

Callers of one workspace could use several times its rate while the leader was lost: each host counted only its own requests then, and spent the whole rate.

A host whose report was not answered for 350 ms, or 100 ms for a workspace near its rate, uses an equal part of what was last available and of the rate since. Beyond it the leader is asked first. Parts smaller than a request are rounded at random. What a surge uses in the 350 ms in which the leader is lost remains.

--- a/packages/core/src/gateway/configuration_freshness.ts
+++ b/packages/core/src/gateway/freshness.ts
@@ -1,12 +1,12 @@
 import type { ClockReading } from "./borrowed_units.ts";
 
 /**
- * Tracks when a host's configuration was last known to be the one in force.
+ * Tracks when what a host knows from the leader was last known to be current.
  *
- * The leader's answer to a request shows that the configuration was in force at
- * some time after the request was sent. The age counts from then, not from the
- * arrival of the answer, which may have been delayed. It is measured by both
- * clocks, since the monotonic clock stops while the host is suspended.
+ * The leader's answer to a request shows what was current at some time after the
+ * request was sent. The age counts from then, not from the arrival of the answer,
+ * which may have been delayed. It is measured by both clocks, since the monotonic
+ * clock stops while the host is suspended.
  *
  * @example
  * ```ts
@@ -14,7 +14,7 @@
  * if (freshness.ageMs(readClocks()) > MAX_AGE_MS) await askLeader();
  * ```
  */
-export class ConfigurationFreshness {
+export class Freshness {
   #confirmedAt: ClockReading | undefined;
 
   /**
@@ -22,15 +22,15 @@
    *
    * @param heldMs time that the leader held the request before it answered
    */
-  confirm(requestedAt: ClockReading, heldMs: number): void {
+  confirm(requestedAt: ClockReading, heldMs = 0): void {
     const monotonicMs = requestedAt.monotonicMs + heldMs;
     if (monotonicMs <= (this.#confirmedAt?.monotonicMs ?? -Infinity)) return;
     this.#confirmedAt = { monotonicMs, wallMs: requestedAt.wallMs + heldMs };
   }
 
   /**
-   * Time since the configuration was known to be in force, in milliseconds;
-   * `Infinity` before the first answer.
+   * Time since the last confirmation, in milliseconds; `Infinity` before the
+   * first one.
    */
   ageMs(now: ClockReading): number {
     if (this.#confirmedAt === undefined) return Infinity;
--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -4,8 +4,8 @@
  *
  * @module
  */
-export * from "./configuration_freshness.ts";
 export * from "./configuration_rollout.ts";
+export * from "./freshness.ts";
 export * from "./demand_tracker.ts";
 export * from "./membership_change.ts";
 export * from "./load_forecast.ts";
@@ -21,6 +21,7 @@
 export * from "./borrowed_units.ts";
 export * from "./lending_pool.ts";
 export * from "./limited_workspaces.ts";
+export * from "./rate_part.ts";
 export * from "./shared_limits.ts";
 export * from "./usage_tracker.ts";
 export * from "./shared_rate_limiter.ts";
--- a/packages/core/src/gateway/shared_rate_limiter.ts
+++ b/packages/core/src/gateway/shared_rate_limiter.ts
@@ -1,4 +1,5 @@
 import type { gateway } from "@ebonypath/protocol";
+import { RatePart } from "./rate_part.ts";
 
 const SECOND_MS = 1_000;
 /** Token bucket of one workspace. */
@@ -7,6 +8,8 @@
   /** Available tokens; negative while the bucket is in debt. */
   level: number;
   refilledAt: number;
+  /** What this host may use without knowing the usage of the others. */
+  readonly part: RatePart;
 };
 
 /** Tokens used at this host since it started. */
@@ -30,7 +33,8 @@
  *
  * Overuse is bounded by the requests that are admitted between two answers of
  * the leader. Leasing parts of the rate to hosts would bound it exactly, but
- * would refuse requests within the rate while a part moves between hosts.
+ * would refuse requests within the rate while a part moves between hosts. A host
+ * that the leader has not answered for some time uses its {@link RatePart} only.
  *
  * @example
  * ```ts
@@ -43,17 +47,21 @@
   /** Tokens used at this host since it started, by workspace. */
   readonly #localUsage = new Map<string, LocalCounter>();
   #remoteUsage: RemoteUsage | undefined;
+  #hostCount = 1;
 
   /** Sets the rate of a workspace; changing it keeps the bucket's level. */
   setRate(workspace: string, rate: gateway.RateLimit, now: number): void {
     const bucket = this.#buckets.get(workspace);
     if (bucket === undefined) {
       const level = rate.burst;
-      this.#buckets.set(workspace, { rate, level, refilledAt: now });
+      const part = new RatePart(rate, now);
+      part.setHostCount(this.#hostCount);
+      this.#buckets.set(workspace, { rate, level, refilledAt: now, part });
       return;
     }
     this.#refill(bucket, now);
     bucket.rate = rate;
+    bucket.part.setRate(rate);
     bucket.level = Math.min(bucket.level, rate.burst);
   }
 
@@ -64,6 +72,15 @@
     }
   }
 
+  /**
+   * Sets the number of hosts that use the rates, this one included; `Infinity`
+   * while it is unknown.
+   */
+  setHostCount(hostCount: number): void {
+    this.#hostCount = hostCount;
+    for (const { part } of this.#buckets.values()) part.setHostCount(hostCount);
+  }
+
   /** Fraction of a workspace's burst that is available now; 1 without a limit. */
   availableFraction(workspace: string, now: number): number {
     const bucket = this.#buckets.get(workspace);
@@ -81,16 +98,41 @@
   tryConsume(workspace: string, tokens: number, now: number): boolean {
     const bucket = this.#buckets.get(workspace);
     if (bucket !== undefined) {
-      this.#refill(bucket, now);
-      // A request larger than the bucket is admitted when the bucket is full.
-      const required = Math.min(tokens, bucket.rate.burst);
-      if (bucket.level < required) return false;
+      if (!this.#hasTokens(bucket, tokens, now)) return false;
+      bucket.part.charge(tokens, now);
+      bucket.level -= tokens;
+    }
+    this.#localCounter(workspace).tokens += tokens;
+    return true;
+  }
+
+  /**
+   * Deducts a request's tokens from this host's part as well, for a host that
+   * does not know the usage of the others.
+   *
+   * @param draw random number from 0 to 1
+   */
+  tryConsumePart(
+    workspace: string,
+    tokens: number,
+    now: number,
+    draw: number,
+  ): boolean {
+    const bucket = this.#buckets.get(workspace);
+    if (bucket !== undefined) {
+      if (!this.#hasTokens(bucket, tokens, now)) return false;
+      if (!bucket.part.tryConsume(tokens, now, draw)) return false;
       bucket.level -= tokens;
     }
     this.#localCounter(workspace).tokens += tokens;
     return true;
   }
 
+  /** Whether this host's part alone allows a request. */
+  fitsPart(workspace: string, tokens: number, now: number): boolean {
+    return this.#buckets.get(workspace)?.part.fits(tokens, now) ?? true;
+  }
+
   /** Time until a request with this many tokens is admitted, in ms. */
   waitMs(workspace: string, tokens: number, now: number): number {
     const bucket = this.#buckets.get(workspace);
@@ -108,6 +150,7 @@
     const bucket = this.#buckets.get(workspace);
     if (bucket !== undefined) {
       bucket.level = Math.min(bucket.rate.burst, bucket.level + tokens);
+      bucket.part.refund(tokens);
     }
     this.#localCounter(workspace).tokens -= tokens;
   }
@@ -154,6 +197,16 @@
       known.tokens.set(workspace, tokens);
       this.#deduct(workspace, tokens - previous, now);
     }
+    for (const bucket of this.#buckets.values()) {
+      this.#refill(bucket, now);
+      bucket.part.reset(bucket.level / this.#hostCount, now);
+    }
+  }
+
+  /** A request larger than the bucket is admitted when the bucket is full. */
+  #hasTokens(bucket: TokenBucket, tokens: number, now: number): boolean {
+    this.#refill(bucket, now);
+    return bucket.level >= Math.min(tokens, bucket.rate.burst);
   }
 
   #localCounter(workspace: string): LocalCounter {
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -58,6 +58,7 @@
     this.#hasNews = true
   );
   readonly #rateLimiter = new core.gateway.SharedRateLimiter();
+  readonly #usageFreshness = new core.gateway.Freshness();
   readonly #unitBorrower = new unitBorrower.UnitBorrower(() =>
     this.#reportSoon()
   );
@@ -77,6 +78,7 @@
   constructor(options: EntryHostOptions) {
     const { dialect, host, maxConfigurationAgeMs, rpcClient, seeds } = options;
     this.#metrics = options.metrics;
+    this.#rateLimiter.setHostCount(Infinity);
     this.#leaderSync = this.#resources.use(
       new leaderSync.LeaderSync({
         host,
@@ -120,6 +122,7 @@
       }),
       maxConfigurationAgeMs,
       confirmConfiguration: () => this.#leaderSync.confirm(),
+      usageAgeMs: () => this.#usageFreshness.ageMs(clocks.readClocks()),
       refreshUsage: () => this.#leaderSync.refresh(USAGE_REFRESH_TIMEOUT_MS),
       onArrival: (context) => this.#countArrival(context),
     });
@@ -208,7 +211,11 @@
     const now = performance.now();
     this.#rateLimiter.acknowledgeUsage(report.usage);
     this.#rateLimiter.applyRemoteUsage(response.term, response.usage, now);
+    if (response.term >= this.view.term) {
+      this.#usageFreshness.confirm(requestedAt);
+    }
     this.#retryBudgets.setHostCount(response.hostCount, now);
+    this.#rateLimiter.setHostCount(this.#retryBudgets.hostCount);
     this.#serverTracker.applyFleetLoad(response.load);
     this.#unitBorrower.onLent(response.lent, requestedAt);
     this.#serverSelector.processQueue();
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -37,7 +37,7 @@
   #term = 0;
   #revision = 0;
   #lastResponseAt = -Infinity;
-  readonly #freshness = new core.gateway.ConfigurationFreshness();
+  readonly #freshness = new core.gateway.Freshness();
   /** Resolves when the first configuration arrives. */
   readonly firstConfiguration = new Promise<void>((resolve) =>
     this.once("configuration", () => resolve())
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -38,8 +38,24 @@
  * workspace at most; the rest is left for a server.
  */
 const RATE_WAIT_FRACTION = 0.5;
+/**
+ * Age from which on the usage of the other hosts counts as unknown, in
+ * milliseconds: the report interval of a fleet of up to a hundred hosts, and the
+ * time for an answer.
+ */
+const MAX_USAGE_AGE_MS = 350;
+/**
+ * The same for workspaces near their rate, whose usage each request asks for: the
+ * time that it waits for an answer.
+ */
+const MAX_LIMITED_USAGE_AGE_MS = 100;
 /** Shortest wait for a rate, in milliseconds: two callers may need the same. */
 const MIN_RATE_WAIT_MS = 10;
+/**
+ * Wait for a rate while the usage of the other hosts is unknown, in milliseconds.
+ * A lost leader is usually replaced within it.
+ */
+const UNKNOWN_USAGE_WAIT_MS = 1_000;
 const SECOND_MS = 1_000;
 /** Least urgent priority that backend servers distinguish. */
 const MAX_PRIORITY = 9;
@@ -72,6 +88,8 @@
   readonly maxConfigurationAgeMs: number;
   /** Resolves when the leader has told what is in force, or in vain. */
   confirmConfiguration(): Promise<void>;
+  /** Age of what the leader has told of the other hosts' usage, in ms. */
+  usageAgeMs(): number;
   /** Resolves when the leader has told the usage of all hosts, or in vain. */
   refreshUsage(): Promise<void>;
   /** Called with each request that is admitted. */
@@ -96,6 +114,8 @@
     readonly kind: "rate-exceeded";
     readonly route: gateway.Route;
     readonly workspace: string;
+    /** Whether all hosts together have used it up, or this host its part. */
+    readonly isUsageKnown: boolean;
     /** Time until the rate allows the request, in milliseconds. */
     readonly waitMs: number;
   };
@@ -246,17 +266,20 @@
   }
 
   /**
-   * Asks the leader for the usage of a workspace that is near its rate. What
+   * Asks the leader for the usage of a workspace that is near its rate, or whose
+   * request exceeds this host's part of the rate while the usage is unknown. What
    * this host knows may be older than the requests that other hosts admitted.
    */
-  async #refreshLimitedUsage(
-    { key }: types.RequestMetadata,
-  ): Promise<void> {
-    const { refreshUsage, view } = this.#options;
+  async #refreshLimitedUsage(metadata: types.RequestMetadata): Promise<void> {
+    const { rateLimiter, refreshUsage, view } = this.#options;
+    const { key } = metadata;
     const workspace = key === undefined ? undefined : view.workspaceForKey(key);
-    if (workspace === undefined || !view.isWorkspaceLimited(workspace.name)) {
-      return;
-    }
+    if (workspace === undefined) return;
+    const tokens = rateCost(metadata, workspace);
+    const { name } = workspace;
+    const isAdmissible = this.#isUsageKnown(name) ||
+      rateLimiter.fitsPart(name, tokens, performance.now());
+    if (isAdmissible && !view.isWorkspaceLimited(name)) return;
     await refreshUsage();
   }
 
@@ -338,20 +361,41 @@
       return refused(errors.NO_CAPACITY, "the route has no service");
     }
     const tokens = rateCost(metadata, workspace);
-    const { rateLimiter } = this.#options;
-    const isWithinRate = workspace?.rate === undefined ||
-      rateLimiter.tryConsume(workspace.name, tokens, now);
-    if (isWithinRate) {
+    if (
+      workspace?.rate === undefined ||
+      this.#tryConsumeRate(workspace.name, tokens, now)
+    ) {
       return { kind: "admitted", route, service, workspace, tokens };
     }
+    const isUsageKnown = this.#isUsageKnown(workspace.name);
+    const minWaitMs = isUsageKnown ? 0 : UNKNOWN_USAGE_WAIT_MS;
+    const { rateLimiter } = this.#options;
+    const waitMs = rateLimiter.waitMs(workspace.name, tokens, now);
     return {
       kind: "rate-exceeded",
       route,
       workspace: workspace.name,
-      waitMs: rateLimiter.waitMs(workspace.name, tokens, now),
+      isUsageKnown,
+      waitMs: Math.max(minWaitMs, waitMs),
     };
   }
 
+  /** Whether the leader has told what the other hosts have used lately. */
+  #isUsageKnown(workspace: string): boolean {
+    const { usageAgeMs, view } = this.#options;
+    const maxAgeMs = view.isWorkspaceLimited(workspace)
+      ? MAX_LIMITED_USAGE_AGE_MS
+      : MAX_USAGE_AGE_MS;
+    return usageAgeMs() <= maxAgeMs;
+  }
+
+  #tryConsumeRate(workspace: string, tokens: number, now: number): boolean {
+    const { rateLimiter } = this.#options;
+    return this.#isUsageKnown(workspace)
+      ? rateLimiter.tryConsume(workspace, tokens, now)
+      : rateLimiter.tryConsumePart(workspace, tokens, now, Math.random());
+  }
+
   #refuse(
     response: http.ServerResponse,
     metadata: types.RequestMetadata,
@@ -405,7 +449,10 @@
     case "rate-exceeded":
       return new errors.Refusal(
         errors.RATE_EXCEEDED,
-        `workspace ${admission.workspace} has used up its rate`,
+        admission.isUsageKnown
+          ? `workspace ${admission.workspace} has used up its rate`
+          : `workspace ${admission.workspace} has used up this host's part of ` +
+            "its rate, and the usage of other hosts is not known",
         {
           retryAfterSeconds: Math.min(
             admission.waitMs / SECOND_MS,
--- a/packages/daemon/src/gateway/entry/retry_budgets.ts
+++ b/packages/daemon/src/gateway/entry/retry_budgets.ts
@@ -53,6 +53,14 @@
     }
   }
 
+  /**
+   * Number of hosts that share the budget, this one included; `Infinity` before
+   * the leader's first answer.
+   */
+  get hostCount(): number {
+    return this.#hostCount;
+  }
+
   /** Records the first attempt of a request. */
   recordRequest(service: string, now: number): void {
     this.#requests.set(service, (this.#requests.get(service) ?? 0) + 1);
--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -47,6 +47,8 @@
   readonly handler: requestHandler.RequestHandler;
   readonly rateLimiter = new core.gateway.SharedRateLimiter();
   arrivals = 0;
+  /** Age of the other hosts' usage, in milliseconds. */
+  usageAgeMs = 0;
   /** Number of times that the usage of all hosts was asked for. */
   refreshes = 0;
   /** Number of times that the leader was asked for what is in force. */
@@ -55,6 +57,8 @@
   servesAtOnce = true;
   /** What the leader does when it is asked. */
   onConfirm: () => Promise<void> = () => Promise.resolve();
+  /** What happens when the usage of all hosts is asked for. */
+  onRefresh: () => void = () => undefined;
   readonly #server: http.Server;
 
   constructor(
@@ -85,8 +89,10 @@
         this.confirmations += 1;
         return this.onConfirm();
       },
+      usageAgeMs: () => this.usageAgeMs,
       refreshUsage: () => {
         this.refreshes += 1;
+        this.onRefresh();
         return Promise.resolve();
       },
       onArrival: () => undefined,
@@ -246,6 +252,59 @@
   });
 });
 
+describe("a request at a host that does not know the usage of other hosts", () => {
+  const TOKENS = 100;
+  const RATE = {
+    unit: "tokens" as const,
+    perSecond: 1_000,
+    burst: 10 * TOKENS,
+    plainTokens: 1,
+  };
+
+  /** A handler whose usage is older than a host may use, in a fleet of hosts. */
+  function createFixture(hostCount: number): Fixture {
+    const fixture = new Fixture(4_000, { key: "k", tokens: TOKENS });
+    const { configuration } = WATCH_RESPONSE;
+    if (configuration === undefined) throw new TypeError("none to change");
+    fixture.view.apply({
+      ...WATCH_RESPONSE,
+      configuration: {
+        ...configuration,
+        routes: configuration.routes.map((route) => ({
+          ...route,
+          isPublic: false,
+        })),
+        workspaces: [{ name: "shop", keys: ["k"], rate: RATE }],
+      },
+    }, performance.now());
+    const now = performance.now();
+    fixture.rateLimiter.setRate("shop", RATE, now);
+    fixture.rateLimiter.setHostCount(hostCount);
+    fixture.rateLimiter.applyRemoteUsage(1, [], now);
+    fixture.usageAgeMs = 2_000;
+    return fixture;
+  }
+
+  it("is served at once within this host's part of the rate", async () => {
+    await using fixture = createFixture(2);
+    expect(await fixture.fetchStatus()).to.equal(200);
+    expect(fixture.refreshes).to.equal(0);
+  });
+
+  it("is served beyond that part when the leader tells the usage", async () => {
+    await using fixture = createFixture(1e9);
+    fixture.onRefresh = () => fixture.usageAgeMs = 0;
+    expect(await fixture.fetchStatus()).to.equal(200);
+    expect(fixture.refreshes).to.equal(1);
+  });
+
+  it("is refused beyond that part while no leader answers", async () => {
+    await using fixture = createFixture(1e9);
+    expect(await fixture.fetchStatus()).to.equal(429);
+    expect(fixture.dispatched).to.deep.equal([]);
+  });
+});
+
 describe("a request that the configuration of a host does not allow", () => {
   /** The configuration of above, by another version and for another host. */
   function configurationFor(
