Let the leader of a test answer only calls that leave it the time

Cause: the test's silent hosts wait for the time of their attempt. Node.js rounds a timer down to whole milliseconds and counts it from the loop's cached time, so it can end before the call's deadline by performance.now(). The client then calls the third host with the 1 ms that is left, and the test's leader answered at once.

The leader now takes its response time, as in the test above it.

--- a/packages/daemon/test/fleet/leader_client_test.ts
+++ b/packages/daemon/test/fleet/leader_client_test.ts
@@ -31,8 +31,8 @@
     const client = new fleet.LeaderClient({
       async call(peer, method, _params, timeoutMs) {
         calledPeers.push(peer);
-        if (peer === "leader") return "done";
-        await timers.setTimeout(timeoutMs);
+        if (peer === "leader" && timeoutMs >= RESPONSE_MS) return "done";
+        if (peer !== "leader") await timers.setTimeout(timeoutMs);
         throw new fleet.OutcomeUnknown(method, peer, "no answer");
       },
     }, ["silent-1", "silent-2", "leader"]);
