--- a/packages/core/src/gateway/demand_tracker.ts
+++ b/packages/core/src/gateway/demand_tracker.ts
@@ -23,6 +23,7 @@
   readonly service: string;
   readonly model: string;
   readonly adapter: string | undefined;
+  readonly softwareVersion: string | undefined;
   readonly waiting: Map<string, WaitingRequests>;
   running: number;
   arrivalsPerSecond: number;
@@ -132,6 +133,7 @@
       aggregates.push({
         model: record.model,
         adapter: record.adapter,
+        softwareVersion: record.softwareVersion,
         slacksMs: currentSlacks(record, now),
         arrivalsPerSecond: record.arrivalsPerSecond,
         concurrency: record.concurrency,
@@ -174,12 +176,13 @@
 
   #recordFor(demand: gateway.ModelDemand, now: number): DemandRecord {
     const key = keyOf(demand);
-    const { adapter, model, service } = demand;
+    const { adapter, model, service, softwareVersion } = demand;
     const record = this.#records.get(key) ??
       {
         service,
         model,
         adapter,
+        softwareVersion,
         waiting: new Map(),
         running: 0,
         arrivalsPerSecond: 0,
@@ -225,8 +228,10 @@
   else counts.delete(key);
 }
 
-function keyOf({ adapter, model, service }: gateway.ModelDemand): string {
-  return `${service} ${
-    adapter === undefined ? model : adapterKey(model, adapter)
-  }`;
+function keyOf(
+  { adapter, model, service, softwareVersion }: gateway.ModelDemand,
+): string {
+  const name = adapter === undefined ? model : adapterKey(model, adapter);
+  const key = `${service} ${name}`;
+  return softwareVersion === undefined ? key : `${key} at ${softwareVersion}`;
 }
--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -79,6 +79,8 @@
   /** Demand by model, including the demand for its adapters. */
   readonly #demand: readonly types.AggregateDemand[];
   readonly #demandByModel: ReadonlyMap<string, types.AggregateDemand>;
+  /** Demand of resumed streams, by model and software version. */
+  readonly #resumptions: readonly types.AggregateDemand[];
   /** Servers with an order of this round, or reserved for a load. */
   readonly #assigned = new Set<string>();
   /** Models with waiting requests. */
@@ -98,6 +100,7 @@
       input.engine.models.map((model) => [model.name, model]),
     );
     this.#demand = mergeAdapters(input.demand);
+    this.#resumptions = mergeVersions(input.demand);
     this.#demandByModel = new Map(
       this.#demand.map((demand) => [demand.model, demand]),
     );
@@ -113,12 +116,32 @@
 
   plan(): types.ModelOrder[] {
     const adapters = this.#planAdapters();
-    const missing = this.#demand.filter(hasWaiting)
+    const resumed = this.#resumptions.filter(hasWaiting)
+      .filter((demand) => !this.#isHeldAtVersion(demand))
+      .map((demand) => this.#planLoad(demand));
+    const missing = this.#demandAtAnyVersion().filter(hasWaiting)
       .filter(({ model }) => this.#replicaCount(model) === 0);
     const short = this.#demand.filter((demand) => this.#isShort(demand));
     const loads = [...this.#sortByBenefit(missing), ...short]
       .map((demand) => this.#planLoad(demand));
-    return [...adapters, ...loads.filter((order) => order !== undefined)];
+    return [
+      ...adapters,
+      ...[...resumed, ...loads].filter((order) => order !== undefined),
+    ];
+  }
+
+  #demandAtAnyVersion(): readonly types.AggregateDemand[] {
+    return this.#resumptions.length === 0
+      ? this.#demand
+      : mergeAdapters(this.#input.demand.filter(isForAnyVersion));
+  }
+
+  /** Whether a server that may continue the streams has their model soon. */
+  #isHeldAtVersion(demand: types.AggregateDemand): boolean {
+    return this.#input.servers.some((server) =>
+      server.isUsable && mayServe(server, demand) &&
+      modelNames(server).includes(demand.model)
+    );
   }
 
   /** Sorts by the benefit of a load in relation to its cost, highest first. */
@@ -178,6 +201,7 @@
     const isRequested = hasWaiting(demand);
     const mayEvictRunning = minSlack(demand) < -EVICT_RUNNING_LATE_MS;
     return this.#input.servers
+      .filter((server) => mayServe(server, demand))
       .filter((server) => this.#canLoad(server, demand.model))
       .map((server) =>
         this.#loadOption(server, model, isRequested, mayEvictRunning)
@@ -314,12 +338,14 @@
   }
 
   #planAdapter(
-    { adapter, model }: types.AggregateDemand,
+    demand: types.AggregateDemand,
   ): types.ModelOrder | undefined {
+    const { adapter, model } = demand;
     if (adapter === undefined) return undefined;
     const key = types.adapterKey(model, adapter);
     const candidates = this.#input.servers.filter((server) =>
-      server.isUsable && heldModel(server, model) !== undefined
+      server.isUsable && mayServe(server, demand) &&
+      heldModel(server, model) !== undefined
     );
     if (candidates.some((server) => hasAdapter(server, key))) return undefined;
     // A server refuses adapter orders while it loads a model.
@@ -396,6 +422,21 @@
   }
 }
 
+/** Whether a server has the software version that requests need. */
+function mayServe(
+  server: types.PlannerServer,
+  { softwareVersion }: types.AggregateDemand,
+): boolean {
+  return softwareVersion === undefined ||
+    softwareVersion === server.softwareVersion;
+}
+
+function isForAnyVersion(
+  { softwareVersion }: types.AggregateDemand,
+): boolean {
+  return softwareVersion === undefined;
+}
+
 function hasWaiting({ slacksMs }: types.AggregateDemand): boolean {
   return slacksMs.length > 0;
 }
@@ -405,7 +446,25 @@
 }
 
 /**
- * Adds the demand for adapters to the demand for their models.
+ * The demand of resumed streams for models, with that for their adapters: one
+ * entry for each model and software version.
+ */
+function mergeVersions(
+  demands: readonly types.AggregateDemand[],
+): types.AggregateDemand[] {
+  const versions = new Set(
+    demands.map(({ softwareVersion }) => softwareVersion),
+  );
+  versions.delete(undefined);
+  return [...versions].flatMap((softwareVersion) =>
+    mergeAdapters(
+      demands.filter((demand) => demand.softwareVersion === softwareVersion),
+    ).map((demand) => ({ ...demand, softwareVersion }))
+  );
+}
+
+/**
+ * Adds the demand for adapters to the demand for their models, at any version.
  *
  * @example
  * ```ts
@@ -420,14 +479,17 @@
     const previous = merged.get(demand.model);
     merged.set(
       demand.model,
-      previous === undefined ? { ...demand, adapter: undefined } : {
-        model: demand.model,
-        adapter: undefined,
-        slacksMs: [...previous.slacksMs, ...demand.slacksMs],
-        arrivalsPerSecond: previous.arrivalsPerSecond +
-          demand.arrivalsPerSecond,
-        concurrency: previous.concurrency + demand.concurrency,
-      },
+      previous === undefined
+        ? { ...demand, adapter: undefined, softwareVersion: undefined }
+        : {
+          model: demand.model,
+          adapter: undefined,
+          softwareVersion: undefined,
+          slacksMs: [...previous.slacksMs, ...demand.slacksMs],
+          arrivalsPerSecond: previous.arrivalsPerSecond +
+            demand.arrivalsPerSecond,
+          concurrency: previous.concurrency + demand.concurrency,
+        },
     );
   }
   return [...merged.values()];
--- a/packages/core/src/gateway/load_planner_types.ts
+++ b/packages/core/src/gateway/load_planner_types.ts
@@ -6,6 +6,7 @@
 /** Planner's view of a backend server that holds models. */
 export type PlannerServer = {
   readonly id: string;
+  readonly softwareVersion: string;
   readonly models: readonly gateway.LoadedModel[];
   /** Whether it may get orders and requests. */
   readonly isUsable: boolean;
@@ -27,6 +28,8 @@
 export type AggregateDemand = {
   readonly model: string;
   readonly adapter: string | undefined;
+  /** Version of the servers that its requests need, if not any. */
+  readonly softwareVersion: string | undefined;
   /** Time until each waiting request is late, in milliseconds. */
   readonly slacksMs: readonly number[];
   /** Recent arrival rate. */
--- /dev/null
+++ b/packages/core/src/gateway/own_streams.ts
@@ -0,0 +1,166 @@
+import type { gateway } from "@ebonypath/protocol";
+
+/** Streams that a host remembers at most; the oldest are forgotten first. */
+const MAX_STREAMS = 50_000;
+/** Streams that one report holds at most; the next one holds others. */
+const MAX_REPORTED_STREAMS = 10_000;
+
+/** A server at the time when a stream was sent to it. */
+export type StreamServer = Pick<gateway.ServerRecord, "id" | "born"> & {
+  readonly softwareVersion: string;
+};
+
+/** What is known of a stream when it begins or is resumed. */
+export type StreamStart = {
+  /** Id of the request that began it; absent if the caller sent none. */
+  readonly id: string | undefined;
+  readonly origin: gateway.StreamOrigin;
+  /** Whether its route distributes requests to several services. */
+  readonly isRouteSplit: boolean;
+  /** Monotonic time until which its caller may resume it, in milliseconds. */
+  readonly expiresAt: number;
+};
+
+/** A stream that this host relays, or whose connection broke before its end. */
+export type OwnStream = StreamStart & {
+  /** Servers that it was relayed from. */
+  readonly servers: StreamServer[];
+  /** Whether a server may have had another version than was known. */
+  isUncertain: boolean;
+  /** Term in which the leader was told of it; 0 if it was not. */
+  reportedTerm: number;
+};
+
+/** What a host knows of the servers. */
+export interface StreamServers {
+  /** The last known start of a server. */
+  server(id: string): StreamServer | undefined;
+  /** Whether a service has run several software versions lately. */
+  isMixed(service: string): boolean;
+}
+
+/**
+ * An entry host's record of its streams. It tells the leader of those that a
+ * caller may resume at another host and whose origin that host could not infer.
+ *
+ * @example
+ * ```ts
+ * const stream = streams.begin({ id, origin, isRouteSplit: false, expiresAt });
+ * streams.addServer(stream, server);
+ * streams.end(stream);
+ * ```
+ */
+export class OwnStreams {
+  readonly #servers: StreamServers;
+  readonly #streams = new Map<string, OwnStream>();
+
+  constructor(servers: StreamServers) {
+    this.#servers = servers;
+  }
+
+  /** Records a stream that begins, or one that is resumed through this host. */
+  begin(start: StreamStart): OwnStream {
+    const { id } = start;
+    const known = id === undefined ? undefined : this.#streams.get(id);
+    if (known !== undefined) return known;
+    const stream = {
+      ...start,
+      servers: [],
+      isUncertain: false,
+      reportedTerm: 0,
+    };
+    if (id !== undefined) this.#add(id, stream);
+    return stream;
+  }
+
+  /** Records that a stream is relayed from a server. */
+  addServer({ servers }: OwnStream, server: StreamServer): void {
+    const { born, id, softwareVersion } = server;
+    servers.push({ id, born, softwareVersion });
+  }
+
+  /** Forgets a stream that has reached its caller whole. */
+  end({ id }: OwnStream): void {
+    if (id !== undefined) this.#streams.delete(id);
+  }
+
+  /** Where a stream began that this host has relayed. */
+  find(id: string, now: number): gateway.StreamOrigin | undefined {
+    const stream = this.#streams.get(id);
+    return stream === undefined || now >= stream.expiresAt
+      ? undefined
+      : this.originOf(stream);
+  }
+
+  /**
+   * Where a stream began. A server may have come back under its id with another
+   * version before this host heard of it: what the host took for its earlier
+   * start may have been the later one.
+   */
+  originOf(stream: OwnStream): gateway.StreamOrigin {
+    if (!stream.isUncertain && this.#isUncertain(stream)) {
+      stream.isUncertain = true;
+      stream.reportedTerm = 0;
+    }
+    return stream.isUncertain
+      ? { ...stream.origin, softwareVersion: null }
+      : stream.origin;
+  }
+
+  /** Whether the leader of a term has to be told of a stream. */
+  hasNews(term: number, now: number): boolean {
+    return this.#unreported(term, now).next().done !== true;
+  }
+
+  /** Streams that the leader of a term has to be told of. */
+  collect(term: number, now: number): gateway.ReportedStream[] {
+    const reported: gateway.ReportedStream[] = [];
+    for (const [id, stream] of this.#unreported(term, now)) {
+      const remainingMs = stream.expiresAt - now;
+      reported.push({ id, ...this.originOf(stream), remainingMs });
+      if (reported.length === MAX_REPORTED_STREAMS) break;
+    }
+    return reported;
+  }
+
+  /** Records that the leader of a term was told of streams. */
+  acknowledge(reported: readonly gateway.ReportedStream[], term: number): void {
+    for (const { id, softwareVersion } of reported) {
+      const stream = this.#streams.get(id);
+      if (stream === undefined) continue;
+      const current = this.originOf(stream).softwareVersion;
+      if (current === softwareVersion) stream.reportedTerm = term;
+    }
+  }
+
+  *#unreported(
+    term: number,
+    now: number,
+  ): Generator<[id: string, stream: OwnStream]> {
+    for (const [id, stream] of this.#streams) {
+      if (now >= stream.expiresAt) {
+        this.#streams.delete(id);
+        continue;
+      }
+      const { origin, isRouteSplit } = stream;
+      if (!isRouteSplit && !this.#servers.isMixed(origin.service)) continue;
+      this.originOf(stream);
+      if (stream.reportedTerm !== term) yield [id, stream];
+    }
+  }
+
+  #isUncertain({ servers }: OwnStream): boolean {
+    return servers.some(({ born, id, softwareVersion }) => {
+      const current = this.#servers.server(id);
+      return current !== undefined && current.born !== born &&
+        current.softwareVersion !== softwareVersion;
+    });
+  }
+
+  #add(id: string, stream: OwnStream): void {
+    this.#streams.set(id, stream);
+    if (this.#streams.size <= MAX_STREAMS) return;
+    const [oldest] = this.#streams.keys();
+    if (oldest !== undefined) this.#streams.delete(oldest);
+  }
+}
--- a/packages/core/test/gateway/fixtures.ts
+++ b/packages/core/test/gateway/fixtures.ts
@@ -10,6 +10,7 @@
     born: 1_000,
     sequence: 1,
     service: "advice",
+    softwareVersion: "1",
     address: "10.0.0.1:80",
     failureDomain: "a",
     slots: 8,
@@ -58,6 +59,7 @@
   overrides: Partial<core.PlannerServer> & { readonly id: string },
 ): core.PlannerServer {
   return {
+    softwareVersion: "1",
     models: [],
     isUsable: true,
     busyMs: 0,
@@ -76,6 +78,7 @@
 ): core.AggregateDemand {
   return {
     adapter: undefined,
+    softwareVersion: undefined,
     slacksMs: [1_000],
     arrivalsPerSecond: 0.1,
     concurrency: 0.1,
--- a/packages/core/test/gateway/load_forecast_test.ts
+++ b/packages/core/test/gateway/load_forecast_test.ts
@@ -11,6 +11,7 @@
   return {
     model,
     adapter: undefined,
+    softwareVersion: undefined,
     slacksMs,
     arrivalsPerSecond: 0,
     concurrency: 0,
--- a/packages/core/test/gateway/load_planner_test.ts
+++ b/packages/core/test/gateway/load_planner_test.ts
@@ -34,6 +34,39 @@
     expect(planOrders(input({ servers, demand: demands }))).to.deep.equal([]);
   });
 
+  it("loads the model of a resumed stream at a server of its software version", () => {
+    const servers = [
+      server({ id: "s1", softwareVersion: "v1", models: [heldModel("a")] }),
+      server({ id: "s2", softwareVersion: "v2", onDisk: new Set(["a"]) }),
+      server({ id: "s3", softwareVersion: "v1", onDisk: new Set(["a"]) }),
+    ];
+    const ordersFor = (softwareVersion: string, adapter?: string) =>
+      planOrders(input({
+        servers,
+        demand: [demand({ model: "a", adapter, softwareVersion })],
+      })).map(({ kind, server }) => `${kind} ${server}`);
+    expect(ordersFor("v1")).to.deep.equal([]);
+    expect(ordersFor("v2")).to.deep.equal(["load s2"]);
+    expect(ordersFor("v1", "a1")).to.deep.equal(["load-adapter s1"]);
+    expect(ordersFor("v2", "a1")).to.deep.equal(["load s2"]);
+    expect(ordersFor("v3")).to.deep.equal([]);
+  });
+
+  it("loads a missing model once for a resumed stream", () => {
+    const orders = planOrders(input({
+      servers: [
+        server({ id: "s1", softwareVersion: "v1", onDisk: new Set(["a"]) }),
+        server({ id: "s2", softwareVersion: "v2", onDisk: new Set(["a"]) }),
+      ],
+      demand: [
+        demand({ model: "a" }),
+        demand({ model: "a", softwareVersion: "v2" }),
+      ],
+    }));
+    expect(orders.map(({ kind, server }) => `${kind} ${server}`))
+      .to.deep.equal(["load s2"]);
+  });
+
   it("evicts the model with the least demand first", () => {
     const servers = [
       server({
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -300,6 +300,11 @@
       gateway.ReportRequest,
       (report) => this.#requireLeadership().report(report),
     );
+    rpc.addMethod(
+      gateway.METHODS.stream,
+      gateway.StreamRequest,
+      (request) => this.#requireLeadership().findStream(request),
+    );
     rpc.addMethod(
       gateway.METHODS.join,
       gateway.JoinRequest,
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -90,6 +90,8 @@
   readonly #limitedWorkspaces = new core.gateway.LimitedWorkspaces();
   readonly #lender: limitLender.LimitLender;
   readonly #rollout = new core.gateway.ConfigurationRollout();
+  readonly #softwareVersions = new core.gateway.SoftwareVersions();
+  readonly #streamOrigins = new core.gateway.StreamOrigins();
   /** Models that each host has requests for, as of its last report. */
   readonly #interests = new Map<string, core.gateway.HostInterest>();
   readonly #executor: orderExecutor.OrderExecutor;
@@ -153,8 +155,12 @@
     const { revision } = this.#registry;
     if (relayed.kind === "ended") {
       this.#registry.markEnded(relayed.id, now);
-    } else if (this.#registry.applyHeartbeat(relayed.heartbeat, now)) {
-      this.#executor.handleHeartbeat(relayed.heartbeat);
+    } else {
+      const { service, softwareVersion } = relayed.heartbeat;
+      this.#softwareVersions.record(service, softwareVersion, now);
+      if (this.#registry.applyHeartbeat(relayed.heartbeat, now)) {
+        this.#executor.handleHeartbeat(relayed.heartbeat);
+      }
     }
     if (this.#registry.revision === revision) return;
     this.#logServer(relayed);
@@ -202,6 +208,8 @@
     const now = performance.now();
     const { revision } = this.#registry;
     this.#registry.mergeRecords(report.servers, now);
+    this.#softwareVersions.merge(report.softwareVersions, now);
+    this.#streamOrigins.record(report.streams, now);
     this.#demandTracker.addReport(report, now);
     this.#interests.set(report.host, interestOf(report));
     if (this.#registry.revision !== revision) this.#onChange();
@@ -230,6 +238,22 @@
     };
   }
 
+  /**
+   * Tells where a stream began: as its host has reported, or by inference once
+   * all servers have been heard and no other leader can know of more.
+   */
+  findStream({ id, services }: gateway.StreamRequest): gateway.StreamResponse {
+    const now = performance.now();
+    const reported = id === null
+      ? undefined
+      : this.#streamOrigins.find(id, now);
+    if (reported !== undefined) return { origin: reported };
+    const origin = this.#isSettled && this.#isLeaseCertain()
+      ? core.gateway.inferOrigin(services, this.#softwareVersions, now)
+      : null;
+    return { origin };
+  }
+
   [Symbol.dispose](): void {
     this.#isDisposed = true;
     timers.clearInterval(this.#expiryTimer);
@@ -492,10 +516,12 @@
       write("server-ended", { server: relayed.id });
       return;
     }
-    const { address, born, id, models, sequence, state } = relayed.heartbeat;
+    const { address, born, id, models, sequence, softwareVersion, state } =
+      relayed.heartbeat;
     write("server", {
       server: id,
       born,
+      software: softwareVersion,
       sequence,
       state,
       address,
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -189,6 +189,7 @@
       .includes(server.failureDomain);
     return {
       id: server.id,
+      softwareVersion: server.softwareVersion,
       models: server.models,
       isUsable: server.state === "ready" && hasHeartbeat && !isWithdrawn,
       ...executor.status(server, now),
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -11,6 +11,7 @@
 import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
 import type * as metrics from "../metrics.ts";
+import type * as core from "@ebonypath/core";
 import * as eventRelay from "./event_relay.ts";
 import * as responses from "./responses.ts";
 import type * as retryBudgets from "./retry_budgets.ts";
@@ -51,6 +52,10 @@
 const HEAD_TIMEOUT_TARGETS = 3;
 /** Fraction of the time left that one server may take for the head. */
 const HEAD_TIMEOUT_FRACTION = 0.5;
+/** Longest time for which a caller may resume a stream, in milliseconds. */
+const MAX_RESUMPTION_MS = 600_000;
+/** Time beyond its caller's deadline for which a stream is remembered, in ms. */
+const RESUMPTION_MARGIN_MS = 5_000;
 /** Lowest status that reports an error of the server. */
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -60,12 +65,17 @@
   readonly selector: serverSelector.ServerSelector;
   readonly tracker: serverTracker.ServerTracker;
   readonly retryBudgets: retryBudgets.RetryBudgets;
+  readonly streams: core.gateway.OwnStreams;
   readonly metrics: metrics.GatewayMetrics;
   /**
    * Called when a caller is told to come back after a delay, in milliseconds,
    * because its model will be loaded then.
    */
   onReturnExpected(context: types.RequestContext, delayMs: number): void;
+  /** Called when a stream that may be resumed begins. */
+  onStreamBegun(): void;
+  /** Called when a caller may resume a stream at another host. */
+  onStreamBroken(): void;
 }
 
 /** A request, its state and the response to its caller. */
@@ -106,6 +116,10 @@
   errorResponse: BufferedResponse | undefined;
   /** Present once a stream to the caller has started. */
   relay: eventRelay.EventRelay | undefined;
+  /** The same stream, if another server may continue it. */
+  stream: core.gateway.OwnStream | undefined;
+  /** Whether no server may continue the stream. */
+  isVersionGone: boolean;
   /** Ids of the servers that the request was sent to. */
   servers: string[];
   /** Time from arrival to the first attempt, in milliseconds. */
@@ -144,6 +158,8 @@
       reason: "none",
       errorResponse: undefined,
       relay: undefined,
+      stream: undefined,
+      isVersionGone: false,
       servers: [],
       waitedMs: undefined,
       headMs: undefined,
@@ -151,10 +167,16 @@
       retryAfterMs: undefined,
     };
     const outcome = await this.#runAttempts(exchange, progress);
+    if (progress.stream !== undefined && outcome !== "streamed") {
+      this.#options.onStreamBroken();
+    }
     this.#options.metrics.requests.inc({ outcome });
     write("request", {
       id: context.metadata.id,
       route: context.route.name,
+      resumes: context.metadata.resumedRequestId,
+      software: progress.stream?.origin.softwareVersion ??
+        context.origin?.softwareVersion ?? undefined,
       model: context.metadata.model,
       adapter: context.metadata.adapter,
       workspace: context.workspace?.name,
@@ -175,7 +197,12 @@
     const { context } = exchange;
     const service = context.service.name;
     while (true) {
-      const selection = await selector.select(context);
+      const selection = await selector.select(this.#direct(context, progress));
+      if (selection.kind === "version-gone") {
+        progress.isVersionGone = true;
+        progress.reason =
+          "no server has the software version that began the stream";
+      }
       if (selection.kind === "hopeless") {
         progress.retryAfterMs = retryDelay(selection.readyMs, context);
         progress.reason = `the model is ready in ${
@@ -206,6 +233,15 @@
     }
   }
 
+  /** Limits a stream that has begun to servers that may continue it. */
+  #direct(
+    context: types.RequestContext,
+    { stream }: Progress,
+  ): types.RequestContext {
+    if (stream === undefined) return context;
+    return { ...context, origin: this.#options.streams.originOf(stream) };
+  }
+
   /** Records a failed attempt; returns whether another one is allowed. */
   #shouldRetry(
     context: types.RequestContext,
@@ -408,17 +444,20 @@
     progress: Progress,
   ): Promise<AttemptResult> {
     const { response, context } = exchange;
+    const { streams } = this.#options;
     if (progress.relay === undefined) {
       const isSelfDelimited = upstream.isSelfDelimited(result.message);
       const headers = this.#options.dialect.responseHeaders(result.message);
       responses.startStream(response, result.status, headers, isSelfDelimited);
       progress.relay = new eventRelay.EventRelay(response);
     }
+    this.#recordStream(context, server, progress);
     try {
       await progress.relay.relay(result.message, result.completed);
       this.#options.tracker.recordSuccess(server.id);
       progress.hasServerResponse = true;
       response.end();
+      if (progress.stream !== undefined) streams.end(progress.stream);
       return { kind: "done", outcome: "streamed" };
     } catch (error) {
       result.cancel();
@@ -427,6 +466,19 @@
     }
   }
 
+  /** Records from which server a stream that may be resumed is relayed. */
+  #recordStream(
+    context: types.RequestContext,
+    server: gateway.ServerRecord,
+    progress: Progress,
+  ): void {
+    if (!context.isRetryable) return;
+    const { onStreamBegun, streams } = this.#options;
+    progress.stream ??= streams.begin(streamStart(context, server));
+    streams.addServer(progress.stream, server);
+    onStreamBegun();
+  }
+
   /** Responds to a request for which there are no more attempts. */
   #respondWithFailure(exchange: Exchange, progress: Progress): string {
     const { response, context } = exchange;
@@ -489,7 +541,10 @@
   context: types.RequestContext,
   progress: Progress,
 ): errors.Refusal {
-  const { possibleRuns, reason, retryAfterMs } = progress;
+  const { isVersionGone, possibleRuns, reason, retryAfterMs } = progress;
+  if (possibleRuns === 0 && isVersionGone) {
+    return new errors.Refusal(errors.STREAM_NOT_RESUMABLE, reason);
+  }
   if (possibleRuns === 0) {
     return new errors.Refusal(
       errors.NO_CAPACITY,
@@ -508,6 +563,23 @@
   return new errors.Refusal(definition, reason);
 }
 
+/** What is recorded of a stream when it begins here or is resumed here. */
+function streamStart(
+  { arrivedAt, metadata, origin, route }: types.RequestContext,
+  { service, softwareVersion }: gateway.ServerRecord,
+): core.gateway.StreamStart {
+  const patienceMs = Math.min(
+    metadata.deadlineMs ?? MAX_RESUMPTION_MS,
+    MAX_RESUMPTION_MS,
+  );
+  return {
+    id: origin === undefined ? metadata.id : metadata.resumedRequestId,
+    origin: origin ?? { service, softwareVersion },
+    isRouteSplit: route.split.length > 1,
+    expiresAt: arrivedAt + patienceMs + RESUMPTION_MARGIN_MS,
+  };
+}
+
 function roundMs(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.round(ms);
 }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -18,6 +18,7 @@
 import * as retryBudgets from "./retry_budgets.ts";
 import * as serverSelector from "./server_selector.ts";
 import * as serverTracker from "./server_tracker.ts";
+import * as streamResolver from "./stream_resolver.ts";
 import type * as types from "./types.ts";
 import * as unitBorrower from "./unit_borrower.ts";
 
@@ -62,6 +63,11 @@
   readonly #unitBorrower = new unitBorrower.UnitBorrower(() =>
     this.#reportSoon()
   );
+  readonly #ownStreams = new core.gateway.OwnStreams({
+    server: (id) => this.view.server(id)?.record,
+    isMixed: (service) =>
+      this.view.hasSeveralVersions(service, performance.now()),
+  });
   readonly #serverSelector: serverSelector.ServerSelector;
   readonly #retryBudgets: retryBudgets.RetryBudgets;
   readonly #requestHandler: requestHandler.RequestHandler;
@@ -87,7 +93,8 @@
         maxConfigurationAgeMs,
         hasNews: () =>
           this.#hasNews || this.#unitBorrower.isWaiting ||
-          this.#serverSelector.isWaiting,
+          this.#serverSelector.isWaiting ||
+          this.#hasStreamNews,
         collectReport: () => this.#collectReport(),
         onReportResponse: (response, report, requestedAt) =>
           this.#onReportResponse(response, report, requestedAt),
@@ -116,10 +123,23 @@
         selector: this.#serverSelector,
         tracker: this.#serverTracker,
         retryBudgets: this.#retryBudgets,
+        streams: this.#ownStreams,
         metrics: options.metrics,
+        onStreamBegun: () => {
+          if (this.#hasStreamNews) this.#leaderSync.reportIfDue();
+        },
+        onStreamBroken: () => {
+          if (this.#hasStreamNews) this.#leaderSync.reportSoon();
+        },
         onReturnExpected: (context, delayMs) =>
           this.#expectReturn(context, delayMs),
       }),
+      streamResolver: new streamResolver.StreamResolver({
+        streams: this.#ownStreams,
+        metrics: options.metrics,
+        service: (name) => this.view.service(name),
+        askLeader: (request) => this.#leaderSync.findStream(request),
+      }),
       maxConfigurationAgeMs,
       confirmConfiguration: () => this.#leaderSync.confirm(),
       usageAgeMs: () => this.#usageFreshness.ageMs(clocks.readClocks()),
@@ -210,6 +230,7 @@
   ): void {
     const now = performance.now();
     this.#rateLimiter.acknowledgeUsage(report.usage);
+    this.#ownStreams.acknowledge(report.streams, response.term);
     this.#rateLimiter.applyRemoteUsage(response.term, response.usage, now);
     if (response.term >= this.view.term) {
       this.#usageFreshness.confirm(requestedAt);
@@ -222,6 +243,11 @@
     this.#serverSelector.applyForecasts(response.forecasts);
   }
 
+  /** Whether other hosts could not tell where a stream of this one began. */
+  get #hasStreamNews(): boolean {
+    return this.#ownStreams.hasNews(this.view.term, performance.now());
+  }
+
   /** Counts a caller that was told to come back as waiting until it does. */
   #expectReturn(context: types.RequestContext, delayMs: number): void {
     const at = performance.now() + delayMs;
@@ -254,6 +280,7 @@
       load: this.#serverTracker.ownLoad(),
       requests: this.#collectRequests(),
       wanted: this.#unitBorrower.collectWanted(),
+      streams: this.#ownStreams.collect(this.view.term, performance.now()),
     };
   }
 
@@ -282,12 +309,15 @@
       service: string,
       model: string,
       adapter: string | undefined,
+      softwareVersion?: string,
     ) => {
-      const key = demandKey(service, model, adapter);
+      const modelKey = demandKey(service, model, adapter);
+      const key = `${modelKey} ${softwareVersion ?? ""}`;
       const demand = demands.get(key) ?? {
         service,
         model,
         ...(adapter === undefined ? {} : { adapter }),
+        ...(softwareVersion === undefined ? {} : { softwareVersion }),
         slacksMs: [],
         running: 0,
         arrivals: 0,
@@ -310,11 +340,17 @@
         dueAt: at,
       })),
     ];
-    for (const { context: { metadata, service }, dueAt } of waiting) {
+    for (const { context, dueAt } of waiting) {
+      const { metadata, origin, service } = context;
       if (metadata.model === undefined || service.engine === undefined) {
         continue;
       }
-      const demand = demandOf(service.name, metadata.model, metadata.adapter);
+      const demand = demandOf(
+        service.name,
+        metadata.model,
+        metadata.adapter,
+        origin?.softwareVersion ?? undefined,
+      );
       demand.slacksMs.push(Math.round(dueAt - now));
     }
     for (
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -38,6 +38,7 @@
   #revision = 0;
   #lastResponseAt = -Infinity;
   readonly #freshness = new core.gateway.Freshness();
+  readonly #softwareVersions = new core.gateway.SoftwareVersions();
   /** Resolves when the first configuration arrives. */
   readonly firstConfiguration = new Promise<void>((resolve) =>
     this.once("configuration", () => resolve())
@@ -101,6 +102,16 @@
     return this.#servers.get(id);
   }
 
+  /** Whether a service has run several versions of its software lately. */
+  hasSeveralVersions(service: string, now: number): boolean {
+    return this.#softwareVersions.of(service, now).size > 1;
+  }
+
+  /** Versions of all services, for a new leader. */
+  softwareVersions(now: number): gateway.ServedVersion[] {
+    return this.#softwareVersions.all(now);
+  }
+
   /** All servers, for a new leader that has not heard from them yet. */
   serverRecords(now: number): gateway.ServerRecord[] {
     return [...this.#servers.values()].map(({ lastHeartbeatAt, record }) => ({
@@ -149,6 +160,8 @@
       if (current !== undefined && current.born > record.born) continue;
       const lastHeartbeatAt = now - record.silentMs;
       this.#servers.set(record.id, { record, lastHeartbeatAt });
+      const { service, softwareVersion } = record;
+      this.#softwareVersions.record(service, softwareVersion, lastHeartbeatAt);
     }
     this.#serversByService = new Map();
     for (const server of this.#servers.values()) {
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -25,6 +25,8 @@
 const CONFIRMATION_INTERVAL_MS = 500;
 /** Shortest time until the age is looked at again, in milliseconds. */
 const MIN_AGE_CHECK_MS = 20;
+/** Time limits of a question for the origin of a stream. */
+const STREAM_LIMITS = { attemptMs: 300, totalMs: 600, retryable: true };
 /** Time limits of a report. */
 const REPORT_LIMITS = { attemptMs: 400, totalMs: 800, retryable: false };
 /** Shortest interval between reports that are not urgent, in milliseconds. */
@@ -42,7 +44,7 @@
 /** The part of a report that describes this host. */
 export type LocalReport = Omit<
   gateway.ReportRequest,
-  "host" | "answered" | "servers"
+  "host" | "answered" | "servers" | "softwareVersions"
 >;
 
 /** Dependencies and callbacks of a `LeaderSync`. */
@@ -83,6 +85,8 @@
   /** Term and usage revision of the last response to a report. */
   #acknowledged = { term: 0, usageRevision: 0 };
   #reportIntervalMs = MIN_REPORT_INTERVAL_MS;
+  /** Monotonic time of the last report, in milliseconds. */
+  #reportedAt = -Infinity;
   /** Waits for the next report that is sent and answered. */
   #refreshes: (() => void)[] = [];
   /** The confirmation that is in progress. */
@@ -105,6 +109,13 @@
     this.#earlyReport.abort();
   }
 
+  /** Sends the next report early if none was sent within the interval. */
+  reportIfDue(): void {
+    if (performance.now() - this.#reportedAt >= this.#reportIntervalMs) {
+      this.reportSoon();
+    }
+  }
+
   /**
    * Reports early, and resolves when the leader has answered or after a time
    * limit, in milliseconds.
@@ -133,6 +144,20 @@
     return this.#confirmation;
   }
 
+  /**
+   * Asks the leader where a stream began.
+   *
+   * @throws {Error} no leader has answered in time
+   */
+  async findStream(
+    request: gateway.StreamRequest,
+  ): Promise<gateway.StreamResponse> {
+    const { leader } = this.#options;
+    const method = gateway.METHODS.stream;
+    const response = await leader.call(method, request, STREAM_LIMITS);
+    return v.parse(gateway.StreamResponse, response);
+  }
+
   [Symbol.dispose](): void {
     this.#disposed.abort();
     this.#earlyReport.abort();
@@ -234,11 +259,18 @@
     this.#refreshes = [];
     const report = collectReport();
     const isNewLeader = view.term !== this.#reportedTerm;
-    const servers = isNewLeader ? view.serverRecords(performance.now()) : [];
+    const now = performance.now();
+    this.#reportedAt = now;
+    const known = isNewLeader
+      ? {
+        servers: view.serverRecords(now),
+        softwareVersions: view.softwareVersions(now),
+      }
+      : { servers: [], softwareVersions: [] };
     const requestedAt = clocks.readClocks();
     try {
       const answered = this.#acknowledged;
-      const params = { host, ...report, answered, servers };
+      const params = { host, ...report, answered, ...known };
       const response = v.parse(
         gateway.ReportResponse,
         await leader.call(gateway.METHODS.report, params, REPORT_LIMITS),
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -14,6 +14,7 @@
 import type * as dispatcher from "./dispatcher.ts";
 import type * as fleetView from "./fleet_view.ts";
 import * as responses from "./responses.ts";
+import type * as streamResolver from "./stream_resolver.ts";
 import type * as types from "./types.ts";
 
 const write = log.createLog("reception");
@@ -80,6 +81,7 @@
   readonly dialect: types.Dialect;
   readonly view: fleetView.FleetView;
   readonly dispatcher: dispatcher.Dispatcher;
+  readonly streamResolver: streamResolver.StreamResolver;
   readonly rateLimiter: core.gateway.SharedRateLimiter;
   /**
    * Age of a configuration from which on no request is refused by it, in
@@ -318,10 +320,9 @@
       signal: abortController.signal,
       failedServers: new Set(),
     };
-    this.#options.onArrival(context);
     try {
       const exchange = { context, request, body, response };
-      const mayHaveRun = await this.#options.dispatcher.serve(exchange);
+      const mayHaveRun = await this.#serve(exchange);
       if (!mayHaveRun && workspace?.rate !== undefined) {
         this.#options.rateLimiter.refund(workspace.name, tokens);
       }
@@ -330,6 +331,20 @@
     }
   }
 
+  /** Serves a request; resolves to whether a server may have run it. */
+  async #serve(exchange: dispatcher.Exchange): Promise<boolean> {
+    const { dispatcher, onArrival, streamResolver } = this.#options;
+    const continuation = await streamResolver.resume(exchange.context);
+    if (continuation.kind === "refused") {
+      const { context, response } = exchange;
+      this.#refuse(response, context.metadata, continuation.refusal);
+      return false;
+    }
+    const { context } = continuation;
+    onArrival(context);
+    return await dispatcher.serve({ ...exchange, context });
+  }
+
   #admit(
     request: http.IncomingMessage,
     metadata: types.RequestMetadata,
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -61,13 +61,15 @@
 
   /**
    * Selects a server, and waits for one if none can take the request now.
-   * Gives up at the request's queue deadline, when it is aborted, or when the
-   * leader forecasts that its model will be loaded too late.
+   * Gives up at the request's queue deadline, when it is aborted, when the
+   * leader forecasts that its model will be loaded too late, or when no server
+   * is left that has the software version of the stream that it resumes.
    */
   async select(context: types.RequestContext): Promise<types.Selection> {
     const now = performance.now();
     const server = this.#findServer(context, now);
     if (server !== undefined) return { kind: "server", server };
+    if (this.#isVersionGone(context)) return { kind: "version-gone" };
     if (now >= context.queueDeadline || context.signal.aborted) {
       return { kind: "expired" };
     }
@@ -113,9 +115,18 @@
       if (server !== undefined) {
         this.#dequeue(queued, { kind: "server", server });
       } else if (isExpired) this.#dequeue(queued, { kind: "expired" });
+      else if (this.#isVersionGone(context)) {
+        this.#dequeue(queued, { kind: "version-gone" });
+      }
     }
   }
 
+  #isVersionGone(context: types.RequestContext): boolean {
+    return context.origin !== undefined &&
+      !this.#options.view.readyServers(context.service.name)
+        .some(({ record }) => hasVersion(record, context));
+  }
+
   #dequeue(queued: QueuedRequest, selection: types.Selection): void {
     this.#queue.delete(queued);
     this.#options.onDequeued();
@@ -145,6 +156,7 @@
   ): gateway.ServerRecord | undefined {
     const { tracker, view } = this.#options;
     const eligible = view.readyServers(context.service.name)
+      .filter(({ record }) => hasVersion(record, context))
       .filter(({ record }) => hasModel(record, context))
       .filter(({ record }) => !tracker.isModelMissing(record.id, context, now));
     const healthy = eligible.filter(({ record: { id } }) =>
@@ -213,6 +225,14 @@
     now - lastHeartbeatAt <= record.coldMs;
 }
 
+/** Whether a server may continue the stream that a request resumes, if any. */
+function hasVersion(
+  { softwareVersion }: gateway.ServerRecord,
+  { origin }: types.RequestContext,
+): boolean {
+  return origin === undefined || origin.softwareVersion === softwareVersion;
+}
+
 /**
  * Whether a server has the model and adapter that a request needs, and is not
  * about to unload the model.
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -23,6 +23,8 @@
   readonly prefixKey: string | undefined;
   /** Last event that the caller received of an interrupted stream. */
   readonly lastEventId: string | undefined;
+  /** Id of the request that brought the first event of that stream. */
+  readonly resumedRequestId: string | undefined;
 };
 
 /** Values that the entry host adds to a request for a backend server. */
@@ -79,6 +81,8 @@
   | { readonly kind: "server"; readonly server: gateway.ServerRecord }
   /** No server has taken the request until its queue deadline. */
   | { readonly kind: "expired" }
+  /** No server has the software version that began the stream. */
+  | { readonly kind: "version-gone" }
   /** No server will have the model in time. */
   | {
     readonly kind: "hopeless";
@@ -92,6 +96,8 @@
   readonly route: gateway.Route;
   readonly service: gateway.Service;
   readonly workspace: gateway.Workspace | undefined;
+  /** Where the stream began that the request resumes; absent for a new one. */
+  readonly origin?: gateway.StreamOrigin;
   /** Monotonic time of arrival, in milliseconds. */
   readonly arrivedAt: number;
   /**
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -52,6 +52,12 @@
     labelNames: ["result"] as const,
     registers: [this.registry],
   });
+  readonly resumptions = new prometheus.Counter({
+    name: "ebonypath_gateway_resumptions_total",
+    help: "Streams that callers took up again, by what the host decided",
+    labelNames: ["outcome"] as const,
+    registers: [this.registry],
+  });
   readonly leaderAge = new prometheus.Gauge({
     name: "ebonypath_gateway_leader_age_seconds",
     help: "Time since the leader's last answer",
--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import * as http from "node:http";
 import * as net from "node:net";
+import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import { expect } from "chai";
 import * as dispatcher from "../../src/gateway/entry/dispatcher.ts";
@@ -75,8 +76,12 @@
   refusalHeaders: () => ({}),
 };
 
-function serverRecord(id: string, address: string): gateway.ServerRecord {
-  return fixtures.serverRecord(id, { address, service: "s" });
+function serverRecord(
+  id: string,
+  address: string,
+  softwareVersion = "v1",
+): gateway.ServerRecord {
+  return fixtures.serverRecord(id, { address, service: "s", softwareVersion });
 }
 
 /** What the caller and the servers observed of one request. */
@@ -86,6 +91,8 @@
   readonly isComplete: boolean;
   /** Number of requests that arrived at each server. */
   readonly arrivals: readonly number[];
+  /** Version that each server was selected for; undefined for any. */
+  readonly selectedFor: readonly (string | null | undefined)[];
 };
 
 /** Sends one request to a dispatcher with one server for each script. */
@@ -93,6 +100,7 @@
   kind: gateway.RouteKind,
   isResumable: boolean,
   scripts: readonly ServerScript[],
+  versions: readonly string[] = [],
 ): Promise<Observed> {
   const arrivals = scripts.map(() => 0);
   const servers = await Promise.all(scripts.map(async (script, index) => {
@@ -111,47 +119,47 @@
     serverRecord(
       `s${index}`,
       `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
+      versions[index],
     )
   );
+  const selectedFor: (string | null | undefined)[] = [];
+  const dispatching = createDispatcher(
+    records,
+    ({ origin }) => selectedFor.push(origin?.softwareVersion),
+  );
   const gatewayServer = http.createServer((request, response) => {
-    void dispatch(kind, isResumable, records, request, response);
+    const context = createContext(kind, isResumable);
+    void dispatching.serve({ context, request, body: undefined, response });
   });
   gatewayServer.listen(0, "127.0.0.1");
   await once(gatewayServer, "listening");
   try {
     const { port } = gatewayServer.address() as net.AddressInfo;
-    return { ...await sendRequest(port), arrivals };
+    return { ...await sendRequest(port), arrivals, selectedFor };
   } finally {
     gatewayServer.close();
     for (const server of servers) server.close();
   }
 }
 
-/** Dispatches a request to the servers in order. */
-async function dispatch(
-  kind: gateway.RouteKind,
-  isResumable: boolean,
-  records: readonly gateway.ServerRecord[],
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-): Promise<void> {
-  await createDispatcher(records)
-    .serve({
-      context: createContext(kind, isResumable),
-      request,
-      body: undefined,
-      response,
-    });
-}
-
-/** Creates a dispatcher whose selector returns each server once, in order. */
+/**
+ * Creates a dispatcher whose selector returns each server once, in order, unless
+ * the stream began at another software version.
+ */
 function createDispatcher(
   records: readonly gateway.ServerRecord[],
+  onSelect: (context: types.RequestContext) => void = () => {},
 ): dispatcher.Dispatcher {
   const remaining = [...records];
   const selector = {
-    select: (): Promise<types.Selection> => {
+    select: (context: types.RequestContext): Promise<types.Selection> => {
+      onSelect(context);
       const server = remaining.shift();
+      const version = context.origin?.softwareVersion ??
+        server?.softwareVersion;
+      if (server?.softwareVersion !== version) {
+        return Promise.resolve({ kind: "version-gone" });
+      }
       return Promise.resolve(
         server === undefined ? { kind: "expired" } : { kind: "server", server },
       );
@@ -168,8 +176,14 @@
     selector,
     tracker: new serverTracker.ServerTracker(() => {}),
     retryBudgets: budgets,
+    streams: new core.gateway.OwnStreams({
+      server: () => undefined,
+      isMixed: () => true,
+    }),
     metrics: new GatewayMetrics(),
     onReturnExpected: () => {},
+    onStreamBegun: () => {},
+    onStreamBroken: () => {},
   });
 }
 
@@ -206,7 +220,9 @@
   };
 }
 
-function sendRequest(port: number): Promise<Omit<Observed, "arrivals">> {
+function sendRequest(
+  port: number,
+): Promise<Omit<Observed, "arrivals" | "selectedFor">> {
   return new Promise((resolve, reject) => {
     http.get({ port, host: "127.0.0.1", agent: false }, (response) => {
       let text = "";
@@ -320,6 +336,30 @@
     expect(observed.isComplete).to.equal(true);
   });
 
+  it("resumes a stream only at the software version that began it", async () => {
+    const scripts = [stream(3, true), stream(6, false)];
+    const same = await serve("streaming", true, scripts, ["v2", "v2"]);
+    expect(same.selectedFor).to.deep.equal([undefined, "v2"]);
+    expect(same.isComplete).to.equal(true);
+    const other = await serve("streaming", true, scripts, ["v1", "v2"]);
+    expect(other.selectedFor).to.deep.equal([undefined, "v1"]);
+    expect(other.arrivals).to.deep.equal([1, 0]);
+    expect(other.text).to.equal([1, 2, 3].map(event).join(""));
+    expect(other.isComplete).to.equal(false);
+  });
+
+  it("retries at any software version before the stream has begun", async () => {
+    const scripts = [respond(BUSY_RESPONSE), reset, stream(3, false)];
+    const versions = ["v1", "v2", "v3"];
+    const observed = await serve("streaming", true, scripts, versions);
+    expect(observed.selectedFor).to.deep.equal([
+      undefined,
+      undefined,
+      undefined,
+    ]);
+    expect(observed.isComplete).to.equal(true);
+  });
+
   it("does not present a broken stream as complete", async () => {
     for (const isResumable of [false, true]) {
       const scripts = [stream(3, true), stream(5, true)];
--- a/packages/daemon/test/gateway/fixtures.ts
+++ b/packages/daemon/test/gateway/fixtures.ts
@@ -10,6 +10,7 @@
     born: 1,
     sequence: 1,
     service: "advice",
+    softwareVersion: "1",
     address: `10.0.0.${id.slice(1)}:80`,
     failureDomain: "a",
     slots: 8,
@@ -96,8 +97,10 @@
     load: [],
     requests: [],
     wanted: [],
+    streams: [],
     answered: { term: 0, usageRevision: 0 },
     servers: [],
+    softwareVersions: [],
     ...overrides,
   };
 }
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -7,6 +7,8 @@
 import * as fixtures from "./fixtures.ts";
 
 const TERM = 2;
+/** Time after which a leader has heard all servers, in milliseconds. */
+const SETTLED_MS = 2_700;
 /** Time in which a change is told to the hosts that need it, in ms. */
 const PROMPT_MS = 100;
 const MODELS = Array.from({ length: 40 }, (_, index) => `m${index}`);
@@ -221,6 +223,50 @@
     expect(await rollouts()).to.equal(1);
   });
 
+  it("tells the version of a stream that a host has reported", async () => {
+    const origin = { service: "advice", softwareVersion: "v2" };
+    await coordinator.report(fixtures.report("h", {
+      streams: [{ id: "r1", ...origin, remainingMs: 5_000 }],
+    }));
+    const find = (id: string) =>
+      coordinator.findStream({ id, services: ["advice"] });
+    expect(find("r1")).to.deep.equal({ origin });
+    expect(find("r2")).to.deep.equal({ origin: null });
+  });
+
+  it("infers the version of a stream once all servers have been heard", async () => {
+    using leader = createCoordinator({ hasLease: () => true });
+    const find = () => leader.findStream({ id: "r1", services: ["advice"] });
+    const hear = (id: string, softwareVersion: string) =>
+      leader.handleHeartbeat({
+        kind: "heartbeat",
+        heartbeat: fixtures.heartbeat(id, { softwareVersion }),
+      });
+    hear("s1", "v1");
+    expect(find()).to.deep.equal({ origin: null });
+    await timers.setTimeout(SETTLED_MS);
+    expect(find())
+      .to.deep.equal({ origin: { service: "advice", softwareVersion: "v1" } });
+    hear("s2", "v2");
+    expect(find()).to.deep.equal({ origin: null });
+  });
+
+  it("doesn't infer a version that an earlier leader knew others beside", async () => {
+    using leader = createCoordinator({ hasLease: () => true });
+    leader.handleHeartbeat({
+      kind: "heartbeat",
+      heartbeat: fixtures.heartbeat("s1", { softwareVersion: "v1" }),
+    });
+    await leader.report(fixtures.report("h", {
+      softwareVersions: [
+        { service: "advice", softwareVersion: "v0", silentMs: 90_000 },
+      ],
+    }));
+    await timers.setTimeout(SETTLED_MS);
+    expect(leader.findStream({ id: "r1", services: ["advice"] }))
+      .to.deep.equal({ origin: null });
+  });
+
   it("sends entry hosts no models of the engines", async () => {
     const response = await coordinator.watch({
       host: "new",
--- a/packages/daemon/test/gateway/leader_sync_test.ts
+++ b/packages/daemon/test/gateway/leader_sync_test.ts
@@ -16,6 +16,7 @@
   load: [],
   requests: [],
   wanted: [],
+  streams: [],
 };
 
 /** An entry host's synchronization with a leader that always answers. */
@@ -141,6 +142,18 @@
     expect(counts[1]).to.be.within(1, 3);
   });
 
+  it("reports at once what may wait, but once an interval at most", async () => {
+    using fixture = new Fixture();
+    await fixture.start();
+    const { reports } = fixture;
+    fixture.sync.reportIfDue();
+    await timers.setTimeout(100);
+    expect(fixture.reports).to.equal(reports + 1);
+    fixture.sync.reportIfDue();
+    await timers.setTimeout(100);
+    expect(fixture.reports).to.equal(reports + 1);
+  });
+
   it("refreshes when the leader has answered a later report", async () => {
     using fixture = new Fixture();
     await fixture.start();
--- a/packages/daemon/test/gateway/order_executor_test.ts
+++ b/packages/daemon/test/gateway/order_executor_test.ts
@@ -53,6 +53,7 @@
       id: "s1",
       born: 1,
       sequence: 1,
+      softwareVersion: "1",
       service: "advice",
       address: "10.0.0.1:80",
       failureDomain: "a",
@@ -100,6 +101,7 @@
       engine: ENGINE,
       servers: [{
         id: "s1",
+        softwareVersion: "1",
         models,
         isUsable: true,
         ...this.executor.status(this.server, performance.now()),
@@ -174,6 +176,7 @@
   return {
     model,
     adapter,
+    softwareVersion: undefined,
     slacksMs: [500],
     arrivalsPerSecond: 0.1,
     concurrency: 0,
--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -10,6 +10,7 @@
 import type * as dispatcher from "../../src/gateway/entry/dispatcher.ts";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
 import * as requestHandler from "../../src/gateway/entry/request_handler.ts";
+import type * as streamResolver from "../../src/gateway/entry/stream_resolver.ts";
 import type * as types from "../../src/gateway/entry/types.ts";
 import * as fixtures from "./fixtures.ts";
 import { EMPTY_METADATA } from "./request_metadata.ts";
@@ -83,6 +84,10 @@
       },
       view: this.view,
       dispatcher: { serve } as unknown as dispatcher.Dispatcher,
+      streamResolver: {
+        resume: (context: types.RequestContext) =>
+          Promise.resolve({ kind: "continues", context }),
+      } as unknown as streamResolver.StreamResolver,
       rateLimiter: this.rateLimiter,
       maxConfigurationAgeMs: MAX_AGE_MS,
       confirmConfiguration: () => {
--- a/packages/daemon/test/gateway/request_metadata.ts
+++ b/packages/daemon/test/gateway/request_metadata.ts
@@ -10,4 +10,5 @@
   tokens: undefined,
   prefixKey: undefined,
   lastEventId: undefined,
+  resumedRequestId: undefined,
 };
--- a/packages/daemon/test/gateway/server_selector_test.ts
+++ b/packages/daemon/test/gateway/server_selector_test.ts
@@ -49,7 +49,11 @@
   }
 
   /** Selects a server for a request that waits for up to `patienceMs`. */
-  select(model: string, patienceMs: number): Promise<types.Selection> {
+  select(
+    model: string,
+    patienceMs: number,
+    softwareVersion?: string,
+  ): Promise<types.Selection> {
     const now = performance.now();
     return this.selector.select({
       metadata: { ...EMPTY_METADATA, model },
@@ -68,6 +72,9 @@
       },
       service: SERVICE,
       workspace: undefined,
+      ...(softwareVersion === undefined
+        ? {}
+        : { origin: { service: SERVICE.name, softwareVersion } }),
       arrivedAt: now,
       deadline: now + 10_000,
       queueDeadline: now + patienceMs,
@@ -125,6 +132,45 @@
     expect(fixture.units).to.equal(0);
   });
 
+  it("resumes a stream only at a server of the version that began it", async () => {
+    using fixture = new Fixture([
+      record("s1", { softwareVersion: "v1" }),
+      record("s2", { softwareVersion: "v2" }),
+    ]);
+    for (let request = 0; request < 20; request += 1) {
+      const selection = await fixture.select("m1", 5_000, "v2");
+      expect(selection.kind === "server" && selection.server.id)
+        .to.equal("s2");
+    }
+  });
+
+  it("gives up a stream at once when no server of its version is left", async () => {
+    using fixture = new Fixture([
+      record("s1", { softwareVersion: "v1" }),
+      record("s2", { softwareVersion: "v2", state: "draining" }),
+    ]);
+    expect(await fixture.select("m1", 5_000, "v2"))
+      .to.deep.equal({ kind: "version-gone" });
+  });
+
+  it("gives up a stream that waits when the last server of its version leaves", async () => {
+    using fixture = new Fixture([record("s1", { softwareVersion: "v1" })]);
+    const selection = fixture.select("m2", 5_000, "v1");
+    expect(fixture.selector.isWaiting).to.equal(true);
+    fixture.view.apply(
+      fixtures.watchResponse({
+        revision: 2,
+        isWhole: false,
+        servers: [
+          record("s1", { softwareVersion: "v1", state: "draining" }),
+          record("s2", { softwareVersion: "v2" }),
+        ],
+      }),
+      performance.now(),
+    );
+    expect(await selection).to.deep.equal({ kind: "version-gone" });
+  });
+
   it("prefers a server that is warm", async () => {
     using fixture = new Fixture([
       record("s1", { coldMs: 60_000 }),
--- a/packages/protocol/src/errors/catalogue.ts
+++ b/packages/protocol/src/errors/catalogue.ts
@@ -105,6 +105,15 @@
     "Backend servers crashed while running it. Change it, or ask an operator to release it.",
 } as const satisfies types.ProblemDefinition;
 
+/** No server may continue the interrupted stream. */
+export const STREAM_NOT_RESUMABLE = {
+  name: "stream-not-resumable",
+  title: "The stream can't go on",
+  status: 503,
+  outcome: "not-run",
+  hint: "Start a new stream, without the id of the last event.",
+} as const satisfies types.ProblemDefinition;
+
 /** The request exceeds the rate limit of the workspace. */
 export const RATE_EXCEEDED = {
   name: "rate-exceeded",
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -68,6 +68,8 @@
   service: Name,
   model: Name,
   adapter: v.optional(Name),
+  /** Software version that the requests need: they continue streams. */
+  softwareVersion: v.optional(v.string()),
   /**
    * For each waiting request, time until its latency objective expires;
    * negative once it has. In milliseconds.
@@ -129,6 +131,46 @@
 });
 export type LimitUnits = v.InferOutput<typeof LimitUnits>;
 
+/** Where a stream began. */
+export const StreamOrigin = v.object({
+  service: Name,
+  /** Version of the server's software; null if it can't be told any more. */
+  softwareVersion: v.nullable(v.string()),
+});
+export type StreamOrigin = v.InferOutput<typeof StreamOrigin>;
+
+/** A version of its software that servers of a service have run lately. */
+export const ServedVersion = v.object({
+  service: Name,
+  softwareVersion: v.string(),
+  /** Time since a server of it was last heard, in milliseconds. */
+  silentMs: Amount,
+});
+export type ServedVersion = v.InferOutput<typeof ServedVersion>;
+
+/** A stream that its caller may resume at another host. */
+export const ReportedStream = v.object({
+  ...StreamOrigin.entries,
+  /** Id of the request that began it. */
+  id: Name,
+  /** Time for which its caller may resume it, in milliseconds. */
+  remainingMs: Amount,
+});
+export type ReportedStream = v.InferOutput<typeof ReportedStream>;
+
+/** A question for where a stream began. */
+export const StreamRequest = v.object({
+  /** Id of the request that began it; null if the caller did not name it. */
+  id: v.nullable(Name),
+  /** Services that the route distributes requests to. */
+  services: v.array(Name),
+});
+export type StreamRequest = v.InferOutput<typeof StreamRequest>;
+
+/** Where a stream began; null if the leader can't tell. */
+export const StreamResponse = v.object({ origin: v.nullable(StreamOrigin) });
+export type StreamResponse = v.InferOutput<typeof StreamResponse>;
+
 /** When a model that requests wait for can be loaded at the earliest. */
 export const LoadForecast = v.object({
   service: Name,
@@ -149,10 +191,20 @@
   /** First attempts since the previous report. */
   requests: v.pipe(v.array(RequestCount), v.maxLength(MAX_RECORDS)),
   wanted: v.pipe(v.array(LimitUnits), v.maxLength(MAX_RECORDS)),
+  /** Streams that the leader has not been told of in its term. */
+  streams: v.optional(
+    v.pipe(v.array(ReportedStream), v.maxLength(MAX_RECORDS)),
+    [],
+  ),
   /** Term and usage revision of the last response; 0 before the first one. */
   answered: v.object({ term: Count, usageRevision: Count }),
   /** All servers that the host knows; empty unless the leader is new. */
   servers: v.pipe(v.array(ServerRecord), v.maxLength(MAX_RECORDS)),
+  /** All versions that it knows, of servers that are gone too; the same. */
+  softwareVersions: v.optional(
+    v.pipe(v.array(ServedVersion), v.maxLength(MAX_RECORDS)),
+    [],
+  ),
 });
 export type ReportRequest = v.InferOutput<typeof ReportRequest>;
 
@@ -214,4 +266,5 @@
   read: "gateway.read",
   heartbeat: "gateway.heartbeat",
   join: "gateway.join",
+  stream: "gateway.stream",
 } as const;
--- a/packages/protocol/src/gateway/server.ts
+++ b/packages/protocol/src/gateway/server.ts
@@ -38,6 +38,14 @@
   /** Increases with each heartbeat after a start. */
   sequence: Count,
   service: Name,
+  /**
+   * Version of its software. Versions have no order; a stream goes on only at
+   * servers of the version that began it.
+   */
+  softwareVersion: v.optional(
+    v.pipe(v.string(), v.maxLength(MAX_NAME_LENGTH)),
+    "",
+  ),
   /** `IP:PORT`. */
   address: Name,
   failureDomain: Name,
