Replicate the software versions of each service

A leader inferred the version of a stream from the servers that it and the hosts know, and so only after it had heard all servers. For 2.6 s after each change of leader no stream could be resumed at another host, also in a service with one version; and a version that only lost hosts had known was forgotten, so that the property test had to keep one host in touch.

The versions are replicated state now. A new one is committed before any host is told of its servers, and removed when none has been heard for ten minutes. Any leader with a certain lease can infer at once, and knows each version at which a stream may have begun. Which services are mixed comes to hosts with the watch.

A build without these commands can't apply them.

--- a/packages/core/src/gateway/state.ts
+++ b/packages/core/src/gateway/state.ts
@@ -7,12 +7,14 @@
   readonly withdrawnDomains: readonly string[];
   /** Missing in snapshots that early builds wrote. */
   readonly orderHolder?: string | null;
+  /** By service; missing in snapshots that early builds wrote. */
+  readonly softwareVersions?: readonly (readonly [string, readonly string[]])[];
 };
 
 /**
  * The replicated state of a gateway fleet: the configuration with the highest
- * version, the failure domains that operators have withdrawn, and the host that
- * may give orders to servers.
+ * version, the failure domains that operators have withdrawn, the host that may
+ * give orders to servers, and the software versions of the servers.
  *
  * @example
  * ```ts
@@ -25,6 +27,7 @@
   #source = "";
   #orderHolder: string | null = null;
   readonly #withdrawnDomains: Set<string>;
+  readonly #softwareVersions = new Map<string, readonly string[]>();
 
   constructor(withdrawnDomains: readonly string[] = []) {
     this.#withdrawnDomains = new Set(withdrawnDomains);
@@ -50,6 +53,23 @@
     return this.#orderHolder;
   }
 
+  /** Versions that the servers of a service have run lately. */
+  softwareVersions(service: string): readonly string[] {
+    return this.#softwareVersions.get(service) ?? [];
+  }
+
+  /** Services whose servers have run several versions lately. */
+  get mixedServices(): string[] {
+    return [...this.#softwareVersions]
+      .filter(([, versions]) => versions.length > 1)
+      .map(([service]) => service);
+  }
+
+  /** All services with the versions that their servers have run lately. */
+  get versionsByService(): ReadonlyMap<string, readonly string[]> {
+    return this.#softwareVersions;
+  }
+
   /** Applies a committed command; returns whether it changed anything. */
   apply(command: gateway.Command): boolean {
     switch (command.kind) {
@@ -61,6 +81,16 @@
         return this.#withdrawnDomains.delete(command.domain);
       case "hold-orders":
         return this.#setOrderHolder(command.host);
+      case "add-software-version":
+        return this.#addSoftwareVersion(
+          command.service,
+          command.softwareVersion,
+        );
+      case "remove-software-version":
+        return this.#removeSoftwareVersion(
+          command.service,
+          command.softwareVersion,
+        );
       case "barrier":
         return false;
       default:
@@ -74,6 +104,7 @@
       source: this.#source,
       withdrawnDomains: this.withdrawnDomains,
       orderHolder: this.#orderHolder,
+      softwareVersions: [...this.#softwareVersions],
     };
     return JSON.stringify(snapshot);
   }
@@ -84,6 +115,9 @@
     state.#configuration = snapshot.configuration;
     state.#source = snapshot.source;
     state.#orderHolder = snapshot.orderHolder ?? null;
+    for (const [service, versions] of snapshot.softwareVersions ?? []) {
+      state.#softwareVersions.set(service, versions);
+    }
     return state;
   }
 
@@ -102,6 +136,21 @@
     return true;
   }
 
+  #addSoftwareVersion(service: string, softwareVersion: string): boolean {
+    const versions = this.softwareVersions(service);
+    if (versions.includes(softwareVersion)) return false;
+    this.#softwareVersions.set(service, [...versions, softwareVersion]);
+    return true;
+  }
+
+  #removeSoftwareVersion(service: string, softwareVersion: string): boolean {
+    const versions = this.softwareVersions(service);
+    const rest = versions.filter((version) => version !== softwareVersion);
+    if (rest.length === 0) this.#softwareVersions.delete(service);
+    else this.#softwareVersions.set(service, rest);
+    return rest.length < versions.length;
+  }
+
   #withdrawDomain(domain: string): boolean {
     if (this.#withdrawnDomains.has(domain)) return false;
     this.#withdrawnDomains.add(domain);
--- a/packages/core/src/gateway/stream_origins.ts
+++ b/packages/core/src/gateway/stream_origins.ts
@@ -1,5 +1,5 @@
 import type { gateway } from "@ebonypath/protocol";
-import type { SoftwareVersions } from "./software_versions.ts";
+import type { GatewayState } from "./state.ts";
 
 /**
  * Streams that are remembered at most: 48 MB, a seventh of the memory of a
@@ -82,17 +82,16 @@
  *
  * @example
  * ```ts
- * inferOrigin(["advice"], versions, now)?.softwareVersion; // "v1"
+ * inferOrigin(["advice"], state)?.softwareVersion; // "v1"
  * ```
  */
 export function inferOrigin(
   services: readonly string[],
-  versions: SoftwareVersions,
-  now: number,
+  state: Pick<GatewayState, "softwareVersions">,
 ): gateway.StreamOrigin | null {
   const [service] = services;
   if (service === undefined || services.length > 1) return null;
-  const [softwareVersion, ...others] = versions.of(service, now);
+  const [softwareVersion, ...others] = state.softwareVersions(service);
   if (softwareVersion === undefined || others.length > 0) return null;
   return { service, softwareVersion };
 }
--- a/packages/core/test/gateway/stream_versions_test.ts
+++ b/packages/core/test/gateway/stream_versions_test.ts
@@ -2,10 +2,11 @@
 import { expect } from "chai";
 import fastCheck from "fast-check";
 import {
+  GatewayState,
   inferOrigin,
   OwnStreams,
-  SoftwareVersions,
   StreamOrigins,
+  VersionActivity,
 } from "../../src/gateway/mod.ts";
 
 const SERVICE = "advice";
@@ -38,7 +39,6 @@
 /** A leader's record of one term. */
 class Leader {
   readonly term: number;
-  readonly versions = new SoftwareVersions();
   readonly origins = new StreamOrigins();
 
   constructor(term: number) {
@@ -49,20 +49,21 @@
 /** An entry host: what it knows of the servers, and its streams. */
 class Host {
   readonly servers = new Map<string, Server>();
-  readonly versions = new SoftwareVersions();
   readonly streams: OwnStreams;
+  mixedServices: readonly string[] = [];
   isInTouch = true;
 
-  constructor(now: () => number) {
+  constructor() {
     this.streams = new OwnStreams({
       server: (id) => this.servers.get(id),
-      isMixed: (service) => this.versions.isMixed(service, now()),
+      isMixed: (service) => this.mixedServices.includes(service),
     });
   }
 
-  learn(server: Server, now: number): void {
-    this.servers.set(server.id, { ...server });
-    this.versions.record(SERVICE, server.softwareVersion, now);
+  /** Learns what the leader tells. */
+  learn(servers: readonly Server[], { mixedServices }: GatewayState): void {
+    for (const server of servers) this.servers.set(server.id, { ...server });
+    this.mixedServices = mixedServices;
   }
 }
 
@@ -70,14 +71,11 @@
 class Simulation {
   now = 0;
   leader = new Leader(1);
-  readonly hosts = Array.from(
-    { length: HOSTS },
-    () => new Host(() => this.now),
-  );
+  /** The replicated state, which outlives the leaders. */
+  readonly state = new GatewayState();
+  readonly hosts = Array.from({ length: HOSTS }, () => new Host());
   readonly servers: Server[] = [];
   readonly streams: Stream[] = [];
-  /** Versions of all servers so far. */
-  readonly #versions = new Set<string>();
   /** Resumptions that went on, and those that could have but did not. */
   continued = 0;
   readonly refusedWithoutNeed: string[] = [];
@@ -104,12 +102,9 @@
       case 8:
         return this.#report(host);
       case 9:
-        // The first host stays, so that versions are not forgotten by all.
-        if (choice % HOSTS > 0) this.#restartHost(choice % HOSTS);
-        return;
+        return this.#restartHost(choice % HOSTS);
       case 10:
-        if (choice % HOSTS > 0) this.#setInTouch(host, !host.isInTouch);
-        return;
+        return this.#setInTouch(host, !host.isInTouch);
       default:
         return this.#changeLeader();
     }
@@ -123,10 +118,11 @@
   }
 
   #announce(server: Server): void {
-    this.#versions.add(server.softwareVersion);
-    this.leader.versions.record(SERVICE, server.softwareVersion, this.now);
+    const { softwareVersion } = server;
+    const kind = "add-software-version";
+    this.state.apply({ kind, service: SERVICE, softwareVersion });
     for (const host of this.hosts.filter(({ isInTouch }) => isInTouch)) {
-      host.learn(server, this.now);
+      host.learn([server], this.state);
     }
     for (const stream of this.streams) {
       stream.isInferable &&= !this.#isMixed();
@@ -134,7 +130,7 @@
   }
 
   #isMixed(): boolean {
-    return this.#versions.size > 1;
+    return this.state.mixedServices.length > 0;
   }
 
   #stopServer(choice: number): void {
@@ -227,15 +223,14 @@
     const known = host.streams.find(id, this.now) ??
       (host.isInTouch
         ? this.leader.origins.find(id, this.now) ??
-          inferOrigin([SERVICE], this.leader.versions, this.now)
+          inferOrigin([SERVICE], this.state)
         : null);
     return known?.softwareVersion === null ? null : known;
   }
 
   #report(host: Host): void {
     if (!host.isInTouch) return;
-    const { origins, term, versions } = this.leader;
-    versions.merge(host.versions.all(this.now), this.now);
+    const { origins, term } = this.leader;
     const reported = host.streams.collect(term, this.now);
     origins.record(reported, this.now);
     host.streams.acknowledge(reported, term);
@@ -247,26 +242,22 @@
 
   /** A killed host is replaced by one that knows what the leader knows. */
   #restartHost(index: number): void {
-    const host = new Host(() => this.now);
+    const host = new Host();
     this.hosts[index] = host;
-    for (const server of this.servers) host.learn(server, this.now);
+    host.learn(this.servers, this.state);
   }
 
   #setInTouch(host: Host, isInTouch: boolean): void {
     host.isInTouch = isInTouch;
     if (!isInTouch) return;
-    for (const server of this.servers) host.learn(server, this.now);
+    host.learn(this.servers, this.state);
     this.#report(host);
   }
 
-  /** The next leader hears of all servers and hosts before it infers. */
+  /** The next leader knows no more than the replicated state. */
   #changeLeader(): void {
     this.leader = new Leader(this.leader.term + 1);
     for (const stream of this.streams) stream.isReported = false;
-    for (const server of this.servers.filter(({ isRunning }) => isRunning)) {
-      this.leader.versions.record(SERVICE, server.softwareVersion, this.now);
-    }
-    for (const host of this.hosts) this.#report(host);
   }
 }
 
@@ -373,12 +364,35 @@
   });
 
   it("have no inferred version where a route leads to two services", () => {
-    const versions = new SoftwareVersions();
-    versions.record(SERVICE, "v1", 0);
-    expect(inferOrigin([SERVICE], versions, 0)?.softwareVersion)
-      .to.equal("v1");
-    expect(inferOrigin([SERVICE, "other"], versions, 0)).to.equal(null);
-    versions.record(SERVICE, "v2", 0);
-    expect(inferOrigin([SERVICE], versions, 0)).to.equal(null);
+    const state = new GatewayState();
+    const add = (softwareVersion: string) =>
+      state.apply({
+        kind: "add-software-version",
+        service: SERVICE,
+        softwareVersion,
+      });
+    add("v1");
+    expect(inferOrigin([SERVICE], state)?.softwareVersion).to.equal("v1");
+    expect(inferOrigin([SERVICE, "other"], state)).to.equal(null);
+    expect(inferOrigin(["other"], state)).to.equal(null);
+    add("v2");
+    expect(inferOrigin([SERVICE], state)).to.equal(null);
+    const restored = GatewayState.fromSnapshot(state.toSnapshot());
+    expect(restored.mixedServices).to.deep.equal([SERVICE]);
+    restored.apply({
+      kind: "remove-software-version",
+      service: SERVICE,
+      softwareVersion: "v1",
+    });
+    expect(inferOrigin([SERVICE], restored)?.softwareVersion).to.equal("v2");
+  });
+
+  it("count for a version until its servers have been silent for long", () => {
+    const activity = new VersionActivity(0);
+    const versions = new Map([[SERVICE, ["v1", "v2"]]]);
+    activity.record({ service: SERVICE, softwareVersion: "v2" }, 500_000);
+    expect(activity.expired(versions, 600_000)).to.deep.equal([]);
+    expect(activity.expired(versions, 600_001))
+      .to.deep.equal([{ service: SERVICE, softwareVersion: "v1" }]);
   });
 });
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -35,6 +35,11 @@
  * host that watches all the time has it within some milliseconds.
  */
 const ROLLOUT_WARNING_MS = 500;
+/**
+ * Most software versions of all services. A writer of false heartbeats can't let
+ * the replicated state grow beyond.
+ */
+const MAX_SOFTWARE_VERSIONS = 1_024;
 /** Most hosts that one log line names. */
 const MAX_LOGGED_HOSTS = 10;
 /** Interval of the checks for silent servers and hosts, in milliseconds. */
@@ -90,7 +95,11 @@
   readonly #limitedWorkspaces = new core.gateway.LimitedWorkspaces();
   readonly #lender: limitLender.LimitLender;
   readonly #rollout = new core.gateway.ConfigurationRollout();
-  readonly #softwareVersions = new core.gateway.SoftwareVersions();
+  readonly #versionActivity = new core.gateway.VersionActivity(
+    performance.now(),
+  );
+  /** Versions whose commit is in progress, with the service. */
+  readonly #addingVersions = new Set<string>();
   readonly #streamOrigins = new core.gateway.StreamOrigins();
   /** Models that each host has requests for, as of its last report. */
   readonly #interests = new Map<string, core.gateway.HostInterest>();
@@ -155,9 +164,11 @@
     const { revision } = this.#registry;
     if (relayed.kind === "ended") {
       this.#registry.markEnded(relayed.id, now);
+    } else if (!this.#isVersionKnown(relayed.heartbeat)) {
+      this.#addVersion(relayed.heartbeat);
+      return;
     } else {
-      const { service, softwareVersion } = relayed.heartbeat;
-      this.#softwareVersions.record(service, softwareVersion, now);
+      this.#versionActivity.record(relayed.heartbeat, now);
       if (this.#registry.applyHeartbeat(relayed.heartbeat, now)) {
         this.#executor.handleHeartbeat(relayed.heartbeat);
       }
@@ -207,8 +218,10 @@
   ): Promise<gateway.ReportResponse> {
     const now = performance.now();
     const { revision } = this.#registry;
-    this.#registry.mergeRecords(report.servers, now);
-    this.#softwareVersions.merge(report.softwareVersions, now);
+    this.#registry.mergeRecords(
+      report.servers.filter((server) => this.#isVersionKnown(server)),
+      now,
+    );
     this.#streamOrigins.record(report.streams, now);
     this.#demandTracker.addReport(report, now);
     this.#interests.set(report.host, interestOf(report));
@@ -239,8 +252,8 @@
   }
 
   /**
-   * Tells where a stream began: as its host has reported, or by inference once
-   * all servers have been heard and no other leader can know of more.
+   * Tells where a stream began: as its host has reported, or by inference while
+   * no other leader can know of more versions.
    */
   findStream({ id, services }: gateway.StreamRequest): gateway.StreamResponse {
     const now = performance.now();
@@ -248,12 +261,63 @@
       ? undefined
       : this.#streamOrigins.find(id, now);
     if (reported !== undefined) return { origin: reported };
-    const origin = this.#isSettled && this.#isLeaseCertain()
-      ? core.gateway.inferOrigin(services, this.#softwareVersions, now)
+    const origin = this.#isLeaseCertain()
+      ? core.gateway.inferOrigin(services, this.#options.state())
       : null;
     return { origin };
   }
 
+  #isVersionKnown(
+    { service, softwareVersion }: core.gateway.ServiceVersion,
+  ): boolean {
+    return this.#options.state().softwareVersions(service)
+      .includes(softwareVersion);
+  }
+
+  /**
+   * Commits a new software version. Hosts are told of its servers only then, so
+   * that any later leader knows each version at which a stream may have begun.
+   */
+  #addVersion(heartbeat: gateway.Heartbeat): void {
+    const { service, softwareVersion } = heartbeat;
+    const key = JSON.stringify([service, softwareVersion]);
+    if (this.#addingVersions.has(key)) return;
+    const known = [...this.#options.state().versionsByService.values()].flat();
+    if (known.length >= MAX_SOFTWARE_VERSIONS) {
+      write("version-refused", { service, software: softwareVersion });
+      return;
+    }
+    this.#addingVersions.add(key);
+    const kind = "add-software-version";
+    this.#options.commit({ kind, service, softwareVersion }).then(
+      () => {
+        write("version-added", { service, software: softwareVersion });
+        if (this.#isDisposed || !this.#isVersionKnown(heartbeat)) return;
+        this.handleHeartbeat({ kind: "heartbeat", heartbeat });
+      },
+      (error: unknown) =>
+        write("version-not-added", {
+          service,
+          software: softwareVersion,
+          error,
+        }),
+    ).finally(() => this.#addingVersions.delete(key));
+  }
+
+  /** Forgets the versions of which no server has been heard for long. */
+  #removeVersions(now: number): void {
+    const { commit, state } = this.#options;
+    const { versionsByService } = state();
+    for (
+      const version of this.#versionActivity.expired(versionsByService, now)
+    ) {
+      commit({ kind: "remove-software-version", ...version }).then(
+        () => write("version-removed", version),
+        (error: unknown) => write("version-not-removed", { ...version, error }),
+      );
+    }
+  }
+
   [Symbol.dispose](): void {
     this.#isDisposed = true;
     timers.clearInterval(this.#expiryTimer);
@@ -317,6 +381,7 @@
       this.#rollout.removeHost(host);
     }
     this.#logHostsBehind(now);
+    this.#removeVersions(now);
     this.#updateLimitedWorkspaces(now);
     if (this.#registry.expire(now)) this.#onChange();
   }
@@ -487,6 +552,7 @@
       servers: this.#registry.changesSince(isWhole ? 0 : request.revision, now),
       withdrawnDomains: state.withdrawnDomains,
       limitedWorkspaces: [...this.#limitedWorkspaces.names],
+      mixedServices: state.mixedServices,
       controlHosts: this.#options.controlHosts(),
       ...(this.#isLeaseCertain() ? { heldMs: now - receivedAt } : {}),
       ...(isNewer ? { configuration: this.#forEntryHosts(configuration) } : {}),
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -65,8 +65,7 @@
   );
   readonly #ownStreams = new core.gateway.OwnStreams({
     server: (id) => this.view.server(id)?.record,
-    isMixed: (service) =>
-      this.view.hasSeveralVersions(service, performance.now()),
+    isMixed: (service) => this.view.isMixed(service),
   });
   readonly #serverSelector: serverSelector.ServerSelector;
   readonly #retryBudgets: retryBudgets.RetryBudgets;
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -38,7 +38,7 @@
   #revision = 0;
   #lastResponseAt = -Infinity;
   readonly #freshness = new core.gateway.Freshness();
-  readonly #softwareVersions = new core.gateway.SoftwareVersions();
+  #mixedServices: ReadonlySet<string> = new Set();
   /** Resolves when the first configuration arrives. */
   readonly firstConfiguration = new Promise<void>((resolve) =>
     this.once("configuration", () => resolve())
@@ -102,14 +102,9 @@
     return this.#servers.get(id);
   }
 
-  /** Whether a service has run several versions of its software lately. */
-  hasSeveralVersions(service: string, now: number): boolean {
-    return this.#softwareVersions.isMixed(service, now);
-  }
-
-  /** Versions of all services, for a new leader. */
-  softwareVersions(now: number): gateway.ServedVersion[] {
-    return this.#softwareVersions.all(now);
+  /** Whether servers of a service have run several software versions lately. */
+  isMixed(service: string): boolean {
+    return this.#mixedServices.has(service);
   }
 
   /** All servers, for a new leader that has not heard from them yet. */
@@ -139,6 +134,7 @@
     this.#lastResponseAt = now;
     this.#withdrawnDomains = new Set(response.withdrawnDomains);
     this.#limitedWorkspaces = new Set(response.limitedWorkspaces);
+    this.#mixedServices = new Set(response.mixedServices);
     this.#applyServers(response, now);
     if (response.configuration !== undefined) {
       this.#applyConfiguration(response.configuration);
@@ -160,8 +156,6 @@
       if (current !== undefined && current.born > record.born) continue;
       const lastHeartbeatAt = now - record.silentMs;
       this.#servers.set(record.id, { record, lastHeartbeatAt });
-      const { service, softwareVersion } = record;
-      this.#softwareVersions.record(service, softwareVersion, lastHeartbeatAt);
     }
     this.#serversByService = new Map();
     for (const server of this.#servers.values()) {
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -44,7 +44,7 @@
 /** The part of a report that describes this host. */
 export type LocalReport = Omit<
   gateway.ReportRequest,
-  "host" | "answered" | "servers" | "softwareVersions"
+  "host" | "answered" | "servers"
 >;
 
 /** Dependencies and callbacks of a `LeaderSync`. */
@@ -261,16 +261,11 @@
     const isNewLeader = view.term !== this.#reportedTerm;
     const now = performance.now();
     this.#reportedAt = now;
-    const known = isNewLeader
-      ? {
-        servers: view.serverRecords(now),
-        softwareVersions: view.softwareVersions(now),
-      }
-      : { servers: [], softwareVersions: [] };
+    const servers = isNewLeader ? view.serverRecords(now) : [];
     const requestedAt = clocks.readClocks();
     try {
       const answered = this.#acknowledged;
-      const params = { host, ...report, answered, ...known };
+      const params = { host, ...report, answered, servers };
       const response = v.parse(
         gateway.ReportResponse,
         await leader.call(gateway.METHODS.report, params, REPORT_LIMITS),
--- a/packages/daemon/test/gateway/fixtures.ts
+++ b/packages/daemon/test/gateway/fixtures.ts
@@ -100,7 +100,6 @@
     streams: [],
     answered: { term: 0, usageRevision: 0 },
     servers: [],
-    softwareVersions: [],
     ...overrides,
   };
 }
@@ -117,6 +116,7 @@
     servers: [],
     withdrawnDomains: [],
     limitedWorkspaces: [],
+    mixedServices: [],
     controlHosts: [],
     ...overrides,
   };
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -7,8 +7,6 @@
 import * as fixtures from "./fixtures.ts";
 
 const TERM = 2;
-/** Time after which a leader has heard all servers, in milliseconds. */
-const SETTLED_MS = 2_700;
 /** Time in which a change is told to the hosts that need it, in ms. */
 const PROMPT_MS = 100;
 const MODELS = Array.from({ length: 40 }, (_, index) => `m${index}`);
@@ -29,12 +27,23 @@
 
 /** A leader that gives no orders. */
 function createCoordinator(
-  { metrics = new GatewayMetrics(), hasLease = () => false }: {
+  {
+    metrics = new GatewayMetrics(),
+    hasLease = () => false,
+    committed = Promise.resolve(),
+  }: {
     readonly metrics?: GatewayMetrics;
     readonly hasLease?: () => boolean;
+    /** Resolves when commands are committed. */
+    readonly committed?: Promise<void>;
   } = {},
 ): fleetCoordinator.FleetCoordinator {
   const state = new core.gateway.GatewayState();
+  state.apply({
+    kind: "add-software-version",
+    service: "advice",
+    softwareVersion: "1",
+  });
   state.apply({
     kind: "configure",
     source: "",
@@ -65,7 +74,10 @@
     state: () => state,
     controlHosts: () => [],
     hasLease,
-    commit: () => Promise.resolve(),
+    commit: async (command) => {
+      await committed;
+      state.apply(command);
+    },
   });
 }
 
@@ -234,37 +246,47 @@
     expect(find("r2")).to.deep.equal({ origin: null });
   });
 
-  it("infers the version of a stream once all servers have been heard", async () => {
+  it("infers the version of a stream while there is only one", async () => {
     using leader = createCoordinator({ hasLease: () => true });
     const find = () => leader.findStream({ id: "r1", services: ["advice"] });
-    const hear = (id: string, softwareVersion: string) =>
-      leader.handleHeartbeat({
-        kind: "heartbeat",
-        heartbeat: fixtures.heartbeat(id, { softwareVersion }),
-      });
-    hear("s1", "v1");
-    expect(find()).to.deep.equal({ origin: null });
-    await timers.setTimeout(SETTLED_MS);
     expect(find())
-      .to.deep.equal({ origin: { service: "advice", softwareVersion: "v1" } });
-    hear("s2", "v2");
+      .to.deep.equal({ origin: { service: "advice", softwareVersion: "1" } });
+    leader.handleHeartbeat({
+      kind: "heartbeat",
+      heartbeat: fixtures.heartbeat("s2", { softwareVersion: "2" }),
+    });
+    await timers.setTimeout(PROMPT_MS);
     expect(find()).to.deep.equal({ origin: null });
   });
 
-  it("doesn't infer a version that an earlier leader knew others beside", async () => {
-    using leader = createCoordinator({ hasLease: () => true });
+  it("infers no version while another leader may know more", () => {
+    expect(coordinator.findStream({ id: "r1", services: ["advice"] }))
+      .to.deep.equal({ origin: null });
+  });
+
+  it("tells hosts of a server once its software version is committed", async () => {
+    let commit: () => void = () => {};
+    const committed = new Promise<void>((resolve) => commit = resolve);
+    using leader = createCoordinator({ committed });
     leader.handleHeartbeat({
       kind: "heartbeat",
-      heartbeat: fixtures.heartbeat("s1", { softwareVersion: "v1" }),
+      heartbeat: fixtures.heartbeat("s2", { softwareVersion: "2" }),
     });
-    await leader.report(fixtures.report("h", {
-      softwareVersions: [
-        { service: "advice", softwareVersion: "v0", silentMs: 90_000 },
-      ],
-    }));
-    await timers.setTimeout(SETTLED_MS);
-    expect(leader.findStream({ id: "r1", services: ["advice"] }))
-      .to.deep.equal({ origin: null });
+    const watch = () =>
+      leader.watch({
+        host: "h",
+        term: 0,
+        revision: 0,
+        configuration: null,
+        waitMs: 0,
+      });
+    await timers.setTimeout(PROMPT_MS);
+    expect((await watch()).servers).to.deep.equal([]);
+    expect((await watch()).mixedServices).to.deep.equal([]);
+    commit();
+    await timers.setTimeout(PROMPT_MS);
+    expect((await watch()).servers.map(({ id }) => id)).to.deep.equal(["s2"]);
+    expect((await watch()).mixedServices).to.deep.equal(["advice"]);
   });
 
   it("sends entry hosts no models of the engines", async () => {
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -52,6 +52,8 @@
   withdrawnDomains: v.array(Name),
   /** Workspaces whose usage over all hosts is near their rate. */
   limitedWorkspaces: v.array(Name),
+  /** Services whose servers have run several software versions lately. */
+  mixedServices: v.optional(v.array(Name), []),
   controlHosts: v.array(Name),
   /**
    * Time from the request's arrival until this answer, in milliseconds. Absent
@@ -139,15 +141,6 @@
 });
 export type StreamOrigin = v.InferOutput<typeof StreamOrigin>;
 
-/** A version of its software that servers of a service have run lately. */
-export const ServedVersion = v.object({
-  service: Name,
-  softwareVersion: v.string(),
-  /** Time since a server of it was last heard, in milliseconds. */
-  silentMs: Amount,
-});
-export type ServedVersion = v.InferOutput<typeof ServedVersion>;
-
 /** A stream that its caller may resume at another host. */
 export const ReportedStream = v.object({
   ...StreamOrigin.entries,
@@ -200,11 +193,6 @@
   answered: v.object({ term: Count, usageRevision: Count }),
   /** All servers that the host knows; empty unless the leader is new. */
   servers: v.pipe(v.array(ServerRecord), v.maxLength(MAX_RECORDS)),
-  /** All versions that it knows, of servers that are gone too; the same. */
-  softwareVersions: v.optional(
-    v.pipe(v.array(ServedVersion), v.maxLength(MAX_RECORDS)),
-    [],
-  ),
 });
 export type ReportRequest = v.InferOutput<typeof ReportRequest>;
 
@@ -242,6 +230,18 @@
   v.object({ kind: v.literal("restore-domain"), domain: Name }),
   // Makes a control host the only one that may send orders to servers.
   v.object({ kind: v.literal("hold-orders"), host: Name }),
+  // Servers of a service run this version of their software from now on.
+  v.object({
+    kind: v.literal("add-software-version"),
+    service: Name,
+    softwareVersion: v.string(),
+  }),
+  // No server has run this version for long.
+  v.object({
+    kind: v.literal("remove-software-version"),
+    service: Name,
+    softwareVersion: v.string(),
+  }),
   // Changes nothing: once it is committed, a read of the state is linearizable.
   v.object({ kind: v.literal("barrier") }),
 ]);
