--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -8,15 +8,16 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import type * as core from "@ebonypath/core";
 import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
 import type * as metrics from "../metrics.ts";
-import type * as core from "@ebonypath/core";
 import * as eventRelay from "./event_relay.ts";
 import * as responses from "./responses.ts";
 import type * as retryBudgets from "./retry_budgets.ts";
 import type * as serverSelector from "./server_selector.ts";
 import type * as serverTracker from "./server_tracker.ts";
+import * as streamStart from "./stream_start.ts";
 import type * as types from "./types.ts";
 import * as upstream from "./upstream.ts";
 
@@ -52,10 +53,6 @@
 const HEAD_TIMEOUT_TARGETS = 3;
 /** Fraction of the time left that one server may take for the head. */
 const HEAD_TIMEOUT_FRACTION = 0.5;
-/** Longest time for which a caller may resume a stream, in milliseconds. */
-const MAX_RESUMPTION_MS = 600_000;
-/** Time beyond its caller's deadline for which a stream is remembered, in ms. */
-const RESUMPTION_MARGIN_MS = 5_000;
 /** Lowest status that reports an error of the server. */
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -475,7 +472,7 @@
     if (!context.isRetryable) return;
     const { onStreamBegun, streams } = this.#options;
     progress.stream ??= streams.begin(
-      streamStart(context, server),
+      streamStart.createStart(context, server),
       performance.now(),
     );
     streams.addServer(progress.stream, server);
@@ -566,23 +563,6 @@
   return new errors.Refusal(definition, reason);
 }
 
-/** What is recorded of a stream when it begins here or is resumed here. */
-function streamStart(
-  { arrivedAt, metadata, origin, route }: types.RequestContext,
-  { service, softwareVersion }: gateway.ServerRecord,
-): core.gateway.StreamStart {
-  const patienceMs = Math.min(
-    metadata.deadlineMs ?? MAX_RESUMPTION_MS,
-    MAX_RESUMPTION_MS,
-  );
-  return {
-    id: origin === undefined ? metadata.id : metadata.resumedRequestId,
-    origin: origin ?? { service, softwareVersion },
-    isRouteSplit: route.split.length > 1,
-    expiresAt: arrivedAt + patienceMs + RESUMPTION_MARGIN_MS,
-  };
-}
-
 function roundMs(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.round(ms);
 }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -308,7 +308,9 @@
       softwareVersion?: string,
     ) => {
       const modelKey = demandKey(service, model, adapter);
-      const key = `${modelKey} ${softwareVersion ?? ""}`;
+      const key = softwareVersion === undefined
+        ? modelKey
+        : `${modelKey} at ${softwareVersion}`;
       const demand = demands.get(key) ?? {
         service,
         model,
