Commit a software version anew that is heard while it is removed

Between the start of a removal and its commit, a server of the version could have been told to hosts although the replicated state was about to lose it.

--- a/packages/core/src/gateway/version_activity.ts
+++ b/packages/core/src/gateway/version_activity.ts
@@ -31,7 +31,7 @@
 
   /** Records a heartbeat of a server. */
   record(version: ServiceVersion, now: number): void {
-    this.#heardAt.set(keyOf(version), now);
+    this.#heardAt.set(versionKey(version), now);
   }
 
   /** Versions whose servers have been silent for long. */
@@ -44,12 +44,16 @@
         names.map((softwareVersion) => ({ service, softwareVersion }))
       )
       .filter((version) => {
-        const heardAt = this.#heardAt.get(keyOf(version)) ?? this.#startedAt;
+        const heardAt = this.#heardAt.get(versionKey(version)) ??
+          this.#startedAt;
         return now - heardAt > RETENTION_MS;
       });
   }
 }
 
-function keyOf({ service, softwareVersion }: ServiceVersion): string {
+/** Identifies a version of a service in maps and sets. */
+export function versionKey(
+  { service, softwareVersion }: ServiceVersion,
+): string {
   return JSON.stringify([service, softwareVersion]);
 }
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -98,8 +98,9 @@
   readonly #versionActivity = new core.gateway.VersionActivity(
     performance.now(),
   );
-  /** Versions whose commit is in progress, with the service. */
+  /** Versions that are being committed, and those that are being removed. */
   readonly #addingVersions = new Set<string>();
+  readonly #removingVersions = new Set<string>();
   readonly #streamOrigins = new core.gateway.StreamOrigins();
   /** Models that each host has requests for, as of its last report. */
   readonly #interests = new Map<string, core.gateway.HostInterest>();
@@ -267,11 +268,11 @@
     return { origin };
   }
 
-  #isVersionKnown(
-    { service, softwareVersion }: core.gateway.ServiceVersion,
-  ): boolean {
-    return this.#options.state().softwareVersions(service)
-      .includes(softwareVersion);
+  #isVersionKnown(version: core.gateway.ServiceVersion): boolean {
+    const { service, softwareVersion } = version;
+    return !this.#removingVersions.has(core.gateway.versionKey(version)) &&
+      this.#options.state().softwareVersions(service)
+        .includes(softwareVersion);
   }
 
   /**
@@ -280,7 +281,7 @@
    */
   #addVersion(heartbeat: gateway.Heartbeat): void {
     const { service, softwareVersion } = heartbeat;
-    const key = JSON.stringify([service, softwareVersion]);
+    const key = core.gateway.versionKey(heartbeat);
     if (this.#addingVersions.has(key)) return;
     const known = [...this.#options.state().versionsByService.values()].flat();
     if (known.length >= MAX_SOFTWARE_VERSIONS) {
@@ -311,10 +312,13 @@
     for (
       const version of this.#versionActivity.expired(versionsByService, now)
     ) {
+      const key = core.gateway.versionKey(version);
+      if (this.#removingVersions.has(key)) continue;
+      this.#removingVersions.add(key);
       commit({ kind: "remove-software-version", ...version }).then(
         () => write("version-removed", version),
         (error: unknown) => write("version-not-removed", { ...version, error }),
-      );
+      ).finally(() => this.#removingVersions.delete(key));
     }
   }
 
