Don't resume a stream whose id two streams of different versions have

A host that relays a stream under an id that it already knew took the origin of the first one for it: an answer whose server then broke off would have gone on at the version of the earlier stream. Found by reading; callers are to use a new id for each attempt.

The answer under way now goes on at the version of its own events, and a caller that names the id is refused, since it can't be told which of the two it means. The new test failed before by the first stream's origin.

--- a/packages/core/src/gateway/own_streams.ts
+++ b/packages/core/src/gateway/own_streams.ts
@@ -25,7 +25,7 @@
 export type OwnStream = StreamStart & {
   /** Servers that it was relayed from. */
   readonly servers: StreamServer[];
-  /** Whether a server may have had another version than was known. */
+  /** Whether it may have begun elsewhere than was known. */
   isUncertain: boolean;
   /** Term in which the leader was told of it; 0 if it was not. */
   reportedTerm: number;
@@ -67,14 +67,22 @@
   begin(start: StreamStart, now: number): OwnStream {
     const { id } = start;
     const known = id === undefined ? undefined : this.#streams.get(id);
-    if (known !== undefined) return known;
+    if (known !== undefined) {
+      const { service, softwareVersion } = start.origin;
+      const isSame = service === known.origin.service &&
+        softwareVersion === known.origin.softwareVersion;
+      if (isSame) return known;
+      // Which of two streams with the same id is resumed can't be told.
+      known.isUncertain = true;
+      known.reportedTerm = 0;
+    }
     const stream = {
       ...start,
       servers: [],
       isUncertain: false,
       reportedTerm: 0,
     };
-    if (id !== undefined) this.#add(id, stream, now);
+    if (id !== undefined && known === undefined) this.#add(id, stream, now);
     return stream;
   }
 
@@ -103,7 +111,7 @@
    * start may have been the later one.
    */
   originOf(stream: OwnStream): gateway.StreamOrigin {
-    if (!stream.isUncertain && this.#isUncertain(stream)) {
+    if (!stream.isUncertain && this.#mayHaveOtherVersion(stream)) {
       stream.isUncertain = true;
       stream.reportedTerm = 0;
     }
@@ -114,7 +122,7 @@
 
   /** Whether the leader of a term has to be told of a stream. */
   isNews(stream: OwnStream, term: number): boolean {
-    if (stream.id === undefined || !this.#isReported(stream)) return false;
+    if (stream.id === undefined || !this.#needsReport(stream)) return false;
     this.originOf(stream);
     return stream.reportedTerm !== term;
   }
@@ -158,11 +166,11 @@
   }
 
   /** Whether other hosts can't infer the origin of a stream. */
-  #isReported({ isRouteSplit, origin }: OwnStream): boolean {
+  #needsReport({ isRouteSplit, origin }: OwnStream): boolean {
     return isRouteSplit || this.#servers.isMixed(origin.service);
   }
 
-  #isUncertain({ servers }: OwnStream): boolean {
+  #mayHaveOtherVersion({ servers }: OwnStream): boolean {
     return servers.some(({ born, id, softwareVersion }) => {
       const current = this.#servers.server(id);
       return current !== undefined && current.born !== born &&
--- a/packages/core/test/gateway/stream_versions_test.ts
+++ b/packages/core/test/gateway/stream_versions_test.ts
@@ -311,6 +311,29 @@
       .to.deep.equal([null]);
   });
 
+  it("can't be resumed where two of different versions have the same id", () => {
+    const streams = new OwnStreams({
+      server: () => undefined,
+      isMixed: () => true,
+    });
+    const begin = (softwareVersion: string) =>
+      streams.begin({
+        id: "r1",
+        origin: { service: SERVICE, softwareVersion },
+        isRouteSplit: false,
+        expiresAt: 1_000,
+      }, 0);
+    const first = begin("v1");
+    expect(begin("v1")).to.equal(first);
+    streams.acknowledge(streams.collect(1, 0), 1);
+    const second = begin("v2");
+    // An answer under way goes on at the version of its own events.
+    expect(streams.originOf(second).softwareVersion).to.equal("v2");
+    expect(streams.find("r1", 0)?.softwareVersion).to.equal(null);
+    expect(streams.collect(1, 0).map((one) => one.softwareVersion))
+      .to.deep.equal([null]);
+  });
+
   it("are reported once a term, and only where the version can't be inferred", () => {
     let isMixed = false;
     const streams = new OwnStreams({
--- a/packages/daemon/src/gateway/entry/stream_resolver.ts
+++ b/packages/daemon/src/gateway/entry/stream_resolver.ts
@@ -66,12 +66,8 @@
     if (!isResumption(context)) return { kind: "continues", context };
     const resolution = await this.#resolve(context);
     const continuation = this.#direct(context, resolution);
-    const isKnown = resolution.kind === "known";
-    const outcome = continuation.kind === "continues"
-      ? "directed"
-      : isKnown
-      ? "no-service"
-      : resolution.kind;
+    const reason = resolution.kind === "known" ? "no-service" : resolution.kind;
+    const outcome = continuation.kind === "continues" ? "directed" : reason;
     this.#options.metrics.resumptions.inc({ outcome });
     return continuation;
   }
