--- a/packages/core/src/gateway/own_streams.ts
+++ b/packages/core/src/gateway/own_streams.ts
@@ -1,4 +1,5 @@
 import type { gateway } from "@ebonypath/protocol";
+import { isSameOrigin } from "./stream_origins.ts";
 
 /** Streams that a host remembers at most; the oldest are forgotten first. */
 const MAX_STREAMS = 20_000;
@@ -68,10 +69,7 @@
     const { id } = start;
     const known = id === undefined ? undefined : this.#streams.get(id);
     if (known !== undefined) {
-      const { service, softwareVersion } = start.origin;
-      const isSame = service === known.origin.service &&
-        softwareVersion === known.origin.softwareVersion;
-      if (isSame) return known;
+      if (isSameOrigin(start.origin, known.origin)) return known;
       // Which of two streams with the same id is resumed can't be told.
       known.isUncertain = true;
       known.reportedTerm = 0;
--- a/packages/core/src/gateway/stream_origins.ts
+++ b/packages/core/src/gateway/stream_origins.ts
@@ -64,14 +64,23 @@
   }
 }
 
+/** Whether two streams began at the same service and software version. */
+export function isSameOrigin(
+  one: gateway.StreamOrigin,
+  other: gateway.StreamOrigin,
+): boolean {
+  return one.service === other.service &&
+    one.softwareVersion === other.softwareVersion;
+}
+
 /** Reports that contradict one another leave the version unknown. */
 function merge(
   known: gateway.StreamOrigin,
   reported: gateway.StreamOrigin,
 ): gateway.StreamOrigin {
-  const isSame = known.service === reported.service &&
-    known.softwareVersion === reported.softwareVersion;
-  return isSame ? reported : { ...reported, softwareVersion: null };
+  return isSameOrigin(known, reported)
+    ? reported
+    : { ...reported, softwareVersion: null };
 }
 
 /**
