Keep an id uncertain when one of its two streams ends

Of two streams of different versions with one id, the end of either removed the host's record of the id. A caller that then resumed the other one could be directed by what the leader had been told of the first before. Found by reading the change once more; callers are to use a new id for each attempt.

The record stays until its time is over, so that the host goes on to refuse. The test of such ids ends both streams now, and failed before: no origin where null, not known, is expected.

--- a/packages/core/src/gateway/own_streams.ts
+++ b/packages/core/src/gateway/own_streams.ts
@@ -90,9 +90,13 @@
     servers.push({ id, born, softwareVersion });
   }
 
-  /** Forgets a stream that has reached its caller whole. */
+  /**
+   * Forgets a stream that has reached its caller whole, unless there is another
+   * one with its id.
+   */
   end({ id }: OwnStream): void {
-    if (id !== undefined) this.#streams.delete(id);
+    if (id === undefined || this.#streams.get(id)?.isUncertain) return;
+    this.#streams.delete(id);
   }
 
   /** Where a stream began that this host has relayed. */
--- a/packages/core/test/gateway/stream_versions_test.ts
+++ b/packages/core/test/gateway/stream_versions_test.ts
@@ -332,6 +332,10 @@
     expect(streams.find("r1", 0)?.softwareVersion).to.equal(null);
     expect(streams.collect(1, 0).map((one) => one.softwareVersion))
       .to.deep.equal([null]);
+    // The end of either of them leaves the other one, which may be resumed.
+    streams.end(second);
+    streams.end(first);
+    expect(streams.find("r1", 0)?.softwareVersion).to.equal(null);
   });
 
   it("are reported once a term, and only where the version can't be inferred", () => {
