Log attempts that broke off with the fingerprint of their request

The lines of the incident couldn't tell whether the same request came again, since each attempt of a caller has its own id, nor which servers broke off under it (an answer's line has only the last reason). event=broken-attempt has both, and the birth of the server; event=server of the leader then tells whether that server ended. Only logs; what is sent where doesn't change.

--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -13,6 +13,7 @@
 import * as log from "../../log/mod.ts";
 import type * as metrics from "../metrics.ts";
 import * as eventRelay from "./event_relay.ts";
+import * as requestFingerprint from "./request_fingerprint.ts";
 import * as responses from "./responses.ts";
 import type * as retryBudgets from "./retry_budgets.ts";
 import type * as serverSelector from "./server_selector.ts";
@@ -277,6 +278,7 @@
     try {
       const result = await this.#send(exchange, server, progress);
       this.#options.metrics.attempts.inc({ result: result.kind });
+      if (result.kind === "unknown") logBrokenAttempt(exchange, server, result);
       return result;
     } finally {
       endRequest();
@@ -563,6 +565,24 @@
   return new errors.Refusal(definition, reason);
 }
 
+/** Logs an attempt that may have run, and which request it was. */
+function logBrokenAttempt(
+  { body, context, request }: Exchange,
+  { born, id }: gateway.ServerRecord,
+  { reason }: Extract<AttemptResult, { kind: "unknown" }>,
+): void {
+  const { metadata, workspace } = context;
+  write("broken-attempt", {
+    id: metadata.id,
+    fingerprint: requestFingerprint.fingerprintOf({ request, body, workspace }),
+    workspace: workspace?.name,
+    server: id,
+    born,
+    cancelled: context.signal.aborted,
+    reason,
+  });
+}
+
 function roundMs(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.round(ms);
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/entry/request_fingerprint.ts
@@ -0,0 +1,43 @@
+/**
+ * Identifies requests that come again: each attempt of a caller has its own id.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type * as http from "node:http";
+import type { gateway } from "@ebonypath/protocol";
+import * as security from "../../security/mod.ts";
+
+/** Length of a fingerprint, in hexadecimal digits: 128 bits. */
+const FINGERPRINT_LENGTH = 32;
+
+/** What identifies a request. */
+export type IdentifiedRequest = {
+  readonly request: Pick<http.IncomingMessage, "headers" | "method" | "url">;
+  readonly body: Buffer | undefined;
+  /** Caller; absent on routes without keys. */
+  readonly workspace: gateway.Workspace | undefined;
+};
+
+/**
+ * Returns a digest of a request's workspace, method, target and body. Ids,
+ * deadlines and the position in a stream are left out: they differ when the
+ * request is sent again.
+ *
+ * @example
+ * ```ts
+ * fingerprintOf({ request, body, workspace }); // "9f86d081884c7d65…"
+ * ```
+ */
+export function fingerprintOf(
+  { body, request, workspace }: IdentifiedRequest,
+): string {
+  const identity = JSON.stringify([
+    workspace?.name ?? null,
+    request.method,
+    request.headers.host?.toLowerCase() ?? "",
+    request.url,
+    body === undefined ? null : security.digestBytes(body),
+  ]);
+  return security.digest(identity).slice(0, FINGERPRINT_LENGTH);
+}
