Quarantine only requests that crash a server while they run isolated

What callers saw: a request that was in flight on several servers when these lost power together was refused with 422 for an hour, although it is harmless: a popular one, sent by many callers at once, is on record at each of the crashes. Cause: the tracker counted crashes, however they came about. It confirms a request now only if one of its crashes happened while it ran on a server where no other suspect ran. Evidence: 'does not quarantine a request that ran on servers that crashed together' fails without the condition (quarantined: popular).

--- a/packages/core/src/suspicion/bounds.ts
+++ b/packages/core/src/suspicion/bounds.ts
@@ -4,8 +4,28 @@
  * @module
  */
 
-/** Number of separate server crashes after which a request is quarantined. */
-export const QUARANTINE_CRASH_COUNT = 2;
+/** After how many server crashes a request is isolated and quarantined. */
+export type CrashCounts = {
+  /** Crashes after which a request runs only isolated from other suspects. */
+  readonly isolation: number;
+  /** Crashes, one of them while isolated, after which it is quarantined. */
+  readonly quarantine: number;
+};
+
+/** The counts where few requests are in flight on a server. */
+export const DEFAULT_CRASH_COUNTS: CrashCounts = {
+  isolation: 1,
+  quarantine: 2,
+};
+
+/**
+ * The counts where dozens of requests are in flight on a server: most of them
+ * are harmless, and isolating all of them would delay them.
+ */
+export const SHARED_SERVER_CRASH_COUNTS: CrashCounts = {
+  isolation: 2,
+  quarantine: 3,
+};
 
 /**
  * Time after its latest crash for which a suspect is watched, in milliseconds.
--- a/packages/core/src/suspicion/host_suspects.ts
+++ b/packages/core/src/suspicion/host_suspects.ts
@@ -5,7 +5,12 @@
  */
 
 import type * as protocol from "@ebonypath/protocol";
-import { dropOldest, MAX_SUSPECTS, SUSPECT_TTL_MS } from "./bounds.ts";
+import {
+  DEFAULT_CRASH_COUNTS,
+  dropOldest,
+  MAX_SUSPECTS,
+  SUSPECT_TTL_MS,
+} from "./bounds.ts";
 
 /** Maximum number of reports to be sent; the oldest are dropped. */
 export const MAX_PENDING_REPORTS = 1024;
@@ -27,6 +32,19 @@
   readonly admittedServer?: string;
 };
 
+/** A suspect that the leader may not know of yet. */
+type LocalSuspect = {
+  /** Servers that crashed with it in flight, with their incarnations. */
+  readonly crashes: Set<string>;
+  expiresAt: number;
+};
+
+/** A crash that this host has reported. */
+type ReportedCrash = {
+  readonly report: Extract<Report, { kind: "death" }>;
+  readonly expiresAt: number;
+};
+
 type AdmissionRequest = {
   readonly servers: readonly string[];
   readonly runMs: number;
@@ -45,14 +63,24 @@
 export class HostSuspects {
   /** Suspects in the leader's latest answer. */
   #watched = new Map<string, WatchedSuspect>();
-  /**
-   * Suspects that the leader may not know of yet, with their time of expiry.
-   */
-  readonly #localSuspects = new Map<string, number>();
+  readonly #isolationCrashCount: number;
+  readonly #localSuspects = new Map<string, LocalSuspect>();
+  /** Crashes that a new leader has to be told of, oldest first. */
+  #crashes: ReportedCrash[] = [];
   readonly #running = new Set<string>();
   readonly #admissionRequests = new Map<string, AdmissionRequest>();
   #reports: Report[] = [];
 
+  constructor(counts = DEFAULT_CRASH_COUNTS) {
+    this.#isolationCrashCount = counts.isolation;
+  }
+
+  /** Whether this host knows of any suspect. */
+  get hasSuspects(): boolean {
+    return this.#watched.size > 0 || this.#localSuspects.size > 0 ||
+      this.#running.size > 0 || this.#admissionRequests.size > 0;
+  }
+
   /** Whether and where a request may be dispatched now. */
   permissionFor(fingerprint: string, now: number): DispatchPermission {
     const watched = this.#watched.get(fingerprint);
@@ -62,19 +90,24 @@
         ? { kind: "admitted", server: watched.admittedServer }
         : { kind: "wait" };
     }
-    const isLocalSuspect = (this.#localSuspects.get(fingerprint) ?? 0) > now;
-    return { kind: isLocalSuspect ? "wait" : "clear" };
+    const local = this.#localSuspects.get(fingerprint);
+    const isIsolated = local !== undefined && local.expiresAt > now &&
+      local.crashes.size >= this.#isolationCrashCount;
+    return { kind: isIsolated ? "wait" : "clear" };
   }
 
   /**
-   * Requests admission to one of `servers`, which are in order of preference.
+   * Requests admission to one of `servers`, which are in order of preference;
+   * returns whether none was requested before.
    */
   requestAdmission(
     fingerprint: string,
     servers: readonly string[],
     runMs: number,
-  ): void {
+  ): boolean {
+    const isNew = !this.#admissionRequests.has(fingerprint);
     this.#admissionRequests.set(fingerprint, { servers, runMs });
+    return isNew;
   }
 
   /** Returns an admission whose server can no longer run the suspect. */
@@ -107,6 +140,7 @@
     if (survived) {
       this.#watched.delete(fingerprint);
       this.#localSuspects.delete(fingerprint);
+      this.#forgetCrashesOf(fingerprint);
     }
   }
 
@@ -117,20 +151,41 @@
     inFlight: readonly protocol.suspicion.InFlightRequest[],
     now: number,
   ): void {
+    const expiresAt = now + SUSPECT_TTL_MS;
     for (const { fingerprint } of inFlight.slice(0, MAX_SUSPECTS)) {
-      this.#localSuspects.set(fingerprint, now + SUSPECT_TTL_MS);
+      const local = this.#localSuspects.get(fingerprint) ??
+        { crashes: new Set<string>(), expiresAt };
+      local.crashes.add(`${server}/${incarnation}`);
+      local.expiresAt = expiresAt;
+      this.#localSuspects.set(fingerprint, local);
     }
     dropOldest(
       this.#localSuspects,
       MAX_SUSPECTS,
       (oldest) => this.#localSuspects.delete(oldest),
     );
-    this.#addReport({
-      kind: "death",
+    const report = {
+      kind: "death" as const,
       server,
       incarnation,
       inFlight: [...inFlight],
-    });
+    };
+    this.#crashes = [
+      ...this.#crashes.filter((crash) => crash.expiresAt > now),
+      { report, expiresAt },
+    ].slice(-MAX_PENDING_REPORTS);
+    this.#addReport(report);
+  }
+
+  /**
+   * Reports all crashes again: a new leader does not know what hosts reported to
+   * the one before.
+   */
+  reportCrashesAgain(now: number): void {
+    const known = new Set(this.#reports);
+    for (const { expiresAt, report } of this.#crashes) {
+      if (expiresAt > now && !known.has(report)) this.#addReport(report);
+    }
   }
 
   /** Whether anything is to be reported to the leader at once. */
@@ -194,6 +249,21 @@
     }
   }
 
+  /** A request that has run without a crash is reported no more. */
+  #forgetCrashesOf(fingerprint: string): void {
+    this.#crashes = this.#crashes
+      .map(({ expiresAt, report }) => ({
+        expiresAt,
+        report: {
+          ...report,
+          inFlight: report.inFlight.filter((request) =>
+            request.fingerprint !== fingerprint
+          ),
+        },
+      }))
+      .filter(({ report }) => report.inFlight.length > 0);
+  }
+
   #addReport(report: Report): void {
     this.#reports.push(report);
     this.#reports = this.#reports.slice(-MAX_PENDING_REPORTS);
--- a/packages/core/src/suspicion/mod.ts
+++ b/packages/core/src/suspicion/mod.ts
@@ -5,4 +5,5 @@
  */
 export * from "./bounds.ts";
 export * from "./host_suspects.ts";
+export * from "./quarantine_list.ts";
 export * from "./suspect_tracker.ts";
--- a/packages/core/src/suspicion/suspect_tracker.ts
+++ b/packages/core/src/suspicion/suspect_tracker.ts
@@ -2,10 +2,12 @@
  * Leader's record of server crashes and of the requests in flight at each
  * crash. A crash is any unexpected end of a server, whatever its cause.
  *
- * A request that was in flight at a crash is a suspect and runs isolated from
- * other suspects. A request that is the only explanation of two crashes is
- * confirmed as a crashing request, and the requests that were in flight with it
- * are cleared. A suspect is also cleared once it runs without a crash.
+ * A request that was in flight at a crash is a suspect. After a number of crashes
+ * it runs isolated from other suspects. A request that is the only explanation of
+ * several crashes, one of them while it was isolated, is confirmed as a crashing
+ * request, and the requests that were in flight with it are cleared. Crashes of
+ * servers for another common cause don't confirm a request, however many servers
+ * ran it. A suspect is also cleared once it runs without a crash.
  *
  * @module
  */
@@ -13,10 +15,11 @@
 import type * as protocol from "@ebonypath/protocol";
 import {
   CRASH_REPORT_WINDOW_MS,
+  type CrashCounts,
+  DEFAULT_CRASH_COUNTS,
   dropOldest,
   MAX_CRASHES,
   MAX_SUSPECTS,
-  QUARANTINE_CRASH_COUNT,
   SUSPECT_TTL_MS,
 } from "./bounds.ts";
 
@@ -39,6 +42,10 @@
   readonly request: protocol.suspicion.InFlightRequest;
   /** Unexplained crashes at which the request was in flight. */
   readonly crashes: Set<string>;
+  /** Server of its last admission. */
+  isolatedServer: string | undefined;
+  /** Whether a server crashed while it ran there isolated. */
+  hasCrashedIsolated: boolean;
   expiresAt: number;
 };
 
@@ -61,11 +68,22 @@
  * ```
  */
 export class SuspectTracker {
+  readonly #counts: CrashCounts;
   readonly #suspects = new Map<string, Suspect>();
   readonly #crashes = new Map<string, Crash>();
   readonly #admissions = new Map<string, Admission>();
+  #revision = 0;
 
-  /** Applies the reports of a host and returns all suspects as seen by it. */
+  constructor(counts = DEFAULT_CRASH_COUNTS) {
+    this.#counts = counts;
+  }
+
+  /** Increases when what hosts have to know of suspects changes. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Applies the reports of a host; returns the suspects to be isolated. */
   exchange(
     host: string,
     reports: readonly protocol.suspicion.SuspicionReport[],
@@ -99,6 +117,7 @@
 
   /** Stops tracking a request that is quarantined, released or cleared. */
   forget(fingerprint: string): void {
+    this.#noteChangeOf(fingerprint);
     for (const crash of this.#suspects.get(fingerprint)?.crashes ?? []) {
       this.#crashes.get(crash)?.fingerprints.delete(fingerprint);
     }
@@ -131,7 +150,7 @@
     this.#crashes.set(crashId, crash);
     for (const request of report.inFlight) {
       crash.fingerprints.add(request.fingerprint);
-      this.#addSuspect(request, crashId, now);
+      this.#addSuspect(request, crashId, report.server, now);
     }
     dropOldest(this.#crashes, MAX_CRASHES, (oldest) => this.#dropCrash(oldest));
     dropOldest(this.#suspects, MAX_SUSPECTS, (oldest) => this.forget(oldest));
@@ -140,15 +159,38 @@
   #addSuspect(
     request: protocol.suspicion.InFlightRequest,
     crashId: string,
+    server: string,
     now: number,
   ): void {
     const { fingerprint } = request;
-    const suspect = this.#suspects.get(fingerprint) ??
-      { request, crashes: new Set<string>(), expiresAt: 0 };
+    const suspect: Suspect = this.#suspects.get(fingerprint) ?? {
+      request,
+      crashes: new Set<string>(),
+      isolatedServer: undefined,
+      hasCrashedIsolated: false,
+      expiresAt: 0,
+    };
     suspect.crashes.add(crashId);
     suspect.expiresAt = now + SUSPECT_TTL_MS;
+    if (suspect.isolatedServer === server) suspect.hasCrashedIsolated = true;
     this.#suspects.delete(fingerprint);
     this.#suspects.set(fingerprint, suspect);
+    this.#noteChangeOf(fingerprint);
+  }
+
+  /** Whether a suspect may run only isolated from others. */
+  #isIsolated({ crashes }: Suspect): boolean {
+    return crashes.size >= this.#counts.isolation;
+  }
+
+  #noteChangeOf(fingerprint: string): void {
+    const suspect = this.#suspects.get(fingerprint);
+    if (suspect !== undefined && this.#isIsolated(suspect)) this.#revision++;
+  }
+
+  /** Whether a request would explain each crash at which it was in flight. */
+  #mayExplainCrashes({ crashes, hasCrashedIsolated }: Suspect): boolean {
+    return hasCrashedIsolated && crashes.size >= this.#counts.quarantine;
   }
 
   /**
@@ -175,6 +217,7 @@
     if (server !== undefined) {
       const until = now + runMs + ADMISSION_MARGIN_MS;
       this.#admissions.set(fingerprint, { host, server, until });
+      suspect.isolatedServer = server;
     }
   }
 
@@ -182,8 +225,9 @@
    * Whether a suspect is confirmed as the cause of a crash, or may be once all
    * hosts have reported.
    */
-  #mayBeConfirmed({ request, crashes }: Suspect, now: number): boolean {
-    return crashes.size >= QUARANTINE_CRASH_COUNT &&
+  #mayBeConfirmed(suspect: Suspect, now: number): boolean {
+    const { crashes, request } = suspect;
+    return this.#mayExplainCrashes(suspect) &&
       [...crashes].map((id) => this.#crashes.get(id)!).some((crash) =>
         now < crash.reportedAt + CRASH_REPORT_WINDOW_MS ||
         this.#soleCause(crash.fingerprints) === request
@@ -199,6 +243,7 @@
       this.forget(fingerprint);
     } else if (this.#admissions.get(fingerprint)?.host === host) {
       this.#admissions.delete(fingerprint);
+      this.#revision++;
     }
   }
 
@@ -206,7 +251,9 @@
     host: string,
     now: number,
   ): protocol.suspicion.WatchedFingerprint[] {
-    return [...this.#suspects].map(([fingerprint, { expiresAt }]) => {
+    const isolated = [...this.#suspects]
+      .filter(([, suspect]) => this.#isIsolated(suspect));
+    return isolated.map(([fingerprint, { expiresAt }]) => {
       const admission = this.#admissions.get(fingerprint);
       if (admission?.host === host) {
         const { server, until } = admission;
@@ -225,7 +272,7 @@
     const causes = [...fingerprints]
       .map((fingerprint) => this.#suspects.get(fingerprint))
       .filter((suspect) =>
-        suspect !== undefined && suspect.crashes.size >= QUARANTINE_CRASH_COUNT
+        suspect !== undefined && this.#mayExplainCrashes(suspect)
       );
     return causes.length === 1 ? causes[0]!.request : undefined;
   }
@@ -256,6 +303,7 @@
 
   /** Removes a crash from a suspect, and clears it if no crash is left. */
   #removeCrash(fingerprint: string, crashId: string): void {
+    this.#noteChangeOf(fingerprint);
     const suspect = this.#suspects.get(fingerprint);
     suspect?.crashes.delete(crashId);
     if (suspect?.crashes.size === 0) {
@@ -278,6 +326,7 @@
     for (const [fingerprint, { until }] of this.#admissions) {
       if (until <= now) {
         this.#admissions.delete(fingerprint);
+        this.#revision++;
       }
     }
   }
--- a/packages/core/test/suspicion/suspicion_test.ts
+++ b/packages/core/test/suspicion/suspicion_test.ts
@@ -146,6 +146,59 @@
     expect(fleet.quarantined.size).to.equal(0);
   });
 
+  it("does not quarantine a request that ran on servers that crashed together", () => {
+    const fleet = new FleetSimulation();
+    for (const server of SERVERS) fleet.crash(server, ["popular"]);
+    for (let round = 0; round < 60; round++) {
+      fleet.exchange();
+      fleet.dispatch(new Set());
+    }
+    expect([...fleet.quarantined]).to.deep.equal([]);
+    expect(fleet.answered).to.include("popular");
+  });
+
+  it("isolates a request only after as many crashes as are set", () => {
+    const counts = suspicion.SHARED_SERVER_CRASH_COUNTS;
+    const tracker = new suspicion.SuspectTracker(counts);
+    const host = new suspicion.HostSuspects(counts);
+    for (let crash = 1; crash <= counts.isolation; crash++) {
+      expect(host.permissionFor("x", 0).kind).to.equal("clear");
+      host.recordCrash(`s${crash}`, "1", [inFlight("x"), inFlight("a")], 0);
+      const { revision } = tracker;
+      host.update(tracker.exchange("h0", host.takeReports(), 0), 0);
+      expect(tracker.revision > revision).to.equal(crash === counts.isolation);
+    }
+    expect(host.permissionFor("x", 0).kind).to.equal("wait");
+  });
+
+  it("keeps the crashes of a request over a change of leader", () => {
+    const counts = suspicion.SHARED_SERVER_CRASH_COUNTS;
+    const host = new suspicion.HostSuspects(counts);
+    host.recordCrash("s0", "1", [inFlight("x")], 0);
+    host.recordCrash("s1", "1", [inFlight("x")], 0);
+    new suspicion.SuspectTracker(counts)
+      .exchange("h0", host.takeReports(), 0);
+    const nextLeader = new suspicion.SuspectTracker(counts);
+    host.reportCrashesAgain(1);
+    host.update(nextLeader.exchange("h0", host.takeReports(), 1), 1);
+    expect(host.permissionFor("x", 1).kind).to.equal("wait");
+  });
+
+  it("forgets the crashes of a request that has run without one", () => {
+    const host = new suspicion.HostSuspects();
+    host.recordCrash("s0", "1", [inFlight("x"), inFlight("y")], 0);
+    host.takeReports();
+    host.recordEnd("x", true);
+    host.takeReports();
+    host.reportCrashesAgain(1);
+    expect(host.takeReports()).to.deep.equal([{
+      kind: "death",
+      server: "s0",
+      incarnation: "1",
+      inFlight: [inFlight("y")],
+    }]);
+  });
+
   it("holds back suspects on their host before the leader answers", () => {
     const host = new suspicion.HostSuspects();
     host.recordCrash("s0", "1", [inFlight("x")], 0);
