--- a/packages/core/src/gateway/state.ts
+++ b/packages/core/src/gateway/state.ts
@@ -1,4 +1,8 @@
-import { errors, type gateway } from "@ebonypath/protocol";
+import { errors, type gateway, type state } from "@ebonypath/protocol";
+import * as suspicion from "../suspicion/mod.ts";
+
+/** Most requests in quarantine; the one that ends first is dropped. */
+const MAX_QUARANTINES = 1_000;
 
 /** Content of a snapshot. */
 type Snapshot = {
@@ -9,12 +13,16 @@
   readonly orderHolder?: string | null;
   /** By service; missing in snapshots that early builds wrote. */
   readonly softwareVersions?: readonly (readonly [string, readonly string[]])[];
+  /** Missing in snapshots that early builds wrote. */
+  readonly quarantines?: readonly state.Quarantine[];
+  readonly quarantineRevision?: number;
 };
 
 /**
  * The replicated state of a gateway fleet: the configuration with the highest
  * version, the failure domains that operators have withdrawn, the host that may
- * give orders to servers, and the software versions of the servers.
+ * give orders to servers, the software versions of the servers, and the requests
+ * that are not run because they crashed servers.
  *
  * @example
  * ```ts
@@ -28,6 +36,8 @@
   #orderHolder: string | null = null;
   readonly #withdrawnDomains: Set<string>;
   readonly #softwareVersions = new Map<string, readonly string[]>();
+  #quarantines = new suspicion.QuarantineList(MAX_QUARANTINES);
+  #quarantineRevision = 0;
 
   constructor(withdrawnDomains: readonly string[] = []) {
     this.#withdrawnDomains = new Set(withdrawnDomains);
@@ -70,6 +80,16 @@
     return this.#softwareVersions;
   }
 
+  /** Requests that are not run for a time. */
+  get quarantines(): state.Quarantine[] {
+    return this.#quarantines.list();
+  }
+
+  /** Number of changes of the quarantines. */
+  get quarantineRevision(): number {
+    return this.#quarantineRevision;
+  }
+
   /** Applies a committed command; returns whether it changed anything. */
   apply(command: gateway.Command): boolean {
     switch (command.kind) {
@@ -91,6 +111,10 @@
           command.service,
           command.softwareVersion,
         );
+      case "quarantine":
+        return this.#quarantine(command);
+      case "release-quarantine":
+        return this.#releaseQuarantine(command.fingerprint);
       case "barrier":
         return false;
       default:
@@ -105,6 +129,8 @@
       withdrawnDomains: this.withdrawnDomains,
       orderHolder: this.#orderHolder,
       softwareVersions: [...this.#softwareVersions],
+      quarantines: this.quarantines,
+      quarantineRevision: this.#quarantineRevision,
     };
     return JSON.stringify(snapshot);
   }
@@ -118,6 +144,11 @@
     for (const [service, versions] of snapshot.softwareVersions ?? []) {
       state.#softwareVersions.set(service, versions);
     }
+    state.#quarantines = new suspicion.QuarantineList(
+      MAX_QUARANTINES,
+      snapshot.quarantines ?? [],
+    );
+    state.#quarantineRevision = snapshot.quarantineRevision ?? 0;
     return state;
   }
 
@@ -151,6 +182,20 @@
     return rest.length < versions.length;
   }
 
+  #quarantine(
+    { fingerprint, model, untilMs, workspace }: state.Quarantine,
+  ): boolean {
+    this.#quarantines.add({ fingerprint, workspace, model, untilMs });
+    this.#quarantineRevision += 1;
+    return true;
+  }
+
+  #releaseQuarantine(fingerprint: string): boolean {
+    if (!this.#quarantines.remove(fingerprint)) return false;
+    this.#quarantineRevision += 1;
+    return true;
+  }
+
   #withdrawDomain(domain: string): boolean {
     if (this.#withdrawnDomains.has(domain)) return false;
     this.#withdrawnDomains.add(domain);
--- a/packages/core/test/gateway/routes_and_state_test.ts
+++ b/packages/core/test/gateway/routes_and_state_test.ts
@@ -86,6 +86,29 @@
     expect(state.source).to.equal("v7");
   });
 
+  it("counts the changes of the quarantines, and drops the oldest beyond a limit", () => {
+    const state = new GatewayState();
+    for (let index = 0; index <= 1_000; index += 1) {
+      state.apply({
+        kind: "quarantine",
+        fingerprint: `${index}`,
+        workspace: "t1",
+        model: "m",
+        untilMs: 10_000 + index,
+      });
+    }
+    expect(state.quarantines.length).to.equal(1_000);
+    expect(state.quarantines[0]?.fingerprint).to.equal("1");
+    expect(state.quarantineRevision).to.equal(1_001);
+    const release = { kind: "release-quarantine", fingerprint: "7" } as const;
+    expect(state.apply(release)).to.equal(true);
+    expect(state.apply(release)).to.equal(false);
+    expect(state.quarantineRevision).to.equal(1_002);
+    const restored = GatewayState.fromSnapshot(state.toSnapshot());
+    expect(restored.quarantines).to.deep.equal(state.quarantines);
+    expect(restored.quarantineRevision).to.equal(1_002);
+  });
+
   it("is restored from a snapshot unchanged", () => {
     const state = new GatewayState();
     state.apply(configure(7));
--- a/packages/daemon/src/control/leadership.ts
+++ b/packages/daemon/src/control/leadership.ts
@@ -11,6 +11,7 @@
 import * as feed from "../feed/mod.ts";
 import * as fleet from "../fleet/mod.ts";
 import * as log from "../log/mod.ts";
+import * as suspicion from "../suspicion/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import * as announcementIntake from "./announcement_intake.ts";
 import * as buckets from "./bucket_table.ts";
@@ -20,7 +21,6 @@
 import * as placementDriver from "./placement_driver.ts";
 import type * as replicatedState from "./replicated_state.ts";
 import * as servers from "./server_table.ts";
-import * as suspicionDriver from "./suspicion_driver.ts";
 import * as upkeep from "./upkeep.ts";
 
 const write = log.createLog("leadership");
@@ -75,7 +75,7 @@
   readonly #intake: announcementIntake.AnnouncementIntake;
   readonly #deferred: deferredDriver.DeferredDriver;
   readonly #upkeep: upkeep.Upkeep;
-  readonly #suspicion: suspicionDriver.SuspicionDriver;
+  readonly #suspicion: suspicion.SuspicionDriver;
   readonly #publisher: feed.FeedPublisher;
   readonly #timer: NodeJS.Timeout;
   #soon: NodeJS.Timeout | undefined;
@@ -127,7 +127,14 @@
       propose: options.propose,
       startedAt: now,
     });
-    this.#suspicion = new suspicionDriver.SuspicionDriver(options);
+    this.#suspicion = new suspicion.SuspicionDriver({
+      quarantine: (request) =>
+        options.propose({
+          kind: "quarantine",
+          ...request,
+          durationMs: core.suspicion.QUARANTINE_MS,
+        }),
+    });
     this.#publisher = new feed.FeedPublisher({
       term: () => options.term,
       view: () => replicated.state.view(),
@@ -234,7 +241,6 @@
     clearImmediate(this.#immediate);
     this.#options.replicated.off("changes", this.#onChanges);
     this.#placement[Symbol.dispose]();
-    this.#suspicion[Symbol.dispose]();
     this.#publisher[Symbol.dispose]();
     const now = performance.now();
     write("ended", {
@@ -247,6 +253,7 @@
     index: number,
     changes: readonly protocol.state.ViewChange[],
   ): void => {
+    changes.forEach((change) => this.#forgetDecided(change));
     this.#publisher.publish({
       kind: "changes",
       index,
@@ -255,6 +262,16 @@
     this.#planSoon();
   };
 
+  /** Quarantined and released requests are watched no longer. */
+  #forgetDecided(change: protocol.state.ViewChange): void {
+    if (change.kind === "quarantined") {
+      this.#suspicion.forget(change.quarantine.fingerprint);
+    }
+    if (change.kind === "quarantine-ended") {
+      this.#suspicion.forget(change.fingerprint);
+    }
+  }
+
   /** A dead server's models are wanted elsewhere at once. */
   #takeDeaths(
     reports: readonly protocol.suspicion.SuspicionReport[],
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -196,6 +196,21 @@
     return v.parse(v.string(), answer);
   }
 
+  /**
+   * Reads the requests that are in quarantine.
+   *
+   * @throws {fleet.OutcomeUnknown} the latest state could not be confirmed
+   * @throws {fleet.Unreachable} no leader was found in time
+   */
+  async readQuarantines(): Promise<protocol.state.Quarantine[]> {
+    const answer = await this.#callLeader(
+      protocol.gateway.METHODS.quarantines,
+      {},
+      COMMIT_LIMITS,
+    );
+    return v.parse(v.array(protocol.state.Quarantine), answer);
+  }
+
   /**
    * Relays a heartbeat to the leader.
    *
@@ -252,7 +267,9 @@
       case METHODS.command:
         return this.#commit(params as protocol.gateway.Command);
       case METHODS.read:
-        return this.#readConfirmed();
+        return this.#readConfirmed(({ source }) => source);
+      case METHODS.quarantines:
+        return this.#readConfirmed(({ quarantines }) => quarantines);
       case METHODS.heartbeat:
         this.#requireLeadership().handleHeartbeat(
           params as protocol.gateway.ServerUpdate,
@@ -281,6 +298,7 @@
     const relayed = [
       [gateway.METHODS.command, gateway.Command],
       [gateway.METHODS.read, v.object({})],
+      [gateway.METHODS.quarantines, v.object({})],
       [gateway.METHODS.heartbeat, gateway.ServerUpdate],
     ] as const;
     for (const [method, schema] of relayed) {
@@ -324,12 +342,14 @@
   }
 
   /**
-   * Reads the configuration after committing a barrier entry, which proves that
-   * this host was still the leader after the call began.
+   * Reads the state after committing a barrier entry, which proves that this host
+   * was still the leader after the call began.
    */
-  async #readConfirmed(): Promise<string> {
+  async #readConfirmed<T>(
+    read: (state: core.gateway.GatewayState) => T,
+  ): Promise<T> {
     await this.#commit({ kind: "barrier" });
-    return this.#stateMachine.state.source;
+    return read(this.#stateMachine.state);
   }
 
   #requireLeadership(): fleetCoordinator.FleetCoordinator {
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -12,6 +12,7 @@
 import * as orderExecutor from "./order_executor.ts";
 import * as limitLender from "./limit_lender.ts";
 import * as loadScheduler from "./load_scheduler.ts";
+import * as quarantineManager from "./quarantine_manager.ts";
 import type * as types from "./types.ts";
 
 const write = log.createLog("directory");
@@ -102,6 +103,7 @@
   readonly #addingVersions = new Set<string>();
   readonly #removingVersions = new Set<string>();
   readonly #streamOrigins = new core.gateway.StreamOrigins();
+  readonly #quarantines: quarantineManager.QuarantineManager;
   /** Models that each host has requests for, as of its last report. */
   readonly #interests = new Map<string, core.gateway.HostInterest>();
   readonly #executor: orderExecutor.OrderExecutor;
@@ -146,6 +148,11 @@
       retryBudget: options.retryBudget,
       coldRequestsPerSecond: (server) => this.#coldRequestsPerSecond(server),
     });
+    this.#quarantines = new quarantineManager.QuarantineManager({
+      state: options.state,
+      commit: (command) => options.commit(command),
+      onChange: () => this.#onChange(),
+    });
     this.#beginRollout();
     this.#expiryTimer = timers.setInterval(
       () => this.#expire(),
@@ -182,6 +189,7 @@
   /** Sends changes of the replicated state to entry hosts. */
   onStateChange(): void {
     this.#beginRollout();
+    this.#quarantines.onStateChange();
     this.#registry.bumpRevision();
     this.#onChange();
   }
@@ -224,6 +232,7 @@
       now,
     );
     this.#streamOrigins.record(report.streams, now);
+    const suspects = this.#quarantines.exchange(report, now);
     this.#demandTracker.addReport(report, now);
     this.#interests.set(report.host, interestOf(report));
     if (this.#registry.revision !== revision) this.#onChange();
@@ -249,6 +258,7 @@
         now,
       ),
       forecasts: this.#forecastsFor(report, performance.now()),
+      ...suspects,
     };
   }
 
@@ -328,6 +338,7 @@
     timers.clearTimeout(this.#collectTimer);
     timers.clearTimeout(this.#claimTimer);
     this.#scheduler[Symbol.dispose]();
+    this.#quarantines[Symbol.dispose]();
     for (const pending of [...this.#pendingWatches]) this.#release(pending);
     this.#options.metrics.leading.set(0);
     write("not-leading", { term: this.term });
@@ -386,6 +397,7 @@
     }
     this.#logHostsBehind(now);
     this.#removeVersions(now);
+    if (this.#isLeaseCertain()) this.#quarantines.expire(Date.now());
     this.#updateLimitedWorkspaces(now);
     if (this.#registry.expire(now)) this.#onChange();
   }
@@ -527,10 +539,12 @@
 
   /** Whether there are changes that the host needs at once. */
   #hasNews(
-    { configuration, host, revision, term }: gateway.WatchRequest,
+    request: gateway.WatchRequest,
   ): boolean {
+    const { configuration, host, revision, term } = request;
     const version = this.#options.state().configuration?.version ?? null;
     return term !== this.term || this.#registry.urgentRevision > revision ||
+      this.#quarantines.hasNewsFor(request) ||
       (version !== null && version !== configuration) ||
       this.#registry.concerns(
         this.#interests.get(host) ?? NO_INTEREST,
@@ -546,6 +560,7 @@
     const state = this.#options.state();
     const isWhole = request.term !== this.term;
     const { configuration } = state;
+    const quarantines = this.#quarantines.listFor(request.quarantineRevision);
     const isNewer = configuration !== null &&
       configuration.version > (request.configuration ?? -1);
     return {
@@ -559,6 +574,8 @@
       mixedServices: state.mixedServices,
       controlHosts: this.#options.controlHosts(),
       ...(this.#isLeaseCertain() ? { heldMs: now - receivedAt } : {}),
+      ...(quarantines === undefined ? {} : { quarantines }),
+      suspectRevision: this.#quarantines.revision,
       ...(isNewer ? { configuration: this.#forEntryHosts(configuration) } : {}),
     };
   }
--- /dev/null
+++ b/packages/daemon/src/gateway/entry/crash_suspects.ts
@@ -0,0 +1,250 @@
+/**
+ * Requests that may crash backend servers, as known to one entry host: which may
+ * be sent, and under which of them servers crashed.
+ *
+ * @module
+ */
+import * as core from "@ebonypath/core";
+import type { gateway, suspicion } from "@ebonypath/protocol";
+import * as log from "../../log/mod.ts";
+import type * as crashProbe from "./crash_probe.ts";
+import type * as fleetView from "./fleet_view.ts";
+import type * as requestIdentity from "./request_identity.ts";
+import type * as types from "./types.ts";
+
+const write = log.createLog("suspects");
+
+/** Most failures kept until their servers are known to have restarted. */
+const MAX_PENDING_FAILURES = 1_024;
+/**
+ * Largest age of a failure that the restart of its server accounts for, in
+ * milliseconds.
+ */
+const PENDING_FAILURE_MS = 5_000;
+
+/** Whether and where a request may be sent. */
+export type Permission =
+  | core.suspicion.DispatchPermission
+  | {
+    readonly kind: "quarantined";
+    /** Time until the quarantine ends, in milliseconds. */
+    readonly remainingMs: number;
+  };
+
+/** Dependencies and callbacks of `CrashSuspects`. */
+export interface CrashSuspectsOptions {
+  readonly view: fleetView.FleetView;
+  probe(address: string): Promise<crashProbe.ProbeResult>;
+  /** Called with each request under which a server crashed. */
+  onCrash(): void;
+  /** Called when the leader has to hear of a crash or a waiting suspect. */
+  onNews(): void;
+}
+
+type Failure = {
+  readonly server: gateway.ServerRecord;
+  readonly context: types.RequestContext;
+  readonly at: number;
+};
+
+/** Tracks crashes and suspects for one entry host. */
+export class CrashSuspects {
+  readonly #options: CrashSuspectsOptions;
+  readonly #suspects = new core.suspicion.HostSuspects(
+    core.suspicion.SHARED_SERVER_CRASH_COUNTS,
+  );
+  /** Admitted suspects that are sent to their server. */
+  readonly #runs = new Set<requestIdentity.RequestIdentity>();
+  /** Probes in progress, by server and its birth. */
+  readonly #probes = new Map<string, Promise<crashProbe.ProbeResult>>();
+  /** Failures of servers that may have restarted since, oldest first. */
+  #pendingFailures: Failure[] = [];
+  /** Revision of the leader's suspects in its last answer to a report. */
+  #revision = 0;
+  #term = 0;
+
+  constructor(options: CrashSuspectsOptions) {
+    this.#options = options;
+    options.view.on("change", () => this.#onViewChange());
+  }
+
+  /** Whether and where a request may be sent now. */
+  permissionFor(context: types.RequestContext, now: number): Permission {
+    const { view } = this.#options;
+    if (view.quarantineCount === 0 && !this.#suspects.hasSuspects) {
+      return { kind: "clear" };
+    }
+    const { fingerprint } = context.identity;
+    const remainingMs = view.quarantineMs(fingerprint, now);
+    return remainingMs > 0
+      ? { kind: "quarantined", remainingMs }
+      : this.#suspects.permissionFor(fingerprint, now);
+  }
+
+  /** Requests the admission of a suspect to one of several servers. */
+  requestAdmission(
+    context: types.RequestContext,
+    servers: readonly string[],
+    now: number,
+  ): void {
+    if (servers.length === 0) return;
+    const runMs = Math.max(0, context.deadline - now);
+    const { fingerprint } = context.identity;
+    if (this.#suspects.requestAdmission(fingerprint, servers, runMs)) {
+      this.#options.onNews();
+    }
+  }
+
+  /** Returns an admission to a server that can't run the suspect any more. */
+  returnAdmission({ identity }: types.RequestContext): void {
+    this.#suspects.returnAdmission(identity.fingerprint);
+  }
+
+  /** Records that an admitted suspect is about to be sent. */
+  recordStart({ identity }: types.RequestContext): void {
+    this.#runs.add(identity);
+    this.#suspects.recordStart(identity.fingerprint);
+  }
+
+  /**
+   * Records that a request has ended at a server, or waits no more.
+   *
+   * @param survived whether a server has answered it with success
+   */
+  recordEnd({ identity }: types.RequestContext, survived: boolean): void {
+    if (!this.#suspects.hasSuspects) return;
+    const { fingerprint } = identity;
+    const wasRunning = this.#runs.delete(identity);
+    const isRunning = [...this.#runs].some((run) =>
+      run.fingerprint === fingerprint
+    );
+    // The same request may still run under another id.
+    if (isRunning && !wasRunning) return;
+    this.#suspects.recordEnd(fingerprint, survived);
+  }
+
+  /**
+   * Finds out whether a server crashed that broke off a request. Resolves before
+   * the request may be sent to another one.
+   *
+   * @param isClosed whether the connection was closed, rather than silent
+   */
+  async recordFailure(
+    context: types.RequestContext,
+    server: gateway.ServerRecord,
+    isClosed: boolean,
+  ): Promise<void> {
+    // A server that leaves may end while requests are in progress.
+    if (this.#isLeaving(server)) return;
+    const failure = { server, context, at: performance.now() };
+    const result = await this.#probe(server);
+    if (result === "refused") return this.#recordCrash(failure, "refused");
+    if (!isClosed) return;
+    this.#pendingFailures = [...this.#pendingFailures, failure]
+      .slice(-MAX_PENDING_FAILURES);
+    this.#recordRestarts();
+  }
+
+  /** Whether the leader has to be asked or told at once. */
+  get hasNews(): boolean {
+    return this.#suspects.hasReports || this.#isOutdated;
+  }
+
+  /** Removes and returns what the next report to the leader says. */
+  takeReports(): suspicion.SuspicionReport[] {
+    const { term } = this.#options.view;
+    if (term !== this.#term) {
+      this.#term = term;
+      this.#suspects.reportCrashesAgain(performance.now());
+    }
+    return this.#suspects.takeReports();
+  }
+
+  /** Queues what a report said again that was not answered. */
+  requeueReports(reports: readonly suspicion.SuspicionReport[]): void {
+    this.#suspects.requeueReports(reports);
+  }
+
+  /** Applies the leader's answer to a report. */
+  onReportResponse(
+    { suspectRevision = 0, watched = [] }: gateway.ReportResponse,
+  ): void {
+    this.#revision = suspectRevision;
+    this.#suspects.update(watched, performance.now());
+  }
+
+  get #isOutdated(): boolean {
+    return this.#options.view.suspectRevision !== this.#revision;
+  }
+
+  #onViewChange(): void {
+    this.#recordRestarts();
+    if (this.#isOutdated) this.#options.onNews();
+  }
+
+  #isLeaving({ born, id }: gateway.ServerRecord): boolean {
+    const current = this.#options.view.server(id)?.record;
+    if (current === undefined) return true;
+    return current.born === born &&
+      (current.state === "draining" || current.state === "ended");
+  }
+
+  /** Requests that break off together share a probe. */
+  #probe(
+    { address, born, id }: gateway.ServerRecord,
+  ): Promise<crashProbe.ProbeResult> {
+    const key = `${id} ${born}`;
+    const probe = this.#probes.get(key) ?? this.#options.probe(address)
+      .finally(() => this.#probes.delete(key));
+    this.#probes.set(key, probe);
+    return probe;
+  }
+
+  /** Records the crashes of servers that have restarted since a failure. */
+  #recordRestarts(): void {
+    if (this.#pendingFailures.length === 0) return;
+    const now = performance.now();
+    const failures = this.#pendingFailures;
+    this.#pendingFailures = failures.filter((failure) =>
+      now - failure.at < PENDING_FAILURE_MS &&
+      !this.#hasRestarted(failure.server)
+    );
+    for (const failure of failures) {
+      if (this.#hasRestarted(failure.server)) {
+        this.#recordCrash(failure, "restarted");
+      }
+    }
+  }
+
+  /** Whether a later process has the id or the address of a server. */
+  #hasRestarted({ address, born, id, service }: gateway.ServerRecord): boolean {
+    const { view } = this.#options;
+    const current = view.server(id)?.record;
+    if (current !== undefined && current.born > born) return true;
+    return view.readyServers(service).some(({ record }) =>
+      record.address === address && record.born > born
+    );
+  }
+
+  #recordCrash({ at, context, server }: Failure, evidence: string): void {
+    const { metadata, service, workspace } = context;
+    const { fingerprint } = context.identity;
+    write("server-crashed", {
+      id: metadata.id,
+      fingerprint,
+      server: server.id,
+      born: server.born,
+      evidence,
+    });
+    this.#suspects.recordCrash(server.id, String(server.born), [{
+      fingerprint,
+      workspace: workspace?.name ?? OPEN_ROUTE_WORKSPACE,
+      model: metadata.model ?? service.name,
+    }], at);
+    this.#options.onCrash();
+    this.#options.onNews();
+  }
+}
+
+/** Workspace reported for requests on open routes, which have none. */
+const OPEN_ROUTE_WORKSPACE = "open";
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -12,8 +12,8 @@
 import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
 import type * as metrics from "../metrics.ts";
+import type * as crashSuspects from "./crash_suspects.ts";
 import * as eventRelay from "./event_relay.ts";
-import * as requestFingerprint from "./request_fingerprint.ts";
 import * as responses from "./responses.ts";
 import type * as retryBudgets from "./retry_budgets.ts";
 import type * as serverSelector from "./server_selector.ts";
@@ -64,6 +64,10 @@
   readonly tracker: serverTracker.ServerTracker;
   readonly retryBudgets: retryBudgets.RetryBudgets;
   readonly streams: core.gateway.OwnStreams;
+  readonly suspects: Pick<
+    crashSuspects.CrashSuspects,
+    "recordEnd" | "recordFailure"
+  >;
   readonly metrics: metrics.GatewayMetrics;
   /**
    * Called when a caller is told to come back after a delay, in milliseconds,
@@ -87,14 +91,31 @@
 /** Result of one attempt. */
 type AttemptResult =
   /** The caller has received its response, or has disconnected. */
-  | { readonly kind: "done"; readonly outcome: string }
+  | {
+    readonly kind: "done";
+    readonly outcome: string;
+    /** Whether a server has run it to a good end. */
+    readonly isSuccess: boolean;
+  }
   /** The server did not run the request. */
   | { readonly kind: "not-run"; readonly reason: string }
   /** The server may have run it. */
-  | { readonly kind: "unknown"; readonly reason: string }
+  | {
+    readonly kind: "unknown";
+    readonly reason: string;
+    /** Whether this host gave up waiting, rather than lost the connection. */
+    readonly isTimeout: boolean;
+  }
   /** The server ran it and reported an error. */
   | { readonly kind: "failed"; readonly response: BufferedResponse };
 
+/** The caller has disconnected. */
+const DISCONNECTED: AttemptResult = {
+  kind: "done",
+  outcome: "left",
+  isSuccess: false,
+};
+
 type BufferedResponse = {
   readonly status: number;
   readonly headers: readonly string[];
@@ -128,6 +149,8 @@
   hasServerResponse: boolean;
   /** When the caller should come back after a refusal, in milliseconds. */
   retryAfterMs: number | undefined;
+  /** Whether it is not to be run, because it crashed servers. */
+  isQuarantined: boolean;
 };
 
 /** Dispatches requests to backend servers. */
@@ -163,8 +186,10 @@
       headMs: undefined,
       hasServerResponse: false,
       retryAfterMs: undefined,
+      isQuarantined: false,
     };
     const outcome = await this.#runAttempts(exchange, progress);
+    this.#options.suspects.recordEnd(context, false);
     if (progress.stream !== undefined && outcome !== "streamed") {
       this.#options.onStreamBroken(progress.stream);
     }
@@ -208,6 +233,11 @@
         } ms`;
         this.#options.onReturnExpected(context, progress.retryAfterMs);
       }
+      if (selection.kind === "quarantined") {
+        progress.isQuarantined = true;
+        progress.retryAfterMs = selection.remainingMs;
+        progress.reason = "servers crashed while running the request";
+      }
       if (selection.kind !== "server") {
         return this.#respondWithFailure(exchange, progress);
       }
@@ -274,11 +304,23 @@
     progress: Progress,
   ): Promise<AttemptResult> {
     const { tracker } = this.#options;
-    const endRequest = tracker.startRequest(server.id, exchange.context);
+    const { context } = exchange;
+    const endRequest = tracker.startRequest(server.id, context);
     try {
       const result = await this.#send(exchange, server, progress);
       this.#options.metrics.attempts.inc({ result: result.kind });
-      if (result.kind === "unknown") logBrokenAttempt(exchange, server, result);
+      if (result.kind === "unknown") {
+        logBrokenAttempt(context, server, result);
+        if (!context.signal.aborted) {
+          await this.#options.suspects.recordFailure(
+            context,
+            server,
+            !result.isTimeout,
+          );
+        }
+      }
+      const isSuccess = result.kind === "done" && result.isSuccess;
+      this.#options.suspects.recordEnd(context, isSuccess);
       return result;
     } finally {
       endRequest();
@@ -318,7 +360,7 @@
     });
     switch (result.kind) {
       case "not-sent":
-        if (context.signal.aborted) return { kind: "done", outcome: "left" };
+        if (context.signal.aborted) return DISCONNECTED;
         this.#recordFailure(context, server.id);
         return { kind: "not-run", reason: result.reason };
       case "no-answer": {
@@ -326,7 +368,8 @@
         if (!context.signal.aborted || elapsedMs > UNRESPONSIVE_SERVER_MS) {
           this.#recordFailure(context, server.id);
         }
-        return { kind: "unknown", reason: result.reason };
+        const { isTimeout, reason } = result;
+        return { kind: "unknown", reason, isTimeout };
       }
       case "answered":
         return await this.#handleResponse(exchange, server, result, progress);
@@ -358,7 +401,8 @@
     if (metadata.isIdentified) result.keepConnection();
     if (metadata.isMismatched) {
       result.cancel();
-      return { kind: "unknown", reason: "the answer to another request" };
+      const reason = "the answer to another request";
+      return { kind: "unknown", reason, isTimeout: false };
     }
     if (metadata.isNotRun) {
       return this.#handleNotRun(context, server.id, result, metadata);
@@ -376,7 +420,8 @@
     } catch (error) {
       result.cancel();
       if (!context.signal.aborted) this.#recordFailure(context, server.id);
-      return { kind: "unknown", reason: errorMessage(error) };
+      const reason = errorMessage(error);
+      return { kind: "unknown", reason, isTimeout: false };
     }
   }
 
@@ -429,11 +474,15 @@
     if (progress.relay !== undefined) {
       // The caller has received part of a stream, which nothing can replace.
       response.destroy();
-      return { kind: "done", outcome: "cut" };
+      return { kind: "done", outcome: "cut", isSuccess: false };
     }
     responses.sendResponse(response, status, headers, body);
     progress.hasServerResponse = true;
-    return { kind: "done", outcome: `answered ${status}` };
+    return {
+      kind: "done",
+      outcome: `answered ${status}`,
+      isSuccess: status < MIN_SERVER_ERROR_STATUS,
+    };
   }
 
   async #relayStream(
@@ -457,11 +506,12 @@
       progress.hasServerResponse = true;
       response.end();
       if (progress.stream !== undefined) streams.end(progress.stream);
-      return { kind: "done", outcome: "streamed" };
+      return { kind: "done", outcome: "streamed", isSuccess: true };
     } catch (error) {
       result.cancel();
       if (!context.signal.aborted) this.#recordFailure(context, server.id);
-      return { kind: "unknown", reason: errorMessage(error) };
+      const reason = errorMessage(error);
+      return { kind: "unknown", reason, isTimeout: false };
     }
   }
 
@@ -543,7 +593,14 @@
   context: types.RequestContext,
   progress: Progress,
 ): errors.Refusal {
-  const { isVersionGone, possibleRuns, reason, retryAfterMs } = progress;
+  const { isQuarantined, isVersionGone, possibleRuns, reason, retryAfterMs } =
+    progress;
+  if (possibleRuns === 0 && isQuarantined && retryAfterMs !== undefined) {
+    const retryAfterSeconds = Math.ceil(retryAfterMs / SECOND_MS);
+    return new errors.Refusal(errors.QUARANTINED_UNTIL, reason, {
+      retryAfterSeconds,
+    });
+  }
   if (possibleRuns === 0 && isVersionGone) {
     return new errors.Refusal(errors.STREAM_NOT_RESUMABLE, reason);
   }
@@ -567,18 +624,17 @@
 
 /** Logs an attempt that may have run, and which request it was. */
 function logBrokenAttempt(
-  { body, context, request }: Exchange,
+  { identity, metadata, signal, workspace }: types.RequestContext,
   { born, id }: gateway.ServerRecord,
   { reason }: Extract<AttemptResult, { kind: "unknown" }>,
 ): void {
-  const { metadata, workspace } = context;
   write("broken-attempt", {
     id: metadata.id,
-    fingerprint: requestFingerprint.fingerprintOf({ request, body, workspace }),
+    fingerprint: identity.fingerprint,
     workspace: workspace?.name,
     server: id,
     born,
-    cancelled: context.signal.aborted,
+    cancelled: signal.aborted,
     reason,
   });
 }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -11,6 +11,8 @@
 import * as resources from "../../resources/mod.ts";
 import type * as metrics from "../metrics.ts";
 import * as clocks from "./clocks.ts";
+import * as crashProbe from "./crash_probe.ts";
+import * as crashSuspects from "./crash_suspects.ts";
 import * as dispatcher from "./dispatcher.ts";
 import * as fleetView from "./fleet_view.ts";
 import * as leaderSync from "./leader_sync.ts";
@@ -67,6 +69,12 @@
     server: (id) => this.view.server(id)?.record,
     isMixed: (service) => this.view.isMixed(service),
   });
+  readonly #crashSuspects = new crashSuspects.CrashSuspects({
+    view: this.view,
+    probe: crashProbe.probe,
+    onCrash: () => this.#metrics.serverCrashes.inc(),
+    onNews: () => this.#reportSoon(),
+  });
   readonly #serverSelector: serverSelector.ServerSelector;
   readonly #retryBudgets: retryBudgets.RetryBudgets;
   readonly #requestHandler: requestHandler.RequestHandler;
@@ -92,12 +100,15 @@
         maxConfigurationAgeMs,
         hasNews: () =>
           this.#hasNews || this.#unitBorrower.isWaiting ||
-          this.#serverSelector.isWaiting ||
+          this.#serverSelector.isWaiting || this.#crashSuspects.hasNews ||
           this.#ownStreams.hasNews(this.view.term, performance.now()),
         collectReport: () => this.#collectReport(),
         onReportResponse: (response, report, requestedAt) =>
           this.#onReportResponse(response, report, requestedAt),
-        onReportFailed: () => this.#hasNews = true,
+        onReportFailed: ({ suspicions = [] }) => {
+          this.#hasNews = true;
+          this.#crashSuspects.requeueReports(suspicions);
+        },
       }),
     );
     this.#serverSelector = this.#resources.use(
@@ -105,6 +116,7 @@
         view: this.view,
         tracker: this.#serverTracker,
         borrower: this.#unitBorrower,
+        suspects: this.#crashSuspects,
         onQueued: () => this.#reportSoon(),
         onDequeued: () => this.#hasNews = true,
       }),
@@ -123,6 +135,7 @@
         tracker: this.#serverTracker,
         retryBudgets: this.#retryBudgets,
         streams: this.#ownStreams,
+        suspects: this.#crashSuspects,
         metrics: options.metrics,
         onStreamBegun: (stream) => {
           if (!this.#ownStreams.isNews(stream, this.view.term)) return;
@@ -184,6 +197,7 @@
     this.#metrics.waitingRequests.set(
       [...this.#serverSelector.queuedRequests()].length,
     );
+    this.#metrics.quarantinedRequests.set(this.view.quarantineCount);
     this.#metrics.configurationVersion.set(configuration?.version ?? 0);
     if (Number.isFinite(leaderAgeMs)) {
       this.#metrics.leaderAge.set(leaderAgeMs / SECOND_MS);
@@ -240,6 +254,7 @@
     this.#rateLimiter.setHostCount(this.#retryBudgets.hostCount);
     this.#serverTracker.applyFleetLoad(response.load);
     this.#unitBorrower.onLent(response.lent, requestedAt);
+    this.#crashSuspects.onReportResponse(response);
     this.#serverSelector.processQueue();
     this.#serverSelector.applyForecasts(response.forecasts);
   }
@@ -270,6 +285,7 @@
     this.#arrivals = new Map();
     // Demand that expires has to be reported as gone.
     this.#hasNews = this.#expectedReturns.length > 0;
+    const suspicions = this.#crashSuspects.takeReports();
     return {
       demand: this.#collectDemand(arrivals),
       usage: this.#rateLimiter.usage(),
@@ -277,6 +293,7 @@
       requests: this.#collectRequests(),
       wanted: this.#unitBorrower.collectWanted(),
       streams: this.#ownStreams.collect(this.view.term, performance.now()),
+      ...(suspicions.length === 0 ? {} : { suspicions }),
     };
   }
 
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -39,6 +39,10 @@
   #lastResponseAt = -Infinity;
   readonly #freshness = new core.gateway.Freshness();
   #mixedServices: ReadonlySet<string> = new Set();
+  #quarantineRevision = 0;
+  /** Monotonic times of their ends, in milliseconds, by fingerprint. */
+  #quarantines: ReadonlyMap<string, number> = new Map();
+  #suspectRevision = 0;
   /** Resolves when the first configuration arrives. */
   readonly firstConfiguration = new Promise<void>((resolve) =>
     this.once("configuration", () => resolve())
@@ -107,6 +111,25 @@
     return this.#mixedServices.has(service);
   }
 
+  /** Revision of the quarantines that this host knows. */
+  get quarantineRevision(): number {
+    return this.#quarantineRevision;
+  }
+
+  /** Revision of the leader's suspects of crashing servers. */
+  get suspectRevision(): number {
+    return this.#suspectRevision;
+  }
+
+  get quarantineCount(): number {
+    return this.#quarantines.size;
+  }
+
+  /** Time for which a request is in quarantine, in milliseconds; 0 if it isn't. */
+  quarantineMs(fingerprint: string, now: number): number {
+    return Math.max(0, (this.#quarantines.get(fingerprint) ?? 0) - now);
+  }
+
   /** All servers, for a new leader that has not heard from them yet. */
   serverRecords(now: number): gateway.ServerRecord[] {
     return [...this.#servers.values()].map(({ lastHeartbeatAt, record }) => ({
@@ -135,7 +158,11 @@
     this.#withdrawnDomains = new Set(response.withdrawnDomains);
     this.#limitedWorkspaces = new Set(response.limitedWorkspaces);
     this.#mixedServices = new Set(response.mixedServices);
+    this.#suspectRevision = response.suspectRevision ?? 0;
     this.#applyServers(response, now);
+    if (response.quarantines !== undefined) {
+      this.#applyQuarantines(response.quarantines, now);
+    }
     if (response.configuration !== undefined) {
       this.#applyConfiguration(response.configuration);
     }
@@ -166,6 +193,19 @@
     }
   }
 
+  #applyQuarantines(
+    { requests, revision }: gateway.Quarantines,
+    now: number,
+  ): void {
+    this.#quarantineRevision = revision;
+    this.#quarantines = new Map(
+      requests.map(({ fingerprint, remainingMs }) => [
+        fingerprint,
+        now + remainingMs,
+      ]),
+    );
+  }
+
   #applyConfiguration(configuration: gateway.Configuration): void {
     const currentVersion = this.#configuration?.version ?? -1;
     if (configuration.version <= currentVersion) return;
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -72,7 +72,7 @@
     requestedAt: core.gateway.ClockReading,
   ): void;
   /** Called when a report was not answered. */
-  onReportFailed(): void;
+  onReportFailed(report: LocalReport): void;
 }
 
 /** Watches the leader for changes and reports to it until it is disposed. */
@@ -185,6 +185,8 @@
         term: view.term,
         revision: view.revision,
         configuration: view.configuration?.version ?? null,
+        quarantineRevision: view.quarantineRevision,
+        suspectRevision: view.suspectRevision,
         ...(waitMs === undefined ? {} : { waitMs }),
       };
     }, limits);
@@ -279,7 +281,7 @@
       onReportResponse(response, report, requestedAt);
     } catch (error) {
       this.#recordConnectionLoss(error);
-      onReportFailed();
+      onReportFailed(report);
     }
     for (const resolve of refreshes) resolve();
   }
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -13,6 +13,7 @@
 import * as clocks from "./clocks.ts";
 import type * as dispatcher from "./dispatcher.ts";
 import type * as fleetView from "./fleet_view.ts";
+import * as requestIdentity from "./request_identity.ts";
 import * as responses from "./responses.ts";
 import type * as streamResolver from "./stream_resolver.ts";
 import type * as types from "./types.ts";
@@ -308,6 +309,11 @@
     const patienceMs = route.patienceMs ?? Infinity;
     const context: types.RequestContext = {
       metadata,
+      identity: new requestIdentity.RequestIdentity({
+        request,
+        body,
+        workspace,
+      }),
       route,
       service,
       workspace,
--- a/packages/daemon/src/gateway/entry/request_fingerprint.ts
+++ b/packages/daemon/src/gateway/entry/request_identity.ts
@@ -20,16 +20,33 @@
 };
 
 /**
- * Returns a digest of a request's workspace, method, target and body. Ids,
- * deadlines and the position in a stream are left out: they differ when the
- * request is sent again.
+ * A request as it is recognized when it comes again, whichever id it bears.
  *
  * @example
  * ```ts
- * fingerprintOf({ request, body, workspace }); // "9f86d081884c7d65…"
+ * const identity = new RequestIdentity({ request, body, workspace });
+ * identity.fingerprint; // "9f86d081884c7d65…"
  * ```
  */
-export function fingerprintOf(
+export class RequestIdentity {
+  readonly #request: IdentifiedRequest;
+  #fingerprint: string | undefined;
+
+  constructor(request: IdentifiedRequest) {
+    this.#request = request;
+  }
+
+  /**
+   * A digest of the workspace, method, target and body. Ids, deadlines and the
+   * position in a stream are left out: they differ when the request is sent
+   * again. Computed when first needed, as few requests need one.
+   */
+  get fingerprint(): string {
+    return this.#fingerprint ??= fingerprintOf(this.#request);
+  }
+}
+
+function fingerprintOf(
   { body, request, workspace }: IdentifiedRequest,
 ): string {
   const identity = JSON.stringify([
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -7,6 +7,7 @@
 import * as timers from "node:timers";
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
+import type * as crashSuspects from "./crash_suspects.ts";
 import type * as fleetView from "./fleet_view.ts";
 import type * as serverTracker from "./server_tracker.ts";
 import type * as types from "./types.ts";
@@ -37,6 +38,10 @@
   readonly view: fleetView.FleetView;
   readonly tracker: serverTracker.ServerTracker;
   readonly borrower: Pick<unitBorrower.UnitBorrower, "tryTake" | "want">;
+  readonly suspects: Pick<
+    crashSuspects.CrashSuspects,
+    "permissionFor" | "recordStart" | "requestAdmission" | "returnAdmission"
+  >;
   /** Called when a request is queued. */
   onQueued(): void;
   /** Called when a request leaves the queue. */
@@ -62,14 +67,14 @@
   /**
    * Selects a server, and waits for one if none can take the request now.
    * Gives up at the request's queue deadline, when it is aborted, when the
-   * leader forecasts that its model will be loaded too late, or when no server
-   * is left that has the software version of the stream that it resumes.
+   * leader forecasts that its model will be loaded too late, when no server is
+   * left that has the software version of the stream that it resumes, or when the
+   * request is in quarantine.
    */
   async select(context: types.RequestContext): Promise<types.Selection> {
     const now = performance.now();
-    const server = this.#findServer(context, now);
-    if (server !== undefined) return { kind: "server", server };
-    if (this.#isVersionGone(context)) return { kind: "version-gone" };
+    const selection = this.#trySelect(context, now);
+    if (selection !== undefined) return selection;
     if (now >= context.queueDeadline || context.signal.aborted) {
       return { kind: "expired" };
     }
@@ -111,16 +116,29 @@
     for (const queued of ordered) {
       const { context } = queued;
       const isExpired = now >= context.queueDeadline || context.signal.aborted;
-      const server = isExpired ? undefined : this.#findServer(context, now);
-      if (server !== undefined) {
-        this.#dequeue(queued, { kind: "server", server });
-      } else if (isExpired) this.#dequeue(queued, { kind: "expired" });
-      else if (this.#isVersionGone(context)) {
-        this.#dequeue(queued, { kind: "version-gone" });
-      }
+      const selection = isExpired
+        ? { kind: "expired" as const }
+        : this.#trySelect(context, now);
+      if (selection !== undefined) this.#dequeue(queued, selection);
     }
   }
 
+  /** Decides on a request, unless it has to wait. */
+  #trySelect(
+    context: types.RequestContext,
+    now: number,
+  ): types.Selection | undefined {
+    const { suspects } = this.#options;
+    const permission = suspects.permissionFor(context, now);
+    if (permission.kind === "quarantined") return permission;
+    const server = this.#findServer(context, permission, now);
+    if (server !== undefined) {
+      if (permission.kind === "admitted") suspects.recordStart(context);
+      return { kind: "server", server };
+    }
+    return this.#isVersionGone(context) ? { kind: "version-gone" } : undefined;
+  }
+
   #isVersionGone(context: types.RequestContext): boolean {
     return context.origin !== undefined &&
       !this.#options.view.readyServers(context.service.name)
@@ -152,13 +170,11 @@
 
   #findServer(
     context: types.RequestContext,
+    permission: core.suspicion.DispatchPermission,
     now: number,
   ): gateway.ServerRecord | undefined {
-    const { tracker, view } = this.#options;
-    const eligible = view.readyServers(context.service.name)
-      .filter(({ record }) => hasVersion(record, context))
-      .filter(({ record }) => hasModel(record, context))
-      .filter(({ record }) => !tracker.isModelMissing(record.id, context, now));
+    const { tracker } = this.#options;
+    const eligible = this.#permittedServers(context, permission, now);
     const healthy = eligible.filter(({ record: { id } }) =>
       !tracker.isEjected(id, now) && !context.failedServers.has(id)
     );
@@ -176,6 +192,47 @@
       this.#selectCold(context, candidates);
   }
 
+  /**
+   * Servers that can run a request and that suspicion permits. A suspect runs
+   * only on the server for which the leader admits it; without an admission, one
+   * is requested.
+   */
+  #permittedServers(
+    context: types.RequestContext,
+    permission: core.suspicion.DispatchPermission,
+    now: number,
+  ): readonly fleetView.KnownServer[] {
+    const { suspects } = this.#options;
+    const eligible = this.#eligibleServers(context, now);
+    if (permission.kind === "clear") return eligible;
+    if (permission.kind === "admitted") {
+      const admitted = eligible.filter(({ record }) =>
+        record.id === permission.server
+      );
+      if (admitted.length > 0) return admitted;
+      // The server was lost, or has unloaded the model, after the admission.
+      suspects.returnAdmission(context);
+    }
+    const byUtilization = eligible.toSorted((one, other) =>
+      this.#utilization(one.record) - this.#utilization(other.record)
+    );
+    const ids = byUtilization.map(({ record }) => record.id);
+    suspects.requestAdmission(context, ids, now);
+    return [];
+  }
+
+  /** Servers that can run a request. */
+  #eligibleServers(
+    context: types.RequestContext,
+    now: number,
+  ): fleetView.KnownServer[] {
+    const { tracker, view } = this.#options;
+    return view.readyServers(context.service.name)
+      .filter(({ record }) => hasVersion(record, context))
+      .filter(({ record }) => hasModel(record, context))
+      .filter(({ record }) => !tracker.isModelMissing(record.id, context, now));
+  }
+
   /**
    * Selects a server that is cold: it fails under more than a few requests per
    * second then, so each request needs a unit of a limit for all hosts.
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -6,6 +6,7 @@
  */
 import type * as http from "node:http";
 import type { gateway } from "@ebonypath/protocol";
+import type * as requestIdentity from "./request_identity.ts";
 
 /** Metadata in the headers of a caller's request. */
 export type RequestMetadata = {
@@ -81,6 +82,12 @@
   | { readonly kind: "server"; readonly server: gateway.ServerRecord }
   /** No server has taken the request until its queue deadline. */
   | { readonly kind: "expired" }
+  /** The request is not to be run, because it crashed servers. */
+  | {
+    readonly kind: "quarantined";
+    /** Time until the quarantine ends, in milliseconds. */
+    readonly remainingMs: number;
+  }
   /** No server has the software version that began the stream. */
   | { readonly kind: "version-gone" }
   /** No server will have the model in time. */
@@ -93,6 +100,7 @@
 /** State of a request that an entry host is handling. */
 export type RequestContext = {
   readonly metadata: RequestMetadata;
+  readonly identity: requestIdentity.RequestIdentity;
   readonly route: gateway.Route;
   readonly service: gateway.Service;
   readonly workspace: gateway.Workspace | undefined;
--- a/packages/daemon/src/gateway/entry/upstream.ts
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -58,7 +58,12 @@
   /** Nothing was sent: the server has not received the request. */
   | { readonly kind: "not-sent"; readonly reason: string }
   /** Sent, but no response arrived: the server may have run it. */
-  | { readonly kind: "no-answer"; readonly reason: string };
+  | {
+    readonly kind: "no-answer";
+    readonly reason: string;
+    /** Whether this host gave up waiting, rather than lost the connection. */
+    readonly isTimeout: boolean;
+  };
 
 const keepAliveAgent = new http.Agent({
   keepAlive: true,
@@ -88,6 +93,7 @@
   #connectTimer: NodeJS.Timeout | undefined;
   #headTimer: NodeJS.Timeout | undefined;
   #isConnected = false;
+  #isTimeout = false;
   /** Whether the response is delimited by the end of its connection. */
   #isCloseDelimited = false;
   #failure: Error | undefined;
@@ -126,10 +132,10 @@
     this.#client = client;
     const { headTimeoutMs } = this.#request;
     if (headTimeoutMs !== undefined) {
-      this.#headTimer = setTimeout(
-        () => client.destroy(new Error("no answer in time")),
-        headTimeoutMs,
-      );
+      this.#headTimer = setTimeout(() => {
+        this.#isTimeout = true;
+        client.destroy(new Error("no answer in time"));
+      }, headTimeoutMs);
     }
     signal.addEventListener("abort", this.#cancel);
     client.on("socket", (socket) => this.#onSocket(socket));
@@ -227,8 +233,7 @@
   /** Also called when a reset follows a close-delimited response. */
   #onError(error: Error): void {
     this.#failure ??= error;
-    const kind = this.#isConnected ? "no-answer" : "not-sent";
-    this.#resolve({ kind, reason: error.message });
+    this.#fail(error.message);
   }
 
   #onClose(): void {
@@ -236,8 +241,15 @@
     clearTimeout(this.#headTimer);
     this.#endHeadLimit();
     this.#request.signal.removeEventListener("abort", this.#cancel);
-    const kind = this.#isConnected ? "no-answer" : "not-sent";
-    this.#resolve({ kind, reason: "the connection was closed" });
+    this.#fail("the connection was closed");
+  }
+
+  #fail(reason: string): void {
+    this.#resolve(
+      this.#isConnected
+        ? { kind: "no-answer", reason, isTimeout: this.#isTimeout }
+        : { kind: "not-sent", reason },
+    );
   }
 }
 
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -58,6 +58,16 @@
     labelNames: ["outcome"] as const,
     registers: [this.registry],
   });
+  readonly serverCrashes = new prometheus.Counter({
+    name: "ebonypath_gateway_server_crashes_total",
+    help: "Requests under which a server's process ended",
+    registers: [this.registry],
+  });
+  readonly quarantinedRequests = new prometheus.Gauge({
+    name: "ebonypath_gateway_quarantined_requests",
+    help: "Requests in quarantine, as this host knows",
+    registers: [this.registry],
+  });
   readonly leaderAge = new prometheus.Gauge({
     name: "ebonypath_gateway_leader_age_seconds",
     help: "Time since the leader's last answer",
--- /dev/null
+++ b/packages/daemon/src/suspicion/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Quarantine of requests that crash backend servers.
+ *
+ * @module
+ */
+export * from "./suspicion_driver.ts";
--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -12,7 +12,7 @@
 import type * as types from "../../src/gateway/entry/types.ts";
 import { GatewayMetrics } from "../../src/gateway/metrics.ts";
 import * as fixtures from "./fixtures.ts";
-import { EMPTY_METADATA } from "./request_metadata.ts";
+import { EMPTY_METADATA, identityOf } from "./request_metadata.ts";
 
 /** Answers without end that arrive at the same time. */
 const ENDLESS_ANSWERS = 50;
@@ -180,6 +180,7 @@
       server: () => undefined,
       isMixed: () => true,
     }),
+    suspects: { recordEnd: () => {}, recordFailure: () => Promise.resolve() },
     metrics: new GatewayMetrics(),
     onReturnExpected: () => {},
     onStreamBegun: () => {},
@@ -195,6 +196,7 @@
   const abortController = new AbortController();
   return {
     metadata: EMPTY_METADATA,
+    identity: identityOf(),
     route: {
       name: "r",
       host: "h",
--- a/packages/daemon/test/gateway/request_fingerprint_test.ts
+++ b/packages/daemon/test/gateway/request_identity_test.ts
@@ -1,8 +1,8 @@
 import { Buffer } from "node:buffer";
 import { expect } from "chai";
-import * as requestFingerprint from "../../src/gateway/entry/request_fingerprint.ts";
+import * as requestIdentity from "../../src/gateway/entry/request_identity.ts";
 
-const REQUEST: requestFingerprint.IdentifiedRequest = {
+const REQUEST: requestIdentity.IdentifiedRequest = {
   request: {
     method: "POST",
     url: "/stock/1?page=3",
@@ -13,9 +13,10 @@
 };
 
 function fingerprintOf(
-  overrides: Partial<requestFingerprint.IdentifiedRequest>,
+  overrides: Partial<requestIdentity.IdentifiedRequest>,
 ): string {
-  return requestFingerprint.fingerprintOf({ ...REQUEST, ...overrides });
+  return new requestIdentity.RequestIdentity({ ...REQUEST, ...overrides })
+    .fingerprint;
 }
 
 describe("the fingerprint of a request", () => {
--- a/packages/daemon/test/gateway/request_metadata.ts
+++ b/packages/daemon/test/gateway/request_metadata.ts
@@ -1,3 +1,5 @@
+import { Buffer } from "node:buffer";
+import * as requestIdentity from "../../src/gateway/entry/request_identity.ts";
 import type * as types from "../../src/gateway/entry/types.ts";
 
 /** Metadata of a request that carries nothing but an id. */
@@ -12,3 +14,12 @@
   lastEventId: undefined,
   resumedRequestId: undefined,
 };
+
+/** Creates the identity of a request that differs from others by its body. */
+export function identityOf(body = ""): requestIdentity.RequestIdentity {
+  return new requestIdentity.RequestIdentity({
+    request: { method: "POST", url: "/", headers: { host: "h" } },
+    body: Buffer.from(body),
+    workspace: undefined,
+  });
+}
--- a/packages/daemon/test/gateway/server_selector_test.ts
+++ b/packages/daemon/test/gateway/server_selector_test.ts
@@ -3,10 +3,11 @@
 import { expect } from "chai";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
 import * as serverSelector from "../../src/gateway/entry/server_selector.ts";
+import * as crashSuspects from "../../src/gateway/entry/crash_suspects.ts";
 import * as serverTracker from "../../src/gateway/entry/server_tracker.ts";
 import type * as types from "../../src/gateway/entry/types.ts";
 import * as fixtures from "./fixtures.ts";
-import { EMPTY_METADATA } from "./request_metadata.ts";
+import { EMPTY_METADATA, identityOf } from "./request_metadata.ts";
 
 const SERVICE = fixtures.engineService([], { coldRequestsPerSecond: 4 });
 
@@ -26,6 +27,12 @@
   units = 0;
   wanted: string[] = [];
   readonly selector: serverSelector.ServerSelector;
+  readonly suspects = new crashSuspects.CrashSuspects({
+    view: this.view,
+    probe: () => Promise.resolve("refused"),
+    onCrash: () => {},
+    onNews: () => {},
+  });
 
   constructor(servers: gateway.ServerRecord[]) {
     this.selector = new serverSelector.ServerSelector({
@@ -39,6 +46,7 @@
         },
         want: (_limit, name) => this.wanted.push(name),
       },
+      suspects: this.suspects,
       onQueued: () => {},
       onDequeued: () => {},
     });
@@ -54,9 +62,20 @@
     patienceMs: number,
     softwareVersion?: string,
   ): Promise<types.Selection> {
+    return this.selector.select(
+      this.context(model, patienceMs, softwareVersion),
+    );
+  }
+
+  context(
+    model: string,
+    patienceMs: number,
+    softwareVersion?: string,
+  ): types.RequestContext {
     const now = performance.now();
-    return this.selector.select({
+    return {
       metadata: { ...EMPTY_METADATA, model },
+      identity: identityOf(model),
       route: {
         name: "r",
         host: "h",
@@ -82,7 +101,7 @@
       isRetryable: false,
       signal: new AbortController().signal,
       failedServers: new Set(),
-    });
+    };
   }
 
   [Symbol.dispose](): void {
@@ -91,6 +110,61 @@
 }
 
 describe("gateway server selector", () => {
+  it("refuses a waiting request at once when it is quarantined", async () => {
+    using fixture = new Fixture([record("s1")]);
+    const context = fixture.context("m2", 9_000);
+    const selection = fixture.selector.select(context);
+    const harmless = fixture.select("m3", 50);
+    const { fingerprint } = context.identity;
+    fixture.view.apply(
+      fixtures.watchResponse({
+        servers: [record("s1")],
+        quarantines: {
+          revision: 1,
+          requests: [{ fingerprint, remainingMs: 60_000 }],
+        },
+      }),
+      performance.now(),
+    );
+    const { kind } = await selection;
+    expect(kind).to.equal("quarantined");
+    expect((await harmless).kind).to.equal("expired");
+  });
+
+  it("sends a suspect only to the server that it is admitted to", async () => {
+    using fixture = new Fixture([record("s1"), record("s2"), record("s3")]);
+    const context = fixture.context("m1", 2_000);
+    const { fingerprint } = context.identity;
+    const answer = (watched: gateway.ReportResponse["watched"]) =>
+      fixture.suspects.onReportResponse({
+        term: 1,
+        hostCount: 1,
+        usage: [],
+        usageRevision: 0,
+        load: [],
+        lent: [],
+        forecasts: [],
+        ...(watched === undefined ? {} : { watched }),
+      });
+    answer([{ kind: "suspect", fingerprint, remainingMs: 60_000 }]);
+    const selection = fixture.selector.select(context);
+    expect(fixture.selector.isWaiting).to.equal(true);
+    const [request] = fixture.suspects.takeReports();
+    expect(request?.kind).to.equal("waiting");
+    answer([{
+      kind: "admitted",
+      fingerprint,
+      server: "s2",
+      remainingMs: 60_000,
+    }]);
+    fixture.selector.processQueue();
+    const selected = await selection;
+    expect(selected.kind === "server" && selected.server.id).to.equal("s2");
+    // One run at a time.
+    const again = await fixture.selector.select(fixture.context("m1", 60));
+    expect(again.kind).to.equal("expired");
+  });
+
   it("gives up at once a request whose model is loaded too late", async () => {
     using fixture = new Fixture([record("s1")]);
     const startedAt = performance.now();
--- a/packages/daemon/test/gateway/stream_resolver_test.ts
+++ b/packages/daemon/test/gateway/stream_resolver_test.ts
@@ -5,7 +5,7 @@
 import type * as types from "../../src/gateway/entry/types.ts";
 import { GatewayMetrics } from "../../src/gateway/metrics.ts";
 import * as fixtures from "./fixtures.ts";
-import { EMPTY_METADATA } from "./request_metadata.ts";
+import { EMPTY_METADATA, identityOf } from "./request_metadata.ts";
 
 const ORIGIN = { service: "advice", softwareVersion: "v1" };
 /** Time within which a refusal that is certain comes, in milliseconds. */
@@ -66,6 +66,7 @@
       resumedRequestId: "r1",
       ...metadata,
     },
+    identity: identityOf(),
     route: {
       name: "r",
       host: "h",
--- a/packages/protocol/src/errors/catalogue.ts
+++ b/packages/protocol/src/errors/catalogue.ts
@@ -105,6 +105,16 @@
     "Backend servers crashed while running it. Change it, or ask an operator to release it.",
 } as const satisfies types.ProblemDefinition;
 
+/** The same, where callers are told when to send it again. */
+export const QUARANTINED_UNTIL = {
+  name: "quarantined-until",
+  title: "The request is quarantined for a time",
+  status: 503,
+  outcome: "not-run",
+  hint:
+    "Backend servers crashed while running it. Change it, or send it again after the time in `Retry-After`.",
+} as const satisfies types.ProblemDefinition;
+
 /** No server may continue the interrupted stream. */
 export const STREAM_NOT_RESUMABLE = {
   name: "stream-not-resumable",
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import * as v from "valibot";
+import * as state from "../state/mod.ts";
+import * as suspicion from "../suspicion/mod.ts";
 import * as configuration from "./configuration.ts";
 import * as server from "./server.ts";
 
@@ -12,6 +14,7 @@
 
 const Name = v.pipe(v.string(), v.minLength(1), v.maxLength(1_024));
 const Count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
+const Fingerprint = v.pipe(v.string(), v.regex(/^[0-9a-f]{16,128}$/));
 const Amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 
 /**
@@ -35,11 +38,29 @@
   revision: Count,
   /** Version of the configuration that the host has, if any. */
   configuration: v.nullable(Count),
+  /** Revisions of the quarantines and of the suspects that the host knows. */
+  quarantineRevision: v.optional(Count),
+  suspectRevision: v.optional(Count),
   /** Longest time that the leader holds it, in ms; its own limit if absent. */
   waitMs: v.optional(Amount),
 });
 export type WatchRequest = v.InferOutput<typeof WatchRequest>;
 
+/** The requests that are not to be run, because they crashed servers. */
+export const Quarantines = v.object({
+  /** Number of changes of the list in the replicated state. */
+  revision: Count,
+  requests: v.pipe(
+    v.array(v.object({
+      fingerprint: Fingerprint,
+      /** Time until its end, in milliseconds. */
+      remainingMs: Amount,
+    })),
+    v.maxLength(MAX_RECORDS),
+  ),
+});
+export type Quarantines = v.InferOutput<typeof Quarantines>;
+
 /** Changes since the requested revision. */
 export const WatchResponse = v.object({
   term: Count,
@@ -62,6 +83,13 @@
   heldMs: v.optional(Amount),
   /** Present if its version is higher than the requested one. */
   configuration: v.optional(configuration.Configuration),
+  /** The complete list; present if its revision is not the requested one. */
+  quarantines: v.optional(Quarantines),
+  /**
+   * Revision of the suspects of crashing servers; a host that does not have it
+   * gets them with the answer to its next report.
+   */
+  suspectRevision: v.optional(Count),
 });
 export type WatchResponse = v.InferOutput<typeof WatchResponse>;
 
@@ -189,6 +217,10 @@
     v.pipe(v.array(ReportedStream), v.maxLength(MAX_RECORDS)),
     [],
   ),
+  /** Crashes of servers, and suspects that wait or have ended. */
+  suspicions: v.optional(
+    v.pipe(v.array(suspicion.SuspicionReport), v.maxLength(MAX_RECORDS)),
+  ),
   /** Term and usage revision of the last response; 0 before the first one. */
   answered: v.object({ term: Count, usageRevision: Count }),
   /** All servers that the host knows; empty unless the leader is new. */
@@ -215,6 +247,9 @@
   lent: v.array(LimitUnits),
   /** For the models that requests of the host wait for and no server holds. */
   forecasts: v.array(LoadForecast),
+  /** Suspects that run only isolated, and their revision. */
+  watched: v.optional(v.array(suspicion.WatchedFingerprint)),
+  suspectRevision: v.optional(Count),
 });
 export type ReportResponse = v.InferOutput<typeof ReportResponse>;
 
@@ -242,6 +277,11 @@
     service: Name,
     softwareVersion: v.string(),
   }),
+  v.object({ kind: v.literal("quarantine"), ...state.Quarantine.entries }),
+  v.object({
+    kind: v.literal("release-quarantine"),
+    fingerprint: Fingerprint,
+  }),
   // Changes nothing: once it is committed, a read of the state is linearizable.
   v.object({ kind: v.literal("barrier") }),
 ]);
@@ -267,4 +307,5 @@
   heartbeat: "gateway.heartbeat",
   join: "gateway.join",
   stream: "gateway.stream",
+  quarantines: "gateway.quarantines",
 } as const;
