Try another server when the address of one can't be connected to

What callers saw: with one entry among the servers whose port was 70000, 40 to 43 of 120 requests ended in a reset connection, although two sound servers stood beside it. Cause: http.request throws for a port out of range, where every other failure of a connection is a result; the rejected promise ended the request. Change: an address that is none is a failure to connect, so that another server is tried. Evidence: upstream_test, 'sends nothing to the odd address', failed before with RangeError [ERR_SOCKET_BAD_PORT] for ports out of range; names were looked up. What lets such an entry in is another fault.

--- a/packages/daemon/src/gateway/entry/upstream.ts
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -10,6 +10,8 @@
 import type { Buffer } from "node:buffer";
 import * as http from "node:http";
 import type * as net from "node:net";
+import { gateway } from "@ebonypath/protocol";
+import * as v from "valibot";
 
 /** Time limit for opening a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -118,6 +120,11 @@
       this.#resolve({ kind: "not-sent", reason: "cancelled" });
       return;
     }
+    // `http.request` throws for a port out of range.
+    if (!v.is(gateway.Address, address)) {
+      this.#resolve({ kind: "not-sent", reason: `no address: ${address}` });
+      return;
+    }
     const separator = address.lastIndexOf(":");
     const client = http.request({
       host: address.slice(0, separator),
--- a/packages/daemon/test/gateway/upstream_test.ts
+++ b/packages/daemon/test/gateway/upstream_test.ts
@@ -56,6 +56,30 @@
   `${HEAD}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n`;
 
 describe("gateway upstream", () => {
+  for (
+    const address of [
+      "127.0.0.1:70000",
+      "127.0.0.1:0",
+      "999.0.0.1:80",
+      "localhost:80",
+      "[::1]:80",
+      "",
+    ]
+  ) {
+    it(`sends nothing to the odd address "${address}"`, async () => {
+      const result = await upstream.send({
+        address,
+        method: "GET",
+        path: "/x",
+        headers: [],
+        body: undefined,
+        isReusable: true,
+        signal: AbortSignal.timeout(2_000),
+      });
+      expect(result.kind).to.equal("not-sent");
+    });
+  }
+
   const cases: [string, ServerScript, string][] = [
     [
       "a response with a length",
--- a/packages/protocol/src/gateway/server.ts
+++ b/packages/protocol/src/gateway/server.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as v from "valibot";
+import * as settings from "../settings/mod.ts";
 
 /** Maximum length of a name, id or address, in characters. */
 const MAX_NAME_LENGTH = 256;
@@ -14,6 +15,9 @@
 const Count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const Names = v.pipe(v.array(Name), v.maxLength(MAX_LIST_LENGTH));
 
+/** The `IP:PORT` of a server, with an IPv4 address. */
+export const Address = v.pipe(v.string(), v.check(isAddress));
+
 /** A model that is loaded on a server. */
 export const LoadedModel = v.object({
   name: Name,
@@ -74,3 +78,8 @@
   onDisk: Names,
 });
 export type EngineReport = v.InferOutput<typeof EngineReport>;
+
+function isAddress(text: string): boolean {
+  const endpoint = settings.parseEndpoint(text);
+  return endpoint !== undefined && endpoint.port > 0 && !text.startsWith("[");
+}
