Refuse heartbeats whose numbers no server can mean

What callers saw: one odd entry of another writer among those of the servers cost requests. Cause: addresses, slots, warm-ups and sequence numbers were let in up to the largest double or integer, and any birth. Change: one schema of a heartbeat, with limits, for what servers send and for what hosts tell one another; the leader refuses births over an hour ahead of its clock, also in the reports of hosts. Not mended: a false entry with a birth that may be true still ends the server at its address, until the false one has been silent for a minute.

--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -41,6 +41,11 @@
  * the replicated state grow beyond.
  */
 const MAX_SOFTWARE_VERSIONS = 1_024;
+/**
+ * How far the birth of a server may lie ahead of this host's time of day, in ms:
+ * more than clocks differ. A later birth at an address ends the earlier server.
+ */
+const MAX_BIRTH_AHEAD_MS = 3_600_000;
 /** Most hosts that one log line names. */
 const MAX_LOGGED_HOSTS = 10;
 /** Interval of the checks for silent servers and hosts, in milliseconds. */
@@ -172,6 +177,10 @@
     const { revision } = this.#registry;
     if (relayed.kind === "ended") {
       this.#registry.markEnded(relayed.id, now);
+    } else if (!isBorn(relayed.heartbeat)) {
+      const { born, id } = relayed.heartbeat;
+      write("server-refused", { server: id, born });
+      return;
     } else if (!this.#isVersionKnown(relayed.heartbeat)) {
       this.#addVersion(relayed.heartbeat);
       return;
@@ -228,7 +237,9 @@
     const now = performance.now();
     const { revision } = this.#registry;
     this.#registry.mergeRecords(
-      report.servers.filter((server) => this.#isVersionKnown(server)),
+      report.servers.filter((server) =>
+        isBorn(server) && this.#isVersionKnown(server)
+      ),
       now,
     );
     this.#streamOrigins.record(report.streams, now);
@@ -617,6 +628,11 @@
   }
 }
 
+/** Whether the birth of a server may be true. */
+function isBorn({ born }: Pick<gateway.Heartbeat, "born">): boolean {
+  return born <= Date.now() + MAX_BIRTH_AHEAD_MS;
+}
+
 function interestOf(
   { demand }: gateway.ReportRequest,
 ): core.gateway.HostInterest {
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -146,6 +146,24 @@
     });
   }
 
+  it("does not end a server for one that claims to be born in the far future", async () => {
+    const { address } = fixtures.heartbeat("s1");
+    const born = Number.MAX_SAFE_INTEGER;
+    const odd = fixtures.heartbeat("s9", { address, born });
+    coordinator.handleHeartbeat({ kind: "heartbeat", heartbeat: odd });
+    const { inMemory: _, onDisk: __, ...fields } = odd;
+    const record = { ...fields, silentMs: 0, leaving: [] };
+    void coordinator.report(fixtures.report("idle", { servers: [record] }));
+    const { servers } = await coordinator.watch({
+      host: "idle",
+      term: 0,
+      revision: 0,
+      configuration: null,
+    });
+    expect(servers.map(({ id, state }) => `${id} ${state}`))
+      .to.deep.equal(["s1 ready"]);
+  });
+
   it("tells a loaded model at once to the hosts that wait for it", async () => {
     change({ models: loaded("m1", "m2") });
     await timers.setTimeout(PROMPT_MS);
--- a/packages/protocol/src/gateway/server.ts
+++ b/packages/protocol/src/gateway/server.ts
@@ -10,6 +10,12 @@
 const MAX_NAME_LENGTH = 256;
 /** Maximum number of names or models in a list. */
 const MAX_LIST_LENGTH = 4_096;
+/** Most requests that a server may state that it runs at the same time. */
+const MAX_SLOTS = 100_000;
+/** Longest warm-up that a server may state, in milliseconds: a day. */
+const MAX_COLD_MS = 86_400_000;
+/** Highest sequence number: ten heartbeats a second for three thousand years. */
+const MAX_SEQUENCE = 1e12;
 
 const Name = v.pipe(v.string(), v.minLength(1), v.maxLength(MAX_NAME_LENGTH));
 const Count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
@@ -38,9 +44,9 @@
 export const Heartbeat = v.object({
   id: Name,
   /** Wall-clock time of its start, in ms; distinguishes restarts. */
-  born: v.pipe(v.number(), v.safeInteger()),
+  born: Count,
   /** Increases with each heartbeat after a start. */
-  sequence: Count,
+  sequence: v.pipe(Count, v.maxValue(MAX_SEQUENCE)),
   service: Name,
   /**
    * Version of its software. Versions have no order; a stream goes on only at
@@ -50,13 +56,12 @@
     v.pipe(v.string(), v.maxLength(MAX_NAME_LENGTH)),
     "",
   ),
-  /** `IP:PORT`. */
-  address: Name,
+  address: Address,
   failureDomain: Name,
-  slots: Count,
+  slots: v.pipe(Count, v.maxValue(MAX_SLOTS)),
   state: ServerState,
   /** Time until its warm-up ends, in milliseconds. */
-  coldMs: v.pipe(v.number(), v.finite(), v.minValue(0)),
+  coldMs: v.pipe(v.number(), v.minValue(0), v.maxValue(MAX_COLD_MS)),
   models: v.pipe(v.array(LoadedModel), v.maxLength(MAX_LIST_LENGTH)),
   /** Models with a copy of their weights in its memory. */
   inMemory: Names,
