Follow the leader although one record among its servers is malformed

What callers saw: nothing yet; an operator of a similar system saw hosts that stopped following the list of servers over one odd entry. Cause: hosts read a message of servers whole, so that one record that a host of another build, or an older state, let through would fail all answers of the leader and all reports to it. Evidence: 'follows a leader that tells of a malformed server' failed for 7 of 7 kinds (the host never got a configuration).

--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -14,6 +14,7 @@
 import * as resources from "../../resources/mod.ts";
 import * as storage from "../../storage/mod.ts";
 import type * as metrics from "../metrics.ts";
+import * as serverRecords from "../server_records.ts";
 import * as fleetCoordinator from "./fleet_coordinator.ts";
 import * as membershipManager from "./membership_manager.ts";
 import * as stateMachine from "./state_machine.ts";
@@ -315,7 +316,7 @@
     );
     rpc.addMethod(
       gateway.METHODS.report,
-      gateway.ReportRequest,
+      serverRecords.withSoundServers(gateway.ReportRequest),
       (report) => this.#requireLeadership().report(report),
     );
     rpc.addMethod(
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -12,6 +12,7 @@
 import * as v from "valibot";
 import type * as fleet from "../../fleet/mod.ts";
 import * as log from "../../log/mod.ts";
+import * as serverRecords from "../server_records.ts";
 import * as clocks from "./clocks.ts";
 import type * as fleetView from "./fleet_view.ts";
 
@@ -41,6 +42,8 @@
 const WATCH_RETRY_MS = 60;
 const SECOND_MS = 1_000;
 
+const WatchResponse = serverRecords.withSoundServers(gateway.WatchResponse);
+
 /** The part of a report that describes this host. */
 export type LocalReport = Omit<
   gateway.ReportRequest,
@@ -190,7 +193,7 @@
         ...(waitMs === undefined ? {} : { waitMs }),
       };
     }, limits);
-    this.#apply(v.parse(gateway.WatchResponse, response), requestedAt);
+    this.#apply(v.parse(WatchResponse, response), requestedAt);
   }
 
   #apply(
--- a/packages/daemon/test/gateway/leader_sync_test.ts
+++ b/packages/daemon/test/gateway/leader_sync_test.ts
@@ -33,6 +33,8 @@
   watches: gateway.WatchRequest[] = [];
   /** Time after which the leader answers a watch without news, in ms. */
   holdMs = 1_000;
+  /** Servers in the answers to watches, among them malformed ones. */
+  servers: gateway.ServerRecord[] = [];
   readonly view = new fleetView.FleetView();
   readonly sync: leaderSync.LeaderSync;
   readonly #ended = new AbortController();
@@ -84,6 +86,7 @@
       return fixtures.watchResponse({
         term: TERM,
         heldMs,
+        servers: this.servers,
         configuration: fixtures.configuration([]),
       });
     }
@@ -103,6 +106,32 @@
 }
 
 describe("synchronization of an entry host with the leader", () => {
+  const malformed: Record<string, unknown>[] = [
+    { address: "10.0.0.1:70000" },
+    { slots: 2 ** 53 },
+    { coldMs: Infinity },
+    { born: "now" },
+    { models: [{ name: "m" }] },
+    { id: { id: "s1" } },
+    { failureDomain: "a".repeat(10_000) },
+  ];
+  for (const fields of malformed) {
+    const name = JSON.stringify(fields).slice(0, 40);
+    it(`follows a leader that tells of a malformed server: ${name}`, async () => {
+      using fixture = new Fixture();
+      const odd = { ...fixtures.serverRecord("s1"), ...fields };
+      fixture.servers = [
+        odd as gateway.ServerRecord,
+        fixtures.serverRecord("s2"),
+        null as unknown as gateway.ServerRecord,
+      ];
+      await fixture.start();
+      const known = fixture.view.serverRecords(0).map(({ id }) => id);
+      expect(known).to.deep.equal(["s2"]);
+      expect(fixture.view.configuration?.version).to.equal(1);
+    });
+  }
+
   it("sends no reports without news", async () => {
     using fixture = new Fixture();
     await fixture.start();
