Remove the listener of each request from the connection that it used

What operators saw: MaxListenersExceededWarning in the log of an entry host, and a little memory for each request that a kept connection had carried, until it closed. Cause: the probe for a reset listened for the end of the connection, and stayed when the request had ended and the connection was used again. Evidence: 'leaves no listener on a connection that many requests use' failed before (11 end listeners).

--- a/packages/daemon/src/gateway/entry/upstream.ts
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -103,6 +103,8 @@
   #resetProbe: Promise<void> = Promise.resolve();
   /** Removes the limit of what precedes the response's body. */
   #endHeadLimit: () => void = () => {};
+  /** Removes what listens for the end of the connection. */
+  #stopResetProbe: () => void = () => {};
   readonly #cancel = () => this.#client?.destroy(new Error("cancelled"));
 
   constructor(
@@ -155,7 +157,9 @@
   #onSocket(socket: net.Socket): void {
     socket.setNoDelay(true);
     this.#limitHead(socket);
-    socket.prependOnceListener("end", () => this.#probeForReset(socket));
+    const onEnd = () => this.#probeForReset(socket);
+    socket.prependOnceListener("end", onEnd);
+    this.#stopResetProbe = () => socket.off("end", onEnd);
     if (!socket.connecting) {
       this.#isConnected = true;
       return;
@@ -247,6 +251,7 @@
     clearTimeout(this.#connectTimer);
     clearTimeout(this.#headTimer);
     this.#endHeadLimit();
+    this.#stopResetProbe();
     this.#request.signal.removeEventListener("abort", this.#cancel);
     this.#fail("the connection was closed");
   }
--- a/packages/daemon/test/gateway/upstream_test.ts
+++ b/packages/daemon/test/gateway/upstream_test.ts
@@ -1,5 +1,8 @@
-import { once } from "node:events";
+import { EventEmitter, once } from "node:events";
+import * as http from "node:http";
 import * as net from "node:net";
+import process from "node:process";
+import * as timers from "node:timers/promises";
 import { Buffer } from "node:buffer";
 import { expect } from "chai";
 import * as upstream from "../../src/gateway/entry/upstream.ts";
@@ -56,6 +59,47 @@
   `${HEAD}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n`;
 
 describe("gateway upstream", () => {
+  it("leaves no listener on a connection that many requests use", async () => {
+    let connections = 0;
+    const server = http.createServer((_request, response) => {
+      response.end("ok");
+    });
+    server.on("connection", () => connections += 1);
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const warnings: Error[] = [];
+    const onWarning = (warning: Error) => warnings.push(warning);
+    process.on("warning", onWarning);
+    try {
+      for (
+        let sent = 0;
+        sent < 4 * EventEmitter.defaultMaxListeners;
+        sent += 1
+      ) {
+        const result = await upstream.send({
+          address: addressOf(server),
+          method: "GET",
+          path: "/x",
+          headers: ["Host", "h", "Request-Id", "7f"],
+          body: undefined,
+          isReusable: true,
+          signal: AbortSignal.timeout(2_000),
+        });
+        if (result.kind !== "answered") throw new Error(result.reason);
+        result.keepConnection();
+        result.message.resume();
+        await result.completed;
+        await timers.setImmediate();
+      }
+    } finally {
+      process.off("warning", onWarning);
+      server.closeAllConnections();
+      server.close();
+    }
+    expect(connections).to.equal(1);
+    expect(warnings).to.deep.equal([]);
+  });
+
   for (
     const address of [
       "127.0.0.1:70000",
