Keep requests from servers that leave, want none or can't be reached

Cause: an attempt whose connection was refused took a unit of the retry budget for the next one, though nothing had arrived at a server; a refused server was tried again by a caller's request after 250 ms; what a server says of itself was known from its heartbeats alone. Change: each host keeps a record of what servers say and how connections to them go, for each start of a server. A leaving one gets nothing any more, whatever leader, view or heartbeat says; the leader tells the others. A closed one gets nothing for its time. An unreachable one is probed, not tried by requests, and what reached no server is no retry.

--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -12,6 +12,7 @@
 export * from "./load_planner.ts";
 export * from "./load_planner_types.ts";
 export * from "./capacity.ts";
+export * from "./server_availability.ts";
 export * from "./server_balancer.ts";
 export * from "./server_registry.ts";
 export * from "./route_table.ts";
--- a/packages/core/src/gateway/server_registry.ts
+++ b/packages/core/src/gateway/server_registry.ts
@@ -32,6 +32,8 @@
    * entry host.
    */
   isHeard: boolean;
+  /** Whether it has told an entry host that it leaves. */
+  isLeaving: boolean;
 };
 
 /** Models that one entry host has requests for. */
@@ -124,7 +126,11 @@
     const sameStart = known?.heartbeat.born === heartbeat.born
       ? known
       : undefined;
-    const merged = keepReportedModels(heartbeat, sameStart);
+    const isLeaving = sameStart?.isLeaving ?? false;
+    const merged = withLeaving(
+      keepReportedModels(heartbeat, sameStart),
+      isLeaving,
+    );
     const isSame = known !== undefined &&
       isEqualContent(known.heartbeat, merged);
     const isSameState = sameStart?.heartbeat.state === merged.state;
@@ -135,6 +141,7 @@
       unloading: sameStart?.unloading ?? new Set(),
       hasReport: sameStart?.hasReport ?? false,
       isHeard: isHeard || (sameStart?.isHeard ?? false),
+      isLeaving,
     });
     return true;
   }
@@ -164,6 +171,17 @@
     known.revision = this.#nextRevision(true);
   }
 
+  /** Marks a start of a server as draining, whatever its heartbeats say. */
+  markLeaving({ born, id }: gateway.ServerStart): void {
+    const entry = this.#entries.get(id);
+    if (entry === undefined || entry.heartbeat.born !== born) return;
+    entry.isLeaving = true;
+    const heartbeat = withLeaving(entry.heartbeat, true);
+    if (heartbeat.state === entry.heartbeat.state) return;
+    entry.heartbeat = heartbeat;
+    entry.revision = this.#nextRevision(true);
+  }
+
   /** Replaces the models of a server with those that it reported on request. */
   applyReport(
     id: string,
@@ -284,6 +302,16 @@
   return { ...heartbeat, models, inMemory, onDisk };
 }
 
+/** A server that leaves may announce itself as ready until it does so. */
+function withLeaving(
+  heartbeat: gateway.Heartbeat,
+  isLeaving: boolean,
+): gateway.Heartbeat {
+  return isLeaving && heartbeat.state === "ready"
+    ? { ...heartbeat, state: "draining" }
+    : heartbeat;
+}
+
 function concernsHost(
   { heartbeat, unloading }: Entry,
   { used, waiting }: HostInterest,
--- a/packages/core/test/gateway/server_registry_test.ts
+++ b/packages/core/test/gateway/server_registry_test.ts
@@ -14,6 +14,20 @@
     expect(registry.get("s1")?.state).to.equal("draining");
   });
 
+  it("keeps a server draining that has told a host that it leaves", () => {
+    const registry = new ServerRegistry();
+    registry.applyHeartbeat(heartbeat({ born: 1_000, sequence: 1 }), 0);
+    const { urgentRevision } = registry;
+    registry.markLeaving({ id: "s1", born: 999 });
+    expect(registry.get("s1")?.state).to.equal("ready");
+    registry.markLeaving({ id: "s1", born: 1_000 });
+    expect(registry.urgentRevision).to.be.above(urgentRevision);
+    registry.applyHeartbeat(heartbeat({ born: 1_000, sequence: 2 }), 1);
+    expect(registry.get("s1")?.state).to.equal("draining");
+    registry.applyHeartbeat(heartbeat({ born: 2_000, sequence: 1 }), 2);
+    expect(registry.get("s1")?.state).to.equal("ready");
+  });
+
   it("replaces a start by a newer one under the same id only", () => {
     const registry = new ServerRegistry();
     registry.applyHeartbeat(
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -244,6 +244,9 @@
     );
     this.#streamOrigins.record(report.streams, now);
     const suspects = this.#quarantines.exchange(report, now);
+    for (const server of report.leaving ?? []) {
+      this.#registry.markLeaving(server);
+    }
     this.#demandTracker.addReport(report, now);
     this.#interests.set(report.host, interestOf(report));
     if (this.#registry.revision !== revision) this.#onChange();
--- a/packages/daemon/src/gateway/entry/crash_probe.ts
+++ b/packages/daemon/src/gateway/entry/connection_probe.ts
@@ -1,5 +1,5 @@
 /**
- * Finds out whether a server's process still runs.
+ * Finds out whether connections to a server can be opened.
  *
  * @module
  */
--- a/packages/daemon/src/gateway/entry/crash_suspects.ts
+++ b/packages/daemon/src/gateway/entry/crash_suspects.ts
@@ -7,7 +7,7 @@
 import * as core from "@ebonypath/core";
 import type { gateway, suspicion } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
-import type * as crashProbe from "./crash_probe.ts";
+import type * as connectionProbe from "./connection_probe.ts";
 import type * as fleetView from "./fleet_view.ts";
 import type * as requestIdentity from "./request_identity.ts";
 import type * as types from "./types.ts";
@@ -34,9 +34,9 @@
 /** Dependencies and callbacks of `CrashSuspects`. */
 export interface CrashSuspectsOptions {
   readonly view: fleetView.FleetView;
-  probe(address: string): Promise<crashProbe.ProbeResult>;
+  probe(address: string): Promise<connectionProbe.ProbeResult>;
   /** Called with each request under which a server crashed. */
-  onCrash(): void;
+  onCrash(server: gateway.ServerRecord): void;
   /** Called when the leader has to hear of a crash or a waiting suspect. */
   onNews(): void;
 }
@@ -56,7 +56,7 @@
   /** Admitted suspects that are sent to their server. */
   readonly #runs = new Set<requestIdentity.RequestIdentity>();
   /** Probes in progress, by server and its birth. */
-  readonly #probes = new Map<string, Promise<crashProbe.ProbeResult>>();
+  readonly #probes = new Map<string, Promise<connectionProbe.ProbeResult>>();
   /** Failures of servers that may have restarted since, oldest first. */
   #pendingFailures: Failure[] = [];
   /** Revision of the leader's suspects in its last answer to a report. */
@@ -192,7 +192,7 @@
   /** Requests that break off together share a probe. */
   #probe(
     { address, born, id }: gateway.ServerRecord,
-  ): Promise<crashProbe.ProbeResult> {
+  ): Promise<connectionProbe.ProbeResult> {
     const key = `${id} ${born}`;
     const probe = this.#probes.get(key) ?? this.#options.probe(address)
       .finally(() => this.#probes.delete(key));
@@ -241,7 +241,7 @@
       workspace: workspace?.name ?? OPEN_ROUTE_WORKSPACE,
       model: metadata.model ?? service.name,
     }], at);
-    this.#options.onCrash();
+    this.#options.onCrash(server);
     this.#options.onNews();
   }
 }
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -74,6 +74,8 @@
    * because its model will be loaded then.
    */
   onReturnExpected(context: types.RequestContext, delayMs: number): void;
+  /** Called when a server has said that it leaves. */
+  onServerLeaving(): void;
   /** Called when a stream that may be resumed begins. */
   onStreamBegun(stream: core.gateway.OwnStream): void;
   /** Called when a caller may resume a stream at another host. */
@@ -98,7 +100,12 @@
     readonly isSuccess: boolean;
   }
   /** The server did not run the request. */
-  | { readonly kind: "not-run"; readonly reason: string }
+  | {
+    readonly kind: "not-run";
+    readonly reason: string;
+    /** Whether the server has received it. */
+    readonly hasArrived: boolean;
+  }
   /** The server may have run it. */
   | {
     readonly kind: "unknown";
@@ -127,6 +134,8 @@
 /** Progress of a request over all its attempts. */
 type Progress = {
   attempts: number;
+  /** Attempts that may have reached a server. */
+  arrivals: number;
   /** Attempts that may have run the request. */
   possibleRuns: number;
   /** Why the last attempt failed. */
@@ -175,6 +184,7 @@
     const { context } = exchange;
     const progress: Progress = {
       attempts: 0,
+      arrivals: 0,
       possibleRuns: 0,
       reason: "none",
       errorResponse: undefined,
@@ -238,13 +248,19 @@
         progress.retryAfterMs = selection.remainingMs;
         progress.reason = "servers crashed while running the request";
       }
+      if (selection.kind === "closed") {
+        progress.retryAfterMs = selection.remainingMs;
+        progress.reason = "all servers want no requests for now";
+      }
       if (selection.kind !== "server") {
         return this.#respondWithFailure(exchange, progress);
       }
       const { server } = selection;
       const now = performance.now();
       if (progress.attempts === 0) retryBudgets.recordRequest(service, now);
-      else if (
+      // What reached no server is no retry to the servers.
+      if (
+        progress.arrivals > 0 &&
         !await retryBudgets.takeRetry(service, now, context.deadline - now)
       ) {
         progress.reason += ", and the retry budget is used up";
@@ -281,13 +297,16 @@
         return false;
       case "not-run":
         progress.reason = result.reason;
+        if (result.hasArrived) progress.arrivals += 1;
         return true;
       case "unknown":
+        progress.arrivals += 1;
         progress.reason = result.reason;
         progress.possibleRuns += 1;
         return context.isRetryable &&
           progress.possibleRuns < context.route.maxAttempts;
       case "failed":
+        progress.arrivals += 1;
         progress.reason = `status ${result.response.status}`;
         progress.possibleRuns += 1;
         progress.errorResponse = result.response;
@@ -358,11 +377,14 @@
       signal: context.signal,
       headTimeoutMs: headTimeout(context, progress),
     });
+    const { availability } = this.#options.tracker;
+    if (result.kind !== "not-sent") availability.recordReachable(server);
     switch (result.kind) {
       case "not-sent":
         if (context.signal.aborted) return DISCONNECTED;
         this.#recordFailure(context, server.id);
-        return { kind: "not-run", reason: result.reason };
+        availability.recordUnreachable(server, performance.now());
+        return { kind: "not-run", reason: result.reason, hasArrived: false };
       case "no-answer": {
         const elapsedMs = performance.now() - sentAt;
         if (!context.signal.aborted || elapsedMs > UNRESPONSIVE_SERVER_MS) {
@@ -398,6 +420,7 @@
     );
     progress.headMs = performance.now() - context.arrivedAt;
     this.#options.metrics.latency.observe(progress.headMs / SECOND_MS);
+    this.#recordAvailability(server, metadata);
     if (metadata.isIdentified) result.keepConnection();
     if (metadata.isMismatched) {
       result.cancel();
@@ -438,7 +461,30 @@
     } else {
       this.#recordFailure(context, server);
     }
-    return { kind: "not-run", reason: `${reason} (${status})` };
+    return {
+      kind: "not-run",
+      reason: `${reason} (${status})`,
+      hasArrived: true,
+    };
+  }
+
+  /** Records what a server says of itself in any of its answers. */
+  #recordAvailability(
+    server: gateway.ServerRecord,
+    { closedMs, isLeaving, isMismatched }: types.ResponseMetadata,
+  ): void {
+    if (isMismatched) return;
+    const { onServerLeaving, tracker } = this.#options;
+    const { availability } = tracker;
+    const now = performance.now();
+    if (closedMs !== undefined) {
+      availability.recordClosed(server, closedMs, now, Math.random());
+      write("server-closed", { server: server.id, closed_ms: closedMs });
+    }
+    if (!isLeaving || availability.of(server, now).kind === "leaving") return;
+    availability.recordLeaving(server);
+    write("server-leaving", { server: server.id, born: server.born });
+    onServerLeaving();
   }
 
   /** Buffers a response, so that the caller gets a complete one or none. */
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -11,13 +11,14 @@
 import * as resources from "../../resources/mod.ts";
 import type * as metrics from "../metrics.ts";
 import * as clocks from "./clocks.ts";
-import * as crashProbe from "./crash_probe.ts";
+import * as connectionProbe from "./connection_probe.ts";
 import * as crashSuspects from "./crash_suspects.ts";
 import * as dispatcher from "./dispatcher.ts";
 import * as fleetView from "./fleet_view.ts";
 import * as leaderSync from "./leader_sync.ts";
 import * as requestHandler from "./request_handler.ts";
 import * as retryBudgets from "./retry_budgets.ts";
+import * as serverProber from "./server_prober.ts";
 import * as serverSelector from "./server_selector.ts";
 import * as serverTracker from "./server_tracker.ts";
 import * as streamResolver from "./stream_resolver.ts";
@@ -71,10 +72,19 @@
   });
   readonly #crashSuspects = new crashSuspects.CrashSuspects({
     view: this.view,
-    probe: crashProbe.probe,
-    onCrash: () => this.#metrics.serverCrashes.inc(),
+    probe: connectionProbe.probe,
+    onCrash: (server) => {
+      this.#metrics.serverCrashes.inc();
+      const { availability } = this.#serverTracker;
+      availability.recordUnreachable(server, performance.now());
+    },
     onNews: () => this.#reportSoon(),
   });
+  readonly #serverProber = new serverProber.ServerProber({
+    availability: this.#serverTracker.availability,
+    probe: connectionProbe.probe,
+    onReachable: () => this.#serverSelector.processQueue(),
+  });
   readonly #serverSelector: serverSelector.ServerSelector;
   readonly #retryBudgets: retryBudgets.RetryBudgets;
   readonly #requestHandler: requestHandler.RequestHandler;
@@ -117,6 +127,7 @@
         tracker: this.#serverTracker,
         borrower: this.#unitBorrower,
         suspects: this.#crashSuspects,
+        onProbeDue: (server) => this.#serverProber.probe(server),
         onQueued: () => this.#reportSoon(),
         onDequeued: () => this.#hasNews = true,
       }),
@@ -137,6 +148,7 @@
         streams: this.#ownStreams,
         suspects: this.#crashSuspects,
         metrics: options.metrics,
+        onServerLeaving: () => this.#reportSoon(),
         onStreamBegun: (stream) => {
           if (!this.#ownStreams.isNews(stream, this.view.term)) return;
           this.#leaderSync.reportIfDue();
@@ -197,6 +209,7 @@
     this.#metrics.waitingRequests.set(
       [...this.#serverSelector.queuedRequests()].length,
     );
+    this.#updateServersOut();
     this.#metrics.quarantinedRequests.set(this.view.quarantineCount);
     this.#metrics.configurationVersion.set(configuration?.version ?? 0);
     if (Number.isFinite(leaderAgeMs)) {
@@ -207,6 +220,20 @@
     }
   }
 
+  #updateServersOut(): void {
+    const now = performance.now();
+    const { availability } = this.#serverTracker;
+    const counts = { leaving: 0, closed: 0, unreachable: 0 };
+    for (const server of this.view.serverRecords(now)) {
+      if (server.state !== "ready") continue;
+      const { kind } = availability.of(server, now);
+      if (kind !== "available") counts[kind] += 1;
+    }
+    for (const [reason, count] of Object.entries(counts)) {
+      this.#metrics.serversOut.set({ reason }, count);
+    }
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#resources[Symbol.asyncDispose]();
   }
@@ -286,6 +313,7 @@
     // Demand that expires has to be reported as gone.
     this.#hasNews = this.#expectedReturns.length > 0;
     const suspicions = this.#crashSuspects.takeReports();
+    const leaving = this.#collectLeaving();
     return {
       demand: this.#collectDemand(arrivals),
       usage: this.#rateLimiter.usage(),
@@ -294,9 +322,22 @@
       wanted: this.#unitBorrower.collectWanted(),
       streams: this.#ownStreams.collect(this.view.term, performance.now()),
       ...(suspicions.length === 0 ? {} : { suspicions }),
+      ...(leaving.length === 0 ? {} : { leaving }),
     };
   }
 
+  /** Servers that leave, as they have said, and that the leader deems ready. */
+  #collectLeaving(): gateway.ServerStart[] {
+    const now = performance.now();
+    const { availability } = this.#serverTracker;
+    return this.view.serverRecords(now)
+      .filter((server) =>
+        server.state === "ready" &&
+        availability.of(server, now).kind === "leaving"
+      )
+      .map(({ born, id }) => ({ id, born }));
+  }
+
   /**
    * First attempts by service, and the services that requests wait for without
    * any: the leader's answer has the load of their servers.
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -42,6 +42,8 @@
     crashSuspects.CrashSuspects,
     "permissionFor" | "recordStart" | "requestAdmission" | "returnAdmission"
   >;
+  /** Called with an unreachable server that is to be probed. */
+  onProbeDue(server: gateway.ServerRecord): void;
   /** Called when a request is queued. */
   onQueued(): void;
   /** Called when a request leaves the queue. */
@@ -68,8 +70,9 @@
    * Selects a server, and waits for one if none can take the request now.
    * Gives up at the request's queue deadline, when it is aborted, when the
    * leader forecasts that its model will be loaded too late, when no server is
-   * left that has the software version of the stream that it resumes, or when the
-   * request is in quarantine.
+   * left that has the software version of the stream that it resumes, when the
+   * request is in quarantine, or when all servers want no requests for longer than
+   * it waits.
    */
   async select(context: types.RequestContext): Promise<types.Selection> {
     const now = performance.now();
@@ -136,13 +139,34 @@
       if (permission.kind === "admitted") suspects.recordStart(context);
       return { kind: "server", server };
     }
-    return this.#isVersionGone(context) ? { kind: "version-gone" } : undefined;
+    if (this.#isVersionGone(context)) return { kind: "version-gone" };
+    const closedMs = this.#closedMs(context, now);
+    return now + closedMs > context.queueDeadline
+      ? { kind: "closed", remainingMs: closedMs }
+      : undefined;
+  }
+
+  /**
+   * Time for which all servers that can run a request want none, in milliseconds;
+   * 0 if any takes requests, or none can run it yet.
+   */
+  #closedMs(context: types.RequestContext, now: number): number {
+    const { availability } = this.#options.tracker;
+    const times = this.#capableServers(context, now).map(({ record }) => {
+      const one = availability.of(record, now);
+      return one.kind === "closed" ? one.remainingMs : 0;
+    });
+    return times.length === 0 ? 0 : Math.min(...times);
   }
 
   #isVersionGone(context: types.RequestContext): boolean {
+    const { tracker, view } = this.#options;
+    const now = performance.now();
     return context.origin !== undefined &&
-      !this.#options.view.readyServers(context.service.name)
-        .some(({ record }) => hasVersion(record, context));
+      !view.readyServers(context.service.name).some(({ record }) =>
+        hasVersion(record, context) &&
+        tracker.availability.of(record, now).kind !== "leaving"
+      );
   }
 
   #dequeue(queued: QueuedRequest, selection: types.Selection): void {
@@ -221,10 +245,25 @@
     return [];
   }
 
-  /** Servers that can run a request. */
+  /** Servers that can run a request, and take it as far as this host knows. */
   #eligibleServers(
     context: types.RequestContext,
     now: number,
+  ): fleetView.KnownServer[] {
+    const { onProbeDue, tracker } = this.#options;
+    return this.#capableServers(context, now).filter(({ record }) => {
+      const availability = tracker.availability.of(record, now);
+      const isProbeDue = availability.kind === "unreachable" &&
+        availability.isProbeDue;
+      if (isProbeDue) onProbeDue(record);
+      return availability.kind === "available";
+    });
+  }
+
+  /** Servers that can run a request. */
+  #capableServers(
+    context: types.RequestContext,
+    now: number,
   ): fleetView.KnownServer[] {
     const { tracker, view } = this.#options;
     return view.readyServers(context.service.name)
--- a/packages/daemon/src/gateway/entry/server_tracker.ts
+++ b/packages/daemon/src/gateway/entry/server_tracker.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import type * as types from "./types.ts";
 
@@ -37,6 +38,8 @@
 
 /** Tracks requests in flight and failures by server. */
 export class ServerTracker {
+  /** Servers that want no requests or can't be reached. */
+  readonly availability = new core.gateway.ServerAvailability();
   readonly #onLoadChange: () => void;
   readonly #failureRecords = new Map<string, FailureRecord>();
   /** Requests of this host by server, model and adapter. */
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -50,6 +50,10 @@
   /** Whether the response bears the id of the request. */
   readonly isIdentified: boolean;
   readonly isEventStream: boolean;
+  /** Whether the server leaves and wants no further requests. */
+  readonly isLeaving: boolean;
+  /** Time for which the server wants no requests of this host, in ms, if any. */
+  readonly closedMs: number | undefined;
 };
 
 /** Header names and values of one protocol. */
@@ -88,6 +92,12 @@
     /** Time until the quarantine ends, in milliseconds. */
     readonly remainingMs: number;
   }
+  /** All servers want no requests of this host for longer than it waits. */
+  | {
+    readonly kind: "closed";
+    /** Time until one of them does, in milliseconds. */
+    readonly remainingMs: number;
+  }
   /** No server has the software version that began the stream. */
   | { readonly kind: "version-gone" }
   /** No server will have the model in time. */
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -58,6 +58,12 @@
     labelNames: ["outcome"] as const,
     registers: [this.registry],
   });
+  readonly serversOut = new prometheus.Gauge({
+    name: "ebonypath_gateway_servers_out",
+    help: "Ready servers that get no requests of this host, by reason",
+    labelNames: ["reason"] as const,
+    registers: [this.registry],
+  });
   readonly serverCrashes = new prometheus.Counter({
     name: "ebonypath_gateway_server_crashes_total",
     help: "Requests under which a server's process ended",
--- a/packages/daemon/test/gateway/crash_suspects_test.ts
+++ b/packages/daemon/test/gateway/crash_suspects_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import type { gateway } from "@ebonypath/protocol";
-import type * as crashProbe from "../../src/gateway/entry/crash_probe.ts";
+import type * as connectionProbe from "../../src/gateway/entry/connection_probe.ts";
 import * as crashSuspects from "../../src/gateway/entry/crash_suspects.ts";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
 import type * as types from "../../src/gateway/entry/types.ts";
@@ -27,7 +27,7 @@
   #revision = 0;
   readonly suspects: crashSuspects.CrashSuspects;
 
-  constructor(result: crashProbe.ProbeResult) {
+  constructor(result: connectionProbe.ProbeResult) {
     this.suspects = new crashSuspects.CrashSuspects({
       view: this.view,
       probe: () => {
--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -36,6 +36,9 @@
 /** Resets the connection after the request arrived: it may have run. */
 const reset: ServerScript = (socket) => socket.resetAndDestroy();
 
+/** Marks a server that no longer listens. */
+const gone: ServerScript = () => {};
+
 function chunk(text: string): string {
   return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
@@ -71,6 +74,8 @@
     isMismatched: false,
     isIdentified: false,
     isEventStream: headers["content-type"] === "text/event-stream",
+    isLeaving: false,
+    closedMs: undefined,
   }),
   responseHeaders: () => [],
   refusalHeaders: () => ({}),
@@ -101,6 +106,7 @@
   isResumable: boolean,
   scripts: readonly ServerScript[],
   versions: readonly string[] = [],
+  retrySlack = 100,
 ): Promise<Observed> {
   const arrivals = scripts.map(() => 0);
   const servers = await Promise.all(scripts.map(async (script, index) => {
@@ -122,10 +128,14 @@
       versions[index],
     )
   );
+  for (const [index, script] of scripts.entries()) {
+    if (script === gone) servers[index]?.close();
+  }
   const selectedFor: (string | null | undefined)[] = [];
   const dispatching = createDispatcher(
     records,
     ({ origin }) => selectedFor.push(origin?.softwareVersion),
+    retrySlack,
   );
   const gatewayServer = http.createServer((request, response) => {
     const context = createContext(kind, isResumable);
@@ -149,6 +159,7 @@
 function createDispatcher(
   records: readonly gateway.ServerRecord[],
   onSelect: (context: types.RequestContext) => void = () => {},
+  retrySlack = 100,
 ): dispatcher.Dispatcher {
   const remaining = [...records];
   const selector = {
@@ -167,7 +178,7 @@
     processQueue: () => {},
   } as unknown as serverSelector.ServerSelector;
   const budgets = new retryBudgets.RetryBudgets(
-    { ratio: 1, slack: 100, windowMs: 1_000 },
+    { ratio: retrySlack / 100, slack: retrySlack, windowMs: 1_000 },
     { take: () => Promise.resolve(false) },
   );
   budgets.setHostCount(1, performance.now());
@@ -183,6 +194,7 @@
     suspects: { recordEnd: () => {}, recordFailure: () => Promise.resolve() },
     metrics: new GatewayMetrics(),
     onReturnExpected: () => {},
+    onServerLeaving: () => {},
     onStreamBegun: () => {},
     onStreamBroken: () => {},
   });
@@ -329,6 +341,21 @@
     });
   }
 
+  it("spends no retry on servers that it could not connect to", async () => {
+    const scripts = [gone, gone, respond(OK_RESPONSE)];
+    const { arrivals, status } = await serve("unsafe", false, scripts, [], 0);
+    expect(status).to.equal(200);
+    expect(arrivals).to.deep.equal([0, 0, 1]);
+  });
+
+  it("spends a retry when a server may have received the request", async () => {
+    for (const first of [reset, respond(BUSY_RESPONSE)]) {
+      const scripts = [gone, first, respond(OK_RESPONSE)];
+      const { arrivals } = await serve("safe", false, scripts, [], 0);
+      expect(arrivals).to.deep.equal([0, 1, 0]);
+    }
+  });
+
   it("resumes a stream at another server if the route allows it", async () => {
     const observed = await serve("streaming", true, [
       stream(3, true),
--- a/packages/daemon/test/gateway/entry_host_test.ts
+++ b/packages/daemon/test/gateway/entry_host_test.ts
@@ -83,6 +83,8 @@
           isMismatched: false,
           isIdentified: false,
           isEventStream: false,
+          isLeaving: false,
+          closedMs: undefined,
         }),
         responseHeaders: () => [],
         refusalHeaders: () => ({}),
--- a/packages/daemon/test/gateway/server_selector_test.ts
+++ b/packages/daemon/test/gateway/server_selector_test.ts
@@ -26,6 +26,9 @@
   /** Units that may be taken, and servers that units were wanted for. */
   units = 0;
   wanted: string[] = [];
+  /** Servers that were to be probed. */
+  probed: string[] = [];
+  readonly tracker = new serverTracker.ServerTracker(() => {});
   readonly selector: serverSelector.ServerSelector;
   readonly suspects = new crashSuspects.CrashSuspects({
     view: this.view,
@@ -37,7 +40,7 @@
   constructor(servers: gateway.ServerRecord[]) {
     this.selector = new serverSelector.ServerSelector({
       view: this.view,
-      tracker: new serverTracker.ServerTracker(() => {}),
+      tracker: this.tracker,
       borrower: {
         tryTake: () => {
           if (this.units === 0) return false;
@@ -47,6 +50,7 @@
         want: (_limit, name) => this.wanted.push(name),
       },
       suspects: this.suspects,
+      onProbeDue: ({ id }) => this.probed.push(id),
       onQueued: () => {},
       onDequeued: () => {},
     });
@@ -110,6 +114,50 @@
 }
 
 describe("gateway server selector", () => {
+  it("selects no server that leaves, though the leader deems it ready", async () => {
+    using fixture = new Fixture([record("s1"), record("s2")]);
+    fixture.tracker.availability.recordLeaving(record("s1"));
+    for (let sent = 0; sent < 20; sent += 1) {
+      const selected = await fixture.select("m1", 100);
+      expect(selected.kind === "server" && selected.server.id)
+        .to.equal("s2");
+    }
+    // A full exchange of the view, and a new leader, don't undo it.
+    fixture.view.apply(
+      fixtures.watchResponse({ term: 2, servers: [record("s1")] }),
+      performance.now(),
+    );
+    expect((await fixture.select("m1", 60)).kind).to.equal("expired");
+  });
+
+  it("refuses at once what all servers want no requests for", async () => {
+    using fixture = new Fixture([record("s1"), record("s2")]);
+    const { availability } = fixture.tracker;
+    const now = performance.now();
+    availability.recordClosed(record("s1"), 5_000, now, 0);
+    availability.recordClosed(record("s2"), 3_000, now, 0);
+    const refused = await fixture.select("m1", 1_000);
+    expect(refused.kind).to.equal("closed");
+    const { remainingMs } = refused as { remainingMs: number };
+    expect(remainingMs).to.be.within(2_900, 3_000);
+    // Who has the time waits.
+    const patient = fixture.select("m1", 9_000);
+    expect(fixture.selector.isWaiting).to.equal(true);
+    fixture.selector[Symbol.dispose]();
+    expect((await patient).kind).to.equal("expired");
+  });
+
+  it("has an unreachable server probed rather than tried by requests", async () => {
+    using fixture = new Fixture([record("s1")]);
+    const { availability } = fixture.tracker;
+    availability.recordUnreachable(record("s1"), performance.now());
+    const selection = fixture.select("m1", 1_000);
+    await wait.waitFor("a probe", () => fixture.probed.includes("s1"));
+    availability.recordReachable(record("s1"));
+    fixture.selector.processQueue();
+    expect((await selection).kind).to.equal("server");
+  });
+
   it("refuses a waiting request at once when it is quarantined", async () => {
     using fixture = new Fixture([record("s1")]);
     const context = fixture.context("m2", 9_000);
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -201,6 +201,10 @@
 });
 export type LoadForecast = v.InferOutput<typeof LoadForecast>;
 
+/** One start of a server. */
+export const ServerStart = v.object({ id: Name, born: Count });
+export type ServerStart = v.InferOutput<typeof ServerStart>;
+
 /** Report of an entry host to the leader. */
 export const ReportRequest = v.object({
   /** Name of the host and a random id of its process. */
@@ -221,6 +225,10 @@
   suspicions: v.optional(
     v.pipe(v.array(suspicion.SuspicionReport), v.maxLength(MAX_RECORDS)),
   ),
+  /** Servers that have told the host that they leave. */
+  leaving: v.optional(
+    v.pipe(v.array(ServerStart), v.maxLength(MAX_RECORDS)),
+  ),
   /** Term and usage revision of the last response; 0 before the first one. */
   answered: v.object({ term: Count, usageRevision: Count }),
   /** All servers that the host knows; empty unless the leader is new. */
