Don't end an entry host by the probe of an address that is none

What could happen: a server's record with port 70000 that slipped through makes a send fail, the server counts as unreachable and is probed, net.connect throws, and the unhandled rejection ends the process. Evidence: 'does not throw for the odd address' failed before with ERR_SOCKET_BAD_PORT for ports out of range.

--- a/packages/daemon/src/gateway/entry/connection_probe.ts
+++ b/packages/daemon/src/gateway/entry/connection_probe.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import * as net from "node:net";
+import { gateway } from "@ebonypath/protocol";
+import * as v from "valibot";
 
 /** Time limit for the connection of a probe, in milliseconds. */
 const PROBE_TIMEOUT_MS = 250;
@@ -26,6 +28,8 @@
  * ```
  */
 export function probe(address: string): Promise<ProbeResult> {
+  // `net.connect` throws for a port out of range.
+  if (!v.is(gateway.Address, address)) return Promise.resolve("silent");
   const separator = address.lastIndexOf(":");
   return new Promise((resolve) => {
     const socket = net.connect({
