--- a/packages/core/src/gateway/server_availability.ts
+++ b/packages/core/src/gateway/server_availability.ts
@@ -59,6 +59,13 @@
  */
 export class ServerAvailability {
   readonly #entries = new Map<string, Entry>();
+  /** Monotonic time from which on no server is closed, in milliseconds. */
+  #lastClosedUntil = -Infinity;
+
+  /** Whether any server is closed. */
+  hasClosed(now: number): boolean {
+    return now < this.#lastClosedUntil;
+  }
 
   /** Whether a start of a server may be sent requests. */
   of({ born, id }: gateway.ServerStart, now: number): Availability {
@@ -93,6 +100,7 @@
     const entry = this.#entryOf(server);
     const closedMs = Math.min(ms, MAX_CLOSED_MS) + random * RETURN_SPREAD_MS;
     entry.closedUntil = Math.max(entry.closedUntil, now + closedMs);
+    this.#lastClosedUntil = Math.max(this.#lastClosedUntil, entry.closedUntil);
   }
 
   /** Records that no connection to a server could be opened. */
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -152,6 +152,7 @@
    */
   #closedMs(context: types.RequestContext, now: number): number {
     const { availability } = this.#options.tracker;
+    if (!availability.hasClosed(now)) return 0;
     const times = this.#capableServers(context, now).map(({ record }) => {
       const one = availability.of(record, now);
       return one.kind === "closed" ? one.remainingMs : 0;
