Let servers number their heartbeats by the time of day

The limit against odd sequence numbers was 1e12; a server that counts by the milliseconds or microseconds of the time of day would have been refused. Found on reading the change again.

--- a/packages/protocol/src/gateway/server.ts
+++ b/packages/protocol/src/gateway/server.ts
@@ -14,8 +14,11 @@
 const MAX_SLOTS = 100_000;
 /** Longest warm-up that a server may state, in milliseconds: a day. */
 const MAX_COLD_MS = 86_400_000;
-/** Highest sequence number: ten heartbeats a second for three thousand years. */
-const MAX_SEQUENCE = 1e12;
+/**
+ * Highest sequence number. Servers may number their heartbeats by the time of
+ * day in microseconds, which is below it for another hundred years.
+ */
+const MAX_SEQUENCE = 5e15;
 
 const Name = v.pipe(v.string(), v.minLength(1), v.maxLength(MAX_NAME_LENGTH));
 const Count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
