Keep the admission of a suspect when another request of its kind has ended

What callers could see: of two identical requests at one host that are suspects, the end of one took the admission that the leader had just given to the other. The leader was not told, so that it admitted neither until the admission had expired. Cause: the end of a request that neither ran as a suspect nor waited was recorded as the end of its fingerprint. Evidence: 'keeps the admission of a request when another one of the same has ended' failed before.

--- a/packages/daemon/src/gateway/entry/crash_suspects.ts
+++ b/packages/daemon/src/gateway/entry/crash_suspects.ts
@@ -53,6 +53,8 @@
   readonly #suspects = new core.suspicion.HostSuspects(
     core.suspicion.SHARED_SERVER_CRASH_COUNTS,
   );
+  /** Suspects that wait for an admission. */
+  readonly #waiting = new Set<requestIdentity.RequestIdentity>();
   /** Admitted suspects that are sent to their server. */
   readonly #runs = new Set<requestIdentity.RequestIdentity>();
   /** Probes in progress, by server and its birth. */
@@ -88,6 +90,7 @@
     now: number,
   ): void {
     if (servers.length === 0) return;
+    this.#waiting.add(context.identity);
     const runMs = Math.max(0, context.deadline - now);
     const { fingerprint } = context.identity;
     if (this.#suspects.requestAdmission(fingerprint, servers, runMs)) {
@@ -102,6 +105,7 @@
 
   /** Records that an admitted suspect is about to be sent. */
   recordStart({ identity }: types.RequestContext): void {
+    this.#waiting.delete(identity);
     this.#runs.add(identity);
     this.#suspects.recordStart(identity.fingerprint);
   }
@@ -112,9 +116,11 @@
    * @param survived whether a server has answered it with success
    */
   recordEnd({ identity }: types.RequestContext, survived: boolean): void {
+    const wasWaiting = this.#waiting.delete(identity);
+    const wasRunning = this.#runs.delete(identity);
     if (!this.#suspects.hasSuspects) return;
+    if (!wasWaiting && !wasRunning && !survived) return;
     const { fingerprint } = identity;
-    const wasRunning = this.#runs.delete(identity);
     const isRunning = [...this.#runs].some((run) =>
       run.fingerprint === fingerprint
     );
--- a/packages/daemon/test/gateway/crash_suspects_test.ts
+++ b/packages/daemon/test/gateway/crash_suspects_test.ts
@@ -127,6 +127,23 @@
     expect(fixture.news).to.equal(1);
   });
 
+  it("keeps the admission of a request when another one of the same has ended", () => {
+    const fixture = new Fixture("refused");
+    const [first, second] = [contextOf("a"), contextOf("a")];
+    const { fingerprint } = first.identity;
+    const answer = (watched: gateway.ReportResponse["watched"]) =>
+      fixture.suspects.onReportResponse(
+        { watched } as unknown as gateway.ReportResponse,
+      );
+    const suspect = { fingerprint, remainingMs: 9_000 };
+    answer([{ ...suspect, kind: "suspect" }]);
+    fixture.suspects.requestAdmission(second, ["s1"], performance.now());
+    answer([{ ...suspect, kind: "admitted", server: "s1" }]);
+    fixture.suspects.recordEnd(first, false);
+    expect(fixture.suspects.permissionFor(second, performance.now()).kind)
+      .to.equal("admitted");
+  });
+
   it("keeps an admission while the same request runs under another id", () => {
     const fixture = new Fixture("refused");
     const [first, second] = [contextOf("a"), contextOf("a")];
