--- a/packages/daemon/test/gateway/connection_probe_test.ts
+++ b/packages/daemon/test/gateway/connection_probe_test.ts
@@ -17,7 +17,7 @@
   });
 
   for (const address of ["127.0.0.1:70000", "127.0.0.1:0", "host:80", ""]) {
-    it(`does not throw for the odd address "${address}"`, async () => {
+    it(`does not throw for the invalid address "${address}"`, async () => {
       expect(await connectionProbe.probe(address)).to.equal("silent");
     });
   }
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -149,9 +149,9 @@
   it("does not end a server for one that claims to be born in the far future", async () => {
     const { address } = fixtures.heartbeat("s1");
     const born = Number.MAX_SAFE_INTEGER;
-    const odd = fixtures.heartbeat("s9", { address, born });
-    coordinator.handleHeartbeat({ kind: "heartbeat", heartbeat: odd });
-    const { inMemory: _, onDisk: __, ...fields } = odd;
+    const malformed = fixtures.heartbeat("s9", { address, born });
+    coordinator.handleHeartbeat({ kind: "heartbeat", heartbeat: malformed });
+    const { inMemory: _, onDisk: __, ...fields } = malformed;
     const record = { ...fields, silentMs: 0, leaving: [] };
     void coordinator.report(fixtures.report("idle", { servers: [record] }));
     const { servers } = await coordinator.watch({
--- a/packages/daemon/test/gateway/leader_sync_test.ts
+++ b/packages/daemon/test/gateway/leader_sync_test.ts
@@ -119,9 +119,9 @@
     const name = JSON.stringify(fields).slice(0, 40);
     it(`follows a leader that tells of a malformed server: ${name}`, async () => {
       using fixture = new Fixture();
-      const odd = { ...fixtures.serverRecord("s1"), ...fields };
+      const broken = { ...fixtures.serverRecord("s1"), ...fields };
       fixture.servers = [
-        odd as gateway.ServerRecord,
+        broken as gateway.ServerRecord,
         fixtures.serverRecord("s2"),
         null as unknown as gateway.ServerRecord,
       ];
--- a/packages/daemon/test/gateway/upstream_test.ts
+++ b/packages/daemon/test/gateway/upstream_test.ts
@@ -110,7 +110,7 @@
       "",
     ]
   ) {
-    it(`sends nothing to the odd address "${address}"`, async () => {
+    it(`sends nothing to the invalid address "${address}"`, async () => {
       const result = await upstream.send({
         address,
         method: "GET",
