Share the failures that wait for the restart of their server

The gateway had written again what the daemon's crash detector does with failures at servers that may have crashed: bound, age and search. Both use one class now; what they report doesn't change.

--- a/packages/core/src/suspicion/mod.ts
+++ b/packages/core/src/suspicion/mod.ts
@@ -5,5 +5,6 @@
  */
 export * from "./bounds.ts";
 export * from "./host_suspects.ts";
+export * from "./pending_failures.ts";
 export * from "./quarantine_list.ts";
 export * from "./suspect_tracker.ts";
--- a/packages/daemon/src/entry/crash_detector.ts
+++ b/packages/daemon/src/entry/crash_detector.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type * as core from "@ebonypath/core";
+import * as core from "@ebonypath/core";
 import type * as protocol from "@ebonypath/protocol";
 import type * as backend from "../backend/mod.ts";
 import type * as host from "../host/mod.ts";
@@ -14,14 +14,6 @@
 
 const write = log.createLog("deaths");
 
-/** Most failures kept until a new incarnation of their server appears. */
-const MAX_PENDING_FAILURES = 1_024;
-/**
- * Largest age of a failure that a new incarnation of its server accounts for,
- * in milliseconds.
- */
-const PENDING_FAILURE_MS = 5_000;
-
 /** Dependencies of {@link CrashDetector}. */
 export interface CrashDetectorOptions {
   readonly client: Pick<
@@ -43,8 +35,8 @@
 /** Detects server crashes from the failed attempts of an entry host. */
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
-  /** Failures at servers that answered a probe, oldest first. */
-  #pendingFailures: Failure[] = [];
+  /** Failures at servers that answered a probe. */
+  readonly #pendingFailures = new core.suspicion.PendingFailures<Failure>();
 
   constructor(options: CrashDetectorOptions) {
     this.#options = options;
@@ -74,24 +66,21 @@
     // A server that is only slow has not crashed from the request.
     if (result.fault === "first-byte-timeout") return;
     if (result.fault === "silent") return;
-    this.#pendingFailures.push(failure);
-    this.#pendingFailures = this.#pendingFailures.slice(-MAX_PENDING_FAILURES);
+    this.#pendingFailures.add(failure);
     this.#reportRestarted();
   }
 
   /** Reports failures whose server has a new incarnation, so it has crashed. */
   #reportRestarted(): void {
-    if (this.#pendingFailures.length === 0) return;
-    const now = performance.now();
     const { servers } = this.#options.state;
     const hasRestarted = ({ server }: Failure) => {
       const current = servers.get(server.id);
       return current !== undefined &&
         current.incarnation !== server.incarnation;
     };
-    const restarted = this.#pendingFailures.filter(hasRestarted);
-    this.#pendingFailures = this.#pendingFailures.filter((failure) =>
-      !hasRestarted(failure) && now - failure.at < PENDING_FAILURE_MS
+    const restarted = this.#pendingFailures.takeRestarted(
+      hasRestarted,
+      performance.now(),
     );
     for (const failure of restarted) this.#reportCrash(failure);
   }
--- a/packages/daemon/src/gateway/entry/crash_suspects.ts
+++ b/packages/daemon/src/gateway/entry/crash_suspects.ts
@@ -14,14 +14,6 @@
 
 const write = log.createLog("suspects");
 
-/** Most failures kept until their servers are known to have restarted. */
-const MAX_PENDING_FAILURES = 1_024;
-/**
- * Largest age of a failure that the restart of its server accounts for, in
- * milliseconds.
- */
-const PENDING_FAILURE_MS = 5_000;
-
 /** Whether and where a request may be sent. */
 export type Permission =
   | core.suspicion.DispatchPermission
@@ -59,8 +51,7 @@
   readonly #runs = new Set<requestIdentity.RequestIdentity>();
   /** Probes in progress, by server and its birth. */
   readonly #probes = new Map<string, Promise<connectionProbe.ProbeResult>>();
-  /** Failures of servers that may have restarted since, oldest first. */
-  #pendingFailures: Failure[] = [];
+  readonly #pendingFailures = new core.suspicion.PendingFailures<Failure>();
   /** Revision of the leader's suspects in its last answer to a report. */
   #revision = 0;
   #term = 0;
@@ -146,8 +137,7 @@
     const result = await this.#probe(server);
     if (result === "refused") return this.#recordCrash(failure, "refused");
     if (!isClosed) return;
-    this.#pendingFailures = [...this.#pendingFailures, failure]
-      .slice(-MAX_PENDING_FAILURES);
+    this.#pendingFailures.add(failure);
     this.#recordRestarts();
   }
 
@@ -208,18 +198,11 @@
 
   /** Records the crashes of servers that have restarted since a failure. */
   #recordRestarts(): void {
-    if (this.#pendingFailures.length === 0) return;
-    const now = performance.now();
-    const failures = this.#pendingFailures;
-    this.#pendingFailures = failures.filter((failure) =>
-      now - failure.at < PENDING_FAILURE_MS &&
-      !this.#hasRestarted(failure.server)
+    const restarted = this.#pendingFailures.takeRestarted(
+      ({ server }) => this.#hasRestarted(server),
+      performance.now(),
     );
-    for (const failure of failures) {
-      if (this.#hasRestarted(failure.server)) {
-        this.#recordCrash(failure, "restarted");
-      }
-    }
+    for (const failure of restarted) this.#recordCrash(failure, "restarted");
   }
 
   /** Whether a later process has the id or the address of a server. */
