Look only at leaving servers for the report, and reuse the bound of maps

Each report copied the records of all servers to find those that leave; it looks at those alone now. The record of availability had its own copy of dropOldest. What is reported and dropped doesn't change.

--- a/packages/core/src/gateway/server_availability.ts
+++ b/packages/core/src/gateway/server_availability.ts
@@ -1,4 +1,5 @@
 import type { gateway } from "@ebonypath/protocol";
+import * as suspicion from "../suspicion/mod.ts";
 
 /** Delay before the first probe of an unreachable server, in milliseconds. */
 const FIRST_PROBE_MS = 100;
@@ -80,6 +81,11 @@
       : AVAILABLE;
   }
 
+  /** Ids of the servers that have said that they leave. */
+  *leavingServers(): Generator<string> {
+    for (const [id, { isLeaving }] of this.#entries) if (isLeaving) yield id;
+  }
+
   /** Records that a server has said that it leaves. */
   recordLeaving(server: gateway.ServerStart): void {
     this.#entryOf(server).isLeaving = true;
@@ -128,14 +134,11 @@
     };
     this.#entries.delete(id);
     this.#entries.set(id, entry);
-    this.#dropOldest();
+    suspicion.dropOldest(
+      this.#entries,
+      MAX_SERVERS,
+      (oldest) => this.#entries.delete(oldest),
+    );
     return entry;
   }
-
-  #dropOldest(): void {
-    for (const id of this.#entries.keys()) {
-      if (this.#entries.size <= MAX_SERVERS) return;
-      this.#entries.delete(id);
-    }
-  }
 }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -330,7 +330,8 @@
   #collectLeaving(): gateway.ServerStart[] {
     const now = performance.now();
     const { availability } = this.#serverTracker;
-    return this.view.serverRecords(now)
+    return [...availability.leavingServers()]
+      .flatMap((id) => this.view.server(id)?.record ?? [])
       .filter((server) =>
         server.state === "ready" &&
         availability.of(server, now).kind === "leaving"
