Share the set-up of the dispatcher's tests

Further tests need a dispatcher in front of servers that send raw bytes. The code moves unchanged from dispatcher_test.ts to dispatching.ts.

--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -2,262 +2,32 @@
 import { once } from "node:events";
 import * as http from "node:http";
 import * as net from "node:net";
-import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import { expect } from "chai";
-import * as dispatcher from "../../src/gateway/entry/dispatcher.ts";
-import * as retryBudgets from "../../src/gateway/entry/retry_budgets.ts";
-import type * as serverSelector from "../../src/gateway/entry/server_selector.ts";
-import * as serverTracker from "../../src/gateway/entry/server_tracker.ts";
-import type * as types from "../../src/gateway/entry/types.ts";
-import { GatewayMetrics } from "../../src/gateway/metrics.ts";
-import * as fixtures from "./fixtures.ts";
-import { EMPTY_METADATA, identityOf } from "./request_metadata.ts";
-
-/** Time limit of a request, in milliseconds. */
-const TIMEOUT_MS = 3_000;
-/** The same where the limit of memory is to end it, however busy the machine. */
+import {
+  BUSY_RESPONSE,
+  createContext,
+  createDispatcher,
+  ERROR_RESPONSE,
+  event,
+  gone,
+  OK_RESPONSE,
+  reset,
+  respond,
+  sendRequest,
+  serve,
+  serverRecord,
+  type ServerScript,
+  stream,
+} from "./dispatching.ts";
+
+/** Time limit of a request that the limit of memory is to end, however busy the machine. */
 const LONG_TIMEOUT_MS = 25_000;
 /** Answers without end that arrive at the same time. */
 const ENDLESS_ANSWERS = 50;
 /** Bytes of them that may be buffered: a host has 250 MB for everything. */
 const MAX_ENDLESS_BYTES = 50 * 2 ** 20;
 
-/** What a server does with a request, given the request's head. */
-type ServerScript = (socket: net.Socket, head: string) => void;
-
-const OK_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-const BUSY_RESPONSE =
-  "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
-const ERROR_RESPONSE = "HTTP/1.1 500 Failed\r\nContent-Length: 3\r\n\r\nbad";
-const STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-  "Transfer-Encoding: chunked\r\n\r\n";
-
-function respond(text: string): ServerScript {
-  return (socket) => socket.end(text);
-}
-
-/** Resets the connection after the request arrived: it may have run. */
-const reset: ServerScript = (socket) => socket.resetAndDestroy();
-
-/** Marks a server that no longer listens. */
-const gone: ServerScript = () => {};
-
-function chunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
-
-function event(id: number): string {
-  return `id: ${id}\ndata: ${id}\n\n`;
-}
-
-/**
- * Streams the events from the one after `Last-Event-Id` to the last one, and
- * then ends the stream or breaks it.
- */
-function stream(lastId: number, isBroken: boolean): ServerScript {
-  return (socket, head) => {
-    const firstId = Number(/^last-event-id: (\d+)/im.exec(head)?.[1] ?? 0) + 1;
-    let text = STREAM_HEAD;
-    for (let id = firstId; id <= lastId; id += 1) text += chunk(event(id));
-    // A broken stream ends inside an event.
-    if (isBroken) socket.write(text + chunk("id: 9"), () => socket.destroy());
-    else socket.end(`${text}0\r\n\r\n`);
-  };
-}
-
-const DIALECT: types.Dialect = {
-  readRequest: () => EMPTY_METADATA,
-  upstreamHeaders: (_request, { lastEventId }) =>
-    lastEventId === undefined
-      ? ["host", "h"]
-      : ["host", "h", "last-event-id", lastEventId],
-  readResponse: ({ headers }) => ({
-    isNotRun: headers["x-not-run"] !== undefined,
-    reason: headers["x-not-run"] === undefined ? "none" : "busy",
-    isMismatched: false,
-    isIdentified: false,
-    isEventStream: headers["content-type"] === "text/event-stream",
-    isLeaving: false,
-    closedMs: undefined,
-  }),
-  responseHeaders: () => [],
-  refusalHeaders: () => ({}),
-};
-
-function serverRecord(
-  id: string,
-  address: string,
-  softwareVersion = "v1",
-): gateway.ServerRecord {
-  return fixtures.serverRecord(id, { address, service: "s", softwareVersion });
-}
-
-/** What the caller and the servers observed of one request. */
-type Observed = {
-  readonly status: number;
-  readonly text: string;
-  readonly isComplete: boolean;
-  /** Number of requests that arrived at each server. */
-  readonly arrivals: readonly number[];
-  /** Version that each server was selected for; undefined for any. */
-  readonly selectedFor: readonly (string | null | undefined)[];
-};
-
-/** Sends one request to a dispatcher with one server for each script. */
-async function serve(
-  kind: gateway.RouteKind,
-  isResumable: boolean,
-  scripts: readonly ServerScript[],
-  versions: readonly string[] = [],
-  retrySlack = 100,
-): Promise<Observed> {
-  const arrivals = scripts.map(() => 0);
-  const servers = await Promise.all(scripts.map(async (script, index) => {
-    const server = net.createServer((socket) => {
-      socket.on("error", () => {});
-      socket.once("data", (head) => {
-        arrivals[index] = (arrivals[index] ?? 0) + 1;
-        script(socket, head.toString());
-      });
-    });
-    server.listen(0, "127.0.0.1");
-    await once(server, "listening");
-    return server;
-  }));
-  const records = servers.map((server, index) =>
-    serverRecord(
-      `s${index}`,
-      `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
-      versions[index],
-    )
-  );
-  for (const [index, script] of scripts.entries()) {
-    if (script === gone) servers[index]?.close();
-  }
-  const selectedFor: (string | null | undefined)[] = [];
-  const dispatching = createDispatcher(
-    records,
-    ({ origin }) => selectedFor.push(origin?.softwareVersion),
-    retrySlack,
-  );
-  const gatewayServer = http.createServer((request, response) => {
-    const context = createContext(kind, isResumable);
-    void dispatching.serve({ context, request, body: undefined, response });
-  });
-  gatewayServer.listen(0, "127.0.0.1");
-  await once(gatewayServer, "listening");
-  try {
-    const { port } = gatewayServer.address() as net.AddressInfo;
-    return { ...await sendRequest(port), arrivals, selectedFor };
-  } finally {
-    gatewayServer.close();
-    for (const server of servers) server.close();
-  }
-}
-
-/**
- * Creates a dispatcher whose selector returns each server once, in order, unless
- * the stream began at another software version.
- */
-function createDispatcher(
-  records: readonly gateway.ServerRecord[],
-  onSelect: (context: types.RequestContext) => void = () => {},
-  retrySlack = 100,
-): dispatcher.Dispatcher {
-  const remaining = [...records];
-  const selector = {
-    select: (context: types.RequestContext): Promise<types.Selection> => {
-      onSelect(context);
-      const server = remaining.shift();
-      const version = context.origin?.softwareVersion ??
-        server?.softwareVersion;
-      if (server?.softwareVersion !== version) {
-        return Promise.resolve({ kind: "version-gone" });
-      }
-      return Promise.resolve(
-        server === undefined ? { kind: "expired" } : { kind: "server", server },
-      );
-    },
-    processQueue: () => {},
-  } as unknown as serverSelector.ServerSelector;
-  const budgets = new retryBudgets.RetryBudgets(
-    { ratio: retrySlack / 100, slack: retrySlack, windowMs: 1_000 },
-    { take: () => Promise.resolve(false) },
-  );
-  budgets.setHostCount(1, performance.now());
-  return new dispatcher.Dispatcher({
-    dialect: DIALECT,
-    selector,
-    tracker: new serverTracker.ServerTracker(() => {}),
-    retryBudgets: budgets,
-    streams: new core.gateway.OwnStreams({
-      server: () => undefined,
-      isMixed: () => true,
-    }),
-    suspects: { recordEnd: () => {}, recordFailure: () => Promise.resolve() },
-    metrics: new GatewayMetrics(),
-    onReturnExpected: () => {},
-    onServerLeaving: () => {},
-    onStreamBegun: () => {},
-    onStreamBroken: () => {},
-  });
-}
-
-function createContext(
-  kind: gateway.RouteKind,
-  isResumable: boolean,
-  timeoutMs = TIMEOUT_MS,
-): types.RequestContext {
-  const now = performance.now();
-  const abortController = new AbortController();
-  return {
-    metadata: EMPTY_METADATA,
-    identity: identityOf(),
-    route: {
-      name: "r",
-      host: "h",
-      pathPrefix: "/",
-      kind,
-      timeoutMs,
-      targetMs: 500,
-      priority: 1,
-      split: [],
-      maxAttempts: 2,
-      isPublic: true,
-      isResumable,
-    },
-    service: { name: "s", maxConnections: 9, coldRequestsPerSecond: 0 },
-    workspace: undefined,
-    arrivedAt: now,
-    deadline: now + timeoutMs,
-    queueDeadline: now + timeoutMs - 100,
-    priority: 1,
-    isRetryable: kind === "safe" || isResumable,
-    signal: abortController.signal,
-    failedServers: new Set(),
-  };
-}
-
-function sendRequest(
-  port: number,
-): Promise<Omit<Observed, "arrivals" | "selectedFor">> {
-  return new Promise((resolve, reject) => {
-    http.get({ port, host: "127.0.0.1", agent: false }, (response) => {
-      let text = "";
-      response.setEncoding("utf8");
-      response.on("data", (part: string) => text += part);
-      response.on("error", () => {});
-      response.on("close", () =>
-        resolve({
-          status: response.statusCode ?? 0,
-          text,
-          isComplete: response.complete,
-        }));
-    }).on("error", reject);
-  });
-}
-
 describe("gateway dispatcher", () => {
   type Case = [
     name: string,
