Believe a refusal only by the request id that it bears

Callers of safe routes were told 503 "not run" for requests that a server had run: a faulty server that wrote an earlier refusal again on a kept connection was believed, since the id was compared only for answers that are no refusals. Each false refusal also let the request be sent again without end.

What a response proves is decided in one place, core.gateway.judgeResponse: the id of another request, or none on a connection that carried other requests, proves nothing, neither of the request nor of the server (Retry-After, Server-Leaving). A request without an id, and one that may have run already, gets a connection of its own.

--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -15,6 +15,7 @@
 export * from "./server_availability.ts";
 export * from "./server_balancer.ts";
 export * from "./server_registry.ts";
+export * from "./response_verdict.ts";
 export * from "./route_table.ts";
 export * from "./state.ts";
 export * from "./stream_origins.ts";
--- /dev/null
+++ b/packages/core/src/gateway/response_verdict.ts
@@ -0,0 +1,50 @@
+/**
+ * Decides what a server's response proves about a request.
+ *
+ * A response that arrives on a connection need not answer the request that was
+ * sent on it: a faulty server may repeat an earlier response. What a response
+ * says of itself decides, not where it stands.
+ *
+ * @module
+ */
+
+/** What is known of a response when its head has arrived. */
+export type ResponseFacts = {
+  /** Whose request id the response bears. */
+  readonly identity: "own" | "other" | "none";
+  /** Whether the connection carried other requests before. */
+  readonly isConnectionReused: boolean;
+  /** Whether the response states that the request was not run. */
+  readonly isNotRun: boolean;
+};
+
+/** What a response proves. */
+export type ResponseVerdict =
+  /** The server has not run the request. */
+  | { readonly kind: "not-run" }
+  /** The response answers the request. */
+  | { readonly kind: "answer" }
+  /** It may belong to another request, and the server may run this one. */
+  | { readonly kind: "foreign" };
+
+/**
+ * Returns what a response proves about the request that was sent before it.
+ *
+ * @example
+ * ```ts
+ * judgeResponse({
+ *   identity: "other",
+ *   isConnectionReused: true,
+ *   isNotRun: true,
+ * }); // { kind: "foreign" }
+ * ```
+ */
+export function judgeResponse(
+  { identity, isConnectionReused, isNotRun }: ResponseFacts,
+): ResponseVerdict {
+  // The first response on a connection can't belong to an earlier request.
+  const isForeign = identity === "other" ||
+    (identity === "none" && isConnectionReused);
+  if (isForeign) return { kind: "foreign" };
+  return { kind: isNotRun ? "not-run" : "answer" };
+}
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -8,7 +8,7 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
-import type * as core from "@ebonypath/core";
+import * as core from "@ebonypath/core";
 import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
 import type * as metrics from "../metrics.ts";
@@ -110,8 +110,8 @@
   | {
     readonly kind: "unknown";
     readonly reason: string;
-    /** Whether this host gave up waiting, rather than lost the connection. */
-    readonly isTimeout: boolean;
+    /** Whether the server closed the connection before its response ended. */
+    readonly isConnectionLost: boolean;
   }
   /** The server ran it and reported an error. */
   | { readonly kind: "failed"; readonly response: BufferedResponse };
@@ -334,7 +334,7 @@
           await this.#options.suspects.recordFailure(
             context,
             server,
-            !result.isTimeout,
+            result.isConnectionLost,
           );
         }
       }
@@ -373,7 +373,10 @@
         bodyBytes: body?.length,
       }),
       body,
-      isReusable: context.route.kind === "safe",
+      // Responses on a used connection are told apart by the request's id, and
+      // the last attempt must not be lost to a connection that is out of step.
+      isReusable: context.route.kind === "safe" &&
+        context.metadata.id !== undefined && progress.possibleRuns === 0,
       signal: context.signal,
       headTimeoutMs: headTimeout(context, progress),
     });
@@ -391,7 +394,7 @@
           this.#recordFailure(context, server.id);
         }
         const { isTimeout, reason } = result;
-        return { kind: "unknown", reason, isTimeout };
+        return { kind: "unknown", reason, isConnectionLost: !isTimeout };
       }
       case "answered":
         return await this.#handleResponse(exchange, server, result, progress);
@@ -420,14 +423,19 @@
     );
     progress.headMs = performance.now() - context.arrivedAt;
     this.#options.metrics.latency.observe(progress.headMs / SECOND_MS);
-    this.#recordAvailability(server, metadata);
-    if (metadata.isIdentified) result.keepConnection();
-    if (metadata.isMismatched) {
+    const { isConnectionReused } = result;
+    const verdict = core.gateway.judgeResponse({
+      ...metadata,
+      isConnectionReused,
+    });
+    if (verdict.kind === "foreign") {
       result.cancel();
       const reason = "the answer to another request";
-      return { kind: "unknown", reason, isTimeout: false };
+      return { kind: "unknown", reason, isConnectionLost: false };
     }
-    if (metadata.isNotRun) {
+    if (metadata.identity === "own") result.keepConnection();
+    this.#recordAvailability(server, metadata);
+    if (verdict.kind === "not-run") {
       return this.#handleNotRun(context, server.id, result, metadata);
     }
     if (metadata.isEventStream && result.status === OK_STATUS) {
@@ -444,7 +452,7 @@
       result.cancel();
       if (!context.signal.aborted) this.#recordFailure(context, server.id);
       const reason = errorMessage(error);
-      return { kind: "unknown", reason, isTimeout: false };
+      return { kind: "unknown", reason, isConnectionLost: true };
     }
   }
 
@@ -471,9 +479,8 @@
   /** Records what a server says of itself in any of its answers. */
   #recordAvailability(
     server: gateway.ServerRecord,
-    { closedMs, isLeaving, isMismatched }: types.ResponseMetadata,
+    { closedMs, isLeaving }: types.ResponseMetadata,
   ): void {
-    if (isMismatched) return;
     const { onServerLeaving, tracker } = this.#options;
     const { availability } = tracker;
     const now = performance.now();
@@ -557,7 +564,7 @@
       result.cancel();
       if (!context.signal.aborted) this.#recordFailure(context, server.id);
       const reason = errorMessage(error);
-      return { kind: "unknown", reason, isTimeout: false };
+      return { kind: "unknown", reason, isConnectionLost: true };
     }
   }
 
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -45,10 +45,8 @@
   readonly isNotRun: boolean;
   /** Why it did not run it. */
   readonly reason: "none" | "busy" | "other-server" | "no-model";
-  /** Whether the response belongs to another request. */
-  readonly isMismatched: boolean;
-  /** Whether the response bears the id of the request. */
-  readonly isIdentified: boolean;
+  /** Whose request id the response bears. */
+  readonly identity: "own" | "other" | "none";
   readonly isEventStream: boolean;
   /** Whether the server leaves and wants no further requests. */
   readonly isLeaving: boolean;
--- a/packages/daemon/src/gateway/entry/upstream.ts
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -46,6 +46,8 @@
     readonly kind: "answered";
     readonly status: number;
     readonly message: http.IncomingMessage;
+    /** Whether its connection carried other requests before. */
+    readonly isConnectionReused: boolean;
     /** Resolves when the response is complete, rejects if it is cut short. */
     readonly completed: Promise<void>;
     /**
@@ -203,6 +205,7 @@
       kind: "answered",
       status: message.statusCode ?? 0,
       message,
+      isConnectionReused: this.#client?.reusedSocket ?? false,
       completed,
       keepConnection: () => this.#setKeepConnection(mayKeepConnection),
       cancel: () => this.#cancel(),
--- a/packages/daemon/test/gateway/dispatching.ts
+++ b/packages/daemon/test/gateway/dispatching.ts
@@ -67,15 +67,20 @@
 
 export const DIALECT: types.Dialect = {
   readRequest: () => EMPTY_METADATA,
-  upstreamHeaders: (_request, { lastEventId }) =>
-    lastEventId === undefined
-      ? ["host", "h"]
-      : ["host", "h", "last-event-id", lastEventId],
-  readResponse: ({ headers }) => ({
+  upstreamHeaders: ({ headers }, { lastEventId }) => [
+    "host",
+    "h",
+    ...(headers["x-id"] === undefined ? [] : ["x-id", String(headers["x-id"])]),
+    ...(lastEventId === undefined ? [] : ["last-event-id", lastEventId]),
+  ],
+  readResponse: ({ headers }, requestId) => ({
+    identity: headers["x-id"] === undefined
+      ? "none"
+      : headers["x-id"] === requestId
+      ? "own"
+      : "other",
     isNotRun: headers["x-not-run"] !== undefined,
     reason: headers["x-not-run"] === undefined ? "none" : "busy",
-    isMismatched: false,
-    isIdentified: false,
     isEventStream: headers["content-type"] === "text/event-stream",
     isLeaving: false,
     closedMs: undefined,
@@ -207,11 +212,12 @@
   kind: gateway.RouteKind,
   isResumable: boolean,
   timeoutMs = TIMEOUT_MS,
+  id = EMPTY_METADATA.id,
 ): types.RequestContext {
   const now = performance.now();
   const abortController = new AbortController();
   return {
-    metadata: EMPTY_METADATA,
+    metadata: { ...EMPTY_METADATA, id },
     identity: identityOf(),
     route: {
       name: "r",
@@ -240,9 +246,12 @@
 
 export function sendRequest(
   port: number,
+  id?: string,
 ): Promise<Omit<Observed, "arrivals" | "selectedFor">> {
+  const headers = id === undefined ? {} : { "x-id": id };
+  const target = { port, host: "127.0.0.1", agent: false, headers };
   return new Promise((resolve, reject) => {
-    http.get({ port, host: "127.0.0.1", agent: false }, (response) => {
+    http.get(target, (response) => {
       let text = "";
       response.setEncoding("utf8");
       response.on("data", (part: string) => text += part);
--- a/packages/daemon/test/gateway/entry_host_test.ts
+++ b/packages/daemon/test/gateway/entry_host_test.ts
@@ -80,8 +80,7 @@
         readResponse: () => ({
           isNotRun: false,
           reason: "none",
-          isMismatched: false,
-          isIdentified: false,
+          identity: "none",
           isEventStream: false,
           isLeaving: false,
           closedMs: undefined,
