Pass on no success that bears no signature of a server

Cause: the signature was forwarded but read nowhere, so a success was believed for its status. Servers sign each success; one without is a server's fault, and the request may have run.

judgeResponse now knows such a response. It is dropped with its connection: a request that may be repeated goes to another server, any other is answered 502, and a stream that has begun is cut, so that it doesn't look complete.

The four new cases of dispatcher_test.ts failed before (200 instead of 502, no second server, the unsigned event in the stream).

--- a/packages/core/src/gateway/response_verdict.ts
+++ b/packages/core/src/gateway/response_verdict.ts
@@ -10,12 +10,15 @@
 
 /** What is known of a response when its head has arrived. */
 export type ResponseFacts = {
+  readonly status: number;
   /** Whose request id the response bears. */
   readonly identity: "own" | "other" | "none";
   /** Whether the connection carried other requests before. */
   readonly isConnectionReused: boolean;
   /** Whether the response states that the request was not run. */
   readonly isNotRun: boolean;
+  /** Whether the response bears a signature, as all successes of servers do. */
+  readonly isSigned: boolean;
 };
 
 /** What a response proves. */
@@ -25,7 +28,9 @@
   /** The response answers the request. */
   | { readonly kind: "answer" }
   /** It may belong to another request, and the server may run this one. */
-  | { readonly kind: "foreign" };
+  | { readonly kind: "foreign" }
+  /** It looks like a success, but is none of the server's. */
+  | { readonly kind: "unsigned" };
 
 /**
  * Returns what a response proves about the request that was sent before it.
@@ -33,18 +38,25 @@
  * @example
  * ```ts
  * judgeResponse({
+ *   status: 503,
  *   identity: "other",
  *   isConnectionReused: true,
  *   isNotRun: true,
+ *   isSigned: false,
  * }); // { kind: "foreign" }
  * ```
  */
 export function judgeResponse(
-  { identity, isConnectionReused, isNotRun }: ResponseFacts,
+  { identity, isConnectionReused, isNotRun, isSigned, status }: ResponseFacts,
 ): ResponseVerdict {
   // The first response on a connection can't belong to an earlier request.
   const isForeign = identity === "other" ||
     (identity === "none" && isConnectionReused);
   if (isForeign) return { kind: "foreign" };
-  return { kind: isNotRun ? "not-run" : "answer" };
+  if (isNotRun) return { kind: "not-run" };
+  return { kind: isSuccess(status) && !isSigned ? "unsigned" : "answer" };
+}
+
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
 }
--- a/packages/core/test/gateway/response_verdict_test.ts
+++ b/packages/core/test/gateway/response_verdict_test.ts
@@ -1,20 +1,40 @@
 import { expect } from "chai";
 import { gateway } from "../../src/mod.ts";
 
+const SIGNED = { status: 200, isSigned: true };
+
 describe("response verdict", () => {
   type Case = [facts: gateway.ResponseFacts, kind: string];
   const cases: Case[] = [];
   for (const isNotRun of [false, true]) {
     const believed = isNotRun ? "not-run" : "answer";
     for (const isConnectionReused of [false, true]) {
-      const facts = { isConnectionReused, isNotRun };
+      const facts = { ...SIGNED, isConnectionReused, isNotRun };
       cases.push([{ ...facts, identity: "own" }, believed]);
       cases.push([{ ...facts, identity: "other" }, "foreign"]);
     }
-    const facts = { identity: "none", isNotRun } as const;
+    const facts = { ...SIGNED, identity: "none", isNotRun } as const;
     cases.push([{ ...facts, isConnectionReused: false }, believed]);
     cases.push([{ ...facts, isConnectionReused: true }, "foreign"]);
   }
+  for (
+    const [status, kind] of [
+      [200, "unsigned"],
+      [204, "unsigned"],
+      [299, "unsigned"],
+      [304, "answer"],
+      [404, "answer"],
+      [500, "answer"],
+    ] as const
+  ) {
+    cases.push([{
+      status,
+      identity: "own",
+      isConnectionReused: false,
+      isNotRun: false,
+      isSigned: false,
+    }, kind]);
+  }
   for (const [facts, kind] of cases) {
     it(`is ${kind} for ${JSON.stringify(facts)}`, () => {
       expect(gateway.judgeResponse(facts).kind).to.equal(kind);
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -415,37 +415,53 @@
     progress: Progress,
   ): Promise<AttemptResult> {
     const { context } = exchange;
-    const { dialect, tracker } = this.#options;
-    const metadata = dialect.readResponse(
+    const metadata = this.#options.dialect.readResponse(
       result.message,
       context.metadata.id,
       server.id,
     );
     progress.headMs = performance.now() - context.arrivedAt;
     this.#options.metrics.latency.observe(progress.headMs / SECOND_MS);
-    const { isConnectionReused } = result;
+    const { isConnectionReused, status } = result;
     const verdict = core.gateway.judgeResponse({
       ...metadata,
+      status,
       isConnectionReused,
     });
-    if (verdict.kind === "foreign") {
-      result.cancel();
-      const reason = "the answer to another request";
-      return { kind: "unknown", reason, isConnectionLost: false };
-    }
-    if (metadata.identity === "own") result.keepConnection();
-    this.#recordAvailability(server, metadata);
-    if (verdict.kind === "not-run") {
-      return this.#handleNotRun(context, server.id, result, metadata);
+    if (verdict.kind !== "foreign") {
+      this.#recordAvailability(server, metadata);
+      if (metadata.identity === "own") result.keepConnection();
     }
-    if (metadata.isEventStream && result.status === OK_STATUS) {
-      return await this.#relayStream(exchange, server, result, progress);
+    switch (verdict.kind) {
+      case "foreign":
+        return rejectResponse(result, "the answer to another request");
+      case "unsigned":
+        this.#recordFailure(context, server.id);
+        return rejectResponse(result, `status ${status} without a signature`);
+      case "not-run":
+        return this.#handleNotRun(context, server.id, result, metadata);
+      case "answer":
+        return metadata.isEventStream && status === OK_STATUS
+          ? await this.#relayStream(exchange, server, result, progress)
+          : await this.#forwardResponse(exchange, server, result, progress);
+      default:
+        return errors.assertNever(verdict);
     }
+  }
+
+  /** Passes a response on when it is complete. */
+  async #forwardResponse(
+    exchange: Exchange,
+    server: gateway.ServerRecord,
+    result: UpstreamResponse,
+    progress: Progress,
+  ): Promise<AttemptResult> {
+    const { context } = exchange;
     try {
       const response = await this.#bufferResponse(result);
       const isFailure = response.status >= MIN_SERVER_ERROR_STATUS;
       if (isFailure) context.failedServers.add(server.id);
-      else tracker.recordSuccess(server.id);
+      else this.#options.tracker.recordSuccess(server.id);
       if (isFailure && context.isRetryable) return { kind: "failed", response };
       return this.#sendResponse(exchange, response, progress);
     } catch (error) {
@@ -641,6 +657,15 @@
   return Math.min(readyMs + Math.random() * RETRY_SPREAD_MS, longestMs);
 }
 
+/** Drops a response that proves nothing, and its connection. */
+function rejectResponse(
+  { cancel }: UpstreamResponse,
+  reason: string,
+): AttemptResult {
+  cancel();
+  return { kind: "unknown", reason, isConnectionLost: false };
+}
+
 /** States that a request has not run only if that is certain. */
 function createRefusal(
   context: types.RequestContext,
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -47,6 +47,8 @@
   readonly reason: "none" | "busy" | "other-server" | "no-model";
   /** Whose request id the response bears. */
   readonly identity: "own" | "other" | "none";
+  /** Whether the response bears a signature, as all successes of servers do. */
+  readonly isSigned: boolean;
   readonly isEventStream: boolean;
   /** Whether the server leaves and wants no further requests. */
   readonly isLeaving: boolean;
--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -19,6 +19,8 @@
   serverRecord,
   type ServerScript,
   stream,
+  UNSIGNED_RESPONSE,
+  UNSIGNED_STREAM,
 } from "./dispatching.ts";
 
 /** Time limit of a request that the limit of memory is to end, however busy the machine. */
@@ -86,6 +88,27 @@
       500,
       [1, 1, 0],
     ],
+    [
+      "does not take an unsigned success for the server's answer",
+      "unsafe",
+      [respond(UNSIGNED_RESPONSE), respond(OK_RESPONSE)],
+      502,
+      [1, 0],
+    ],
+    [
+      "retries a safe request after an unsigned success",
+      "safe",
+      [respond(UNSIGNED_RESPONSE), respond(OK_RESPONSE)],
+      200,
+      [1, 1],
+    ],
+    [
+      "does not relay an unsigned stream",
+      "streaming",
+      [respond(UNSIGNED_STREAM), stream(3, false)],
+      502,
+      [1, 0],
+    ],
     [
       "responds with 503 if no server ran the request",
       "unsafe",
@@ -176,6 +199,13 @@
     }
   });
 
+  it("does not continue a stream with an unsigned one", async () => {
+    const scripts = [stream(3, true), respond(UNSIGNED_STREAM)];
+    const observed = await serve("streaming", true, scripts);
+    expect(observed.text).to.equal([1, 2, 3].map(event).join(""));
+    expect(observed.isComplete).to.equal(false);
+  });
+
   it("bounds the memory of endless answers, and serves the next request", async () => {
     const block = Buffer.alloc(64 * 1_024, "x");
     let buffered = 0;
--- a/packages/daemon/test/gateway/dispatching.ts
+++ b/packages/daemon/test/gateway/dispatching.ts
@@ -24,6 +24,8 @@
 export type ServerScript = (socket: net.Socket, head: string) => void;
 
 export const OK_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+export const UNSIGNED_RESPONSE =
+  "HTTP/1.1 200 OK\r\nX-Unsigned: 1\r\nContent-Length: 2\r\n\r\nno";
 export const BUSY_RESPONSE =
   "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 export const ERROR_RESPONSE =
@@ -32,6 +34,11 @@
   "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
   "Transfer-Encoding: chunked\r\n\r\n";
 
+/** A complete stream with an event after the third, but without signature. */
+export const UNSIGNED_STREAM =
+  STREAM_HEAD.replace("\r\n\r\n", "\r\nX-Unsigned: 1\r\n\r\n") +
+  `${chunk(event(4))}0\r\n\r\n`;
+
 export function respond(text: string): ServerScript {
   return (socket) => socket.end(text);
 }
@@ -79,6 +86,7 @@
       : headers["x-id"] === requestId
       ? "own"
       : "other",
+    isSigned: headers["x-unsigned"] === undefined,
     isNotRun: headers["x-not-run"] !== undefined,
     reason: headers["x-not-run"] === undefined ? "none" : "busy",
     isEventStream: headers["content-type"] === "text/event-stream",
--- a/packages/daemon/test/gateway/entry_host_test.ts
+++ b/packages/daemon/test/gateway/entry_host_test.ts
@@ -81,6 +81,7 @@
           isNotRun: false,
           reason: "none",
           identity: "none",
+          isSigned: true,
           isEventStream: false,
           isLeaving: false,
           closedMs: undefined,
