Join a stream only with events that follow on

Cause: the relay took any events for the continuation, since it had asked for one.

core.gateway.EventSequence checks at each change of server, and at the first event of a stream that a caller resumes, that the ids go on: not repeated, and no further ahead than the events before have been apart. If not, nothing of that server is relayed; another one may go on, else the stream is cut. A continuation without any event may be a stream whose end was lost or one that lacks events; it is cut, too, and the caller may resume it.

--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * from "./configuration_rollout.ts";
+export * from "./event_sequence.ts";
 export * from "./freshness.ts";
 export * from "./demand_tracker.ts";
 export * from "./membership_change.ts";
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -367,9 +367,7 @@
           ? undefined
           : context.priority,
         lastEventId: progress.relay?.lastEventId ??
-          (context.route.isResumable
-            ? context.metadata.lastEventId
-            : undefined),
+          callersLastEventId(context),
         bodyBytes: body?.length,
       }),
       body,
@@ -569,7 +567,10 @@
       const isSelfDelimited = upstream.isSelfDelimited(result.message);
       const headers = this.#options.dialect.responseHeaders(result.message);
       responses.startStream(response, result.status, headers, isSelfDelimited);
-      progress.relay = new eventRelay.EventRelay(response);
+      progress.relay = new eventRelay.EventRelay(
+        response,
+        callersLastEventId(context),
+      );
     }
     this.#recordStream(context, server, progress);
     try {
@@ -660,6 +661,13 @@
   return Math.min(readyMs + Math.random() * RETRY_SPREAD_MS, longestMs);
 }
 
+/** Id of the last event that the caller has received of a stream it resumes. */
+function callersLastEventId(
+  { metadata, route }: types.RequestContext,
+): string | undefined {
+  return route.isResumable ? metadata.lastEventId : undefined;
+}
+
 /** Drops a response that proves nothing, and its connection. */
 function rejectResponse(
   { cancel }: UpstreamResponse,
--- a/packages/daemon/src/gateway/entry/event_relay.ts
+++ b/packages/daemon/src/gateway/entry/event_relay.ts
@@ -5,6 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import * as core from "@ebonypath/core";
 
 const EVENT_DELIMITER = Buffer.from("\n\n");
 const MAX_EVENT_BYTES = 1024 * 1024;
@@ -19,17 +20,19 @@
  */
 export class EventRelay {
   readonly #response: http.ServerResponse;
+  readonly #sequence: core.gateway.EventSequence;
   #partialEvent: Buffer = Buffer.alloc(0);
-  #lastEventId: string | undefined;
   #eventCount = 0;
 
-  constructor(response: http.ServerResponse) {
+  /** @param lastEventId id of the last event that the caller has received */
+  constructor(response: http.ServerResponse, lastEventId?: string) {
     this.#response = response;
+    this.#sequence = new core.gateway.EventSequence(lastEventId);
   }
 
   /** Id of the last event that was relayed. */
   get lastEventId(): string | undefined {
-    return this.#lastEventId;
+    return this.#sequence.lastId;
   }
 
   /** Number of events that were relayed. */
@@ -38,25 +41,34 @@
   }
 
   /**
-   * Relays one server's stream to its end.
+   * Relays one server's stream to its end. If the stream has begun at another
+   * server, this one has to follow on.
    *
    * @param completed rejects when the stream is interrupted
    *
-   * @throws {Error} the stream was interrupted, or ended inside an event
+   * @throws {Error} the stream was interrupted, ended inside an event or does
+   * not follow on
    */
   async relay(
     message: http.IncomingMessage,
     completed: Promise<void>,
   ): Promise<void> {
     this.#partialEvent = Buffer.alloc(0);
+    this.#sequence.begin();
+    const previousCount = this.#eventCount;
     message.on("data", (chunk: Buffer) => this.#onChunk(chunk, message));
     await completed;
     if (this.#partialEvent.length > 0) {
       throw new Error("the stream ended within an event");
     }
+    if (previousCount > 0 && this.#eventCount === previousCount) {
+      throw new Error("the stream goes on without an event");
+    }
   }
 
   #onChunk(chunk: Buffer, message: http.IncomingMessage): void {
+    // Chunks that were received together still arrive.
+    if (message.destroyed) return;
     const bytes = this.#partialEvent.length === 0
       ? chunk
       : Buffer.concat([this.#partialEvent, chunk]);
@@ -75,14 +87,18 @@
   }
 
   #write(events: Buffer, message: http.IncomingMessage): void {
-    this.#trackEvents(events);
+    const order = this.#trackEvents(events);
+    if (order !== "in-order") {
+      message.destroy(new Error(`the stream goes on with ${order} events`));
+      return;
+    }
     if (this.#response.write(events)) return;
     message.pause();
     this.#response.once("drain", () => message.resume());
   }
 
-  /** Counts the events and remembers the id of the last one. */
-  #trackEvents(events: Buffer): void {
+  /** Counts events until one doesn't follow on from those before. */
+  #trackEvents(events: Buffer): core.gateway.EventOrder {
     let lineStart = 0;
     while (lineStart < events.length) {
       const newline = events.indexOf(NEWLINE, lineStart);
@@ -92,9 +108,11 @@
         const id = ID_LINE.exec(
           events.toString("utf8", lineStart, lineEnd),
         )?.[1];
-        this.#lastEventId = id ?? this.#lastEventId;
+        const order = id === undefined ? "in-order" : this.#sequence.add(id);
+        if (order !== "in-order") return order;
       }
       lineStart = lineEnd + 1;
     }
+    return "in-order";
   }
 }
--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -6,6 +6,7 @@
 import { expect } from "chai";
 import {
   BUSY_RESPONSE,
+  completeStream,
   createContext,
   createDispatcher,
   ERROR_RESPONSE,
@@ -221,6 +222,37 @@
     expect(observed.isComplete).to.equal(false);
   });
 
+  const continuations: [name: string, firstId: number, count: number][] = [
+    ["starts again at the first event", 1, 6],
+    ["repeats the last event", 3, 3],
+    ["skips an event", 5, 2],
+    ["ends without an event", 4, 0],
+  ];
+  for (const [name, firstId, count] of continuations) {
+    it(`does not join a stream with one that ${name}`, async () => {
+      const events = Array.from({ length: count }, (_, at) => firstId + at);
+      const observed = await serve("streaming", true, [
+        stream(3, true),
+        respond(completeStream(events)),
+      ]);
+      expect(observed.text).to.equal([1, 2, 3].map(event).join(""));
+      expect(observed.isComplete).to.equal(false);
+    });
+  }
+
+  it("does not begin a resumed stream with events from before", async () => {
+    const observed = await serve(
+      "streaming",
+      true,
+      [respond(completeStream([3, 4])), stream(5, false)],
+      [],
+      100,
+      "3",
+    );
+    expect(observed.text).to.equal([4, 5].map(event).join(""));
+    expect(observed.isComplete).to.equal(true);
+  });
+
   it("bounds the memory of endless answers, and serves the next request", async () => {
     const block = Buffer.alloc(64 * 1_024, "x");
     let buffered = 0;
@@ -250,7 +282,7 @@
     );
     const shared = createDispatcher(records);
     const gatewayServer = http.createServer((request, response) => {
-      const context = createContext("unsafe", false, LONG_TIMEOUT_MS);
+      const context = createContext("unsafe", false, {}, LONG_TIMEOUT_MS);
       void shared.serve({ context, request, body: undefined, response });
     });
     gatewayServer.listen(0, "127.0.0.1");
--- a/packages/daemon/test/gateway/dispatching.ts
+++ b/packages/daemon/test/gateway/dispatching.ts
@@ -38,9 +38,8 @@
   "Transfer-Encoding: chunked\r\n\r\n";
 
 /** A complete stream with an event after the third, but without signature. */
-export const UNSIGNED_STREAM =
-  STREAM_HEAD.replace("\r\n\r\n", "\r\nX-Unsigned: 1\r\n\r\n") +
-  `${chunk(event(4))}0\r\n\r\n`;
+export const UNSIGNED_STREAM = completeStream([4])
+  .replace("\r\n\r\n", "\r\nX-Unsigned: 1\r\n\r\n");
 
 export function respond(text: string): ServerScript {
   return (socket) => socket.end(text);
@@ -60,6 +59,12 @@
   return `id: ${id}\ndata: ${id}\n\n`;
 }
 
+/** A stream of some events that ends as complete. */
+export function completeStream(ids: readonly number[]): string {
+  const chunks = ids.map((id) => chunk(event(id)));
+  return `${STREAM_HEAD}${chunks.join("")}0\r\n\r\n`;
+}
+
 /**
  * Streams the events from the one after `Last-Event-Id` to the last one, and
  * then ends the stream or breaks it.
@@ -126,6 +131,7 @@
   scripts: readonly ServerScript[],
   versions: readonly string[] = [],
   retrySlack = 100,
+  lastEventId?: string,
 ): Promise<Observed> {
   const arrivals = scripts.map(() => 0);
   const servers = await Promise.all(scripts.map(async (script, index) => {
@@ -157,7 +163,7 @@
     retrySlack,
   );
   const gatewayServer = http.createServer((request, response) => {
-    const context = createContext(kind, isResumable);
+    const context = createContext(kind, isResumable, { lastEventId });
     void dispatching.serve({ context, request, body: undefined, response });
   });
   gatewayServer.listen(0, "127.0.0.1");
@@ -222,13 +228,13 @@
 export function createContext(
   kind: gateway.RouteKind,
   isResumable: boolean,
+  metadata: Partial<types.RequestMetadata> = {},
   timeoutMs = TIMEOUT_MS,
-  id = EMPTY_METADATA.id,
 ): types.RequestContext {
   const now = performance.now();
   const abortController = new AbortController();
   return {
-    metadata: { ...EMPTY_METADATA, id },
+    metadata: { ...EMPTY_METADATA, ...metadata },
     identity: identityOf(),
     route: {
       name: "r",
--- a/packages/daemon/test/gateway/repeated_refusals_test.ts
+++ b/packages/daemon/test/gateway/repeated_refusals_test.ts
@@ -84,7 +84,7 @@
       const dispatching = createDispatcher(selections);
       const gateway = http.createServer((request, response) => {
         const id = String(request.headers["x-id"]);
-        const context = createContext("safe", false, undefined, id);
+        const context = createContext("safe", false, { id });
         void dispatching.serve({ context, request, body: undefined, response });
       });
       gateway.listen(0, "127.0.0.1");
