Require an id of a refusal on a used connection in the daemon, too

A plain service gives no request id. When it wrote an earlier refusal again on a kept connection, the daemon took it for the next request, told "not run" and sent a request that ran to another server.

It is believed now if it bears the request's id or is the first response on its connection; else the request may have run.

The new test of inference_client failed before for a refusal without an id; the one with another id was clean. Streams of the daemon are not joined from several servers, and a body counts by its length, chunks or terminal event: clean.

--- a/packages/daemon/src/backend/connections.ts
+++ b/packages/daemon/src/backend/connections.ts
@@ -89,6 +89,8 @@
 /** A connection that is reserved for one request until it is released. */
 export interface PooledConnection {
   readonly client: undici.Client;
+  /** Whether it carried other requests before. */
+  readonly isReused: boolean;
   /** Returns the connection. It is reused only after a complete response. */
   release(isComplete: boolean): void;
 }
@@ -175,6 +177,7 @@
     this.#active.add(client);
     return {
       client,
+      isReused: idle !== undefined,
       release: (isComplete) => this.#release(client, createdAt, isComplete),
     };
   }
--- a/packages/daemon/src/backend/exchange.ts
+++ b/packages/daemon/src/backend/exchange.ts
@@ -34,6 +34,8 @@
   readonly method: string;
   readonly requestId?: string;
   readonly requiresRequestId: boolean;
+  /** Whether the connection carried other requests before. */
+  readonly isConnectionReused?: boolean;
   readonly firstByteTimeoutMs: number;
   readonly idleTimeoutMs: number;
   readonly signal: AbortSignal;
@@ -141,8 +143,12 @@
     responseHeaders: http.IncomingHttpHeaders,
   ): types.DispatchFault | undefined {
     const echoed = responseHeaders[headers.REQUEST_ID_HEADER];
-    const { requestId, requiresRequestId } = this.#options;
-    const isMissing = echoed === undefined && !requiresRequestId;
+    const { isConnectionReused, requestId, requiresRequestId } = this.#options;
+    // A repeated refusal would let a request that runs be sent again.
+    const mayBeRepeated = isConnectionReused === true &&
+      responseHeaders[headers.NOT_STARTED_HEADER] === "true";
+    const isOptional = !requiresRequestId && !mayBeRepeated;
+    const isMissing = echoed === undefined && isOptional;
     if (!isMissing && echoed !== requestId) return "crossed";
     const hasNoBody = status === 204 || status === 304 ||
       this.#options.method === "HEAD";
--- a/packages/daemon/src/backend/inference_client.ts
+++ b/packages/daemon/src/backend/inference_client.ts
@@ -42,6 +42,7 @@
       method: request.method,
       requestId: request.requestId,
       requiresRequestId: request.requiresRequestId,
+      isConnectionReused: connection.isReused,
       firstByteTimeoutMs: request.firstByteTimeoutMs,
       idleTimeoutMs: request.idleTimeoutMs,
       signal: request.signal,
@@ -129,6 +130,7 @@
   const client = connections.createClient(origin);
   return {
     client,
+    isReused: false,
     release: (isComplete) => connections.closeClient(client, isComplete),
   };
 }
--- a/packages/daemon/src/backend/types.ts
+++ b/packages/daemon/src/backend/types.ts
@@ -46,7 +46,8 @@
 
 /**
  * Why a request got no usable response. `crossed` means that the response has
- * the id of another request, or none although one is required.
+ * the id of another request, or none although one is required. A refusal on a
+ * connection that carried other requests requires one.
  */
 export type DispatchFault =
   | "connect"
--- a/packages/daemon/test/backend/inference_client_test.ts
+++ b/packages/daemon/test/backend/inference_client_test.ts
@@ -192,6 +192,24 @@
     });
   }
 
+  for (const id of ["x-request-id: r0\r\n", ""]) {
+    const name = id === "" ? "without an id" : "with the id of another request";
+    it(`does not believe a repeated refusal ${name} on a kept connection`, async () => {
+      await using raw = await new rawServer.RawServer([
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        `HTTP/1.1 503 Full\r\n${id}x-ebonypath-not-started: true\r\n` +
+        "content-length: 0\r\n\r\n",
+      ]).start();
+      const request = createRequest(raw.address, { requiresRequestId: false });
+      expect(await readBody(await client.dispatch(request))).to.equal("ok");
+      expect(await client.dispatch(request)).to.include({
+        kind: "failed",
+        fault: "crossed",
+        bytesSent: true,
+      });
+    });
+  }
+
   const bodyFaults = [
     {
       title: "is truncated",
--- a/packages/daemon/test/backend/raw_server.ts
+++ b/packages/daemon/test/backend/raw_server.ts
@@ -1,22 +1,31 @@
 import { once } from "node:events";
 import * as net from "node:net";
 
-/** A TCP server that responds to all received data with the same raw bytes. */
+/** A TCP server that responds to received data with raw bytes. */
 export class RawServer {
   /** All received data, decoded as text. */
   received = "";
   readonly #server: net.Server;
   readonly #sockets = new Set<net.Socket>();
 
-  /** If `closeAfterResponse` is set, each connection ends after the response. */
-  constructor(response: string, closeAfterResponse = false) {
+  /**
+   * @param response the same for all received data, or one for each in order
+   * @param closeAfterResponse whether each connection ends after a response
+   */
+  constructor(
+    response: string | readonly string[],
+    closeAfterResponse = false,
+  ) {
+    const responses = typeof response === "string" ? [] : [...response];
+    const nextResponse = () =>
+      typeof response === "string" ? response : responses.shift() ?? "";
     this.#server = net.createServer((socket) => {
       this.#sockets.add(socket);
       socket.on("error", () => {});
       socket.on("data", (chunk) => {
         this.received += chunk.toString();
-        if (closeAfterResponse) socket.end(response);
-        else socket.write(response);
+        if (closeAfterResponse) socket.end(nextResponse());
+        else socket.write(nextResponse());
       });
     });
   }
