Let all hosts read each name that a configuration may have

A configuration with a name, host, prefix or key of more than 512 characters was accepted by the control host that leads, acknowledged to the operator and then read by no entry host: each of them refused the leader's whole answer, and with it all later changes of configurations and servers (CONFIG: not in force in time). Through another control host it was never acknowledged.

Cause: three schemas between the hosts each had a limit of their own (256, 512 and 1,024 characters), the decoder of the operator's document none. Names of configurations now have one schema without a limit of their own; documents, heartbeats and messages are limited as a whole. What a server alone states of itself keeps its limit.

--- a/packages/protocol/src/gateway/configuration.ts
+++ b/packages/protocol/src/gateway/configuration.ts
@@ -4,11 +4,8 @@
  * @module
  */
 import * as v from "valibot";
+import { Name } from "./name.ts";
 
-/** Maximum length of a name in a configuration, in characters. */
-const MAX_NAME_LENGTH = 512;
-
-const Name = v.pipe(v.string(), v.minLength(1), v.maxLength(MAX_NAME_LENGTH));
 const Count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const Amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -7,12 +7,12 @@
 import * as state from "../state/mod.ts";
 import * as suspicion from "../suspicion/mod.ts";
 import * as configuration from "./configuration.ts";
+import { Name } from "./name.ts";
 import * as server from "./server.ts";
 
 /** Maximum number of records in one list of a message. */
 const MAX_RECORDS = 20_000;
 
-const Name = v.pipe(v.string(), v.minLength(1), v.maxLength(1_024));
 const Count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const Fingerprint = v.pipe(v.string(), v.regex(/^[0-9a-f]{16,128}$/));
 const Amount = v.pipe(v.number(), v.finite(), v.minValue(0));
--- a/packages/protocol/src/gateway/server.ts
+++ b/packages/protocol/src/gateway/server.ts
@@ -5,9 +5,10 @@
  */
 import * as v from "valibot";
 import * as settings from "../settings/mod.ts";
+import { Name } from "./name.ts";
 
-/** Maximum length of a name, id or address, in characters. */
-const MAX_NAME_LENGTH = 256;
+/** Maximum length of what a server states of itself alone, in characters. */
+const MAX_LABEL_LENGTH = 256;
 /** Maximum number of names or models in a list. */
 const MAX_LIST_LENGTH = 4_096;
 /** Most requests that a server may state that it runs at the same time. */
@@ -20,7 +21,7 @@
  */
 const MAX_SEQUENCE = 5e15;
 
-const Name = v.pipe(v.string(), v.minLength(1), v.maxLength(MAX_NAME_LENGTH));
+const Label = v.pipe(v.string(), v.minLength(1), v.maxLength(MAX_LABEL_LENGTH));
 const Count = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const Names = v.pipe(v.array(Name), v.maxLength(MAX_LIST_LENGTH));
 
@@ -45,7 +46,7 @@
 
 /** A heartbeat of a backend server. */
 export const Heartbeat = v.object({
-  id: Name,
+  id: Label,
   /** Wall-clock time of its start, in ms; distinguishes restarts. */
   born: Count,
   /** Increases with each heartbeat after a start. */
@@ -56,11 +57,11 @@
    * servers of the version that began it.
    */
   softwareVersion: v.optional(
-    v.pipe(v.string(), v.maxLength(MAX_NAME_LENGTH)),
+    v.pipe(v.string(), v.maxLength(MAX_LABEL_LENGTH)),
     "",
   ),
   address: Address,
-  failureDomain: Name,
+  failureDomain: Label,
   slots: v.pipe(Count, v.maxValue(MAX_SLOTS)),
   state: ServerState,
   /** Time until its warm-up ends, in milliseconds. */
