Reject a configuration in which two workspaces of one name share a key

Two entries of the same name that share a key were taken for one workspace, and the invalid configuration was accepted (CONFIG: an invalid one was taken). The entries are compared, not their names.

--- a/packages/protocol/src/gateway/validation.ts
+++ b/packages/protocol/src/gateway/validation.ts
@@ -56,14 +56,14 @@
 function findKeyError(
   workspaces: readonly types.Workspace[],
 ): string | undefined {
-  const ownerByKey = new Map<string, string>();
-  for (const { keys, name } of workspaces) {
-    for (const key of keys) {
+  const ownerByKey = new Map<string, types.Workspace>();
+  for (const workspace of workspaces) {
+    for (const key of workspace.keys) {
       const owner = ownerByKey.get(key);
-      if (owner !== undefined && owner !== name) {
-        return `workspaces ${owner} and ${name} share a key`;
+      if (owner !== undefined && owner !== workspace) {
+        return `workspaces ${owner.name} and ${workspace.name} share a key`;
       }
-      ownerByKey.set(key, name);
+      ownerByKey.set(key, workspace);
     }
   }
   return undefined;
