Serve requests of routes whose timeout exceeds the longest timer

Requests without a deadline of their own on a route with a timeout of more than 24.8 days were ended as soon as they were admitted: a timer of Node.js beyond 2^31-1 ms ends at once. The new test of request_handler_test.ts failed before.

--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -58,6 +58,8 @@
  * A lost leader is usually replaced within it.
  */
 const UNKNOWN_USAGE_WAIT_MS = 1_000;
+/** Longest delay of a timer of Node.js, in ms; a longer one ends at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
 const SECOND_MS = 1_000;
 /** Least urgent priority that backend servers distinguish. */
 const MAX_PRIORITY = 9;
@@ -303,7 +305,7 @@
     const abortController = new AbortController();
     const timer = setTimeout(
       () => abortController.abort(),
-      Math.max(0, deadline - performance.now()),
+      Math.min(Math.max(0, deadline - performance.now()), MAX_TIMER_MS),
     );
     response.on("close", () => abortController.abort());
     const patienceMs = route.patienceMs ?? Infinity;
--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -185,6 +185,29 @@
   });
 });
 
+describe("a request to a route with an unusually long timeout", () => {
+  it("is not ended before it is served", async () => {
+    await using fixture = new Fixture(undefined);
+    fixture.servesAtOnce = false;
+    const { configuration } = WATCH_RESPONSE;
+    if (configuration === undefined) throw new TypeError("none to change");
+    const routes = configuration.routes.map((route) => ({
+      ...route,
+      timeoutMs: 2 ** 32,
+    }));
+    fixture.view.apply(
+      { ...WATCH_RESPONSE, configuration: { ...configuration, routes } },
+      performance.now(),
+    );
+    const request = await fixture.sendRequest();
+    request.on("error", () => undefined);
+    await timers.setTimeout(50);
+    expect(fixture.dispatched.map(({ signal }) => signal.aborted))
+      .to.deep.equal([false]);
+    request.destroy();
+  });
+});
+
 describe("a request of a workspace that has used up its rate", () => {
   const TOKENS = 100;
   const RATE = {
