--- a/packages/daemon/src/fleet/rpc_client.ts
+++ b/packages/daemon/src/fleet/rpc_client.ts
@@ -80,14 +80,14 @@
     timeoutMs: number,
     signal: AbortSignal,
   ): Promise<undici.Dispatcher.ResponseData["body"]> {
-    const response = await undici.request(`${this.#origin(peer)}${path}`, {
+    const response = await this.#pool(peer).request({
+      path,
       method: "POST",
       headers: this.#headers(),
       body: JSON.stringify(body),
       headersTimeout: timeoutMs,
       bodyTimeout: 0,
       signal,
-      dispatcher: this.#pool(peer),
     }).catch((cause: unknown) => {
       this.#replacePool(peer);
       throw new errors.Unreachable(`fleet${path}`, peer, "no answer", cause);
