Forget the load of other hosts that the leader told of long ago

A count is unknown from an age of 2 s on, the longest interval of the reports that the leader answers with it. A server that is full then says so.

--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -279,7 +279,7 @@
     }
     this.#retryBudgets.setHostCount(response.hostCount, now);
     this.#rateLimiter.setHostCount(this.#retryBudgets.hostCount);
-    this.#serverTracker.applyFleetLoad(response.load);
+    this.#serverTracker.applyFleetLoad(response.load, now);
     this.#unitBorrower.onLent(response.lent, requestedAt);
     this.#crashSuspects.onReportResponse(response);
     this.#serverSelector.processQueue();
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -208,7 +208,7 @@
       .map((known) => ({
         id: known.record.id,
         record: known.record,
-        utilization: this.#utilization(known.record),
+        utilization: this.#utilization(known.record, now),
         isCold: isCold(known, context, now),
       }))
       .filter(({ utilization }) => utilization < maxUtilization);
@@ -239,7 +239,7 @@
       suspects.returnAdmission(context);
     }
     const byUtilization = eligible.toSorted((one, other) =>
-      this.#utilization(one.record) - this.#utilization(other.record)
+      this.#utilization(one.record, now) - this.#utilization(other.record, now)
     );
     const ids = byUtilization.map(({ record }) => record.id);
     suspects.requestAdmission(context, ids, now);
@@ -292,8 +292,8 @@
   }
 
   /** Requests in flight per slot. */
-  #utilization({ id, slots }: gateway.ServerRecord): number {
-    return this.#options.tracker.loadOf(id) / Math.max(1, slots);
+  #utilization({ id, slots }: gateway.ServerRecord, now: number): number {
+    return this.#options.tracker.loadOf(id, now) / Math.max(1, slots);
   }
 }
 
--- a/packages/daemon/src/gateway/entry/server_tracker.ts
+++ b/packages/daemon/src/gateway/entry/server_tracker.ts
@@ -17,6 +17,11 @@
  * it, in milliseconds.
  */
 const MISSING_MODEL_MS = 150;
+/**
+ * Age from which on the requests of other hosts at a server are unknown, in ms:
+ * the longest interval of the reports that the leader answers with them.
+ */
+const MAX_FLEET_LOAD_AGE_MS = 2_000;
 
 /** Failures in a row of one server. */
 type FailureRecord = {
@@ -34,7 +39,11 @@
 };
 
 /** Requests of other hosts at one server. */
-type FleetLoad = { readonly others: number };
+type FleetLoad = {
+  readonly others: number;
+  /** Monotonic time at which the leader told it, in milliseconds. */
+  readonly toldAt: number;
+};
 
 /** Tracks requests in flight and failures by server. */
 export class ServerTracker {
@@ -98,20 +107,25 @@
   }
 
   /** Applies the leader's counts of the requests of all hosts. */
-  applyFleetLoad(load: readonly gateway.ServerLoad[]): void {
+  applyFleetLoad(load: readonly gateway.ServerLoad[], now: number): void {
     for (const { running, server } of load) {
       const own = this.#ownLoad.get(server) ?? 0;
-      this.#fleetLoad.set(server, { others: Math.max(0, running - own) });
+      const others = Math.max(0, running - own);
+      this.#fleetLoad.set(server, { others, toldAt: now });
     }
   }
 
   /**
    * Estimates the requests in flight at a server: this host's current ones, and
-   * those that other hosts had when the leader last told.
+   * those that other hosts had if the leader has told lately. A server that is
+   * full says so; one that counts as full for ever would get none.
    */
-  loadOf(server: string): number {
-    return (this.#ownLoad.get(server) ?? 0) +
-      (this.#fleetLoad.get(server)?.others ?? 0);
+  loadOf(server: string, now: number): number {
+    const told = this.#fleetLoad.get(server);
+    const isCurrent = told !== undefined &&
+      now - told.toldAt <= MAX_FLEET_LOAD_AGE_MS;
+    const others = isCurrent ? told.others : 0;
+    return (this.#ownLoad.get(server) ?? 0) + others;
   }
 
   /** Ends the ejection of a server and resets its failure count. */
