Keep free slots of a server for the hosts that have fewest

The unit that doesn't divide evenly changes hands between the hosts that ask often: each takes it when it is free, so that nothing is free whenever the late host asks, which is owed one. And ages were compared as reported: the host that asks has the freshest report and so the longest wait.

Free slots are now divided by what each host has, fewest first, and kept for hosts that don't report at the moment; ages go on from the report; a host whose requests wait without any slot for 250 ms comes before hosts that have one.

--- a/packages/core/src/limits/fair_division.ts
+++ b/packages/core/src/limits/fair_division.ts
@@ -134,6 +134,14 @@
   readonly ageMs: number;
 };
 
+/** What a participant has, and what it is to have. */
+export type UnitTarget = {
+  readonly held: number;
+  readonly target: number;
+  /** How long the oldest request has waited, in milliseconds. */
+  readonly ageMs: number;
+};
+
 /**
  * Divides whole units by max-min fairness: first for current use, then for
  * requests that wait for a load to complete, then for buffers. Units that don't
@@ -174,6 +182,37 @@
   return result;
 }
 
+/**
+ * Divides units that are free, one after the other: each goes to the participant
+ * that has the fewest, up to its target, and of several to the one that has
+ * waited longest.
+ *
+ * @example
+ * ```ts
+ * divideFreeUnits(1, [
+ *   { held: 1, target: 2, ageMs: 50 },
+ *   { held: 0, target: 1, ageMs: 10 },
+ * ]); // [0, 1]
+ * ```
+ */
+export function divideFreeUnits(
+  free: number,
+  participants: readonly UnitTarget[],
+): number[] {
+  const parts = participants.map(() => 0);
+  const held = (index: number) => participants[index]!.held + parts[index]!;
+  for (let unit = 1; unit <= free; unit += 1) {
+    const [next] = participants.map((_, index) => index)
+      .filter((index) => held(index) < participants[index]!.target)
+      .sort((a, b) =>
+        held(a) - held(b) || participants[b]!.ageMs - participants[a]!.ageMs
+      );
+    if (next === undefined) break;
+    parts[next]! += 1;
+  }
+  return parts;
+}
+
 /** Returns the participants with a waiting request, longest-waiting first. */
 function byHeadAge(
   demands: ReadonlyArray<Pick<Demand, "head" | "headAgeMs">>,
--- a/packages/core/src/limits/slot_pool.ts
+++ b/packages/core/src/limits/slot_pool.ts
@@ -5,7 +5,11 @@
  */
 
 import type * as protocol from "@ebonypath/protocol";
-import { divideUnits, type UnitDemand } from "./fair_division.ts";
+import {
+  divideFreeUnits,
+  divideUnits,
+  type UnitDemand,
+} from "./fair_division.ts";
 import { PoolGrantState } from "./pool_grant_state.ts";
 import {
   allocatedTo,
@@ -43,6 +47,9 @@
   readonly expected?: number | undefined;
   readonly horizonMs: number;
   readonly outcomes: protocol.limits.ServerOutcomes;
+  readonly reportedAt: number;
+  /** Time at which the holder last had a slot; of its first report if never. */
+  readonly heldAt: number;
 };
 
 /** The state in which a pool is created. */
@@ -55,6 +62,13 @@
   readonly isGrantable: boolean;
 };
 
+/**
+ * Time without a slot, in milliseconds, after which a holder whose requests wait
+ * gets one before holders that have one. It bounds how often a slot changes
+ * hands, which leaves it unused for a while.
+ */
+const MAX_TIME_WITHOUT_SLOT_MS = 250;
+
 const NO_OUTCOMES = { succeeded: 0, refused: 0, failed: 0, slow: 0 };
 
 /** One backend server's slots, divided among holders. */
@@ -98,7 +112,7 @@
   isActive(now: number): boolean {
     this.advance(now);
     const hasDemand = [...this.#holderStates.values()]
-      .some((state) => demandOf(state).expected > 0);
+      .some((state) => demandOf(state, now).expected > 0);
     return hasDemand || this.#allocations.isAdopting || this.allocated() > 0;
   }
 
@@ -183,8 +197,8 @@
       this.#reattribute(report.slots);
     }
     this.#collectOutcomes(holder, report.outcomes);
-    this.#holderStates.set(holder, report);
-    const slots = this.#target(holder, report);
+    this.#recordState(holder, report, now);
+    const slots = this.#target(holder, report, now);
     this.#allocations.recordGrant(holder, {
       id,
       size: { capacity: slots, rate: 0 },
@@ -211,7 +225,7 @@
     const allocation = this.#allocations.holders.get(holder);
     if (own === undefined || allocation === undefined) return false;
     const granted = allocation.pending?.size.capacity ?? 0;
-    const { needed, expected } = demandOf(own);
+    const { needed, expected } = demandOf(own, own.reportedAt);
     if (own.waiting > 0 && granted < needed) {
       return this.#othersHaveSpare(holder, ({ running }) => running);
     }
@@ -262,10 +276,26 @@
     return { observed: { running, ageMs: Math.max(0, now - at) } };
   }
 
-  #target(holder: string, report: protocol.limits.SlotReport): number {
+  #recordState(
+    holder: string,
+    report: protocol.limits.SlotReport,
+    now: number,
+  ): void {
+    const heldAt = report.slots > 0
+      ? now
+      : this.#holderStates.get(holder)?.heldAt ?? now;
+    this.#holderStates.set(holder, { ...report, reportedAt: now, heldAt });
+  }
+
+  #target(
+    holder: string,
+    report: protocol.limits.SlotReport,
+    now: number,
+  ): number {
     if (!this.grantState.isGrantable) return 0;
     const index = [...this.#holderStates.keys()].indexOf(holder);
-    const demands = [...this.#holderStates.values()].map(demandOf);
+    const demands = [...this.#holderStates.values()]
+      .map((state) => demandOf(state, now));
     const unreported = this.allocated() -
       this.#allocations.allocatedToKnownHolders().capacity;
     const maxSlots = Math.max(this.#limit, this.#inherited());
@@ -275,8 +305,33 @@
     const fair = divideUnits(maxSlots - this.#orphanedSlots(), demands)[index]!;
     const available = divideUnits(maxSlots - unreported, demands)[index]!;
     const target = Math.max(available, Math.min(fair, demands[index]!.needed));
+    return Math.min(
+      target,
+      report.slots + this.#freeSlotsFor(index, target, demands),
+    );
+  }
+
+  /**
+   * Slots that a holder may get in addition now. Free slots are kept for holders
+   * that have fewer, also while these don't report: the others ask more often.
+   */
+  #freeSlotsFor(
+    index: number,
+    target: number,
+    demands: readonly UnitDemand[],
+  ): number {
     const free = Math.max(0, Math.floor(this.#limit) - this.allocated());
-    return Math.min(target, report.slots + free);
+    const fair = divideUnits(this.#limit - this.#orphanedSlots(), demands);
+    const participants = [...this.#holderStates.keys()].map((holder, at) => {
+      const { ageMs, needed } = demands[at]!;
+      const allocation = this.#allocations.holders.get(holder);
+      return {
+        held: allocation === undefined ? 0 : allocatedTo(allocation).capacity,
+        target: at === index ? target : Math.min(fair[at]!, needed),
+        ageMs,
+      };
+    });
+    return divideFreeUnits(free, participants)[index]!;
   }
 
   /** Slots of holders that the leader can't reach. */
@@ -354,10 +409,25 @@
     : { id: grant, size: { capacity: slots, rate: 0 } };
 }
 
-function demandOf(state: HolderState): UnitDemand {
-  const { running, peak, waiting, waitingMs } = state;
+function demandOf(state: HolderState, now: number): UnitDemand {
+  const { running, peak, waiting } = state;
   const needed = running + waiting;
   const expected = needed + (state.expected ?? 0);
   const buffered = peak > 0 ? Math.max(expected, peak + 1) : expected;
-  return { needed, expected, buffered, ageMs: waitingMs };
+  return { needed, expected, buffered, ageMs: ageOf(state, now) };
+}
+
+/**
+ * How long a holder's oldest request has waited by now, in milliseconds; longer
+ * than that of any holder with a slot if the holder has had none for some time.
+ */
+function ageOf(
+  { heldAt, reportedAt, waiting, waitingMs }: HolderState,
+  now: number,
+): number {
+  if (waiting === 0) return 0;
+  const withoutSlotMs = now - heldAt;
+  return withoutSlotMs > MAX_TIME_WITHOUT_SLOT_MS
+    ? MAX_REQUEST_MS + withoutSlotMs
+    : waitingMs + now - reportedAt;
 }
--- a/packages/core/test/limits/fair_division_test.ts
+++ b/packages/core/test/limits/fair_division_test.ts
@@ -90,6 +90,42 @@
   }
 });
 
+describe("division of free units", () => {
+  const have = (held: number, target: number, ageMs = 0) => ({
+    held,
+    target,
+    ageMs,
+  });
+  const cases = [
+    {
+      name: "the participant with the fewest comes first, whatever its age",
+      free: 1,
+      participants: [have(1, 2, 50), have(0, 1, 10), have(2, 1, 90)],
+      parts: [0, 1, 0],
+    },
+    {
+      name: "of several with as many, the longest-waiting comes first",
+      free: 1,
+      participants: [have(1, 2, 10), have(1, 2, 20)],
+      parts: [0, 1],
+    },
+    {
+      name: "nobody gets more than its target",
+      free: 5,
+      participants: [have(1, 2), have(0, 2)],
+      parts: [1, 2],
+    },
+  ];
+  for (const { name, free, participants, parts } of cases) {
+    it(
+      name,
+      () =>
+        expect(limits.divideFreeUnits(free, participants))
+          .to.deep.equal(parts),
+    );
+  }
+});
+
 describe("division of whole units", () => {
   const cases = [
     {
