Measure at each host how late it gets a configuration

The leader's answer now says for how long it has had the configuration; each host logs that and keeps a histogram.

--- a/packages/core/src/gateway/configuration_rollout.ts
+++ b/packages/core/src/gateway/configuration_rollout.ts
@@ -56,6 +56,11 @@
     return this.#complete(now);
   }
 
+  /** Time since the rollout of the newest version began, in milliseconds. */
+  ageMs(now: number): number {
+    return now - this.#newest.since;
+  }
+
   /** Removes a host that is gone. */
   removeHost(host: string): void {
     this.#hosts.delete(host);
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -590,7 +590,12 @@
       ...(this.#isLeaseCertain() ? { heldMs: now - receivedAt } : {}),
       ...(quarantines === undefined ? {} : { quarantines }),
       suspectRevision: this.#quarantines.revision,
-      ...(isNewer ? { configuration: this.#forEntryHosts(configuration) } : {}),
+      ...(isNewer
+        ? {
+          configuration: this.#forEntryHosts(configuration),
+          configurationAgeMs: this.#rollout.ageMs(now),
+        }
+        : {}),
     };
   }
 
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -174,7 +174,7 @@
     });
     this.view.on(
       "configuration",
-      (configuration) => this.#applyConfiguration(configuration),
+      (configuration, ageMs) => this.#applyConfiguration(configuration, ageMs),
     );
     this.view.on("change", () => this.#forgetRemovedServers());
   }
@@ -240,6 +240,7 @@
 
   #applyConfiguration(
     { version, workspaces = [] }: gateway.Configuration,
+    ageMs: number | undefined,
   ): void {
     const now = performance.now();
     const limited = workspaces.filter(({ rate }) => rate !== undefined);
@@ -249,7 +250,14 @@
     for (const { name, rate } of limited) {
       if (rate !== undefined) this.#rateLimiter.setRate(name, rate, now);
     }
-    write("configured", { version, term: this.view.term });
+    if (ageMs !== undefined) {
+      this.#metrics.configurationLag.observe(ageMs / SECOND_MS);
+    }
+    write("configured", {
+      version,
+      term: this.view.term,
+      leader_age_ms: ageMs === undefined ? undefined : Math.round(ageMs),
+    });
   }
 
   /** Removes the records of servers that the leader no longer lists. */
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -10,8 +10,12 @@
 interface ViewEvents {
   /** Servers, failure domains or the configuration may have changed. */
   change: [];
-  /** A newer configuration is in force. */
-  configuration: [configuration: gateway.Configuration];
+  /**
+   * A newer configuration is in force.
+   *
+   * @param ageMs time for which the leader has had it, in milliseconds
+   */
+  configuration: [configuration: gateway.Configuration, ageMs?: number];
 }
 
 /** A server and the monotonic time of its last heartbeat, in milliseconds. */
@@ -164,7 +168,10 @@
       this.#applyQuarantines(response.quarantines, now);
     }
     if (response.configuration !== undefined) {
-      this.#applyConfiguration(response.configuration);
+      this.#applyConfiguration(
+        response.configuration,
+        response.configurationAgeMs,
+      );
     }
     if (requestedAt !== undefined && response.heldMs !== undefined) {
       this.#freshness.confirm(requestedAt, response.heldMs);
@@ -206,7 +213,10 @@
     );
   }
 
-  #applyConfiguration(configuration: gateway.Configuration): void {
+  #applyConfiguration(
+    configuration: gateway.Configuration,
+    ageMs: number | undefined,
+  ): void {
     const currentVersion = this.#configuration?.version ?? -1;
     if (configuration.version <= currentVersion) return;
     this.#configuration = configuration;
@@ -219,6 +229,6 @@
         workspace.keys.map((key) => [key, workspace] as const)
       ),
     );
-    this.emit("configuration", configuration);
+    this.emit("configuration", configuration, ageMs);
   }
 }
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -89,6 +89,12 @@
     help: "Version of the configuration in force here",
     registers: [this.registry],
   });
+  readonly configurationLag = new prometheus.Histogram({
+    name: "ebonypath_gateway_configuration_lag_seconds",
+    help: "For how long the leader had a configuration when this host got it",
+    buckets: ROLLOUT_BUCKETS,
+    registers: [this.registry],
+  });
   readonly rollout = new prometheus.Histogram({
     name: "ebonypath_gateway_configuration_rollout_seconds",
     help: "Time from the commit of a configuration until all hosts have it",
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -253,6 +253,19 @@
     expect(await rollouts()).to.equal(1);
   });
 
+  it("tells a host for how long it has had a configuration", async () => {
+    using leader = createCoordinator({ metrics: new GatewayMetrics() });
+    await timers.setTimeout(100);
+    const request = { host: "a", term: 0, revision: 0, configuration: null };
+    const response = await leader.watch(request);
+    expect(response.configurationAgeMs).to.be.within(95, 100 + PROMPT_MS);
+    const later = await leader.watch({
+      ...request,
+      configuration: 1,
+    });
+    expect(later.configurationAgeMs).to.equal(undefined);
+  });
+
   it("tells the version of a stream that a host has reported", async () => {
     const origin = { service: "advice", softwareVersion: "v2" };
     await coordinator.report(fixtures.report("h", {
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -83,6 +83,8 @@
   heldMs: v.optional(Amount),
   /** Present if its version is higher than the requested one. */
   configuration: v.optional(configuration.Configuration),
+  /** Time for which the leader has had it, in milliseconds. */
+  configurationAgeMs: v.optional(Amount),
   /** The complete list; present if its revision is not the requested one. */
   quarantines: v.optional(Quarantines),
   /**
