Ask hosts at once for which free slots are kept

Slots that are kept free for hosts with fewer stay unused until these report, up to 50 ms. The leader now recalls all hosts when an exchange leaves such slots, as it does for slots that others don't use.

--- a/packages/core/src/limits/share_allocator.ts
+++ b/packages/core/src/limits/share_allocator.ts
@@ -167,9 +167,11 @@
     const slots = report.slots
       .map((one) => this.#exchangeSlots(report.holder, one, id, now))
       .filter(isDefined);
-    this.#isRecallRequested ||= report.slots.some(({ server }) =>
-      this.#slots.get(server)?.isShortOfSlots(report.holder)
-    );
+    this.#isRecallRequested ||= report.slots.some(({ server }) => {
+      const pool = this.#slots.get(server);
+      return pool?.isShortOfSlots(report.holder) === true ||
+        pool?.hasFreeSlotsForOthers(report.holder, now) === true;
+    });
     return { ...id, buckets, slots };
   }
 
@@ -239,8 +241,9 @@
 
   /**
    * Returns whether an exchange since the previous call left requests waiting
-   * for slots that other holders have but don't use. These holders release them
-   * in their next exchange, which the caller may request immediately.
+   * for slots that other holders have but don't use, or that are free. Holders
+   * release or get them in their next exchange, which the caller may request
+   * immediately.
    */
   takeRecallRequest(): boolean {
     const isRequested = this.#isRecallRequested;
--- a/packages/core/src/limits/slot_pool.ts
+++ b/packages/core/src/limits/slot_pool.ts
@@ -237,6 +237,16 @@
       );
   }
 
+  /** Whether slots are free for which requests of other holders wait. */
+  hasFreeSlotsForOthers(holder: string, now: number): boolean {
+    this.advance(now);
+    if (this.allocated() >= Math.floor(this.#limit)) return false;
+    return [...this.#holderStates].some(([other, state]) =>
+      other !== holder && state.waiting > 0 &&
+      this.#allocatedTo(other) < demandOf(state, now).needed
+    );
+  }
+
   /** Whether another holder may have more slots than it needs. */
   #othersHaveSpare(
     holder: string,
@@ -324,9 +334,8 @@
     const fair = divideUnits(this.#limit - this.#orphanedSlots(), demands);
     const participants = [...this.#holderStates.keys()].map((holder, at) => {
       const { ageMs, needed } = demands[at]!;
-      const allocation = this.#allocations.holders.get(holder);
       return {
-        held: allocation === undefined ? 0 : allocatedTo(allocation).capacity,
+        held: this.#allocatedTo(holder),
         target: at === index ? target : Math.min(fair[at]!, needed),
         ageMs,
       };
@@ -334,6 +343,11 @@
     return divideFreeUnits(free, participants)[index]!;
   }
 
+  #allocatedTo(holder: string): number {
+    const allocation = this.#allocations.holders.get(holder);
+    return allocation === undefined ? 0 : allocatedTo(allocation).capacity;
+  }
+
   /** Slots of holders that the leader can't reach. */
   #orphanedSlots(): number {
     return this.#orphans.reduce((total, { slots }) => total + slots, 0);
