Test that requests are not admitted by a configuration of unknown age

A host asks the leader before it refuses by a configuration that may have been replaced, and admits by it without asking.

Fails at: a route that has been dropped is served (expected 200 to equal 404), a service that has been replaced gets the request (expected [ 'stock' ] to deeply equal [ 'orders' ]), and the leader is not asked (expected +0 to equal 1). The case with a known configuration passes.

--- /dev/null
+++ b/packages/daemon/test/known_red/unconfirmed_admission_test.ts
@@ -0,0 +1,64 @@
+import { expect } from "chai";
+import {
+  applyConfiguration,
+  configurationFor,
+  Fixture,
+  MAX_AGE_MS,
+} from "../gateway/request_handling.ts";
+
+describe("a request that a configuration of unknown age allows", () => {
+  function createFixture(ageMs: number): Fixture {
+    const fixture = new Fixture(4_000);
+    applyConfiguration(fixture, configurationFor("h", 1), ageMs);
+    return fixture;
+  }
+
+  it("is served at once if the configuration is known to be in force", async () => {
+    await using fixture = createFixture(0);
+    expect(await fixture.fetchStatus()).to.equal(200);
+    expect(fixture.confirmations).to.equal(0);
+  });
+
+  it("is not served by a route that has been dropped meanwhile", async () => {
+    await using fixture = createFixture(2 * MAX_AGE_MS);
+    fixture.onConfirm = () => {
+      applyConfiguration(fixture, configurationFor("other", 2), 0);
+      return Promise.resolve();
+    };
+    expect(await fixture.fetchStatus()).to.equal(404);
+    expect(fixture.dispatched).to.deep.equal([]);
+  });
+
+  it("is served once the configuration is confirmed", async () => {
+    await using fixture = createFixture(2 * MAX_AGE_MS);
+    fixture.onConfirm = () => {
+      applyConfiguration(fixture, configurationFor("h", 1), 0);
+      return Promise.resolve();
+    };
+    expect(await fixture.fetchStatus()).to.equal(200);
+    expect(fixture.confirmations).to.equal(1);
+  });
+
+  it("is sent to the service of the newer configuration", async () => {
+    await using fixture = createFixture(2 * MAX_AGE_MS);
+    const next = configurationFor("h", 2);
+    fixture.onConfirm = () => {
+      applyConfiguration(fixture, {
+        ...next,
+        routes: next.routes.map((route) => ({
+          ...route,
+          split: [{ service: "orders", weight: 1 }],
+        })),
+        services: [{
+          name: "orders",
+          maxConnections: 8,
+          coldRequestsPerSecond: 0,
+        }],
+      }, 0);
+      return Promise.resolve();
+    };
+    expect(await fixture.fetchStatus()).to.equal(200);
+    expect(fixture.dispatched.map(({ service }) => service.name))
+      .to.deep.equal(["orders"]);
+  });
+});
