Confirm a configuration of unknown age before acting on it, without the leader

Cause: a host that gets no answer of the leader does not learn of a version, and only refusals asked how old its configuration is. They asked the leader, over the path that is at fault.

Change: what was acknowledged is in the logs of a majority of the control hosts. An entry host whose state was not confirmed by the leader for 0.6 of the time for a configuration to be in force asks all control hosts for the index of the newest entry in their logs that concerns it. A majority that has none newer confirms its state; else it gets the state of the host that has applied most. From 0.9 of that time on no request is admitted or refused before that. A host that reaches too few control hosts serves by the last configuration that it knows, as before, and refuses nothing by it; one that reaches them and is known to be behind answers 503, not run. The same state has the withdrawn failure domains and the quarantines. A host that has just started gets its first configuration in the same way when no leader answers.

--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -19,6 +19,7 @@
 export * from "./response_verdict.ts";
 export * from "./route_table.ts";
 export * from "./state.ts";
+export * from "./state_quorum.ts";
 export * from "./stream_origins.ts";
 export * from "./store_concurrency.ts";
 export * from "./suspension_detector.ts";
--- a/packages/core/src/gateway/state.ts
+++ b/packages/core/src/gateway/state.ts
@@ -16,6 +16,8 @@
   /** Missing in snapshots that early builds wrote. */
   readonly quarantines?: readonly state.Quarantine[];
   readonly quarantineRevision?: number;
+  /** Missing in snapshots that early builds wrote. */
+  readonly hostStateIndex?: number | null;
 };
 
 /**
@@ -38,6 +40,7 @@
   readonly #softwareVersions = new Map<string, readonly string[]>();
   #quarantines = new suspicion.QuarantineList(MAX_QUARANTINES);
   #quarantineRevision = 0;
+  #hostStateIndex: number | null = 0;
 
   constructor(withdrawnDomains: readonly string[] = []) {
     this.#withdrawnDomains = new Set(withdrawnDomains);
@@ -90,8 +93,24 @@
     return this.#quarantineRevision;
   }
 
-  /** Applies a committed command; returns whether it changed anything. */
-  apply(command: gateway.Command): boolean {
+  /**
+   * Log index of the last command that may have changed what entry hosts act on;
+   * 0 before the first one, null if a snapshot did not tell.
+   */
+  get hostStateIndex(): number | null {
+    return this.#hostStateIndex;
+  }
+
+  /**
+   * Applies a committed command; returns whether it changed anything.
+   *
+   * @param index log index of the command; the next one if absent
+   */
+  apply(
+    command: gateway.Command,
+    index: number = (this.#hostStateIndex ?? 0) + 1,
+  ): boolean {
+    if (concernsEntryHosts(command)) this.#hostStateIndex = index;
     switch (command.kind) {
       case "configure":
         return this.#configure(command.configuration, command.source);
@@ -131,6 +150,7 @@
       softwareVersions: [...this.#softwareVersions],
       quarantines: this.quarantines,
       quarantineRevision: this.#quarantineRevision,
+      hostStateIndex: this.#hostStateIndex,
     };
     return JSON.stringify(snapshot);
   }
@@ -149,6 +169,7 @@
       snapshot.quarantines ?? [],
     );
     state.#quarantineRevision = snapshot.quarantineRevision ?? 0;
+    state.#hostStateIndex = snapshot.hostStateIndex ?? null;
     return state;
   }
 
@@ -202,3 +223,22 @@
     return true;
   }
 }
+
+/** Whether a command may change what entry hosts act on. */
+export function concernsEntryHosts({ kind }: gateway.Command): boolean {
+  switch (kind) {
+    case "barrier":
+    case "hold-orders":
+      return false;
+    case "configure":
+    case "withdraw-domain":
+    case "restore-domain":
+    case "add-software-version":
+    case "remove-software-version":
+    case "quarantine":
+    case "release-quarantine":
+      return true;
+    default:
+      return errors.assertNever(kind);
+  }
+}
--- a/packages/core/src/replication/replica.ts
+++ b/packages/core/src/replication/replica.ts
@@ -14,6 +14,7 @@
 import { SnapshotReceiver } from "./snapshot_receiver.ts";
 import type {
   Effect,
+  Entry,
   Input,
   Membership,
   Message,
@@ -108,6 +109,12 @@
     return this.#context.log.lastIndex;
   }
 
+  /** Entries that are not applied yet, committed or not. */
+  get unappliedEntries(): Entry[] {
+    const { appliedIndex, log } = this.#context;
+    return log.slice(appliedIndex + 1, log.lastIndex);
+  }
+
   /** The effective membership, which may not be committed yet. */
   get membership(): Membership {
     return this.#context.memberships.current;
--- a/packages/daemon/src/fleet/leader_client.ts
+++ b/packages/daemon/src/fleet/leader_client.ts
@@ -83,6 +83,11 @@
     return this.#leader;
   }
 
+  /** Fleet addresses of the control hosts that are known. */
+  get controlHosts(): string[] {
+    return [...new Set([...this.#controlHosts, ...this.#seeds()])];
+  }
+
   /** Replaces the control hosts learned from the feed. */
   setControlHosts(
     hosts: readonly Pick<protocol.control.ControlHost, "address">[],
@@ -195,9 +200,7 @@
    */
   #orderedPeers(): string[] {
     const first = this.#leader === null ? [] : [this.#leader];
-    const all = [
-      ...new Set([...first, ...this.#controlHosts, ...this.#seeds()]),
-    ];
+    const all = [...new Set([...first, ...this.controlHosts])];
     const isUnresponsive = (peer: string) => this.#unresponsive.has(peer);
     return [
       ...all.filter((peer) => !isUnresponsive(peer)),
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -15,8 +15,10 @@
 import * as storage from "../../storage/mod.ts";
 import type * as metrics from "../metrics.ts";
 import * as serverRecords from "../server_records.ts";
+import * as entryConfiguration from "./entry_configuration.ts";
 import * as fleetCoordinator from "./fleet_coordinator.ts";
 import * as membershipManager from "./membership_manager.ts";
+import * as quarantineManager from "./quarantine_manager.ts";
 import * as stateMachine from "./state_machine.ts";
 import type * as types from "./types.ts";
 
@@ -72,6 +74,7 @@
   readonly #driver: replication.ReplicationDriver;
   readonly #membershipManager: membershipManager.MembershipManager;
   readonly #leaderClient: fleet.LeaderClient;
+  readonly #entryConfiguration = new entryConfiguration.EntryConfiguration();
   readonly #stop = new AbortController();
   #coordinator: fleetCoordinator.FleetCoordinator | undefined;
 
@@ -319,6 +322,12 @@
       serverRecords.withSoundServers(gateway.ReportRequest),
       (report) => this.#requireLeadership().report(report),
     );
+    rpc.addMethod(
+      gateway.METHODS.position,
+      v.object({}),
+      () => this.#position(),
+    );
+    rpc.addMethod(gateway.METHODS.state, v.object({}), () => this.#hostState());
     rpc.addMethod(
       gateway.METHODS.stream,
       gateway.StreamRequest,
@@ -335,6 +344,61 @@
     );
   }
 
+  /**
+   * Tells what this host's log contains, whether it leads or not.
+   *
+   * @throws {protocol.errors.StepError} it does not know
+   */
+  #position(): protocol.gateway.PositionResponse {
+    const { membership, self, unappliedEntries } = this.#driver;
+    const stateIndex = this.#requireStateIndex();
+    const newest = unappliedEntries.findLast(({ payload }) =>
+      payload.kind === "command" &&
+      core.gateway.concernsEntryHosts(
+        JSON.parse(payload.data) as protocol.gateway.Command,
+      )
+    );
+    return {
+      member: self.id,
+      voters: membership.voters.map(({ id }) => id),
+      controlHosts: core.replication.allMembers(membership)
+        .map(({ address }) => address),
+      newestIndex: newest?.index ?? stateIndex,
+      stateIndex,
+    };
+  }
+
+  /**
+   * The replicated state that entry hosts act on, as far as it is applied here.
+   *
+   * @throws {protocol.errors.StepError} it does not know which one that is
+   */
+  #hostState(): protocol.gateway.HostState {
+    const { state } = this.#stateMachine;
+    return {
+      index: this.#requireStateIndex(),
+      configuration: state.configuration === null
+        ? null
+        : this.#entryConfiguration.of(state.configuration),
+      withdrawnDomains: state.withdrawnDomains,
+      mixedServices: state.mixedServices,
+      quarantines: quarantineManager.listQuarantines(state),
+    };
+  }
+
+  #requireStateIndex(): number {
+    const { appliedIndex, state } = this.#stateMachine;
+    const isRestored = appliedIndex >= this.#driver.appliedIndex;
+    if (this.#driver.hasLog && isRestored && state.hostStateIndex !== null) {
+      return state.hostStateIndex;
+    }
+    throw new protocol.errors.StepError(
+      "read state",
+      this.#options.name,
+      "the replicated state is not restored yet",
+    );
+  }
+
   async #commit(command: protocol.gateway.Command): Promise<null> {
     this.#requireLeadership();
     await this.#driver.propose(JSON.stringify(command));
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -9,6 +9,7 @@
 import type { gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
 import type * as metrics from "../metrics.ts";
+import * as entryConfiguration from "./entry_configuration.ts";
 import * as orderExecutor from "./order_executor.ts";
 import * as limitLender from "./limit_lender.ts";
 import * as loadScheduler from "./load_scheduler.ts";
@@ -120,7 +121,7 @@
     performance.now(),
     Date.now(),
   );
-  #entryConfiguration: gateway.Configuration | undefined;
+  readonly #entryConfiguration = new entryConfiguration.EntryConfiguration();
   #leaseUncertainUntil = 0;
   #claimTimer: NodeJS.Timeout | undefined;
   #collectTimer: NodeJS.Timeout | undefined;
@@ -577,9 +578,11 @@
     const quarantines = this.#quarantines.listFor(request.quarantineRevision);
     const isNewer = configuration !== null &&
       configuration.version > (request.configuration ?? -1);
+    const { hostStateIndex } = state;
     return {
       term: this.term,
       revision: this.#registry.revision,
+      ...(hostStateIndex === null ? {} : { stateIndex: hostStateIndex }),
       isWhole,
       isSettled: this.#isSettled,
       servers: this.#registry.changesSince(isWhole ? 0 : request.revision, now),
@@ -592,31 +595,13 @@
       suspectRevision: this.#quarantines.revision,
       ...(isNewer
         ? {
-          configuration: this.#forEntryHosts(configuration),
+          configuration: this.#entryConfiguration.of(configuration),
           configurationAgeMs: this.#rollout.ageMs(now),
         }
         : {}),
     };
   }
 
-  /**
-   * The configuration without the models of the engines. Only the leader uses
-   * them, and they are most of a document.
-   */
-  #forEntryHosts(configuration: gateway.Configuration): gateway.Configuration {
-    if (this.#entryConfiguration?.version !== configuration.version) {
-      this.#entryConfiguration = {
-        ...configuration,
-        services: configuration.services.map((service) =>
-          service.engine === undefined
-            ? service
-            : { ...service, engine: { ...service.engine, models: [] } }
-        ),
-      };
-    }
-    return this.#entryConfiguration;
-  }
-
   #logServer(relayed: gateway.ServerUpdate): void {
     if (relayed.kind === "ended") {
       write("server-ended", { server: relayed.id });
--- a/packages/daemon/src/gateway/control/quarantine_manager.ts
+++ b/packages/daemon/src/gateway/control/quarantine_manager.ts
@@ -104,17 +104,11 @@
 
   /** The list for a host that knows another revision of it. */
   listFor(revision: number | undefined): gateway.Quarantines | undefined {
-    const { quarantineRevision, quarantines } = this.#options.state();
-    if (revision === undefined || quarantineRevision === revision) {
+    const state = this.#options.state();
+    if (revision === undefined || state.quarantineRevision === revision) {
       return undefined;
     }
-    return {
-      revision: quarantineRevision,
-      requests: quarantines.map(({ fingerprint, untilMs }) => ({
-        fingerprint,
-        remainingMs: Math.max(0, untilMs - Date.now()),
-      })),
-    };
+    return listQuarantines(state);
   }
 
   [Symbol.dispose](): void {
@@ -148,3 +142,19 @@
     this.#checkTimer = undefined;
   }
 }
+
+/** The requests in quarantine, with the time until their ends. */
+export function listQuarantines(
+  { quarantineRevision, quarantines }: Pick<
+    core.gateway.GatewayState,
+    "quarantineRevision" | "quarantines"
+  >,
+): gateway.Quarantines {
+  return {
+    revision: quarantineRevision,
+    requests: quarantines.map(({ fingerprint, untilMs }) => ({
+      fingerprint,
+      remainingMs: Math.max(0, untilMs - Date.now()),
+    })),
+  };
+}
--- a/packages/daemon/src/gateway/control/state_machine.ts
+++ b/packages/daemon/src/gateway/control/state_machine.ts
@@ -19,6 +19,7 @@
   implements replication.StateMachine {
   #state = new core.gateway.GatewayState();
   #appliedTerm = 0;
+  #appliedIndex = 0;
 
   /** The current state; callers must not change it. */
   get state(): core.gateway.GatewayState {
@@ -30,13 +31,19 @@
     return this.#appliedTerm;
   }
 
+  /** Index of the last applied log entry; 0 if a snapshot did not tell. */
+  get appliedIndex(): number {
+    return this.#appliedIndex;
+  }
+
   apply(entries: core.replication.Entry[]): void {
     let hasChanged = false;
-    for (const { payload, term } of entries) {
+    for (const { index, payload, term } of entries) {
       this.#appliedTerm = term;
+      this.#appliedIndex = index;
       if (payload.kind !== "command") continue;
       const command = JSON.parse(payload.data) as gateway.Command;
-      hasChanged = this.#state.apply(command) || hasChanged;
+      hasChanged = this.#state.apply(command, index) || hasChanged;
     }
     if (hasChanged) this.emit("change");
   }
@@ -44,6 +51,7 @@
   takeSnapshot(): Uint8Array {
     return Buffer.from(JSON.stringify({
       term: this.#appliedTerm,
+      index: this.#appliedIndex,
       state: this.#state.toSnapshot(),
     }));
   }
@@ -51,9 +59,12 @@
   restore(snapshot: Buffer): void {
     const content = JSON.parse(snapshot.toString("utf8")) as {
       term: number;
+      /** Missing in snapshots that early builds wrote. */
+      index?: number;
       state: string;
     };
     this.#appliedTerm = content.term;
+    this.#appliedIndex = content.index ?? 0;
     this.#state = core.gateway.GatewayState.fromSnapshot(content.state);
     this.emit("change");
   }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -21,6 +21,7 @@
 import * as serverProber from "./server_prober.ts";
 import * as serverSelector from "./server_selector.ts";
 import * as serverTracker from "./server_tracker.ts";
+import * as stateConfirmer from "./state_confirmer.ts";
 import * as streamResolver from "./stream_resolver.ts";
 import type * as types from "./types.ts";
 import * as unitBorrower from "./unit_borrower.ts";
@@ -48,10 +49,12 @@
   seeds(): readonly string[];
   readonly retryBudget: core.gateway.FleetRetryBudget;
   /**
-   * Age of a configuration from which on no request is refused by it, in
-   * milliseconds.
+   * Age of a configuration from which on no request is admitted or refused by it
+   * unconfirmed, in milliseconds.
    */
   readonly maxConfigurationAgeMs: number;
+  /** Age from which on the control hosts are asked about it, in milliseconds. */
+  readonly confirmationAgeMs: number;
   readonly metrics: metrics.GatewayMetrics;
 }
 
@@ -89,6 +92,7 @@
   readonly #retryBudgets: retryBudgets.RetryBudgets;
   readonly #requestHandler: requestHandler.RequestHandler;
   readonly #leaderSync: leaderSync.LeaderSync;
+  readonly #stateConfirmer: stateConfirmer.StateConfirmer;
   readonly #metrics: metrics.GatewayMetrics;
   readonly #resources = new resources.ResourceStack();
   /** Admitted requests since the last report, by service, model and adapter. */
@@ -102,12 +106,25 @@
     const { dialect, host, maxConfigurationAgeMs, rpcClient, seeds } = options;
     this.#metrics = options.metrics;
     this.#rateLimiter.setHostCount(Infinity);
+    const leaderClient = new fleet.LeaderClient(rpcClient, seeds);
+    this.#stateConfirmer = this.#resources.use(
+      new stateConfirmer.StateConfirmer({
+        rpc: rpcClient,
+        controlHosts: () => leaderClient.controlHosts,
+        onControlHosts: (addresses) =>
+          leaderClient.setControlHosts(
+            addresses.map((address) => ({ address })),
+          ),
+        view: this.view,
+        confirmationAgeMs: options.confirmationAgeMs,
+        metrics: options.metrics,
+      }),
+    );
     this.#leaderSync = this.#resources.use(
       new leaderSync.LeaderSync({
         host,
-        leader: new fleet.LeaderClient(rpcClient, seeds),
+        leader: leaderClient,
         view: this.view,
-        maxConfigurationAgeMs,
         hasNews: () =>
           this.#hasNews || this.#unitBorrower.isWaiting ||
           this.#serverSelector.isWaiting || this.#crashSuspects.hasNews ||
@@ -167,7 +184,8 @@
         askLeader: (request) => this.#leaderSync.findStream(request),
       }),
       maxConfigurationAgeMs,
-      confirmConfiguration: () => this.#leaderSync.confirm(),
+      confirmConfiguration: () => this.#stateConfirmer.confirm(),
+      onUnconfirmed: () => options.metrics.unconfirmedAdmissions.inc(),
       usageAgeMs: () => this.#usageFreshness.ageMs(clocks.readClocks()),
       refreshUsage: () => this.#leaderSync.refresh(USAGE_REFRESH_TIMEOUT_MS),
       onArrival: (context) => this.#countArrival(context),
@@ -181,6 +199,7 @@
 
   start(): void {
     this.#leaderSync.start();
+    this.#stateConfirmer.start();
   }
 
   /** Whether the host can serve requests. */
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -40,6 +40,7 @@
   #serversByService = new Map<string, KnownServer[]>();
   #term = 0;
   #revision = 0;
+  #stateIndex = 0;
   #lastResponseAt = -Infinity;
   readonly #freshness = new core.gateway.Freshness();
   #mixedServices: ReadonlySet<string> = new Set();
@@ -68,6 +69,11 @@
     return this.#revision;
   }
 
+  /** Log index of the last change in the replicated state; 0 before the first. */
+  get stateIndex(): number {
+    return this.#stateIndex;
+  }
+
   /** Monotonic time of a leader's last response, in milliseconds. */
   get lastResponseAt(): number {
     return this.#lastResponseAt;
@@ -159,9 +165,8 @@
     this.#term = response.term;
     this.#revision = response.revision;
     this.#lastResponseAt = now;
-    this.#withdrawnDomains = new Set(response.withdrawnDomains);
     this.#limitedWorkspaces = new Set(response.limitedWorkspaces);
-    this.#mixedServices = new Set(response.mixedServices);
+    this.#applyReplicated(response);
     this.#suspectRevision = response.suspectRevision ?? 0;
     this.#applyServers(response, now);
     if (response.quarantines !== undefined) {
@@ -179,6 +184,44 @@
     this.emit("change");
   }
 
+  /**
+   * Applies the replicated state of any control host unless this host has a
+   * later one; returns whether it did.
+   */
+  applyState(
+    { configuration, index, quarantines, ...state }: gateway.HostState,
+    now: number,
+  ): boolean {
+    if (index <= this.#stateIndex) return false;
+    this.#applyReplicated({ ...state, stateIndex: index });
+    this.#applyQuarantines(quarantines, now);
+    if (configuration !== null) {
+      this.#applyConfiguration(configuration, undefined);
+    }
+    this.emit("change");
+    return true;
+  }
+
+  /** Records that the replicated state was in force at a time. */
+  confirm(at: core.gateway.ClockReading): void {
+    this.#freshness.confirm(at);
+  }
+
+  #applyReplicated(
+    { mixedServices, stateIndex, withdrawnDomains }: Pick<
+      gateway.WatchResponse,
+      "mixedServices" | "stateIndex" | "withdrawnDomains"
+    >,
+  ): void {
+    // A leader that has restored an early snapshot does not know the index.
+    if (stateIndex !== undefined) {
+      if (stateIndex < this.#stateIndex) return;
+      this.#stateIndex = stateIndex;
+    }
+    this.#withdrawnDomains = new Set(withdrawnDomains);
+    this.#mixedServices = new Set(mixedServices);
+  }
+
   #applyServers(
     { isSettled, isWhole, servers }: gateway.WatchResponse,
     now: number,
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -20,12 +20,6 @@
 
 /** Time limits of a watch call; the leader holds it open for up to 1 s. */
 const WATCH_LIMITS = { attemptMs: 1_600, totalMs: 3_200, retryable: true };
-/** Time limits of a confirmation; a few silent control hosts fit into it. */
-const CONFIRMATION_LIMITS = { attemptMs: 300, totalMs: 1_200, retryable: true };
-/** Interval of confirmations that fail, and before the first answer, in ms. */
-const CONFIRMATION_INTERVAL_MS = 500;
-/** Shortest time until the age is looked at again, in milliseconds. */
-const MIN_AGE_CHECK_MS = 20;
 /** Time limits of a question for the origin of a stream. */
 const STREAM_LIMITS = { attemptMs: 300, totalMs: 600, retryable: true };
 /** Time limits of a report. */
@@ -59,11 +53,6 @@
     "call" | "leader" | "setControlHosts"
   >;
   readonly view: fleetView.FleetView;
-  /**
-   * Age of the configuration from which on the leader is asked for it anew, in
-   * milliseconds. The open watch confirms it about once a second.
-   */
-  readonly maxConfigurationAgeMs: number;
   /** Whether there is anything to report. */
   hasNews(): boolean;
   /** Collects the report of this host. */
@@ -92,8 +81,6 @@
   #reportedAt = -Infinity;
   /** Waits for the next report that is sent and answered. */
   #refreshes: (() => void)[] = [];
-  /** The confirmation that is in progress. */
-  #confirmation: Promise<void> | undefined;
   /** Unknown until the first response or failure. */
   #isConnected: boolean | undefined;
 
@@ -103,7 +90,6 @@
 
   start(): void {
     void this.#runWatch();
-    void this.#runConfirmations();
     void this.#runReports();
   }
 
@@ -136,17 +122,6 @@
     timeout.abort();
   }
 
-  /**
-   * Asks the leader for what is in force now, and resolves when it has answered
-   * or could not be reached in time. A call in progress is shared.
-   */
-  confirm(): Promise<void> {
-    this.#confirmation ??= this.#callWatch(CONFIRMATION_LIMITS, 0)
-      .catch((error: unknown) => write("not-confirmed", { error }))
-      .finally(() => this.#confirmation = undefined);
-    return this.#confirmation;
-  }
-
   /**
    * Asks the leader where a stream began.
    *
@@ -169,7 +144,7 @@
   async #runWatch(): Promise<void> {
     while (!this.#disposed.signal.aborted) {
       try {
-        await this.#callWatch(WATCH_LIMITS);
+        await this.#callWatch();
       } catch (error) {
         this.#recordConnectionLoss(error);
         await this.#sleep(WATCH_RETRY_MS);
@@ -177,8 +152,7 @@
     }
   }
 
-  /** @param waitMs longest time that the leader holds the call, in ms */
-  async #callWatch(limits: fleet.CallLimits, waitMs?: number): Promise<void> {
+  async #callWatch(): Promise<void> {
     const { host, leader, view } = this.#options;
     let requestedAt = clocks.readClocks();
     const response = await leader.call(gateway.METHODS.watch, () => {
@@ -190,9 +164,8 @@
         configuration: view.configuration?.version ?? null,
         quarantineRevision: view.quarantineRevision,
         suspectRevision: view.suspectRevision,
-        ...(waitMs === undefined ? {} : { waitMs }),
       };
-    }, limits);
+    }, WATCH_LIMITS);
     this.#apply(v.parse(WatchResponse, response), requestedAt);
   }
 
@@ -217,23 +190,6 @@
     write("leader-lost", { error });
   }
 
-  /** Asks anew for what is in force when the watch has not confirmed it. */
-  async #runConfirmations(): Promise<void> {
-    const { maxConfigurationAgeMs, view } = this.#options;
-    const remainingMs = () =>
-      maxConfigurationAgeMs - view.configurationAgeMs(clocks.readClocks());
-    while (!this.#disposed.signal.aborted) {
-      const isDue = view.configuration !== null && remainingMs() <= 0;
-      if (isDue) await this.confirm();
-      const delayMs = remainingMs();
-      await this.#sleep(
-        delayMs > 0
-          ? Math.max(MIN_AGE_CHECK_MS, delayMs)
-          : CONFIRMATION_INTERVAL_MS,
-      );
-    }
-  }
-
   async #runReports(): Promise<void> {
     while (!this.#disposed.signal.aborted) {
       const isEarly = this.#earlyReport.signal.aborted;
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -15,6 +15,7 @@
 import type * as fleetView from "./fleet_view.ts";
 import * as requestIdentity from "./request_identity.ts";
 import * as responses from "./responses.ts";
+import type * as stateConfirmer from "./state_confirmer.ts";
 import type * as streamResolver from "./stream_resolver.ts";
 import type * as types from "./types.ts";
 
@@ -65,16 +66,18 @@
 const MAX_PRIORITY = 9;
 /** Limit of the retry delay in a refusal for an exceeded rate, in seconds. */
 const MAX_RETRY_AFTER_SECONDS = 10;
+/** Why a request is neither admitted nor refused by the configuration. */
+const UNCONFIRMED = "the configuration is not known to be in force";
 /** Limit of a body while no configuration is known, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
 /**
- * Longest time that a refusal waits for the leader to confirm the configuration,
- * in milliseconds. A new leader is found within it.
+ * Longest time that a request waits until the configuration is confirmed, in
+ * milliseconds: the time limit of an attempt to confirm it.
  */
-const CONFIRMATION_WAIT_MS = 1_200;
+const CONFIRMATION_WAIT_MS = 1_000;
 /**
- * Fraction of a request's time limit that a refusal waits at most, so that the
+ * Fraction of a request's time limit that it waits for that at most, so that the
  * caller has time to try another host.
  */
 const CONFIRMATION_WAIT_FRACTION = 0.5;
@@ -87,16 +90,18 @@
   readonly streamResolver: streamResolver.StreamResolver;
   readonly rateLimiter: core.gateway.SharedRateLimiter;
   /**
-   * Age of a configuration from which on no request is refused by it, in
-   * milliseconds: a newer one may be in force.
+   * Age of a configuration from which on no request is admitted or refused by it
+   * unconfirmed, in milliseconds: a newer one may be in force.
    */
   readonly maxConfigurationAgeMs: number;
-  /** Resolves when the leader has told what is in force, or in vain. */
-  confirmConfiguration(): Promise<void>;
+  /** Confirms the configuration, or replaces it by the one in force. */
+  confirmConfiguration(): Promise<stateConfirmer.Confirmation>;
   /** Age of what the leader has told of the other hosts' usage, in ms. */
   usageAgeMs(): number;
   /** Resolves when the leader has told the usage of all hosts, or in vain. */
   refreshUsage(): Promise<void>;
+  /** Called with each request that is admitted by an unconfirmed configuration. */
+  onUnconfirmed(): void;
   /** Called with each request that is admitted. */
   onArrival(context: types.RequestContext): void;
 }
@@ -173,18 +178,16 @@
     await this.#waitForConfiguration(metadata, response);
     if (response.destroyed) return;
     await this.#refreshLimitedUsage(metadata);
-    const admit = () =>
-      this.#waitForRate(
+    const confirmation = await this.#confirmConfiguration(metadata, response);
+    if (response.destroyed) return;
+    const admission = this.#requireConfirmation(
+      await this.#waitForRate(
         () => this.#admit(request, metadata, performance.now()),
         metadata,
         response,
         arrivedAt,
-      );
-    const admission = await this.#confirmRefusal(
-      await admit(),
-      admit,
-      metadata,
-      response,
+      ),
+      confirmation,
     );
     if (response.destroyed) return;
     if (admission.kind !== "admitted") {
@@ -240,28 +243,59 @@
   }
 
   /**
-   * Confirms a refusal by a configuration that may have been replaced: a newer
-   * one may have the route or key.
+   * Confirms a configuration that may have been replaced: a newer one may have a
+   * route or key that it lacks, or lack one that it has.
    */
-  async #confirmRefusal(
-    admission: Admission,
-    admit: () => Promise<Admission>,
+  async #confirmConfiguration(
     { deadlineMs }: types.RequestMetadata,
     response: http.ServerResponse,
-  ): Promise<Admission> {
-    if (admission.kind !== "refused" || this.#isConfigurationCurrent) {
-      return admission;
-    }
+  ): Promise<stateConfirmer.Confirmation> {
+    const { confirmConfiguration, view } = this.#options;
+    if (view.configuration === null) return "unknown";
+    if (this.#isConfigurationCurrent) return "current";
     const waitMs = Math.min(
       CONFIRMATION_WAIT_MS,
       (deadlineMs ?? Infinity) * CONFIRMATION_WAIT_FRACTION,
     );
-    const confirmed = this.#options.confirmConfiguration();
+    let confirmation: stateConfirmer.Confirmation = "behind";
+    const confirmed = confirmConfiguration().then((result) => {
+      confirmation = result;
+    });
     await sleepWhileOpen(response, waitMs, confirmed);
-    const next = await admit();
-    return next.kind === "refused" && !this.#isConfigurationCurrent
-      ? notCurrent("the configuration is not known to be in force")
-      : next;
+    return this.#isConfigurationCurrent ? "current" : confirmation;
+  }
+
+  /**
+   * Decides on an admission by a configuration that may not be in force. A host
+   * that reaches too few control hosts serves by the last one that it knows, but
+   * refuses nothing by it. One that reaches them and is behind serves nothing.
+   */
+  #requireConfirmation(
+    admission: Admission,
+    confirmation: stateConfirmer.Confirmation,
+  ): Admission {
+    const isAdmitted = admission.kind === "admitted";
+    if (!isAdmitted && admission.kind !== "refused") return admission;
+    switch (confirmation) {
+      case "current":
+        return admission;
+      case "unknown":
+        if (!isAdmitted) return notCurrent(UNCONFIRMED);
+        this.#options.onUnconfirmed();
+        return admission;
+      case "behind":
+        if (isAdmitted) this.#refund(admission);
+        return notCurrent(UNCONFIRMED);
+      default:
+        return errors.assertNever(confirmation);
+    }
+  }
+
+  #refund(
+    { tokens, workspace }: Extract<Admission, { kind: "admitted" }>,
+  ): void {
+    if (workspace?.rate === undefined) return;
+    this.#options.rateLimiter.refund(workspace.name, tokens);
   }
 
   get #isConfigurationCurrent(): boolean {
@@ -296,7 +330,7 @@
     admission: Extract<Admission, { kind: "admitted" }>,
     arrivedAt: number,
   ): Promise<void> {
-    const { route, service, tokens, workspace } = admission;
+    const { route, service, workspace } = admission;
     const timeoutMs = Math.min(
       metadata.deadlineMs ?? Infinity,
       route.timeoutMs,
@@ -331,9 +365,7 @@
     try {
       const exchange = { context, request, body, response };
       const mayHaveRun = await this.#serve(exchange);
-      if (!mayHaveRun && workspace?.rate !== undefined) {
-        this.#options.rateLimiter.refund(workspace.name, tokens);
-      }
+      if (!mayHaveRun) this.#refund(admission);
     } finally {
       clearTimeout(timer);
     }
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -84,6 +84,18 @@
     help: "Time since the configuration was known to be in force",
     registers: [this.registry],
   });
+  readonly confirmations = new prometheus.Counter({
+    name: "ebonypath_gateway_confirmations_total",
+    help: "Questions to the control hosts whether the state is current",
+    labelNames: ["outcome"] as const,
+    registers: [this.registry],
+  });
+  readonly unconfirmedAdmissions = new prometheus.Counter({
+    name: "ebonypath_gateway_unconfirmed_admissions_total",
+    help: "Requests admitted while too few control hosts could be reached to " +
+      "confirm the configuration",
+    registers: [this.registry],
+  });
   readonly configurationVersion = new prometheus.Gauge({
     name: "ebonypath_gateway_configuration_version",
     help: "Version of the configuration in force here",
--- a/packages/daemon/src/replication/driver.ts
+++ b/packages/daemon/src/replication/driver.ts
@@ -117,6 +117,11 @@
     return this.#replica.lastIndex;
   }
 
+  /** Entries that are not applied yet, committed or not. */
+  get unappliedEntries(): replication.Entry[] {
+    return this.#replica.unappliedEntries;
+  }
+
   /** Whether this replica has a log and so belongs to a group. */
   get hasLog(): boolean {
     return this.#replica.lastIndex > 0;
--- a/packages/daemon/test/gateway/entry_host_test.ts
+++ b/packages/daemon/test/gateway/entry_host_test.ts
@@ -93,6 +93,7 @@
       seeds: () => ["control-1"],
       retryBudget: { ratio: 0.2, slack: 54, windowMs: 10_000 },
       maxConfigurationAgeMs: 1_000,
+      confirmationAgeMs: 1_000,
       metrics: new GatewayMetrics(),
     });
     const server = http.createServer((request, response) =>
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -85,6 +85,11 @@
   configuration: v.optional(configuration.Configuration),
   /** Time for which the leader has had it, in milliseconds. */
   configurationAgeMs: v.optional(Amount),
+  /**
+   * Log index of the last change in the replicated part of this answer. Absent
+   * if the leader can't tell.
+   */
+  stateIndex: v.optional(Count),
   /** The complete list; present if its revision is not the requested one. */
   quarantines: v.optional(Quarantines),
   /**
@@ -95,6 +100,37 @@
 });
 export type WatchResponse = v.InferOutput<typeof WatchResponse>;
 
+/** What any control host tells of its log, to judge whether a state is current. */
+export const PositionResponse = v.object({
+  /** Id of the control host. */
+  member: Name,
+  /** Ids of the voters, in the membership that it uses. */
+  voters: v.array(Name),
+  /** Fleet addresses of all control hosts. */
+  controlHosts: v.array(Name),
+  /**
+   * Index of the newest entry in its log that may change what entry hosts act
+   * on, committed or not.
+   */
+  newestIndex: Count,
+  /** Index of the last such entry that it has applied. */
+  stateIndex: Count,
+});
+export type PositionResponse = v.InferOutput<typeof PositionResponse>;
+
+/** The replicated state that entry hosts act on, of any control host. */
+export const HostState = v.object({
+  /** Log index of its last change. */
+  index: Count,
+  /** Null before the first one. */
+  configuration: v.nullable(configuration.Configuration),
+  withdrawnDomains: v.array(Name),
+  /** Services whose servers have run several software versions lately. */
+  mixedServices: v.array(Name),
+  quarantines: Quarantines,
+});
+export type HostState = v.InferOutput<typeof HostState>;
+
 /** Demand for a model, or one of its adapters, on one host. */
 export const ModelDemand = v.object({
   service: Name,
@@ -318,4 +354,6 @@
   join: "gateway.join",
   stream: "gateway.stream",
   quarantines: "gateway.quarantines",
+  position: "gateway.position",
+  state: "gateway.state",
 } as const;
