Search for the leader once for all calls of a host

Callers saw changes acknowledged after 3 to 18 s when one control host of five had ended and processors were short, though a next leader was elected within a second.

Without a leader each call went round all control hosts by itself: watch, confirmation, report, and a question for each resumed stream. One host sent 8,895 calls in 3 s, 310 of them reports with their bodies, and the more, the longer nobody answered. That work is done by the control hosts that are to elect a leader.

Now the calls of a host wait for one search. A watch that still waits at the lost leader is cancelled when another one is found.

--- a/packages/daemon/src/daemon/control_role.ts
+++ b/packages/daemon/src/daemon/control_role.ts
@@ -7,7 +7,7 @@
 import * as protocol from "@ebonypath/protocol";
 import * as v from "valibot";
 import * as control from "../control/mod.ts";
-import type * as fleet from "../fleet/mod.ts";
+import * as fleet from "../fleet/mod.ts";
 import * as log from "../log/mod.ts";
 import type * as metrics from "../metrics/mod.ts";
 import * as replication from "../replication/mod.ts";
@@ -158,6 +158,14 @@
       v.object({}),
       () => this.#driver.identity(),
     );
+    const lookup = this.#resources.use(
+      new fleet.LeaderLookup({
+        address: this.#driver.self.address,
+        isLeading: () => this.#node.leadership !== undefined,
+        leaderAddress: () => this.#group.leaderAddress,
+      }),
+    );
+    lookup.register(rpc);
     rpc.addMethod(
       protocol.control.CHANGE_MEMBERS_METHOD,
       protocol.control.MemberChange,
--- a/packages/daemon/src/fleet/leader_client.ts
+++ b/packages/daemon/src/fleet/leader_client.ts
@@ -3,19 +3,11 @@
  *
  * @module
  */
-import * as timers from "node:timers/promises";
 import type * as protocol from "@ebonypath/protocol";
 import * as errors from "./errors.ts";
+import * as leaderSearch from "./leader_search.ts";
 import type * as rpcClient from "./rpc_client.ts";
 
-/** Delay before all control hosts are tried again, in milliseconds. */
-const ROUND_DELAY_MS = 50;
-/**
- * Fraction of an attempt's timeout after which a peer without an answer counts
- * as unresponsive. What is left of a call may be too short for any answer.
- */
-const UNRESPONSIVE_FRACTION = 0.5;
-
 /** Timeouts and retry policy of one call to the leader. */
 export interface CallLimits {
   /** Timeout of one attempt, in milliseconds. */
@@ -36,20 +28,20 @@
  */
 export type CallParams = object | (() => object);
 
-/** A call and the monotonic time by which it ends, in milliseconds. */
-interface Attempt {
-  readonly method: string;
-  readonly params: CallParams;
-  readonly limits: CallLimits;
-  readonly deadline: number;
-}
-
 /** The part of {@link rpcClient.RpcClient} that {@link LeaderClient} uses. */
 export type RpcCaller = Pick<rpcClient.RpcClient, "call">;
 
+/** A call that waits for the response of a peer, and may be sent to another. */
+interface OpenCall {
+  readonly peer: string;
+  /** Monotonic time at which the wait ends, in milliseconds. */
+  readonly deadline: number;
+  readonly cancellation: AbortController;
+}
+
 /**
- * Calls the leader. Tries the control hosts in turn and follows the leader
- * address that a host returns with {@link errors.NotLeader}.
+ * Calls the leader. While none is known all calls wait for one search, and send
+ * nothing themselves.
  *
  * @example
  * ```ts
@@ -62,9 +54,8 @@
   readonly #seeds: () => readonly string[];
   /** Addresses of the control hosts from the feed. */
   #controlHosts: string[] = [];
-  /** Peers that did not answer the last attempt. */
-  readonly #unresponsive = new Set<string>();
-  #leader: string | null = null;
+  readonly #openCalls = new Set<OpenCall>();
+  readonly #search: leaderSearch.LeaderSearch;
 
   /**
    * @param seeds addresses of the initial control hosts, or a function that
@@ -76,11 +67,17 @@
   ) {
     this.#rpc = rpc;
     this.#seeds = typeof seeds === "function" ? seeds : () => seeds;
+    this.#search = new leaderSearch.LeaderSearch({
+      peers: () => this.controlHosts,
+      call: (peer, method, params, timeoutMs) =>
+        this.#rpc.call(peer, method, params, timeoutMs),
+      onFound: (leader) => this.#cancelCallsToOthers(leader),
+    });
   }
 
-  /** Fleet address of the last host that answered as leader, if known. */
+  /** Fleet address of the leader, if known. */
   get leader(): string | null {
-    return this.#leader;
+    return this.#search.leader;
   }
 
   /** Fleet addresses of the control hosts that are known. */
@@ -97,7 +94,7 @@
 
   /** Sets the leader that is called first, as learned from elsewhere. */
   setLeader(address: string): void {
-    this.#leader = address;
+    this.#search.found(address);
   }
 
   /**
@@ -105,7 +102,7 @@
    * connection was lost.
    */
   forgetLeader(address: string): void {
-    if (this.#leader === address) this.#leader = null;
+    this.#search.lose(address);
   }
 
   /**
@@ -121,69 +118,74 @@
     limits: CallLimits,
   ): Promise<unknown> {
     const deadline = performance.now() + limits.totalMs;
-    let lastError: Error | undefined;
-    while (true) {
-      const peers = this.#orderedPeers();
-      // An unresponsive leader that a peer names is appended during the loop.
-      for (const peer of peers) {
-        if (performance.now() >= deadline) {
-          throw lastError ?? noLeaderError(method);
-        }
-        try {
-          const attempt = { method, params, limits, deadline };
-          return await this.#callWithRedirect(peer, attempt);
-        } catch (error) {
-          if (!this.#canRetry(error, limits)) throw error;
-          lastError = error as Error;
-          const leader = error instanceof errors.NotLeader
-            ? error.leader
-            : null;
-          if (leader !== null && !peers.includes(leader)) peers.push(leader);
-        }
-      }
-      if (performance.now() + ROUND_DELAY_MS >= deadline) {
-        throw lastError ?? noLeaderError(method);
+    let lastError: unknown;
+    while (performance.now() < deadline) {
+      const leader = await this.#search.find(deadline - performance.now());
+      if (leader === null) break;
+      try {
+        const attemptMs = Math.min(
+          limits.attemptMs,
+          Math.max(1, deadline - performance.now()),
+        );
+        return await this.#callOne(leader, method, params, attemptMs, limits);
+      } catch (error) {
+        if (!this.#canRetry(error, limits)) throw error;
+        lastError = error;
       }
-      await timers.setTimeout(ROUND_DELAY_MS);
-    }
-  }
-
-  /**
-   * Calls `peer` and follows at most one redirect to the leader. A peer may name
-   * a leader that has just been lost, so an unresponsive one is not called.
-   */
-  async #callWithRedirect(peer: string, attempt: Attempt): Promise<unknown> {
-    try {
-      return await this.#callOne(peer, attempt);
-    } catch (error) {
-      if (!(error instanceof errors.NotLeader)) throw error;
-      const { leader } = error;
-      if (leader === null || leader === peer) throw error;
-      if (this.#unresponsive.has(leader)) throw error;
-      return await this.#callOne(leader, attempt);
     }
+    throw lastError ?? new errors.Unreachable(
+      method,
+      "leader",
+      "no leader found",
+      this.#search.lastError,
+    );
   }
 
   async #callOne(
     peer: string,
-    { deadline, limits, method, params }: Attempt,
+    method: string,
+    params: CallParams,
+    timeoutMs: number,
+    { retryable }: CallLimits,
   ): Promise<unknown> {
-    const remainingMs = Math.max(1, deadline - performance.now());
-    const timeoutMs = Math.min(limits.attemptMs, remainingMs);
+    const cancellation = new AbortController();
+    const deadline = performance.now() + timeoutMs;
+    const call: OpenCall = { peer, deadline, cancellation };
+    // Another host may be asked only if it does no harm that both act.
+    if (retryable) this.#openCalls.add(call);
     try {
       const resolved = typeof params === "function" ? params() : params;
-      const result = await this.#rpc.call(peer, method, resolved, timeoutMs);
-      this.#leader = peer;
-      this.#unresponsive.delete(peer);
+      const result = await this.#rpc.call(
+        peer,
+        method,
+        resolved,
+        timeoutMs,
+        cancellation.signal,
+      );
+      this.#search.confirm(peer);
       return result;
     } catch (error) {
-      if (!(error instanceof errors.RemoteError)) this.forgetLeader(peer);
-      if (isPeerResponse(error)) {
-        this.#unresponsive.delete(peer);
-      } else if (timeoutMs >= limits.attemptMs * UNRESPONSIVE_FRACTION) {
-        this.#unresponsive.add(peer);
+      if (!(error instanceof errors.RemoteError)) {
+        const isAnswered = error instanceof errors.NotLeader;
+        this.#search.lose(peer, isAnswered ? error.leader ?? peer : null);
+        this.#searchForOpenCalls();
       }
       throw error;
+    } finally {
+      this.#openCalls.delete(call);
+    }
+  }
+
+  /** Other calls may still wait at the leader that was given up. */
+  #searchForOpenCalls(): void {
+    const deadlines = [...this.#openCalls].map(({ deadline }) => deadline);
+    const remainingMs = Math.max(...deadlines, 0) - performance.now();
+    if (remainingMs > 0) void this.#search.find(remainingMs);
+  }
+
+  #cancelCallsToOthers(leader: string): void {
+    for (const { cancellation, peer } of this.#openCalls) {
+      if (peer !== leader) cancellation.abort();
     }
   }
 
@@ -192,28 +194,4 @@
     if (error instanceof errors.Unreachable) return true;
     return error instanceof errors.OutcomeUnknown && limits.retryable;
   }
-
-  /**
-   * Returns the peers in the order in which they are tried. Unresponsive peers
-   * come last: two of them can use up the whole timeout of a call, and the next
-   * call would start with the same two again.
-   */
-  #orderedPeers(): string[] {
-    const first = this.#leader === null ? [] : [this.#leader];
-    const all = [...new Set([...first, ...this.controlHosts])];
-    const isUnresponsive = (peer: string) => this.#unresponsive.has(peer);
-    return [
-      ...all.filter((peer) => !isUnresponsive(peer)),
-      ...all.filter(isUnresponsive),
-    ];
-  }
-}
-
-function isPeerResponse(error: unknown): boolean {
-  return error instanceof errors.NotLeader ||
-    error instanceof errors.RemoteError;
-}
-
-function noLeaderError(method: string): Error {
-  return new errors.Unreachable(method, "leader", "no leader found");
 }
--- a/packages/daemon/src/fleet/mod.ts
+++ b/packages/daemon/src/fleet/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./errors.ts";
 export * from "./leader_client.ts";
+export * from "./leader_lookup.ts";
 export * from "./link_options.ts";
 export * from "./rpc_client.ts";
 export * from "./rpc_server.ts";
--- a/packages/daemon/src/fleet/rpc_client.ts
+++ b/packages/daemon/src/fleet/rpc_client.ts
@@ -43,6 +43,7 @@
   /**
    * Calls `method` at the host with fleet address `peer`.
    *
+   * @param signal ends the wait for the response early
    * @throws {errors.Unreachable} no connection could be opened; nothing was sent
    * @throws {errors.OutcomeUnknown} possibly sent, but not answered in time
    * @throws {errors.NotLeader} the peer is not the leader
@@ -53,13 +54,14 @@
     method: string,
     params: unknown,
     timeoutMs: number,
+    signal?: AbortSignal,
   ): Promise<unknown> {
     const request = jsonRpc.createJSONRPCRequest(
       this.#nextId++,
       method,
       params,
     );
-    const body = await this.#post(peer, method, "/rpc", request, timeoutMs);
+    const body = await this.#post(peer, method, request, timeoutMs, signal);
     const response = JSON.parse(body) as jsonRpc.JSONRPCResponse;
     if (jsonRpc.isJSONRPCResponse(response) && response.error === undefined) {
       return response.result;
@@ -110,14 +112,17 @@
   async #post(
     peer: string,
     method: string,
-    path: string,
     body: unknown,
     timeoutMs: number,
+    cancelSignal: AbortSignal | undefined,
   ): Promise<string> {
-    const signal = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
+    const timeout = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)));
+    const signal = cancelSignal === undefined
+      ? timeout
+      : AbortSignal.any([timeout, cancelSignal]);
     try {
       const response = await this.#pool(peer).request({
-        path,
+        path: "/rpc",
         method: "POST",
         headers: this.#headers(),
         body: JSON.stringify(body),
@@ -133,6 +138,9 @@
       );
     } catch (cause) {
       if (cause instanceof errors.RemoteError) throw cause;
+      if (cancelSignal?.aborted === true) {
+        throw new errors.OutcomeUnknown(method, peer, "cancelled", cause);
+      }
       this.#replacePool(peer);
       if (isConnectError(cause)) {
         throw new errors.Unreachable(method, peer, "not reachable", cause);
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -246,8 +246,7 @@
     params: object,
     limits: fleet.CallLimits,
   ): Promise<unknown> {
-    const coordinator = this.#coordinator;
-    if (coordinator !== undefined && this.#isLeading(coordinator)) {
+    if (this.#currentCoordinator !== undefined) {
       try {
         return await this.#handleAsLeader(method, params);
       } catch (error) {
@@ -299,6 +298,14 @@
       v.object({}),
       () => this.#driver.identity(),
     );
+    const lookup = this.#resources.use(
+      new fleet.LeaderLookup({
+        address: this.#options.address,
+        isLeading: () => this.#currentCoordinator !== undefined,
+        leaderAddress: () => this.leaderAddress,
+      }),
+    );
+    lookup.register(rpc);
     const relayed = [
       [gateway.METHODS.command, gateway.Command],
       [gateway.METHODS.read, v.object({})],
@@ -418,10 +425,8 @@
   }
 
   #requireLeadership(): fleetCoordinator.FleetCoordinator {
-    const coordinator = this.#coordinator;
-    if (coordinator !== undefined && this.#isLeading(coordinator)) {
-      return coordinator;
-    }
+    const coordinator = this.#currentCoordinator;
+    if (coordinator !== undefined) return coordinator;
     const { address, name } = this.#options;
     const leader = this.leaderAddress;
     throw new fleet.NotLeader(
@@ -431,8 +436,12 @@
     );
   }
 
-  #isLeading({ term }: fleetCoordinator.FleetCoordinator): boolean {
-    return this.#driver.hasLease() && this.#driver.status.term === term;
+  /** The coordinator of the current term, while this host holds the lease. */
+  get #currentCoordinator(): fleetCoordinator.FleetCoordinator | undefined {
+    const coordinator = this.#coordinator;
+    const isCurrent = this.#driver.hasLease() &&
+      this.#driver.status.term === coordinator?.term;
+    return isCurrent ? coordinator : undefined;
   }
 
   /** Creates the coordinator of a leadership, and disposes of it at its end. */
--- a/packages/daemon/test/fleet/rpc_test.ts
+++ b/packages/daemon/test/fleet/rpc_test.ts
@@ -1,5 +1,6 @@
 import * as http from "node:http";
 import type * as net from "node:net";
+import { replication } from "@ebonypath/protocol";
 import { expect } from "chai";
 import * as v from "valibot";
 import * as fleet from "../../src/fleet/mod.ts";
@@ -140,6 +141,9 @@
     const calledPeers: string[] = [];
     const rpc: fleet.RpcCaller = {
       call: (peer, method) => {
+        if (method === replication.LEADER_METHOD) {
+          return Promise.resolve({ leader: "one" });
+        }
         calledPeers.push(peer);
         throw new fleet.OutcomeUnknown(method, peer, "no answer");
       },
--- a/packages/protocol/src/replication/mod.ts
+++ b/packages/protocol/src/replication/mod.ts
@@ -190,6 +190,31 @@
 /** JSON-RPC notification that carries a {@link MessageBatch}. */
 export const MESSAGES_METHOD = "replication.messages";
 
+/** JSON-RPC request that asks a control host for the leader. */
+export const LEADER_METHOD = "replication.leader";
+
+const address = v.pipe(v.string(), v.maxLength(MAX_ADDRESS_LENGTH));
+
+/** Schema of {@link LeaderRequest}. */
+export const leaderRequestSchema = v.object({
+  /** Address of a leader that the caller could not use, if any. */
+  lost: v.nullable(address),
+  /** Longest time that the call is held until another one is known, in ms. */
+  waitMs: v.pipe(v.number(), v.finite(), v.minValue(0)),
+});
+
+/** Parameters of the JSON-RPC request {@link LEADER_METHOD}. */
+export type LeaderRequest = v.InferOutput<typeof leaderRequestSchema>;
+
+/** Schema of {@link LeaderResponse}. */
+export const leaderResponseSchema = v.object({
+  /** Address of the leader; null if none is known. */
+  leader: v.nullable(address),
+});
+
+/** Result of the JSON-RPC request {@link LEADER_METHOD}. */
+export type LeaderResponse = v.InferOutput<typeof leaderResponseSchema>;
+
 /** JSON-RPC request that returns an {@link Identity}. */
 export const IDENTITY_METHOD = "replication.identity";
 
