Refuse calls for a leader before their bodies are read

A control host that does not lead read and parsed a report with up to 67 server records, up to 1.1 MB a second in all, before it answered that it is not the leader; the answer was an error made with its stack to be thrown away.

The method is named in a header besides the body. Methods that only a leader handles are refused by it, with a plain response; the body is dropped.

The test counts how often the parameters are parsed.

--- a/packages/daemon/src/control/control_node.ts
+++ b/packages/daemon/src/control/control_node.ts
@@ -99,6 +99,19 @@
             now: performance.now(),
           })),
     );
+    rpc.addLeaderGuard(
+      [
+        control.EXCHANGE_METHOD,
+        control.ANNOUNCE_METHOD,
+        control.PROPOSE_METHOD,
+        control.DEFERRED_STATUS_METHOD,
+        control.READ_METHOD,
+      ],
+      () =>
+        this.leadership === undefined
+          ? { leader: this.#otherLeader() }
+          : undefined,
+    );
     rpc.addStream("/feed", (body, response) => this.#feed(body, response));
   }
 
@@ -163,9 +176,14 @@
   #require(step: string): leaderships.Leadership {
     const { leadership } = this;
     if (leadership !== undefined) return leadership;
+    const { address } = this.#options;
+    throw new fleet.NotLeader(step, address, this.#otherLeader());
+  }
+
+  /** Fleet address of the leader, if it is another host that is known. */
+  #otherLeader(): string | null {
     const { address, log } = this.#options;
-    const leader = log.leaderAddress === address ? null : log.leaderAddress;
-    throw new fleet.NotLeader(step, address, leader);
+    return log.leaderAddress === address ? null : log.leaderAddress;
   }
 
   async #exchange(
--- a/packages/daemon/src/fleet/rpc_client.ts
+++ b/packages/daemon/src/fleet/rpc_client.ts
@@ -7,6 +7,7 @@
 import * as undici from "undici";
 import * as errors from "./errors.ts";
 import * as linkOptions from "./link_options.ts";
+import * as rpcServer from "./rpc_server.ts";
 
 /** Timeout for opening a connection to another host, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -124,7 +125,7 @@
       const response = await this.#pool(peer).request({
         path: "/rpc",
         method: "POST",
-        headers: this.#headers(),
+        headers: { ...this.#headers(), [rpcServer.METHOD_HEADER]: method },
         body: JSON.stringify(body),
         signal,
       });
--- a/packages/daemon/src/fleet/rpc_server.ts
+++ b/packages/daemon/src/fleet/rpc_server.ts
@@ -17,6 +17,18 @@
 /** Maximum size of a request body, in bytes. */
 const MAX_REQUEST_BYTES = 16 * 1024 * 1024;
 
+/**
+ * Request header with the name of the called method, so that a call can be
+ * refused before its body is read.
+ */
+export const METHOD_HEADER = "x-rpc-method";
+
+/** Why a host can't handle the calls of a leader. */
+export interface NotLeading {
+  /** Fleet address of the leader; null if it is not known. */
+  readonly leader: string | null;
+}
+
 /** Implements one method; `params` has been validated by the method's schema. */
 export type Method<Params> = (params: Params) => unknown;
 
@@ -33,6 +45,7 @@
     errorListener: () => undefined,
   });
   readonly #streams = new Map<string, StreamHandler>();
+  readonly #leaderGuards = new Map<string, () => NotLeading | undefined>();
 
   constructor(secret: string) {
     this.#secret = secret;
@@ -66,6 +79,19 @@
     });
   }
 
+  /**
+   * Refuses calls of methods that only a leader handles before their bodies are
+   * read. Hosts without a leader try all control hosts, some with large bodies.
+   *
+   * @param guard returns undefined while this host leads
+   */
+  addLeaderGuard(
+    methods: readonly string[],
+    guard: () => NotLeading | undefined,
+  ): void {
+    for (const method of methods) this.#leaderGuards.set(method, guard);
+  }
+
   /** Registers a path with a streaming response, for instance the feed. */
   addStream(path: string, handler: StreamHandler): void {
     this.#streams.set(path, handler);
@@ -90,6 +116,12 @@
     if (request.method !== "POST" || (path !== "/rpc" && !stream)) {
       return sendJson(response, 404, { error: "no such path" });
     }
+    const method = request.headers[METHOD_HEADER];
+    const refusal = typeof method === "string"
+      ? this.#leaderGuards.get(method)?.()
+      : undefined;
+    // Node.js drops the rest of the body when the response has ended.
+    if (refusal !== undefined) return sendJson(response, 200, refuse(refusal));
     const body = await readJson(request);
     if (body === "lost") {
       write("connection-lost", { peer: request.socket.remoteAddress });
@@ -108,6 +140,16 @@
   }
 }
 
+/** The id of the call is not known: it is in the body. */
+function refuse({ leader }: NotLeading): jsonRpc.JSONRPCErrorResponse {
+  return jsonRpc.createJSONRPCErrorResponse(
+    null,
+    errors.NOT_LEADER_CODE,
+    "not the leader",
+    { leader },
+  );
+}
+
 function toErrorResponse(
   id: jsonRpc.JSONRPCID,
   error: unknown,
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -28,6 +28,8 @@
 const LEADERSHIP_CHECK_INTERVAL_MS = 100;
 /** Interval of the join requests to the leader, in milliseconds. */
 const JOIN_INTERVAL_MS = 1_000;
+/** Interval of the log lines on refused calls, in milliseconds. */
+const REFUSAL_LOG_INTERVAL_MS = 1_000;
 /** Timeout of a request for the identity of a host, in milliseconds. */
 const IDENTITY_TIMEOUT_MS = 1_000;
 /** Timeout of a transfer of the leadership, in milliseconds. */
@@ -77,6 +79,8 @@
   readonly #entryConfiguration = new entryConfiguration.EntryConfiguration();
   readonly #stop = new AbortController();
   #coordinator: fleetCoordinator.FleetCoordinator | undefined;
+  /** Calls for a leader that were refused since this was logged. */
+  #refusedCalls = 0;
 
   private constructor(
     options: ControlHostOptions,
@@ -164,6 +168,11 @@
     );
     this.#resources.defer(() => timers.clearInterval(join));
     void this.#requestToJoin();
+    const refusals = timers.setInterval(
+      () => this.#logRefusedCalls(),
+      REFUSAL_LOG_INTERVAL_MS,
+    );
+    this.#resources.defer(() => timers.clearInterval(refusals));
   }
 
   /** Fleet address of the leader, or null if none is known. */
@@ -349,6 +358,20 @@
         return null;
       },
     );
+    const {
+      command,
+      heartbeat,
+      join,
+      quarantines,
+      read,
+      report,
+      stream,
+      watch,
+    } = gateway.METHODS;
+    rpc.addLeaderGuard(
+      [command, heartbeat, join, quarantines, read, report, stream, watch],
+      () => this.#refuseUnlessLeading(),
+    );
   }
 
   /**
@@ -427,13 +450,27 @@
   #requireLeadership(): fleetCoordinator.FleetCoordinator {
     const coordinator = this.#currentCoordinator;
     if (coordinator !== undefined) return coordinator;
-    const { address, name } = this.#options;
+    throw new fleet.NotLeader("lead", this.#options.name, this.#otherLeader());
+  }
+
+  #refuseUnlessLeading(): fleet.NotLeading | undefined {
+    if (this.#currentCoordinator !== undefined) return undefined;
+    this.#refusedCalls += 1;
+    return { leader: this.#otherLeader() };
+  }
+
+  /** Fleet address of the leader, if it is another host that is known. */
+  #otherLeader(): string | null {
     const leader = this.leaderAddress;
-    throw new fleet.NotLeader(
-      "lead",
-      name,
-      leader === address ? null : leader,
-    );
+    return leader === this.#options.address ? null : leader;
+  }
+
+  /** Tells how much work callers make that look for a leader. */
+  #logRefusedCalls(): void {
+    if (this.#refusedCalls === 0) return;
+    const { role, term } = this.#driver.status;
+    write("calls-refused", { calls: this.#refusedCalls, role, term });
+    this.#refusedCalls = 0;
   }
 
   /** The coordinator of the current term, while this host holds the lease. */
--- a/packages/daemon/test/fleet/rpc_test.ts
+++ b/packages/daemon/test/fleet/rpc_test.ts
@@ -83,6 +83,39 @@
     await listener.close();
   });
 
+  it("refuses a call that only the leader takes without reading its body", async () => {
+    const rpc = new fleet.RpcServer(SECRET);
+    let parsed = 0;
+    const counting = v.pipe(
+      v.unknown(),
+      v.transform((params) => {
+        parsed += 1;
+        return params;
+      }),
+    );
+    rpc.addMethod("fleet.report", counting, () => "taken");
+    let leader: string | null | undefined = "10.0.0.1:7";
+    rpc.addLeaderGuard(
+      ["fleet.report"],
+      () => leader === undefined ? undefined : { leader },
+    );
+    const listener = await listen(rpc);
+    await using client = new fleet.RpcClient({ secret: SECRET });
+    const params = { records: "r".repeat(1_000_000) };
+    const call = () =>
+      client.call(listener.address, "fleet.report", params, 2_000);
+    for (let count = 0; count < 3; count++) {
+      const error = await call().catch((cause: unknown) => cause);
+      expect(error).to.be.instanceOf(fleet.NotLeader);
+      expect((error as fleet.NotLeader).leader).to.equal("10.0.0.1:7");
+    }
+    expect(parsed).to.equal(0);
+    leader = undefined;
+    expect(await call()).to.equal("taken");
+    expect(parsed).to.equal(1);
+    await listener.close();
+  });
+
   it("names the invalid parameter in the error", async () => {
     const rpc = new fleet.RpcServer(SECRET);
     rpc.addMethod("fleet.add", v.object({ left: v.number() }), () => 1);
