--- a/packages/daemon/src/fleet/leader_client.ts
+++ b/packages/daemon/src/fleet/leader_client.ts
@@ -8,8 +8,8 @@
 import * as leaderSearch from "./leader_search.ts";
 import type * as rpcClient from "./rpc_client.ts";
 
-/** Shortest timeout of an attempt, in milliseconds. */
-const MIN_ATTEMPT_MS = 1;
+/** Time left of a call for which no other attempt is begun, in milliseconds. */
+const MIN_ATTEMPT_MS = 5;
 
 /** Timeouts and retry policy of one call to the leader. */
 export interface CallLimits {
@@ -123,7 +123,6 @@
     const deadline = performance.now() + limits.totalMs;
     let lastError: unknown;
     const remainingMs = () => deadline - performance.now();
-    // Timers may fire up to a millisecond early.
     while (remainingMs() >= MIN_ATTEMPT_MS) {
       const leader = await this.#search.find(remainingMs());
       if (leader === null) break;
