Begin only what can end while an entry host stops, and answer the rest

What callers saw: requests that came late in the grace period of a planned stop were cut 7.4 s after SIGTERM without an answer, unsafe ones among them; so were those that ran when SIGTERM came and needed longer.

Cause: a host that stops took each request as always, with the caller's own deadline, and ended its process 0.7 s before the end of the grace period whatever still ran. Late requests come on connections that were opened before the listener closed: Node.js does not count a connection as idle before its first request, and a stream that began before SIGTERM leaves its connection open.

All others get 503 with a short Retry-After at once, since another host can run them; that holds for safe requests and streams, too, since one that is cut is as lost. A stream that comes after the listener has closed needs the deadline: once begun it can only be cut. The server is told a deadline that lets its answer arrive in time.

--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -14,6 +14,7 @@
 import type * as metrics from "../metrics.ts";
 import type * as crashSuspects from "./crash_suspects.ts";
 import * as eventRelay from "./event_relay.ts";
+import type * as hostDrain from "./host_drain.ts";
 import * as responses from "./responses.ts";
 import type * as retryBudgets from "./retry_budgets.ts";
 import type * as serverSelector from "./server_selector.ts";
@@ -36,6 +37,8 @@
 const MAX_BUFFERED_BYTES = 48 * 1024 * 1024;
 /** Retry delay in a refusal for lack of capacity, in seconds. */
 const RETRY_AFTER_SECONDS = 0.25;
+/** Retry delay in a refusal of a host that stops, in ms: others take it at once. */
+const STOPPING_RETRY_MS = 100;
 /** Part of the time left that a caller may be told to stay away. */
 const RETRY_DELAY_FRACTION = 1 / 3;
 /** Time over which the returns of callers are spread, in milliseconds. */
@@ -68,6 +71,7 @@
     crashSuspects.CrashSuspects,
     "recordEnd" | "recordFailure"
   >;
+  readonly drain: Pick<hostDrain.HostDrain, "decideStart" | "recordRun">;
   readonly metrics: metrics.GatewayMetrics;
   /**
    * Called when a caller is told to come back after a delay, in milliseconds,
@@ -248,6 +252,10 @@
         progress.retryAfterMs = selection.remainingMs;
         progress.reason = "servers crashed while running the request";
       }
+      if (selection.kind === "stopping") {
+        progress.retryAfterMs = STOPPING_RETRY_MS;
+        progress.reason = "this host stops";
+      }
       if (selection.kind === "closed") {
         progress.retryAfterMs = selection.remainingMs;
         progress.reason = "all servers want no requests for now";
@@ -322,11 +330,15 @@
     server: gateway.ServerRecord,
     progress: Progress,
   ): Promise<AttemptResult> {
-    const { tracker } = this.#options;
+    const { drain, tracker } = this.#options;
     const { context } = exchange;
     const endRequest = tracker.startRequest(server.id, context);
+    const startedAt = performance.now();
     try {
       const result = await this.#send(exchange, server, progress);
+      if (result.kind !== "not-run" && result !== DISCONNECTED) {
+        drain.recordRun(context, performance.now() - startedAt);
+      }
       this.#options.metrics.attempts.inc({ result: result.kind });
       if (result.kind === "unknown") {
         logBrokenAttempt(context, server, result);
@@ -353,15 +365,21 @@
     progress: Progress,
   ): Promise<AttemptResult> {
     const { body, request, context } = exchange;
-    const { dialect } = this.#options;
+    const { dialect, drain } = this.#options;
     const sentAt = performance.now();
+    const decision = drain.decideStart(context, sentAt);
+    if (decision.kind === "refuse") {
+      const reason = "this host stops";
+      return { kind: "not-run", reason, hasArrived: false };
+    }
+    const serverMs = Math.floor(decision.serverDeadline - sentAt);
     const result = await upstream.send({
       address: server.address,
       method: request.method ?? "GET",
       path: request.url ?? "/",
       headers: dialect.upstreamHeaders(request, {
         server: server.id,
-        deadlineMs: Math.max(1, Math.floor(context.deadline - sentAt)),
+        deadlineMs: Math.max(1, serverMs),
         workspace: context.workspace?.name,
         priority: context.service.engine === undefined
           ? undefined
@@ -704,7 +722,8 @@
       },
     );
   }
-  const isExpired = performance.now() >= context.deadline;
+  const isExpired = context.signal.aborted ||
+    performance.now() >= context.deadline;
   const definition = isExpired
     ? errors.DEADLINE_EXCEEDED
     : errors.BACKEND_FAILED;
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -15,6 +15,7 @@
 import * as crashSuspects from "./crash_suspects.ts";
 import * as dispatcher from "./dispatcher.ts";
 import * as fleetView from "./fleet_view.ts";
+import * as hostDrain from "./host_drain.ts";
 import * as leaderSync from "./leader_sync.ts";
 import * as requestHandler from "./request_handler.ts";
 import * as retryBudgets from "./retry_budgets.ts";
@@ -61,6 +62,8 @@
 /** Accepts callers' requests and forwards them to backend servers. */
 export class EntryHost implements AsyncDisposable {
   readonly view = new fleetView.FleetView();
+  /** Ends the requests of this host before it stops. */
+  readonly drain: hostDrain.HostDrain;
   readonly #serverTracker = new serverTracker.ServerTracker(() =>
     this.#hasNews = true
   );
@@ -105,6 +108,7 @@
   constructor(options: EntryHostOptions) {
     const { dialect, host, maxConfigurationAgeMs, rpcClient, seeds } = options;
     this.#metrics = options.metrics;
+    this.drain = this.#resources.use(new hostDrain.HostDrain());
     this.#rateLimiter.setHostCount(Infinity);
     const leaderClient = new fleet.LeaderClient(rpcClient, seeds);
     this.#stateConfirmer = this.#resources.use(
@@ -144,6 +148,7 @@
         tracker: this.#serverTracker,
         borrower: this.#unitBorrower,
         suspects: this.#crashSuspects,
+        drain: this.drain,
         onProbeDue: (server) => this.#serverProber.probe(server),
         onQueued: () => this.#reportSoon(),
         onDequeued: () => this.#hasNews = true,
@@ -157,6 +162,7 @@
       dialect,
       view: this.view,
       rateLimiter: this.#rateLimiter,
+      drain: this.drain,
       dispatcher: new dispatcher.Dispatcher({
         dialect,
         selector: this.#serverSelector,
@@ -164,6 +170,7 @@
         retryBudgets: this.#retryBudgets,
         streams: this.#ownStreams,
         suspects: this.#crashSuspects,
+        drain: this.drain,
         metrics: options.metrics,
         onServerLeaving: () => this.#reportSoon(),
         onStreamBegun: (stream) => {
@@ -258,7 +265,7 @@
   }
 
   #applyConfiguration(
-    { version, workspaces = [] }: gateway.Configuration,
+    { routes, version, workspaces = [] }: gateway.Configuration,
     ageMs: number | undefined,
   ): void {
     const now = performance.now();
@@ -269,6 +276,7 @@
     for (const { name, rate } of limited) {
       if (rate !== undefined) this.#rateLimiter.setRate(name, rate, now);
     }
+    this.drain.retainRoutes(new Set(routes.map(({ name }) => name)));
     if (ageMs !== undefined) {
       this.#metrics.configurationLag.observe(ageMs / SECOND_MS);
     }
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -13,6 +13,7 @@
 import * as clocks from "./clocks.ts";
 import type * as dispatcher from "./dispatcher.ts";
 import type * as fleetView from "./fleet_view.ts";
+import type * as hostDrain from "./host_drain.ts";
 import * as requestIdentity from "./request_identity.ts";
 import * as responses from "./responses.ts";
 import type * as stateConfirmer from "./state_confirmer.ts";
@@ -68,6 +69,8 @@
 const MAX_RETRY_AFTER_SECONDS = 10;
 /** Why a request is neither admitted nor refused by the configuration. */
 const UNCONFIRMED = "the configuration is not known to be in force";
+/** Retry delay in a refusal of a host that stops, in seconds. */
+const STOPPING_RETRY_SECONDS = 0.1;
 /** Limit of a body while no configuration is known, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -89,6 +92,7 @@
   readonly dispatcher: dispatcher.Dispatcher;
   readonly streamResolver: streamResolver.StreamResolver;
   readonly rateLimiter: core.gateway.SharedRateLimiter;
+  readonly drain: Pick<hostDrain.HostDrain, "onEnd">;
   /**
    * Age of a configuration from which on no request is admitted or refused by it
    * unconfirmed, in milliseconds: a newer one may be in force.
@@ -151,35 +155,53 @@
   ): Promise<void> {
     this.#openRequests += 1;
     response.sendDate = false;
+    const arrivedAt = performance.now();
+    const metadata = this.#options.dialect.readRequest(request);
+    const withdraw = this.#options.drain.onEnd(() =>
+      this.#refuse(response, metadata, stopping())
+    );
     try {
-      await this.#handleRequest(request, response);
+      const dispatch = await this.#receive(
+        request,
+        response,
+        metadata,
+        arrivedAt,
+      );
+      withdraw();
+      if (!isAnswered(response)) await dispatch?.();
     } finally {
+      withdraw();
       this.#openRequests -= 1;
     }
   }
 
-  async #handleRequest(
+  /**
+   * Reads and admits a request; resolves to what dispatches it, unless it has
+   * been answered.
+   */
+  async #receive(
     request: http.IncomingMessage,
     response: http.ServerResponse,
-  ): Promise<void> {
-    const arrivedAt = performance.now();
-    const metadata = this.#options.dialect.readRequest(request);
+    metadata: types.RequestMetadata,
+    arrivedAt: number,
+  ): Promise<(() => Promise<void>) | undefined> {
     const body = await readBody(request, this.#maxBodyBytes());
+    // The caller disconnected before the request was complete.
+    if (body === "broken" || isAnswered(response)) return undefined;
     if (body === "too-large") {
       const detail = "the body is larger than the configuration allows";
-      return this.#refuse(
+      this.#refuse(
         response,
         metadata,
         new errors.Refusal(errors.TOO_LARGE, detail),
       );
+      return undefined;
     }
-    // The caller disconnected before the request was complete.
-    if (body === "broken") return;
     await this.#waitForConfiguration(metadata, response);
-    if (response.destroyed) return;
+    if (isAnswered(response)) return undefined;
     await this.#refreshLimitedUsage(metadata);
     const confirmation = await this.#confirmConfiguration(metadata, response);
-    if (response.destroyed) return;
+    if (isAnswered(response)) return undefined;
     const admission = this.#requireConfirmation(
       await this.#waitForRate(
         () => this.#admit(request, metadata, performance.now()),
@@ -189,18 +211,16 @@
       ),
       confirmation,
     );
-    if (response.destroyed) return;
+    if (isAnswered(response)) {
+      this.#refund(admission);
+      return undefined;
+    }
     if (admission.kind !== "admitted") {
-      return this.#refuse(response, metadata, refusalOf(admission));
+      this.#refuse(response, metadata, refusalOf(admission));
+      return undefined;
     }
-    await this.#dispatch(
-      request,
-      response,
-      metadata,
-      body,
-      admission,
-      arrivedAt,
-    );
+    return () =>
+      this.#dispatch(request, response, metadata, body, admission, arrivedAt);
   }
 
   /**
@@ -284,20 +304,13 @@
         this.#options.onUnconfirmed();
         return admission;
       case "behind":
-        if (isAdmitted) this.#refund(admission);
+        this.#refund(admission);
         return notCurrent(UNCONFIRMED);
       default:
         return errors.assertNever(confirmation);
     }
   }
 
-  #refund(
-    { tokens, workspace }: Extract<Admission, { kind: "admitted" }>,
-  ): void {
-    if (workspace?.rate === undefined) return;
-    this.#options.rateLimiter.refund(workspace.name, tokens);
-  }
-
   get #isConfigurationCurrent(): boolean {
     const { maxConfigurationAgeMs, view } = this.#options;
     const ageMs = view.configurationAgeMs(clocks.readClocks());
@@ -342,6 +355,7 @@
       Math.min(Math.max(0, deadline - performance.now()), MAX_TIMER_MS),
     );
     response.on("close", () => abortController.abort());
+    const withdraw = this.#options.drain.onEnd(() => abortController.abort());
     const patienceMs = route.patienceMs ?? Infinity;
     const context: types.RequestContext = {
       metadata,
@@ -367,10 +381,19 @@
       const mayHaveRun = await this.#serve(exchange);
       if (!mayHaveRun) this.#refund(admission);
     } finally {
+      withdraw();
       clearTimeout(timer);
     }
   }
 
+  /** Gives back what an admission has taken of its workspace's rate. */
+  #refund(admission: Admission): void {
+    if (admission.kind !== "admitted") return;
+    const { tokens, workspace } = admission;
+    if (workspace?.rate === undefined) return;
+    this.#options.rateLimiter.refund(workspace.name, tokens);
+  }
+
   /** Serves a request; resolves to whether a server may have run it. */
   async #serve(exchange: dispatcher.Exchange): Promise<boolean> {
     const { dispatcher, onArrival, streamResolver } = this.#options;
@@ -487,6 +510,17 @@
   return { kind: "refused", refusal: new errors.Refusal(definition, detail) };
 }
 
+function stopping(): errors.Refusal {
+  return new errors.Refusal(errors.NO_CAPACITY, "this host stops", {
+    retryAfterSeconds: STOPPING_RETRY_SECONDS,
+  });
+}
+
+/** Whether a response has begun, or its caller has disconnected. */
+function isAnswered(response: http.ServerResponse): boolean {
+  return response.headersSent || response.destroyed;
+}
+
 function notCurrent(detail: string): Admission {
   return {
     kind: "not-current",
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -9,6 +9,7 @@
 import type { gateway } from "@ebonypath/protocol";
 import type * as crashSuspects from "./crash_suspects.ts";
 import type * as fleetView from "./fleet_view.ts";
+import type * as hostDrain from "./host_drain.ts";
 import type * as serverTracker from "./server_tracker.ts";
 import type * as types from "./types.ts";
 import type * as unitBorrower from "./unit_borrower.ts";
@@ -42,6 +43,7 @@
     crashSuspects.CrashSuspects,
     "permissionFor" | "recordStart" | "requestAdmission" | "returnAdmission"
   >;
+  readonly drain: Pick<hostDrain.HostDrain, "decideStart">;
   /** Called with an unreachable server that is to be probed. */
   onProbeDue(server: gateway.ServerRecord): void;
   /** Called when a request is queued. */
@@ -71,16 +73,15 @@
    * Gives up at the request's queue deadline, when it is aborted, when the
    * leader forecasts that its model will be loaded too late, when no server is
    * left that has the software version of the stream that it resumes, when the
-   * request is in quarantine, or when all servers want no requests for longer than
-   * it waits.
+   * request is in quarantine, when all servers want no requests for longer than
+   * it waits, or when this host stops before the request might end.
    */
   async select(context: types.RequestContext): Promise<types.Selection> {
+    if (context.signal.aborted) return { kind: "expired" };
     const now = performance.now();
     const selection = this.#trySelect(context, now);
     if (selection !== undefined) return selection;
-    if (now >= context.queueDeadline || context.signal.aborted) {
-      return { kind: "expired" };
-    }
+    if (now >= context.queueDeadline) return { kind: "expired" };
     return await this.#enqueue(context);
   }
 
@@ -131,7 +132,10 @@
     context: types.RequestContext,
     now: number,
   ): types.Selection | undefined {
-    const { suspects } = this.#options;
+    const { drain, suspects } = this.#options;
+    if (drain.decideStart(context, now).kind === "refuse") {
+      return { kind: "stopping" };
+    }
     const permission = suspects.permissionFor(context, now);
     if (permission.kind === "quarantined") return permission;
     const server = this.#findServer(context, permission, now);
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -84,6 +84,8 @@
 /** Result of the selection of a server. */
 export type Selection =
   | { readonly kind: "server"; readonly server: gateway.ServerRecord }
+  /** This host stops, and the request might not end before. */
+  | { readonly kind: "stopping" }
   /** No server has taken the request until its queue deadline. */
   | { readonly kind: "expired" }
   /** The request is not to be run, because it crashed servers. */
--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -4,6 +4,7 @@
 import * as net from "node:net";
 import type { gateway } from "@ebonypath/protocol";
 import { expect } from "chai";
+import * as hostDrain from "../../src/gateway/entry/host_drain.ts";
 import {
   BUSY_RESPONSE,
   completeStream,
@@ -253,6 +254,39 @@
     expect(observed.isComplete).to.equal(true);
   });
 
+  it("tells a server to end before its host stops", async () => {
+    const drain = new hostDrain.HostDrain();
+    drain.recordRun(createContext("unsafe", false), 10);
+    drain.begin(performance.now() + 1_000);
+    let toldMs = 0;
+    const server = net.createServer((socket) => {
+      socket.once("data", (head) => {
+        toldMs = Number(/^x-deadline-ms: (\d+)/im.exec(head.toString())?.[1]);
+        socket.end(OK_RESPONSE);
+      });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as net.AddressInfo;
+    const records = [serverRecord("s", `127.0.0.1:${port}`)];
+    const stopping = createDispatcher(records, () => {}, 100, drain);
+    const gatewayServer = http.createServer((request, response) => {
+      const context = createContext("unsafe", false);
+      void stopping.serve({ context, request, body: undefined, response });
+    });
+    gatewayServer.listen(0, "127.0.0.1");
+    await once(gatewayServer, "listening");
+    try {
+      const address = gatewayServer.address() as net.AddressInfo;
+      expect((await sendRequest(address.port)).status).to.equal(200);
+      expect(toldMs).to.be.within(1, 900);
+    } finally {
+      drain[Symbol.dispose]();
+      gatewayServer.close();
+      server.close();
+    }
+  });
+
   it("bounds the memory of endless answers, and serves the next request", async () => {
     const block = Buffer.alloc(64 * 1_024, "x");
     let buffered = 0;
--- a/packages/daemon/test/gateway/dispatching.ts
+++ b/packages/daemon/test/gateway/dispatching.ts
@@ -9,6 +9,7 @@
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import * as dispatcher from "../../src/gateway/entry/dispatcher.ts";
+import * as hostDrain from "../../src/gateway/entry/host_drain.ts";
 import * as retryBudgets from "../../src/gateway/entry/retry_budgets.ts";
 import type * as serverSelector from "../../src/gateway/entry/server_selector.ts";
 import * as serverTracker from "../../src/gateway/entry/server_tracker.ts";
@@ -82,9 +83,11 @@
 
 export const DIALECT: types.Dialect = {
   readRequest: () => EMPTY_METADATA,
-  upstreamHeaders: ({ headers }, { lastEventId }) => [
+  upstreamHeaders: ({ headers }, { deadlineMs, lastEventId }) => [
     "host",
     "h",
+    "x-deadline-ms",
+    String(deadlineMs),
     ...(headers["x-id"] === undefined ? [] : ["x-id", String(headers["x-id"])]),
     ...(lastEventId === undefined ? [] : ["last-event-id", lastEventId]),
   ],
@@ -185,6 +188,7 @@
   records: readonly gateway.ServerRecord[],
   onSelect: (context: types.RequestContext) => void = () => {},
   retrySlack = 100,
+  drain = new hostDrain.HostDrain(),
 ): dispatcher.Dispatcher {
   const remaining = [...records];
   const selector = {
@@ -217,6 +221,7 @@
       isMixed: () => true,
     }),
     suspects: { recordEnd: () => {}, recordFailure: () => Promise.resolve() },
+    drain,
     metrics: new GatewayMetrics(),
     onReturnExpected: () => {},
     onServerLeaving: () => {},
--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -53,6 +53,42 @@
   });
 });
 
+describe("a request to a host that stops", () => {
+  it("is answered as not run if it waits for a configuration at the end", async () => {
+    await using fixture = new Fixture(undefined);
+    const request = await fixture.sendRequest();
+    const status = statusOf(request);
+    fixture.drain.begin(performance.now() + 50);
+    expect(await status).to.equal(503);
+    fixture.view.apply(WATCH_RESPONSE, performance.now());
+    await wait.waitFor(
+      "the request to end",
+      () => fixture.handler.openRequests === 0,
+    );
+    expect(fixture.dispatched).to.deep.equal([]);
+  });
+
+  it("is ended while it is served", async () => {
+    await using fixture = new Fixture(undefined);
+    fixture.servesAtOnce = false;
+    fixture.view.apply(WATCH_RESPONSE, performance.now());
+    const startedAt = performance.now();
+    const request = await fixture.sendRequest();
+    fixture.drain.begin(startedAt + 200);
+    await statusOf(request);
+    expect(performance.now() - startedAt).to.be.within(199, 1_000);
+  });
+
+  it("is refused at once after the end", async () => {
+    await using fixture = new Fixture(undefined);
+    fixture.view.apply(WATCH_RESPONSE, performance.now());
+    fixture.drain.begin(0);
+    await timers.setTimeout(20);
+    expect(await fixture.fetchStatus()).to.equal(503);
+    expect(fixture.dispatched).to.deep.equal([]);
+  });
+});
+
 describe("a request to a route with an unusually long timeout", () => {
   it("is not ended before it is served", async () => {
     await using fixture = new Fixture(undefined);
--- a/packages/daemon/test/gateway/request_handling.ts
+++ b/packages/daemon/test/gateway/request_handling.ts
@@ -12,6 +12,7 @@
 import { readClocks } from "../../src/gateway/entry/clocks.ts";
 import type * as dispatcher from "../../src/gateway/entry/dispatcher.ts";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
+import * as hostDrain from "../../src/gateway/entry/host_drain.ts";
 import * as requestHandler from "../../src/gateway/entry/request_handler.ts";
 import type * as stateConfirmer from "../../src/gateway/entry/state_confirmer.ts";
 import type * as streamResolver from "../../src/gateway/entry/stream_resolver.ts";
@@ -49,6 +50,7 @@
 /** A request handler without a configuration, behind an HTTP server. */
 export class Fixture implements AsyncDisposable {
   readonly view = new fleetView.FleetView();
+  readonly drain = new hostDrain.HostDrain();
   readonly dispatched: types.RequestContext[] = [];
   readonly handler: requestHandler.RequestHandler;
   readonly rateLimiter = new core.gateway.SharedRateLimiter();
@@ -97,6 +99,7 @@
           Promise.resolve({ kind: "continues", context }),
       } as unknown as streamResolver.StreamResolver,
       rateLimiter: this.rateLimiter,
+      drain: this.drain,
       maxConfigurationAgeMs: MAX_AGE_MS,
       confirmConfiguration: () => {
         this.confirmations += 1;
--- a/packages/daemon/test/gateway/server_selection_property_test.ts
+++ b/packages/daemon/test/gateway/server_selection_property_test.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai";
 import * as crashSuspects from "../../src/gateway/entry/crash_suspects.ts";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
+import * as hostDrain from "../../src/gateway/entry/host_drain.ts";
 import * as serverSelector from "../../src/gateway/entry/server_selector.ts";
 import * as serverTracker from "../../src/gateway/entry/server_tracker.ts";
 import type * as types from "../../src/gateway/entry/types.ts";
@@ -63,6 +64,7 @@
         onCrash: () => {},
         onNews: () => {},
       }),
+      drain: new hostDrain.HostDrain(),
       onProbeDue: () => {},
       onQueued: () => {},
       onDequeued: () => {},
--- a/packages/daemon/test/gateway/server_selector_test.ts
+++ b/packages/daemon/test/gateway/server_selector_test.ts
@@ -2,6 +2,7 @@
 import type { gateway } from "@ebonypath/protocol";
 import { expect } from "chai";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
+import * as hostDrain from "../../src/gateway/entry/host_drain.ts";
 import * as serverSelector from "../../src/gateway/entry/server_selector.ts";
 import * as crashSuspects from "../../src/gateway/entry/crash_suspects.ts";
 import * as serverTracker from "../../src/gateway/entry/server_tracker.ts";
@@ -23,6 +24,7 @@
 /** A selector before servers that the leader has told of. */
 class Fixture implements Disposable {
   readonly view = new fleetView.FleetView();
+  readonly drain = new hostDrain.HostDrain();
   /** Units that may be taken, and servers that units were wanted for. */
   units = 0;
   wanted: string[] = [];
@@ -50,6 +52,7 @@
         want: (_limit, name) => this.wanted.push(name),
       },
       suspects: this.suspects,
+      drain: this.drain,
       onProbeDue: ({ id }) => this.probed.push(id),
       onQueued: () => {},
       onDequeued: () => {},
@@ -239,6 +242,18 @@
     expect(fixture.selector.isWaiting).to.equal(true);
   });
 
+  it("gives up when a request might not end before its host stops", async () => {
+    using fixture = new Fixture([]);
+    fixture.drain.recordRun(fixture.context("m1", 9_000), 400);
+    const waiting = fixture.select("m1", 9_000);
+    const startedAt = performance.now();
+    fixture.drain.begin(startedAt + 800);
+    expect((await waiting).kind).to.equal("stopping");
+    // 400 ms and a quarter, and 100 ms for the answer to arrive.
+    expect(performance.now() - startedAt).to.be.within(200, 299 + 200);
+    fixture.drain[Symbol.dispose]();
+  });
+
   it("gives up at the queue deadline", async () => {
     using fixture = new Fixture([record("s1")]);
     expect(await fixture.select("m2", 60)).to.deep.equal({ kind: "expired" });
