Answer a request whose time ends while its host connects to a server

What callers saw: no answer, on a connection that stayed open. Cause: a request that was aborted before it was sent counted as left by its caller. It also is aborted at its time limit, and at the end of a host's drain; then its caller is still there.

Only a response whose connection has ended counts as left now; all others are refused as not run, with 503. A server is no longer counted as failed for an attempt that this host has cancelled.

--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -400,9 +400,11 @@
     if (result.kind !== "not-sent") availability.recordReachable(server);
     switch (result.kind) {
       case "not-sent":
-        if (context.signal.aborted) return DISCONNECTED;
-        this.#recordFailure(context, server.id);
-        availability.recordUnreachable(server, performance.now());
+        if (exchange.response.destroyed) return DISCONNECTED;
+        if (!context.signal.aborted) {
+          this.#recordFailure(context, server.id);
+          availability.recordUnreachable(server, performance.now());
+        }
         return { kind: "not-run", reason: result.reason, hasArrived: false };
       case "no-answer": {
         const elapsedMs = performance.now() - sentAt;
--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -254,6 +254,26 @@
     expect(observed.isComplete).to.equal(true);
   });
 
+  it("answers a request whose time is over before it is sent", async () => {
+    const stopped = createDispatcher([serverRecord("s", "127.0.0.1:1")]);
+    const gatewayServer = http.createServer((request, response) => {
+      const context = {
+        ...createContext("unsafe", false),
+        signal: AbortSignal.abort(),
+      };
+      void stopped.serve({ context, request, body: undefined, response });
+    });
+    gatewayServer.listen(0, "127.0.0.1");
+    await once(gatewayServer, "listening");
+    try {
+      const { port } = gatewayServer.address() as net.AddressInfo;
+      expect((await sendRequest(port)).status).to.equal(503);
+    } finally {
+      gatewayServer.closeAllConnections();
+      gatewayServer.close();
+    }
+  });
+
   it("tells a server to end before its host stops", async () => {
     const drain = new hostDrain.HostDrain();
     drain.recordRun(createContext("unsafe", false), 10);
