Log failed watches, unconfirmed admissions and calls refused without a leader

What it called, for how long and why that failed was not logged, nor that it admitted requests by a configuration of unknown age, nor the work that hosts cause at control hosts while they look for a leader.

--- a/packages/daemon/src/fleet/rpc_server.ts
+++ b/packages/daemon/src/fleet/rpc_server.ts
@@ -32,6 +32,15 @@
 /** Implements one method; `params` has been validated by the method's schema. */
 export type Method<Params> = (params: Params) => unknown;
 
+/** Calls that a server has received since they were counted last. */
+export interface CallCounts {
+  readonly calls: number;
+  /** Calls that were refused because this host does not lead, by method. */
+  readonly refused: ReadonlyMap<string, number>;
+  /** Size of the bodies that were read, in bytes. */
+  readonly bytes: number;
+}
+
 /** Writes a streaming response; it owns the response once called. */
 export type StreamHandler = (
   body: unknown,
@@ -46,6 +55,9 @@
   });
   readonly #streams = new Map<string, StreamHandler>();
   readonly #leaderGuards = new Map<string, () => NotLeading | undefined>();
+  #calls = 0;
+  #refused = new Map<string, number>();
+  #bytes = 0;
 
   constructor(secret: string) {
     this.#secret = secret;
@@ -92,6 +104,19 @@
     for (const method of methods) this.#leaderGuards.set(method, guard);
   }
 
+  /** Returns the counts of calls, and starts to count anew. */
+  takeCounts(): CallCounts {
+    const counts = {
+      calls: this.#calls,
+      refused: this.#refused,
+      bytes: this.#bytes,
+    };
+    this.#calls = 0;
+    this.#refused = new Map();
+    this.#bytes = 0;
+    return counts;
+  }
+
   /** Registers a path with a streaming response, for instance the feed. */
   addStream(path: string, handler: StreamHandler): void {
     this.#streams.set(path, handler);
@@ -116,12 +141,16 @@
     if (request.method !== "POST" || (path !== "/rpc" && !stream)) {
       return sendJson(response, 404, { error: "no such path" });
     }
+    this.#calls += 1;
     const method = request.headers[METHOD_HEADER];
     const refusal = typeof method === "string"
       ? this.#leaderGuards.get(method)?.()
       : undefined;
-    // Node.js drops the rest of the body when the response has ended.
-    if (refusal !== undefined) return sendJson(response, 200, refuse(refusal));
+    if (refusal !== undefined) {
+      this.#countRefusal(String(method));
+      // Node.js drops the rest of the body when the response has ended.
+      return sendJson(response, 200, refuse(refusal));
+    }
     const body = await readJson(request);
     if (body === "lost") {
       write("connection-lost", { peer: request.socket.remoteAddress });
@@ -132,12 +161,19 @@
       return sendJson(response, 400, { error: "the body is not JSON" });
     }
     if (stream) return stream(body, response);
-    const rpcResponse = await this.#server.receive(
-      body as jsonRpc.JSONRPCRequest,
-    );
+    const call = body as jsonRpc.JSONRPCRequest;
+    this.#bytes += Number(request.headers["content-length"] ?? 0);
+    const rpcResponse = await this.#server.receive(call);
+    if (rpcResponse?.error?.code === errors.NOT_LEADER_CODE) {
+      this.#countRefusal(call.method);
+    }
     if (rpcResponse === null) return sendJson(response, 204, undefined);
     sendJson(response, 200, rpcResponse);
   }
+
+  #countRefusal(method: string): void {
+    this.#refused.set(method, (this.#refused.get(method) ?? 0) + 1);
+  }
 }
 
 /** The id of the call is not known: it is in the body. */
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -152,16 +152,17 @@
    * Applies a leader's response unless it is older than the current state.
    *
    * @param requestedAt when the request that it answers was sent
+   * @returns whether it was applied
    */
   apply(
     response: gateway.WatchResponse,
     now: number,
     requestedAt?: core.gateway.ClockReading,
-  ): void {
-    if (response.term < this.#term) return;
+  ): boolean {
+    if (response.term < this.#term) return false;
     const isStale = response.term === this.#term &&
       response.revision < this.#revision;
-    if (isStale) return;
+    if (isStale) return false;
     this.#term = response.term;
     this.#revision = response.revision;
     this.#lastResponseAt = now;
@@ -182,6 +183,7 @@
       this.#freshness.confirm(requestedAt, response.heldMs);
     }
     this.emit("change");
+    return true;
   }
 
   /**
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -143,9 +143,11 @@
 
   async #runWatch(): Promise<void> {
     while (!this.#disposed.signal.aborted) {
+      const startedAt = performance.now();
       try {
         await this.#callWatch();
       } catch (error) {
+        this.#logFailedWatch(error, startedAt);
         this.#recordConnectionLoss(error);
         await this.#sleep(WATCH_RETRY_MS);
       }
@@ -181,7 +183,26 @@
     leader.setControlHosts(
       response.controlHosts.map((address) => ({ address })),
     );
-    view.apply(response, performance.now(), requestedAt);
+    const { revision, term } = view;
+    if (view.apply(response, performance.now(), requestedAt)) return;
+    write("answer-dropped", {
+      term: response.term,
+      revision: response.revision,
+      known_term: term,
+      known_revision: revision,
+    });
+  }
+
+  /** @param startedAt monotonic time at which the call began, in ms */
+  #logFailedWatch(error: unknown, startedAt: number): void {
+    const { leader, view } = this.#options;
+    write("watch-failed", {
+      took_ms: Math.round(performance.now() - startedAt),
+      version: view.configuration?.version,
+      term: view.term,
+      leader: leader.leader,
+      error,
+    });
   }
 
   #recordConnectionLoss(error: unknown): void {
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -219,10 +219,29 @@
       this.#refuse(response, metadata, refusalOf(admission));
       return undefined;
     }
+    if (confirmation === "unknown") {
+      this.#recordUnconfirmed(metadata, admission.route);
+    }
     return () =>
       this.#dispatch(request, response, metadata, body, admission, arrivedAt);
   }
 
+  /** Records that a request is admitted by a configuration of unknown age. */
+  #recordUnconfirmed(
+    { id }: types.RequestMetadata,
+    { name }: gateway.Route,
+  ): void {
+    const { onUnconfirmed, view } = this.#options;
+    onUnconfirmed();
+    write("admitted-unconfirmed", {
+      id,
+      route: name,
+      version: view.configuration?.version,
+      age_ms: Math.round(view.configurationAgeMs(clocks.readClocks())),
+      term: view.term,
+    });
+  }
+
   /**
    * Waits for the first configuration, which arrives soon after the start of
    * this host.
@@ -300,9 +319,7 @@
       case "current":
         return admission;
       case "unknown":
-        if (!isAdmitted) return notCurrent(UNCONFIRMED);
-        this.#options.onUnconfirmed();
-        return admission;
+        return isAdmitted ? admission : notCurrent(UNCONFIRMED);
       case "behind":
         this.#refund(admission);
         return notCurrent(UNCONFIRMED);
