Bound the memory of all responses that an entry host holds

Callers saw the requests of others end with the host: it ran out of memory.

Cause: the limit of 48 MiB counted the bytes of bodies while they arrived, not the memory that they took. Not counted were - the objects of small chunks: a body in chunks of a byte took over 20 times its length and ended the process; - partial events of streams, 1 MiB each, copied anew with each chunk, so that an event in chunks of a byte also blocked the event loop; - complete responses that a slow caller had not read; - error responses that are kept while another server is tried. When the limit was reached, the response whose bytes came next was dropped, which may be a small and sound one, instead of those that had filled it.

Change: responses and partial events are copied into the blocks of a `ResponseBuffer`. A `BufferBudget` counts the blocks of all of them, until the caller has received a response, and drops the largest buffer when the limit is reached. The drop is logged, its error bears step and server, and it does not count as a lost connection, by which a crash is suspected. Limits stay as they were: 16 MiB for a response, 1 MiB for an event, 48 MiB for all.

--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import * as core from "@ebonypath/core";
 import { errors, type gateway } from "@ebonypath/protocol";
@@ -15,6 +15,7 @@
 import type * as crashSuspects from "./crash_suspects.ts";
 import * as eventRelay from "./event_relay.ts";
 import type * as hostDrain from "./host_drain.ts";
+import * as responseBuffer from "./response_buffer.ts";
 import * as responses from "./responses.ts";
 import type * as retryBudgets from "./retry_budgets.ts";
 import type * as serverSelector from "./server_selector.ts";
@@ -27,12 +28,12 @@
 
 /**
  * Limit of a response that is not a stream, in bytes: it is buffered until it
- * is complete.
+ * is complete, so that the request can still go to another server.
  */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 /**
- * Limit of all responses that are buffered at the same time, in bytes. It leaves
- * a host of 250 MB the memory for everything else.
+ * Limit of all responses and partial events that are buffered at the same time,
+ * in bytes. It leaves a host of 250 MB the memory for everything else.
  */
 const MAX_BUFFERED_BYTES = 48 * 1024 * 1024;
 /** Retry delay in a refusal for lack of capacity, in seconds. */
@@ -130,7 +131,7 @@
 type BufferedResponse = {
   readonly status: number;
   readonly headers: readonly string[];
-  readonly body: Buffer;
+  readonly body: responseBuffer.ResponseBuffer;
 };
 
 type UpstreamResponse = Extract<upstream.UpstreamResult, { kind: "answered" }>;
@@ -169,15 +170,15 @@
 /** Dispatches requests to backend servers. */
 export class Dispatcher {
   readonly #options: DispatcherOptions;
-  #bufferedBytes = 0;
+  readonly #budget = new responseBuffer.BufferBudget(MAX_BUFFERED_BYTES);
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
   }
 
-  /** Size of the responses that are being buffered, in bytes. */
+  /** Memory of the responses and partial events that are held, in bytes. */
   get bufferedBytes(): number {
-    return this.#bufferedBytes;
+    return this.#budget.bytes;
   }
 
   /**
@@ -203,6 +204,7 @@
       isQuarantined: false,
     };
     const outcome = await this.#runAttempts(exchange, progress);
+    progress.relay?.[Symbol.dispose]();
     this.#options.suspects.recordEnd(context, false);
     if (progress.stream !== undefined && outcome !== "streamed") {
       this.#options.onStreamBroken(progress.stream);
@@ -278,7 +280,10 @@
       progress.waitedMs ??= now - context.arrivedAt;
       progress.servers.push(server.id);
       const result = await this.#attempt(exchange, server, progress);
-      if (result.kind === "done") return result.outcome;
+      if (result.kind === "done") {
+        progress.errorResponse?.body[Symbol.dispose]();
+        return result.outcome;
+      }
       if (!this.#shouldRetry(context, result, progress)) {
         return this.#respondWithFailure(exchange, progress);
       }
@@ -317,6 +322,7 @@
         progress.arrivals += 1;
         progress.reason = `status ${result.response.status}`;
         progress.possibleRuns += 1;
+        progress.errorResponse?.body[Symbol.dispose]();
         progress.errorResponse = result.response;
         return context.isRetryable &&
           progress.possibleRuns < context.route.maxAttempts;
@@ -479,7 +485,7 @@
   ): Promise<AttemptResult> {
     const { context } = exchange;
     try {
-      const response = await this.#bufferResponse(result);
+      const response = await this.#bufferResponse(server, result);
       const isFailure = response.status >= MIN_SERVER_ERROR_STATUS;
       if (isFailure) context.failedServers.add(server.id);
       else this.#options.tracker.recordSuccess(server.id);
@@ -488,8 +494,7 @@
     } catch (error) {
       result.cancel();
       if (!context.signal.aborted) this.#recordFailure(context, server.id);
-      const reason = errorMessage(error);
-      return { kind: "unknown", reason, isConnectionLost: true };
+      return brokenResponse(error);
     }
   }
 
@@ -531,28 +536,29 @@
     onServerLeaving();
   }
 
-  /** Buffers a response, so that the caller gets a complete one or none. */
+  /**
+   * Buffers a response, so that the caller gets a complete one or none. The body
+   * must be released.
+   */
   async #bufferResponse(
+    server: gateway.ServerRecord,
     { completed, message, status }: UpstreamResponse,
   ): Promise<BufferedResponse> {
-    const parts: Buffer[] = [];
-    let bytes = 0;
-    message.on("data", (part: Buffer) => {
-      parts.push(part);
-      bytes += part.length;
-      this.#bufferedBytes += part.length;
-      if (bytes > MAX_RESPONSE_BYTES) {
-        message.destroy(new Error("the answer is too large"));
-      } else if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
-        message.destroy(new Error("too many answers are buffered"));
-      }
+    const body = this.#budget.open({
+      peer: server.id,
+      maxBytes: MAX_RESPONSE_BYTES,
+      onOverflow: (error) => message.destroy(error),
     });
+    message.on("data", (part: Buffer) => body.append(part));
     try {
       await completed;
+      if (body.overflow !== undefined) throw body.overflow;
+      body.setOverflowHandler(() => {});
       const headers = this.#options.dialect.responseHeaders(message);
-      return { status, headers, body: Buffer.concat(parts) };
-    } finally {
-      this.#bufferedBytes -= bytes;
+      return { status, headers, body };
+    } catch (error) {
+      body[Symbol.dispose]();
+      throw error;
     }
   }
 
@@ -563,6 +569,7 @@
   ): AttemptResult {
     if (progress.relay !== undefined) {
       // The caller has received part of a stream, which nothing can replace.
+      body[Symbol.dispose]();
       response.destroy();
       return { kind: "done", outcome: "cut", isSuccess: false };
     }
@@ -589,12 +596,13 @@
       responses.startStream(response, result.status, headers, isSelfDelimited);
       progress.relay = new eventRelay.EventRelay(
         response,
+        this.#budget,
         callersLastEventId(context),
       );
     }
     this.#recordStream(context, server, progress);
     try {
-      await progress.relay.relay(result.message, result.completed);
+      await progress.relay.relay(server.id, result.message, result.completed);
       this.#options.tracker.recordSuccess(server.id);
       progress.hasServerResponse = true;
       response.end();
@@ -603,8 +611,7 @@
     } catch (error) {
       result.cancel();
       if (!context.signal.aborted) this.#recordFailure(context, server.id);
-      const reason = errorMessage(error);
-      return { kind: "unknown", reason, isConnectionLost: true };
+      return brokenResponse(error);
     }
   }
 
@@ -628,11 +635,15 @@
   #respondWithFailure(exchange: Exchange, progress: Progress): string {
     const { response, context } = exchange;
     if (progress.relay !== undefined) {
+      progress.errorResponse?.body[Symbol.dispose]();
       response.destroy();
       return "cut";
     }
-    if (progress.errorResponse !== undefined) {
-      const { body, headers, status } = progress.errorResponse;
+    const { errorResponse } = progress;
+    if (
+      errorResponse !== undefined && errorResponse.body.overflow === undefined
+    ) {
+      const { body, headers, status } = errorResponse;
       responses.sendResponse(response, status, headers, body);
       return `answered ${status}`;
     }
@@ -697,6 +708,12 @@
   return { kind: "unknown", reason, isConnectionLost: false };
 }
 
+/** A response that ended early: by its server, or because it was too large. */
+function brokenResponse(error: unknown): AttemptResult {
+  const isConnectionLost = !(error instanceof responseBuffer.BufferLimitError);
+  return { kind: "unknown", reason: errorMessage(error), isConnectionLost };
+}
+
 /** States that a request has not run only if that is certain. */
 function createRefusal(
   context: types.RequestContext,
--- a/packages/daemon/src/gateway/entry/event_relay.ts
+++ b/packages/daemon/src/gateway/entry/event_relay.ts
@@ -6,8 +6,10 @@
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import * as core from "@ebonypath/core";
+import type * as responseBuffer from "./response_buffer.ts";
 
 const EVENT_DELIMITER = Buffer.from("\n\n");
+/** Limit of an event, in bytes: it is buffered until it is complete. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 const NEWLINE = 0x0a;
 /** First byte of a line that carries an event id. */
@@ -18,15 +20,23 @@
  * Relays server-sent events and writes only complete ones, so that a stream
  * which breaks inside an event can be resumed at another server.
  */
-export class EventRelay {
+export class EventRelay implements Disposable {
   readonly #response: http.ServerResponse;
+  readonly #budget: responseBuffer.BufferBudget;
   readonly #sequence: core.gateway.EventSequence;
-  #partialEvent: Buffer = Buffer.alloc(0);
+  #partialEvent: responseBuffer.ResponseBuffer | undefined;
+  /** Whether the last byte of the partial event ends a line. */
+  #endsWithNewline = false;
   #eventCount = 0;
 
   /** @param lastEventId id of the last event that the caller has received */
-  constructor(response: http.ServerResponse, lastEventId?: string) {
+  constructor(
+    response: http.ServerResponse,
+    budget: responseBuffer.BufferBudget,
+    lastEventId?: string,
+  ) {
     this.#response = response;
+    this.#budget = budget;
     this.#sequence = new core.gateway.EventSequence(lastEventId);
   }
 
@@ -44,21 +54,32 @@
    * Relays one server's stream to its end. If the stream has begun at another
    * server, this one has to follow on.
    *
+   * @param server its id
    * @param completed rejects when the stream is interrupted
    *
    * @throws {Error} the stream was interrupted, ended inside an event or does
    * not follow on
    */
   async relay(
+    server: string,
     message: http.IncomingMessage,
     completed: Promise<void>,
   ): Promise<void> {
-    this.#partialEvent = Buffer.alloc(0);
+    this[Symbol.dispose]();
+    const partialEvent = this.#budget.open({
+      peer: server,
+      maxBytes: MAX_EVENT_BYTES,
+      onOverflow: (error) => message.destroy(error),
+    });
+    this.#partialEvent = partialEvent;
     this.#sequence.begin();
     const previousCount = this.#eventCount;
-    message.on("data", (chunk: Buffer) => this.#onChunk(chunk, message));
+    message.on(
+      "data",
+      (chunk: Buffer) => this.#onChunk(chunk, message, partialEvent),
+    );
     await completed;
-    if (this.#partialEvent.length > 0) {
+    if (partialEvent.length > 0) {
       throw new Error("the stream ended within an event");
     }
     if (previousCount > 0 && this.#eventCount === previousCount) {
@@ -66,24 +87,39 @@
     }
   }
 
-  #onChunk(chunk: Buffer, message: http.IncomingMessage): void {
+  /** Releases the memory of an incomplete event. */
+  [Symbol.dispose](): void {
+    this.#partialEvent?.[Symbol.dispose]();
+    this.#partialEvent = undefined;
+    this.#endsWithNewline = false;
+  }
+
+  #onChunk(
+    chunk: Buffer,
+    message: http.IncomingMessage,
+    partialEvent: responseBuffer.ResponseBuffer,
+  ): void {
     // Chunks that were received together still arrive.
     if (message.destroyed) return;
-    const bytes = this.#partialEvent.length === 0
-      ? chunk
-      : Buffer.concat([this.#partialEvent, chunk]);
-    const lastDelimiter = bytes.lastIndexOf(EVENT_DELIMITER);
-    const completeBytes = lastDelimiter < 0
-      ? 0
-      : lastDelimiter + EVENT_DELIMITER.length;
-    this.#partialEvent = bytes.subarray(completeBytes);
-    if (this.#partialEvent.length > MAX_EVENT_BYTES) {
-      message.destroy(new Error("an event is too large"));
-      return;
-    }
-    if (completeBytes > 0) {
-      this.#write(bytes.subarray(0, completeBytes), message);
-    }
+    const completeBytes = this.#completeBytes(chunk);
+    this.#endsWithNewline = chunk.at(-1) === NEWLINE &&
+      completeBytes < chunk.length;
+    const rest = chunk.subarray(completeBytes);
+    if (completeBytes === 0) return partialEvent.append(rest);
+    const complete = chunk.subarray(0, completeBytes);
+    const events = partialEvent.length === 0
+      ? complete
+      : Buffer.concat([...partialEvent.parts, complete]);
+    partialEvent[Symbol.dispose]();
+    partialEvent.append(rest);
+    this.#write(events, message);
+  }
+
+  /** Bytes of a chunk up to the end of its last complete event. */
+  #completeBytes(chunk: Buffer): number {
+    const lastDelimiter = chunk.lastIndexOf(EVENT_DELIMITER);
+    if (lastDelimiter >= 0) return lastDelimiter + EVENT_DELIMITER.length;
+    return this.#endsWithNewline && chunk[0] === NEWLINE ? 1 : 0;
   }
 
   #write(events: Buffer, message: http.IncomingMessage): void {
--- a/packages/daemon/src/gateway/entry/responses.ts
+++ b/packages/daemon/src/gateway/entry/responses.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import { errors } from "@ebonypath/protocol";
+import type * as responseBuffer from "./response_buffer.ts";
 import type * as types from "./types.ts";
 
 const SECOND_MS = 1_000;
@@ -45,7 +45,8 @@
 }
 
 /**
- * Sends a server's complete response.
+ * Sends a server's complete response. Its body is released when the caller has
+ * received it or has disconnected.
  *
  * @param headers alternating names and values, without those that frame the
  * body
@@ -59,16 +60,23 @@
   response: http.ServerResponse,
   status: number,
   headers: readonly string[],
-  body: Buffer,
+  body: responseBuffer.ResponseBuffer,
 ): void {
-  if (response.headersSent || response.destroyed) return;
+  if (response.headersSent || response.destroyed) {
+    body[Symbol.dispose]();
+    return;
+  }
+  body.setOverflowHandler(() => response.destroy());
+  response.on("close", () => body[Symbol.dispose]());
   response.writeHead(status, [
     ...headers,
     ...connectionHeaders(response),
     "content-length",
     String(body.length),
   ]);
-  response.end(body);
+  const { parts } = body;
+  for (const part of parts.slice(0, -1)) response.write(part);
+  response.end(parts.at(-1));
 }
 
 /**
