--- a/packages/daemon/test/gateway/server_faults_test.ts
+++ b/packages/daemon/test/gateway/server_faults_test.ts
@@ -2,6 +2,7 @@
 import * as net from "node:net";
 import * as timers from "node:timers/promises";
 import { Buffer } from "node:buffer";
+import * as testing from "@ebonypath/testing";
 import { expect } from "chai";
 import * as upstream from "../../src/gateway/entry/upstream.ts";
 
@@ -124,6 +125,30 @@
     }
   }
 
+  it("without end ends the connection that it is sent on", async () => {
+    const block = Buffer.alloc(64 * 2 ** 10, "x");
+    let written = 0;
+    using server = await RawServer.start((socket, text) => {
+      for (const id of requestIds(text)) socket.write(answer(id, true));
+      const write = () => {
+        while (!socket.destroyed && written < MAX_WASTED_BYTES) {
+          written += block.length;
+          if (socket.write(block)) continue;
+          socket.once("drain", write);
+          return;
+        }
+      };
+      setTimeout(write, 50);
+    });
+    expect(await exchange(server, "id-1")).to.equal("id-1: for id-1");
+    await testing.wait.waitFor(
+      "the connection is closed",
+      () => Promise.resolve(server.sockets.size === 0),
+      { timeoutMs: 1_000, describe: () => `${written} bytes` },
+    );
+    expect(written).to.be.below(MAX_WASTED_BYTES);
+  });
+
   it("does not keep a connection whose answers bear no id", async () => {
     using server = await RawServer.start((socket, text) => {
       for (const id of requestIds(text)) socket.write(answer(id, false));
