Close an idle connection to a server when bytes arrive on it

Callers waited for seconds, of servers that had nothing to do with the fault.

Cause: an idle connection of `http.Agent` goes on reading, and what arrives is dropped without a limit. The bytes also renew the idle timeout, so a server that writes without end after a complete answer keeps the event loop busy for as long as it likes, on entry hosts and, by reports and orders, on control hosts.

Change: `GuardedAgent` closes such a connection at the first byte.

--- a/packages/daemon/src/gateway/entry/upstream.ts
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -12,6 +12,7 @@
 import type * as net from "node:net";
 import { gateway } from "@ebonypath/protocol";
 import * as v from "valibot";
+import * as guardedAgent from "../guarded_agent.ts";
 
 /** Time limit for opening a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -69,7 +70,7 @@
     readonly isTimeout: boolean;
   };
 
-const keepAliveAgent = new http.Agent({
+const keepAliveAgent = new guardedAgent.GuardedAgent({
   keepAlive: true,
   keepAliveMsecs: IDLE_TIMEOUT_MS,
   maxFreeSockets: MAX_IDLE_CONNECTIONS,
--- a/packages/daemon/src/gateway/mod.ts
+++ b/packages/daemon/src/gateway/mod.ts
@@ -6,4 +6,5 @@
  */
 export * as control from "./control/mod.ts";
 export * as entry from "./entry/mod.ts";
+export * from "./guarded_agent.ts";
 export * from "./metrics.ts";
