--- a/packages/daemon/test/gateway/response_memory_test.ts
+++ b/packages/daemon/test/gateway/response_memory_test.ts
@@ -162,4 +162,37 @@
     expect(isComplete).to.equal(true);
     expect(text).to.equal(`data: ${"x".repeat(EVENT_BYTES)}\n\n`);
   });
+
+  it("the body of a refusal is not read without end", async () => {
+    const block = Buffer.alloc(64 * 1_024, "x");
+    let written = 0;
+    const refuse: ServerScript = (socket) => {
+      socket.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n\r\n");
+      const writeBlocks = () => {
+        while (!socket.destroyed && written < 64 * MEBIBYTE) {
+          written += block.length;
+          if (socket.write(block)) continue;
+          socket.once("drain", writeBlocks);
+          return;
+        }
+      };
+      writeBlocks();
+    };
+    let isClosed = false;
+    await using gateway = await Gateway.start([
+      (socket, head) => {
+        socket.on("close", () => isClosed = true);
+        refuse(socket, head);
+      },
+      // The caller waits for its second answer, so that its request goes on.
+      () => {},
+    ]);
+    sendRequest(gateway.port).catch(() => {});
+    await testing.wait.waitFor(
+      "the connection is closed",
+      () => Promise.resolve(isClosed),
+      { timeoutMs: TIMEOUT_MS, describe: () => `${written} bytes` },
+    );
+    expect(written).to.be.below(64 * MEBIBYTE);
+  });
 });
