Limit what is read of a refusal's body

Cause: the body of a "not run" answer was discarded without a limit until the request ended elsewhere, so a server could keep the event loop busy with one answer for the whole time of the request.

Change: after 64 KiB the connection is closed. The refusal stands, as before.

--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -36,6 +36,8 @@
  * in bytes. It leaves a host of 250 MB the memory for everything else.
  */
 const MAX_BUFFERED_BYTES = 48 * 1024 * 1024;
+/** Limit of a refusal's body, in bytes: it is not passed on. */
+const MAX_REFUSAL_BYTES = 64 * 1024;
 /** Retry delay in a refusal for lack of capacity, in seconds. */
 const RETRY_AFTER_SECONDS = 0.25;
 /** Retry delay in a refusal of a host that stops, in ms: others take it at once. */
@@ -501,10 +503,11 @@
   #handleNotRun(
     context: types.RequestContext,
     server: string,
-    { message, status }: UpstreamResponse,
+    result: UpstreamResponse,
     { reason }: types.ResponseMetadata,
   ): AttemptResult {
-    message.resume();
+    const { status } = result;
+    discardBody(result);
     const now = performance.now();
     if (reason === "no-model") {
       this.#options.tracker.recordMissingModel(server, context, now);
@@ -708,6 +711,15 @@
   return { kind: "unknown", reason, isConnectionLost: false };
 }
 
+/** Reads the rest of a refusal, so that its connection can be used again. */
+function discardBody({ cancel, message }: UpstreamResponse): void {
+  let bytes = 0;
+  message.on("data", (part: Buffer) => {
+    bytes += part.length;
+    if (bytes > MAX_REFUSAL_BYTES) cancel();
+  });
+}
+
 /** A response that ended early: by its server, or because it was too large. */
 function brokenResponse(error: unknown): AttemptResult {
   const isConnectionLost = !(error instanceof responseBuffer.BufferLimitError);
