--- /dev/null
+++ b/packages/daemon/test/gateway/fleet_coordinator_load_test.ts
@@ -0,0 +1,123 @@
+import * as timers from "node:timers/promises";
+import type { gateway } from "@ebonypath/protocol";
+import { wait } from "@ebonypath/testing";
+import { expect } from "chai";
+import type * as fleetCoordinator from "../../src/gateway/control/fleet_coordinator.ts";
+import * as coordinating from "./coordinating.ts";
+import * as fixtures from "./fixtures.ts";
+
+/** Sizes of fleets, in entry hosts and servers. */
+const FLEETS = [[87, 67], [200, 150]] as const;
+/** Hosts that a leader without servers may ask for all that they know. */
+const MAX_ASKED_HOSTS = 3;
+/** Time after which hosts have reported what the leader lacks, in ms. */
+const REPORT_MS = 1_700;
+/** Duration of a series of changes, in milliseconds. */
+const CHANGES_MS = 2_000;
+/** Responses to watches that take half of a leader's time, at 1 ms each. */
+const MAX_RESPONSES_PER_SECOND = 500;
+
+function heartbeat(
+  index: number,
+  overrides: Partial<gateway.Heartbeat> = {},
+): gateway.Heartbeat {
+  const address = `10.0.${Math.floor(index / 250)}.${index % 250 + 1}:80`;
+  return fixtures.heartbeat(`s${index}`, { address, ...overrides });
+}
+
+function beat(
+  leader: fleetCoordinator.FleetCoordinator,
+  one: gateway.Heartbeat,
+): void {
+  leader.handleHeartbeat({ kind: "heartbeat", heartbeat: one });
+}
+
+async function haveServers(
+  { views }: coordinating.FollowingHosts,
+  count: number,
+  term: number,
+): Promise<void> {
+  await wait.waitFor(
+    "all hosts to have all servers",
+    () =>
+      views.every((view) =>
+        view.term === term && view.serverRecords(0).length === count
+      ),
+  );
+}
+
+async function serversOf(
+  leader: fleetCoordinator.FleetCoordinator,
+): Promise<gateway.ServerRecord[]> {
+  const { servers } = await leader.watch({
+    host: "observer",
+    term: 0,
+    revision: 0,
+    configuration: 1,
+  });
+  return servers;
+}
+
+describe("a leader of many hosts", () => {
+  for (const [hostCount, serverCount] of FLEETS) {
+    it(`asks few of ${hostCount} hosts for ${serverCount} servers when it knows none`, async () => {
+      using first = coordinating.createCoordinator();
+      for (let index = 0; index < serverCount; index += 1) {
+        beat(first, heartbeat(index));
+      }
+      using hosts = new coordinating.FollowingHosts(first, hostCount);
+      await haveServers(hosts, serverCount, 1);
+      await timers.setTimeout(REPORT_MS);
+      hosts.resetCounts();
+      using second = coordinating.createCoordinator({ term: 2 });
+      hosts.leader = second;
+      first[Symbol.dispose]();
+      await haveServers(hosts, serverCount, 2);
+      await timers.setTimeout(REPORT_MS);
+      expect(await serversOf(second)).to.have.length(serverCount);
+      expect(hosts.reportedRecords)
+        .to.be.at.most(MAX_ASKED_HOSTS * serverCount + hostCount);
+    });
+  }
+
+  it("answers a bounded number of watches a second, however many servers change", async () => {
+    using leader = coordinating.createCoordinator();
+    for (let index = 0; index < 67; index += 1) beat(leader, heartbeat(index));
+    using hosts = new coordinating.FollowingHosts(leader, 87);
+    await haveServers(hosts, 67, 1);
+    await timers.setTimeout(1_100);
+    hosts.resetCounts();
+    const until = performance.now() + CHANGES_MS;
+    let sequence = 1;
+    while (performance.now() < until) {
+      sequence += 1;
+      const state = sequence % 2 === 0 ? "draining" : "ready";
+      beat(leader, heartbeat(sequence % 67, { sequence, state }));
+      await timers.setTimeout(5);
+    }
+    expect(hosts.responses).to.be.at.most(
+      MAX_RESPONSES_PER_SECOND * CHANGES_MS / 1_000 + 2 * 87,
+    );
+  });
+
+  it("tells 200 hosts of a draining server within 300 ms while others change", async () => {
+    using leader = coordinating.createCoordinator();
+    for (let index = 0; index < 20; index += 1) beat(leader, heartbeat(index));
+    using hosts = new coordinating.FollowingHosts(leader, 200);
+    await haveServers(hosts, 20, 1);
+    await timers.setTimeout(1_100);
+    const changes = timers.setInterval(3);
+    let sequence = 1;
+    for await (const _ of changes) {
+      sequence += 1;
+      beat(leader, heartbeat(sequence % 10, { sequence, slots: sequence }));
+      if (sequence === 100) break;
+    }
+    const isDraining = () =>
+      hosts.views.every((view) => view.server("s15")?.record.state !== "ready");
+    beat(leader, heartbeat(15, { sequence: 2, state: "draining" }));
+    const changedAt = performance.now();
+    await wait.waitFor("all hosts to know", isDraining);
+    expect(performance.now() - changedAt).to.be.below(300);
+  });
+});
