Pace how often a leader tells many hosts of changes

Every change of a server's state released the watches of all hosts 2 ms later. A leader that has just begun hears of all servers one by one, and answered 120 to 170 watches a second with 1.6 to 2.4 MB; its heartbeats to the voters waited behind them, and it lost the leadership again.

The time until the next release now grows with the number of hosts told: 1 ms a response, by the profile of such a leader, at most half of its time, at most 250 ms. A change after a quiet time is still told after 2 ms. A host that asks again meanwhile waits with the others. Responses are made 16 at a time, so that replication and heartbeats are handled in between.

--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -22,6 +22,17 @@
 const WATCH_TIMEOUT_MS = 1_000;
 /** Time over which changes are collected before they are sent, in ms. */
 const COLLECT_MS = 2;
+/**
+ * Processor time of a response to a watch at its host and the leader, in ms: a
+ * profile of control hosts that lost their leader, in a fleet of 87 hosts.
+ */
+const WATCH_RESPONSE_MS = 1;
+/** Part of the leader's time that responses to watches may take. */
+const MAX_WATCH_SHARE = 0.5;
+/** Longest time for which changes wait until many hosts are told, in ms. */
+const MAX_RELEASE_INTERVAL_MS = 250;
+/** Watches that are answered before other messages are handled. */
+const RELEASE_SLICE = 16;
 /** Time within which all running servers send a heartbeat, in milliseconds. */
 const SETTLE_MS = 2_600;
 /**
@@ -125,6 +136,8 @@
   #leaseUncertainUntil = 0;
   #claimTimer: NodeJS.Timeout | undefined;
   #collectTimer: NodeJS.Timeout | undefined;
+  /** Monotonic time before which hosts are told of no further changes, in ms. */
+  #nextReleaseAt = -Infinity;
   #isDisposed = false;
 
   constructor(options: FleetCoordinatorOptions) {
@@ -213,7 +226,7 @@
     this.#demandTracker.touch(request.host, now);
     this.#recordRollout(request, now);
     const waitMs = Math.min(request.waitMs ?? Infinity, WATCH_TIMEOUT_MS);
-    if (waitMs === 0 || this.#hasNews(request)) {
+    if (waitMs === 0 || this.#isAnsweredAtOnce(request, now)) {
       return Promise.resolve(this.#createResponse(request, now));
     }
     return new Promise((resolve) => {
@@ -228,6 +241,7 @@
         timer,
       };
       this.#pendingWatches.add(pending);
+      if (this.#hasNews(request)) this.#scheduleRelease();
     });
   }
 
@@ -538,12 +552,40 @@
 
   #onChange(): void {
     this.#scheduler.requestPlan();
-    this.#collectTimer ??= timers.setTimeout(() => {
-      this.#collectTimer = undefined;
-      for (const pending of [...this.#pendingWatches]) {
-        if (this.#hasNews(pending.request)) this.#release(pending);
-      }
-    }, COLLECT_MS);
+    this.#scheduleRelease();
+  }
+
+  #scheduleRelease(): void {
+    if (this.#isDisposed) return;
+    this.#collectTimer ??= timers.setTimeout(
+      () => this.#releaseWatches(),
+      Math.max(COLLECT_MS, this.#nextReleaseAt - performance.now()),
+    );
+  }
+
+  /**
+   * Answers the watches of hosts that need the changes. The next ones wait for
+   * a time that grows with the number of these hosts, and are told together.
+   */
+  #releaseWatches(): void {
+    this.#collectTimer = undefined;
+    const due = [...this.#pendingWatches]
+      .filter(({ request }) => this.#hasNews(request));
+    const intervalMs = Math.min(
+      MAX_RELEASE_INTERVAL_MS,
+      due.length * WATCH_RESPONSE_MS / MAX_WATCH_SHARE,
+    );
+    this.#nextReleaseAt = performance.now() + intervalMs;
+    this.#releaseSlices(due);
+  }
+
+  /** Heartbeats and messages of the replicated log come between the slices. */
+  #releaseSlices(due: readonly PendingWatch[]): void {
+    for (const pending of due.slice(0, RELEASE_SLICE)) {
+      if (this.#pendingWatches.has(pending)) this.#release(pending);
+    }
+    const rest = due.slice(RELEASE_SLICE);
+    if (rest.length > 0) timers.setImmediate(() => this.#releaseSlices(rest));
   }
 
   #release(pending: PendingWatch): void {
@@ -552,6 +594,15 @@
     pending.resolve(this.#createResponse(pending.request, pending.receivedAt));
   }
 
+  /**
+   * Whether a watch is not held. A host that has just been told of changes waits
+   * for the next ones with all others.
+   */
+  #isAnsweredAtOnce(request: gateway.WatchRequest, now: number): boolean {
+    if (request.term !== this.term) return true;
+    return now >= this.#nextReleaseAt && this.#hasNews(request);
+  }
+
   /** Whether there are changes that the host needs at once. */
   #hasNews(
     request: gateway.WatchRequest,
