Hand leadership over when the leader's disk is full

A leader whose disk takes no writes applies nothing, so it acknowledges nothing, but the others' disks commit its entries and its heartbeats keep them from electing another leader.

The owner of a replica now tells it when its disk is full and when it has space again. A full replica does not campaign. A group of one leads on.

No caller sends the input yet.

--- a/packages/core/src/replication/context.ts
+++ b/packages/core/src/replication/context.ts
@@ -40,6 +40,8 @@
    */
   lastLeaderContactAt: number;
   electionDeadline = 0;
+  /** Whether the disk has space for what is to be persisted. */
+  hasDiskSpace = true;
   /** Whether this replica has led or followed a leader since it started. */
   hasSeenLeader = false;
   #random: () => number;
--- a/packages/core/src/replication/election.ts
+++ b/packages/core/src/replication/election.ts
@@ -205,12 +205,14 @@
   }
 
   /**
-   * Whether this replica may campaign. A voter whose removal is not known to be
+   * Whether this replica may campaign; one that can't persist its own vote and
+   * entries may not. A voter whose removal is not known to be
    * committed may: it can hold the longest log of a quorum that cannot be
    * formed without its vote.
    */
   #isEligible(): boolean {
-    const { memberships, self } = this.#context;
+    const { hasDiskSpace, memberships, self } = this.#context;
+    if (!hasDiskSpace) return false;
     return isVoter(memberships.current, self) ||
       (!this.#isMembershipCommitted() && isVoter(memberships.previous, self));
   }
--- a/packages/core/src/replication/leader_state.ts
+++ b/packages/core/src/replication/leader_state.ts
@@ -25,6 +25,9 @@
   timeoutNowSent: boolean;
 };
 
+/** Heartbeats for which a leader with a full disk waits for its successor. */
+const HAND_OVER_HEARTBEATS = 3;
+
 /** Replicates and commits entries while this replica is leader. */
 export class LeaderState {
   readonly snapshotSender: SnapshotSender;
@@ -100,6 +103,7 @@
       return;
     }
     this.#advanceTransfer();
+    this.handOverIfDiskFull();
     this.#checkQuorum();
     if (this.#isLeader && this.#context.now >= this.#heartbeatDue) {
       this.#heartbeat();
@@ -177,6 +181,7 @@
     if (this.#isLeader) {
       this.#replicate(progress);
       this.#advanceTransfer();
+      this.handOverIfDiskFull();
     }
   }
 
@@ -218,6 +223,50 @@
     this.#advanceTransfer();
   }
 
+  /**
+   * Transfers leadership when the disk of this replica is full, since it applies
+   * and acknowledges nothing until it has space. Steps down if the other voters
+   * have to find the next leader themselves.
+   */
+  handOverIfDiskFull(): void {
+    const { hasDiskSpace, memberships, now, self, settings } = this.#context;
+    const hasOtherVoters = memberships.current.voters.some(({ id }) =>
+      id !== self
+    );
+    if (!this.#isLeader || hasDiskSpace || !hasOtherVoters) {
+      return;
+    }
+    const deadline = now + settings.heartbeatMs * HAND_OVER_HEARTBEATS;
+    const to = this.#chooseSuccessor();
+    if (to === null) {
+      this.#stepDown();
+      return;
+    }
+    this.#transfer ??= { to, deadline, timeoutNowSent: false };
+    this.#transfer.deadline = Math.min(this.#transfer.deadline, deadline);
+    if (!this.#transfer.timeoutNowSent) {
+      this.#transfer.to = to;
+    }
+    this.#advanceTransfer();
+  }
+
+  /**
+   * Returns the voter that has the most entries; among equal ones, the one that
+   * has answered last. Null when none has answered.
+   */
+  #chooseSuccessor(): string | null {
+    const { memberships, self } = this.#context;
+    const candidates = memberships.current.voters
+      .map(({ id }) => this.#progress.get(id))
+      .filter((progress) => progress !== undefined)
+      .filter(({ ackedSentAt, id }) => id !== self && ackedSentAt > -Infinity);
+    candidates.sort((left, right) =>
+      right.matchIndex - left.matchIndex ||
+      right.ackedSentAt - left.ackedSentAt
+    );
+    return candidates[0]?.id ?? null;
+  }
+
   #appendProposals(proposals: Proposal[]): void {
     const { log, term } = this.#context;
     const payloads = proposals.map(({ data }) =>
@@ -322,11 +371,11 @@
   /**
    * Ends a transfer that timed out. If the target was already told to campaign,
    * it may win at any later time, so this replica gives up its lease by
-   * stepping down.
+   * stepping down. It also does so when its disk is full.
    */
   #endTransfer(transfer: LeadershipTransfer): void {
     this.#transfer = null;
-    if (transfer.timeoutNowSent) {
+    if (transfer.timeoutNowSent || !this.#context.hasDiskSpace) {
       this.#stepDown();
     }
   }
--- a/packages/core/src/replication/replica.ts
+++ b/packages/core/src/replication/replica.ts
@@ -212,6 +212,10 @@
       case "persisted":
         this.#handlePersisted(input.sequence);
         return;
+      case "diskSpace":
+        this.#context.hasDiskSpace = input.hasSpace;
+        this.#leaderState.handOverIfDiskFull();
+        return;
       case "snapshotTaken":
         this.#handleSnapshotTaken(input.snapshot);
         return;
--- a/packages/core/src/replication/types.ts
+++ b/packages/core/src/replication/types.ts
@@ -48,6 +48,7 @@
   | { kind: "message"; from: string; message: Message }
   | { kind: "propose"; proposals: Proposal[] }
   | { kind: "persisted"; sequence: number }
+  | { kind: "diskSpace"; hasSpace: boolean }
   | { kind: "snapshotTaken"; snapshot: SnapshotMetadata }
   | {
     kind: "snapshotPart";
@@ -90,7 +91,8 @@
  * Once a `persist` or `installSnapshot` is synced to disk, the owner answers
  * with a `persisted` input that carries its sequence number. Both take effect
  * in order, and one answer may acknowledge several of them. `apply` holds
- * entries that are committed and synced locally.
+ * entries that are committed and synced locally. While the disk is full, the
+ * answers wait; the owner tells so with a `diskSpace` input.
  */
 export type Effect =
   | {
--- a/packages/core/test/replication/cluster.ts
+++ b/packages/core/test/replication/cluster.ts
@@ -144,6 +144,9 @@
       case "pause":
         this.#pick(event.node).pausedUntil = this.#time + event.ms;
         return;
+      case "fillDisk":
+        this.#pick(event.node).fullUntil = this.#time + event.ms;
+        return;
       case "loseDisk":
         this.#loseDisk(this.#pick(event.node));
         return;
@@ -195,6 +198,7 @@
     this.applyEvent({ kind: "heal" });
     this.#nodes.forEach((node) => {
       node.pausedUntil = 0;
+      node.fullUntil = 0;
       this.#restart(node);
     });
     const target = this.checker.highestCommit + 1;
--- a/packages/core/test/replication/cluster_event.ts
+++ b/packages/core/test/replication/cluster_event.ts
@@ -28,6 +28,7 @@
   | { kind: "reboot"; node: number }
   | { kind: "pause"; node: number; ms: number }
   | { kind: "loseDisk"; node: number }
+  | { kind: "fillDisk"; node: number; ms: number }
   | { kind: "snapshot" }
   | { kind: "transfer"; node: number }
   | { kind: "addLearner"; node: number }
--- a/packages/core/test/replication/interleavings_test.ts
+++ b/packages/core/test/replication/interleavings_test.ts
@@ -50,6 +50,10 @@
     weight: 1,
     arbitrary: fc.record({ kind: fc.constant("pause" as const), node, ms }),
   },
+  {
+    weight: 2,
+    arbitrary: fc.record({ kind: fc.constant("fillDisk" as const), node, ms }),
+  },
   {
     weight: 2,
     arbitrary: fc.record({
--- a/packages/core/test/replication/node.ts
+++ b/packages/core/test/replication/node.ts
@@ -43,6 +43,8 @@
   readonly clockRate: number;
   replica: replication.Replica | null = null;
   pausedUntil = 0;
+  /** Until when the disk is full. */
+  fullUntil = 0;
   state: State = { index: 0, digest: "" };
   #disk: Disk = {
     hardState: { term: 0, vote: null },
@@ -50,6 +52,8 @@
     entries: [],
   };
   #pending: ScheduledWrite[] = [];
+  /** Whether the replica knows that its disk is full. */
+  #isKnownFull = false;
   #inputs: replication.Input[] = [];
   #environment: NodeEnvironment;
 
@@ -71,6 +75,7 @@
     const { snapshot, hardState, entries } = this.#disk;
     const base = snapshot?.metadata.index ?? 0;
     this.#pending = [];
+    this.#isKnownFull = false;
     this.#inputs = [];
     this.state = snapshot === null
       ? { index: 0, digest: "" }
@@ -135,7 +140,8 @@
     while (this.#inputs.length > 0) {
       this.step(this.#inputs.shift() as replication.Input, time);
     }
-    while (this.#pending[0] !== undefined) {
+    this.#reportDiskSpace(time);
+    while (this.#pending[0] !== undefined && time >= this.fullUntil) {
       const { write, syncedAt } = this.#pending[0];
       if (syncedAt > time) {
         break;
@@ -147,6 +153,16 @@
     this.step({ kind: "tick" }, time);
   }
 
+  /** Tells the replica when a write waits for space, and when it goes on. */
+  #reportDiskSpace(time: number): void {
+    const isFull = time < this.fullUntil &&
+      (this.#isKnownFull || this.#pending.length > 0);
+    if (isFull !== this.#isKnownFull) {
+      this.#isKnownFull = isFull;
+      this.step({ kind: "diskSpace", hasSpace: !isFull }, time);
+    }
+  }
+
   /** Passes one input to the replica and executes the effects. */
   step(input: replication.Input, time: number): void {
     const { replica } = this;
--- a/packages/core/test/replication/replica_test.ts
+++ b/packages/core/test/replication/replica_test.ts
@@ -250,6 +250,77 @@
     expect(harness.replica.role).to.equal("follower");
   });
 
+  describe("whose disk is full", () => {
+    function leaderWithFullDisk(): ReplicaHarness {
+      const harness = new ReplicaHarness(voters);
+      harness.becomeLeader();
+      harness.acknowledge("b", 2);
+      harness.acknowledge("c", 2);
+      harness.syncsImmediately = false;
+      harness.step({ kind: "propose", proposals: [{ id: 1, data: "x" }] });
+      harness.step({ kind: "diskSpace", hasSpace: false });
+      return harness;
+    }
+
+    it("hands its leadership to a voter that holds its entries", () => {
+      const harness = leaderWithFullDisk();
+      expect(harness.sentMessages("timeoutNow")).to.deep.equal([]);
+      harness.acknowledge("c", 3);
+      expect(harness.sent.map(({ to, message }) => [to, message.kind]))
+        .to.deep.equal([["c", "timeoutNow"]]);
+      expect(harness.replica.hasLease(harness.now)).to.equal(false);
+    });
+
+    it("steps down if no voter takes over within 300 ms", () => {
+      const harness = leaderWithFullDisk();
+      harness.now += 300;
+      harness.step({ kind: "tick" });
+      expect(harness.replica.role).to.equal("follower");
+    });
+
+    it("steps down at once if no voter has answered", () => {
+      const harness = new ReplicaHarness(voters);
+      harness.becomeLeader();
+      harness.step({ kind: "diskSpace", hasSpace: false });
+      expect(harness.replica.role).to.equal("follower");
+    });
+
+    it("does not campaign until it has space", () => {
+      const harness = leaderWithFullDisk();
+      harness.now += 300;
+      harness.step({ kind: "tick" });
+      harness.now += 10 * MIN_ELECTION_TIMEOUT_MS;
+      harness.step({ kind: "tick" });
+      expect(harness.sent).to.deep.equal([]);
+      const { term } = harness.replica;
+      harness.receive("b", { kind: "timeoutNow", term });
+      expect(harness.sent).to.deep.equal([]);
+      harness.step({ kind: "diskSpace", hasSpace: true });
+      harness.step({ kind: "tick" });
+      expect(harness.sentMessages("preVote")).to.have.length(2);
+    });
+
+    it("answers heartbeats and acknowledges nothing that is not synced", () => {
+      const harness = new ReplicaHarness(voters);
+      harness.syncsImmediately = false;
+      harness.receive("b", append(1, 2));
+      harness.step({ kind: "diskSpace", hasSpace: false });
+      harness.receive("b", { ...append(1, 3), entries: [] });
+      const replies = harness.sentMessages("appendReply");
+      expect(replies.map(({ matchIndex }) => matchIndex)).to.deep.equal([1]);
+    });
+
+    it("leads on if it is the only voter", () => {
+      const harness = new ReplicaHarness(["a"]);
+      harness.step({ kind: "tick" });
+      harness.syncsImmediately = false;
+      harness.step({ kind: "diskSpace", hasSpace: false });
+      harness.now += 5_000;
+      harness.step({ kind: "tick" });
+      expect(harness.replica.role).to.equal("leader");
+    });
+  });
+
   it("steps down when no quorum answers", () => {
     const harness = new ReplicaHarness(voters);
     harness.becomeLeader();
