Bound the answers that wait for a disk that takes no writes

While a change of term or vote waits for the disk, each answer to a heartbeat waits, too: ten a second, for as long as the disk takes no writes, sent in one burst afterwards. At most the last 1,000 are kept now; leaders repeat what is not answered. With the bound off, the test gets 10,001 messages.

--- a/packages/core/src/replication/sync_tracker.ts
+++ b/packages/core/src/replication/sync_tracker.ts
@@ -16,11 +16,18 @@
   deferredSends: Send[];
 };
 
+/**
+ * Maximum messages that wait for syncs. Senders repeat lost messages, so the
+ * oldest ones may be dropped when syncs take long.
+ */
+const MAX_DEFERRED_SENDS = 1_000;
+
 /** Tracks the disk syncs that were requested and are not yet confirmed. */
 export class SyncTracker {
   #durableIndex: number;
   #pending: PendingSync[] = [];
   #sequence = 0;
+  #deferredSends = 0;
 
   constructor(durableIndex: number) {
     this.#durableIndex = durableIndex;
@@ -67,8 +74,15 @@
    */
   deferSend(send: Send): boolean {
     const last = this.#pending.at(-1);
-    last?.deferredSends.push(send);
-    return last !== undefined;
+    if (last === undefined) {
+      return false;
+    }
+    last.deferredSends.push(send);
+    this.#deferredSends += 1;
+    if (this.#deferredSends > MAX_DEFERRED_SENDS) {
+      this.#dropOldestSend();
+    }
+    return true;
   }
 
   /** Records that the entries from `index` on were replaced or removed. */
@@ -94,6 +108,15 @@
       released.push(...sync.deferredSends);
       this.#pending.shift();
     }
+    this.#deferredSends -= released.length;
     return released;
   }
+
+  #dropOldestSend(): void {
+    const oldest = this.#pending.find(({ deferredSends }) =>
+      deferredSends.length > 0
+    );
+    oldest?.deferredSends.shift();
+    this.#deferredSends -= 1;
+  }
 }
--- a/packages/core/test/replication/replica_test.ts
+++ b/packages/core/test/replication/replica_test.ts
@@ -310,6 +310,18 @@
       expect(replies.map(({ matchIndex }) => matchIndex)).to.deep.equal([1]);
     });
 
+    it("keeps a bounded number of answers that wait for its disk", () => {
+      const harness = new ReplicaHarness(voters);
+      harness.syncsImmediately = false;
+      harness.now += MIN_ELECTION_TIMEOUT_MS;
+      harness.receive("b", vote(9));
+      for (let count = 0; count < 10_000; count += 1) {
+        harness.receive("b", { ...append(9, 2), entries: [] });
+      }
+      harness.step({ kind: "persisted", sequence: 100 });
+      expect(harness.sent).to.have.length(1_000);
+    });
+
     it("leads on if it is the only voter", () => {
       const harness = new ReplicaHarness(["a"]);
       harness.step({ kind: "tick" });
