--- a/packages/daemon/test/gateway/coordinating.ts
+++ b/packages/daemon/test/gateway/coordinating.ts
@@ -81,7 +81,6 @@
           this.#call(method, typeof params === "function" ? params() : params),
       },
       view,
-      maxConfigurationAgeMs: 60_000,
       hasNews: () => false,
       collectReport: () => ({
         demand: [],
