Answer the calls that outlast a daemon's drain

What callers saw: calls still running when `drain_timeout_ms` was over, keyed ones too, ended with a closed connection; among them calls that arrived while the host drained.

Cause: as in the platform's entry host, a draining daemon sent each call to a server with the call's own deadline, and closed all connections at the end.

Placement now asks the same schedule, which moves to `core/queue`, with the answer times that `ServiceTimes` keeps (and the times of whole streams, which are new): a call that cannot end is refused at once, as not run. Deferred work is exempt, since another host takes it over. At the end, what waits is refused as not run, what runs as work that may have run, and the drain waits up to 0.4 s for these answers. Logged: `ending-calls`.

The time limit is as before: `drain_delay_ms` and `drain_timeout_ms` together.

--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -8,7 +8,6 @@
 export * from "./event_sequence.ts";
 export * from "./freshness.ts";
 export * from "./demand_tracker.ts";
-export * from "./drain_schedule.ts";
 export * from "./membership_change.ts";
 export * from "./load_forecast.ts";
 export * from "./load_planner.ts";
--- a/packages/core/src/gateway/drain_schedule.ts
+++ b/packages/core/src/queue/drain_schedule.ts
@@ -62,19 +62,30 @@
  * ```
  */
 export function decideStart(
-  { deadline, isStream, longestRunMs }: StartingRequest,
+  request: StartingRequest,
   drain: DrainState | undefined,
   now: number,
 ): StartDecision {
-  if (drain === undefined || deadline <= drain.endsAt) {
-    return { kind: "start", serverDeadline: deadline };
-  }
-  if (longestRunMs === undefined) return { kind: "refuse" };
-  if (isStream && !drain.isListening) return { kind: "refuse" };
-  const serverDeadline = drain.endsAt - SERVER_ANSWER_MS;
-  return now + longestRunMs * RUN_TIME_FACTOR <= serverDeadline
-    ? { kind: "start", serverDeadline }
-    : { kind: "refuse" };
+  if (now > latestStartAt(request, drain)) return { kind: "refuse" };
+  const endsAt = drain?.endsAt ?? Infinity;
+  const serverDeadline = request.deadline <= endsAt
+    ? request.deadline
+    : endsAt - SERVER_ANSWER_MS;
+  return { kind: "start", serverDeadline };
+}
+
+/**
+ * The monotonic time until which {@link decideStart} lets a request start, in
+ * milliseconds; negative infinity if it never does.
+ */
+export function latestStartAt(
+  { deadline, isStream, longestRunMs }: StartingRequest,
+  drain: DrainState | undefined,
+): number {
+  if (drain === undefined || deadline <= drain.endsAt) return Infinity;
+  if (longestRunMs === undefined) return -Infinity;
+  if (isStream && !drain.isListening) return -Infinity;
+  return drain.endsAt - SERVER_ANSWER_MS - longestRunMs * RUN_TIME_FACTOR;
 }
 
 /** Recent run times by route. */
--- a/packages/core/test/gateway/drain_schedule_test.ts
+++ b/packages/core/test/queue/drain_schedule_test.ts
@@ -3,7 +3,7 @@
   decideStart,
   RunTimes,
   type StartingRequest,
-} from "../../src/gateway/drain_schedule.ts";
+} from "../../src/queue/drain_schedule.ts";
 
 const DRAIN = { endsAt: 7_300, isListening: true };
 
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -31,6 +31,8 @@
 /** Random bytes of the id of one start of the process. */
 const INCARNATION_BYTES = 8;
 const SECOND_MS = 1_000;
+/** Time for the answers to calls that outlast the drain, in milliseconds. */
+const LAST_ANSWERS_MS = 300;
 /** Time between two looks at whether the host is current, in ms. */
 const WATCH_MS = 100;
 /** Exchanges without an answer after which a host leaves all the same. */
@@ -181,18 +183,21 @@
     write("draining", { host: this.identity.name });
     this.#draining = true;
     this.#exchanger.request();
+    const until = performance.now() + limits.drainDelayMs +
+      limits.drainTimeoutMs;
+    this.#entry?.beginDrain(until);
     await timers.setTimeout(limits.drainDelayMs);
     const callers = this.#listeners.get("callers");
     // Connections that wait to be accepted are accepted before immediates run.
     await timers.setImmediate();
     callers?.stopAccepting();
-    const until = performance.now() + limits.drainTimeoutMs;
     this.#leaving = true;
     this.#entry?.handBack();
     await timers.setTimeout(FIRST_REQUEST_MS);
     await this.#waitUntilIdle(until);
     await callers?.closeIdle();
     await this.#waitUntilIdle(until);
+    await this.#endOpenCalls();
     this.#shares.releaseUnused(performance.now());
     await this.#takeLeave(until);
     await this.#control?.handOver();
@@ -397,6 +402,18 @@
     this.#listeners.set(name, started);
   }
 
+  /** Answers the calls that outlast the drain. */
+  async #endOpenCalls(): Promise<void> {
+    const entry = this.#entry;
+    if (entry === undefined || entry.callers.openCount === 0) return;
+    write("ending-calls", { open: entry.callers.openCount });
+    await entry.callers.endOpenCalls();
+    const until = performance.now() + LAST_ANSWERS_MS;
+    while (entry.callers.openCount > 0 && performance.now() < until) {
+      await timers.setTimeout(DRAIN_POLL_MS);
+    }
+  }
+
   async #waitUntilIdle(until: number): Promise<void> {
     const isBusy = () => this.#entry !== undefined && this.#entry.openCount > 0;
     while (isBusy() && performance.now() < until) {
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -174,6 +174,15 @@
     this.pump();
   }
 
+  /**
+   * Begins to refuse what cannot end before this host does.
+   *
+   * @param endsAt monotonic time at which what still runs ends, in milliseconds
+   */
+  beginDrain(endsAt: number): void {
+    this.#placement.beginDrain(endsAt);
+  }
+
   /** Returns deferred requests that were sent to no server yet. */
   handBack(): void {
     this.deferred.returnWaiting([
--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -93,7 +93,7 @@
       () => refuse(this.#timeoutRefusal(work, workspace)),
       startBy - now,
     );
-    const abort = () => refuse(callerDisconnected());
+    const abort = () => refuse(abortRefusal(signal));
     signal.addEventListener("abort", abort);
     this.#serveQueue(workspace, queue);
     if (queue.waiters.length > 0) this.#options.requestShares();
@@ -211,6 +211,23 @@
   return queue.waiters.reduce((sum, { work }) => sum + work.tokens, 0);
 }
 
+/**
+ * Returns the refusal of a request that was aborted: the one with which it was,
+ * or else its caller has disconnected.
+ *
+ * @example
+ * ```ts
+ * if (signal.aborted) throw abortRefusal(signal);
+ * ```
+ */
+export function abortRefusal(
+  { reason }: AbortSignal,
+): protocol.errors.Refusal {
+  return reason instanceof protocol.errors.Refusal
+    ? reason
+    : callerDisconnected();
+}
+
 /**
  * Returns the refusal of a request whose caller has disconnected.
  *
--- a/packages/daemon/src/entry/caller_handler.ts
+++ b/packages/daemon/src/entry/caller_handler.ts
@@ -5,6 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import * as timers from "node:timers/promises";
 import * as protocol from "@ebonypath/protocol";
 import type * as host from "../host/mod.ts";
 import * as httpBody from "../http_body/mod.ts";
@@ -17,6 +18,8 @@
 import * as resolve from "./resolve.ts";
 import type * as types from "./types.ts";
 
+/** Time for work that is aborted to end, when the host stops, in ms. */
+const ABORT_MS = 100;
 /** Number of random bytes in a request id. */
 const REQUEST_ID_BYTES = 12;
 /** HTTP status for a deferred request that is not finished. */
@@ -56,6 +59,10 @@
 export class CallerHandler {
   readonly #options: CallerHandlerOptions;
   #openRequests = 0;
+  /** Calls that have no complete answer. */
+  readonly #openCalls = new Set<Call>();
+  /** Aborts the work of calls. */
+  readonly #abortControllers = new Set<AbortController>();
 
   constructor(options: CallerHandlerOptions) {
     this.#options = options;
@@ -66,6 +73,30 @@
     return this.#openRequests;
   }
 
+  /**
+   * Ends what is open when the host stops: what was sent to no server is refused
+   * as not run, all else as work that may have run.
+   */
+  async endOpenCalls(): Promise<void> {
+    const detail = "the host stops before the request could end";
+    const notRun = new protocol.errors.Refusal(
+      protocol.errors.NO_CAPACITY,
+      detail,
+      { step: "wait" },
+    );
+    for (const controller of this.#abortControllers) controller.abort(notRun);
+    await timers.setTimeout(ABORT_MS);
+    for (const { sink } of this.#openCalls) {
+      sink.refuse(
+        new protocol.errors.Refusal(
+          protocol.errors.DEADLINE_EXCEEDED,
+          detail,
+          { outcome: "may-have-run", step: "dispatch" },
+        ),
+      );
+    }
+  }
+
   /** Handles one request of a caller or of the platform. */
   async handle(
     request: http.IncomingMessage,
@@ -75,6 +106,7 @@
     if (call.path === "/livez") return sendText(response, 200, "live\n");
     if (call.path === "/readyz") return this.#sendReadiness(response);
     this.#openRequests += 1;
+    this.#openCalls.add(call);
     const closed = new Promise((resolve) => response.once("close", resolve));
     this.#closeUnlessReady(response);
     try {
@@ -82,6 +114,7 @@
     } catch (error) {
       this.#refuse(call, error);
     } finally {
+      this.#openCalls.delete(call);
       this.#options.metrics.requests.inc({ ...resultOf(call) });
       // A slow reader counts as open until its response is completely sent.
       void closed.then(() => this.#openRequests -= 1);
@@ -179,7 +212,12 @@
       // `close` follows every response, and an abort is as costly as an error.
       if (!call.response.writableEnded) disconnected.abort();
     });
-    await this.#options.run(work, sink, disconnected.signal);
+    this.#abortControllers.add(disconnected);
+    try {
+      await this.#options.run(work, sink, disconnected.signal);
+    } finally {
+      this.#abortControllers.delete(disconnected);
+    }
   }
 
   async #acceptDeferred(
--- a/packages/daemon/src/entry/dispatcher.ts
+++ b/packages/daemon/src/entry/dispatcher.ts
@@ -295,6 +295,12 @@
         now - sentAt,
       );
       if (!work.stream) this.#recordAnswerTime(work, sentAt);
+      else {
+        this.#options.placement.serviceTimes.observeStream(
+          work.target,
+          now - sentAt,
+        );
+      }
       return;
     }
     const isCutByDeadline = result.kind === "failed" && result.bytesSent &&
--- a/packages/daemon/src/entry/http_sink.ts
+++ b/packages/daemon/src/entry/http_sink.ts
@@ -36,6 +36,8 @@
   }
 
   answer(answer: types.CompleteAnswer): void {
+    // A host that stops has refused the request meanwhile.
+    if (this.#response.headersSent) return;
     const recorded = answer.headers[OUTCOME_HEADER];
     this.#requestResult = recorded === undefined
       ? { outcome: "ran", problem: "" }
--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -38,6 +38,8 @@
   now?(): number;
 }
 
+/** Retry delay in a refusal of a host that stops, in seconds. */
+const STOPPING_RETRY_SECONDS = 0.1;
 /** Weight of requests on open routes, which have no workspace. */
 const OPEN_ROUTE_WEIGHT = 1;
 /** Highest request priority; it has urgency 0 in the queue. */
@@ -65,6 +67,7 @@
   readonly outliers = new core.routing.OutlierDetector();
   /** Service times, from which dispatch deadlines are computed. */
   readonly serviceTimes = new serviceTimes.ServiceTimes();
+  #drain: core.queue.DrainState | undefined;
   /** Slot pools for which waiting requests were published. */
   #publishedPools = new Set<string>();
 
@@ -77,6 +80,15 @@
     });
   }
 
+  /**
+   * Begins to refuse what cannot end before this host does.
+   *
+   * @param endsAt monotonic time at which what still runs ends, in milliseconds
+   */
+  beginDrain(endsAt: number): void {
+    this.#drain = { endsAt, isListening: true };
+  }
+
   /** Iterates over the work that waits for a slot. */
   *waiting(): Generator<types.Work> {
     for (const waiter of this.#waiters.all()) yield waiter.work;
@@ -104,6 +116,7 @@
     waitStart: number,
   ): Promise<waiting.Placement> {
     const now = this.#now();
+    this.#refuseIfStopping(work, now);
     const dispatchDeadline = this.dispatchDeadline(work, waitStart);
     if (!signal.aborted && now < dispatchDeadline) {
       const placement = this.#placeImmediately({ work, tried }, now);
@@ -125,7 +138,7 @@
       dispatchDeadline - now,
     );
     const avoidanceTimer = this.#schedulePlacement(tried.avoidedUntil, now);
-    const onAbort = () => this.#remove(work, admission.callerDisconnected());
+    const onAbort = () => this.#remove(work, admission.abortRefusal(signal));
     signal.addEventListener("abort", onAbort);
     if (signal.aborted) onAbort();
     this.placeWaiting();
@@ -148,12 +161,37 @@
    */
   dispatchDeadline(work: types.Work, waitStart: number): number {
     const { deadline, stream, target } = work;
-    return this.serviceTimes.dispatchDeadline(
+    const dispatchDeadline = this.serviceTimes.dispatchDeadline(
       target,
       deadline,
       waitStart,
       stream,
     );
+    return Math.min(dispatchDeadline, this.#latestStartAt(work));
+  }
+
+  /** Time until which a host that stops sends work to a server. */
+  #latestStartAt({ deadline, stream, target, tier }: types.Work): number {
+    // Another host takes deferred work over.
+    if (this.#drain === undefined || tier.delivery === "deferred") {
+      return Infinity;
+    }
+    const longestRunMs = this.serviceTimes.longestRunMs(target, stream);
+    // By its deadline, a stream only has to begin.
+    const endsBy = stream && longestRunMs !== undefined ? Infinity : deadline;
+    return core.queue.latestStartAt(
+      { deadline: endsBy, isStream: stream, longestRunMs },
+      this.#drain,
+    );
+  }
+
+  #refuseIfStopping(work: types.Work, now: number): void {
+    if (now <= this.#latestStartAt(work)) return;
+    throw new protocol.errors.Refusal(
+      protocol.errors.NO_CAPACITY,
+      "the host stops before the request could end",
+      { step: "wait", retryAfterSeconds: STOPPING_RETRY_SECONDS },
+    );
   }
 
   /**
@@ -166,6 +204,7 @@
    */
   admissionDeadline(work: types.Work, waitStart: number): number {
     const now = this.#now();
+    this.#refuseIfStopping(work, now);
     const dispatchDeadline = this.dispatchDeadline(work, waitStart);
     const request = this.#requestOf(work, dispatchDeadline, now);
     const admissionDeadline = dispatchDeadline -
--- a/packages/daemon/src/entry/service_times.ts
+++ b/packages/daemon/src/entry/service_times.ts
@@ -29,6 +29,8 @@
   readonly #firstByteTimes = new GenerationalCache<number>();
   /** Mean time for which a slot is held, by target. */
   readonly #slotTimes = new GenerationalCache<number>();
+  /** Recent times of whole streams, by target. */
+  readonly #streams = new GenerationalCache<number[]>();
   /** Recent answer times, by target and kind of answer. */
   readonly #answers = new GenerationalCache<number[]>();
 
@@ -58,6 +60,22 @@
     this.#answers.set(kind, times);
   }
 
+  /** Records the time of a whole stream. */
+  observeStream(target: string, ms: number): void {
+    const times = this.#streams.get(target) ?? [];
+    times.push(ms);
+    if (times.length > RECENT_ANSWERS) times.shift();
+    this.#streams.set(target, times);
+  }
+
+  /** Returns the longest recent run, in milliseconds, if one is known. */
+  longestRunMs(target: string, isStream: boolean): number | undefined {
+    const times = isStream
+      ? this.#streams.get(target)
+      : this.#answers.get(answerKind(target, false));
+    return times === undefined ? undefined : Math.max(...times);
+  }
+
   /** Returns the mean time for which a slot is held, if known. */
   slotTimeMs(target: string): number | undefined {
     return this.#slotTimes.get(target);
--- a/packages/daemon/src/gateway/entry/host_drain.ts
+++ b/packages/daemon/src/gateway/entry/host_drain.ts
@@ -6,9 +6,9 @@
 
 /** Ends the requests of an entry host before the host ends. */
 export class HostDrain implements Disposable {
-  readonly #runTimes = new core.gateway.RunTimes();
+  readonly #runTimes = new core.queue.RunTimes();
   readonly #endCallbacks = new Set<() => void>();
-  #state: core.gateway.DrainState | undefined;
+  #state: core.queue.DrainState | undefined;
   #isOver = false;
   #timer: NodeJS.Timeout | undefined;
 
@@ -35,11 +35,11 @@
   decideStart(
     { deadline, route }: types.RequestContext,
     now: number,
-  ): core.gateway.StartDecision {
+  ): core.queue.StartDecision {
     if (this.#state === undefined) {
       return { kind: "start", serverDeadline: deadline };
     }
-    return core.gateway.decideStart(
+    return core.queue.decideStart(
       {
         deadline,
         isStream: route.kind === "streaming",
--- a/packages/daemon/test/entry/placement_test.ts
+++ b/packages/daemon/test/entry/placement_test.ts
@@ -240,6 +240,41 @@
     expect(harness.free).to.equal(0);
   });
 
+  it("places what ends before its host stops, and refuses the rest", async () => {
+    const harness = new Harness();
+    harness.queue.serviceTimes.observeAnswer("orders", false, 800);
+    harness.queue.beginDrain(2_000);
+    harness.free = 2;
+    // 800 ms and a quarter, and 100 ms for the answer to arrive.
+    harness.now = 899;
+    const inTime = harness.place("quiet");
+    harness.now = 901;
+    const late = harness.place("quiet");
+    const unknown = harness.place("quiet", "stock");
+    await timers.setImmediate();
+    expect(inTime.ending.kind).to.equal("served");
+    for (const { ending } of [late, unknown]) {
+      expect(ending.kind).to.equal("refused");
+      const { error } = ending as { error: errors.Refusal };
+      expect(error.definition).to.equal(errors.NO_CAPACITY);
+      expect(error.outcome).to.equal("not-run");
+    }
+    expect(harness.free).to.equal(1);
+  });
+
+  it("gives no slot to a waiting request once it would outlast its host", async () => {
+    const harness = new Harness();
+    harness.queue.serviceTimes.observeAnswer("orders", false, 800);
+    harness.queue.beginDrain(2_000);
+    const waiting = harness.place("quiet");
+    harness.now = 901;
+    harness.free = 1;
+    harness.queue.placeWaiting();
+    await timers.setImmediate();
+    expect(waiting.ending.kind).to.equal("refused");
+    expect(harness.free).to.equal(1);
+  });
+
   it("takes no slot for a disconnected caller", async () => {
     const harness = new Harness();
     harness.free = 1;
