--- a/packages/daemon/test/gateway/entry_host_test.ts
+++ b/packages/daemon/test/gateway/entry_host_test.ts
@@ -2,7 +2,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as timers from "node:timers/promises";
-import { gateway } from "@ebonypath/protocol";
+import { gateway, replication } from "@ebonypath/protocol";
 import { expect } from "chai";
 import type * as fleet from "../../src/fleet/mod.ts";
 import * as entryHost from "../../src/gateway/entry/entry_host.ts";
@@ -63,7 +63,9 @@
         forecasts: [],
       };
     };
-    const call = async (_peer: string, method: string, params: unknown) => {
+    const call = async (peer: string, method: string, params: unknown) => {
+      if (method === replication.LEADER_METHOD) return { leader: peer };
+      if (method === gateway.METHODS.position) throw new Error("no answer");
       if (method === gateway.METHODS.report) {
         return answer(params as gateway.ReportRequest);
       }
