--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -227,6 +227,7 @@
     this.#recordRollout(request, now);
     const waitMs = Math.min(request.waitMs ?? Infinity, WATCH_TIMEOUT_MS);
     if (waitMs === 0 || this.#isAnsweredAtOnce(request, now)) {
+      this.#delayNextRelease(1, now);
       return Promise.resolve(this.#createResponse(request, now));
     }
     return new Promise((resolve) => {
@@ -571,14 +572,18 @@
     this.#collectTimer = undefined;
     const due = [...this.#pendingWatches]
       .filter(({ request }) => this.#hasNews(request));
-    const intervalMs = Math.min(
-      MAX_RELEASE_INTERVAL_MS,
-      due.length * WATCH_RESPONSE_MS / MAX_WATCH_SHARE,
-    );
-    this.#nextReleaseAt = performance.now() + intervalMs;
+    this.#delayNextRelease(due.length, performance.now());
     this.#releaseSlices(due);
   }
 
+  #delayNextRelease(responses: number, now: number): void {
+    const intervalMs = responses * WATCH_RESPONSE_MS / MAX_WATCH_SHARE;
+    this.#nextReleaseAt = Math.min(
+      Math.max(now, this.#nextReleaseAt) + intervalMs,
+      now + MAX_RELEASE_INTERVAL_MS,
+    );
+  }
+
   /** Heartbeats and messages of the replicated log come between the slices. */
   #releaseSlices(due: readonly PendingWatch[]): void {
     for (const pending of due.slice(0, RELEASE_SLICE)) {
