Let a new leader ask few hosts for what they know of servers

Each host sent all servers to a new leader, in the seconds in which it has to keep its leadership: 87 x 67 records, parsed and checked. And a host that had been told alone that a server drains or has ended, since the last leader was lost right then, lost that again: it took the older record of the new leader over its own before it reported.

A host keeps the servers that it may know better: those that the leader's list lacks, and those of which it has a later heartbeat, or an end or a drain. It tells how many there are in its watch. The leader asks three hosts in half a second; what they report it tells to the others, which drop these from theirs. So the last host with something new is asked, too. A record that the leader does not take over is sent to the hosts anew, an end and a drain are taken over from a record with the same heartbeat.

--- a/packages/core/src/gateway/server_registry.ts
+++ b/packages/core/src/gateway/server_registry.ts
@@ -148,15 +148,36 @@
 
   /**
    * Merges records that entry hosts kept from an earlier leader. Only records
-   * that are newer than the last known heartbeat of their server are used.
+   * that are newer than the last known heartbeat of their server are used; the
+   * hosts are sent the record that is used instead of another one.
    */
   mergeRecords(records: readonly gateway.ServerRecord[], now: number): void {
-    for (const { silentMs, leaving: _, ...record } of records) {
+    for (const { silentMs, leaving, ...record } of records) {
       const heartbeat = { ...record, inMemory: [], onDisk: [] };
-      const known = this.#entries.get(heartbeat.id)?.heartbeat;
-      if (known !== undefined && !isLater(heartbeat, known)) continue;
-      this.#apply(heartbeat, now - silentMs, false);
+      const known = this.#entries.get(heartbeat.id);
+      if (known === undefined || isLater(heartbeat, known.heartbeat)) {
+        this.#apply(heartbeat, now - silentMs, false);
+        continue;
+      }
+      this.#mergeState(heartbeat, known);
+      const isSame = leaving.length === 0 &&
+        isEqualContent(heartbeat, known.heartbeat);
+      if (!isSame) known.revision = this.#nextRevision(false);
+    }
+  }
+
+  /** A start that drains or has ended doesn't become ready again. */
+  #mergeState(
+    { born, sequence, state }: gateway.Heartbeat,
+    known: Entry,
+  ): void {
+    if (known.heartbeat.born !== born) return;
+    if (state === "ended") {
+      this.markEnded(known.heartbeat.id, known.heartbeatAt);
     }
+    const isLeaving = state === "draining" &&
+      sequence === known.heartbeat.sequence;
+    if (isLeaving) this.markLeaving({ born, id: known.heartbeat.id });
   }
 
   /** Marks a server as ended. */
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -60,6 +60,10 @@
 const MAX_BIRTH_AHEAD_MS = 3_600_000;
 /** Most hosts that one log line names. */
 const MAX_LOGGED_HOSTS = 10;
+/** Hosts that are asked within an interval for servers that they know better. */
+const MAX_ASKED_HOSTS = 3;
+/** That interval, in milliseconds: most hosts know the same servers. */
+const ASK_INTERVAL_MS = 500;
 /** Interval of the checks for silent servers and hosts, in milliseconds. */
 const EXPIRY_CHECK_INTERVAL_MS = 1_000;
 const SECOND_MS = 1_000;
@@ -134,6 +138,10 @@
   );
   readonly #entryConfiguration = new entryConfiguration.EntryConfiguration();
   #leaseUncertainUntil = 0;
+  /** Hosts asked for servers since the interval began. */
+  #askedHosts = 0;
+  /** Monotonic time of that, in milliseconds. */
+  #askIntervalBegan = -Infinity;
   #claimTimer: NodeJS.Timeout | undefined;
   #collectTimer: NodeJS.Timeout | undefined;
   /** Monotonic time before which hosts are told of no further changes, in ms. */
@@ -642,6 +650,7 @@
       isWhole,
       isSettled: this.#isSettled,
       servers: this.#registry.changesSince(isWhole ? 0 : request.revision, now),
+      ...(this.#wantsServers(request, now) ? { wantsServers: true } : {}),
       withdrawnDomains: state.withdrawnDomains,
       limitedWorkspaces: [...this.#limitedWorkspaces.names],
       mixedServices: state.mixedServices,
@@ -658,6 +667,24 @@
     };
   }
 
+  /**
+   * Whether to ask a host for the servers that it knows better. Few hosts are
+   * asked at a time: the others are told of these servers meanwhile.
+   */
+  #wantsServers(
+    { term, unreported = 0 }: gateway.WatchRequest,
+    now: number,
+  ): boolean {
+    const mayKnowBetter = unreported > 0 || (term > 0 && term !== this.term);
+    if (!mayKnowBetter) return false;
+    if (now - this.#askIntervalBegan >= ASK_INTERVAL_MS) {
+      this.#askIntervalBegan = now;
+      this.#askedHosts = 0;
+    }
+    this.#askedHosts += 1;
+    return this.#askedHosts <= MAX_ASKED_HOSTS;
+  }
+
   #logServer(relayed: gateway.ServerUpdate): void {
     if (relayed.kind === "ended") {
       write("server-ended", { server: relayed.id });
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -48,6 +48,8 @@
   /** Monotonic times of their ends, in milliseconds, by fingerprint. */
   #quarantines: ReadonlyMap<string, number> = new Map();
   #suspectRevision = 0;
+  /** Servers that this host may know better than the leader. */
+  readonly #unreported = new Set<string>();
   /** Resolves when the first configuration arrives. */
   readonly firstConfiguration = new Promise<void>((resolve) =>
     this.once("configuration", () => resolve())
@@ -148,6 +150,22 @@
     }));
   }
 
+  /** Number of servers that this host may know better than the leader. */
+  get unreported(): number {
+    return this.#unreported.size;
+  }
+
+  /** Servers that the leader lacks or knows by an older heartbeat. */
+  unreportedRecords(now: number): gateway.ServerRecord[] {
+    return this.serverRecords(now).filter(({ id }) => this.#unreported.has(id));
+  }
+
+  /** Records that the leader of a term has received these servers. */
+  acknowledgeReport(servers: readonly { id: string }[], term: number): void {
+    if (term !== this.#term) return;
+    for (const { id } of servers) this.#unreported.delete(id);
+  }
+
   /**
    * Applies a leader's response unless it is older than the current state.
    *
@@ -163,12 +181,14 @@
     const isStale = response.term === this.#term &&
       response.revision < this.#revision;
     if (isStale) return false;
+    const isNewTerm = response.term !== this.#term;
     this.#term = response.term;
     this.#revision = response.revision;
     this.#lastResponseAt = now;
     this.#limitedWorkspaces = new Set(response.limitedWorkspaces);
     this.#applyReplicated(response);
     this.#suspectRevision = response.suspectRevision ?? 0;
+    if (isNewTerm) this.#beginTerm(response);
     this.#applyServers(response, now);
     if (response.quarantines !== undefined) {
       this.#applyQuarantines(response.quarantines, now);
@@ -224,17 +244,28 @@
     this.#mixedServices = new Set(mixedServices);
   }
 
+  /** Until it has heard from all servers, a leader knows fewer than this host. */
+  #beginTerm({ isSettled, isWhole }: gateway.WatchResponse): void {
+    this.#unreported.clear();
+    if (!isWhole) return;
+    if (isSettled) this.#servers = new Map();
+    for (const id of this.#servers.keys()) this.#unreported.add(id);
+  }
+
   #applyServers(
-    { isSettled, isWhole, servers }: gateway.WatchResponse,
+    { servers }: gateway.WatchResponse,
     now: number,
   ): void {
-    // Until it has heard from all servers, a leader knows fewer than this host.
-    if (isWhole && isSettled) this.#servers = new Map();
     for (const record of servers) {
-      const current = this.#servers.get(record.id)?.record;
+      const { id } = record;
+      const current = this.#servers.get(id)?.record;
       if (current !== undefined && current.born > record.born) continue;
+      const isBetterKnown = current !== undefined &&
+        this.#unreported.has(id) && isAhead(current, record);
+      if (isBetterKnown) continue;
+      this.#unreported.delete(id);
       const lastHeartbeatAt = now - record.silentMs;
-      this.#servers.set(record.id, { record, lastHeartbeatAt });
+      this.#servers.set(id, { record, lastHeartbeatAt });
     }
     this.#serversByService = new Map();
     for (const server of this.#servers.values()) {
@@ -277,3 +308,14 @@
     this.emit("configuration", configuration, ageMs);
   }
 }
+
+/** Whether one record of a start of a server is newer than another one. */
+function isAhead(
+  one: gateway.ServerRecord,
+  other: gateway.ServerRecord,
+): boolean {
+  if (one.born !== other.born) return false;
+  if (one.sequence !== other.sequence) return one.sequence > other.sequence;
+  const isOver = one.state === "draining" || one.state === "ended";
+  return isOver && other.state === "ready";
+}
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -72,8 +72,10 @@
   readonly #options: LeaderSyncOptions;
   readonly #disposed = new AbortController();
   #earlyReport = new AbortController();
-  /** Term whose leader has received the list of servers. */
+  /** Term whose leader has received a report. */
   #reportedTerm = 0;
+  /** Whether the leader wants the servers that this host knows better. */
+  #areServersWanted = false;
   /** Term and usage revision of the last response to a report. */
   #acknowledged = { term: 0, usageRevision: 0 };
   #reportIntervalMs = MIN_REPORT_INTERVAL_MS;
@@ -166,6 +168,7 @@
         configuration: view.configuration?.version ?? null,
         quarantineRevision: view.quarantineRevision,
         suspectRevision: view.suspectRevision,
+        ...(view.unreported === 0 ? {} : { unreported: view.unreported }),
       };
     }, WATCH_LIMITS);
     this.#apply(v.parse(WatchResponse, response), requestedAt);
@@ -184,13 +187,18 @@
       response.controlHosts.map((address) => ({ address })),
     );
     const { revision, term } = view;
-    if (view.apply(response, performance.now(), requestedAt)) return;
-    write("answer-dropped", {
-      term: response.term,
-      revision: response.revision,
-      known_term: term,
-      known_revision: revision,
-    });
+    if (!view.apply(response, performance.now(), requestedAt)) {
+      write("answer-dropped", {
+        term: response.term,
+        revision: response.revision,
+        known_term: term,
+        known_revision: revision,
+      });
+      return;
+    }
+    if (response.wantsServers !== true || view.unreported === 0) return;
+    this.#areServersWanted = true;
+    this.reportSoon();
   }
 
   /** @param startedAt monotonic time at which the call began, in ms */
@@ -240,10 +248,10 @@
     const refreshes = this.#refreshes;
     this.#refreshes = [];
     const report = collectReport();
-    const isNewLeader = view.term !== this.#reportedTerm;
     const now = performance.now();
     this.#reportedAt = now;
-    const servers = isNewLeader ? view.serverRecords(now) : [];
+    const servers = this.#areServersWanted ? view.unreportedRecords(now) : [];
+    this.#areServersWanted = false;
     const requestedAt = clocks.readClocks();
     try {
       const answered = this.#acknowledged;
@@ -252,9 +260,8 @@
         gateway.ReportResponse,
         await leader.call(gateway.METHODS.report, params, REPORT_LIMITS),
       );
-      if (isNewLeader && response.term === view.term) {
-        this.#reportedTerm = response.term;
-      }
+      if (response.term === view.term) this.#reportedTerm = response.term;
+      view.acknowledgeReport(servers, response.term);
       const { hostCount, term, usageRevision } = response;
       this.#acknowledged = { term, usageRevision };
       this.#reportIntervalMs = reportInterval(hostCount);
--- a/packages/daemon/test/gateway/coordinating.ts
+++ b/packages/daemon/test/gateway/coordinating.ts
@@ -53,6 +53,8 @@
   /** Responses to watches. */
   responses = 0;
   leader: fleetCoordinator.FleetCoordinator;
+  /** Hosts whose calls fail. */
+  readonly cut = new Set<string>();
   readonly #syncs: leaderSync.LeaderSync[] = [];
 
   constructor(leader: fleetCoordinator.FleetCoordinator, count: number) {
@@ -78,7 +80,11 @@
         leader: "control-1",
         setControlHosts: () => undefined,
         call: (method, params) =>
-          this.#call(method, typeof params === "function" ? params() : params),
+          this.#call(
+            host,
+            method,
+            typeof params === "function" ? params() : params,
+          ),
       },
       view,
       hasNews: () => false,
@@ -98,7 +104,13 @@
     sync.start();
   }
 
-  async #call(method: string, params: object): Promise<unknown> {
+  async #call(host: string, method: string, params: object): Promise<unknown> {
+    const response = await this.#answer(method, params);
+    if (this.cut.has(host)) throw new Error("the link is cut");
+    return response;
+  }
+
+  async #answer(method: string, params: object): Promise<unknown> {
     if (method === gateway.METHODS.report) {
       const report = params as gateway.ReportRequest;
       this.reportedRecords += report.servers.length;
--- a/packages/daemon/test/gateway/fleet_coordinator_load_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_load_test.ts
@@ -80,6 +80,38 @@
     });
   }
 
+  it("learns of a drain and an end that one host alone was told of", async () => {
+    using first = coordinating.createCoordinator();
+    for (let index = 0; index < 5; index += 1) beat(first, heartbeat(index));
+    using hosts = new coordinating.FollowingHosts(first, 9);
+    await haveServers(hosts, 5, 1);
+    for (let index = 0; index < 8; index += 1) hosts.cut.add(`entry-${index}`);
+    beat(first, heartbeat(1, { sequence: 2, state: "draining" }));
+    first.handleHeartbeat({ kind: "ended", id: "s2" });
+    const told = hosts.views[8];
+    const state = (id: string) => told?.server(id)?.record.state;
+    await wait.waitFor(
+      "a host to be told",
+      () => state("s1") === "draining" && state("s2") === "ended",
+    );
+    using second = coordinating.createCoordinator({ term: 2 });
+    // The servers' last heartbeats to the second leader are older.
+    beat(second, heartbeat(1));
+    beat(second, heartbeat(2));
+    hosts.leader = second;
+    hosts.cut.clear();
+    first[Symbol.dispose]();
+    await wait.waitFor(
+      "all hosts to be told",
+      () =>
+        hosts.views.every((view) =>
+          view.term === 2 &&
+          view.server("s1")?.record.state === "draining" &&
+          view.server("s2")?.record.state === "ended"
+        ),
+    );
+  });
+
   it("answers a bounded number of watches a second, however many servers change", async () => {
     using leader = coordinating.createCoordinator();
     for (let index = 0; index < 67; index += 1) beat(leader, heartbeat(index));
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -41,6 +41,8 @@
   /** Revisions of the quarantines and of the suspects that the host knows. */
   quarantineRevision: v.optional(Count),
   suspectRevision: v.optional(Count),
+  /** Number of servers that the host may know better than the leader. */
+  unreported: v.optional(Count),
   /** Longest time that the leader holds it, in ms; its own limit if absent. */
   waitMs: v.optional(Amount),
 });
@@ -70,6 +72,8 @@
   /** Whether the leader has led for long enough to have heard all servers. */
   isSettled: v.boolean(),
   servers: v.pipe(v.array(ServerRecord), v.maxLength(MAX_RECORDS)),
+  /** Whether the next report is to hold what the host knows better. */
+  wantsServers: v.optional(v.boolean()),
   withdrawnDomains: v.array(Name),
   /** Workspaces whose usage over all hosts is near their rate. */
   limitedWorkspaces: v.array(Name),
@@ -269,7 +273,10 @@
   ),
   /** Term and usage revision of the last response; 0 before the first one. */
   answered: v.object({ term: Count, usageRevision: Count }),
-  /** All servers that the host knows; empty unless the leader is new. */
+  /**
+   * Servers that the leader lacks or knows by an older heartbeat; empty unless
+   * it wants them.
+   */
   servers: v.pipe(v.array(ServerRecord), v.maxLength(MAX_RECORDS)),
 });
 export type ReportRequest = v.InferOutput<typeof ReportRequest>;
