Give servers that a new leader learns of from hosts the time to be heard

Hosts are told of a server's changes, not of its heartbeats, so that their record of it is as old as its last change. A new leader took that for the time of its silence: a server without a change for 8 s was deemed lost at the first check, one second after the leader began, unless its heartbeat had come by then; after 60 s it was dropped. All hosts then send it nothing until its next heartbeat. The silence counts from the report now.

The test fails on the former code: the first check marks the server.

--- a/packages/core/src/gateway/server_registry.ts
+++ b/packages/core/src/gateway/server_registry.ts
@@ -149,14 +149,16 @@
   /**
    * Merges records that entry hosts kept from an earlier leader. Only records
    * that are newer than the last known heartbeat of their server are used; the
-   * hosts are sent the record that is used instead of another one.
+   * hosts are sent the record that is used instead of another one. A server
+   * counts as heard now.
    */
   mergeRecords(records: readonly gateway.ServerRecord[], now: number): void {
-    for (const { silentMs, leaving, ...record } of records) {
+    // Hosts are told of changes only: their records age while servers are heard.
+    for (const { silentMs: _, leaving, ...record } of records) {
       const heartbeat = { ...record, inMemory: [], onDisk: [] };
       const known = this.#entries.get(heartbeat.id);
       if (known === undefined || isLater(heartbeat, known.heartbeat)) {
-        this.#apply(heartbeat, now - silentMs, false);
+        this.#apply(heartbeat, now, false);
         continue;
       }
       this.#mergeState(heartbeat, known);
--- a/packages/core/test/gateway/server_registry_test.ts
+++ b/packages/core/test/gateway/server_registry_test.ts
@@ -117,6 +117,16 @@
     expect(registry.get("s1")?.models).to.deep.equal([]);
   });
 
+  it("does not deem a server lost of which a host was told of no change lately", () => {
+    const registry = new ServerRegistry();
+    const record = { ...heartbeat(), silentMs: 70_000, leaving: [] };
+    registry.mergeRecords([record], 0);
+    expect(registry.expire(1_000)).to.equal(false);
+    expect(registry.get("s1")?.state).to.equal("ready");
+    expect(registry.expire(9_000)).to.equal(true);
+    expect(registry.get("s1")?.state).to.equal("lost");
+  });
+
   it("merges records of entry hosts only if they are newer", () => {
     const registry = new ServerRegistry();
     registry.applyHeartbeat(heartbeat({ sequence: 3 }), 0);
