Begin a leadership with a copy of the last leader's servers

A new leader knew no servers. It sent its list, as it grew, whole to all hosts, which knew nearly all of it: hosts x servers records in the seconds in which it has to keep its leadership.

Control hosts that do not lead watch the leader like entry hosts and keep its list of servers. The next leader begins with its copy and continues its revisions, so that a host that followed the same leader gets what has changed since its own position. A host ahead of the copy has the leader ask for what it was told of since. Copies count neither as hosts that share limits nor in the rollout of a configuration. A leader without a copy, since it was just started, asks a few hosts as before, and sends the whole list.

--- a/packages/core/src/gateway/server_registry.ts
+++ b/packages/core/src/gateway/server_registry.ts
@@ -36,6 +36,18 @@
   isLeaving: boolean;
 };
 
+/** A copy of a leader's list of servers, as far as its owner followed it. */
+export type ServerListCopy = {
+  /** Term and last known revision of the leader. */
+  readonly term: number;
+  readonly revision: number;
+  readonly servers: readonly {
+    readonly record: gateway.ServerRecord;
+    /** Revision at which the owner had the record; higher if not the leader's. */
+    readonly revision: number;
+  }[];
+};
+
 /** Models that one entry host has requests for. */
 export type HostInterest = {
   /** Models, and adapters as `model/adapter`, that requests wait for. */
@@ -88,6 +100,31 @@
     return this.#revision;
   }
 
+  /**
+   * Begins with the list of an earlier leader, and continues its revisions. The
+   * servers count as heard now.
+   */
+  restore({ revision, servers }: ServerListCopy, now: number): void {
+    this.#revision = Math.max(
+      revision,
+      ...servers.map((server) => server.revision),
+    );
+    for (const { record, revision } of servers) {
+      const { leaving, silentMs: _, ...rest } = record;
+      this.#entries.set(record.id, {
+        heartbeat: { ...rest, inMemory: [], onDisk: [] },
+        heartbeatAt: now,
+        // This leader has no orders under way.
+        revision: leaving.length === 0 ? revision : this.#nextRevision(false),
+        unloading: new Set(),
+        hasReport: false,
+        isHeard: false,
+        isLeaving: false,
+      });
+    }
+    this.#urgentRevision = this.#revision;
+  }
+
   /** Servers that have not ended. */
   activeServers(): gateway.Heartbeat[] {
     return [...this.#entries.values()]
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -19,6 +19,7 @@
 import * as fleetCoordinator from "./fleet_coordinator.ts";
 import * as membershipManager from "./membership_manager.ts";
 import * as quarantineManager from "./quarantine_manager.ts";
+import * as serverListFollower from "./server_list_follower.ts";
 import * as stateMachine from "./state_machine.ts";
 import type * as types from "./types.ts";
 
@@ -77,6 +78,7 @@
   readonly #membershipManager: membershipManager.MembershipManager;
   readonly #leaderClient: fleet.LeaderClient;
   readonly #entryConfiguration = new entryConfiguration.EntryConfiguration();
+  readonly #serverListFollower: serverListFollower.ServerListFollower;
   readonly #stop = new AbortController();
   #coordinator: fleetCoordinator.FleetCoordinator | undefined;
   /** Calls for a leader that were refused since this was logged. */
@@ -112,6 +114,18 @@
       options.rpcClient,
       options.seeds,
     );
+    this.#serverListFollower = owned.use(
+      new serverListFollower.ServerListFollower({
+        host: options.name,
+        isLeading: () => this.#driver.status.role === "leader",
+        configurationVersion: () =>
+          this.#stateMachine.state.configuration?.version ?? null,
+        call: (method, params, limits) => {
+          this.#updateLeaderClient();
+          return this.#leaderClient.call(method, params, limits);
+        },
+      }),
+    );
     this.#stateMachine.on("change", () => this.#coordinator?.onStateChange());
     owned.defer(() => this.#coordinator?.[Symbol.dispose]());
     this.#registerMethods(options.rpcServer);
@@ -168,6 +182,7 @@
     );
     this.#resources.defer(() => timers.clearInterval(join));
     void this.#requestToJoin();
+    this.#serverListFollower.start();
     const refusals = timers.setInterval(
       () => this.#logRefusedCalls(),
       REFUSAL_LOG_INTERVAL_MS,
@@ -262,6 +277,11 @@
         if (!(error instanceof fleet.NotLeader)) throw error;
       }
     }
+    this.#updateLeaderClient();
+    return await this.#leaderClient.call(method, params, limits);
+  }
+
+  #updateLeaderClient(): void {
     const members = core.replication.allMembers(this.#driver.membership);
     this.#leaderClient.setControlHosts(members);
     // Replication notices a new leader before a call to the old one times out.
@@ -269,7 +289,6 @@
     if (leader !== null && leader !== this.#options.address) {
       this.#leaderClient.setLeader(leader);
     }
-    return await this.#leaderClient.call(method, params, limits);
   }
 
   /** Handles the calls that every control host accepts and relays. */
@@ -509,6 +528,7 @@
       metrics,
       orderTakeoverDelayMs,
       retryBudget,
+      known: this.#serverListFollower.copy(),
       commit: (command) => this.#commit(command),
       state: () => this.#stateMachine.state,
       controlHosts: () =>
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -87,6 +87,8 @@
   readonly orderTakeoverDelayMs: number;
   /** Retries that all entry hosts together may send. */
   readonly retryBudget: core.gateway.FleetRetryBudget;
+  /** List of servers of an earlier leader that this one begins with. */
+  readonly known?: core.gateway.ServerListCopy | undefined;
   readonly state: () => core.gateway.GatewayState;
   readonly controlHosts: () => string[];
   hasLease(): boolean;
@@ -180,6 +182,7 @@
       commit: (command) => options.commit(command),
       onChange: () => this.#onChange(),
     });
+    if (options.known !== undefined) this.#restore(options.known);
     this.#beginRollout();
     this.#expiryTimer = timers.setInterval(
       () => this.#expire(),
@@ -187,7 +190,11 @@
     );
     options.metrics.leading.set(1);
     const { orderHolder } = options.state();
-    write("leading", { term: this.term, orderHolder });
+    write("leading", {
+      term: this.term,
+      orderHolder,
+      known: options.known?.servers.length,
+    });
     // Orders of the previous holder may still be in transit.
     const delayMs = orderHolder === null ? 0 : options.orderTakeoverDelayMs;
     if (!this.#holdsOrders) this.#claimOrders(delayMs);
@@ -231,8 +238,10 @@
    */
   watch(request: gateway.WatchRequest): Promise<gateway.WatchResponse> {
     const now = performance.now();
-    this.#demandTracker.touch(request.host, now);
-    this.#recordRollout(request, now);
+    if (request.isCopy !== true) {
+      this.#demandTracker.touch(request.host, now);
+      this.#recordRollout(request, now);
+    }
     const waitMs = Math.min(request.waitMs ?? Infinity, WATCH_TIMEOUT_MS);
     if (waitMs === 0 || this.#isAnsweredAtOnce(request, now)) {
       this.#delayNextRelease(1, now);
@@ -637,7 +646,9 @@
   ): gateway.WatchResponse {
     const now = performance.now();
     const state = this.#options.state();
-    const isWhole = request.term !== this.term;
+    const base = this.#baseOf(request);
+    const isWhole = request.term !== this.term && base === undefined;
+    const revision = Math.min(request.revision, base?.revision ?? Infinity);
     const { configuration } = state;
     const quarantines = this.#quarantines.listFor(request.quarantineRevision);
     const isNewer = configuration !== null &&
@@ -649,7 +660,8 @@
       ...(hostStateIndex === null ? {} : { stateIndex: hostStateIndex }),
       isWhole,
       isSettled: this.#isSettled,
-      servers: this.#registry.changesSince(isWhole ? 0 : request.revision, now),
+      servers: this.#registry.changesSince(isWhole ? 0 : revision, now),
+      ...(base === undefined ? {} : { base }),
       ...(this.#wantsServers(request, now) ? { wantsServers: true } : {}),
       withdrawnDomains: state.withdrawnDomains,
       limitedWorkspaces: [...this.#limitedWorkspaces.names],
@@ -671,12 +683,8 @@
    * Whether to ask a host for the servers that it knows better. Few hosts are
    * asked at a time: the others are told of these servers meanwhile.
    */
-  #wantsServers(
-    { term, unreported = 0 }: gateway.WatchRequest,
-    now: number,
-  ): boolean {
-    const mayKnowBetter = unreported > 0 || (term > 0 && term !== this.term);
-    if (!mayKnowBetter) return false;
+  #wantsServers(request: gateway.WatchRequest, now: number): boolean {
+    if (!this.#mayKnowBetter(request)) return false;
     if (now - this.#askIntervalBegan >= ASK_INTERVAL_MS) {
       this.#askIntervalBegan = now;
       this.#askedHosts = 0;
@@ -685,6 +693,32 @@
     return this.#askedHosts <= MAX_ASKED_HOSTS;
   }
 
+  #mayKnowBetter(request: gateway.WatchRequest): boolean {
+    const { isCopy, revision, term, unreported = 0 } = request;
+    if (isCopy === true) return false;
+    if (unreported > 0) return true;
+    const base = this.#baseOf(request);
+    if (base !== undefined) return revision > base.revision;
+    return term > 0 && term !== this.term;
+  }
+
+  /** The list that this leader began with, if the host followed the same. */
+  #baseOf(
+    { term }: gateway.WatchRequest,
+  ): { term: number; revision: number } | undefined {
+    const { known } = this.#options;
+    return term !== this.term && term === known?.term
+      ? { term, revision: known.revision }
+      : undefined;
+  }
+
+  #restore(known: core.gateway.ServerListCopy): void {
+    const servers = known.servers.filter(({ record }) =>
+      isBorn(record) && this.#isVersionKnown(record)
+    );
+    this.#registry.restore({ ...known, servers }, performance.now());
+  }
+
   #logServer(relayed: gateway.ServerUpdate): void {
     if (relayed.kind === "ended") {
       write("server-ended", { server: relayed.id });
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -18,6 +18,12 @@
   configuration: [configuration: gateway.Configuration, ageMs?: number];
 }
 
+/**
+ * Time after which a server that has ended or is lost is left out of copies, in
+ * milliseconds. Leaders drop it after this time, too.
+ */
+const FORGET_MS = 60_000;
+
 /** A server and the monotonic time of its last heartbeat, in milliseconds. */
 export interface KnownServer {
   readonly record: gateway.ServerRecord;
@@ -48,6 +54,8 @@
   /** Monotonic times of their ends, in milliseconds, by fingerprint. */
   #quarantines: ReadonlyMap<string, number> = new Map();
   #suspectRevision = 0;
+  /** Revisions at which the leader has sent the servers. */
+  readonly #sentRevisions = new Map<string, number>();
   /** Servers that this host may know better than the leader. */
   readonly #unreported = new Set<string>();
   /** Resolves when the first configuration arrives. */
@@ -150,6 +158,22 @@
     }));
   }
 
+  /** The list of servers, for a host that may lead next. */
+  copyServers(now: number): core.gateway.ServerListCopy {
+    const revision = this.#revision;
+    const servers = this.serverRecords(now)
+      .filter(({ silentMs, state }) =>
+        silentMs < FORGET_MS || state === "ready" || state === "draining"
+      )
+      .map((record) => ({
+        record,
+        revision: this.#unreported.has(record.id)
+          ? revision + 1
+          : this.#sentRevisions.get(record.id) ?? revision + 1,
+      }));
+    return { term: this.#term, revision, servers };
+  }
+
   /** Number of servers that this host may know better than the leader. */
   get unreported(): number {
     return this.#unreported.size;
@@ -181,14 +205,16 @@
     const isStale = response.term === this.#term &&
       response.revision < this.#revision;
     if (isStale) return false;
-    const isNewTerm = response.term !== this.#term;
+    const previousTerm = this.#term;
     this.#term = response.term;
     this.#revision = response.revision;
     this.#lastResponseAt = now;
     this.#limitedWorkspaces = new Set(response.limitedWorkspaces);
     this.#applyReplicated(response);
     this.#suspectRevision = response.suspectRevision ?? 0;
-    if (isNewTerm) this.#beginTerm(response);
+    if (response.term !== previousTerm) {
+      this.#beginTerm(response, previousTerm);
+    }
     this.#applyServers(response, now);
     if (response.quarantines !== undefined) {
       this.#applyQuarantines(response.quarantines, now);
@@ -245,15 +271,24 @@
   }
 
   /** Until it has heard from all servers, a leader knows fewer than this host. */
-  #beginTerm({ isSettled, isWhole }: gateway.WatchResponse): void {
-    this.#unreported.clear();
-    if (!isWhole) return;
-    if (isSettled) this.#servers = new Map();
-    for (const id of this.#servers.keys()) this.#unreported.add(id);
+  #beginTerm(
+    { base, isSettled, isWhole }: gateway.WatchResponse,
+    previousTerm: number,
+  ): void {
+    if (isWhole && isSettled) {
+      this.#servers = new Map();
+      this.#sentRevisions.clear();
+      this.#unreported.clear();
+    }
+    const knownRevision = base?.term === previousTerm ? base.revision : -1;
+    for (const id of this.#servers.keys()) {
+      const sentRevision = this.#sentRevisions.get(id) ?? Infinity;
+      if (sentRevision > knownRevision) this.#unreported.add(id);
+    }
   }
 
   #applyServers(
-    { servers }: gateway.WatchResponse,
+    { revision, servers }: gateway.WatchResponse,
     now: number,
   ): void {
     for (const record of servers) {
@@ -264,6 +299,7 @@
         this.#unreported.has(id) && isAhead(current, record);
       if (isBetterKnown) continue;
       this.#unreported.delete(id);
+      this.#sentRevisions.set(id, revision);
       const lastHeartbeatAt = now - record.silentMs;
       this.#servers.set(id, { record, lastHeartbeatAt });
     }
--- a/packages/daemon/test/gateway/fleet_coordinator_load_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_load_test.ts
@@ -80,6 +80,36 @@
     });
   }
 
+  for (const [hostCount, serverCount] of FLEETS) {
+    it(`sends ${hostCount} hosts only changes of ${serverCount} servers when it has a copy of the last leader's list`, async () => {
+      using first = coordinating.createCoordinator();
+      for (let index = 0; index < serverCount; index += 1) {
+        beat(first, heartbeat(index));
+      }
+      using hosts = new coordinating.FollowingHosts(first, hostCount);
+      await haveServers(hosts, serverCount, 1);
+      const known = hosts.views[0]?.copyServers(performance.now());
+      expect(known?.servers).to.have.length(serverCount);
+      // The copy lacks what the hosts are told of now.
+      beat(first, heartbeat(0, { sequence: 2, state: "draining" }));
+      beat(first, heartbeat(serverCount));
+      await haveServers(hosts, serverCount + 1, 1);
+      hosts.resetCounts();
+      using second = coordinating.createCoordinator({ term: 2, known });
+      hosts.leader = second;
+      first[Symbol.dispose]();
+      await haveServers(hosts, serverCount + 1, 2);
+      await timers.setTimeout(REPORT_MS);
+      const servers = await serversOf(second);
+      expect(servers).to.have.length(serverCount + 1);
+      expect(servers.find(({ id }) => id === "s0")?.state)
+        .to.equal("draining");
+      const changed = 2;
+      expect(hosts.reportedRecords).to.be.at.most(MAX_ASKED_HOSTS * changed);
+      expect(hosts.sentRecords).to.be.at.most(hostCount * changed);
+    });
+  }
+
   it("learns of a drain and an end that one host alone was told of", async () => {
     using first = coordinating.createCoordinator();
     for (let index = 0; index < 5; index += 1) beat(first, heartbeat(index));
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -43,6 +43,8 @@
   suspectRevision: v.optional(Count),
   /** Number of servers that the host may know better than the leader. */
   unreported: v.optional(Count),
+  /** Whether a control host asks for its copy of the list of servers. */
+  isCopy: v.optional(v.boolean()),
   /** Longest time that the leader holds it, in ms; its own limit if absent. */
   waitMs: v.optional(Amount),
 });
@@ -72,6 +74,11 @@
   /** Whether the leader has led for long enough to have heard all servers. */
   isSettled: v.boolean(),
   servers: v.pipe(v.array(ServerRecord), v.maxLength(MAX_RECORDS)),
+  /**
+   * Position in an earlier leader's list that this leader has begun with, if
+   * the host had a position in the same list. Hosts ahead of it know better.
+   */
+  base: v.optional(v.object({ term: Count, revision: Count })),
   /** Whether the next report is to hold what the host knows better. */
   wantsServers: v.optional(v.boolean()),
   withdrawnDomains: v.array(Name),
