--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -714,10 +714,13 @@
 /** Reads the rest of a refusal, so that its connection can be used again. */
 function discardBody({ cancel, message }: UpstreamResponse): void {
   let bytes = 0;
-  message.on("data", (part: Buffer) => {
+  const onData = (part: Buffer) => {
     bytes += part.length;
-    if (bytes > MAX_REFUSAL_BYTES) cancel();
-  });
+    if (bytes <= MAX_REFUSAL_BYTES) return;
+    message.off("data", onData);
+    cancel();
+  };
+  message.on("data", onData);
 }
 
 /** A response that ended early: by its server, or because it was too large. */
