Write the events of one read together, and pause the connection

Cause: each chunk of a stream was written to the caller by itself, and a stream whose caller did not read was paused at the message. The parser then still queues each chunk of what was read, up to 16 KiB of content, and node queues three writes for each one that was relayed.

Change: events are collected in a counted buffer and written once a read, and the connection is paused, so that what is not relayed yet stays one block of bytes.

--- a/packages/daemon/src/gateway/entry/event_relay.ts
+++ b/packages/daemon/src/gateway/entry/event_relay.ts
@@ -5,12 +5,15 @@
  */
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
+import process from "node:process";
 import * as core from "@ebonypath/core";
 import type * as responseBuffer from "./response_buffer.ts";
 
 const EVENT_DELIMITER = Buffer.from("\n\n");
 /** Limit of an event, in bytes: it is buffered until it is complete. */
 const MAX_EVENT_BYTES = 1024 * 1024;
+/** Limit of events that wait to be written, in bytes. */
+const MAX_PENDING_BYTES = 2 * MAX_EVENT_BYTES;
 const NEWLINE = 0x0a;
 /** First byte of a line that carries an event id. */
 const ID_LINE_FIRST_BYTE = "i".charCodeAt(0);
@@ -25,6 +28,9 @@
   readonly #budget: responseBuffer.BufferBudget;
   readonly #sequence: core.gateway.EventSequence;
   #partialEvent: responseBuffer.ResponseBuffer | undefined;
+  /** Events that are written together, with what else was read with them. */
+  #events: responseBuffer.ResponseBuffer | undefined;
+  #isWriteScheduled = false;
   /** Whether the last byte of the partial event ends a line. */
   #endsWithNewline = false;
   #eventCount = 0;
@@ -72,13 +78,23 @@
       onOverflow: (error) => message.destroy(error),
     });
     this.#partialEvent = partialEvent;
+    this.#events = this.#budget.open({
+      peer: server,
+      maxBytes: MAX_PENDING_BYTES,
+      // Another server can't continue a stream whose events were dropped.
+      onOverflow: () => this.#response.destroy(),
+    });
     this.#sequence.begin();
     const previousCount = this.#eventCount;
     message.on(
       "data",
       (chunk: Buffer) => this.#onChunk(chunk, message, partialEvent),
     );
-    await completed;
+    try {
+      await completed;
+    } finally {
+      this.#writeEvents(message);
+    }
     if (partialEvent.length > 0) {
       throw new Error("the stream ended within an event");
     }
@@ -87,8 +103,10 @@
     }
   }
 
-  /** Releases the memory of an incomplete event. */
+  /** Releases the memory of events that were not written. */
   [Symbol.dispose](): void {
+    this.#events?.[Symbol.dispose]();
+    this.#events = undefined;
     this.#partialEvent?.[Symbol.dispose]();
     this.#partialEvent = undefined;
     this.#endsWithNewline = false;
@@ -112,7 +130,7 @@
       : Buffer.concat([...partialEvent.parts, complete]);
     partialEvent[Symbol.dispose]();
     partialEvent.append(rest);
-    this.#write(events, message);
+    this.#addEvents(events, message);
   }
 
   /** Bytes of a chunk up to the end of its last complete event. */
@@ -122,15 +140,32 @@
     return this.#endsWithNewline && chunk[0] === NEWLINE ? 1 : 0;
   }
 
-  #write(events: Buffer, message: http.IncomingMessage): void {
+  #addEvents(events: Buffer, message: http.IncomingMessage): void {
     const order = this.#trackEvents(events);
     if (order !== "in-order") {
       message.destroy(new Error(`the stream goes on with ${order} events`));
       return;
     }
-    if (this.#response.write(events)) return;
-    message.pause();
-    this.#response.once("drain", () => message.resume());
+    this.#events?.append(events);
+    if (this.#isWriteScheduled) return;
+    this.#isWriteScheduled = true;
+    process.nextTick(() => this.#writeEvents(message));
+  }
+
+  /**
+   * Writes the events of one read, however many chunks they came in. The
+   * connection is paused rather than the message, which would queue each chunk
+   * that the parser has yet to take from the read.
+   */
+  #writeEvents(message: http.IncomingMessage): void {
+    this.#isWriteScheduled = false;
+    const parts = this.#events?.parts ?? [];
+    if (parts.length === 0) return;
+    this.#events?.[Symbol.dispose]();
+    if (this.#response.write(Buffer.concat(parts)) || message.complete) return;
+    const { socket } = message;
+    socket.pause();
+    this.#response.once("drain", () => socket.resume());
   }
 
   /** Counts events until one doesn't follow on from those before. */
