Go on running while the disk of a control host is full

Callers saw control hosts that ended themselves on ENOSPC and again after each start until there was space: connections reset, calls and heartbeats relayed elsewhere, and a fault after three ends.

The store took a full disk for a failure after which nothing is known of its files. It is known: what was synced before. Before that, the current segment is cut back to what was synced, since half a frame may follow, and since bytes whose sync failed are not stored by a later one. A temporary file is removed when its write fails, and before the next write: it would have been continued. A short write is continued, as a full disk begins with one. Opening a store waits, too. Other errors, EIO among them, still end the process.

The driver tells the replica, so a leader hands over, and rejects what it was asked with OutcomeUnknown instead of after 5 s.

--- a/packages/daemon/src/replication/driver.ts
+++ b/packages/daemon/src/replication/driver.ts
@@ -51,6 +51,8 @@
   #storage: StorageEffects;
   #ticker: Ticker;
   #isStopped = false;
+  #isDisposed = false;
+  #unsubscribeFromStore: () => void;
 
   constructor(options: DriverOptions) {
     this.self = options.self;
@@ -85,6 +87,9 @@
         this.#pendingProposals.handleSnapshotInstalled(index),
       onFailure: (error) => this.#fail(error),
     });
+    this.#unsubscribeFromStore = options.store.onSpaceChange((hasSpace) =>
+      this.#step({ kind: "diskSpace", hasSpace })
+    );
   }
 
   /** The current role, term and leader. */
@@ -273,7 +278,9 @@
     try {
       await this.#storage.persistBootstrap(initialState, entries);
     } catch (error) {
-      this.#options.onFailure(error);
+      if (!this.#isDisposed) {
+        this.#options.onFailure(error);
+      }
       return false;
     }
     this.#replica = this.#makeReplica(initialState, entries, null);
@@ -285,6 +292,8 @@
 
   /** Stops the replica; the store and the transport stay open. */
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#isDisposed = true;
+    this.#unsubscribeFromStore();
     this.#stop();
     await this.#storage.waitForPending();
   }
@@ -400,6 +409,10 @@
     const { status } = this;
     const { role, term, leader } = status;
     log("status", { role, term, leader: leader?.id ?? "unknown" });
+    if (role !== "leader" && !this.#options.store.hasSpace) {
+      // Nothing is applied here until the disk has space, so no commit is seen.
+      this.#pendingProposals.rejectAll();
+    }
     this.#statusListeners.forEach((listener) => listener(status));
   }
 
--- a/packages/daemon/src/replication/log_compactor.ts
+++ b/packages/daemon/src/replication/log_compactor.ts
@@ -6,7 +6,7 @@
 
 import type { replication } from "@ebonypath/core";
 import { createLog } from "../log/mod.ts";
-import type * as storage from "../storage/mod.ts";
+import * as storage from "../storage/mod.ts";
 import type { StateMachine } from "./types.ts";
 
 /** Number of entries applied since the last snapshot at which one is due. */
@@ -16,6 +16,9 @@
 /** Factor by which both limits are raised while a snapshot is being sent. */
 const SENDING_LIMIT_FACTOR = 2;
 
+/** Pause before the next snapshot after one for which the disk was too full. */
+const NO_SPACE_RETRY_MS = 1_000;
+
 const log = createLog("replication");
 
 /** Decides when to take a snapshot, and saves it. */
@@ -25,6 +28,7 @@
   #entryLimit: number;
   #appliedBytes = 0;
   #isSaving = false;
+  #nextAttemptAt = -Infinity;
 
   constructor(
     store: storage.Store,
@@ -58,13 +62,16 @@
       appliedEntries / this.#entryLimit,
       this.#appliedBytes / COMMAND_BYTES_LIMIT,
     );
-    return !this.#isSaving &&
+    return !this.#isSaving && performance.now() >= this.#nextAttemptAt &&
       usedLimit >= (isSendingSnapshot ? SENDING_LIMIT_FACTOR : 1);
   }
 
   /**
    * Saves a snapshot of the state machine; null when the term of the last applied
    * entry is unknown.
+   *
+   * @throws {storage.NoSpaceError} the disk is too full; a snapshot is due again
+   * after a pause
    */
   async save(
     replica: replication.Replica,
@@ -75,6 +82,7 @@
       return null;
     }
     this.#isSaving = true;
+    const savedBytes = this.#appliedBytes;
     this.#appliedBytes = 0;
     try {
       const data = this.#stateMachine.takeSnapshot();
@@ -83,6 +91,12 @@
       await this.#store.saveSnapshot({ metadata, data, keepEntries: true });
       log("snapshot_saved", { index, bytes: data.length });
       return metadata;
+    } catch (error) {
+      if (error instanceof storage.NoSpaceError) {
+        this.#appliedBytes += savedBytes;
+        this.#nextAttemptAt = performance.now() + NO_SPACE_RETRY_MS;
+      }
+      throw error;
     } finally {
       this.#isSaving = false;
     }
--- a/packages/daemon/src/replication/storage_effects.ts
+++ b/packages/daemon/src/replication/storage_effects.ts
@@ -7,7 +7,7 @@
 import { Buffer } from "node:buffer";
 import type { replication } from "@ebonypath/core";
 import { createLog } from "../log/mod.ts";
-import type * as storage from "../storage/mod.ts";
+import * as storage from "../storage/mod.ts";
 import type { LogCompactor } from "./log_compactor.ts";
 import type { StateMachine } from "./types.ts";
 
@@ -93,6 +93,10 @@
         submitInput({ kind: "snapshotTaken", snapshot });
       }
     } catch (error) {
+      if (error instanceof storage.NoSpaceError) {
+        log("snapshot_not_saved", { error });
+        return;
+      }
       onFailure(error);
     }
   }
@@ -106,9 +110,19 @@
     await this.#options.store.persist({ hardState, entries });
   }
 
-  /** Resolves when all requests so far have completed or failed. */
+  /**
+   * Resolves when all requests so far have completed or failed, or wait for
+   * space on the disk.
+   */
   async waitForPending(): Promise<void> {
-    await this.#completions.catch(() => undefined);
+    const { store } = this.#options;
+    let unsubscribe = () => {};
+    const isFull = new Promise<void>((resolve) => {
+      unsubscribe = store.onSpaceChange(() => resolve());
+      if (!store.hasSpace) resolve();
+    });
+    await Promise.race([this.#completions.catch(() => undefined), isFull]);
+    unsubscribe();
   }
 
   /** Reports completed writes to the replica, in the order of the requests. */
--- a/packages/daemon/src/storage/errors.ts
+++ b/packages/daemon/src/storage/errors.ts
@@ -14,8 +14,8 @@
   | "closed";
 
 /**
- * A file operation failed. The store rejects every later operation with the
- * same error.
+ * A file operation failed. Unless the disk was full ({@link NoSpaceError}), the
+ * store rejects every later operation with the same error.
  */
 export class StorageError extends protocol.errors.StepError {
   override readonly name: string = "StorageError";
@@ -33,6 +33,14 @@
   }
 }
 
+/**
+ * A file operation failed because the disk is full or a quota is used up. What
+ * it wrote may be incomplete.
+ */
+export class NoSpaceError extends StorageError {
+  override readonly name = "NoSpaceError";
+}
+
 /** Another process holds the lock of the folder. No file was changed. */
 export class FolderInUse extends StorageError {
   override readonly name = "FolderInUse";
--- a/packages/daemon/src/storage/folder.ts
+++ b/packages/daemon/src/storage/folder.ts
@@ -7,10 +7,12 @@
 
 import type { Buffer } from "node:buffer";
 import * as path from "node:path";
-import { StorageError, type StorageOperation } from "./errors.ts";
+import { NoSpaceError, StorageError, type StorageOperation } from "./errors.ts";
 import type { FileSystem, WritableFile } from "./types.ts";
 
 const TEMPORARY_SUFFIX = ".tmp";
+/** Codes of errors that say that the disk is full or a quota is used up. */
+const NO_SPACE_CODES: readonly unknown[] = ["ENOSPC", "EDQUOT"];
 
 /** The folder that holds the files of one store. */
 export class StoreFolder {
@@ -79,26 +81,38 @@
 
   /**
    * Writes a file atomically: writes and syncs a temporary file, renames it and
-   * syncs the folder.
+   * syncs the folder. It may be repeated after a failure.
    */
   async writeAtomically(name: string, parts: Uint8Array[]): Promise<void> {
     const file = this.pathOf(name);
-    const temporaryFile = file + TEMPORARY_SUFFIX;
-    const temporary = await this.append(name + TEMPORARY_SUFFIX);
+    const temporaryName = name + TEMPORARY_SUFFIX;
+    try {
+      await this.#writeNew(temporaryName, parts);
+      await withStorageError(
+        "rename",
+        file,
+        () => this.#fileSystem.rename(this.pathOf(temporaryName), file),
+      );
+    } catch (error) {
+      // The first error says more; the next write removes the file, too.
+      await this.remove(temporaryName).catch(() => undefined);
+      throw error;
+    }
+    await this.sync();
+  }
+
+  /** Writes and syncs a file, and replaces what a failed write has left. */
+  async #writeNew(name: string, parts: Uint8Array[]): Promise<void> {
+    await this.remove(name);
+    const file = await this.append(name);
     try {
       for (const part of parts) {
-        await temporary.write(part);
+        await file.write(part);
       }
-      await temporary.sync();
+      await file.sync();
     } finally {
-      await temporary.close();
+      await file.close();
     }
-    await withStorageError(
-      "rename",
-      file,
-      () => this.#fileSystem.rename(temporaryFile, file),
-    );
-    await this.sync();
   }
 
   /** Opens a file for appending; creates it when it does not exist. */
@@ -148,19 +162,25 @@
   }
 
   /**
-   * Writes all of the data.
+   * Writes all of the data. A short write is continued: on a disk that becomes
+   * full, the next one tells so.
    *
-   * @throws {StorageError} the write failed or was short
+   * @throws {StorageError} the write failed, or stopped without an error
    */
   async write(data: Uint8Array): Promise<void> {
-    const written = await withStorageError(
-      "write",
-      this.path,
-      () => this.#file.write(data),
-    );
-    if (written !== data.length) {
-      const message = `short write: ${written} of ${data.length} bytes`;
-      throw new StorageError("write", this.path, message);
+    let offset = 0;
+    while (offset < data.length) {
+      const rest = data.subarray(offset);
+      const written = await withStorageError(
+        "write",
+        this.path,
+        () => this.#file.write(rest),
+      );
+      if (written === 0) {
+        const message = `short write: ${offset} of ${data.length} bytes`;
+        throw new StorageError("write", this.path, message);
+      }
+      offset += written;
     }
   }
 
@@ -183,6 +203,10 @@
     return await run();
   } catch (cause) {
     const message = cause instanceof Error ? cause.message : String(cause);
-    throw new StorageError(operation, file, message, cause);
+    const { code } = cause as NodeJS.ErrnoException;
+    const ErrorType = NO_SPACE_CODES.includes(code)
+      ? NoSpaceError
+      : StorageError;
+    throw new ErrorType(operation, file, message, cause);
   }
 }
--- a/packages/daemon/src/storage/store.ts
+++ b/packages/daemon/src/storage/store.ts
@@ -6,13 +6,14 @@
  */
 
 import type { Buffer } from "node:buffer";
-import { DamageError, StorageError } from "./errors.ts";
+import { DamageError, NoSpaceError, StorageError } from "./errors.ts";
 import { LocalFileSystem } from "./local_file_system.ts";
 import { StoreFolder } from "./folder.ts";
 import * as identities from "./identity.ts";
 import type { ChangeRecord } from "./log_record.ts";
 import { WriteAheadLog } from "./write_ahead_log.ts";
 import { SnapshotFiles } from "./snapshot_files.ts";
+import { type SpaceListener, SpaceWaiter } from "./space_waiter.ts";
 import type {
   Identity,
   LogUpdate,
@@ -37,7 +38,7 @@
 
 /**
  * Opens the store in a folder. An empty folder gets a new store with a new
- * identity.
+ * identity. Waits while the disk is too full for what has to be written.
  *
  * @throws {DamageError} a file is missing or its content is invalid
  * @throws {StorageError} a file operation failed
@@ -55,13 +56,15 @@
     folderPath,
     options.fileSystem ?? new LocalFileSystem(),
   );
-  await folder.prepare();
+  const space = new SpaceWaiter(folderPath);
+  await space.run(() => folder.prepare());
   const log = new WriteAheadLog(
     folder,
+    space,
     options.segmentBytes ?? DEFAULT_SEGMENT_BYTES,
   );
   try {
-    return await recoverStore(folder, log, options);
+    return await recoverStore(folder, space, log, options);
   } catch (error) {
     await log.close();
     throw error;
@@ -70,6 +73,7 @@
 
 async function recoverStore(
   folder: StoreFolder,
+  space: SpaceWaiter,
   log: WriteAheadLog,
   options: StoreOptions,
 ): Promise<Store> {
@@ -77,7 +81,9 @@
   const hasLog = await log.recover();
   const snapshot = await snapshots.recover();
   await reconcileLog(folder, log, hasLog, snapshot);
-  const identity = await recoverIdentity(folder, options, hasLog, log);
+  const identity = await space.run(() =>
+    recoverIdentity(folder, options, hasLog, log)
+  );
   const { hardState, entries } = log.state;
   const empty = snapshot === null && entries.length === 0 &&
     hardState.term === 0;
@@ -89,7 +95,7 @@
     entries: [...entries],
   };
   const groupCommit = options.groupCommit ?? true;
-  return new FileStore(folder, log, snapshots, recovered, groupCommit);
+  return new FileStore(folder, space, log, snapshots, recovered, groupCommit);
 }
 
 /**
@@ -143,6 +149,7 @@
 class FileStore implements Store {
   readonly recovered: RecoveredState;
   #folder: StoreFolder;
+  #space: SpaceWaiter;
   #log: WriteAheadLog;
   #snapshots: SnapshotFiles;
   #groupCommit: boolean;
@@ -154,18 +161,28 @@
 
   constructor(
     folder: StoreFolder,
+    space: SpaceWaiter,
     log: WriteAheadLog,
     snapshots: SnapshotFiles,
     recovered: RecoveredState,
     groupCommit: boolean,
   ) {
     this.#folder = folder;
+    this.#space = space;
     this.#log = log;
     this.#snapshots = snapshots;
     this.recovered = recovered;
     this.#groupCommit = groupCommit;
   }
 
+  get hasSpace(): boolean {
+    return this.#space.hasSpace;
+  }
+
+  onSpaceChange(listener: SpaceListener): () => void {
+    return this.#space.onChange(listener);
+  }
+
   persist(update: LogUpdate): Promise<void> {
     return this.#enqueue({
       kind: "change",
@@ -190,8 +207,9 @@
 
   /**
    * Writes a snapshot of the current log outside the queue, so that log updates
-   * don't wait for the write. Only its activation is queued. A snapshot that
-   * replaces the log is written in the queue.
+   * don't wait for the write. Only its activation is queued; when the disk is
+   * too full for it, the log continues as before. A snapshot that replaces the
+   * log is written in the queue.
    */
   async #writeSnapshot(snapshot: SnapshotToSave): Promise<void> {
     const isWritten = snapshot.keepEntries;
@@ -217,6 +235,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#space.close();
     await Promise.allSettled([...this.#pendingSnapshots]);
     await this.#processing;
     const closed = new StorageError(
@@ -290,20 +309,21 @@
       return;
     }
     if (!isWritten) {
-      await this.#snapshots.write(metadata, data);
+      await this.#space.run(() => this.#snapshots.write(metadata, data));
     }
     await this.#log.writeBase(metadata.index, keepEntries);
-    await this.#snapshots.activate(metadata, data);
+    await this.#space.run(() => this.#snapshots.activate(metadata, data));
   }
 
   /**
    * Runs an operation and records its failure. The first failure is permanent:
-   * after it, the content of the files is unknown.
+   * after it, the content of the files is unknown. A full disk is no failure.
    */
   async #recordFailure<T>(operation: () => Promise<T>): Promise<T> {
     try {
       return await operation();
     } catch (error) {
+      if (error instanceof NoSpaceError) throw error;
       this.#failure ??= error instanceof StorageError
         ? error
         : new StorageError("write", this.#folder.path, String(error), error);
--- a/packages/daemon/src/storage/types.ts
+++ b/packages/daemon/src/storage/types.ts
@@ -6,6 +6,7 @@
 
 import type { replication } from "@ebonypath/core";
 import type { Buffer } from "node:buffer";
+import type { SpaceListener } from "./space_waiter.ts";
 
 /** The identity of a replica. Its id has a random suffix and is never reused. */
 export type Identity = { id: string };
@@ -47,9 +48,25 @@
 export interface Store extends AsyncDisposable {
   /** The durable state that was read when the store was opened. */
   readonly recovered: RecoveredState;
-  /** Writes and syncs an update. Updates that wait together share one sync. */
+  /** Whether no update waits for space on the disk. */
+  readonly hasSpace: boolean;
+  /**
+   * Calls a listener when the disk becomes full or has space again.
+   *
+   * @returns removes the listener
+   */
+  onSpaceChange(listener: SpaceListener): () => void;
+  /**
+   * Writes and syncs an update. Updates that wait together share one sync. While
+   * the disk is full, updates wait in their order.
+   */
   persist(update: LogUpdate): Promise<void>;
-  /** Saves a snapshot and removes the log entries that it includes. */
+  /**
+   * Saves a snapshot and removes the log entries that it includes.
+   *
+   * @throws {NoSpaceError} the disk is too full for a snapshot that keeps
+   * entries; nothing has changed
+   */
   saveSnapshot(snapshot: SnapshotToSave): Promise<void>;
   /**
    * Reads a part of the current snapshot; null when the current snapshot is not
--- a/packages/daemon/src/storage/write_ahead_log.ts
+++ b/packages/daemon/src/storage/write_ahead_log.ts
@@ -12,23 +12,34 @@
 import type { AppendFile, StoreFolder } from "./folder.ts";
 import * as frame from "./frame.ts";
 import * as record from "./log_record.ts";
+import type { SpaceWaiter } from "./space_waiter.ts";
 
 const NAME_PATTERN = /^log-(\d{10})(-base)?\.wal$/;
 const NUMBER_DIGITS = 10;
 
 type Segment = { name: string; number: number; isBase: boolean };
 
-/** The write-ahead log in one store folder. */
+/** The write-ahead log in one store folder. Writes wait while its disk is full. */
 export class WriteAheadLog {
   readonly state = new record.LogState();
   #folder: StoreFolder;
+  #space: SpaceWaiter;
   #maxSegmentBytes: number;
   #currentNumber = 0;
+  #currentName = "";
   #currentFile: AppendFile | null = null;
+  /** Bytes of the current segment that are synced. */
   #currentBytes = 0;
-
-  constructor(folder: StoreFolder, maxSegmentBytes: number) {
+  /** Whether the current segment may continue after its synced bytes. */
+  #hasUnsyncedBytes = false;
+
+  constructor(
+    folder: StoreFolder,
+    space: SpaceWaiter,
+    maxSegmentBytes: number,
+  ) {
     this.#folder = folder;
+    this.#space = space;
     this.#maxSegmentBytes = maxSegmentBytes;
   }
 
@@ -50,8 +61,13 @@
     }
     const last = chain.at(-1) as Segment;
     this.#currentNumber = last.number;
-    this.#currentFile = await this.#folder.append(last.name);
-    await this.#removeSegmentsBefore(chain[0]?.number ?? 0);
+    this.#currentName = last.name;
+    this.#currentFile = await this.#space.run(() =>
+      this.#folder.append(last.name)
+    );
+    await this.#space.run(() =>
+      this.#removeSegmentsBefore(chain[0]?.number ?? 0)
+    );
     return true;
   }
 
@@ -59,14 +75,7 @@
   async append(changes: record.ChangeRecord[]): Promise<void> {
     changes.forEach((change) => this.state.apply(change));
     const data = frame.encodeFrame(record.encodeRecords(changes));
-    if (
-      this.#currentFile === null || this.#currentBytes >= this.#maxSegmentBytes
-    ) {
-      await this.#startSegment();
-    }
-    await this.#currentFile?.write(data);
-    await this.#currentFile?.sync();
-    this.#currentBytes += data.length;
+    await this.#space.run(() => this.#appendFrame(data));
   }
 
   /**
@@ -81,30 +90,74 @@
       entries: keepEntries ? this.state.entriesAfter(index) : [],
     };
     this.state.apply(base);
-    this.#currentNumber += 1;
+    const number = this.#currentNumber + 1;
     const data = frame.encodeFrame(record.encodeRecords([base]));
-    const name = segmentName(this.#currentNumber, true);
-    await this.#folder.writeAtomically(name, [data]);
-    await this.#currentFile?.close();
-    this.#currentFile = await this.#folder.append(name);
-    this.#currentBytes = data.length;
-    await this.#removeSegmentsBefore(this.#currentNumber);
+    const name = segmentName(number, true);
+    // Once it may be renamed, no frame must follow in the segment before it.
+    await this.#space.run(() => this.#folder.writeAtomically(name, [data]));
+    await this.#space.run(() => this.#continueIn(name, number, data.length));
+    await this.#space.run(() => this.#removeSegmentsBefore(number));
   }
 
   /** Closes the current segment. */
   async close(): Promise<void> {
-    await this.#currentFile?.close();
+    const file = this.#currentFile;
     this.#currentFile = null;
+    await file?.close();
   }
 
-  async #startSegment(): Promise<void> {
-    await this.#currentFile?.close();
-    this.#currentNumber += 1;
-    this.#currentFile = await this.#folder.append(
-      segmentName(this.#currentNumber, false),
-    );
-    await this.#folder.sync();
-    this.#currentBytes = 0;
+  /** Writes and syncs a frame; may be repeated after a failure. */
+  async #appendFrame(data: Uint8Array): Promise<void> {
+    if (this.#hasUnsyncedBytes) {
+      await this.#removeUnsyncedBytes();
+    }
+    const file = await this.#segmentToAppend();
+    this.#hasUnsyncedBytes = true;
+    await file.write(data);
+    await file.sync();
+    this.#hasUnsyncedBytes = false;
+    this.#currentBytes += data.length;
+  }
+
+  /**
+   * Truncates the current segment to its synced bytes. After a failed sync, a
+   * later one that succeeds says nothing of the bytes before it.
+   */
+  async #removeUnsyncedBytes(): Promise<void> {
+    await this.close();
+    await this.#folder.truncate(this.#currentName, this.#currentBytes);
+    this.#currentFile = await this.#folder.append(this.#currentName);
+    this.#hasUnsyncedBytes = false;
+  }
+
+  async #segmentToAppend(): Promise<AppendFile> {
+    const current = this.#currentFile;
+    if (current !== null && this.#currentBytes < this.#maxSegmentBytes) {
+      return current;
+    }
+    const number = this.#currentNumber + 1;
+    return await this.#continueIn(segmentName(number, false), number, 0);
+  }
+
+  /** Makes a segment the current one, and creates it if necessary. */
+  async #continueIn(
+    name: string,
+    number: number,
+    bytes: number,
+  ): Promise<AppendFile> {
+    await this.close();
+    const file = await this.#folder.append(name);
+    try {
+      await this.#folder.sync();
+    } catch (error) {
+      await file.close();
+      throw error;
+    }
+    this.#currentFile = file;
+    this.#currentName = name;
+    this.#currentNumber = number;
+    this.#currentBytes = bytes;
+    return file;
   }
 
   async #listSegments(): Promise<Segment[]> {
@@ -160,7 +213,8 @@
           : "unexpected end of file";
         throw new DamageError(file, offset, reason);
       }
-      await this.#folder.truncate(segment.name, offset);
+      const end = offset;
+      await this.#space.run(() => this.#folder.truncate(segment.name, end));
       break;
     }
     this.#currentBytes = offset;
--- a/packages/daemon/test/storage/faulty_file_system.ts
+++ b/packages/daemon/test/storage/faulty_file_system.ts
@@ -13,6 +13,7 @@
   | { kind: "write"; code: string }
   | { kind: "shortWrite" }
   | { kind: "sync"; code: string }
+  | { kind: "create"; code: string }
   | { kind: "rename"; code: string }
   | { kind: "syncFolder"; code: string };
 
@@ -24,9 +25,14 @@
 export class FaultyFileSystem extends storage.FileDisk {
   fault: Fault = { kind: "none" };
   syncs = 0;
+  failedCreations = 0;
   #lengths = new Map<string, { written: number; synced: number }>();
 
   override async openForAppend(file: string): Promise<storage.WritableFile> {
+    if (this.fault.kind === "create" && await super.read(file) === null) {
+      this.failedCreations += 1;
+      throw failure(this.fault.code);
+    }
     const handle = await super.openForAppend(file);
     const content = await super.read(file);
     const size = content?.length ?? 0;
