Sync what a log has recovered before it counts as stored

A replica that starts counts all replayed entries as stored and acknowledges them. After the end of a process alone, some of them may only be held by the system: written, and not synced. A loss of power after the restart then loses entries that were acknowledged, or a vote that was given.

Recovery now syncs the last segment and the folder. If the disk is too full for that, it writes the recovered state as a new base segment, as a second sync after a failed one proves nothing.

The tests lose power after each recovery from a killed process.

--- a/packages/daemon/src/storage/write_ahead_log.ts
+++ b/packages/daemon/src/storage/write_ahead_log.ts
@@ -8,7 +8,7 @@
  */
 
 import type { Buffer } from "node:buffer";
-import { DamageError } from "./errors.ts";
+import { DamageError, NoSpaceError } from "./errors.ts";
 import type { AppendFile, StoreFolder } from "./folder.ts";
 import * as frame from "./frame.ts";
 import * as record from "./log_record.ts";
@@ -62,9 +62,7 @@
     const last = chain.at(-1) as Segment;
     this.#currentNumber = last.number;
     this.#currentName = last.name;
-    this.#currentFile = await this.#space.run(() =>
-      this.#folder.append(last.name)
-    );
+    await this.#syncRecovered(last.name);
     await this.#space.run(() =>
       this.#removeSegmentsBefore(chain[0]?.number ?? 0)
     );
@@ -231,6 +229,22 @@
     }
   }
 
+  /**
+   * Opens the last segment and syncs it: a killed process may have left changes
+   * that were replayed and are not stored. When the disk is too full for them,
+   * a base segment replaces them, since a later sync may not store them either.
+   */
+  async #syncRecovered(name: string): Promise<void> {
+    try {
+      this.#currentFile = await this.#folder.append(name);
+      await this.#currentFile.sync();
+      await this.#folder.sync();
+    } catch (error) {
+      if (!(error instanceof NoSpaceError)) throw error;
+      await this.writeBase(this.state.baseIndex, true);
+    }
+  }
+
   async #removeSegmentsBefore(number: number): Promise<void> {
     for (const segment of await this.#listSegments()) {
       if (segment.number < number) {
--- a/packages/daemon/test/storage/full_disk_test.ts
+++ b/packages/daemon/test/storage/full_disk_test.ts
@@ -189,6 +189,8 @@
     try {
       await using again = await trial.open(crash.disk);
       expect(trial.explains(crash, again.recovered), where).to.equal(true);
+      await using last = await trial.open(crash.disk.crash("power"));
+      expect(last.recovered, where).to.deep.equal(again.recovered);
     } catch (error) {
       throw new Error(where, { cause: error });
     }
@@ -203,6 +205,24 @@
     expect(crashes.reduce((sum, count) => sum + count)).to.be.above(SEEDS);
   });
 
+  for (const failures of [0, 1]) {
+    it(`keeps what it has recovered from a killed process when the power is lost, after ${failures} failed syncs`, async () => {
+      const open = (fileSystem: MemoryDisk) =>
+        storage.openStore("/store", { name: "c1", fileSystem });
+      const disk = new MemoryDisk(fakeBackend.seededRandom(1));
+      await using store = await open(disk);
+      let killed: MemoryDisk | undefined;
+      disk.onSync = () => killed ??= disk.crash("process");
+      await store.persist({ hardState: { term: 1, vote: null } });
+      if (killed === undefined) throw new Error("nothing was synced");
+      killed.fill(failures);
+      await using again = await open(killed);
+      expect(again.recovered.hardState.term).to.equal(1);
+      await using last = await open(killed.crash("power"));
+      expect(last.recovered.hardState.term).to.equal(1);
+    });
+  }
+
   it("opens once there is space", async () => {
     const disk = new MemoryDisk(fakeBackend.seededRandom(1));
     disk.fill(5);
--- a/packages/daemon/test/storage/memory_disk.ts
+++ b/packages/daemon/test/storage/memory_disk.ts
@@ -30,6 +30,8 @@
 export class MemoryDisk implements storage.FileSystem {
   /** Called before each operation that changes something. */
   onChange = () => {};
+  /** Called before each sync of a file. */
+  onSync = () => {};
   #random: () => number;
   #names: Names = new Map();
   /** The names after each change of them since the last sync of the folder. */
@@ -63,7 +65,10 @@
       const kept = kind === "process"
         ? content
         : this.#tornEnd(content, durable);
-      copy.#names.set(name, newInode(Buffer.from(kept)));
+      const inode = newInode(Buffer.from(kept));
+      // The system still holds what a killed process wrote and did not sync.
+      if (kind === "process") inode.durable = durable;
+      copy.#names.set(name, inode);
     }
     copy.#syncedNames = new Map(copy.#names);
     return copy;
@@ -142,6 +147,7 @@
         return written.length;
       },
       sync: async () => {
+        this.onSync();
         try {
           await this.#change();
         } catch (error) {
