Take the lock of a data folder on a full disk

A daemon that started on a full disk ended: the file that names the holder of the lock could not be written, though it only serves error messages. The lock itself stayed taken in the process. The failure is logged now (holder-not-written). The test failed before with EISDIR, since the file's name was taken by a folder.

--- a/packages/daemon/src/storage/folder_lock.ts
+++ b/packages/daemon/src/storage/folder_lock.ts
@@ -8,12 +8,15 @@
 import * as net from "node:net";
 import * as path from "node:path";
 import process from "node:process";
+import { createLog } from "../log/mod.ts";
 import { FolderInUse, StorageError } from "./errors.ts";
 import { LocalFileSystem } from "./local_file_system.ts";
 
 /** Holds the process id of the lock holder, for error messages only. */
 const HOLDER_FILE = "holder";
 
+const log = createLog("storage");
+
 /** A data folder that this process holds until the lock is disposed of. */
 export interface FolderLock extends AsyncDisposable {
   readonly folder: string;
@@ -47,7 +50,7 @@
     server.listen({ path: await socketName(folder) });
     await once(server, "listening");
     server.unref();
-    await fs.writeFile(path.join(folder, HOLDER_FILE), `${process.pid}\n`);
+    await writeHolderPid(folder);
     return new LockedFolder(folder, server);
   } catch (cause) {
     const { code, message } = cause as NodeJS.ErrnoException;
@@ -90,6 +93,16 @@
   return `\0ebonypath/folder/${dev}/${ino}`;
 }
 
+/** Names this process in the holder file, for which a disk may be too full. */
+async function writeHolderPid(folder: string): Promise<void> {
+  const file = path.join(folder, HOLDER_FILE);
+  try {
+    await fs.writeFile(file, `${process.pid}\n`);
+  } catch (error) {
+    log("holder-not-written", { file, error });
+  }
+}
+
 /** Process id in the holder file; null unless that process is running. */
 async function readHolderPid(folder: string): Promise<number | null> {
   const file = path.join(folder, HOLDER_FILE);
--- a/packages/daemon/test/storage/folder_lock_test.ts
+++ b/packages/daemon/test/storage/folder_lock_test.ts
@@ -44,6 +44,13 @@
     expect(error).to.be.instanceOf(storage.FolderInUse);
   });
 
+  it("is taken when the file that names its holder can't be written", async () => {
+    await fs.mkdir(path.join(folder, "holder"), { recursive: true });
+    await using lock = await storage.lockFolder(folder);
+    const error = await failureOf(storage.lockFolder(lock.folder));
+    expect(error).to.be.instanceOf(storage.FolderInUse);
+  });
+
   it("can be taken again after its disposal", async () => {
     for (let round = 0; round < 2; round += 1) {
       await using lock = await storage.lockFolder(folder);
