Call the next leader when this one can't tell whether a change is committed

A change that was sent to the leader at the moment its disk became full was answered 503, though the next leader led a tenth of a second later: the host called other hosts only when it had not been the leader, not when it lost the leadership on the way.

--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -274,7 +274,9 @@
       try {
         return await this.#handleAsLeader(method, params);
       } catch (error) {
-        if (!(error instanceof fleet.NotLeader)) throw error;
+        const mayCallAgain = error instanceof fleet.NotLeader ||
+          (error instanceof fleet.OutcomeUnknown && limits.retryable);
+        if (!mayCallAgain) throw error;
       }
     }
     this.#updateLeaderClient();
