--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -81,8 +81,6 @@
   readonly #serverListFollower: serverListFollower.ServerListFollower;
   readonly #stop = new AbortController();
   #coordinator: fleetCoordinator.FleetCoordinator | undefined;
-  /** Calls for a leader that were refused since this was logged. */
-  #refusedCalls = 0;
 
   private constructor(
     options: ControlHostOptions,
@@ -476,7 +474,6 @@
 
   #refuseUnlessLeading(): fleet.NotLeading | undefined {
     if (this.#currentCoordinator !== undefined) return undefined;
-    this.#refusedCalls += 1;
     return { leader: this.#otherLeader() };
   }
 
@@ -488,10 +485,17 @@
 
   /** Tells how much work callers make that look for a leader. */
   #logRefusedCalls(): void {
-    if (this.#refusedCalls === 0) return;
+    const { bytes, calls, refused } = this.#options.rpcServer.takeCounts();
+    if (refused.size === 0) return;
+    const methods = [...refused].map(([method, count]) => `${method}:${count}`);
     const { role, term } = this.#driver.status;
-    write("calls-refused", { calls: this.#refusedCalls, role, term });
-    this.#refusedCalls = 0;
+    write("calls-refused", {
+      refused: methods.join(","),
+      calls,
+      bytes,
+      role,
+      term,
+    });
   }
 
   /** The coordinator of the current term, while this host holds the lease. */
