--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -209,9 +209,12 @@
     this.#stateConfirmer.start();
   }
 
-  /** Whether the host can serve requests. */
+  /**
+   * Whether the host can serve requests. The configuration may come from any
+   * control host, the servers and the parts of rates only from the leader.
+   */
   get isReady(): boolean {
-    return this.view.configuration !== null;
+    return this.view.configuration !== null && this.view.term > 0;
   }
 
   /** Number of requests that are being handled. */
