Fetch a later state from any one control host, and ask seldom while none has it

Found in a review of the confirmation by a majority:

- A host whose majority was slow, not silent, admitted by its old configuration although a control host had told it that a later one is applied, and so committed.
Such a state is fetched at once now, without waiting for the others, and a host that can't fetch it is behind.
Calls last as long as the attempt, 1 s instead of 0.4 s.
- While a later entry was in the logs and not applied, each host with requests asked all control hosts 10.8 times a second, and each answer parsed the entry.
Pauses double now, with jitter, an attempt that was in vain stands for half a second, and a control host reads each entry once.
- Such an entry made hosts refuse everything while no leader was elected.
When no control host that answers knows a leader, hosts serve by what they have.
- Requests of a host that is cut off joined each attempt, up to 0.4 s; attempts go on in the background now.
- A leader answered a host with a later configuration than its own at once, and again at once, for as long as its disk was behind.

--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -78,6 +78,11 @@
   readonly #membershipManager: membershipManager.MembershipManager;
   readonly #leaderClient: fleet.LeaderClient;
   readonly #entryConfiguration = new entryConfiguration.EntryConfiguration();
+  /** Whether entries that are not applied yet concern entry hosts. */
+  readonly #entriesOfInterest = new WeakMap<
+    core.replication.Entry,
+    boolean
+  >();
   readonly #serverListFollower: serverListFollower.ServerListFollower;
   readonly #stop = new AbortController();
   #coordinator: fleetCoordinator.FleetCoordinator | undefined;
@@ -401,11 +406,8 @@
   #position(): protocol.gateway.PositionResponse {
     const { membership, self, unappliedEntries } = this.#driver;
     const stateIndex = this.#requireStateIndex();
-    const newest = unappliedEntries.findLast(({ payload }) =>
-      payload.kind === "command" &&
-      core.gateway.concernsEntryHosts(
-        JSON.parse(payload.data) as protocol.gateway.Command,
-      )
+    const newest = unappliedEntries.findLast((entry) =>
+      this.#concernsEntryHosts(entry)
     );
     return {
       member: self.id,
@@ -414,9 +416,23 @@
         .map(({ address }) => address),
       newestIndex: newest?.index ?? stateIndex,
       stateIndex,
+      hasLeader: this.leaderAddress !== null,
     };
   }
 
+  /** Reads each entry once: a configuration is large, and often asked about. */
+  #concernsEntryHosts(entry: core.replication.Entry): boolean {
+    const { payload } = entry;
+    if (payload.kind !== "command") return false;
+    const known = this.#entriesOfInterest.get(entry);
+    if (known !== undefined) return known;
+    const concerns = core.gateway.concernsEntryHosts(
+      JSON.parse(payload.data) as protocol.gateway.Command,
+    );
+    this.#entriesOfInterest.set(entry, concerns);
+    return concerns;
+  }
+
   /**
    * The replicated state that entry hosts act on, as far as it is applied here.
    *
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -633,7 +633,7 @@
     const version = this.#options.state().configuration?.version ?? null;
     return term !== this.term || this.#registry.urgentRevision > revision ||
       this.#quarantines.hasNewsFor(request) ||
-      (version !== null && version !== configuration) ||
+      (version !== null && version > (configuration ?? -1)) ||
       this.#registry.concerns(
         this.#interests.get(host) ?? NO_INTEREST,
         revision,
--- a/packages/daemon/src/gateway/entry/state_confirmer.ts
+++ b/packages/daemon/src/gateway/entry/state_confirmer.ts
@@ -16,17 +16,16 @@
 
 const write = log.createLog("follower");
 
-/**
- * Time limit of a call to a control host, in milliseconds. Two thirds of an
- * election's shortest timeout: a host that takes longer does not vote either.
- */
-const CALL_TIMEOUT_MS = 400;
-/** Time limit of an attempt over all its rounds, in milliseconds. */
+/** Time limit of an attempt, and of each call in it, in milliseconds. */
 const ATTEMPT_TIMEOUT_MS = 1_000;
-/** Pause between two rounds of an attempt, in ms: one heartbeat of a leader. */
-const ROUND_DELAY_MS = core.replication.DEFAULT_SETTINGS.heartbeatMs;
-/** Interval of attempts that find too few control hosts, in milliseconds. */
+/** First pause between two rounds of an attempt, in ms: a leader's heartbeat. */
+const FIRST_PAUSE_MS = core.replication.DEFAULT_SETTINGS.heartbeatMs;
+/** Part of a pause by which it varies, so that hosts don't ask together. */
+const JITTER = 0.25;
+/** Interval of attempts that do not confirm the state, in milliseconds. */
 const RETRY_INTERVAL_MS = 1_000;
+/** Time for which the outcome of an attempt stands for requests, in ms. */
+const OUTCOME_LIFETIME_MS = RETRY_INTERVAL_MS + ATTEMPT_TIMEOUT_MS + 500;
 /** Time that the leader has to give the first state, in milliseconds. */
 const FIRST_STATE_DELAY_MS = 500;
 /** Shortest time until the age is looked at again, in milliseconds. */
@@ -38,7 +37,10 @@
   | "current"
   /** A later state may be in force, which this host could not get. */
   | "behind"
-  /** No majority of the control hosts has answered. */
+  /**
+   * Too few control hosts have answered, or none of them knows a leader: no
+   * other state is acknowledged meanwhile.
+   */
   | "unknown";
 
 /** A control host that has answered, and what it has told. */
@@ -92,15 +94,17 @@
   }
 
   /**
-   * Confirms the state, or fetches a later one. An attempt that has just found
-   * too few control hosts stands for the next ones.
+   * Confirms the state, or fetches a later one. A host that is cut off does not
+   * wait for each attempt: they go on in the background.
    */
   confirm(): Promise<Confirmation> {
-    const isRecent = performance.now() - this.#endedAt < RETRY_INTERVAL_MS;
-    if (this.#attempt === undefined && isRecent && this.#last === "unknown") {
+    const sinceMs = performance.now() - this.#endedAt;
+    if (this.#last === "unknown" && sinceMs < OUTCOME_LIFETIME_MS) {
       return Promise.resolve("unknown");
     }
-    return this.#confirmNow();
+    const isResting = this.#attempt === undefined &&
+      this.#last === "behind" && sinceMs < RETRY_INTERVAL_MS / 2;
+    return isResting ? Promise.resolve("behind") : this.#confirmNow();
   }
 
   [Symbol.dispose](): void {
@@ -122,45 +126,54 @@
     // The leader's first answer brings more than the control hosts can tell.
     await this.#sleep(FIRST_STATE_DELAY_MS);
     while (!this.#disposed.signal.aborted) {
-      if (remainingMs() <= 0) await this.#confirmNow();
       const delayMs = remainingMs();
-      await this.#sleep(
-        delayMs > 0 ? Math.max(MIN_AGE_CHECK_MS, delayMs) : RETRY_INTERVAL_MS,
-      );
+      if (delayMs > 0) {
+        await this.#sleep(Math.max(MIN_AGE_CHECK_MS, delayMs));
+        continue;
+      }
+      await this.#confirmNow();
+      if (remainingMs() <= 0) await this.#sleep(RETRY_INTERVAL_MS);
     }
   }
 
-  /** Asks until the state is confirmed, no majority answers or time is over. */
+  /** Asks until the state is confirmed, cannot be, or time is over. */
   async #confirmInRounds(): Promise<Confirmation> {
     const deadline = performance.now() + ATTEMPT_TIMEOUT_MS;
+    let pauseMs = FIRST_PAUSE_MS;
     while (true) {
-      const confirmation = await this.#confirmOnce();
-      const isOver = performance.now() + ROUND_DELAY_MS >= deadline ||
+      const confirmation = await this.#confirmOnce(deadline);
+      const delayMs = pauseMs * (1 + JITTER * (2 * Math.random() - 1));
+      const isOver = performance.now() + delayMs >= deadline ||
         this.#disposed.signal.aborted;
       if (confirmation !== "behind" || isOver) return confirmation;
-      await this.#sleep(ROUND_DELAY_MS);
+      await this.#sleep(delayMs);
+      pauseMs *= 2;
     }
   }
 
-  async #confirmOnce(): Promise<Confirmation> {
+  async #confirmOnce(deadline: number): Promise<Confirmation> {
     const { view } = this.#options;
     const requestedAt = clocks.readClocks();
-    const answers = await this.#askControlHosts();
+    const answers = await this.#askControlHosts(deadline);
     const positions = answers.map(({ position }) => position);
-    const judge = () => core.gateway.judgeState(view.stateIndex, positions);
-    if (judge() === "behind") await this.#fetchState(answers);
-    const verdict = judge();
+    const isReplaced = answers.some((answer) => this.#isAhead(answer));
+    if (isReplaced) await this.#fetchState(answers, deadline);
+    const verdict = core.gateway.judgeState(view.stateIndex, positions);
     if (verdict === "current" && view.configuration !== null) {
       view.confirm(requestedAt);
     }
-    return verdict;
+    if (verdict === "current") return verdict;
+    // One host that has applied a later state is enough to know of it.
+    if (isReplaced) return "behind";
+    const hasLeader = answers.some(({ position }) => position.hasLeader);
+    return hasLeader ? verdict : "unknown";
   }
 
   /**
    * Asks all control hosts at once. Resolves when they have answered, or when
-   * those that have are enough to confirm the state.
+   * those that have are enough to confirm the state or know a later one.
    */
-  async #askControlHosts(): Promise<Answer[]> {
+  async #askControlHosts(deadline: number): Promise<Answer[]> {
     const { controlHosts, onControlHosts, view } = this.#options;
     const answers: Answer[] = [];
     const addresses = controlHosts();
@@ -170,12 +183,14 @@
           address,
           gateway.METHODS.position,
           gateway.PositionResponse,
+          deadline,
         );
         if (position === undefined) return;
-        answers.push({ address, position });
+        const answer = { address, position };
+        answers.push(answer);
         const positions = answers.map(({ position }) => position);
         const verdict = core.gateway.judgeState(view.stateIndex, positions);
-        if (verdict === "current") resolve();
+        if (verdict === "current" || this.#isAhead(answer)) resolve();
       });
       void Promise.all(calls).then(() => resolve());
     });
@@ -186,19 +201,26 @@
     return [...answers];
   }
 
+  /** Whether a control host has applied a later state, which is committed. */
+  #isAhead({ position }: Answer): boolean {
+    return position.stateIndex > this.#options.view.stateIndex;
+  }
+
   /** Gets the state of the control host that has applied most. */
-  async #fetchState(answers: readonly Answer[]): Promise<void> {
+  async #fetchState(
+    answers: readonly Answer[],
+    deadline: number,
+  ): Promise<void> {
     const { view } = this.#options;
     const [best] = answers.toSorted((one, other) =>
       other.position.stateIndex - one.position.stateIndex
     );
-    if (best === undefined || best.position.stateIndex <= view.stateIndex) {
-      return;
-    }
+    if (best === undefined) return;
     const state = await this.#call(
       best.address,
       gateway.METHODS.state,
       gateway.HostState,
+      deadline,
     );
     if (state === undefined) return;
     if (view.applyState(state, performance.now())) {
@@ -211,13 +233,15 @@
     address: string,
     method: string,
     schema: Schema,
+    deadline: number,
   ): Promise<v.InferOutput<Schema> | undefined> {
+    const timeoutMs = Math.max(1, deadline - performance.now());
     try {
       const answer = await this.#options.rpc.call(
         address,
         method,
         {},
-        CALL_TIMEOUT_MS,
+        timeoutMs,
       );
       return v.parse(schema, answer);
     } catch (error) {
--- a/packages/daemon/test/fleet/leader_client_test.ts
+++ b/packages/daemon/test/fleet/leader_client_test.ts
@@ -67,6 +67,9 @@
   );
 }
 
+/** Response time of a slow leader, in milliseconds. */
+const SLOW_RESPONSE_MS = 150;
+
 describe("leader client", () => {
   it("tries unresponsive control hosts last, so that the leader is reached before the timeout", async () => {
     const rpc = new FakeFleet({
@@ -82,6 +85,18 @@
     expect(rpc.calls).to.deep.equal(["leader?", "leader"]);
   });
 
+  it("reaches a leader that takes most of an attempt behind silent control hosts", async () => {
+    const rpc = new FakeFleet({
+      "unresponsive-1": "silent",
+      "unresponsive-2": "silent",
+      leader: { leader: "leader" },
+    });
+    rpc.responseMs = SLOW_RESPONSE_MS;
+    const client = createClient(rpc);
+    await expectFailure(client.call("m", {}, SHORT_LIMITS));
+    expect(await client.call("m", {}, LIMITS)).to.equal("done");
+  });
+
   it("goes on with the search where the last call has left it", async () => {
     const rpc = new FakeFleet({
       "silent-1": "silent",
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -237,6 +237,18 @@
     expect(performance.now() - startedAt).to.be.within(295, 300 + PROMPT_MS);
   });
 
+  it("holds the watch of a host that has a later configuration than it", async () => {
+    const startedAt = performance.now();
+    await coordinator.watch({
+      host: "h",
+      term: TERM,
+      revision: 99,
+      configuration: 2,
+      waitMs: 300,
+    });
+    expect(performance.now() - startedAt).to.be.within(295, 300 + PROMPT_MS);
+  });
+
   it("measures the time until all hosts have a configuration", async () => {
     const metrics = new GatewayMetrics();
     using leader = createCoordinator({ metrics });
--- a/packages/daemon/test/gateway/state_confirmer_test.ts
+++ b/packages/daemon/test/gateway/state_confirmer_test.ts
@@ -10,12 +10,17 @@
 /** Age from which on a state is confirmed, in milliseconds. */
 const CONFIRMATION_AGE_MS = 600;
 const HOSTS = ["c1", "c2", "c3", "c4", "c5"];
+/** Questions to each control host while a later state is not applied. */
+const MAX_ROUNDS_PER_SECOND = 4;
 
 /** A control host of the fixture. */
 type ControlHost = {
   isReachable: boolean;
   newestIndex: number;
   stateIndex: number;
+  hasLeader: boolean;
+  /** Time that it takes to answer, in milliseconds. */
+  answerMs: number;
 };
 
 /** An entry host with a state of index 7, before five control hosts. */
@@ -27,14 +32,21 @@
       isReachable: true,
       newestIndex: 7,
       stateIndex: 7,
+      hasLeader: true,
+      answerMs: 5,
     }]),
   );
+  /** Whether questions for the state itself are not answered. */
+  losesStates = false;
   /** Methods that were called, in order. */
   calls: string[] = [];
 
   constructor(ageMs = 2 * CONFIRMATION_AGE_MS) {
     this.confirmer = new stateConfirmer.StateConfirmer({
-      rpc: { call: (peer, method) => this.#answer(peer, method) },
+      rpc: {
+        call: (peer, method, _params, timeoutMs) =>
+          this.#answer(peer, method, timeoutMs),
+      },
       controlHosts: () => HOSTS,
       onControlHosts: () => undefined,
       view: this.view,
@@ -74,12 +86,18 @@
     this.confirmer[Symbol.dispose]();
   }
 
-  async #answer(peer: string, method: string): Promise<unknown> {
+  async #answer(
+    peer: string,
+    method: string,
+    timeoutMs: number,
+  ): Promise<unknown> {
     this.calls.push(method);
     const host = this.hosts.get(peer);
-    await timers.setTimeout(5);
-    if (host?.isReachable !== true) throw new Error("no answer");
-    const { newestIndex, stateIndex } = host;
+    const answerMs = host?.answerMs ?? Infinity;
+    await timers.setTimeout(Math.min(answerMs, timeoutMs));
+    const isAnswered = host?.isReachable === true && answerMs <= timeoutMs;
+    if (!isAnswered) throw new Error("no answer");
+    const { hasLeader, newestIndex, stateIndex } = host;
     if (method === gateway.METHODS.position) {
       return {
         member: peer,
@@ -87,8 +105,10 @@
         controlHosts: HOSTS,
         newestIndex,
         stateIndex,
+        hasLeader,
       } satisfies gateway.PositionResponse;
     }
+    if (this.losesStates) throw new Error("no answer");
     return {
       index: stateIndex,
       configuration: fixtures.configuration([], { version: stateIndex }),
@@ -144,6 +164,50 @@
     expect(fixture.view.stateIndex).to.equal(9);
   });
 
+  it("gets a state that one control host has applied while most are silent", async () => {
+    using fixture = new Fixture();
+    fixture.set(HOSTS, { newestIndex: 9, stateIndex: 9 });
+    fixture.set(["c1", "c2", "c3"], { isReachable: false, answerMs: 5_000 });
+    const startedAt = performance.now();
+    expect(await fixture.confirmer.confirm()).not.to.equal("current");
+    expect(fixture.view.stateIndex).to.equal(9);
+    expect(performance.now() - startedAt).to.be.below(1_500);
+  });
+
+  it("waits for control hosts that are late", async () => {
+    using fixture = new Fixture();
+    fixture.set(["c1", "c2", "c3"], { answerMs: 700 });
+    expect(await fixture.confirmer.confirm()).to.equal("current");
+  });
+
+  it("is known to be in vain when a later state can't be fetched", async () => {
+    using fixture = new Fixture();
+    fixture.set(["c1"], { newestIndex: 9, stateIndex: 9 });
+    fixture.set(["c2", "c3", "c4", "c5"], { isReachable: false });
+    fixture.losesStates = true;
+    expect(await fixture.confirmer.confirm()).to.equal("behind");
+  });
+
+  it("does not hold requests back while no control host knows a leader", async () => {
+    using fixture = new Fixture();
+    fixture.set(HOSTS, { hasLeader: false });
+    fixture.set(["c1", "c2", "c3"], { newestIndex: 9 });
+    expect(await fixture.confirmer.confirm()).to.equal("unknown");
+  });
+
+  it("asks little for as long as a later state is not applied", async () => {
+    using fixture = new Fixture();
+    fixture.set(["c1", "c2", "c3"], { newestIndex: 9 });
+    fixture.confirmer.start();
+    const until = performance.now() + 3_000;
+    while (performance.now() < until) {
+      void fixture.confirmer.confirm();
+      await timers.setTimeout(20);
+    }
+    const rounds = fixture.count(gateway.METHODS.position) / HOSTS.length;
+    expect(rounds).to.be.within(3, 3 * MAX_ROUNDS_PER_SECOND);
+  });
+
   it("is not repeated for each request of a host that is cut off", async () => {
     using fixture = new Fixture();
     fixture.set(["c1", "c2", "c3"], { isReachable: false });
@@ -202,6 +266,7 @@
               controlHosts: HOSTS,
               newestIndex: 7,
               stateIndex: 7,
+              hasLeader: true,
             })
             : Promise.resolve({
               index: 7,
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -126,6 +126,8 @@
   newestIndex: Count,
   /** Index of the last such entry that it has applied. */
   stateIndex: Count,
+  /** Whether it leads or follows a leader. */
+  hasLeader: v.boolean(),
 });
 export type PositionResponse = v.InferOutput<typeof PositionResponse>;
 
