--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -76,6 +76,7 @@
 class PlanningRound {
   readonly #input: types.PlannerInput;
   readonly #models: ReadonlyMap<string, gateway.Model>;
+  readonly #largestAdapterMb: number;
   /** Demand by model, including the demand for its adapters. */
   readonly #demand: readonly types.AggregateDemand[];
   readonly #demandByModel: ReadonlyMap<string, types.AggregateDemand>;
@@ -99,6 +100,10 @@
     this.#models = new Map(
       input.engine.models.map((model) => [model.name, model]),
     );
+    this.#largestAdapterMb = Math.max(
+      0,
+      ...input.engine.models.map((model) => model.adapterMb),
+    );
     this.#demand = mergeAdapters(input.demand);
     this.#resumptions = mergeVersions(input.demand);
     this.#demandByModel = new Map(
@@ -262,13 +267,6 @@
     return this.#input.engine.weightsMb - used;
   }
 
-  get #largestAdapterMb(): number {
-    return Math.max(
-      0,
-      ...this.#input.engine.models.map((model) => model.adapterMb),
-    );
-  }
-
   #adapterMb(model: string): number {
     return this.#models.get(model)?.adapterMb ?? 0;
   }
