Plan in a quarter of the leader's time at most

A leader planned anew 3 ms after each change and each urgent report, however long a round takes.

The next round begins when the last one has taken a quarter of the time since it began. Changes meanwhile are planned together.

--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -12,6 +12,11 @@
 const PLAN_INTERVAL_MS = 250;
 /** Time over which changes are collected before planning, in milliseconds. */
 const COLLECT_MS = 3;
+/**
+ * Part of the leader's time that planning may take. The rest is for the messages
+ * that keep it the leader, and for those that it plans by.
+ */
+const MAX_PLAN_SHARE = 0.25;
 /** Time without a heartbeat after which a server gets no orders, in ms. */
 const SILENT_MS = 4_000;
 /** Most adapters that are loaded from the store at once. */
@@ -45,10 +50,15 @@
   #planned: (() => void)[] = [];
   readonly #storeLimiters = new Map<string, core.placement.StoreLoadLimiter>();
   #collectTimer: NodeJS.Timeout | undefined;
+  /** Monotonic time before which no round is planned, in milliseconds. */
+  #nextPlanAt = -Infinity;
 
   constructor(options: LoadSchedulerOptions) {
     this.#options = options;
-    this.#interval = timers.setInterval(() => this.#plan(), PLAN_INTERVAL_MS);
+    this.#interval = timers.setInterval(
+      () => this.requestPlan(),
+      PLAN_INTERVAL_MS,
+    );
   }
 
   /** Plans soon, because something has changed. */
@@ -56,7 +66,7 @@
     this.#collectTimer ??= timers.setTimeout(() => {
       this.#collectTimer = undefined;
       this.#plan();
-    }, COLLECT_MS);
+    }, Math.max(COLLECT_MS, this.#nextPlanAt - performance.now()));
   }
 
   /** Plans soon; resolves when that is done. */
@@ -93,7 +103,10 @@
   }
 
   #plan(): void {
+    const startedAt = performance.now();
     if (this.#options.canSendOrders()) this.#planServices();
+    const endedAt = performance.now();
+    this.#nextPlanAt = startedAt + (endedAt - startedAt) / MAX_PLAN_SHARE;
     this.#resolvePlanned();
   }
 
