--- a/packages/daemon/test/fleet/leader_client_test.ts
+++ b/packages/daemon/test/fleet/leader_client_test.ts
@@ -198,7 +198,7 @@
     await client.call("m", {}, LIMITS);
     rpc.behaviors.leader = "silent";
     await expectFailure(
-      client.call("m", {}, { ...LIMITS, totalMs: 40, attemptMs: 40 }),
+      client.call("m", {}, { attemptMs: 40, totalMs: 40, retryable: false }),
     );
     rpc.behaviors.leader = { leader: "leader" };
     rpc.calls = [];
