Tell the search of a leader once that replication names

A control host passed the leader's address from replication on before each call that it relays. It goes on to name a lost leader for an election timeout, or for as long as the host is cut off from replication: each relayed heartbeat then replaced the leader that the search had found, and cancelled the calls that waited at it. By reading; no run shows it. Only a change is passed on now.

--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -86,6 +86,8 @@
   readonly #serverListFollower: serverListFollower.ServerListFollower;
   readonly #stop = new AbortController();
   #coordinator: fleetCoordinator.FleetCoordinator | undefined;
+  /** Address of the leader as last passed on to the search. */
+  #suggestedLeader: string | null = null;
 
   private constructor(
     options: ControlHostOptions,
@@ -290,7 +292,10 @@
     const members = core.replication.allMembers(this.#driver.membership);
     this.#leaderClient.setControlHosts(members);
     // Replication notices a new leader before a call to the old one times out.
+    // It may also name a lost one for longer than the search does.
     const leader = this.leaderAddress;
+    if (leader === this.#suggestedLeader) return;
+    this.#suggestedLeader = leader;
     if (leader !== null && leader !== this.#options.address) {
       this.#leaderClient.setLeader(leader);
     }
