--- a/review/5/case.js
+++ b/review/5/case.js
@@ -1,73 +1,101 @@
 /**
- * The control host that acknowledges the end of a runner is lost right after it
- * has done so.
+ * Entry hosts are restarted in turn while one workspace sends six times what its
+ * rate allows.
  *
  * @module
  */
 import * as url from "node:url";
 import { hasTrouble, runCase } from "../lib/case.js";
+import * as balancers from "../lib/balancer.js";
 import * as calls from "../lib/calls.js";
 import * as service from "../lib/plain_service.js";
 
-const CONTACT_MS = 3_000;
-const DRAIN_MS = 2_000;
-/** Time that is left for the machines to be in touch again, in milliseconds. */
-const MARGIN_MS = 500;
-const REQUESTS = 40;
-const REQUEST_INTERVAL_MS = 25;
-/** Pause between two runners that leave, in milliseconds. */
-const PAUSE_MS = 4;
-/** Heartbeats after which each runner is known to all hosts, in milliseconds. */
-const SETTLE_MS = 4_000;
+/** Rate and burst of a workspace, in tokens. */
+const RATE_PER_SECOND = 22_508;
+const BURST = 22_508;
+const REQUEST_TOKENS = [1_460, 80];
+const TOKENS = REQUEST_TOKENS[0] + REQUEST_TOKENS[1];
+/** Strength of a hot workspace on a day of the site file. */
+const HOT_FACTOR = 6;
+/** Length of that, in milliseconds. */
+const HOT_MS = 11_000;
+/** Pause between two hosts that are stopped: the platform's default. */
+const GAP_MS = 1_000;
+const RESTART_MS = 300;
+const WINDOW_MS = 8_000;
+const OVERAGE = 0.1;
+const SLACK = 11_000;
+const SECOND_MS = 1_000;
 
 await runCase(
   url.fileURLToPath(new URL(".", import.meta.url)),
-  { control: 5, entry: 2 },
+  { control: 3, entry: 7 },
   async ({ defer, fleet, record }) => {
     const operator = new calls.Operator(() => fleet.control, record);
-    await operator.order("PUT", "/config", { body: service.configuration(7) });
+    const tenant = { "rate_per_s": RATE_PER_SECOND, burst: BURST };
+    const body = service.configuration(7, tenant);
+    await operator.order("PUT", "/config", { body });
     const runners = await service.startRunners({ defer, fleet, record });
     await fleet.waitUntilReady();
-    await calls.sleep(SETTLE_MS);
+    const balancer = new balancers.Balancer(fleet.entry);
+    defer(() => balancer.stop());
+    await calls.sleep(3_000);
 
-    const [other, runner] = runners;
-    const leader = fleet.control.find(({ addresses }) =>
-      addresses.control === runners[0].leaderAddress
-    );
-    record(`${other.id} tells ${leader.name} that it is gone`);
-    await other.leave(leader);
-    await calls.sleep(PAUSE_MS);
-    record(`${runner.id} tells ${leader.name} that it is gone`);
-    let acknowledgedAt;
-    const status = await runner.leave(leader, () => {
-      acknowledgedAt = performance.now();
-      if (hasTrouble) leader.child.kill("SIGKILL");
-    });
-    record(`${leader.name} has acknowledged with ${status}`);
-    if (status !== 200) throw new Error("the end was not acknowledged");
-    if (hasTrouble) record(`${leader.name} was lost right after`);
-
-    const judgedFrom = acknowledgedAt + MARGIN_MS +
-      Math.max(CONTACT_MS, DRAIN_MS);
-    await calls.sleep(judgedFrom - performance.now());
-    record("requests are judged from here on");
+    const sentAt = new Map();
+    const startedAt = performance.now();
+    const rolling = hasTrouble ? roll(fleet, record) : undefined;
+    const intervalMs = TOKENS / (HOT_FACTOR * RATE_PER_SECOND) * SECOND_MS;
     const pending = [];
-    let served = 0;
-    for (let index = 0; index < REQUESTS; index += 1) {
-      const host = fleet.entry[index % fleet.entry.length];
+    for (let index = 0;; index += 1) {
+      const dueMs = index * intervalMs;
+      if (dueMs >= HOT_MS) break;
+      await calls.sleep(startedAt + dueMs - performance.now());
+      const host = balancer.pick();
+      if (host === undefined) continue;
+      const id = `hot-${index}`;
+      sentAt.set(id, performance.now());
       pending.push(
-        service.request(host, `late-${index}`, record).then(({ status }) => {
-          if (status === 200) served += 1;
+        service.request(host, id, record, {
+          "token-usage": REQUEST_TOKENS.join(","),
         }),
       );
-      await calls.sleep(REQUEST_INTERVAL_MS);
     }
     await Promise.all(pending);
-    if (served === 0) throw new Error("no request was served");
-    const late = runner.runs.filter(({ at }) => at >= judgedFrom);
-    record(`${late.length} of ${REQUESTS} requests reached ${runner.id}`);
-    return late.length === 0
+    await rolling;
+
+    const runs = runners.flatMap((runner) => runner.runs)
+      .map(({ at, id }) => ({ runAt: at, sentAt: sentAt.get(id) }));
+    if (runs.length === 0) throw new Error("no request was served");
+    const most = Math.max(
+      ...runs.map(({ sentAt: from }) =>
+        TOKENS *
+        runs.filter((run) =>
+          run.sentAt >= from && run.runAt <= from + WINDOW_MS
+        ).length
+      ),
+    );
+    const windowSeconds = WINDOW_MS / SECOND_MS;
+    const limit = (RATE_PER_SECOND * windowSeconds + BURST) * (1 + OVERAGE) +
+      SLACK;
+    record(`most tokens in ${windowSeconds} s: ${most}; limit: ${limit}`);
+    return most <= limit
       ? []
-      : [`DRAIN: ${late.length} requests reached ${runner.id}`];
+      : [`QUOTA: ${most} tokens in ${windowSeconds} s, ${limit} are allowed`];
   },
 );
+
+/** Stops and starts each entry host once, one after the other. */
+async function roll(fleet, record) {
+  await Promise.all(fleet.entry.map(async (host, position) => {
+    await calls.sleep(position * GAP_MS);
+    record(`${host.name} gets SIGTERM`);
+    const { child } = host;
+    const ended = new Promise((resolve) => child.once("exit", resolve));
+    child.kill("SIGTERM");
+    await ended;
+    record(`${host.name} has ended`);
+    await calls.sleep(RESTART_MS);
+    fleet.restart(host);
+    record(`${host.name} is started again`);
+  }));
+}
