--- a/review/lib/calls.js
+++ b/review/lib/calls.js
@@ -21,7 +21,7 @@
 
 /** Sends one request on a new connection and reads the whole answer. */
 export function send(address, method, target, options = {}) {
-  const { body = "", headers = {}, onHead = () => {}, timeoutMs } = options;
+  const { body = "", headers = {}, timeoutMs } = options;
   const separator = address.lastIndexOf(":");
   return new Promise((resolve, reject) => {
     const request = http.request({
@@ -35,7 +35,6 @@
       },
       agent: false,
     }, (response) => {
-      onHead();
       const chunks = [];
       response.on("data", (chunk) => chunks.push(chunk));
       response.on("error", reject);
--- a/review/lib/case.js
+++ b/review/lib/case.js
@@ -30,7 +30,10 @@
   };
   const cleanUps = [];
   let fleet;
+  let isFinished = false;
   const finish = async (code, summary) => {
+    if (isFinished) return;
+    isFinished = true;
     record(summary);
     for (const cleanUp of cleanUps) await cleanUp();
     await fleet?.stop();
@@ -39,6 +42,11 @@
     process.stdout.write(`${summary}\n`);
     process.exit(code);
   };
+  // Without it, Node.js would exit with the code of a broken rule.
+  process.on(
+    "uncaughtException",
+    (error) => void finish(COULD_NOT_RUN, `could not run: ${error.stack}`),
+  );
   const limit = setTimeout(
     () => void finish(COULD_NOT_RUN, "could not run: the time is over"),
     TIME_LIMIT_MS,
--- a/review/lib/plain_service.js
+++ b/review/lib/plain_service.js
@@ -9,8 +9,8 @@
 import * as runners from "./runner.js";
 
 const HOST = "hjorth.example";
-const PREFIX = "/orders/";
-const SERVICE = "ordrebog";
+export const PREFIX = "/orders/";
+export const SERVICE = "ordrebog";
 const ENGINE_SERVICE = "tofler-advisor";
 const DEADLINE_MS = 2_500;
 const KEY = "k-shop-1";
@@ -152,6 +152,16 @@
   return started;
 }
 
+/** Headers of a request of the workspace. */
+export function callerHeaders(id, deadlineMs) {
+  return {
+    host: HOST,
+    "request-id": id,
+    "deadline-ms": deadlineMs,
+    "api-key": KEY,
+  };
+}
+
 /** Sends one request of the workspace to an entry host. */
 export async function request(
   host,
@@ -166,13 +176,7 @@
     "POST",
     `${prefix}2f`,
     {
-      headers: {
-        host: HOST,
-        "request-id": id,
-        "deadline-ms": DEADLINE_MS,
-        "api-key": KEY,
-        ...headers,
-      },
+      headers: { ...callerHeaders(id, DEADLINE_MS), ...headers },
       timeoutMs: DEADLINE_MS,
     },
   ).catch((error) => ({ status: error.message }));
--- a/review/lib/runner.js
+++ b/review/lib/runner.js
@@ -22,7 +22,9 @@
   #ip;
   #hosts;
   #record;
+  #version;
   #workMs;
+  #respond;
   #born = Date.now();
   #sequence = 0;
   #server;
@@ -30,7 +32,13 @@
   #nextHost = 0;
   #heartbeatAddress;
 
-  constructor({ hosts, id, ip, record, service, workMs = 20, zone }) {
+  /**
+   * @param options.respond runs a request and writes the answer's status line and
+   *   body; by default a short text after `workMs`
+   */
+  constructor(options) {
+    const { hosts, id, ip, record, service, workMs = 20, zone } = options;
+    const { respond, version = "v1" } = options;
     this.id = id;
     this.zone = zone;
     this.#hosts = hosts;
@@ -38,6 +46,8 @@
     this.#record = record;
     this.#service = service;
     this.#workMs = workMs;
+    this.#respond = respond ?? ((run, response) => this.#answer(run, response));
+    this.#version = version;
   }
 
   /** Listens and registers; resolves when it is acknowledged. */
@@ -67,7 +77,7 @@
       service: this.#service,
       address: `${this.#ip}:${port}`,
       zone: this.zone,
-      version: "v1",
+      version: this.#version,
       slots: 64,
       state: "ready",
       cold_left_ms: 0,
@@ -104,17 +114,15 @@
   /**
    * Leaves without having reported `draining`: it sends no heartbeat any more,
    * is gone as far as the system was told, and serves on for a time.
-   *
-   * @param onAcknowledged called at once when the head of the answer arrives
    */
-  async leave(host, onAcknowledged) {
+  async leave(host) {
     clearInterval(this.#timer);
     this.isLeaving = true;
     const { status } = await calls.send(
       host.addresses.control,
       "DELETE",
       `/instances/${this.id}`,
-      { timeoutMs: ACKNOWLEDGEMENT_MS, onHead: onAcknowledged },
+      { timeoutMs: ACKNOWLEDGEMENT_MS },
     );
     return status;
   }
@@ -146,6 +154,10 @@
     const run = { id, at: performance.now(), headers: request.headers };
     this.runs.push(run);
     this.#record(`${this.id} in ${this.zone} runs ${id}`);
+    await this.#respond(run, response);
+  }
+
+  async #answer({ id }, response) {
     await calls.sleep(this.#workMs);
     response.writeHead(200, { "response-seal": `seal-${id}` });
     response.end(`answer to ${id}`);
