Commit a reversible change only to the state that it was meant for

What callers saw: an operator evacuated a failure domain, took that back and evacuated it again, each acknowledged; its first try at taking it back had gone to a control host that stood still. When that host woke, requests reached the domain's servers again, for good (EVAC).

Cause: an order doesn't say for which state it is meant, nor until when its caller waits. The host submits whatever it reads from its connections. A call between control hosts that is held up, or a second try after an unknown outcome, could have done the same.

Change: the host reads the revision of the state that the change concerns, then checks that the caller still waits, and the leader commits the change only to that revision, one change after the other. A change that the caller makes elsewhere after it has left gives the state another revision, so neither order of arrival lets the late one win. The same holds for the release of quarantines, also for their end by the leader.

--- a/packages/core/src/gateway/state.ts
+++ b/packages/core/src/gateway/state.ts
@@ -18,6 +18,8 @@
   readonly quarantineRevision?: number;
   /** Missing in snapshots that early builds wrote. */
   readonly hostStateIndex?: number | null;
+  /** Missing in snapshots that early builds wrote. */
+  readonly domainRevision?: number;
 };
 
 /**
@@ -41,6 +43,7 @@
   #quarantines = new suspicion.QuarantineList(MAX_QUARANTINES);
   #quarantineRevision = 0;
   #hostStateIndex: number | null = 0;
+  #domainRevision = 0;
 
   constructor(withdrawnDomains: readonly string[] = []) {
     this.#withdrawnDomains = new Set(withdrawnDomains);
@@ -101,6 +104,22 @@
     return this.#hostStateIndex;
   }
 
+  /**
+   * Revision of the part of the state that a change concerns. While it is the
+   * same, no other change has been made to that part.
+   */
+  revisionFor({ kind }: gateway.ReversibleChange): number {
+    switch (kind) {
+      case "withdraw-domain":
+      case "restore-domain":
+        return this.#domainRevision;
+      case "release-quarantine":
+        return this.#quarantineRevision;
+      default:
+        return errors.assertNever(kind);
+    }
+  }
+
   /**
    * Applies a committed command; returns whether it changed anything.
    *
@@ -115,9 +134,9 @@
       case "configure":
         return this.#configure(command.configuration, command.source);
       case "withdraw-domain":
-        return this.#withdrawDomain(command.domain);
+        return this.#withdrawDomain(command.domain, index);
       case "restore-domain":
-        return this.#withdrawnDomains.delete(command.domain);
+        return this.#restoreDomain(command.domain, index);
       case "hold-orders":
         return this.#setOrderHolder(command.host);
       case "add-software-version":
@@ -151,6 +170,7 @@
       quarantines: this.quarantines,
       quarantineRevision: this.#quarantineRevision,
       hostStateIndex: this.#hostStateIndex,
+      domainRevision: this.#domainRevision,
     };
     return JSON.stringify(snapshot);
   }
@@ -170,6 +190,7 @@
     );
     state.#quarantineRevision = snapshot.quarantineRevision ?? 0;
     state.#hostStateIndex = snapshot.hostStateIndex ?? null;
+    state.#domainRevision = snapshot.domainRevision ?? 0;
     return state;
   }
 
@@ -217,9 +238,16 @@
     return true;
   }
 
-  #withdrawDomain(domain: string): boolean {
+  #withdrawDomain(domain: string, index: number): boolean {
     if (this.#withdrawnDomains.has(domain)) return false;
     this.#withdrawnDomains.add(domain);
+    this.#domainRevision = index;
+    return true;
+  }
+
+  #restoreDomain(domain: string, index: number): boolean {
+    if (!this.#withdrawnDomains.delete(domain)) return false;
+    this.#domainRevision = index;
     return true;
   }
 }
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -15,6 +15,7 @@
 import * as storage from "../../storage/mod.ts";
 import type * as metrics from "../metrics.ts";
 import * as serverRecords from "../server_records.ts";
+import * as changeCommitter from "./change_committer.ts";
 import * as entryConfiguration from "./entry_configuration.ts";
 import * as fleetCoordinator from "./fleet_coordinator.ts";
 import * as membershipManager from "./membership_manager.ts";
@@ -78,6 +79,13 @@
   readonly #membershipManager: membershipManager.MembershipManager;
   readonly #leaderClient: fleet.LeaderClient;
   readonly #entryConfiguration = new entryConfiguration.EntryConfiguration();
+  readonly #changeCommitter = new changeCommitter.ChangeCommitter({
+    state: () => {
+      this.#requireLeadership();
+      return this.#stateMachine.state;
+    },
+    commit: (command) => this.#commit(command),
+  });
   /** Whether entries that are not applied yet concern entry hosts. */
   readonly #entriesOfInterest = new WeakMap<
     core.replication.Entry,
@@ -214,6 +222,49 @@
     );
   }
 
+  /**
+   * Commits a change that a later one can undo, only while its caller waits. A
+   * change that is held up on its way and overtaken by another one is judged
+   * again, so that it can't take effect after its caller has given it up and
+   * been told of the other one.
+   *
+   * @param isCallerWaiting resolves to whether the caller still waits
+   * @throws {protocol.errors.StepError} the caller has left; it was not committed
+   * by this call
+   * @throws {fleet.OutcomeUnknown} the change may still be committed
+   * @throws {fleet.Unreachable} no leader was found in time
+   */
+  async submitChange(
+    change: protocol.gateway.ReversibleChange,
+    isCallerWaiting: () => Promise<boolean>,
+  ): Promise<void> {
+    const until = performance.now() + COMMIT_LIMITS.totalMs;
+    let basis: number | null = this.#stateMachine.state.revisionFor(change);
+    while (true) {
+      // The basis is known before the caller is: a change that its caller makes
+      // elsewhere, once it has left, is not in it.
+      if (!await isCallerWaiting()) {
+        write("caller-left", { ...change, basis });
+        throw new protocol.errors.StepError(
+          "commit change",
+          this.#options.name,
+          "the caller has left",
+        );
+      }
+      const totalMs = until - performance.now();
+      const response: protocol.gateway.ChangeResponse = v.parse(
+        protocol.gateway.ChangeResponse,
+        await this.#callLeader(
+          protocol.gateway.METHODS.change,
+          { change, basis },
+          { ...COMMIT_LIMITS, totalMs },
+        ),
+      );
+      if (response.kind === "committed") return;
+      basis = response.revision;
+    }
+  }
+
   /**
    * Reads the document of the latest configuration.
    *
@@ -307,6 +358,10 @@
     switch (method) {
       case METHODS.command:
         return this.#commit(params as protocol.gateway.Command);
+      case METHODS.change:
+        return this.#changeCommitter.commit(
+          params as protocol.gateway.ChangeRequest,
+        );
       case METHODS.read:
         return this.#readConfirmed(({ source }) => source);
       case METHODS.quarantines:
@@ -346,6 +401,7 @@
     lookup.register(rpc);
     const relayed = [
       [gateway.METHODS.command, gateway.Command],
+      [gateway.METHODS.change, gateway.ChangeRequest],
       [gateway.METHODS.read, v.object({})],
       [gateway.METHODS.quarantines, v.object({})],
       [gateway.METHODS.heartbeat, gateway.ServerUpdate],
@@ -388,6 +444,7 @@
       },
     );
     const {
+      change,
       command,
       heartbeat,
       join,
@@ -398,7 +455,17 @@
       watch,
     } = gateway.METHODS;
     rpc.addLeaderGuard(
-      [command, heartbeat, join, quarantines, read, report, stream, watch],
+      [
+        change,
+        command,
+        heartbeat,
+        join,
+        quarantines,
+        read,
+        report,
+        stream,
+        watch,
+      ],
       () => this.#refuseUnlessLeading(),
     );
   }
@@ -557,6 +624,7 @@
       retryBudget,
       known: this.#serverListFollower.copy(),
       commit: (command) => this.#commit(command),
+      commitChange: (request) => this.#changeCommitter.commit(request),
       state: () => this.#stateMachine.state,
       controlHosts: () =>
         core.replication.allMembers(this.#driver.membership)
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -98,6 +98,12 @@
    * @throws {Error} the command may not be committed
    */
   commit(command: gateway.Command): Promise<unknown>;
+  /**
+   * Commits a change if the state is the one that it is meant for.
+   *
+   * @throws {Error} the change may not be committed
+   */
+  commitChange(request: gateway.ChangeRequest): Promise<gateway.ChangeResponse>;
 }
 
 /** A watch request that waits for a change. */
@@ -180,6 +186,7 @@
     this.#quarantines = new quarantineManager.QuarantineManager({
       state: options.state,
       commit: (command) => options.commit(command),
+      commitChange: (request) => options.commitChange(request),
       onChange: () => this.#onChange(),
     });
     if (options.known !== undefined) this.#restore(options.known);
--- a/packages/daemon/src/gateway/control/quarantine_manager.ts
+++ b/packages/daemon/src/gateway/control/quarantine_manager.ts
@@ -24,6 +24,12 @@
    * @throws {Error} the command may not be committed
    */
   commit(command: gateway.Command): Promise<unknown>;
+  /**
+   * Commits a change if the state is the one that it is meant for.
+   *
+   * @throws {Error} the change may not be committed
+   */
+  commitChange(request: gateway.ChangeRequest): Promise<gateway.ChangeResponse>;
   /** Called when hosts have to know more of the suspects. */
   onChange(): void;
 }
@@ -91,12 +97,15 @@
 
   /** Ends the quarantines that are over by a wall-clock time, in milliseconds. */
   expire(timeMs: number): void {
-    const { commit, state } = this.#options;
-    for (const { fingerprint, untilMs } of state().quarantines) {
+    const { commitChange, state } = this.#options;
+    const { quarantineRevision: basis, quarantines } = state();
+    for (const { fingerprint, untilMs } of quarantines) {
       if (untilMs > timeMs || this.#releasing.has(fingerprint)) continue;
       this.#releasing.add(fingerprint);
-      commit({ kind: "release-quarantine", fingerprint }).then(
-        () => write("ended", { fingerprint }),
+      const change = { kind: "release-quarantine", fingerprint } as const;
+      // If it is superseded the next check finds the quarantine as it is then.
+      commitChange({ change, basis }).then(
+        ({ kind }) => write("ended", { fingerprint, kind }),
         (error: unknown) => write("not-ended", { fingerprint, error }),
       ).finally(() => this.#releasing.delete(fingerprint));
     }
--- /dev/null
+++ b/packages/daemon/src/listener/caller_connection.ts
@@ -0,0 +1,30 @@
+import type * as http from "node:http";
+import * as timers from "node:timers/promises";
+
+/**
+ * Time for which a caller's close may arrive after its last request, in ms: a
+ * round trip between regions. After a loss of packets both are sent again.
+ */
+const CLOSE_DELAY_MS = 50;
+
+/**
+ * Whether the caller of a request still waits for the answer. A process that was
+ * suspended reads requests whose callers gave up long ago; the ends of their
+ * connections have arrived by then, but are read after the requests.
+ *
+ * @example
+ * ```ts
+ * if (!await isCallerWaiting(request)) return refuse(503);
+ * ```
+ */
+export async function isCallerWaiting(
+  request: http.IncomingMessage,
+): Promise<boolean> {
+  await timers.setTimeout(CLOSE_DELAY_MS);
+  // The first immediate may run in the current turn of the event loop, the
+  // second one runs after the next turn has read what has arrived.
+  await timers.setImmediate();
+  await timers.setImmediate();
+  const { socket } = request;
+  return !socket.destroyed && !socket.readableEnded;
+}
--- a/packages/daemon/src/listener/mod.ts
+++ b/packages/daemon/src/listener/mod.ts
@@ -11,6 +11,7 @@
 import type * as settings from "../settings/mod.ts";
 import { closeIdleConnections } from "./idle_connections.ts";
 
+export { isCallerWaiting } from "./caller_connection.ts";
 export { closeIdleConnections } from "./idle_connections.ts";
 
 const write = log.createLog("listener");
--- a/packages/daemon/src/operators/routes.ts
+++ b/packages/daemon/src/operators/routes.ts
@@ -1,6 +1,8 @@
 import type * as http from "node:http";
 import * as protocol from "@ebonypath/protocol";
 import * as v from "valibot";
+import * as fleet from "../fleet/mod.ts";
+import * as listener from "../listener/mod.ts";
 import type * as authorization from "./authorization.ts";
 import type * as httpBody from "../http_body/mod.ts";
 import * as body from "./body.ts";
@@ -264,6 +266,7 @@
   call: Call,
   command: access.OperatorCommand,
 ): Promise<protocol.operators.ChangeResponse> {
+  await requireOperator(call);
   const result = await call.control.propose(command);
   return { index: outcome.acceptedIndex(result) };
 }
@@ -272,10 +275,22 @@
   call: Call,
   change: access.MemberChange,
 ): Promise<protocol.operators.ChangeResponse> {
+  await requireOperator(call);
   const result = await call.control.changeMembers(change);
   return { index: outcome.acceptedIndex(result) };
 }
 
+/**
+ * A change that was given up, and is read late, may come after another one that
+ * the operator made elsewhere under another change ID.
+ *
+ * @throws {fleet.Unreachable} the operator has left; nothing was changed
+ */
+async function requireOperator({ request }: Call): Promise<void> {
+  if (await listener.isCallerWaiting(request)) return;
+  throw new fleet.Unreachable("change", "operator", "the operator has left");
+}
+
 function pathParameter(call: Call, position: number): string {
   return call.parameters[position] ?? "";
 }
--- a/packages/daemon/test/gateway/coordinating.ts
+++ b/packages/daemon/test/gateway/coordinating.ts
@@ -39,6 +39,7 @@
       state.apply(command);
       return Promise.resolve();
     },
+    commitChange: fixtures.refuseChanges,
     ...overrides,
   });
 }
--- a/packages/daemon/test/gateway/fixtures.ts
+++ b/packages/daemon/test/gateway/fixtures.ts
@@ -1,5 +1,10 @@
 import type { gateway } from "@ebonypath/protocol";
 
+/** Commits no change, for leaders whose tests make none. */
+export function refuseChanges(): Promise<gateway.ChangeResponse> {
+  return Promise.reject(new Error("no change is committed"));
+}
+
 /** Creates a heartbeat of a server that holds no models. */
 export function heartbeat(
   id: string,
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -78,6 +78,7 @@
       await committed;
       state.apply(command);
     },
+    commitChange: fixtures.refuseChanges,
   });
 }
 
--- a/packages/daemon/test/gateway/order_holder_test.ts
+++ b/packages/daemon/test/gateway/order_holder_test.ts
@@ -72,6 +72,7 @@
         state.apply(command);
         return Promise.resolve();
       },
+      commitChange: fixtures.refuseChanges,
     });
     this.coordinator.handleHeartbeat({ kind: "heartbeat", heartbeat: SERVER });
     this.#reporting = setInterval(
--- a/packages/daemon/test/gateway/quarantine_manager_test.ts
+++ b/packages/daemon/test/gateway/quarantine_manager_test.ts
@@ -2,6 +2,7 @@
 import * as core from "@ebonypath/core";
 import type { gateway, suspicion } from "@ebonypath/protocol";
 import { expect } from "chai";
+import * as changeCommitter from "../../src/gateway/control/change_committer.ts";
 import * as quarantineManager from "../../src/gateway/control/quarantine_manager.ts";
 import * as fixtures from "./fixtures.ts";
 
@@ -31,14 +32,20 @@
     state = new core.gateway.GatewayState();
     commands = [];
     changes = 0;
+    const commit = (command: gateway.Command) => {
+      commands.push(command);
+      state.apply(command);
+      manager.onStateChange();
+      return Promise.resolve();
+    };
+    const committer = new changeCommitter.ChangeCommitter({
+      state: () => state,
+      commit,
+    });
     manager = new quarantineManager.QuarantineManager({
       state: () => state,
-      commit: (command) => {
-        commands.push(command);
-        state.apply(command);
-        manager.onStateChange();
-        return Promise.resolve();
-      },
+      commit,
+      commitChange: (request) => committer.commit(request),
       onChange: () => changes += 1,
     });
   });
--- a/packages/daemon/test/operators/handler_test.ts
+++ b/packages/daemon/test/operators/handler_test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import * as http from "node:http";
 import * as net from "node:net";
+import * as timers from "node:timers/promises";
 import { expect } from "chai";
 import * as fleet from "../../src/fleet/mod.ts";
 import * as operators from "../../src/operators/mod.ts";
@@ -305,6 +306,21 @@
     });
   }
 
+  // A process that wakes reads changes that were given up long ago.
+  it("makes no change of an operator that left before it was read", async () => {
+    const socket = net.connect(Number(new URL(origin).port), "127.0.0.1");
+    await once(socket, "connect");
+    socket.end(
+      "DELETE /v1/keys/k-1?change_id=c-2 HTTP/1.1\r\n" +
+        `Host: h\r\nAuthorization: Bearer ${ADMIN}\r\n\r\n`,
+    );
+    socket.resume();
+    await once(socket, "close");
+    while (logged.length === 0) await timers.setTimeout(5);
+    expect(logged.join()).to.include("the operator has left");
+    expect(control.proposed).to.deep.equal([]);
+  });
+
   it("forwards changes with the operator's name", async () => {
     const publish = { base: 5, changeId: "c-1", configuration: EMPTY };
     expect((await call("POST", "/v1/configuration", ADMIN, publish)).json).to
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -349,6 +349,38 @@
 ]);
 export type Command = v.InferOutput<typeof Command>;
 
+/**
+ * A change by an operator that a later change can undo. A copy that arrives after
+ * that one has to be recognized: the operator may have given it up long before.
+ */
+export const ReversibleChange = v.variant("kind", [
+  v.object({ kind: v.literal("withdraw-domain"), domain: Name }),
+  v.object({ kind: v.literal("restore-domain"), domain: Name }),
+  v.object({
+    kind: v.literal("release-quarantine"),
+    fingerprint: Fingerprint,
+  }),
+]);
+export type ReversibleChange = v.InferOutput<typeof ReversibleChange>;
+
+/** A change that is made only to the state that it was meant for. */
+export const ChangeRequest = v.object({
+  change: ReversibleChange,
+  /**
+   * Revision of that state while the operator was known to wait; null if the
+   * host doesn't know it.
+   */
+  basis: v.nullable(Count),
+});
+export type ChangeRequest = v.InferOutput<typeof ChangeRequest>;
+
+export const ChangeResponse = v.variant("kind", [
+  v.object({ kind: v.literal("committed") }),
+  // Another change came first; nothing was changed.
+  v.object({ kind: v.literal("superseded"), revision: Count }),
+]);
+export type ChangeResponse = v.InferOutput<typeof ChangeResponse>;
+
 /** A server's heartbeat or shutdown, forwarded to the leader. */
 export const ServerUpdate = v.variant("kind", [
   v.object({ kind: v.literal("heartbeat"), heartbeat: server.Heartbeat }),
@@ -365,6 +397,7 @@
   watch: "gateway.watch",
   report: "gateway.report",
   command: "gateway.command",
+  change: "gateway.change",
   read: "gateway.read",
   heartbeat: "gateway.heartbeat",
   join: "gateway.join",
