Begin with empty rates until a leader tells what they lack

Cause: a process that begins presumes that nothing was used before. A host took a full burst for each workspace, and the first sums that a leader tells are only a baseline; a new leader counted from the start of its term.

Evidence: the excess is some 9,000 tokens a restart. Usage that an ended host hasn't reported is 800 at most, and the simulation of the limiter exceeds the limit without any loss of reports. Hosts now log `rates-told`.

Change: buckets are empty when a process begins and fill at the rate; the first answer of a leader tells what they lack. Hosts tell a new leader once what they know, and it tells the least that can be true until all may have done so.

--- a/packages/core/src/gateway/limited_workspaces.ts
+++ b/packages/core/src/gateway/limited_workspaces.ts
@@ -14,16 +14,28 @@
  *
  * @example
  * ```ts
+ * const limited = new LimitedWorkspaces(now);
  * limited.setRates(workspaces, now);
  * limited.recordUsage("shop", 1_600, now);
  * if (limited.update(now)) tellHosts(limited.names);
  * ```
  */
 export class LimitedWorkspaces {
+  /** Counts what is used from now on, and what hosts know of before. */
   readonly #limiter = new SharedRateLimiter();
+  /** Counts the same, as if all had been used up before. */
+  readonly #cautious: SharedRateLimiter;
   #workspaces: readonly gateway.Workspace[] = [];
   #names: ReadonlySet<string> = new Set();
 
+  /**
+   * @param beganAt monotonic time before which the usage is not known, in
+   * milliseconds
+   */
+  constructor(beganAt: number) {
+    this.#cautious = new SharedRateLimiter(beganAt);
+  }
+
   /** Names of the workspaces, as of the last update. */
   get names(): ReadonlySet<string> {
     return this.#names;
@@ -33,20 +45,40 @@
   setRates(workspaces: readonly gateway.Workspace[], now: number): void {
     if (workspaces === this.#workspaces) return;
     this.#workspaces = workspaces;
-    this.#limiter.retainWorkspaces(
-      new Set(
-        workspaces.filter(({ rate }) => rate !== undefined)
-          .map(({ name }) => name),
-      ),
+    const limited = new Set(
+      workspaces.filter(({ rate }) => rate !== undefined)
+        .map(({ name }) => name),
     );
-    for (const { name, rate } of workspaces) {
-      if (rate !== undefined) this.#limiter.setRate(name, rate, now);
+    for (const limiter of [this.#limiter, this.#cautious]) {
+      limiter.retainWorkspaces(limited, now);
+      for (const { name, rate } of workspaces) {
+        if (rate !== undefined) limiter.setRate(name, rate, now);
+      }
     }
   }
 
   /** Records usage that a host has reported. */
   recordUsage(workspace: string, tokens: number, now: number): void {
     this.#limiter.charge(workspace, tokens, now);
+    this.#cautious.charge(workspace, tokens, now);
+  }
+
+  /** Records what workspaces lack of their bursts, as a host knows it. */
+  recordMissing(
+    missing: readonly gateway.WorkspaceUsage[],
+    now: number,
+  ): void {
+    this.#limiter.lowerLevels(missing, now);
+  }
+
+  /**
+   * What workspaces lack of their bursts.
+   *
+   * @param isKnown whether the hosts have told what they know; otherwise all
+   * bursts may have been used up
+   */
+  missing(isKnown: boolean, now: number): gateway.WorkspaceUsage[] {
+    return (isKnown ? this.#limiter : this.#cautious).missing(now);
   }
 
   /** Updates the names; returns whether they have changed. */
--- a/packages/core/src/gateway/rate_part.ts
+++ b/packages/core/src/gateway/rate_part.ts
@@ -27,7 +27,7 @@
 
   constructor(rate: gateway.RateLimit, now: number) {
     this.#rate = rate;
-    this.#level = rate.burst;
+    this.#level = 0;
     this.#refilledAt = now;
   }
 
--- a/packages/core/src/gateway/shared_rate_limiter.ts
+++ b/packages/core/src/gateway/shared_rate_limiter.ts
@@ -2,6 +2,8 @@
 import { RatePart } from "./rate_part.ts";
 
 const SECOND_MS = 1_000;
+/** Workspaces without a limit at present whose shortages are kept. */
+const MAX_SHORTAGES = 10_000;
 /** Token bucket of one workspace. */
 type TokenBucket = {
   rate: gateway.RateLimit;
@@ -19,6 +21,15 @@
   acknowledged: number;
 };
 
+/** What a workspace lacked of its burst. */
+type Shortage = {
+  readonly tokens: number;
+  /** Monotonic time, in milliseconds. */
+  readonly at: number;
+  /** Tokens that were added per second at that time. */
+  readonly perSecond: number;
+};
+
 /** Usage of the other hosts, as last told by the leader of one term. */
 type RemoteUsage = {
   readonly term: number;
@@ -36,6 +47,9 @@
  * would refuse requests within the rate while a part moves between hosts. A host
  * that the leader has not answered for some time uses its {@link RatePart} only.
  *
+ * A host that begins doesn't know what was used before. Its buckets are empty at
+ * its start and fill at the rate, until a leader tells what they lack.
+ *
  * @example
  * ```ts
  * limiter.setRate("shop", rate, now);
@@ -46,16 +60,26 @@
   readonly #buckets = new Map<string, TokenBucket>();
   /** Tokens used at this host since it started, by workspace. */
   readonly #localUsage = new Map<string, LocalCounter>();
+  /** Last known shortages of workspaces that have no bucket at present. */
+  readonly #shortages = new Map<string, Shortage>();
+  /** Monotonic time before which nothing is known of the usage, in ms. */
+  #beganAt: number;
   #remoteUsage: RemoteUsage | undefined;
   #hostCount = 1;
 
+  /** @param beganAt time at which the process began; absent if all is known */
+  constructor(beganAt = -Infinity) {
+    this.#beganAt = beganAt;
+  }
+
   /** Sets the rate of a workspace; changing it keeps the bucket's level. */
   setRate(workspace: string, rate: gateway.RateLimit, now: number): void {
     const bucket = this.#buckets.get(workspace);
     if (bucket === undefined) {
-      const level = rate.burst;
+      const level = this.#initialLevel(workspace, rate, now);
       const part = new RatePart(rate, now);
       part.setHostCount(this.#hostCount);
+      part.reset(level / this.#hostCount, now);
       this.#buckets.set(workspace, { rate, level, refilledAt: now, part });
       return;
     }
@@ -65,10 +89,18 @@
     bucket.level = Math.min(bucket.level, rate.burst);
   }
 
-  /** Removes the limits of all workspaces but these. */
-  retainWorkspaces(workspaces: ReadonlySet<string>): void {
-    for (const name of this.#buckets.keys()) {
-      if (!workspaces.has(name)) this.#buckets.delete(name);
+  /**
+   * Removes the limits of all workspaces but these. One that is limited again
+   * later continues with what it lacks now.
+   */
+  retainWorkspaces(workspaces: ReadonlySet<string>, now: number): void {
+    for (const [name, bucket] of this.#buckets) {
+      if (workspaces.has(name)) continue;
+      this.#refill(bucket, now);
+      this.#buckets.delete(name);
+      const { burst, perSecond } = bucket.rate;
+      const tokens = burst - bucket.level;
+      this.#addShortage(name, { tokens, at: now, perSecond });
     }
   }
 
@@ -89,6 +121,62 @@
     return bucket.level / bucket.rate.burst;
   }
 
+  /**
+   * Tokens that each workspace lacks of its burst, if it lacks any; also those
+   * that have no limit at present.
+   */
+  missing(now: number): gateway.WorkspaceUsage[] {
+    const limited = [...this.#buckets].map(([workspace, bucket]) => {
+      this.#refill(bucket, now);
+      return { workspace, tokens: bucket.rate.burst - bucket.level };
+    });
+    const unlimited = [...this.#shortages].map(([workspace, shortage]) => ({
+      workspace,
+      tokens: remainingTokens(shortage, now),
+    }));
+    return [...limited, ...unlimited].filter(({ tokens }) => tokens > 0);
+  }
+
+  /** Lowers levels to what another process knows to be available at most. */
+  lowerLevels(missing: readonly gateway.WorkspaceUsage[], now: number): void {
+    for (const { tokens, workspace } of missing) {
+      const bucket = this.#buckets.get(workspace);
+      if (bucket === undefined) continue;
+      this.#refill(bucket, now);
+      bucket.level = Math.min(bucket.level, bucket.rate.burst - tokens);
+    }
+  }
+
+  /**
+   * Takes over the levels that a leader knows, to be called when its answer has
+   * been applied otherwise. The first ones replace those that this host began
+   * with; later ones only lower what it knows itself.
+   *
+   * @param missing tokens that workspaces lack, by what hosts have reported
+   * @param isFirst whether no leader has told levels before
+   */
+  applyLevels(
+    missing: readonly gateway.WorkspaceUsage[],
+    isFirst: boolean,
+    now: number,
+  ): void {
+    const lacked = new Map(
+      missing.map(({ tokens, workspace }) => [workspace, tokens]),
+    );
+    for (const [workspace, bucket] of this.#buckets) {
+      this.#refill(bucket, now);
+      const level = bucket.rate.burst - (lacked.get(workspace) ?? 0) -
+        this.#unreportedTokens(workspace);
+      bucket.level = isFirst ? level : Math.min(bucket.level, level);
+      bucket.part.reset(bucket.level / this.#hostCount, now);
+    }
+    for (const [workspace, tokens] of lacked) {
+      if (this.#buckets.has(workspace)) continue;
+      this.#addShortage(workspace, { tokens, at: now, perSecond: 0 });
+    }
+    this.#beganAt = -Infinity;
+  }
+
   /** Deducts tokens whatever the level, for usage that was admitted elsewhere. */
   charge(workspace: string, tokens: number, now: number): void {
     this.#deduct(workspace, tokens, now);
@@ -203,6 +291,35 @@
     }
   }
 
+  /** Level of a workspace that has no bucket at present. */
+  #initialLevel(
+    workspace: string,
+    { burst, perSecond }: gateway.RateLimit,
+    now: number,
+  ): number {
+    const shortage = this.#shortages.get(workspace);
+    this.#shortages.delete(workspace);
+    if (shortage !== undefined) return burst - remainingTokens(shortage, now);
+    if (this.#beganAt === -Infinity) return burst;
+    const all = { tokens: burst, at: this.#beganAt, perSecond };
+    return burst - remainingTokens(all, now);
+  }
+
+  #addShortage(workspace: string, shortage: Shortage): void {
+    this.#shortages.delete(workspace);
+    this.#shortages.set(workspace, shortage);
+    const oldest = this.#shortages.keys().next();
+    if (this.#shortages.size > MAX_SHORTAGES && !oldest.done) {
+      this.#shortages.delete(oldest.value);
+    }
+  }
+
+  /** Tokens used here that no leader has been told of. */
+  #unreportedTokens(workspace: string): number {
+    const counter = this.#localUsage.get(workspace);
+    return counter === undefined ? 0 : counter.tokens - counter.acknowledged;
+  }
+
   /** A request larger than the bucket is admitted when the bucket is full. */
   #hasTokens(bucket: TokenBucket, tokens: number, now: number): boolean {
     this.#refill(bucket, now);
@@ -230,3 +347,11 @@
     bucket.refilledAt = now;
   }
 }
+
+/** What is left of a shortage, as the rate has made up for it. */
+function remainingTokens(
+  { at, perSecond, tokens }: Shortage,
+  now: number,
+): number {
+  return Math.max(0, tokens - (now - at) / SECOND_MS * perSecond);
+}
--- a/packages/core/test/gateway/lost_leader_rate_test.ts
+++ b/packages/core/test/gateway/lost_leader_rate_test.ts
@@ -106,7 +106,7 @@
 
 class Leader {
   readonly #tracker = new UsageTracker();
-  readonly #limited = new LimitedWorkspaces();
+  readonly #limited = new LimitedWorkspaces(0);
 
   constructor(rate: gateway.RateLimit) {
     this.#limited.setRates([{ name: "shop", keys: [], rate }], 0);
--- a/packages/core/test/gateway/shared_limits_test.ts
+++ b/packages/core/test/gateway/shared_limits_test.ts
@@ -148,7 +148,7 @@
   };
 
   it("name a workspace from half of its burst until it has recovered", () => {
-    const limited = new core.LimitedWorkspaces();
+    const limited = new core.LimitedWorkspaces(0);
     limited.setRates([workspace], 0);
     limited.recordUsage("shop", 400, 0);
     expect(limited.update(0)).to.equal(false);
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -122,7 +122,9 @@
   readonly #registry = new core.gateway.ServerRegistry();
   readonly #demandTracker = new core.gateway.DemandTracker();
   readonly #usageTracker = new core.gateway.UsageTracker();
-  readonly #limitedWorkspaces = new core.gateway.LimitedWorkspaces();
+  readonly #limitedWorkspaces = new core.gateway.LimitedWorkspaces(
+    performance.now(),
+  );
   readonly #lender: limitLender.LimitLender;
   readonly #rollout = new core.gateway.ConfigurationRollout();
   readonly #versionActivity = new core.gateway.VersionActivity(
@@ -304,6 +306,7 @@
         term === this.term ? usageRevision : 0,
       ),
       usageRevision: this.#usageTracker.revision,
+      ...(term === this.term ? {} : { missing: this.#missingFor(term) }),
       load: this.#loadFor(report),
       lent: this.#lender.lend(
         this.#demandTracker.hostCount,
@@ -500,7 +503,20 @@
     });
   }
 
-  #recordUsage({ host, usage }: gateway.ReportRequest, now: number): void {
+  /**
+   * What workspaces lack, for a host that was last answered in another term. One
+   * that has not been answered at all takes it for true; in the time in which
+   * hosts may still tell what they know, it has to be the least that can be true.
+   */
+  #missingFor(answeredTerm: number): gateway.WorkspaceUsage[] {
+    const isKnown = answeredTerm !== 0 || this.#isSettled;
+    return this.#limitedWorkspaces.missing(isKnown, performance.now());
+  }
+
+  #recordUsage(
+    { host, missing = [], usage }: gateway.ReportRequest,
+    now: number,
+  ): void {
     const { configuration } = this.#options.state();
     this.#limitedWorkspaces.setRates(configuration?.workspaces ?? [], now);
     this.#usageTracker.recordUsage(
@@ -509,6 +525,8 @@
       (workspace, tokens) =>
         this.#limitedWorkspaces.recordUsage(workspace, tokens, now),
     );
+    // What a host knows includes its own usage.
+    this.#limitedWorkspaces.recordMissing(missing, now);
     this.#updateLimitedWorkspaces(now);
   }
 
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -38,6 +38,10 @@
 const MAX_EXPECTED_RETURNS = 256;
 /** Time for which a model is kept for a caller after its return is due, in ms. */
 const RETURN_MARGIN_MS = 500;
+/** Most workspaces that one log line names. */
+const MAX_LOGGED_WORKSPACES = 10;
+/** Monotonic time at which the process started, in milliseconds. */
+const PROCESS_STARTED_AT = 0;
 const SECOND_MS = 1_000;
 
 /** Settings and dependencies of an entry host. */
@@ -67,7 +71,9 @@
   readonly #serverTracker = new serverTracker.ServerTracker(() =>
     this.#hasNews = true
   );
-  readonly #rateLimiter = new core.gateway.SharedRateLimiter();
+  readonly #rateLimiter = new core.gateway.SharedRateLimiter(
+    PROCESS_STARTED_AT,
+  );
   readonly #usageFreshness = new core.gateway.Freshness();
   readonly #unitBorrower = new unitBorrower.UnitBorrower(() =>
     this.#reportSoon()
@@ -134,8 +140,9 @@
           this.#serverSelector.isWaiting || this.#crashSuspects.hasNews ||
           this.#ownStreams.hasNews(this.view.term, performance.now()),
         collectReport: () => this.#collectReport(),
-        onReportResponse: (response, report, requestedAt) =>
-          this.#onReportResponse(response, report, requestedAt),
+        missingTokens: () => this.#rateLimiter.missing(performance.now()),
+        onReportResponse: (response, report, requestedAt, isFirst) =>
+          this.#onReportResponse(response, report, requestedAt, isFirst),
         onReportFailed: ({ suspicions = [] }) => {
           this.#hasNews = true;
           this.#crashSuspects.requeueReports(suspicions);
@@ -275,6 +282,7 @@
     const limited = workspaces.filter(({ rate }) => rate !== undefined);
     this.#rateLimiter.retainWorkspaces(
       new Set(limited.map(({ name }) => name)),
+      now,
     );
     for (const { name, rate } of limited) {
       if (rate !== undefined) this.#rateLimiter.setRate(name, rate, now);
@@ -307,6 +315,7 @@
     response: gateway.ReportResponse,
     report: leaderSync.LocalReport,
     requestedAt: core.gateway.ClockReading,
+    isFirst: boolean,
   ): void {
     const now = performance.now();
     this.#rateLimiter.acknowledgeUsage(report.usage);
@@ -317,6 +326,7 @@
     }
     this.#retryBudgets.setHostCount(response.hostCount, now);
     this.#rateLimiter.setHostCount(this.#retryBudgets.hostCount);
+    this.#applyLevels(response, isFirst, now);
     this.#serverTracker.applyFleetLoad(response.load, now);
     this.#unitBorrower.onLent(response.lent, requestedAt);
     this.#crashSuspects.onReportResponse(response);
@@ -324,6 +334,23 @@
     this.#serverSelector.applyForecasts(response.forecasts);
   }
 
+  /** A leader of an earlier build tells no levels. */
+  #applyLevels(
+    { missing, term }: gateway.ReportResponse,
+    isFirst: boolean,
+    now: number,
+  ): void {
+    if (missing === undefined) return;
+    this.#rateLimiter.applyLevels(missing, isFirst, now);
+    write("rates-told", {
+      term,
+      first: isFirst,
+      missing: missing.map(({ tokens, workspace }) =>
+        `${workspace}:${Math.round(tokens)}`
+      ).slice(0, MAX_LOGGED_WORKSPACES).join(","),
+    });
+  }
+
   /** Counts a caller that was told to come back as waiting until it does. */
   #expectReturn(context: types.RequestContext, delayMs: number): void {
     const at = performance.now() + delayMs;
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -41,7 +41,7 @@
 /** The part of a report that describes this host. */
 export type LocalReport = Omit<
   gateway.ReportRequest,
-  "host" | "answered" | "servers"
+  "host" | "answered" | "servers" | "missing"
 >;
 
 /** Dependencies and callbacks of a `LeaderSync`. */
@@ -57,11 +57,18 @@
   hasNews(): boolean;
   /** Collects the report of this host. */
   collectReport(): LocalReport;
-  /** Called with the leader's answer to a report. */
+  /** Tokens that workspaces lack of their bursts. */
+  missingTokens(): gateway.WorkspaceUsage[];
+  /**
+   * Called with the leader's answer to a report.
+   *
+   * @param isFirst whether it is the first answer of any leader
+   */
   onReportResponse(
     response: gateway.ReportResponse,
     report: LocalReport,
     requestedAt: core.gateway.ClockReading,
+    isFirst: boolean,
   ): void;
   /** Called when a report was not answered. */
   onReportFailed(report: LocalReport): void;
@@ -255,7 +262,15 @@
     const requestedAt = clocks.readClocks();
     try {
       const answered = this.#acknowledged;
-      const params = { host, ...report, answered, servers };
+      const isNewLeader = answered.term > 0 &&
+        view.term !== this.#reportedTerm;
+      const params = {
+        host,
+        ...report,
+        answered,
+        servers,
+        ...(isNewLeader ? { missing: this.#options.missingTokens() } : {}),
+      };
       const response = v.parse(
         gateway.ReportResponse,
         await leader.call(gateway.METHODS.report, params, REPORT_LIMITS),
@@ -265,7 +280,8 @@
       const { hostCount, term, usageRevision } = response;
       this.#acknowledged = { term, usageRevision };
       this.#reportIntervalMs = reportInterval(hostCount);
-      onReportResponse(response, report, requestedAt);
+      const isFirst = answered.term === 0;
+      onReportResponse(response, report, requestedAt, isFirst);
     } catch (error) {
       this.#recordConnectionLoss(error);
       onReportFailed(report);
--- a/packages/daemon/test/gateway/coordinating.ts
+++ b/packages/daemon/test/gateway/coordinating.ts
@@ -97,6 +97,7 @@
         wanted: [],
         streams: [],
       }),
+      missingTokens: () => [],
       onReportResponse: () => undefined,
       onReportFailed: () => undefined,
     });
--- a/packages/daemon/test/gateway/leader_search_load_test.ts
+++ b/packages/daemon/test/gateway/leader_search_load_test.ts
@@ -55,6 +55,7 @@
       wanted: [],
       streams: [],
     }),
+    missingTokens: () => [],
     onReportResponse: () => undefined,
     onReportFailed: () => undefined,
   });
--- a/packages/daemon/test/gateway/leader_sync_test.ts
+++ b/packages/daemon/test/gateway/leader_sync_test.ts
@@ -54,6 +54,7 @@
         this.hasNews = false;
         return EMPTY_REPORT;
       },
+      missingTokens: () => [],
       onReportResponse: () => undefined,
       onReportFailed: () => this.failures += 1,
     });
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -282,6 +282,13 @@
   ),
   /** Term and usage revision of the last response; 0 before the first one. */
   answered: v.object({ term: Count, usageRevision: Count }),
+  /**
+   * Tokens that workspaces lack of their bursts, as far as the host knows; told
+   * to each new leader by hosts that another leader has answered.
+   */
+  missing: v.optional(
+    v.pipe(v.array(WorkspaceUsage), v.maxLength(MAX_RECORDS)),
+  ),
   /**
    * Servers that the leader lacks or knows by an older heartbeat; empty unless
    * it wants them.
@@ -301,6 +308,11 @@
    */
   usage: v.array(WorkspaceUsage),
   usageRevision: Count,
+  /**
+   * Tokens that workspaces lack of their bursts; told to hosts that this leader
+   * has not answered before. Workspaces that are not listed lack none.
+   */
+  missing: v.optional(v.array(WorkspaceUsage)),
   /**
    * Requests in progress over all hosts, on each server that the reported
    * demand and requests may use.
