Tell which start of a server has ended

What callers saw: a server told a frozen control host that it ends, then another one, ended and began again under its id.

Cause: the end of a server bears no start, and the host that is called passes on what it reads whether its caller is there or not. The leader ended whichever start it knew.

The line `server-ended` now bears the start.

Change: the host asks the leader for the start, checks that the caller waits, and relays the end of that start. A new leader that doesn't know the start remembers it, and tells hosts when they tell of the server. What orders show of a server's models, and which models it unloads, now also bears the start.

--- a/packages/core/src/gateway/server_registry.ts
+++ b/packages/core/src/gateway/server_registry.ts
@@ -36,6 +36,13 @@
   isLeaving: boolean;
 };
 
+/** The last start of a server that has ended, if it was not known then. */
+type EndedStart = {
+  readonly born: number;
+  /** Monotonic time until which it is remembered, in milliseconds. */
+  readonly until: number;
+};
+
 /** A copy of a leader's list of servers, as far as its owner followed it. */
 export type ServerListCopy = {
   /** Term and last known revision of the leader. */
@@ -72,6 +79,8 @@
   readonly #entries = new Map<string, Entry>();
   /** Servers reported as ended before they were known, with the expiry time. */
   readonly #unknownEnded = new Map<string, number>();
+  /** Starts that have ended before they were known. */
+  readonly #endedStarts = new Map<string, EndedStart>();
   #revision = 1;
   #urgentRevision = 1;
 
@@ -159,6 +168,10 @@
   ): boolean {
     const known = this.#entries.get(heartbeat.id);
     if (!this.#isNewer(heartbeat, known?.heartbeat, now)) return false;
+    if (this.#hasEnded(heartbeat)) {
+      this.#addEnded(heartbeat, now);
+      return false;
+    }
     this.#endPredecessors(heartbeat);
     const sameStart = known?.heartbeat.born === heartbeat.born
       ? known
@@ -212,29 +225,66 @@
   ): void {
     if (known.heartbeat.born !== born) return;
     if (state === "ended") {
-      this.markEnded(known.heartbeat.id, known.heartbeatAt);
+      this.markEnded({ id: known.heartbeat.id, born }, known.heartbeatAt);
     }
     const isLeaving = state === "draining" &&
       sequence === known.heartbeat.sequence;
     if (isLeaving) this.markLeaving({ born, id: known.heartbeat.id });
   }
 
-  /** Marks a server as ended. */
-  markEnded(id: string, now: number): void {
+  /**
+   * Marks a start of a server as ended. A later start is not affected.
+   *
+   * @param server its id, and the start that has ended if it was known
+   * @returns false if it is not clear which start is meant, since the server was
+   * not known before and is now
+   */
+  markEnded(
+    { born, id }: { readonly id: string; readonly born: number | null },
+    now: number,
+  ): boolean {
     const known = this.#entries.get(id);
-    if (known === undefined) {
+    if (born === null) {
+      if (known !== undefined) return false;
       this.#unknownEnded.set(id, now + UNKNOWN_END_MS);
-      return;
+      return true;
     }
-    if (known.heartbeat.state === "ended") return;
-    known.heartbeat = { ...known.heartbeat, state: "ended" };
-    known.revision = this.#nextRevision(true);
+    if (known === undefined || known.heartbeat.born < born) {
+      this.#endedStarts.set(id, { born, until: now + REMOVE_MS });
+    }
+    if (known !== undefined && known.heartbeat.born <= born) {
+      this.#end(known);
+    }
+    return true;
+  }
+
+  #end(entry: Entry): void {
+    if (entry.heartbeat.state === "ended") return;
+    entry.heartbeat = { ...entry.heartbeat, state: "ended" };
+    entry.revision = this.#nextRevision(true);
+  }
+
+  #hasEnded({ born, id }: gateway.ServerStart): boolean {
+    return born <= (this.#endedStarts.get(id)?.born ?? -1);
+  }
+
+  /** Adds a start that ended before it was known, so that hosts are told. */
+  #addEnded(heartbeat: gateway.Heartbeat, now: number): void {
+    this.#entries.set(heartbeat.id, {
+      heartbeat: { ...heartbeat, state: "ended" },
+      heartbeatAt: now,
+      revision: this.#nextRevision(true),
+      unloading: new Set(),
+      hasReport: false,
+      isHeard: false,
+      isLeaving: false,
+    });
   }
 
   /** Marks a start of a server as draining, whatever its heartbeats say. */
-  markLeaving({ born, id }: gateway.ServerStart): void {
-    const entry = this.#entries.get(id);
-    if (entry === undefined || entry.heartbeat.born !== born) return;
+  markLeaving(start: gateway.ServerStart): void {
+    const entry = this.#entryOf(start);
+    if (entry === undefined) return;
     entry.isLeaving = true;
     const heartbeat = withLeaving(entry.heartbeat, true);
     if (heartbeat.state === entry.heartbeat.state) return;
@@ -242,12 +292,15 @@
     entry.revision = this.#nextRevision(true);
   }
 
-  /** Replaces the models of a server with those that it reported on request. */
+  /**
+   * Replaces the models of a start of a server with those that it reported on
+   * request.
+   */
   applyReport(
-    id: string,
+    start: gateway.ServerStart,
     report: Pick<gateway.EngineReport, "models" | "inMemory" | "onDisk">,
   ): void {
-    const entry = this.#entries.get(id);
+    const entry = this.#entryOf(start);
     if (entry === undefined) return;
     const { models, inMemory, onDisk } = report;
     entry.hasReport = true;
@@ -257,14 +310,23 @@
     if (!isSame) entry.revision = this.#nextRevision(false);
   }
 
-  /** Sets the models of a server that get no new requests. */
-  setUnloadingModels(id: string, models: ReadonlySet<string>): void {
-    const entry = this.#entries.get(id);
+  /** Sets the models of a start of a server that get no new requests. */
+  setUnloadingModels(
+    start: gateway.ServerStart,
+    models: ReadonlySet<string>,
+  ): void {
+    const entry = this.#entryOf(start);
     if (entry === undefined) return;
     entry.unloading = models;
     entry.revision = this.#nextRevision(false);
   }
 
+  /** A start of a server, unless a later one is known. */
+  #entryOf({ born, id }: gateway.ServerStart): Entry | undefined {
+    const entry = this.#entries.get(id);
+    return entry?.heartbeat.born === born ? entry : undefined;
+  }
+
   /** Servers that have changed after a revision; 0 returns all. */
   changesSince(revision: number, now: number): gateway.ServerRecord[] {
     return [...this.#entries.values()]
@@ -308,6 +370,9 @@
     for (const [id, until] of this.#unknownEnded) {
       if (now >= until) this.#unknownEnded.delete(id);
     }
+    for (const [id, { until }] of this.#endedStarts) {
+      if (now >= until) this.#endedStarts.delete(id);
+    }
     return this.revision !== revision;
   }
 
--- a/packages/core/test/gateway/server_registry_test.ts
+++ b/packages/core/test/gateway/server_registry_test.ts
@@ -57,7 +57,7 @@
   it("ignores heartbeats of a start that was reported as ended", () => {
     const registry = new ServerRegistry();
     registry.applyHeartbeat(heartbeat(), 0);
-    registry.markEnded("s1", 1);
+    registry.markEnded({ id: "s1", born: heartbeat().born }, 1);
     expect(registry.applyHeartbeat(heartbeat({ sequence: 2 }), 2)).to.equal(
       false,
     );
@@ -69,12 +69,56 @@
 
   it("ignores an unknown server for a while after its end", () => {
     const registry = new ServerRegistry();
-    registry.markEnded("s1", 0);
+    registry.markEnded({ id: "s1", born: null }, 0);
     expect(registry.applyHeartbeat(heartbeat(), 100)).to.equal(false);
     registry.expire(10_000);
     expect(registry.applyHeartbeat(heartbeat(), 10_000)).to.equal(true);
   });
 
+  // A late end of an earlier start ended the one that runs now, for good.
+  it("ends no later start than the one that is meant", () => {
+    const registry = new ServerRegistry();
+    registry.applyHeartbeat(heartbeat({ born: 2_000 }), 0);
+    expect(registry.markEnded({ id: "s1", born: 1_000 }, 1)).to.equal(true);
+    expect(registry.get("s1")?.state).to.equal("ready");
+    expect(registry.markEnded({ id: "s1", born: 2_000 }, 2)).to.equal(true);
+    expect(registry.get("s1")?.state).to.equal("ended");
+  });
+
+  it("ends no start that it has heard of since it was asked", () => {
+    const registry = new ServerRegistry();
+    registry.applyHeartbeat(heartbeat(), 0);
+    expect(registry.markEnded({ id: "s1", born: null }, 1)).to.equal(false);
+    expect(registry.get("s1")?.state).to.equal("ready");
+  });
+
+  it("tells hosts of a start that ended before it was known", () => {
+    const registry = new ServerRegistry();
+    registry.markEnded({ id: "s1", born: 1_000 }, 0);
+    const record = {
+      ...heartbeat({ born: 1_000 }),
+      silentMs: 10,
+      leaving: [],
+    };
+    registry.mergeRecords([record], 1);
+    expect(registry.changesSince(0, 1).map(({ state }) => state))
+      .to.deep.equal(["ended"]);
+    expect(registry.applyHeartbeat(heartbeat({ born: 2_000 }), 2))
+      .to.equal(true);
+    expect(registry.get("s1")?.state).to.equal("ready");
+  });
+
+  it("applies to a start only what an order at the same start has shown", () => {
+    const registry = new ServerRegistry();
+    registry.applyHeartbeat(heartbeat({ born: 2_000 }), 0);
+    const models = [fixtures.heldModel("a")];
+    const earlier = { id: "s1", born: 1_000 };
+    registry.applyReport(earlier, { models, inMemory: [], onDisk: [] });
+    registry.setUnloadingModels(earlier, new Set(["a"]));
+    const [record] = registry.changesSince(0, 0);
+    expect(record).to.deep.include({ models: [], leaving: [] });
+  });
+
   it("returns only what has changed since a revision", () => {
     const registry = new ServerRegistry();
     registry.applyHeartbeat(heartbeat(), 0);
@@ -109,7 +153,7 @@
       inMemory: ["a"],
       onDisk: ["a"],
     };
-    registry.applyReport("s1", report);
+    registry.applyReport({ id: "s1", born: heartbeat().born }, report);
     registry.applyHeartbeat(heartbeat({ sequence: 2, state: "draining" }), 1);
     expect(registry.get("s1")).to.include({ state: "draining" });
     expect(registry.get("s1")?.models).to.deep.equal([fixtures.heldModel("a")]);
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -245,11 +245,7 @@
       // elsewhere, once it has left, is not in it.
       if (!await isCallerWaiting()) {
         write("caller-left", { ...change, basis });
-        throw new protocol.errors.StepError(
-          "commit change",
-          this.#options.name,
-          "the caller has left",
-        );
+        throw this.#callerLeft("commit change");
       }
       const totalMs = until - performance.now();
       const response: protocol.gateway.ChangeResponse = v.parse(
@@ -305,6 +301,30 @@
     await this.#callLeader(method, relayed, HEARTBEAT_LIMITS);
   }
 
+  /**
+   * Tells the leader that a server has ended, while its caller waits. The caller
+   * is the start that the leader knows by then, or an earlier one; a later start
+   * is not affected if this is held up on its way.
+   *
+   * @param isCallerWaiting resolves to whether the caller still waits
+   * @throws {Error} no leader accepted it in time, or the caller has left
+   */
+  async relayServerEnd(
+    id: string,
+    isCallerWaiting: () => Promise<boolean>,
+  ): Promise<void> {
+    const { METHODS, StartResponse } = protocol.gateway;
+    const { born } = v.parse(
+      StartResponse,
+      await this.#callLeader(METHODS.start, { id }, HEARTBEAT_LIMITS),
+    );
+    if (!await isCallerWaiting()) {
+      write("caller-left", { kind: "ended", id, born });
+      throw this.#callerLeft("end server");
+    }
+    await this.relayHeartbeat({ kind: "ended", id, born });
+  }
+
   /** Transfers the leadership to another voter if this host is the leader. */
   async transferLeadership(): Promise<void> {
     if (this.#driver.status.role !== "leader") return;
@@ -320,6 +340,11 @@
     await this.#resources[Symbol.asyncDispose]();
   }
 
+  #callerLeft(step: string): protocol.errors.StepError {
+    const { name } = this.#options;
+    return new protocol.errors.StepError(step, name, "the caller has left");
+  }
+
   /** Handles a call on this host if it is the leader, else calls the leader. */
   async #callLeader(
     method: string,
@@ -371,6 +396,10 @@
           params as protocol.gateway.ServerUpdate,
         );
         return null;
+      case METHODS.start:
+        return this.#requireLeadership().startOf(
+          params as protocol.gateway.StartRequest,
+        );
       default:
         throw new TypeError(`unexpected method ${method}`);
     }
@@ -405,6 +434,7 @@
       [gateway.METHODS.read, v.object({})],
       [gateway.METHODS.quarantines, v.object({})],
       [gateway.METHODS.heartbeat, gateway.ServerUpdate],
+      [gateway.METHODS.start, gateway.StartRequest],
     ] as const;
     for (const [method, schema] of relayed) {
       rpc.addMethod<v.GenericSchema<object>>(
@@ -451,6 +481,7 @@
       quarantines,
       read,
       report,
+      start,
       stream,
       watch,
     } = gateway.METHODS;
@@ -463,6 +494,7 @@
         quarantines,
         read,
         report,
+        start,
         stream,
         watch,
       ],
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -6,7 +6,7 @@
  */
 import * as timers from "node:timers";
 import * as core from "@ebonypath/core";
-import type { gateway } from "@ebonypath/protocol";
+import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
 import type * as metrics from "../metrics.ts";
 import * as entryConfiguration from "./entry_configuration.ts";
@@ -209,12 +209,21 @@
     if (!this.#holdsOrders) this.#claimOrders(delayMs);
   }
 
-  /** Handles a heartbeat, or the end, of a server. */
+  /** The last start of a server that is known. */
+  startOf({ id }: gateway.StartRequest): gateway.StartResponse {
+    return { born: this.#registry.get(id)?.born ?? null };
+  }
+
+  /**
+   * Handles a heartbeat, or the end, of a server.
+   *
+   * @throws {protocol.errors.StepError} it is not clear which start has ended
+   */
   handleHeartbeat(relayed: gateway.ServerUpdate): void {
     const now = performance.now();
     const { revision } = this.#registry;
     if (relayed.kind === "ended") {
-      this.#registry.markEnded(relayed.id, now);
+      this.#endServer(relayed, now);
     } else if (!isBorn(relayed.heartbeat)) {
       const { born, id } = relayed.heartbeat;
       write("server-refused", { server: id, born });
@@ -233,6 +242,20 @@
     this.#onChange();
   }
 
+  #endServer(
+    { born, id }: Extract<gateway.ServerUpdate, { kind: "ended" }>,
+    now: number,
+  ): void {
+    // Hosts of earlier builds mean whichever start is known.
+    const meant = born === undefined ? this.startOf({ id }).born : born;
+    if (this.#registry.markEnded({ id, born: meant }, now)) return;
+    throw new errors.StepError(
+      "end server",
+      id,
+      "the server was not known when its caller was seen to wait",
+    );
+  }
+
   /** Sends changes of the replicated state to entry hosts. */
   onStateChange(): void {
     this.#beginRollout();
@@ -746,7 +769,7 @@
 
   #logServer(relayed: gateway.ServerUpdate): void {
     if (relayed.kind === "ended") {
-      write("server-ended", { server: relayed.id });
+      write("server-ended", { server: relayed.id, born: relayed.born });
       return;
     }
     const { address, born, id, models, sequence, softwareVersion, state } =
--- a/packages/daemon/src/gateway/control/order_executor.ts
+++ b/packages/daemon/src/gateway/control/order_executor.ts
@@ -121,7 +121,7 @@
     // The heartbeat may be outdated; only the effect of the order is applied.
     const { inMemory, onDisk } = heartbeat;
     const models = applyModelOrder(known.models, order);
-    this.#options.registry.applyReport(heartbeat.id, {
+    this.#options.registry.applyReport(heartbeat, {
       models,
       inMemory,
       onDisk,
@@ -162,7 +162,7 @@
     }
     if (order.kind === "unload") {
       this.#options.registry.setUnloadingModels(
-        server.id,
+        server,
         new Set([order.model]),
       );
     }
@@ -272,7 +272,7 @@
   ): Promise<boolean> {
     if (orders.acceptedCount !== undefined) return true;
     const report = await this.#options.client.report(server);
-    this.#options.registry.applyReport(server.id, report);
+    this.#options.registry.applyReport(server, report);
     if (report.isBusy || report.pendingAdapters > 0) return false;
     orders.acceptedCount = report.orders;
     return true;
@@ -379,7 +379,7 @@
       const isCurrent = report.orders === orders.acceptedCount &&
         !report.isBusy && report.pendingAdapters === 0;
       if (!isCurrent || !hasTakenEffect(order, report.models)) return false;
-      this.#options.registry.applyReport(server.id, report);
+      this.#options.registry.applyReport(server, report);
       return true;
     } catch (error) {
       write("no-report", { server: server.id, error });
@@ -400,7 +400,7 @@
     }
     const known = registry.get(server.id);
     if (known !== undefined && "adapter" in order) {
-      registry.applyReport(server.id, {
+      registry.applyReport(server, {
         ...known,
         models: applyAdapterOrder(known.models, order),
       });
@@ -424,7 +424,7 @@
       orders.busyUntil = Math.max(orders.busyUntil, until);
     }
     if (order.kind === "unload") {
-      this.#options.registry.setUnloadingModels(server.id, new Set());
+      this.#options.registry.setUnloadingModels(server, new Set());
     }
     if (order.kind === "load-adapter") {
       orders.pendingAdapters.delete(adapterKeyOf(order));
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -396,10 +396,26 @@
 /** A server's heartbeat or shutdown, forwarded to the leader. */
 export const ServerUpdate = v.variant("kind", [
   v.object({ kind: v.literal("heartbeat"), heartbeat: server.Heartbeat }),
-  v.object({ kind: v.literal("ended"), id: Name }),
+  v.object({
+    kind: v.literal("ended"),
+    id: Name,
+    /**
+     * The start that has ended; null if the leader did not know the server. Hosts
+     * of earlier builds do not tell it.
+     */
+    born: v.optional(v.nullable(Count)),
+  }),
 ]);
 export type ServerUpdate = v.InferOutput<typeof ServerUpdate>;
 
+/** A question for the last start of a server that the leader knows. */
+export const StartRequest = v.object({ id: Name });
+export type StartRequest = v.InferOutput<typeof StartRequest>;
+
+/** Start of the server; null if the leader doesn't know the server. */
+export const StartResponse = v.object({ born: v.nullable(Count) });
+export type StartResponse = v.InferOutput<typeof StartResponse>;
+
 /** A control host's request to become a member of the replicated log. */
 export const JoinRequest = v.object({ id: Name, address: Name });
 export type JoinRequest = v.InferOutput<typeof JoinRequest>;
@@ -412,6 +428,7 @@
   change: "gateway.change",
   read: "gateway.read",
   heartbeat: "gateway.heartbeat",
+  start: "gateway.start",
   join: "gateway.join",
   stream: "gateway.stream",
   quarantines: "gateway.quarantines",
