Keep copies of where streams began at all control hosts

What callers saw: a failure domain with the leader and two entry hosts lost power. Of 30 streams whose clients took them up elsewhere, at servers of two software versions, none went on: 503, "the software version that began it is not known" (LOST).

Cause: where a stream began was told to the leader alone. Entry hosts tell the next leader again, which covers the loss of a leader, and the leader covers the loss of an entry host; nothing covers both at once.

Evidence: the streams had run for three seconds, reports come every 250 ms, and tries were refused for ten seconds, long after a leader has settled. The line `leading` now states how many streams a new leader knows.

Change: the control hosts that follow the leader's servers follow its streams as well, in the answers to their watches, at most every 50 ms and some 5,000 streams at a time.

--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -91,6 +91,8 @@
     core.replication.Entry,
     boolean
   >();
+  /** Where streams began, whether this host leads or follows. */
+  readonly #streamOrigins = new core.gateway.StreamOrigins();
   readonly #serverListFollower: serverListFollower.ServerListFollower;
   readonly #stop = new AbortController();
   #coordinator: fleetCoordinator.FleetCoordinator | undefined;
@@ -131,6 +133,7 @@
       new serverListFollower.ServerListFollower({
         host: options.name,
         isLeading: () => this.#driver.status.role === "leader",
+        streamOrigins: this.#streamOrigins,
         configurationVersion: () =>
           this.#stateMachine.state.configuration?.version ?? null,
         call: (method, params, limits) => {
@@ -655,6 +658,7 @@
       orderTakeoverDelayMs,
       retryBudget,
       known: this.#serverListFollower.copy(),
+      streamOrigins: this.#streamOrigins,
       commit: (command) => this.#commit(command),
       commitChange: (request) => this.#changeCommitter.commit(request),
       state: () => this.#stateMachine.state,
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -60,6 +60,13 @@
 const MAX_BIRTH_AHEAD_MS = 3_600_000;
 /** Most hosts that one log line names. */
 const MAX_LOGGED_HOSTS = 10;
+/**
+ * Time over which streams are collected before copies are told of them, in ms. It
+ * is short beside the interval in which hosts report them.
+ */
+const COPY_INTERVAL_MS = 50;
+/** Streams in one answer to a copy, from which on the next one has the rest. */
+const MAX_COPIED_STREAMS = 5_000;
 /** Hosts that are asked within an interval for servers that they know better. */
 const MAX_ASKED_HOSTS = 3;
 /** That interval, in milliseconds: most hosts know the same servers. */
@@ -89,6 +96,8 @@
   readonly retryBudget: core.gateway.FleetRetryBudget;
   /** List of servers of an earlier leader that this one begins with. */
   readonly known?: core.gateway.ServerListCopy | undefined;
+  /** Where streams began, with the streams that an earlier leader told of. */
+  readonly streamOrigins: core.gateway.StreamOrigins;
   readonly state: () => core.gateway.GatewayState;
   readonly controlHosts: () => string[];
   hasLease(): boolean;
@@ -133,7 +142,6 @@
   /** Versions that are being committed, and those that are being removed. */
   readonly #addingVersions = new Set<string>();
   readonly #removingVersions = new Set<string>();
-  readonly #streamOrigins = new core.gateway.StreamOrigins();
   readonly #quarantines: quarantineManager.QuarantineManager;
   /** Models that each host has requests for, as of its last report. */
   readonly #interests = new Map<string, core.gateway.HostInterest>();
@@ -154,6 +162,7 @@
   #askIntervalBegan = -Infinity;
   #claimTimer: NodeJS.Timeout | undefined;
   #collectTimer: NodeJS.Timeout | undefined;
+  #copyTimer: NodeJS.Timeout | undefined;
   /** Monotonic time before which hosts are told of no further changes, in ms. */
   #nextReleaseAt = -Infinity;
   #isDisposed = false;
@@ -203,6 +212,7 @@
       term: this.term,
       orderHolder,
       known: options.known?.servers.length,
+      streams: options.streamOrigins.size,
     });
     // Orders of the previous holder may still be in transit.
     const delayMs = orderHolder === null ? 0 : options.orderTakeoverDelayMs;
@@ -292,6 +302,7 @@
       };
       this.#pendingWatches.add(pending);
       if (this.#hasNews(request)) this.#scheduleRelease();
+      if (this.#hasStreamNews(request)) this.#scheduleCopies();
     });
   }
 
@@ -307,7 +318,10 @@
       ),
       now,
     );
-    this.#streamOrigins.record(report.streams, now);
+    if (report.streams.length > 0) {
+      this.#options.streamOrigins.record(report.streams, now);
+      this.#scheduleCopies();
+    }
     const suspects = this.#quarantines.exchange(report, now);
     for (const server of report.leaving ?? []) {
       this.#registry.markLeaving(server);
@@ -350,7 +364,7 @@
     const now = performance.now();
     const reported = id === null
       ? undefined
-      : this.#streamOrigins.find(id, now);
+      : this.#options.streamOrigins.find(id, now);
     if (reported !== undefined) return { origin: reported };
     const origin = this.#isLeaseCertain()
       ? core.gateway.inferOrigin(services, this.#options.state())
@@ -416,6 +430,7 @@
     this.#isDisposed = true;
     timers.clearInterval(this.#expiryTimer);
     timers.clearTimeout(this.#collectTimer);
+    timers.clearTimeout(this.#copyTimer);
     timers.clearTimeout(this.#claimTimer);
     this.#scheduler[Symbol.dispose]();
     this.#quarantines[Symbol.dispose]();
@@ -641,6 +656,45 @@
     this.#releaseSlices(due);
   }
 
+  /** Tells the copies of streams, a few at a time in one answer. */
+  #scheduleCopies(): void {
+    if (this.#isDisposed) return;
+    this.#copyTimer ??= timers.setTimeout(() => {
+      this.#copyTimer = undefined;
+      for (const pending of [...this.#pendingWatches]) {
+        if (this.#hasStreamNews(pending.request)) this.#release(pending);
+      }
+    }, COPY_INTERVAL_MS);
+  }
+
+  #hasStreamNews(request: gateway.WatchRequest): boolean {
+    const { revision } = this.#options.streamOrigins;
+    return revision > this.#copiedRevision(request);
+  }
+
+  /** Revision of this leader's streams that a copy has; others need none. */
+  #copiedRevision(request: gateway.WatchRequest): number {
+    const { isCopy, streamRevision, term } = request;
+    if (isCopy !== true || streamRevision === undefined) return Infinity;
+    // A new leader may know of streams that the last one didn't.
+    return term === this.term ? streamRevision : 0;
+  }
+
+  #streamsFor(
+    request: gateway.WatchRequest,
+    now: number,
+  ): gateway.WatchResponse["streams"] {
+    const revision = this.#copiedRevision(request);
+    if (revision === Infinity) return undefined;
+    const { streamOrigins } = this.#options;
+    const changes = streamOrigins.changesSince(
+      revision,
+      MAX_COPIED_STREAMS,
+      now,
+    );
+    return { ...changes, groups: [...changes.groups] };
+  }
+
   #delayNextRelease(responses: number, now: number): void {
     const intervalMs = responses * WATCH_RESPONSE_MS / MAX_WATCH_SHARE;
     this.#nextReleaseAt = Math.min(
@@ -699,6 +753,7 @@
     const revision = Math.min(request.revision, base?.revision ?? Infinity);
     const { configuration } = state;
     const quarantines = this.#quarantines.listFor(request.quarantineRevision);
+    const streams = this.#streamsFor(request, now);
     const isNewer = configuration !== null &&
       configuration.version > (request.configuration ?? -1);
     const { hostStateIndex } = state;
@@ -718,6 +773,7 @@
       ...(this.#isLeaseCertain() ? { heldMs: now - receivedAt } : {}),
       ...(quarantines === undefined ? {} : { quarantines }),
       suspectRevision: this.#quarantines.revision,
+      ...(streams === undefined ? {} : { streams }),
       ...(isNewer
         ? {
           configuration: this.#entryConfiguration.of(configuration),
--- a/packages/daemon/src/gateway/control/server_list_follower.ts
+++ b/packages/daemon/src/gateway/control/server_list_follower.ts
@@ -1,5 +1,6 @@
 /**
- * Keeps a copy of the leader's list of servers at the other control hosts.
+ * Keeps a copy of the leader's list of servers, and of where streams began, at
+ * the other control hosts.
  *
  * @module
  */
@@ -29,6 +30,8 @@
   isLeading(): boolean;
   /** Version of the configuration that this host has by the replicated log. */
   configurationVersion(): number | null;
+  /** Where streams began; what the leader tells is added. */
+  readonly streamOrigins: core.gateway.StreamOrigins;
   /** Calls the leader. */
   call: fleet.LeaderClient["call"];
 }
@@ -36,12 +39,15 @@
 /**
  * Follows the leader like an entry host, so that this host knows its servers
  * when it leads itself. Otherwise all entry hosts would have to tell them, in the
- * seconds in which it has the most to do.
+ * seconds in which it has the most to do. Where streams began that were relayed
+ * by a lost host, no entry host can tell at all.
  */
 export class ServerListFollower implements Disposable {
   readonly #options: ServerListFollowerOptions;
   readonly #view = new fleetView.FleetView();
   readonly #disposed = new AbortController();
+  /** Revision of the streams that the leader has told of. */
+  #streamRevision = 0;
   #isFollowing = false;
 
   constructor(options: ServerListFollowerOptions) {
@@ -89,8 +95,9 @@
         ),
         quarantineRevision: view.quarantineRevision,
         suspectRevision: view.suspectRevision,
+        streamRevision: this.#streamRevision,
       }), WATCH_LIMITS);
-      view.apply(v.parse(WatchResponse, response), performance.now());
+      this.#apply(v.parse(WatchResponse, response));
       if (!this.#isFollowing) write("following", { term: view.term });
       this.#isFollowing = true;
       return true;
@@ -100,6 +107,16 @@
       return false;
     }
   }
+
+  #apply(response: gateway.WatchResponse): void {
+    const { streamOrigins } = this.#options;
+    const now = performance.now();
+    if (!this.#view.apply(response, now)) return;
+    // A leader of an earlier build tells of no streams.
+    if (response.streams === undefined) return;
+    streamOrigins.apply(response.streams, now);
+    this.#streamRevision = response.streams.revision;
+  }
 }
 
 /** The replicated log may bring a version before the leader's answer does. */
--- a/packages/daemon/test/gateway/coordinating.ts
+++ b/packages/daemon/test/gateway/coordinating.ts
@@ -40,6 +40,7 @@
       return Promise.resolve();
     },
     commitChange: fixtures.refuseChanges,
+    streamOrigins: new core.gateway.StreamOrigins(),
     ...overrides,
   });
 }
--- a/packages/daemon/test/gateway/fleet_coordinator_load_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_load_test.ts
@@ -1,4 +1,5 @@
 import * as timers from "node:timers/promises";
+import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import { wait } from "@ebonypath/testing";
 import { expect } from "chai";
@@ -14,6 +15,8 @@
 const REPORT_MS = 1_700;
 /** Duration of a series of changes, in milliseconds. */
 const CHANGES_MS = 2_000;
+/** Time within which copies are told of streams, in milliseconds. */
+const MAX_COPY_DELAY_MS = 50;
 /** Responses to watches that take half of a leader's time, at 1 ms each. */
 const MAX_RESPONSES_PER_SECOND = 500;
 
@@ -95,7 +98,10 @@
       beat(first, heartbeat(serverCount));
       await haveServers(hosts, serverCount + 1, 1);
       hosts.resetCounts();
-      using second = coordinating.createCoordinator({ term: 2, known });
+      using second = coordinating.createCoordinator({
+        term: 2,
+        known,
+      });
       hosts.leader = second;
       first[Symbol.dispose]();
       await haveServers(hosts, serverCount + 1, 2);
@@ -142,6 +148,54 @@
     );
   });
 
+  it("tells a copy of streams in few answers, however many begin", async () => {
+    using leader = coordinating.createCoordinator();
+    const copy = new core.gateway.StreamOrigins();
+    let position = { term: 0, revision: 0, streamRevision: 0 };
+    let answers = 0;
+    let isOver = false;
+    const following = (async () => {
+      while (!isOver) {
+        const { revision, streams, term } = await leader.watch({
+          host: "control-2",
+          isCopy: true,
+          configuration: 1,
+          ...position,
+        });
+        answers += 1;
+        if (streams !== undefined) copy.apply(streams, performance.now());
+        const streamRevision = streams?.revision ?? 0;
+        position = { term, revision, streamRevision };
+      }
+    })();
+    const until = performance.now() + CHANGES_MS;
+    let begun = 0;
+    while (performance.now() < until) {
+      const streams = Array.from({ length: 50 }, () => ({
+        id: `r${begun++}`,
+        service: "advice",
+        softwareVersion: "1",
+        remainingMs: 10_000,
+      }));
+      await leader.report(fixtures.report("entry-1", { streams }));
+      await timers.setTimeout(5);
+    }
+    const copiesPerSecond = answers * 1_000 / CHANGES_MS;
+    await timers.setTimeout(2 * MAX_COPY_DELAY_MS);
+    isOver = true;
+    expect(copiesPerSecond).to.be.at.most(1_000 / MAX_COPY_DELAY_MS + 1);
+    expect(copy.size).to.equal(begun);
+    await leader.report(fixtures.report("entry-1", {
+      streams: [{
+        id: "last",
+        service: "advice",
+        softwareVersion: "1",
+        remainingMs: 10_000,
+      }],
+    }));
+    await following;
+  });
+
   it("answers a bounded number of watches a second, however many servers change", async () => {
     using leader = coordinating.createCoordinator();
     for (let index = 0; index < 67; index += 1) beat(leader, heartbeat(index));
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -79,6 +79,7 @@
       state.apply(command);
     },
     commitChange: fixtures.refuseChanges,
+    streamOrigins: new core.gateway.StreamOrigins(),
   });
 }
 
--- a/packages/daemon/test/gateway/order_holder_test.ts
+++ b/packages/daemon/test/gateway/order_holder_test.ts
@@ -73,6 +73,7 @@
         return Promise.resolve();
       },
       commitChange: fixtures.refuseChanges,
+      streamOrigins: new core.gateway.StreamOrigins(),
     });
     this.coordinator.handleHeartbeat({ kind: "heartbeat", heartbeat: SERVER });
     this.#reporting = setInterval(
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -30,6 +30,24 @@
 });
 export type ServerRecord = v.InferOutput<typeof ServerRecord>;
 
+/** Where a stream began. */
+export const StreamOrigin = v.object({
+  service: Name,
+  /** Version of the server's software; null if it can't be told any more. */
+  softwareVersion: v.nullable(v.string()),
+});
+export type StreamOrigin = v.InferOutput<typeof StreamOrigin>;
+
+/** Streams that began at the same service and software version. */
+export const StreamGroup = v.object({
+  ...StreamOrigin.entries,
+  /** Ids of the requests that began them. */
+  ids: v.pipe(v.array(Name), v.maxLength(MAX_RECORDS)),
+  /** Times for which their callers may resume them, in milliseconds. */
+  remainingMs: v.pipe(v.array(Amount), v.maxLength(MAX_RECORDS)),
+});
+export type StreamGroup = v.InferOutput<typeof StreamGroup>;
+
 /** A long poll for changes since a revision. */
 export const WatchRequest = v.object({
   host: Name,
@@ -43,8 +61,10 @@
   suspectRevision: v.optional(Count),
   /** Number of servers that the host may know better than the leader. */
   unreported: v.optional(Count),
-  /** Whether a control host asks for its copy of the list of servers. */
+  /** Whether a control host asks for its copy of what the leader knows. */
   isCopy: v.optional(v.boolean()),
+  /** Revision of the streams that the copy has, in the same term. */
+  streamRevision: v.optional(Count),
   /** Longest time that the leader holds it, in ms; its own limit if absent. */
   waitMs: v.optional(Amount),
 });
@@ -108,6 +128,11 @@
    * gets them with the answer to its next report.
    */
   suspectRevision: v.optional(Count),
+  /** Streams for a copy, and the revision that it has with them. */
+  streams: v.optional(v.object({
+    revision: Count,
+    groups: v.array(StreamGroup),
+  })),
 });
 export type WatchResponse = v.InferOutput<typeof WatchResponse>;
 
@@ -212,14 +237,6 @@
 });
 export type LimitUnits = v.InferOutput<typeof LimitUnits>;
 
-/** Where a stream began. */
-export const StreamOrigin = v.object({
-  service: Name,
-  /** Version of the server's software; null if it can't be told any more. */
-  softwareVersion: v.nullable(v.string()),
-});
-export type StreamOrigin = v.InferOutput<typeof StreamOrigin>;
-
 /** A stream that its caller may resume at another host. */
 export const ReportedStream = v.object({
   ...StreamOrigin.entries,
