Bound the entries that stay in memory by their size

What was seen: after some 790 changes of a configuration of 122 kB three or more of five control processes reached the limit of their heap (Fault).

Change: up to 2,000 entries and up to 8 MB stay.

--- a/packages/core/src/replication/log.ts
+++ b/packages/core/src/replication/log.ts
@@ -96,6 +96,27 @@
     return batch;
   }
 
+  /**
+   * Index of the first of the last entries up to `index` that are within both
+   * limits; `index + 1` if the entry at `index` alone exceeds one of them.
+   */
+  firstWithin(
+    index: number,
+    maximumEntries: number,
+    maximumBytes: number,
+  ): number {
+    let first = index + 1;
+    let bytes = 0;
+    while (index + 1 - first < maximumEntries) {
+      const entry = this.#entries[first - this.#baseIndex - 2];
+      if (entry === undefined) break;
+      bytes += payloadSizeBytes(entry.payload);
+      if (bytes > maximumBytes) break;
+      first -= 1;
+    }
+    return first;
+  }
+
   /** Appends entries that directly follow the last one. */
   append(entries: Entry[]): void {
     for (const entry of entries) {
--- a/packages/core/src/replication/replica.ts
+++ b/packages/core/src/replication/replica.ts
@@ -358,7 +358,12 @@
       return;
     }
     context.snapshot = snapshot;
-    const index = snapshot.index - context.settings.retainedEntries;
+    const { retainedBytes, retainedEntries } = context.settings;
+    const index = context.log.firstWithin(
+      snapshot.index,
+      retainedEntries,
+      retainedBytes,
+    ) - 1;
     if (index > context.log.baseIndex) {
       context.log.compact(index);
       context.memberships.compact(index);
--- a/packages/core/src/replication/types.ts
+++ b/packages/core/src/replication/types.ts
@@ -165,6 +165,8 @@
    * slightly.
    */
   retainedEntries: number;
+  /** Maximum payload bytes of these entries. */
+  retainedBytes: number;
   /**
    * Maximum number of entries by which a learner may lag when it is promoted to
    * voter.
@@ -192,6 +194,8 @@
   maxSnapshotBytes: 1024 * 1024 * 1024,
   snapshotRetryMs: 1000,
   retainedEntries: 2000,
+  // A follower that lags by more gets the snapshot.
+  retainedBytes: 8 * 1024 * 1024,
   maxPromotionLagEntries: 64,
 });
 
--- a/packages/core/test/replication/replica_test.ts
+++ b/packages/core/test/replication/replica_test.ts
@@ -465,3 +465,56 @@
     expect(harness.replica.term).to.equal(term);
   });
 });
+
+describe("entries that stay in memory after a snapshot", () => {
+  const ENTRY_CHARACTERS = 200_000;
+
+  /** Proposes commands and takes a snapshot of them; returns the harness. */
+  function snapshotAfter(
+    count: number,
+    characters: number,
+    settings: Partial<replication.Settings>,
+  ): ReplicaHarness {
+    const harness = new ReplicaHarness(["a"], settings);
+    harness.now += MIN_ELECTION_TIMEOUT_MS;
+    harness.step({ kind: "tick" });
+    for (let id = 0; id < count; id += 1) {
+      const data = String(id).padEnd(characters, "x");
+      harness.step({ kind: "propose", proposals: [{ id, data }] });
+    }
+    const { replica } = harness;
+    const index = replica.appliedIndex;
+    expect(index).to.be.at.least(count);
+    const term = replica.termAt(index) ?? 0;
+    const membership = replica.membershipAt(index);
+    const snapshot = { index, term, membership, bytes: characters };
+    harness.step({ kind: "snapshotTaken", snapshot });
+    return harness;
+  }
+
+  /** Number of entries whose term is known, except for that of the base. */
+  function keptEntries({ replica }: ReplicaHarness): number {
+    const all = Array.from({ length: replica.lastIndex }, (_, at) => at + 1);
+    return all.filter((index) => replica.termAt(index) !== null).length - 1;
+  }
+
+  // Processes ran out of memory after some hundred large commands.
+  it("are bounded by their size", () => {
+    const retainedBytes = 10 * ENTRY_CHARACTERS;
+    const harness = snapshotAfter(60, ENTRY_CHARACTERS, { retainedBytes });
+    expect(keptEntries(harness)).to.be.within(8, 10);
+  });
+
+  it("are none if a single one exceeds the size", () => {
+    const retainedBytes = ENTRY_CHARACTERS / 2;
+    const harness = snapshotAfter(5, ENTRY_CHARACTERS, { retainedBytes });
+    expect(keptEntries(harness)).to.equal(0);
+    harness.step({ kind: "propose", proposals: [{ id: 9, data: "next" }] });
+    expect(harness.replica.appliedIndex).to.equal(harness.replica.lastIndex);
+  });
+
+  it("are bounded by their number", () => {
+    const harness = snapshotAfter(60, 10, { retainedEntries: 20 });
+    expect(keptEntries(harness)).to.equal(20);
+  });
+});
