Pass on no request whose caller left while the host stood still

What callers saw: an entry host that woke from a freeze passed on requests that their callers had given up a second before, and may have placed elsewhere.

Cause: a request is read before the end of its connection, and passed on in the same turn of the event loop.

The daemon's listeners do the same; listener_test failed before.

--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -7,6 +7,7 @@
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import * as fleet from "../../fleet/mod.ts";
+import * as listener from "../../listener/mod.ts";
 import * as log from "../../log/mod.ts";
 import * as resources from "../../resources/mod.ts";
 import type * as metrics from "../metrics.ts";
@@ -40,6 +41,8 @@
 const RETURN_MARGIN_MS = 500;
 /** Most workspaces that one log line names. */
 const MAX_LOGGED_WORKSPACES = 10;
+/** After a stall, callers that have left have closed their connections before. */
+const ALREADY_CLOSED_MS = 0;
 /** Monotonic time at which the process started, in milliseconds. */
 const PROCESS_STARTED_AT = 0;
 const SECOND_MS = 1_000;
@@ -104,6 +107,9 @@
   readonly #stateConfirmer: stateConfirmer.StateConfirmer;
   readonly #metrics: metrics.GatewayMetrics;
   readonly #resources = new resources.ResourceStack();
+  readonly #stallDetector = this.#resources.use(
+    new listener.StallDetector(),
+  );
   /** Admitted requests since the last report, by service, model and adapter. */
   #arrivals = new Map<string, ArrivalCount>();
   /** Callers that were told to come back when their model is loaded. */
@@ -202,6 +208,9 @@
       onUnconfirmed: () => options.metrics.unconfirmedAdmissions.inc(),
       usageAgeMs: () => this.#usageFreshness.ageMs(clocks.readClocks()),
       refreshUsage: () => this.#leaderSync.refresh(USAGE_REFRESH_TIMEOUT_MS),
+      isCallerPresent: async (request) =>
+        !this.#stallDetector.isAfterStall() ||
+        await listener.isCallerWaiting(request, ALREADY_CLOSED_MS),
       onArrival: (context) => this.#countArrival(context),
     });
     this.view.on(
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -104,6 +104,11 @@
   usageAgeMs(): number;
   /** Resolves when the leader has told the usage of all hosts, or in vain. */
   refreshUsage(): Promise<void>;
+  /**
+   * Whether the caller of a request may still wait for its answer. A host that
+   * was suspended reads requests whose callers have left.
+   */
+  isCallerPresent(request: http.IncomingMessage): Promise<boolean>;
   /** Called with each request that is admitted by an unconfirmed configuration. */
   onUnconfirmed(): void;
   /** Called with each request that is admitted. */
@@ -188,6 +193,10 @@
     const body = await readBody(request, this.#maxBodyBytes());
     // The caller disconnected before the request was complete.
     if (body === "broken" || isAnswered(response)) return undefined;
+    if (!await this.#options.isCallerPresent(request)) {
+      write("caller-left", { id: metadata.id, path: request.url });
+      return undefined;
+    }
     if (body === "too-large") {
       const detail = "the body is larger than the configuration allows";
       this.#refuse(
--- a/packages/daemon/src/listener/caller_connection.ts
+++ b/packages/daemon/src/listener/caller_connection.ts
@@ -12,6 +12,8 @@
  * suspended reads requests whose callers gave up long ago; the ends of their
  * connections have arrived by then, but are read after the requests.
  *
+ * @param closeDelayMs time for which the close may be on its way, in milliseconds
+ *
  * @example
  * ```ts
  * if (!await isCallerWaiting(request)) return refuse(503);
@@ -19,8 +21,9 @@
  */
 export async function isCallerWaiting(
   request: http.IncomingMessage,
+  closeDelayMs = CLOSE_DELAY_MS,
 ): Promise<boolean> {
-  await timers.setTimeout(CLOSE_DELAY_MS);
+  if (closeDelayMs > 0) await timers.setTimeout(closeDelayMs);
   // The first immediate may run in the current turn of the event loop, the
   // second one runs after the next turn has read what has arrived.
   await timers.setImmediate();
--- a/packages/daemon/src/listener/mod.ts
+++ b/packages/daemon/src/listener/mod.ts
@@ -9,15 +9,20 @@
 import * as protocol from "@ebonypath/protocol";
 import * as log from "../log/mod.ts";
 import type * as settings from "../settings/mod.ts";
+import { isCallerWaiting } from "./caller_connection.ts";
 import { closeIdleConnections } from "./idle_connections.ts";
+import { StallDetector } from "./stall_detector.ts";
 
 export { isCallerWaiting } from "./caller_connection.ts";
 export { closeIdleConnections } from "./idle_connections.ts";
+export { StallDetector } from "./stall_detector.ts";
 
 const write = log.createLog("listener");
 
 /** Time after which an idle keep-alive connection is closed, in ms. */
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
+/** After a stall, callers that have left have closed their connections before. */
+const ALREADY_CLOSED_MS = 0;
 /** How often Node checks connections for request timeouts, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 
@@ -67,7 +72,8 @@
  * ```
  */
 export async function listen(options: ListenerOptions): Promise<Listener> {
-  const server = createServer(options);
+  const stalls = new StallDetector();
+  const server = createServer(options, stalls);
   server.maxConnections = options.limits.maxConnections;
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   server.on("clientError", handleClientError);
@@ -89,13 +95,17 @@
       }
     },
     async [Symbol.asyncDispose]() {
+      stalls[Symbol.dispose]();
       server.closeAllConnections();
       await new Promise<void>((resolve) => server.close(() => resolve()));
     },
   };
 }
 
-function createServer(options: ListenerOptions): http.Server | https.Server {
+function createServer(
+  options: ListenerOptions,
+  stalls: StallDetector,
+): http.Server | https.Server {
   const limits = {
     maxHeaderSize: options.limits.maxHeaderBytes,
     headersTimeout: options.limits.headerTimeoutMs,
@@ -106,7 +116,7 @@
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     noDelay: true,
   };
-  const requestListener = createRequestListener(options);
+  const requestListener = createRequestListener(options, stalls);
   if (options.certificate === undefined) {
     return http.createServer(limits, requestListener);
   }
@@ -130,11 +140,20 @@
   };
 }
 
-function createRequestListener(options: ListenerOptions): http.RequestListener {
+function createRequestListener(
+  options: ListenerOptions,
+  stalls: StallDetector,
+): http.RequestListener {
   return (request, response) => {
-    const handled = Promise.resolve().then(() =>
-      options.handler(request, response)
-    );
+    const handled = Promise.resolve().then(async () => {
+      const mayHaveLeft = stalls.isAfterStall();
+      if (mayHaveLeft && !await isCallerWaiting(request, ALREADY_CLOSED_MS)) {
+        write("caller-left", { listener: options.name, path: request.url });
+        response.destroy();
+        return;
+      }
+      await options.handler(request, response);
+    });
     handled.catch((error: unknown) => {
       write("handler-failed", {
         listener: options.name,
--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -53,6 +53,22 @@
   });
 });
 
+describe("a request that a host reads late", () => {
+  // Its caller had given it up and gone to another host.
+  it("is not passed on if its caller has left", async () => {
+    await using fixture = new Fixture(2_000);
+    fixture.view.apply(WATCH_RESPONSE, performance.now());
+    fixture.isCallerPresent = false;
+    const request = await fixture.sendRequest();
+    request.on("error", () => undefined);
+    await wait.waitFor(
+      "the request to end",
+      () => fixture.handler.openRequests === 0,
+    );
+    expect(fixture.dispatched).to.deep.equal([]);
+  });
+});
+
 describe("a request to a host that stops", () => {
   it("is answered as not run if it waits for a configuration at the end", async () => {
     await using fixture = new Fixture(undefined);
--- a/packages/daemon/test/gateway/request_handling.ts
+++ b/packages/daemon/test/gateway/request_handling.ts
@@ -63,6 +63,8 @@
   confirmations = 0;
   /** Requests that were admitted by an unconfirmed configuration. */
   unconfirmed = 0;
+  /** Whether callers wait for their answers. */
+  isCallerPresent = true;
   /** Whether requests are served at once, or not before their time is over. */
   servesAtOnce = true;
   /** What the control hosts do when they are asked. */
@@ -112,6 +114,7 @@
         return Promise.resolve();
       },
       onUnconfirmed: () => this.unconfirmed += 1,
+      isCallerPresent: () => Promise.resolve(this.isCallerPresent),
       onArrival: () => undefined,
     });
     this.#server = http.createServer((request, response) => {
--- a/packages/daemon/test/listener/listener_test.ts
+++ b/packages/daemon/test/listener/listener_test.ts
@@ -57,6 +57,9 @@
   ["incomplete headers", "GET / HTTP/1.1\r\nhost: a\r\nx: ", 408],
 ];
 
+/** Time for which the event loop stands still, in milliseconds. */
+const STALL_MS = 600;
+
 describe("listener", () => {
   let started: listener.Listener;
   let handled: number;
@@ -106,6 +109,19 @@
     expect(await readAll(socket)).to.match(/^HTTP\/1.1 200 [^]*fine$/);
   });
 
+  // The client had gone to another host long before.
+  it("handles no request after a stall whose client has left", async () => {
+    const socket = connect();
+    await once(socket, "connect");
+    socket.write("POST /left HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n");
+    socket.destroy();
+    const until = performance.now() + STALL_MS;
+    while (performance.now() < until);
+    const waiting = await fetch(`http://${started.address}/waits`);
+    expect(waiting.status).to.equal(200);
+    expect(handled).to.equal(1);
+  });
+
   it("survives a client that resets its connection", async () => {
     const socket = connect();
     await once(socket, "connect");
