Commit the end of a server before it is acknowledged

What callers saw: a server told the leader that it ends, and got 200. The leader lost power within milliseconds, and 3.5 s later a request reached the server (DRAIN).

Cause: the end was known to the leader alone when it was acknowledged, and a server doesn't repeat it.

Change: the start that has ended is committed before the answer, and a leader begins with the ends in the log.

--- a/packages/core/src/gateway/state.ts
+++ b/packages/core/src/gateway/state.ts
@@ -1,6 +1,11 @@
 import { errors, type gateway, type state } from "@ebonypath/protocol";
 import * as suspicion from "../suspicion/mod.ts";
 
+/**
+ * Servers whose ends are kept; the earliest are dropped first. A leader needs
+ * those of the last minute, and an hour of the largest fleet has some 1,400.
+ */
+const MAX_ENDED_SERVERS = 4_096;
 /** Most requests in quarantine; the one that ends first is dropped. */
 const MAX_QUARANTINES = 1_000;
 
@@ -20,6 +25,8 @@
   readonly hostStateIndex?: number | null;
   /** Missing in snapshots that early builds wrote. */
   readonly domainRevision?: number;
+  /** By id; missing in snapshots that early builds wrote. */
+  readonly endedServers?: readonly (readonly [string, number])[];
 };
 
 /**
@@ -44,6 +51,8 @@
   #quarantineRevision = 0;
   #hostStateIndex: number | null = 0;
   #domainRevision = 0;
+  /** Births of the last starts that have ended, by the id of the server. */
+  readonly #endedServers = new Map<string, number>();
 
   constructor(withdrawnDomains: readonly string[] = []) {
     this.#withdrawnDomains = new Set(withdrawnDomains);
@@ -86,6 +95,16 @@
     return this.#softwareVersions;
   }
 
+  /** The last starts of servers that have ended. */
+  get endedServers(): gateway.ServerStart[] {
+    return [...this.#endedServers].map(([id, born]) => ({ id, born }));
+  }
+
+  /** Whether a start of a server is known to have ended. */
+  hasEnded({ born, id }: gateway.ServerStart): boolean {
+    return born <= (this.#endedServers.get(id) ?? -1);
+  }
+
   /** Requests that are not run for a time. */
   get quarantines(): state.Quarantine[] {
     return this.#quarantines.list();
@@ -121,7 +140,8 @@
   }
 
   /**
-   * Applies a committed command; returns whether it changed anything.
+   * Applies a committed command; returns whether it changed anything that the
+   * leader or entry hosts have to be told.
    *
    * @param index log index of the command; the next one if absent
    */
@@ -153,6 +173,10 @@
         return this.#quarantine(command);
       case "release-quarantine":
         return this.#releaseQuarantine(command.fingerprint);
+      case "end-server":
+        // The leader has told hosts by its list of servers.
+        this.#endServer(command);
+        return false;
       case "barrier":
         return false;
       default:
@@ -171,6 +195,7 @@
       quarantineRevision: this.#quarantineRevision,
       hostStateIndex: this.#hostStateIndex,
       domainRevision: this.#domainRevision,
+      endedServers: [...this.#endedServers],
     };
     return JSON.stringify(snapshot);
   }
@@ -191,6 +216,9 @@
     state.#quarantineRevision = snapshot.quarantineRevision ?? 0;
     state.#hostStateIndex = snapshot.hostStateIndex ?? null;
     state.#domainRevision = snapshot.domainRevision ?? 0;
+    for (const [id, born] of snapshot.endedServers ?? []) {
+      state.#endedServers.set(id, born);
+    }
     return state;
   }
 
@@ -224,6 +252,17 @@
     return rest.length < versions.length;
   }
 
+  #endServer(server: gateway.ServerStart): void {
+    if (this.hasEnded(server)) return;
+    const { born, id } = server;
+    this.#endedServers.delete(id);
+    this.#endedServers.set(id, born);
+    const oldest = this.#endedServers.keys().next();
+    if (this.#endedServers.size > MAX_ENDED_SERVERS && !oldest.done) {
+      this.#endedServers.delete(oldest.value);
+    }
+  }
+
   #quarantine(
     { fingerprint, model, untilMs, workspace }: state.Quarantine,
   ): boolean {
@@ -256,6 +295,7 @@
 export function concernsEntryHosts({ kind }: gateway.Command): boolean {
   switch (kind) {
     case "barrier":
+    case "end-server":
     case "hold-orders":
       return false;
     case "configure":
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -395,10 +395,9 @@
       case METHODS.quarantines:
         return this.#readConfirmed(({ quarantines }) => quarantines);
       case METHODS.heartbeat:
-        this.#requireLeadership().handleHeartbeat(
+        return this.#handleServerUpdate(
           params as protocol.gateway.ServerUpdate,
         );
-        return null;
       case METHODS.start:
         return this.#requireLeadership().startOf(
           params as protocol.gateway.StartRequest,
@@ -408,6 +407,13 @@
     }
   }
 
+  async #handleServerUpdate(
+    update: protocol.gateway.ServerUpdate,
+  ): Promise<null> {
+    await this.#requireLeadership().handleUpdate(update);
+    return null;
+  }
+
   #registerMethods(rpc: fleet.RpcServer): void {
     const { gateway, replication: messages } = protocol;
     rpc.addMethod(
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -201,6 +201,7 @@
       onChange: () => this.#onChange(),
     });
     if (options.known !== undefined) this.#restore(options.known);
+    this.#restoreEnds();
     this.#beginRollout();
     this.#expiryTimer = timers.setInterval(
       () => this.#expire(),
@@ -225,10 +226,17 @@
   }
 
   /**
-   * Handles a heartbeat, or the end, of a server.
+   * Handles a heartbeat, or the end, of a server. An end is committed before it
+   * is acknowledged: the server doesn't repeat it.
    *
    * @throws {protocol.errors.StepError} it is not clear which start has ended
    */
+  async handleUpdate(update: gateway.ServerUpdate): Promise<void> {
+    this.handleHeartbeat(update);
+    if (update.kind === "ended") await this.#commitEnd(update);
+  }
+
+  /** Handles a heartbeat, or an end that is committed or known otherwise. */
   handleHeartbeat(relayed: gateway.ServerUpdate): void {
     const now = performance.now();
     const { revision } = this.#registry;
@@ -266,6 +274,15 @@
     );
   }
 
+  async #commitEnd(
+    { born, id }: Extract<gateway.ServerUpdate, { kind: "ended" }>,
+  ): Promise<void> {
+    const { commit, state } = this.#options;
+    const known = born === undefined ? this.startOf({ id }).born : born;
+    if (known === null || state().hasEnded({ id, born: known })) return;
+    await commit({ kind: "end-server", id, born: known });
+  }
+
   /** Sends changes of the replicated state to entry hosts. */
   onStateChange(): void {
     this.#beginRollout();
@@ -823,6 +840,14 @@
     this.#registry.restore({ ...known, servers }, performance.now());
   }
 
+  /** Earlier leaders have acknowledged these, whoever else was told of them. */
+  #restoreEnds(): void {
+    const now = performance.now();
+    for (const server of this.#options.state().endedServers) {
+      this.#registry.markEnded(server, now);
+    }
+  }
+
   #logServer(relayed: gateway.ServerUpdate): void {
     if (relayed.kind === "ended") {
       write("server-ended", { server: relayed.id, born: relayed.born });
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -373,6 +373,8 @@
     kind: v.literal("release-quarantine"),
     fingerprint: Fingerprint,
   }),
+  // A start of a server, and all earlier ones, have ended.
+  v.object({ kind: v.literal("end-server"), id: Name, born: Count }),
   // Changes nothing: once it is committed, a read of the state is linearizable.
   v.object({ kind: v.literal("barrier") }),
 ]);
