Reject a report that was held up until after the next one

Found by reading, on the paths of the late evacuation order: an entry host gives up a report after 400 ms and sends the next one on another connection. The leader took the earlier one for news if it was held up in between: its counters took back usage, and its demand replaced the later one's, until the report after it.

--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -145,6 +145,8 @@
   readonly #quarantines: quarantineManager.QuarantineManager;
   /** Models that each host has requests for, as of its last report. */
   readonly #interests = new Map<string, core.gateway.HostInterest>();
+  /** Number of the last report of each host. */
+  readonly #reportSequences = new Map<string, number>();
   readonly #executor: orderExecutor.OrderExecutor;
   readonly #scheduler: loadScheduler.LoadScheduler;
   readonly #startedAt = performance.now();
@@ -323,11 +325,16 @@
     });
   }
 
-  /** Records the report of a host; answers with what it needs of the others. */
+  /**
+   * Records the report of a host; answers with what it needs of the others.
+   *
+   * @throws {protocol.errors.StepError} a later report of the host came before
+   */
   async report(
     report: gateway.ReportRequest,
   ): Promise<gateway.ReportResponse> {
     const now = performance.now();
+    this.#requireInOrder(report);
     const { revision } = this.#registry;
     this.#registry.mergeRecords(
       report.servers.filter((server) =>
@@ -373,6 +380,22 @@
     };
   }
 
+  /** The host has given up a report that was held up, and sent a later one. */
+  #requireInOrder({ host, sequence }: gateway.ReportRequest): void {
+    if (sequence === undefined) return;
+    const last = this.#reportSequences.get(host) ?? -1;
+    if (sequence > last) {
+      this.#reportSequences.set(host, sequence);
+      return;
+    }
+    write("report-late", { host, sequence, last });
+    throw new errors.StepError(
+      "report",
+      host,
+      `report ${sequence} came after report ${last}`,
+    );
+  }
+
   /**
    * Tells where a stream began: as its host has reported, or by inference while
    * no other leader can know of more versions.
@@ -505,6 +528,7 @@
     const now = performance.now();
     for (const host of this.#demandTracker.expire(now)) {
       this.#interests.delete(host);
+      this.#reportSequences.delete(host);
       this.#rollout.removeHost(host);
     }
     this.#logHostsBehind(now);
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -41,7 +41,7 @@
 /** The part of a report that describes this host. */
 export type LocalReport = Omit<
   gateway.ReportRequest,
-  "host" | "answered" | "servers" | "missing"
+  "host" | "sequence" | "answered" | "servers" | "missing"
 >;
 
 /** Dependencies and callbacks of a `LeaderSync`. */
@@ -86,6 +86,8 @@
   /** Term and usage revision of the last response to a report. */
   #acknowledged = { term: 0, usageRevision: 0 };
   #reportIntervalMs = MIN_REPORT_INTERVAL_MS;
+  /** Number of reports. */
+  #sequence = 0;
   /** Monotonic time of the last report, in milliseconds. */
   #reportedAt = -Infinity;
   /** Waits for the next report that is sent and answered. */
@@ -260,12 +262,14 @@
     const servers = this.#areServersWanted ? view.unreportedRecords(now) : [];
     this.#areServersWanted = false;
     const requestedAt = clocks.readClocks();
+    this.#sequence += 1;
     try {
       const answered = this.#acknowledged;
       const isNewLeader = answered.term > 0 &&
         view.term !== this.#reportedTerm;
       const params = {
         host,
+        sequence: this.#sequence,
         ...report,
         answered,
         servers,
--- a/packages/daemon/test/gateway/fleet_coordinator_test.ts
+++ b/packages/daemon/test/gateway/fleet_coordinator_test.ts
@@ -346,6 +346,22 @@
     expect(engine?.slots).to.equal(8);
   });
 
+  // An earlier report took back usage and demand that a later one had told.
+  it("rejects a report that was held up until after the next one", async () => {
+    const report = (sequence: number, tokens: number) =>
+      coordinator.report(
+        fixtures.report("h1", {
+          sequence,
+          usage: [{ workspace: "shop", tokens, acknowledged: 0 }],
+        }),
+      );
+    await report(2, 150);
+    const late = await report(1, 100).then(() => "recorded", () => "rejected");
+    expect(late).to.equal("rejected");
+    const { usage } = await coordinator.report(fixtures.report("h2"));
+    expect(usage).to.deep.equal([{ workspace: "shop", tokens: 150 }]);
+  });
+
   it("answers a report in a size that doesn't grow with hosts and servers", async () => {
     const answer = async () =>
       JSON.stringify(
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -277,6 +277,8 @@
 export const ReportRequest = v.object({
   /** Name of the host and a random id of its process. */
   host: Name,
+  /** Increases with each report; hosts of earlier builds send none. */
+  sequence: v.optional(Count),
   demand: v.pipe(v.array(ModelDemand), v.maxLength(MAX_RECORDS)),
   /** Counters that have changed since the last answer. */
   usage: v.pipe(v.array(ReportedUsage), v.maxLength(MAX_RECORDS)),
