Limit the memory of all request bodies together

Cause: each body has a limit, all of them together had none.

Change: they share 64 MiB; a request whose body doesn't fit is refused at once, not run, 503 with Retry-After. Bytes count when they arrive.

--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -11,6 +11,7 @@
 import * as log from "../../log/mod.ts";
 import * as resources from "../../resources/mod.ts";
 import type * as metrics from "../metrics.ts";
+import * as bodyBudget from "./body_budget.ts";
 import * as clocks from "./clocks.ts";
 import * as connectionProbe from "./connection_probe.ts";
 import * as crashSuspects from "./crash_suspects.ts";
@@ -41,6 +42,11 @@
 const RETURN_MARGIN_MS = 500;
 /** Most workspaces that one log line names. */
 const MAX_LOGGED_WORKSPACES = 10;
+/**
+ * Limit of all request bodies that are held at the same time, in bytes. Beside
+ * the buffered responses it leaves a host of 250 MB the memory for the rest.
+ */
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
 /** After a stall, callers that have left have closed their connections before. */
 const ALREADY_CLOSED_MS = 0;
 /** Monotonic time at which the process started, in milliseconds. */
@@ -176,6 +182,7 @@
       view: this.view,
       rateLimiter: this.#rateLimiter,
       drain: this.drain,
+      bodyBudget: new bodyBudget.BodyBudget(MAX_BODY_BYTES),
       dispatcher: new dispatcher.Dispatcher({
         dialect,
         selector: this.#serverSelector,
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -10,6 +10,7 @@
 import * as core from "@ebonypath/core";
 import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
+import type * as bodyBudget from "./body_budget.ts";
 import * as clocks from "./clocks.ts";
 import type * as dispatcher from "./dispatcher.ts";
 import type * as fleetView from "./fleet_view.ts";
@@ -71,6 +72,8 @@
 const UNCONFIRMED = "the configuration is not known to be in force";
 /** Retry delay in a refusal of a host that stops, in seconds. */
 const STOPPING_RETRY_SECONDS = 0.1;
+/** Retry delay in a refusal for which the host lacks memory, in seconds. */
+const NO_MEMORY_RETRY_SECONDS = 1;
 /** Limit of a body while no configuration is known, in bytes. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -93,6 +96,7 @@
   readonly streamResolver: streamResolver.StreamResolver;
   readonly rateLimiter: core.gateway.SharedRateLimiter;
   readonly drain: Pick<hostDrain.HostDrain, "onEnd">;
+  readonly bodyBudget: bodyBudget.BodyBudget;
   /**
    * Age of a configuration from which on no request is admitted or refused by it
    * unconfirmed, in milliseconds: a newer one may be in force.
@@ -162,6 +166,7 @@
     response.sendDate = false;
     const arrivedAt = performance.now();
     const metadata = this.#options.dialect.readRequest(request);
+    using reservation = this.#options.bodyBudget.open();
     const withdraw = this.#options.drain.onEnd(() =>
       this.#refuse(response, metadata, stopping())
     );
@@ -171,6 +176,7 @@
         response,
         metadata,
         arrivedAt,
+        reservation,
       );
       withdraw();
       if (!isAnswered(response)) await dispatch?.();
@@ -189,8 +195,10 @@
     response: http.ServerResponse,
     metadata: types.RequestMetadata,
     arrivedAt: number,
+    reservation: bodyBudget.BodyReservation,
   ): Promise<(() => Promise<void>) | undefined> {
-    const body = await readBody(request, this.#maxBodyBytes());
+    const limit = this.#maxBodyBytes();
+    const body = await readBody(request, limit, reservation);
     // The caller disconnected before the request was complete.
     if (body === "broken" || isAnswered(response)) return undefined;
     if (!await this.#options.isCallerPresent(request)) {
@@ -206,6 +214,14 @@
       );
       return undefined;
     }
+    if (body === "no-memory") {
+      const detail = "the host holds too many request bodies";
+      const refusal = new errors.Refusal(errors.NO_CAPACITY, detail, {
+        retryAfterSeconds: NO_MEMORY_RETRY_SECONDS,
+      });
+      this.#refuse(response, metadata, refusal);
+      return undefined;
+    }
     await this.#waitForConfiguration(metadata, response);
     if (isAnswered(response)) return undefined;
     await this.#refreshLimitedUsage(metadata);
@@ -612,15 +628,25 @@
 function readBody(
   request: http.IncomingMessage,
   limit: number,
-): Promise<Buffer | undefined | "too-large" | "broken"> {
+  reservation: bodyBudget.BodyReservation,
+): Promise<Buffer | undefined | "too-large" | "no-memory" | "broken"> {
   const hasBody = request.headers["content-length"] !== undefined ||
     request.headers["transfer-encoding"] !== undefined;
-  const parts: Buffer[] = [];
+  let parts: Buffer[] = [];
   let bytes = 0;
+  let isRefused = false;
   return new Promise((resolve) => {
+    const refuse = (reason: "too-large" | "no-memory") => {
+      isRefused = true;
+      parts = [];
+      reservation[Symbol.dispose]();
+      resolve(reason);
+    };
     request.on("data", (part: Buffer) => {
       bytes += part.length;
-      if (bytes > limit) resolve("too-large");
+      if (isRefused) return;
+      if (bytes > limit) refuse("too-large");
+      else if (!reservation.tryAdd(part.length)) refuse("no-memory");
       else parts.push(part);
     });
     request.on(
--- a/packages/daemon/test/gateway/request_handling.ts
+++ b/packages/daemon/test/gateway/request_handling.ts
@@ -9,6 +9,7 @@
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import { wait } from "@ebonypath/testing";
+import * as bodyBudget from "../../src/gateway/entry/body_budget.ts";
 import { readClocks } from "../../src/gateway/entry/clocks.ts";
 import type * as dispatcher from "../../src/gateway/entry/dispatcher.ts";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
@@ -47,12 +48,16 @@
 /** Age from which on a configuration has to be confirmed, in milliseconds. */
 export const MAX_AGE_MS = 500;
 
+/** Memory for the bodies of all requests, in bytes. */
+export const MAX_BODY_BYTES = 3_000;
+
 /** A request handler without a configuration, behind an HTTP server. */
 export class Fixture implements AsyncDisposable {
   readonly view = new fleetView.FleetView();
   readonly drain = new hostDrain.HostDrain();
   readonly dispatched: types.RequestContext[] = [];
   readonly handler: requestHandler.RequestHandler;
+  readonly bodyBudget = new bodyBudget.BodyBudget(MAX_BODY_BYTES);
   readonly rateLimiter = new core.gateway.SharedRateLimiter();
   arrivals = 0;
   /** Age of the other hosts' usage, in milliseconds. */
@@ -102,6 +107,7 @@
       } as unknown as streamResolver.StreamResolver,
       rateLimiter: this.rateLimiter,
       drain: this.drain,
+      bodyBudget: this.bodyBudget,
       maxConfigurationAgeMs: MAX_AGE_MS,
       confirmConfiguration: () => {
         this.confirmations += 1;
@@ -138,6 +144,24 @@
     return request;
   }
 
+  /** Sends requests with bodies at the same time; returns their statuses. */
+  async postAll(count: number, bytes: number): Promise<number[]> {
+    this.#server.listen(0, "127.0.0.1");
+    await once(this.#server, "listening");
+    const { port } = this.#server.address() as net.AddressInfo;
+    return await Promise.all(Array.from({ length: count }, async () => {
+      const request = http.request({
+        port,
+        method: "POST",
+        headers: { host: "h", "content-length": bytes },
+        agent: false,
+      });
+      const status = statusOf(request);
+      request.end("x".repeat(bytes));
+      return await status;
+    }));
+  }
+
   async #startRequest(): Promise<http.ClientRequest> {
     this.#server.listen(0, "127.0.0.1");
     await once(this.#server, "listening");
