Commit no end of a server that doesn't tell its birth

Found while the change was read again: such a server has the same birth in each of its starts, so that each new leader would have ended the one that runs by the end of an earlier one.

--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -58,6 +58,8 @@
  * more than clocks differ. A later birth at an address ends the earlier server.
  */
 const MAX_BIRTH_AHEAD_MS = 3_600_000;
+/** Birth of servers that don't tell theirs. */
+const UNTOLD_BIRTH = 0;
 /** Most hosts that one log line names. */
 const MAX_LOGGED_HOSTS = 10;
 /**
@@ -281,7 +283,9 @@
   ): Promise<void> {
     const { commit, state } = this.#options;
     const known = born === undefined ? this.startOf({ id }).born : born;
-    if (known === null || state().hasEnded({ id, born: known })) return;
+    // Its end would be that of all its later starts.
+    if (known === null || known === UNTOLD_BIRTH) return;
+    if (state().hasEnded({ id, born: known })) return;
     await commit({ kind: "end-server", id, born: known });
   }
 
--- a/packages/daemon/test/gateway/ended_servers_test.ts
+++ b/packages/daemon/test/gateway/ended_servers_test.ts
@@ -107,6 +107,13 @@
     expect(ends).to.have.length(1);
   });
 
+  it("is not committed for a server whose starts can't be told apart", async () => {
+    using leader = createLeader(1, COPY);
+    await leader.handleUpdate({ ...END, born: 0 });
+    expect(commands.filter(({ kind }) => kind === "end-server"))
+      .to.deep.equal([]);
+  });
+
   it("is not acknowledged if it is not committed", async () => {
     using leader = createLeader(1, COPY);
     commit = () => Promise.reject(new Error("no quorum"));
