Tell why a stream's version or a late reader's answer is not the expected one

The leader now logs why it doesn't know where a stream began (stream-unknown: not reported, reports that differ, or no lease), and shutdown_test shows the beginning of an answer that isn't the stream. No behaviour and no check is changed.

--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -412,10 +412,21 @@
     const reported = id === null
       ? undefined
       : this.#options.streamOrigins.find(id, now);
-    if (reported !== undefined) return { origin: reported };
-    const origin = this.#isLeaseCertain()
+    if (reported !== undefined) {
+      if (reported.softwareVersion === null) {
+        write("stream-unknown", { id, reason: "reports-differ" });
+      }
+      return { origin: reported };
+    }
+    const hasLease = this.#isLeaseCertain();
+    const origin = hasLease
       ? core.gateway.inferOrigin(services, this.#options.state())
       : null;
+    if (origin === null) {
+      const reason = hasLease ? "not-reported" : "no-lease";
+      const { size } = this.#options.streamOrigins;
+      write("stream-unknown", { id, reason, streams: size });
+    }
     return { origin };
   }
 
--- a/packages/daemon/test/integration/shutdown_test.ts
+++ b/packages/daemon/test/integration/shutdown_test.ts
@@ -13,6 +13,8 @@
 const DRAIN_DELAY_MS = 500;
 /** An answer that no socket buffers for a reader that does not read. */
 const LARGE_BYTES = 12 * MIB;
+/** Characters of an answer that are shown if it is not the expected one. */
+const SHOWN_CHARACTERS = 1_000;
 /** Tokens of a stream that no socket buffers. */
 const STREAMED_TOKENS = 40_000;
 
@@ -114,7 +116,7 @@
       host.process.signal("SIGTERM");
       await waitUntilRefusing(host.callers);
       const text = await slow.read();
-      expect(text.slice(-40)).to.match(end);
+      expect(text.slice(-40), text.slice(0, SHOWN_CHARACTERS)).to.match(end);
       await expectCleanExit(3);
     });
   }
