Hand on a body that arrives with its head before its end

What callers saw: on a stream that arrived whole, in one chunk with its head, came empty and framed as complete.

Cause: BodyReader handed on what a read has in the next tick. A message that has ended by the time it is read schedules its end before it emits its last chunk.

Change: what is pending is handed on at the end of the message at the latest.

--- a/packages/daemon/src/gateway/entry/body_reader.ts
+++ b/packages/daemon/src/gateway/entry/body_reader.ts
@@ -55,6 +55,8 @@
       }
       this.#append(chunk);
     });
+    // A body that arrived with its head ends in the tick before it is handled.
+    this.#message.on("end", () => this.#handleRead(onRead));
   }
 
   /**
@@ -98,6 +100,7 @@
   #handleRead(onRead: (bytes: Buffer) => void): void {
     const bytes = this.#bytes.subarray(0, this.#length);
     const chunks = this.#chunks;
+    if (chunks === 0) return;
     this.#bytes = EMPTY;
     this.#length = 0;
     this.#chunks = 0;
--- a/packages/daemon/test/gateway/dispatcher_test.ts
+++ b/packages/daemon/test/gateway/dispatcher_test.ts
@@ -7,6 +7,7 @@
 import * as hostDrain from "../../src/gateway/entry/host_drain.ts";
 import {
   BUSY_RESPONSE,
+  chunk,
   completeStream,
   createContext,
   createDispatcher,
@@ -22,6 +23,7 @@
   serverRecord,
   type ServerScript,
   stream,
+  STREAM_HEAD,
   UNSIGNED_RESPONSE,
   UNSIGNED_STREAM,
 } from "./dispatching.ts";
@@ -204,6 +206,20 @@
     expect(observed.isComplete).to.equal(true);
   });
 
+  // The end of a body that came with its head was handled before the body.
+  it("forwards a response that arrives in one piece whole", async () => {
+    const cases: [gateway.RouteKind, string, string][] = [
+      ["unsafe", OK_RESPONSE, "ok"],
+      ["streaming", `${STREAM_HEAD}${chunk(event(1))}0\r\n\r\n`, event(1)],
+      ["streaming", completeStream([1, 2, 3]), [1, 2, 3].map(event).join("")],
+    ];
+    for (const [kind, response, text] of cases) {
+      const observed = await serve(kind, false, [respond(response)]);
+      expect(observed.isComplete).to.equal(true);
+      expect(observed.text).to.equal(text);
+    }
+  });
+
   it("does not present a broken stream as complete", async () => {
     for (const isResumable of [false, true]) {
       const scripts = [stream(3, true), stream(5, true)];
