--- a/packages/core/src/gateway/limited_workspaces.ts
+++ b/packages/core/src/gateway/limited_workspaces.ts
@@ -9,8 +9,8 @@
 /**
  * Workspaces whose usage over all hosts is near their rate. Entry hosts ask the
  * leader before they admit a request of these and tell it at once afterwards;
- * they admit those of the others by what they know. The two thresholds keep a workspace from changing between
- * the two with each request.
+ * they admit those of the others by what they know. The two thresholds keep a
+ * workspace from changing between the two with each request.
  *
  * @example
  * ```ts
