--- a/packages/core/src/gateway/server_availability.ts
+++ b/packages/core/src/gateway/server_availability.ts
@@ -132,13 +132,7 @@
       failures: 0,
       probeAt: -Infinity,
     };
-    this.#entries.delete(id);
-    this.#entries.set(id, entry);
-    suspicion.dropOldest(
-      this.#entries,
-      MAX_SERVERS,
-      (oldest) => this.#entries.delete(oldest),
-    );
+    suspicion.setNewest(this.#entries, id, entry, MAX_SERVERS);
     return entry;
   }
 }
--- a/packages/core/src/gateway/shared_rate_limiter.ts
+++ b/packages/core/src/gateway/shared_rate_limiter.ts
@@ -316,13 +316,7 @@
   }
 
   #addShortage(workspace: string, shortage: Shortage): void {
-    this.#shortages.delete(workspace);
-    this.#shortages.set(workspace, shortage);
-    suspicion.dropOldest(
-      this.#shortages,
-      MAX_SHORTAGES,
-      (oldest) => this.#shortages.delete(oldest),
-    );
+    suspicion.setNewest(this.#shortages, workspace, shortage, MAX_SHORTAGES);
   }
 
   /** Tokens used here that no leader has been told of. */
--- a/packages/core/src/gateway/state.ts
+++ b/packages/core/src/gateway/state.ts
@@ -255,13 +255,7 @@
   #endServer(server: gateway.ServerStart): void {
     if (this.hasEnded(server)) return;
     const { born, id } = server;
-    this.#endedServers.delete(id);
-    this.#endedServers.set(id, born);
-    suspicion.dropOldest(
-      this.#endedServers,
-      MAX_ENDED_SERVERS,
-      (oldest) => this.#endedServers.delete(oldest),
-    );
+    suspicion.setNewest(this.#endedServers, id, born, MAX_ENDED_SERVERS);
   }
 
   #quarantine(
--- a/packages/core/src/gateway/usage_tracker.ts
+++ b/packages/core/src/gateway/usage_tracker.ts
@@ -98,13 +98,7 @@
    */
   #countersOf(host: string): Map<string, HostCounter> {
     const counters = this.#hosts.get(host) ?? new Map<string, HostCounter>();
-    this.#hosts.delete(host);
-    this.#hosts.set(host, counters);
-    suspicion.dropOldest(
-      this.#hosts,
-      MAX_HOSTS,
-      (oldest) => this.#hosts.delete(oldest),
-    );
+    suspicion.setNewest(this.#hosts, host, counters, MAX_HOSTS);
     return counters;
   }
 }
--- a/packages/core/src/suspicion/bounds.ts
+++ b/packages/core/src/suspicion/bounds.ts
@@ -47,6 +47,26 @@
 /** Maximum number of crashes on record. */
 export const MAX_CRASHES = 256;
 
+/**
+ * Sets an entry as the most recent one of a map in the order of last changes,
+ * and drops the least recent ones until at most `maxSize` are left.
+ *
+ * @example
+ * ```ts
+ * setNewest(usageByHost, "entry-1", usage, 4_096);
+ * ```
+ */
+export function setNewest<Value>(
+  map: Map<string, Value>,
+  key: string,
+  value: Value,
+  maxSize: number,
+): void {
+  map.delete(key);
+  map.set(key, value);
+  dropOldest(map, maxSize, (oldest) => map.delete(oldest));
+}
+
 /** Drops entries in insertion order until at most `maxSize` are left. */
 export function dropOldest(
   map: ReadonlyMap<string, unknown>,
