State the schemas of reversible changes once

The commands that withdraw or restore a failure domain and release a quarantine were written again for ReversibleChange. Command takes them from there now; it accepts what it did before.

--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -351,6 +351,20 @@
 });
 export type ReportResponse = v.InferOutput<typeof ReportResponse>;
 
+/**
+ * A change by an operator that a later change can undo. A copy that arrives after
+ * that one has to be recognized: the operator may have given it up long before.
+ */
+export const ReversibleChange = v.variant("kind", [
+  v.object({ kind: v.literal("withdraw-domain"), domain: Name }),
+  v.object({ kind: v.literal("restore-domain"), domain: Name }),
+  v.object({
+    kind: v.literal("release-quarantine"),
+    fingerprint: Fingerprint,
+  }),
+]);
+export type ReversibleChange = v.InferOutput<typeof ReversibleChange>;
+
 /** A command for the replicated state machine. */
 export const Command = v.variant("kind", [
   v.object({
@@ -359,8 +373,7 @@
     /** The document as the operator sent it, returned when it is read. */
     source: v.string(),
   }),
-  v.object({ kind: v.literal("withdraw-domain"), domain: Name }),
-  v.object({ kind: v.literal("restore-domain"), domain: Name }),
+  ...ReversibleChange.options,
   // Makes a control host the only one that may send orders to servers.
   v.object({ kind: v.literal("hold-orders"), host: Name }),
   // Servers of a service run this version of their software from now on.
@@ -376,10 +389,6 @@
     softwareVersion: v.string(),
   }),
   v.object({ kind: v.literal("quarantine"), ...state.Quarantine.entries }),
-  v.object({
-    kind: v.literal("release-quarantine"),
-    fingerprint: Fingerprint,
-  }),
   // A start of a server, and all earlier ones, have ended.
   v.object({ kind: v.literal("end-server"), id: Name, born: Count }),
   // Changes nothing: once it is committed, a read of the state is linearizable.
@@ -387,20 +396,6 @@
 ]);
 export type Command = v.InferOutput<typeof Command>;
 
-/**
- * A change by an operator that a later change can undo. A copy that arrives after
- * that one has to be recognized: the operator may have given it up long before.
- */
-export const ReversibleChange = v.variant("kind", [
-  v.object({ kind: v.literal("withdraw-domain"), domain: Name }),
-  v.object({ kind: v.literal("restore-domain"), domain: Name }),
-  v.object({
-    kind: v.literal("release-quarantine"),
-    fingerprint: Fingerprint,
-  }),
-]);
-export type ReversibleChange = v.InferOutput<typeof ReversibleChange>;
-
 /** A change that is made only to the state that it was meant for. */
 export const ChangeRequest = v.object({
   change: ReversibleChange,
