End requests of a stopping host not before their time

Cause: a timer drops the fraction of its delay, beside the fraction that the event loop's clock drops. The test and its bounds are unchanged.

--- a/packages/daemon/src/gateway/entry/host_drain.ts
+++ b/packages/daemon/src/gateway/entry/host_drain.ts
@@ -19,10 +19,9 @@
    */
   begin(endsAt: number): void {
     this.#state = { endsAt, isListening: true };
-    this.#timer = setTimeout(
-      () => this.#end(),
-      Math.max(0, endsAt - performance.now()),
-    );
+    // A timer drops the fraction of its delay.
+    const delayMs = Math.ceil(Math.max(0, endsAt - performance.now()));
+    this.#timer = setTimeout(() => this.#end(), delayMs);
   }
 
   /** Records that callers can no longer connect. */
