Log what requests that broke off have in common

The lines of a broken attempt told the digest of the request, its workspace and its server. To tell apart whether requests under which servers crash share a part of their prompts, a model or a route, or nothing, they now have these, and how long the request ran. A response whose end is marked by that of its connection alone gets a line of its own: it may be whole, or its server may have ended.

No change of what hosts do.

--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -350,7 +350,8 @@
       }
       this.#options.metrics.attempts.inc({ result: result.kind });
       if (result.kind === "unknown") {
-        logBrokenAttempt(context, server, result);
+        const ranMs = performance.now() - startedAt;
+        logBrokenAttempt(context, server, result.reason, ranMs);
         if (!context.signal.aborted) {
           await this.#options.suspects.recordFailure(
             context,
@@ -489,6 +490,9 @@
     const { context } = exchange;
     try {
       const response = await this.#bufferResponse(server, result);
+      if (!upstream.isSelfDelimited(result.message)) {
+        logUnframedResponse(context, server);
+      }
       const isFailure = response.status >= MIN_SERVER_ERROR_STATUS;
       if (isFailure) context.failedServers.add(server.id);
       else this.#options.tracker.recordSuccess(server.id);
@@ -607,6 +611,9 @@
     this.#recordStream(context, server, progress);
     try {
       await progress.relay.relay(server.id, result.message, result.completed);
+      if (!upstream.isSelfDelimited(result.message)) {
+        logUnframedResponse(context, server);
+      }
       this.#options.tracker.recordSuccess(server.id);
       progress.hasServerResponse = true;
       response.end();
@@ -767,21 +774,39 @@
 
 /** Logs an attempt that may have run, and which request it was. */
 function logBrokenAttempt(
-  { identity, metadata, signal, workspace }: types.RequestContext,
+  context: types.RequestContext,
   { born, id }: gateway.ServerRecord,
-  { reason }: Extract<AttemptResult, { kind: "unknown" }>,
+  reason: string,
+  ranMs: number,
 ): void {
+  const { identity, metadata, signal, workspace } = context;
   write("broken-attempt", {
     id: metadata.id,
     fingerprint: identity.fingerprint,
     workspace: workspace?.name,
+    route: context.route.name,
+    model: metadata.model,
+    adapter: metadata.adapter,
+    parts: metadata.promptParts.join(",") || undefined,
     server: id,
     born,
+    ran_ms: roundMs(ranMs),
     cancelled: signal.aborted,
     reason,
   });
 }
 
+/**
+ * Logs a response whose end was marked by that of its connection alone: it may
+ * be whole, or its server may have ended.
+ */
+function logUnframedResponse(
+  { metadata }: types.RequestContext,
+  { born, id }: gateway.ServerRecord,
+): void {
+  write("unframed-response", { id: metadata.id, server: id, born });
+}
+
 function roundMs(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.round(ms);
 }
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -22,6 +22,8 @@
   readonly tokens: number | undefined;
   /** Identifies the part of the prompt that is shared with other requests. */
   readonly prefixKey: string | undefined;
+  /** Ids of the parts of the prompt that other requests may share, in order. */
+  readonly promptParts: readonly string[];
   /** Last event that the caller received of an interrupted stream. */
   readonly lastEventId: string | undefined;
   /** Id of the request that brought the first event of that stream. */
--- a/packages/daemon/test/gateway/request_metadata.ts
+++ b/packages/daemon/test/gateway/request_metadata.ts
@@ -11,6 +11,7 @@
   adapter: undefined,
   tokens: undefined,
   prefixKey: undefined,
+  promptParts: [],
   lastEventId: undefined,
   resumedRequestId: undefined,
 };
