Quarantine what crashing requests share, not only the request itself

Hosts and the leader counted crashes by the digest of a whole request, so that each of these had one crash and was forgotten.

Each attribute of a request is a suspect now, in one mechanism: the request, the shared parts of its prompt, its adapter and model, and the model with all parts. Evidence against an attribute are the crashes since the last whole answer that began after them, counted once where servers end together. Hosts remember their last sound run of each attribute and report it when the leader asks, so that what is common is cleared before anything is held back; the rest runs one at a time, requests with a single suspect first. An attribute is quarantined after three crashes at different servers, one of them while it was the only suspect, if crashes for other causes would hardly have met its requests so early (1e-5, by Fisher's method), and if nothing explains the crashes better. A crash bears its age when it is reported again, and suspects of an earlier leader count until all hosts have reported to the new one.

--- a/packages/core/src/gateway/state.ts
+++ b/packages/core/src/gateway/state.ts
@@ -110,6 +110,10 @@
     return this.#quarantines.list();
   }
 
+  isQuarantined(fingerprint: string): boolean {
+    return this.#quarantines.get(fingerprint) !== undefined;
+  }
+
   /** Number of changes of the quarantines. */
   get quarantineRevision(): number {
     return this.#quarantineRevision;
@@ -259,9 +263,15 @@
   }
 
   #quarantine(
-    { fingerprint, model, untilMs, workspace }: state.Quarantine,
+    { attribute, fingerprint, model, untilMs, workspace }: state.Quarantine,
   ): boolean {
-    this.#quarantines.add({ fingerprint, workspace, model, untilMs });
+    this.#quarantines.add({
+      fingerprint,
+      workspace,
+      model,
+      untilMs,
+      ...(attribute === undefined ? {} : { attribute }),
+    });
     this.#quarantineRevision += 1;
     return true;
   }
--- a/packages/core/src/suspicion/bounds.ts
+++ b/packages/core/src/suspicion/bounds.ts
@@ -4,18 +4,36 @@
  * @module
  */
 
-/** After how many server crashes a request is isolated and quarantined. */
+/** Which evidence isolates and quarantines an attribute of requests. */
 export type CrashCounts = {
-  /** Crashes after which a request runs only isolated from other suspects. */
+  /** Crashes after which its requests run only isolated from other suspects. */
   readonly isolation: number;
   /** Crashes, one of them while isolated, after which it is quarantined. */
   readonly quarantine: number;
+  /**
+   * The same where all crashes are those of one server: it may end for reasons
+   * of its own.
+   */
+  readonly singleServerQuarantine: number;
+  /**
+   * Time in which hosts may report that requests with a shared attribute ran
+   * without a crash, before they are isolated, in milliseconds.
+   */
+  readonly observationMs: number;
+  /**
+   * Largest probability, of a quarantined attribute, that requests without fault
+   * would have met its crashes by chance.
+   */
+  readonly maxChance: number;
 };
 
 /** The counts where few requests are in flight on a server. */
 export const DEFAULT_CRASH_COUNTS: CrashCounts = {
   isolation: 1,
   quarantine: 2,
+  singleServerQuarantine: 2,
+  observationMs: 0,
+  maxChance: 1,
 };
 
 /**
@@ -25,6 +43,9 @@
 export const SHARED_SERVER_CRASH_COUNTS: CrashCounts = {
   isolation: 2,
   quarantine: 3,
+  singleServerQuarantine: 5,
+  observationMs: 250,
+  maxChance: 1e-5,
 };
 
 /**
@@ -41,8 +62,23 @@
  */
 export const CRASH_REPORT_WINDOW_MS = 1500;
 
-/** Maximum number of suspects; the least recent ones are dropped. */
-export const MAX_SUSPECTS = 1024;
+/**
+ * Time after a crash until which requests may still tell apart the suspects that
+ * explain it equally well, in milliseconds.
+ */
+export const SEPARATION_MS = 3_000;
+
+/**
+ * Times over which the rate of crashes for other causes is measured, in
+ * milliseconds: the higher rate counts, as crashes come in bursts.
+ */
+export const CRASH_RATE_WINDOWS_MS: readonly number[] = [5_000, 20_000];
+
+/**
+ * Maximum number of suspects; the least recent ones are dropped. It holds those
+ * of a dozen crashes of servers with 64 requests in flight.
+ */
+export const MAX_SUSPECTS = 4096;
 
 /** Maximum number of crashes on record. */
 export const MAX_CRASHES = 256;
--- a/packages/core/src/suspicion/mod.ts
+++ b/packages/core/src/suspicion/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./bounds.ts";
+export * from "./evidence.ts";
 export * from "./host_suspects.ts";
 export * from "./pending_failures.ts";
 export * from "./quarantine_list.ts";
--- a/packages/core/test/suspicion/suspicion_test.ts
+++ b/packages/core/test/suspicion/suspicion_test.ts
@@ -179,7 +179,7 @@
     new suspicion.SuspectTracker(counts)
       .exchange("h0", host.takeReports(), 0);
     const nextLeader = new suspicion.SuspectTracker(counts);
-    host.reportCrashesAgain(1);
+    host.beginTerm(1);
     host.update(nextLeader.exchange("h0", host.takeReports(), 1), 1);
     expect(host.permissionFor("x", 1).kind).to.equal("wait");
   });
@@ -190,7 +190,7 @@
     host.takeReports();
     host.recordEnd("x", true);
     host.takeReports();
-    host.reportCrashesAgain(1);
+    host.beginTerm(1);
     expect(host.takeReports()).to.deep.equal([{
       kind: "death",
       server: "s0",
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -202,6 +202,7 @@
     });
     this.#quarantines = new quarantineManager.QuarantineManager({
       state: options.state,
+      serverCount: () => this.#registry.activeServers().length,
       commit: (command) => options.commit(command),
       commitChange: (request) => options.commitChange(request),
       onChange: () => this.#onChange(),
--- a/packages/daemon/src/gateway/control/quarantine_manager.ts
+++ b/packages/daemon/src/gateway/control/quarantine_manager.ts
@@ -18,6 +18,8 @@
 /** Options of a quarantine manager. */
 export interface QuarantineManagerOptions {
   readonly state: () => core.gateway.GatewayState;
+  /** Number of servers that take requests. */
+  serverCount(): number;
   /**
    * Commits a command to the replicated state.
    *
@@ -47,6 +49,11 @@
     this.#options = options;
     this.#driver = new suspicionDriver.SuspicionDriver({
       counts: core.suspicion.SHARED_SERVER_CRASH_COUNTS,
+      fleet: {
+        isQuarantined: (fingerprint) =>
+          options.state().isQuarantined(fingerprint),
+        serverCount: () => options.serverCount(),
+      },
       quarantine: (request) =>
         options.commit({
           kind: "quarantine",
@@ -82,7 +89,7 @@
     for (const report of suspicions) {
       if (report.kind === "death") this.#onCrash(host, report, now);
     }
-    if (this.revision !== revision) this.#options.onChange();
+    if (this.revision !== revision) this.#onRevision();
     return this.revision === 0
       ? {}
       : { watched, suspectRevision: this.revision };
@@ -135,23 +142,41 @@
       server,
       incarnation,
       fingerprints: inFlight.map(({ fingerprint }) => fingerprint).join(","),
+      attributes: describeAttributes(inFlight),
     });
-    this.#reportsUntil = now + core.suspicion.CRASH_REPORT_WINDOW_MS;
+    this.#reportsUntil = now + core.suspicion.SEPARATION_MS;
     this.#checkTimer ??= timers.setInterval(
       () => this.#check(),
       CHECK_INTERVAL_MS,
     );
   }
 
+  #onRevision(): void {
+    write("suspects-changed", { revision: this.revision });
+    this.#options.onChange();
+  }
+
   #check(): void {
+    const { revision } = this;
     const now = performance.now();
     this.#driver.run(now);
-    if (now <= this.#reportsUntil) return;
+    if (this.revision !== revision) this.#onRevision();
+    if (now <= this.#reportsUntil || this.#driver.hasWatchedSuspects) return;
     timers.clearInterval(this.#checkTimer);
     this.#checkTimer = undefined;
   }
 }
 
+/** Names of all that requests may have in common. */
+function describeAttributes(
+  requests: readonly suspicion.InFlightRequest[],
+): string | undefined {
+  const names = requests.flatMap(({ attributes = [] }) =>
+    attributes.map(({ kind, name }) => `${kind}:${name}`)
+  );
+  return names.length === 0 ? undefined : [...new Set(names)].join(" ");
+}
+
 /** The requests in quarantine, with the time until their ends. */
 export function listQuarantines(
   { quarantineRevision, quarantines }: Pick<
--- a/packages/daemon/src/gateway/entry/crash_suspects.ts
+++ b/packages/daemon/src/gateway/entry/crash_suspects.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import * as timers from "node:timers/promises";
 import * as core from "@ebonypath/core";
 import type { gateway, suspicion } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
@@ -14,6 +15,12 @@
 
 const write = log.createLog("suspects");
 
+/**
+ * Time after the end of a connection at which a server that has ended with it
+ * refuses others, in milliseconds.
+ */
+const CONFIRMATION_MS = 300;
+
 /** Whether and where a request may be sent. */
 export type Permission =
   | core.suspicion.DispatchPermission
@@ -37,6 +44,8 @@
   readonly server: gateway.ServerRecord;
   readonly context: types.RequestContext;
   readonly at: number;
+  /** Monotonic time at which the request was sent, in milliseconds. */
+  readonly beganAt: number;
 };
 
 /** Tracks crashes and suspects for one entry host. */
@@ -55,6 +64,8 @@
   /** Revision of the leader's suspects in its last answer to a report. */
   #revision = 0;
   #term = 0;
+  /** Monotonic time of the last report, in milliseconds. */
+  #takenAt = 0;
 
   constructor(options: CrashSuspectsOptions) {
     this.#options = options;
@@ -68,10 +79,13 @@
       return { kind: "clear" };
     }
     const { fingerprint } = context.identity;
-    const remainingMs = view.quarantineMs(fingerprint, now);
+    const attributes = attributesOf(context);
+    const remainingMs = Math.max(
+      ...[fingerprint, ...attributes].map((one) => view.quarantineMs(one, now)),
+    );
     return remainingMs > 0
       ? { kind: "quarantined", remainingMs }
-      : this.#suspects.permissionFor(fingerprint, now);
+      : this.#suspects.permissionFor(fingerprint, now, attributes);
   }
 
   /** Requests the admission of a suspect to one of several servers. */
@@ -83,10 +97,13 @@
     if (servers.length === 0) return;
     this.#waiting.add(context.identity);
     const runMs = Math.max(0, context.deadline - now);
-    const { fingerprint } = context.identity;
-    if (this.#suspects.requestAdmission(fingerprint, servers, runMs)) {
-      this.#options.onNews();
-    }
+    const isNew = this.#suspects.requestAdmission(
+      context.identity.fingerprint,
+      servers,
+      runMs,
+      attributesOf(context),
+    );
+    if (isNew) this.#options.onNews();
   }
 
   /** Returns an admission to a server that can't run the suspect any more. */
@@ -101,39 +118,70 @@
     this.#suspects.recordStart(identity.fingerprint);
   }
 
+  /** Records that a request waits no more, or has ended without success. */
+  recordEnd({ identity }: types.RequestContext): void {
+    const wasWaiting = this.#waiting.delete(identity);
+    const wasRunning = this.#runs.delete(identity);
+    if (!wasWaiting && !wasRunning) return;
+    const { fingerprint } = identity;
+    // The same request may still run under another id.
+    if (this.#isRunning(fingerprint) && !wasRunning) return;
+    this.#suspects.recordEnd(fingerprint, false);
+  }
+
   /**
-   * Records that a request has ended at a server, or waits no more.
+   * Records that a server has answered a request with success.
    *
-   * @param survived whether a server has answered it with success
+   * @param beganAt monotonic time at which it was sent, in milliseconds
    */
-  recordEnd({ identity }: types.RequestContext, survived: boolean): void {
-    const wasWaiting = this.#waiting.delete(identity);
+  recordSuccess({ identity }: types.RequestContext, beganAt: number): void {
+    this.#waiting.delete(identity);
     const wasRunning = this.#runs.delete(identity);
-    if (!this.#suspects.hasSuspects) return;
-    if (!wasWaiting && !wasRunning && !survived) return;
     const { fingerprint } = identity;
-    const isRunning = [...this.#runs].some((run) =>
-      run.fingerprint === fingerprint
-    );
-    // The same request may still run under another id.
-    if (isRunning && !wasRunning) return;
-    this.#suspects.recordEnd(fingerprint, survived);
+    const attributes = identity.attributes.map((one) => one.fingerprint);
+    const run = { attributes, beganAt };
+    if (this.#isRunning(fingerprint) && !wasRunning) return;
+    this.#suspects.recordEnd(fingerprint, true, run);
+    if (this.#suspects.hasNewReports) this.#options.onNews();
+  }
+
+  /**
+   * Records that a response has ended with its connection: it is whole if its
+   * server lives on. Resolves to whether it may be whole.
+   *
+   * @param beganAt monotonic time at which the request was sent, in ms
+   */
+  async confirmEnd(
+    context: types.RequestContext,
+    server: gateway.ServerRecord,
+    beganAt: number,
+  ): Promise<boolean> {
+    if (this.#isLeaving(server)) return true;
+    const failure = { server, context, at: performance.now(), beganAt };
+    const result = await this.#probe(server);
+    if (result === "refused") return false;
+    this.#pendingFailures.add(failure);
+    // Other requests tell the same meanwhile, so that this one is rarely needed.
+    if (this.#suspects.hasSuspects) void this.#confirmSuccess(failure);
+    return true;
   }
 
   /**
    * Finds out whether a server crashed that broke off a request. Resolves before
    * the request may be sent to another one.
    *
+   * @param beganAt monotonic time at which the request was sent, in ms
    * @param isClosed whether the connection was closed, rather than silent
    */
   async recordFailure(
     context: types.RequestContext,
     server: gateway.ServerRecord,
+    beganAt: number,
     isClosed: boolean,
   ): Promise<void> {
     // A server that leaves may end while requests are in progress.
     if (this.#isLeaving(server)) return;
-    const failure = { server, context, at: performance.now() };
+    const failure = { server, context, at: performance.now(), beganAt };
     const result = await this.#probe(server);
     if (result === "refused") return this.#recordCrash(failure, "refused");
     if (!isClosed) return;
@@ -149,16 +197,18 @@
   /** Removes and returns what the next report to the leader says. */
   takeReports(): suspicion.SuspicionReport[] {
     const { term } = this.#options.view;
+    const now = performance.now();
     if (term !== this.#term) {
       this.#term = term;
-      this.#suspects.reportCrashesAgain(performance.now());
+      this.#suspects.beginTerm(now);
     }
-    return this.#suspects.takeReports();
+    this.#takenAt = now;
+    return this.#suspects.takeReports(now);
   }
 
   /** Queues what a report said again that was not answered. */
   requeueReports(reports: readonly suspicion.SuspicionReport[]): void {
-    this.#suspects.requeueReports(reports);
+    this.#suspects.requeueReports(reports, this.#takenAt);
   }
 
   /** Applies the leader's answer to a report. */
@@ -167,12 +217,27 @@
   ): void {
     this.#revision = suspectRevision;
     this.#suspects.update(watched, performance.now());
+    if (this.#suspects.hasNewReports) this.#options.onNews();
   }
 
   get #isOutdated(): boolean {
     return this.#options.view.suspectRevision !== this.#revision;
   }
 
+  #isRunning(fingerprint: string): boolean {
+    return [...this.#runs].some((run) => run.fingerprint === fingerprint);
+  }
+
+  /** Records a success if the server still listens some time later. */
+  async #confirmSuccess(
+    { beganAt, context, server }: Failure,
+  ): Promise<void> {
+    await timers.setTimeout(CONFIRMATION_MS, undefined, { ref: false });
+    if (this.#hasRestarted(server)) return;
+    if (await this.#probe(server) !== "listening") return;
+    this.recordSuccess(context, beganAt);
+  }
+
   #onViewChange(): void {
     this.#recordRestarts();
     if (this.#isOutdated) this.#options.onNews();
@@ -215,9 +280,12 @@
     );
   }
 
-  #recordCrash({ at, context, server }: Failure, evidence: string): void {
+  #recordCrash(
+    { at, beganAt, context, server }: Failure,
+    evidence: string,
+  ): void {
     const { metadata, service, workspace } = context;
-    const { fingerprint } = context.identity;
+    const { attributes, fingerprint } = context.identity;
     write("server-crashed", {
       id: metadata.id,
       fingerprint,
@@ -229,11 +297,18 @@
       fingerprint,
       workspace: workspace?.name ?? OPEN_ROUTE_WORKSPACE,
       model: metadata.model ?? service.name,
+      attributes: [...attributes],
+      ranMs: Math.max(0, at - beganAt),
     }], at);
     this.#options.onCrash(server);
     this.#options.onNews();
   }
 }
 
+/** Fingerprints of what a request may have in common with others. */
+function attributesOf({ identity }: types.RequestContext): string[] {
+  return identity.attributes.map(({ fingerprint }) => fingerprint);
+}
+
 /** Workspace reported for requests on open routes, which have none. */
 const OPEN_ROUTE_WORKSPACE = "open";
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -73,7 +73,7 @@
   readonly streams: core.gateway.OwnStreams;
   readonly suspects: Pick<
     crashSuspects.CrashSuspects,
-    "recordEnd" | "recordFailure"
+    "recordEnd" | "recordFailure" | "recordSuccess"
   >;
   readonly drain: Pick<hostDrain.HostDrain, "decideStart" | "recordRun">;
   readonly metrics: metrics.GatewayMetrics;
@@ -104,7 +104,7 @@
   | {
     readonly kind: "done";
     readonly outcome: string;
-    /** Whether a server has run it to a good end. */
+    /** Whether a server has certainly run it to a good end. */
     readonly isSuccess: boolean;
   }
   /** The server did not run the request. */
@@ -156,6 +156,8 @@
   stream: core.gateway.OwnStream | undefined;
   /** Whether no server may continue the stream. */
   isVersionGone: boolean;
+  /** Monotonic time of the last attempt, in milliseconds. */
+  sentAt: number;
   /** Ids of the servers that the request was sent to. */
   servers: string[];
   /** Time from arrival to the first attempt, in milliseconds. */
@@ -199,6 +201,7 @@
       relay: undefined,
       stream: undefined,
       isVersionGone: false,
+      sentAt: 0,
       servers: [],
       waitedMs: undefined,
       headMs: undefined,
@@ -208,7 +211,7 @@
     };
     const outcome = await this.#runAttempts(exchange, progress);
     progress.relay?.[Symbol.dispose]();
-    this.#options.suspects.recordEnd(context, false);
+    this.#options.suspects.recordEnd(context);
     if (progress.stream !== undefined && outcome !== "streamed") {
       this.#options.onStreamBroken(progress.stream);
     }
@@ -343,6 +346,7 @@
     const { context } = exchange;
     const endRequest = tracker.startRequest(server.id, context);
     const startedAt = performance.now();
+    progress.sentAt = startedAt;
     try {
       const result = await this.#send(exchange, server, progress);
       if (result.kind !== "not-run" && result !== DISCONNECTED) {
@@ -356,12 +360,14 @@
           await this.#options.suspects.recordFailure(
             context,
             server,
+            startedAt,
             result.isConnectionLost,
           );
         }
       }
       const isSuccess = result.kind === "done" && result.isSuccess;
-      this.#options.suspects.recordEnd(context, isSuccess);
+      if (isSuccess) this.#options.suspects.recordSuccess(context, startedAt);
+      else this.#options.suspects.recordEnd(context);
       return result;
     } finally {
       endRequest();
@@ -490,14 +496,13 @@
     const { context } = exchange;
     try {
       const response = await this.#bufferResponse(server, result);
-      if (!upstream.isSelfDelimited(result.message)) {
-        logUnframedResponse(context, server);
-      }
+      const isFramed = upstream.isSelfDelimited(result.message);
+      if (!isFramed) logUnframedResponse(context, server);
       const isFailure = response.status >= MIN_SERVER_ERROR_STATUS;
       if (isFailure) context.failedServers.add(server.id);
       else this.#options.tracker.recordSuccess(server.id);
       if (isFailure && context.isRetryable) return { kind: "failed", response };
-      return this.#sendResponse(exchange, response, progress);
+      return this.#sendResponse(exchange, response, progress, isFramed);
     } catch (error) {
       result.cancel();
       if (!context.signal.aborted) this.#recordFailure(context, server.id);
@@ -574,6 +579,7 @@
     { response }: Exchange,
     { body, headers, status }: BufferedResponse,
     progress: Progress,
+    isFramed: boolean,
   ): AttemptResult {
     if (progress.relay !== undefined) {
       // The caller has received part of a stream, which nothing can replace.
@@ -586,7 +592,7 @@
     return {
       kind: "done",
       outcome: `answered ${status}`,
-      isSuccess: status < MIN_SERVER_ERROR_STATUS,
+      isSuccess: isFramed && status < MIN_SERVER_ERROR_STATUS,
     };
   }
 
@@ -609,16 +615,15 @@
       );
     }
     this.#recordStream(context, server, progress);
+    const isFramed = upstream.isSelfDelimited(result.message);
     try {
       await progress.relay.relay(server.id, result.message, result.completed);
-      if (!upstream.isSelfDelimited(result.message)) {
-        logUnframedResponse(context, server);
-      }
+      if (!isFramed) logUnframedResponse(context, server);
       this.#options.tracker.recordSuccess(server.id);
       progress.hasServerResponse = true;
       response.end();
       if (progress.stream !== undefined) streams.end(progress.stream);
-      return { kind: "done", outcome: "streamed", isSuccess: true };
+      return { kind: "done", outcome: "streamed", isSuccess: isFramed };
     } catch (error) {
       result.cancel();
       if (!context.signal.aborted) this.#recordFailure(context, server.id);
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -407,6 +407,7 @@
         request,
         body,
         workspace,
+        content: { ...metadata, service: service.name },
       }),
       route,
       service,
--- a/packages/daemon/src/gateway/entry/request_identity.ts
+++ b/packages/daemon/src/gateway/entry/request_identity.ts
@@ -5,8 +5,9 @@
  */
 import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
-import type { gateway } from "@ebonypath/protocol";
+import type { gateway, suspicion } from "@ebonypath/protocol";
 import * as security from "../../security/mod.ts";
+import * as requestAttributes from "./request_attributes.ts";
 
 /** Length of a fingerprint, in hexadecimal digits: 128 bits. */
 const FINGERPRINT_LENGTH = 32;
@@ -17,6 +18,7 @@
   readonly body: Buffer | undefined;
   /** Caller; absent on routes without keys. */
   readonly workspace: gateway.Workspace | undefined;
+  readonly content: requestAttributes.SharedContent;
 };
 
 /**
@@ -24,13 +26,14 @@
  *
  * @example
  * ```ts
- * const identity = new RequestIdentity({ request, body, workspace });
+ * const identity = new RequestIdentity({ request, body, workspace, content });
  * identity.fingerprint; // "9f86d081884c7d65…"
  * ```
  */
 export class RequestIdentity {
   readonly #request: IdentifiedRequest;
   #fingerprint: string | undefined;
+  #attributes: readonly suspicion.Attribute[] | undefined;
 
   constructor(request: IdentifiedRequest) {
     this.#request = request;
@@ -44,6 +47,13 @@
   get fingerprint(): string {
     return this.#fingerprint ??= fingerprintOf(this.#request);
   }
+
+  /** What it may have in common with other requests, from narrow to wide. */
+  get attributes(): readonly suspicion.Attribute[] {
+    return this.#attributes ??= requestAttributes.listAttributes(
+      this.#request.content,
+    );
+  }
 }
 
 function fingerprintOf(
--- a/packages/daemon/src/suspicion/suspicion_driver.ts
+++ b/packages/daemon/src/suspicion/suspicion_driver.ts
@@ -12,6 +12,7 @@
 /** What the search for such requests needs of the leadership. */
 export interface SuspicionDriverOptions {
   readonly counts?: core.suspicion.CrashCounts;
+  readonly fleet?: core.suspicion.FleetState;
   /** Commits a quarantine to the replicated state. */
   quarantine(request: core.suspicion.CrashingRequest): Promise<unknown>;
 }
@@ -24,7 +25,10 @@
 
   constructor(options: SuspicionDriverOptions) {
     this.#options = options;
-    this.#tracker = new core.suspicion.SuspectTracker(options.counts);
+    this.#tracker = new core.suspicion.SuspectTracker(
+      options.counts,
+      options.fleet,
+    );
   }
 
   /** Increases when what hosts have to know of suspects changes. */
@@ -32,6 +36,11 @@
     return this.#tracker.revision;
   }
 
+  /** Whether the isolation of any suspect may begin or end. */
+  get hasWatchedSuspects(): boolean {
+    return this.#tracker.hasWatchedSuspects;
+  }
+
   /** Takes a host's reports and answers with what it must know. */
   exchange(
     host: string,
@@ -56,8 +65,14 @@
   }
 
   async #quarantine(request: core.suspicion.CrashingRequest): Promise<void> {
-    const { fingerprint, model, workspace } = request;
-    write("quarantined", { fingerprint, workspace, model });
+    const { attribute, fingerprint, model, workspace } = request;
+    write("quarantined", {
+      fingerprint,
+      workspace,
+      model,
+      kind: attribute?.kind ?? "request",
+      name: attribute?.name,
+    });
     try {
       await this.#options.quarantine(request);
     } catch (error) {
--- a/packages/daemon/test/gateway/crash_suspects_test.ts
+++ b/packages/daemon/test/gateway/crash_suspects_test.ts
@@ -62,7 +62,7 @@
     const fixture = new Fixture("refused");
     await Promise.all(
       ["a", "b", "c"].map((body) =>
-        fixture.suspects.recordFailure(contextOf(body), SERVER, true)
+        fixture.suspects.recordFailure(contextOf(body), SERVER, 0, true)
       ),
     );
     expect(fixture.probes).to.equal(1);
@@ -74,14 +74,14 @@
     for (const state of ["draining", "ended"] as const) {
       const fixture = new Fixture("refused");
       fixture.tell([{ ...SERVER, state }]);
-      await fixture.suspects.recordFailure(contextOf("a"), SERVER, true);
+      await fixture.suspects.recordFailure(contextOf("a"), SERVER, 0, true);
       expect(fixture.reportedCrashes()).to.deep.equal([]);
     }
   });
 
   it("reports a server that is back under its id before it is probed", async () => {
     const fixture = new Fixture("listening");
-    await fixture.suspects.recordFailure(contextOf("a"), SERVER, true);
+    await fixture.suspects.recordFailure(contextOf("a"), SERVER, 0, true);
     expect(fixture.reportedCrashes()).to.deep.equal([]);
     fixture.tell([{ ...SERVER, born: 2 }]);
     expect(fixture.reportedCrashes()).to.deep.equal(["s1/1"]);
@@ -89,7 +89,7 @@
 
   it("reports a server that another one has replaced at its address", async () => {
     const fixture = new Fixture("silent");
-    await fixture.suspects.recordFailure(contextOf("a"), SERVER, true);
+    await fixture.suspects.recordFailure(contextOf("a"), SERVER, 0, true);
     fixture.tell([
       { ...SERVER, state: "ended" },
       fixtures.serverRecord("s2", { address: SERVER.address, born: 2 }),
@@ -99,17 +99,17 @@
 
   it("does not take a broken connection or a slow server for a crash", async () => {
     const fixture = new Fixture("listening");
-    await fixture.suspects.recordFailure(contextOf("a"), SERVER, true);
+    await fixture.suspects.recordFailure(contextOf("a"), SERVER, 0, true);
     fixture.tell([SERVER]);
     expect(fixture.reportedCrashes()).to.deep.equal([]);
-    await fixture.suspects.recordFailure(contextOf("b"), SERVER, false);
+    await fixture.suspects.recordFailure(contextOf("b"), SERVER, 0, false);
     fixture.tell([{ ...SERVER, born: 2 }]);
     expect(fixture.reportedCrashes()).to.deep.equal(["s1/1"]);
   });
 
   it("tells a new leader of its crashes again", async () => {
     const fixture = new Fixture("refused");
-    await fixture.suspects.recordFailure(contextOf("a"), SERVER, true);
+    await fixture.suspects.recordFailure(contextOf("a"), SERVER, 0, true);
     expect(fixture.reportedCrashes()).to.deep.equal(["s1/1"]);
     expect(fixture.reportedCrashes()).to.deep.equal([]);
     fixture.tell([SERVER], 2);
@@ -139,7 +139,7 @@
     answer([{ ...suspect, kind: "suspect" }]);
     fixture.suspects.requestAdmission(second, ["s1"], performance.now());
     answer([{ ...suspect, kind: "admitted", server: "s1" }]);
-    fixture.suspects.recordEnd(first, false);
+    fixture.suspects.recordEnd(first);
     expect(fixture.suspects.permissionFor(second, performance.now()).kind)
       .to.equal("admitted");
   });
@@ -157,11 +157,11 @@
       }],
     } as unknown as gateway.ReportResponse);
     fixture.suspects.recordStart(first);
-    fixture.suspects.recordEnd(second, false);
+    fixture.suspects.recordEnd(second);
     expect(fixture.suspects.takeReports()).to.deep.equal([]);
-    fixture.suspects.recordEnd(first, true);
-    expect(fixture.suspects.takeReports()).to.deep.equal([
-      { kind: "ended", fingerprint, survived: true },
-    ]);
+    fixture.suspects.recordSuccess(first, 0);
+    const [report, ...others] = fixture.suspects.takeReports();
+    expect(report).to.include({ kind: "ended", fingerprint, survived: true });
+    expect(others).to.deep.equal([]);
   });
 });
--- a/packages/daemon/test/gateway/dispatching.ts
+++ b/packages/daemon/test/gateway/dispatching.ts
@@ -220,7 +220,11 @@
       server: () => undefined,
       isMixed: () => true,
     }),
-    suspects: { recordEnd: () => {}, recordFailure: () => Promise.resolve() },
+    suspects: {
+      recordEnd: () => {},
+      recordFailure: () => Promise.resolve(),
+      recordSuccess: () => {},
+    },
     drain,
     metrics: new GatewayMetrics(),
     onReturnExpected: () => {},
--- a/packages/daemon/test/gateway/quarantine_manager_test.ts
+++ b/packages/daemon/test/gateway/quarantine_manager_test.ts
@@ -44,6 +44,7 @@
     });
     manager = new quarantineManager.QuarantineManager({
       state: () => state,
+      serverCount: () => 8,
       commit,
       commitChange: (request) => committer.commit(request),
       onChange: () => changes += 1,
--- a/packages/daemon/test/gateway/request_identity_test.ts
+++ b/packages/daemon/test/gateway/request_identity_test.ts
@@ -10,6 +10,12 @@
   },
   body: Buffer.from("body"),
   workspace: { name: "t1", keys: [], priority: undefined },
+  content: {
+    service: "desk",
+    model: undefined,
+    adapter: undefined,
+    promptParts: [],
+  },
 };
 
 function fingerprintOf(
--- a/packages/daemon/test/gateway/request_metadata.ts
+++ b/packages/daemon/test/gateway/request_metadata.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import type * as requestAttributes from "../../src/gateway/entry/request_attributes.ts";
 import * as requestIdentity from "../../src/gateway/entry/request_identity.ts";
 import type * as types from "../../src/gateway/entry/types.ts";
 
@@ -17,10 +18,20 @@
 };
 
 /** Creates the identity of a request that differs from others by its body. */
-export function identityOf(body = ""): requestIdentity.RequestIdentity {
+export function identityOf(
+  body = "",
+  content: Partial<requestAttributes.SharedContent> = {},
+): requestIdentity.RequestIdentity {
   return new requestIdentity.RequestIdentity({
     request: { method: "POST", url: "/", headers: { host: "h" } },
     body: Buffer.from(body),
     workspace: undefined,
+    content: {
+      service: "m",
+      model: undefined,
+      adapter: undefined,
+      promptParts: [],
+      ...content,
+    },
   });
 }
--- a/packages/protocol/src/state/view.ts
+++ b/packages/protocol/src/state/view.ts
@@ -1,6 +1,7 @@
 import * as v from "valibot";
 import * as backend from "../backend/mod.ts";
 import * as configuration from "../configuration/mod.ts";
+import * as suspicion from "../suspicion/mod.ts";
 
 const Index = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 
@@ -20,6 +21,8 @@
   workspace: v.string(),
   model: v.string(),
   untilMs: v.number(),
+  /** Absent for a single request, which only its fingerprint identifies. */
+  attribute: v.optional(suspicion.NamedAttribute),
 });
 export type Quarantine = v.InferOutput<typeof Quarantine>;
 
