Tell an answer that ends with its server from a whole one

An answer may have neither a length nor chunks and end with its connection.

Before the end of such an answer is passed on, the host opens a connection to its server. If nobody listens there, the attempt has broken off: a buffered answer becomes a 502, a stream is cut. If somebody does, the answer is passed on, and counts as a run without a crash only when the server still listens 300 ms later. A server that is back under its id or address by then has crashed as before.

The cases of crashing_prompt_part_test with such answers fail without this and pass with it.

--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -61,6 +61,7 @@
 const HEAD_TIMEOUT_TARGETS = 3;
 /** Fraction of the time left that one server may take for the head. */
 const HEAD_TIMEOUT_FRACTION = 0.5;
+const ENDED_WITH_RESPONSE = "the server ended with its response";
 /** Lowest status that reports an error of the server. */
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -73,7 +74,7 @@
   readonly streams: core.gateway.OwnStreams;
   readonly suspects: Pick<
     crashSuspects.CrashSuspects,
-    "recordEnd" | "recordFailure" | "recordSuccess"
+    "confirmEnd" | "recordEnd" | "recordFailure" | "recordSuccess"
   >;
   readonly drain: Pick<hostDrain.HostDrain, "decideStart" | "recordRun">;
   readonly metrics: metrics.GatewayMetrics;
@@ -497,7 +498,10 @@
     try {
       const response = await this.#bufferResponse(server, result);
       const isFramed = upstream.isSelfDelimited(result.message);
-      if (!isFramed) logUnframedResponse(context, server);
+      if (!isFramed && await this.#hasEnded(context, server, progress)) {
+        response.body[Symbol.dispose]();
+        throw new Error(ENDED_WITH_RESPONSE);
+      }
       const isFailure = response.status >= MIN_SERVER_ERROR_STATUS;
       if (isFailure) context.failedServers.add(server.id);
       else this.#options.tracker.recordSuccess(server.id);
@@ -618,7 +622,9 @@
     const isFramed = upstream.isSelfDelimited(result.message);
     try {
       await progress.relay.relay(server.id, result.message, result.completed);
-      if (!isFramed) logUnframedResponse(context, server);
+      if (!isFramed && await this.#hasEnded(context, server, progress)) {
+        throw new Error(ENDED_WITH_RESPONSE);
+      }
       this.#options.tracker.recordSuccess(server.id);
       progress.hasServerResponse = true;
       response.end();
@@ -631,6 +637,18 @@
     }
   }
 
+  /** Whether a server has ended with a response that ended its connection. */
+  async #hasEnded(
+    context: types.RequestContext,
+    server: gateway.ServerRecord,
+    { sentAt }: Progress,
+  ): Promise<boolean> {
+    const { suspects } = this.#options;
+    const mayBeWhole = await suspects.confirmEnd(context, server, sentAt);
+    logUnframedResponse(context, server, mayBeWhole);
+    return !mayBeWhole;
+  }
+
   /** Records from which server a stream that may be resumed is relayed. */
   #recordStream(
     context: types.RequestContext,
@@ -808,8 +826,14 @@
 function logUnframedResponse(
   { metadata }: types.RequestContext,
   { born, id }: gateway.ServerRecord,
+  mayBeWhole: boolean,
 ): void {
-  write("unframed-response", { id: metadata.id, server: id, born });
+  write("unframed-response", {
+    id: metadata.id,
+    server: id,
+    born,
+    whole: mayBeWhole,
+  });
 }
 
 function roundMs(ms: number | undefined): number | undefined {
--- a/packages/daemon/test/gateway/dispatching.ts
+++ b/packages/daemon/test/gateway/dispatching.ts
@@ -221,6 +221,7 @@
       isMixed: () => true,
     }),
     suspects: {
+      confirmEnd: () => Promise.resolve(true),
       recordEnd: () => {},
       recordFailure: () => Promise.resolve(),
       recordSuccess: () => {},
