--- a/packages/daemon/test/gateway/crash_suspects_test.ts
+++ b/packages/daemon/test/gateway/crash_suspects_test.ts
@@ -9,10 +9,13 @@
 
 const SERVER = fixtures.serverRecord("s1");
 
-function contextOf(body: string): types.RequestContext {
+function contextOf(
+  body: string,
+  content?: Parameters<typeof identityOf>[1],
+): types.RequestContext {
   return {
     metadata: EMPTY_METADATA,
-    identity: identityOf(body),
+    identity: identityOf(body, content),
     service: fixtures.engineService([]),
     workspace: undefined,
     deadline: performance.now() + 1_000,
@@ -164,4 +167,63 @@
     expect(report).to.include({ kind: "ended", fingerprint, survived: true });
     expect(others).to.deep.equal([]);
   });
+
+  it("reports what the requests under which a server crashed may share", async () => {
+    const fixture = new Fixture("refused");
+    const content = { service: "m", model: "m", promptParts: ["5c", "91"] };
+    const context = contextOf("a", content);
+    await fixture.suspects.recordFailure(context, SERVER, 0, true);
+    const [report] = fixture.suspects.takeReports();
+    const attributes = report?.kind === "death"
+      ? report.inFlight[0]?.attributes?.map(({ kind, name }) =>
+        `${kind} ${name}`
+      )
+      : undefined;
+    expect(attributes).to.deep.equal([
+      "prompt-part 91",
+      "prompt-part 5c",
+      "model m",
+      "prompt-prefix m 5c,91",
+    ]);
+  });
+
+  it("refuses a request of which a part is in quarantine", () => {
+    const fixture = new Fixture("refused");
+    const content = { promptParts: ["5c", "91"] };
+    const [part] = contextOf("a", content).identity.attributes;
+    const requests = [{ fingerprint: part!.fingerprint, remainingMs: 9_000 }];
+    fixture.view.apply(
+      fixtures.watchResponse({
+        revision: 9,
+        quarantines: { revision: 1, requests },
+      }),
+      performance.now(),
+    );
+    const kindFor = (promptParts: string[]) =>
+      fixture.suspects.permissionFor(
+        contextOf("b", { promptParts }),
+        performance.now(),
+      ).kind;
+    expect(kindFor(["aa", "91"])).to.equal("quarantined");
+    expect(kindFor(["5c", "92"])).to.equal("clear");
+  });
+
+  it("takes an answer for broken that ends with its server", async () => {
+    const refused = new Fixture("refused").suspects;
+    expect(await refused.confirmEnd(contextOf("a"), SERVER, 0))
+      .to.equal(false);
+    for (const result of ["listening", "silent"] as const) {
+      const { suspects } = new Fixture(result);
+      expect(await suspects.confirmEnd(contextOf("a"), SERVER, 0))
+        .to.equal(true);
+    }
+  });
+
+  it("counts a crash under an answer that had seemed to be whole", async () => {
+    const fixture = new Fixture("listening");
+    await fixture.suspects.confirmEnd(contextOf("a"), SERVER, 0);
+    expect(fixture.reportedCrashes()).to.deep.equal([]);
+    fixture.tell([{ ...SERVER, born: 2 }]);
+    expect(fixture.reportedCrashes()).to.deep.equal(["s1/1"]);
+  });
 });
