Keep the explanations of crashes between the questions for them

A crash under 64 requests was reported by as many calls, each of which decided anew on all attributes of the crash, and each look for causes summarized the evidence of all attributes of all crashes.

Only the attributes of a report are decided on anew, and the suspects that explain crashes are kept for 50 ms or until evidence changes.

--- a/packages/core/src/suspicion/evidence.ts
+++ b/packages/core/src/suspicion/evidence.ts
@@ -84,6 +84,11 @@
     return this.#exposures.size === 0;
   }
 
+  /** Number of crashes. */
+  get size(): number {
+    return this.#exposures.size;
+  }
+
   get crashes(): Crash[] {
     return [...this.#exposures.values()].map(({ crash }) => crash);
   }
--- a/packages/core/src/suspicion/suspect_tracker.ts
+++ b/packages/core/src/suspicion/suspect_tracker.ts
@@ -43,6 +43,9 @@
 /** Time in which a waiting request is reported again, in milliseconds. */
 const WAITING_REPORT_MS = 500;
 
+/** Time for which the suspects that explain crashes are kept, in milliseconds. */
+const EXPLANATION_MS = 50;
+
 /** Crashes assumed where none was seen; that of the Jeffreys prior. */
 const PRIOR_CRASHES = 0.5;
 
@@ -124,6 +127,11 @@
   /** By fingerprint of the request. */
   readonly #admissions = new Map<string, Admission>();
   #revision = 0;
+  /** Suspects that may explain all their crashes, as of a time. */
+  #explaining: {
+    readonly at: number;
+    readonly suspects: ReadonlySet<Suspect>;
+  } = { at: -Infinity, suspects: new Set() };
 
   constructor(
     counts = DEFAULT_CRASH_COUNTS,
@@ -166,6 +174,7 @@
       this.#refresh(fingerprint, now);
     }
     const causes = new Set<Suspect>();
+    if (this.#explainingSuspects(now).size === 0) return [];
     for (const crash of this.#crashes.values()) {
       if (now < crash.reportedAt + CRASH_REPORT_WINDOW_MS) continue;
       const cause = this.#causeOf(crash, now);
@@ -177,6 +186,7 @@
 
   /** Stops tracking an attribute that is quarantined, released or cleared. */
   forget(fingerprint: string): void {
+    this.#forgetExplanations();
     const suspect = this.#suspects.get(fingerprint);
     for (const crash of suspect?.evidence.crashes ?? []) {
       crash.attributes.delete(fingerprint);
@@ -203,6 +213,7 @@
 
   #recordCrash(report: Report<"death">, now: number): void {
     const { ageMs = 0, incarnation, inFlight, server } = report;
+    this.#forgetExplanations();
     const id = `${server}/${incarnation}`;
     const at = now - ageMs;
     const crash = this.#crashes.get(id) ?? {
@@ -215,17 +226,24 @@
     };
     crash.at = Math.min(crash.at, at);
     this.#crashes.set(id, crash);
-    for (const request of inFlight) this.#addRequest(request, crash, now);
-    for (const fingerprint of crash.attributes) this.#refresh(fingerprint, now);
+    const explanations = crash.explanations.size;
+    const changed = inFlight.flatMap((request) =>
+      this.#addRequest(request, crash, now)
+    );
+    const isExplained = crash.explanations.size > explanations;
+    for (const fingerprint of isExplained ? crash.attributes : changed) {
+      this.#refresh(fingerprint, now);
+    }
     dropOldest(this.#crashes, MAX_CRASHES, (oldest) => this.#dropCrash(oldest));
     dropOldest(this.#suspects, MAX_SUSPECTS, (oldest) => this.forget(oldest));
   }
 
+  /** Returns the fingerprints of its attributes. */
   #addRequest(
     request: protocol.suspicion.InFlightRequest,
     crash: evidence.Crash,
     now: number,
-  ): void {
+  ): string[] {
     const { alone, attributes = [], fingerprint, model, ranMs = 0, workspace } =
       request;
     const self = { fingerprint, workspace, model };
@@ -255,6 +273,7 @@
         crash.explanations.add(attribute.fingerprint);
       }
     });
+    return fingerprints;
   }
 
   /** Returns a suspect as the most recent one. */
@@ -304,15 +323,30 @@
   #mayExplainCrashes({ evidence, request }: Suspect, now: number): boolean {
     const { isolation, maxChance, quarantine, singleServerQuarantine } =
       this.#counts;
+    if (evidence.size < quarantine) return false;
     const { count, serverCount, unexplainedCount } = evidence.summarize(
       request.fingerprint,
     );
-    const isPartlyExplained = evidence.crashes.length > unexplainedCount;
+    const isPartlyExplained = evidence.size > unexplainedCount;
     return count >= (serverCount > 1 ? quarantine : singleServerQuarantine) &&
       unexplainedCount >= (isPartlyExplained ? isolation : 1) &&
       evidence.chance(this.#otherCrashRate(evidence, now)) <= maxChance;
   }
 
+  /**
+   * Suspects that may explain each crash at which they were in flight. Kept for a
+   * time, as each waiting request asks for them.
+   */
+  #explainingSuspects(now: number): ReadonlySet<Suspect> {
+    const { at, suspects } = this.#explaining;
+    if (at <= now && now - at < EXPLANATION_MS) return suspects;
+    const explaining = [...this.#watchedSuspects]
+      .map((fingerprint) => this.#suspects.get(fingerprint)!)
+      .filter((suspect) => this.#mayExplainCrashes(suspect, now));
+    this.#explaining = { at: now, suspects: new Set(explaining) };
+    return this.#explaining.suspects;
+  }
+
   /**
    * Crashes at which a suspect was the only one suspected of the requests on the
    * server, unless another one in flight has turned out to explain more since.
@@ -322,8 +356,8 @@
       ![...crash.attributes].map((one) => this.#suspects.get(one))
         .filter((other) => other !== undefined)
         .some((other) =>
-          !evidence.covers(other.evidence) &&
-          this.#mayExplainCrashes(other, now)
+          this.#explainingSuspects(now).has(other) &&
+          !evidence.covers(other.evidence)
         )
     );
   }
@@ -420,7 +454,7 @@
   ): boolean {
     const suspects = [...fingerprints].map((one) => this.#suspects.get(one)!);
     const explaining = suspects.filter((suspect) =>
-      this.#mayExplainCrashes(suspect, now)
+      this.#explainingSuspects(now).has(suspect)
     );
     const [first] = explaining;
     if (first === undefined) return false;
@@ -452,6 +486,7 @@
     const suspect = this.#suspects.get(fingerprint);
     if (suspect === undefined) return;
     suspect.evidence.recordSound(beganAt);
+    this.#forgetExplanations();
     if (suspect.evidence.isEmpty) this.forget(fingerprint);
     else this.#refresh(fingerprint, now);
   }
@@ -494,7 +529,7 @@
     const explaining = [...crash.attributes]
       .map((fingerprint) => this.#suspects.get(fingerprint))
       .filter((suspect) => suspect !== undefined)
-      .filter((suspect) => this.#mayExplainCrashes(suspect, now));
+      .filter((suspect) => this.#explainingSuspects(now).has(suspect));
     const isOver = now >= crash.reportedAt + SEPARATION_MS;
     const alone = explaining.filter((suspect) => {
       const crashes = this.#crashesAlone(suspect, now);
@@ -522,15 +557,21 @@
     for (const { attributes, explanations } of evidence.crashes) {
       if (explanations.has(request.fingerprint)) continue;
       explanations.add(request.fingerprint);
+      this.#forgetExplanations();
       for (const other of attributes) this.#refresh(other, now);
     }
   }
 
+  #forgetExplanations(): void {
+    this.#explaining = { at: -Infinity, suspects: new Set() };
+  }
+
   /** Drops a crash from the record and from all of its suspects. */
   #dropCrash(crashId: string): void {
     for (const fingerprint of this.#crashes.get(crashId)?.attributes ?? []) {
       const suspect = this.#suspects.get(fingerprint);
       suspect?.evidence.remove(crashId);
+      this.#forgetExplanations();
       if (suspect?.evidence.isEmpty) this.forget(fingerprint);
     }
     this.#crashes.delete(crashId);
