Give a verdict on parts that have only come together in a burst

Where all requests with a crashing part have a second one in common that no other request has, and three servers ended before the first of these requests could run isolated, both parts explained the crashes and neither was ever told apart: their requests waited until their callers gave up, and nothing was quarantined.

Such requests now wait only once one of them has ended a server while isolated; 3 s later the narrowest of the parts is quarantined.

--- a/packages/core/src/suspicion/suspect_tracker.ts
+++ b/packages/core/src/suspicion/suspect_tracker.ts
@@ -458,7 +458,8 @@
     );
     const [first] = explaining;
     if (first === undefined) return false;
-    if (suspects.length > 1 && areInseparable(first, suspects)) return true;
+    const isGroup = suspects.length > 1 && areInseparable(first, suspects);
+    if (isGroup && hasCrashedIsolated(first)) return true;
     return explaining.some((suspect) => {
       const crashes = this.#crashesAlone(suspect, now);
       if (crashes.length === 0) return false;
@@ -543,10 +544,7 @@
       .sort((one, other) => one.rank - other.rank);
     if (first === undefined) return undefined;
     if (alone.length > 0) return others.length === 0 ? first : undefined;
-    const { hasCrashedIsolated } = first.evidence.summarize(
-      first.request.fingerprint,
-    );
-    return isOver && hasCrashedIsolated && others.length > 0 &&
+    return isOver && hasCrashedIsolated(first) && others.length > 0 &&
         areInseparable(first, others)
       ? first
       : undefined;
@@ -594,6 +592,10 @@
   }
 }
 
+function hasCrashedIsolated({ evidence, request }: Suspect): boolean {
+  return evidence.summarize(request.fingerprint).hasCrashedIsolated;
+}
+
 /** Whether suspects were part of the same requests at the same crashes. */
 function areInseparable(one: Suspect, others: readonly Suspect[]): boolean {
   return others.every((other) =>
--- a/packages/core/test/suspicion/drawn_traffic_test.ts
+++ b/packages/core/test/suspicion/drawn_traffic_test.ts
@@ -100,6 +100,21 @@
       leadersLostAt: [3_000, 6_000, 9_000, 12_000],
     }],
     ["a subject, before servers of 16 slots", { slots: 16 }],
+    ["the narrowest of parts that only come together, in a burst", {
+      kinds: [
+        {
+          name: "solo",
+          perSecond: 0,
+          parts: [1, 1],
+          models: 3,
+          shortestMs: 300,
+          meanMs: 900,
+        },
+        ...SMALL_FLEET.kinds,
+      ],
+      crashing: ["prompt-part solo-1-0"],
+      crashingPerSecond: 8,
+    }],
   ];
   for (const [name, options] of cases) {
     it(`are found by ${name}, and no sound part is condemned`, () => {
