Digest no body of an answered request while no crash is known

Only the attributes are noted now. A test counts the digests: one before, none after.

Attributes and requests get their fingerprints from one function, and the attributes take the fields that they need rather than all metadata, the key of the caller included.

--- a/packages/core/src/suspicion/evidence.ts
+++ b/packages/core/src/suspicion/evidence.ts
@@ -72,7 +72,7 @@
  *
  * @example
  * ```ts
- * evidence.add(crash, { fingerprint: "9f86", beganAt: 0, isAlone: false });
+ * evidence.add(crash, exposedRequest);
  * evidence.recordSound(crash.at + 1);
  * evidence.isEmpty; // true
  * ```
--- a/packages/core/src/suspicion/host_suspects.ts
+++ b/packages/core/src/suspicion/host_suspects.ts
@@ -121,6 +121,11 @@
       this.#admissionRequests.size > 0;
   }
 
+  /** Whether this host knows of a suspect or a crash. */
+  get hasEvidence(): boolean {
+    return this.hasSuspects || this.#crashes.length > 0;
+  }
+
   /**
    * Whether and where a request may be dispatched now.
    *
@@ -178,24 +183,28 @@
    * requests that are not suspects.
    *
    * @param survived Whether it ran to completion without a server crash.
-   * @param run the run; without it, it contradicts all crashes
+   * @param beganAt monotonic time of its start, in milliseconds; without it, the
+   * run contradicts all crashes
    */
-  recordEnd(fingerprint: string, survived: boolean, run?: Run): void {
+  recordEnd(fingerprint: string, survived: boolean, beganAt?: number): void {
     const wasWaiting = this.#admissionRequests.delete(fingerprint);
     const wasRunning = this.#running.delete(fingerprint);
     this.#dropAdmission(fingerprint);
     const isSuspect = this.#isSuspect(fingerprint);
-    const beganAt = run?.beganAt;
     if (wasWaiting || wasRunning || (survived && isSuspect)) {
       this.#addReport({ kind: "ended", fingerprint, survived, beganAt });
     }
     if (!survived) return;
     this.#clear(fingerprint, beganAt ?? Infinity);
-    if (run === undefined) return;
-    for (const attribute of run.attributes) {
-      setNewest(this.#soundRuns, attribute, run.beganAt, MAX_SUSPECTS);
+    this.#forgetCrashesOf(fingerprint, beganAt ?? Infinity);
+  }
+
+  /** Records that a request with some attributes ran without a server crash. */
+  recordRun({ attributes, beganAt }: Run): void {
+    for (const attribute of attributes) {
+      setNewest(this.#soundRuns, attribute, beganAt, MAX_SUSPECTS);
       if (this.#isSuspect(attribute)) this.#reportSoundRun(attribute);
-      this.#clear(attribute, run.beganAt);
+      this.#clear(attribute, beganAt);
     }
   }
 
@@ -395,12 +404,13 @@
       if (at < beganAt) local?.crashes.delete(id);
     }
     if (local?.crashes.size === 0) this.#localSuspects.delete(fingerprint);
-    // Of an attribute, the leader is told the run, as it may know more crashes.
-    const isContradicted = this.#crashes.some(({ at, inFlight }) =>
-      at < beganAt &&
-      inFlight.some((request) => request.fingerprint === fingerprint)
-    );
-    if (!isContradicted) return;
+  }
+
+  /**
+   * A request that has run without a crash is reported no more. Of attributes,
+   * the leader is told the run instead.
+   */
+  #forgetCrashesOf(fingerprint: string, beganAt: number): void {
     this.#crashes = this.#crashes
       .map((crash) => ({
         ...crash,
--- a/packages/core/test/suspicion/fleet_simulation.ts
+++ b/packages/core/test/suspicion/fleet_simulation.ts
@@ -253,10 +253,9 @@
       server.runs = server.runs.filter(({ endsAt }) => endsAt > now);
       for (const { beganAt, request } of ended) {
         const attributes = request.attributes.map((one) => one.fingerprint);
-        this.#hosts[request.host]!.recordEnd(request.fingerprint, true, {
-          attributes,
-          beganAt,
-        });
+        const host = this.#hosts[request.host]!;
+        host.recordEnd(request.fingerprint, true, beganAt);
+        host.recordRun({ attributes, beganAt });
         this.#end(request, "served", beganAt - request.arrivedAt);
       }
     }
--- a/packages/daemon/src/gateway/entry/crash_suspects.ts
+++ b/packages/daemon/src/gateway/entry/crash_suspects.ts
@@ -134,14 +134,18 @@
    *
    * @param beganAt monotonic time at which it was sent, in milliseconds
    */
-  recordSuccess({ identity }: types.RequestContext, beganAt: number): void {
+  recordSuccess(context: types.RequestContext, beganAt: number): void {
+    const { identity } = context;
     this.#waiting.delete(identity);
     const wasRunning = this.#runs.delete(identity);
-    const { fingerprint } = identity;
-    const attributes = identity.attributes.map((one) => one.fingerprint);
-    const run = { attributes, beganAt };
-    if (this.#isRunning(fingerprint) && !wasRunning) return;
-    this.#suspects.recordEnd(fingerprint, true, run);
+    // A fingerprint takes a digest of the body.
+    if (this.#suspects.hasEvidence) {
+      const { fingerprint } = identity;
+      if (this.#isRunning(fingerprint) && !wasRunning) return;
+      this.#suspects.recordEnd(fingerprint, true, beganAt);
+    }
+    const attributes = attributesOf(context);
+    this.#suspects.recordRun({ attributes, beganAt });
     if (this.#suspects.hasNewReports) this.#options.onNews();
   }
 
@@ -161,7 +165,7 @@
     const result = await this.#probe(server);
     if (result === "refused") return false;
     this.#pendingFailures.add(failure);
-    // Other requests tell the same meanwhile, so that this one is rarely needed.
+    // A success is only asked for while there are suspects.
     if (this.#suspects.hasSuspects) void this.#confirmSuccess(failure);
     return true;
   }
--- a/packages/daemon/src/gateway/entry/request_attributes.ts
+++ b/packages/daemon/src/gateway/entry/request_attributes.ts
@@ -53,9 +53,20 @@
     attributes.push({ kind: "prompt-prefix", name });
   }
   return attributes.map(({ kind, name }) => ({
-    fingerprint: security.digest(JSON.stringify([kind, service, name]))
-      .slice(0, FINGERPRINT_LENGTH),
+    fingerprint: fingerprintOf([kind, service, name]),
     kind,
     name: name.slice(0, MAX_NAME_LENGTH),
   }));
 }
+
+/**
+ * A digest of values that identify a request or what it shares with others.
+ *
+ * @example
+ * ```ts
+ * fingerprintOf(["prompt-part", "pool", "5c"]); // "9f86d081884c7d65…"
+ * ```
+ */
+export function fingerprintOf(values: readonly unknown[]): string {
+  return security.digest(JSON.stringify(values)).slice(0, FINGERPRINT_LENGTH);
+}
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -407,7 +407,12 @@
         request,
         body,
         workspace,
-        content: { ...metadata, service: service.name },
+        content: {
+          service: service.name,
+          model: metadata.model,
+          adapter: metadata.adapter,
+          promptParts: metadata.promptParts,
+        },
       }),
       route,
       service,
--- a/packages/daemon/src/gateway/entry/request_identity.ts
+++ b/packages/daemon/src/gateway/entry/request_identity.ts
@@ -9,9 +9,6 @@
 import * as security from "../../security/mod.ts";
 import * as requestAttributes from "./request_attributes.ts";
 
-/** Length of a fingerprint, in hexadecimal digits: 128 bits. */
-const FINGERPRINT_LENGTH = 32;
-
 /** What identifies a request. */
 export type IdentifiedRequest = {
   readonly request: Pick<http.IncomingMessage, "headers" | "method" | "url">;
@@ -59,12 +56,11 @@
 function fingerprintOf(
   { body, request, workspace }: IdentifiedRequest,
 ): string {
-  const identity = JSON.stringify([
+  return requestAttributes.fingerprintOf([
     workspace?.name ?? null,
     request.method,
     request.headers.host?.toLowerCase() ?? "",
     request.url,
     body === undefined ? null : security.digestBytes(body),
   ]);
-  return security.digest(identity).slice(0, FINGERPRINT_LENGTH);
 }
--- a/packages/daemon/test/gateway/crash_suspects_test.ts
+++ b/packages/daemon/test/gateway/crash_suspects_test.ts
@@ -226,4 +226,23 @@
     fixture.tell([{ ...SERVER, born: 2 }]);
     expect(fixture.reportedCrashes()).to.deep.equal(["s1/1"]);
   });
+
+  it("digests no body of an answered request before any crash is known", () => {
+    const fixture = new Fixture("refused");
+    const { identity } = contextOf("a", { promptParts: ["5c"] });
+    let digests = 0;
+    const counted = {
+      attributes: identity.attributes,
+      get fingerprint() {
+        digests += 1;
+        return identity.fingerprint;
+      },
+    };
+    const context = { ...contextOf("a"), identity: counted };
+    fixture.suspects.recordSuccess(
+      context as unknown as types.RequestContext,
+      0,
+    );
+    expect(digests).to.equal(0);
+  });
 });
