Compress the bodies between hosts

Requests and answers of 1 KB to 1 MB are compressed. A client compresses requests only to a peer that has offered it in an answer, so that hosts of the build before can still be called; it forgets the offer with the connection and with an error.

--- /dev/null
+++ b/packages/daemon/src/fleet/body_encoding.ts
@@ -0,0 +1,79 @@
+/**
+ * Compression of the bodies that hosts of a fleet exchange.
+ *
+ * Most of their bytes are configurations, which each change sends to all hosts
+ * and which compress to less than a quarter.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import * as zlib from "node:zlib";
+
+/** Value of the headers that offer and state the encoding. */
+export const ENCODING = "deflate";
+/**
+ * Size from which a body is compressed, in bytes. Smaller ones fit a packet, or
+ * save less than the headers and the time to compress them.
+ */
+const MIN_BYTES = 1_024;
+/**
+ * Size up to which a body is compressed, in bytes. Compressing is synchronous, and
+ * this takes some 10 ms; larger ones are snapshots, which are rare.
+ */
+const MAX_BYTES = 1_048_576;
+/** Fastest level: the higher ones save a tenth more and take twice as long. */
+const OPTIONS: zlib.ZlibOptions = { level: zlib.constants.Z_BEST_SPEED };
+
+/** A body as it is sent. */
+export type EncodedBody = {
+  readonly bytes: Buffer;
+  /** Value of `content-encoding`; undefined if it is sent as it is. */
+  readonly encoding: typeof ENCODING | undefined;
+};
+
+/**
+ * Compresses a body if that is worth it and the receiver can read it.
+ *
+ * @param isUnderstood whether the receiver has offered the encoding
+ *
+ * @example
+ * ```ts
+ * const { bytes, encoding } = encodeBody(Buffer.from(text), true);
+ * ```
+ */
+export function encodeBody(
+  bytes: Buffer,
+  isUnderstood: boolean,
+): EncodedBody {
+  const isWorthIt = bytes.length >= MIN_BYTES && bytes.length <= MAX_BYTES;
+  if (!isUnderstood || !isWorthIt) return { bytes, encoding: undefined };
+  return { bytes: zlib.deflateSync(bytes, OPTIONS), encoding: ENCODING };
+}
+
+/**
+ * Restores the text of a body.
+ *
+ * @param encoding value of its `content-encoding`, if any
+ * @param maxBytes limit of the text, in bytes
+ * @throws {Error} the encoding is unknown, or the text is damaged or too large
+ *
+ * @example
+ * ```ts
+ * const text = decodeBody(bytes, headers["content-encoding"], 16_777_216);
+ * ```
+ */
+export function decodeBody(
+  bytes: Buffer,
+  encoding: string | undefined,
+  maxBytes: number,
+): string {
+  switch (encoding) {
+    case undefined:
+      return bytes.toString("utf8");
+    case ENCODING:
+      return zlib.inflateSync(bytes, { maxOutputLength: maxBytes })
+        .toString("utf8");
+    default:
+      throw new Error(`unknown encoding ${encoding}`);
+  }
+}
--- a/packages/daemon/src/fleet/mod.ts
+++ b/packages/daemon/src/fleet/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./body_encoding.ts";
 export * from "./errors.ts";
 export * from "./leader_client.ts";
 export * from "./leader_lookup.ts";
--- a/packages/daemon/src/fleet/rpc_client.ts
+++ b/packages/daemon/src/fleet/rpc_client.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 import * as jsonRpc from "json-rpc-2.0";
 import * as undici from "undici";
+import * as bodyEncoding from "./body_encoding.ts";
 import * as errors from "./errors.ts";
 import * as linkOptions from "./link_options.ts";
 import * as rpcServer from "./rpc_server.ts";
@@ -13,6 +15,11 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Idle connections are closed after this time, in milliseconds. */
 const KEEP_ALIVE_TIMEOUT_MS = 10_000;
+/**
+ * Limit of a compressed response's text, in bytes: several times the largest
+ * state of a control host.
+ */
+const MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
 /** Maximum number of connections to one peer. */
 const MAX_CONNECTIONS = 8;
 
@@ -30,6 +37,8 @@
 export class RpcClient {
   readonly #options: linkOptions.LinkOptions;
   readonly #pools = new Map<string, undici.Pool>();
+  /** Peers that have offered to read compressed requests. */
+  readonly #offers = new Set<string>();
   #nextId = 1;
 
   constructor(options: linkOptions.LinkOptions) {
@@ -145,15 +154,26 @@
     body: unknown,
     signal: AbortSignal,
   ): Promise<string> {
+    const { bytes, encoding } = bodyEncoding.encodeBody(
+      Buffer.from(JSON.stringify(body)),
+      this.#offers.has(peer),
+    );
     const response = await this.#pool(peer).request({
       path: "/rpc",
       method: "POST",
-      headers: { ...this.#headers(), [rpcServer.METHOD_HEADER]: method },
-      body: JSON.stringify(body),
+      headers: {
+        ...this.#headers(),
+        "accept-encoding": bodyEncoding.ENCODING,
+        ...(encoding === undefined ? {} : { "content-encoding": encoding }),
+        [rpcServer.METHOD_HEADER]: method,
+      },
+      body: bytes,
       signal,
     });
-    const text = await response.body.text();
+    const text = await this.#readBody(peer, response);
     if (response.statusCode === 200) return text;
+    // A host of an earlier build may have taken over the address.
+    this.#offers.delete(peer);
     throw new errors.RemoteError(
       method,
       peer,
@@ -162,6 +182,19 @@
     );
   }
 
+  async #readBody(
+    peer: string,
+    { body, headers }: undici.Dispatcher.ResponseData,
+  ): Promise<string> {
+    if (rpcServer.acceptsEncoding(headers)) this.#offers.add(peer);
+    const encoding = headers["content-encoding"]?.toString();
+    return bodyEncoding.decodeBody(
+      Buffer.from(await body.arrayBuffer()),
+      encoding,
+      MAX_RESPONSE_BYTES,
+    );
+  }
+
   #headers(): Record<string, string> {
     return { "authorization": `Bearer ${this.#options.secret}` };
   }
@@ -189,6 +222,7 @@
   #replacePool(peer: string): void {
     const pool = this.#pools.get(peer);
     this.#pools.delete(peer);
+    this.#offers.delete(peer);
     pool?.close().catch(() => undefined);
   }
 }
--- a/packages/daemon/src/fleet/rpc_server.ts
+++ b/packages/daemon/src/fleet/rpc_server.ts
@@ -10,6 +10,7 @@
 import * as v from "valibot";
 import * as security from "../security/mod.ts";
 import * as log from "../log/mod.ts";
+import * as bodyEncoding from "./body_encoding.ts";
 import * as errors from "./errors.ts";
 
 const write = log.createLog("rpc");
@@ -17,6 +18,9 @@
 /** Maximum size of a request body, in bytes. */
 const MAX_REQUEST_BYTES = 16 * 1024 * 1024;
 
+/** Size of a request from which its client is told of the encoding, in bytes. */
+const OFFER_BYTES = 1_024;
+
 /**
  * Request header with the name of the called method, so that a call can be
  * refused before its body is read.
@@ -167,8 +171,9 @@
     if (rpcResponse?.error?.code === errors.NOT_LEADER_CODE) {
       this.#countRefusal(call.method);
     }
+    offerEncoding(request, response);
     if (rpcResponse === null) return sendJson(response, 204, undefined);
-    sendJson(response, 200, rpcResponse);
+    sendJson(response, 200, rpcResponse, acceptsEncoding(request.headers));
   }
 
   #countRefusal(method: string): void {
@@ -176,6 +181,27 @@
   }
 }
 
+/** Whether the sender of these headers can read compressed bodies. */
+export function acceptsEncoding(
+  headers: { readonly "accept-encoding"?: string | string[] | undefined },
+): boolean {
+  return headers["accept-encoding"] === bodyEncoding.ENCODING;
+}
+
+/**
+ * Tells a client that its requests may be compressed. Only large requests that
+ * are not are answered so: the header would be most of a small answer.
+ */
+function offerEncoding(
+  { headers }: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  const isCompressed = headers["content-encoding"] !== undefined;
+  const bytes = Number(headers["content-length"] ?? 0);
+  if (isCompressed || bytes < OFFER_BYTES) return;
+  response.setHeader("accept-encoding", bodyEncoding.ENCODING);
+}
+
 /** The id of the call is not known: it is in the body. */
 function refuse({ leader }: NotLeading): jsonRpc.JSONRPCErrorResponse {
   return jsonRpc.createJSONRPCErrorResponse(
@@ -232,7 +258,12 @@
     return "lost";
   }
   try {
-    return JSON.parse(Buffer.concat(chunks).toString("utf8"));
+    const text = bodyEncoding.decodeBody(
+      Buffer.concat(chunks),
+      request.headers["content-encoding"],
+      MAX_REQUEST_BYTES,
+    );
+    return JSON.parse(text);
   } catch {
     return undefined;
   }
@@ -246,6 +277,7 @@
   response: http.ServerResponse,
   status: number,
   body: unknown,
+  isEncodingAccepted = false,
 ): void {
   response.sendDate = false;
   // HTTP/1.1 connections are persistent by default, and the clients close idle
@@ -255,7 +287,13 @@
     response.writeHead(status).end();
     return;
   }
-  const text = JSON.stringify(body);
-  response.writeHead(status, { "content-length": Buffer.byteLength(text) });
-  response.end(text);
+  const { bytes, encoding } = bodyEncoding.encodeBody(
+    Buffer.from(JSON.stringify(body)),
+    isEncodingAccepted,
+  );
+  response.writeHead(status, {
+    "content-length": bytes.length,
+    ...(encoding === undefined ? {} : { "content-encoding": encoding }),
+  });
+  response.end(bytes);
 }
--- a/packages/daemon/src/replication/transport.ts
+++ b/packages/daemon/src/replication/transport.ts
@@ -93,6 +93,8 @@
   readonly peer: replication.Member;
   #options: HttpTransportOptions;
   #client: undici.Client | null = null;
+  /** Whether the peer has offered to read compressed requests. */
+  #isEncodingOffered = false;
   #queue: string[] = [];
   #queuedBytes = 0;
   #isSending = false;
@@ -152,21 +154,32 @@
     const timeoutMs = this.#options.requestTimeoutMs ??
       DEFAULT_REQUEST_TIMEOUT_MS;
     const client = this.#openClient();
+    const { bytes, encoding } = fleet.encodeBody(
+      this.#encodeRequest(batch),
+      this.#isEncodingOffered,
+    );
     try {
       const response = await client.request({
         path: "/rpc",
         method: "POST",
-        headers: { "authorization": `Bearer ${this.#options.secret}` },
-        body: this.#encodeRequest(batch),
+        headers: {
+          "authorization": `Bearer ${this.#options.secret}`,
+          ...(encoding === undefined ? {} : { "content-encoding": encoding }),
+        },
+        body: bytes,
         signal: AbortSignal.timeout(timeoutMs),
       });
       await response.body.dump();
-      this.#logStateChange(
-        response.statusCode < 300,
-        `status ${response.statusCode}`,
-      );
+      const isWorking = response.statusCode < 300;
+      if (fleet.acceptsEncoding(response.headers)) {
+        this.#isEncodingOffered = true;
+      } else if (!isWorking) {
+        this.#isEncodingOffered = false;
+      }
+      this.#logStateChange(isWorking, `status ${response.statusCode}`);
     } catch (error) {
       this.#client = null;
+      this.#isEncodingOffered = false;
       this.#logStateChange(
         false,
         error instanceof Error ? error.message : "unknown",
--- a/packages/daemon/test/fleet/rpc_test.ts
+++ b/packages/daemon/test/fleet/rpc_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import * as http from "node:http";
 import type * as net from "node:net";
 import { replication } from "@ebonypath/protocol";
@@ -62,6 +63,36 @@
     await listener.close();
   });
 
+  it("compresses large bodies both ways once the server has offered it", async () => {
+    const rpc = new fleet.RpcServer(SECRET);
+    const text = "configuration ".repeat(10_000);
+    rpc.addMethod("fleet.echo", v.string(), (sent) => sent);
+    const listener = await listen(rpc);
+    await using client = new fleet.RpcClient({ secret: SECRET });
+    const bytes: number[] = [];
+    for (let count = 0; count < 2; count++) {
+      const sent = await client.call(
+        listener.address,
+        "fleet.echo",
+        text,
+        2_000,
+      );
+      expect(sent).to.equal(text);
+      bytes.push(rpc.takeCounts().bytes);
+    }
+    expect(bytes[0]).to.be.above(text.length);
+    expect(bytes[1]).to.be.below(text.length / 10);
+    await listener.close();
+  });
+
+  it("refuses a body that grows beyond the limit", () => {
+    const { bytes, encoding } = fleet.encodeBody(
+      Buffer.from("a".repeat(100_000)),
+      true,
+    );
+    expect(() => fleet.decodeBody(bytes, encoding, 10_000)).to.throw();
+  });
+
   it("sends only the content-length header and keeps the connection open", async () => {
     const listener = await listen(createNameServer("a", "a"));
     const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
