Serve what a rate tolerates, in order, and correct the levels that begun hosts presume

Callers of a workspace near or beyond its rate got 429 where the deployment's settings (bounds.quota_*) tolerate more in a window, were told times to come back at which others were told to come back as well, and were refused at once while no leader answered.

Requests wait in order of their arrival, and refused callers are told to come back one after another. A host that has been told presumed levels asks again until the leader has settled. Refusals are logged with their workspace and tokens.

--- a/packages/core/src/gateway/limited_workspaces.ts
+++ b/packages/core/src/gateway/limited_workspaces.ts
@@ -1,5 +1,6 @@
 import type { gateway } from "@ebonypath/protocol";
 import { SharedRateLimiter } from "./shared_rate_limiter.ts";
+import type { RateTolerance } from "./tolerated_rate.ts";
 
 /** Part of the burst that is left when a workspace counts as near its rate. */
 const LIMITED_FRACTION = 0.5;
@@ -22,7 +23,7 @@
  */
 export class LimitedWorkspaces {
   /** Counts what is used from now on, and what hosts know of before. */
-  readonly #limiter = new SharedRateLimiter();
+  readonly #limiter: SharedRateLimiter;
   /** Counts the same, as if all had been used up before. */
   readonly #cautious: SharedRateLimiter;
   #workspaces: readonly gateway.Workspace[] = [];
@@ -31,9 +32,11 @@
   /**
    * @param beganAt monotonic time before which the usage is not known, in
    * milliseconds
+   * @param tolerance how far usage may exceed the rates; not at all by default
    */
-  constructor(beganAt: number) {
-    this.#cautious = new SharedRateLimiter(beganAt);
+  constructor(beganAt: number, tolerance?: RateTolerance) {
+    this.#limiter = new SharedRateLimiter(-Infinity, tolerance);
+    this.#cautious = new SharedRateLimiter(beganAt, tolerance);
   }
 
   /** Names of the workspaces, as of the last update. */
--- a/packages/core/src/gateway/shared_rate_limiter.ts
+++ b/packages/core/src/gateway/shared_rate_limiter.ts
@@ -1,6 +1,7 @@
 import type { gateway } from "@ebonypath/protocol";
 import * as suspicion from "../suspicion/mod.ts";
 import { RatePart } from "./rate_part.ts";
+import * as toleratedRate from "./tolerated_rate.ts";
 
 const SECOND_MS = 1_000;
 /** Workspaces without a limit at present whose shortages are kept. */
@@ -66,11 +67,24 @@
   /** Monotonic time before which nothing is known of the usage, in ms. */
   #beganAt: number;
   #remoteUsage: RemoteUsage | undefined;
+  readonly #tolerance: toleratedRate.RateTolerance | undefined;
   #hostCount = 1;
 
-  /** @param beganAt time at which the process began; absent if all is known */
-  constructor(beganAt = -Infinity) {
+  /**
+   * @param beganAt time at which the process began; absent if all is known
+   * @param tolerance how far usage may exceed the rates; not at all by default
+   */
+  constructor(
+    beganAt = -Infinity,
+    tolerance?: toleratedRate.RateTolerance,
+  ) {
     this.#beganAt = beganAt;
+    this.#tolerance = tolerance;
+  }
+
+  /** Number of hosts that use the rates, this one included. */
+  get hostCount(): number {
+    return this.#hostCount;
   }
 
   /** Limits the workspaces that have a rate, and no others. */
@@ -83,7 +97,12 @@
   }
 
   /** Sets the rate of a workspace; changing it keeps the bucket's level. */
-  setRate(workspace: string, rate: gateway.RateLimit, now: number): void {
+  setRate(
+    workspace: string,
+    configuredRate: gateway.RateLimit,
+    now: number,
+  ): void {
+    const rate = toleratedRate.toleratedRate(configuredRate, this.#tolerance);
     const bucket = this.#buckets.get(workspace);
     if (bucket === undefined) {
       const level = this.#initialLevel(workspace, rate, now);
@@ -231,12 +250,22 @@
     return this.#buckets.get(workspace)?.part.fits(tokens, now) ?? true;
   }
 
-  /** Time until a request with this many tokens is admitted, in ms. */
-  waitMs(workspace: string, tokens: number, now: number): number {
+  /**
+   * Time until a request with this many tokens is admitted, in ms.
+   *
+   * @param tokensAhead of requests that are to be admitted before
+   */
+  waitMs(
+    workspace: string,
+    tokens: number,
+    now: number,
+    tokensAhead = 0,
+  ): number {
     const bucket = this.#buckets.get(workspace);
     if (bucket === undefined) return 0;
     this.#refill(bucket, now);
-    const missing = Math.min(tokens, bucket.rate.burst) - bucket.level;
+    const missing = Math.min(tokens, bucket.rate.burst) + tokensAhead -
+      bucket.level;
     if (missing <= 0) return 0;
     return bucket.rate.perSecond > 0
       ? missing / bucket.rate.perSecond * SECOND_MS
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -62,6 +62,8 @@
   readonly orderTakeoverDelayMs: number;
   /** Retries that all entry hosts together may send to each service. */
   readonly retryBudget: core.gateway.FleetRetryBudget;
+  /** How far the usage of workspaces may exceed their rates. */
+  readonly rateTolerance?: core.gateway.RateTolerance | undefined;
   readonly rpcServer: fleet.RpcServer;
   readonly rpcClient: fleet.RpcClient;
   readonly engineClient: types.EngineClient;
@@ -630,6 +632,7 @@
       metrics,
       name,
       orderTakeoverDelayMs,
+      rateTolerance,
       retryBudget,
     } = this.#options;
     this.#coordinator = new fleetCoordinator.FleetCoordinator({
@@ -641,6 +644,7 @@
       metrics,
       orderTakeoverDelayMs,
       retryBudget,
+      rateTolerance,
       known: this.#serverListFollower.copy(),
       streamOrigins: this.#streamOrigins,
       commit: (command) => this.#commit(command),
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -96,6 +96,8 @@
   readonly orderTakeoverDelayMs: number;
   /** Retries that all entry hosts together may send. */
   readonly retryBudget: core.gateway.FleetRetryBudget;
+  /** How far the usage of workspaces may exceed their rates. */
+  readonly rateTolerance?: core.gateway.RateTolerance | undefined;
   /** List of servers of an earlier leader that this one begins with. */
   readonly known?: core.gateway.ServerListCopy | undefined;
   /** Where streams began, with the streams that an earlier leader told of. */
@@ -135,9 +137,7 @@
   readonly #registry = new core.gateway.ServerRegistry();
   readonly #demandTracker = new core.gateway.DemandTracker();
   readonly #usageTracker = new core.gateway.UsageTracker();
-  readonly #limitedWorkspaces = new core.gateway.LimitedWorkspaces(
-    performance.now(),
-  );
+  readonly #limitedWorkspaces: core.gateway.LimitedWorkspaces;
   readonly #lender: limitLender.LimitLender;
   readonly #rollout = new core.gateway.ConfigurationRollout();
   readonly #versionActivity = new core.gateway.VersionActivity(
@@ -196,6 +196,10 @@
       withdrawnDomains: () => options.state().withdrawnDomains,
       canSendOrders: () => this.#canSendOrders(),
     });
+    this.#limitedWorkspaces = new core.gateway.LimitedWorkspaces(
+      performance.now(),
+      options.rateTolerance,
+    );
     this.#lender = new limitLender.LimitLender({
       retryBudget: options.retryBudget,
       coldRequestsPerSecond: (server) => this.#coldRequestsPerSecond(server),
@@ -376,6 +380,7 @@
       ),
       usageRevision: this.#usageTracker.revision,
       ...(term === this.term ? {} : { missing: this.#missingFor(term) }),
+      ...(term === 0 && !this.#isSettled ? { isMissingPresumed: true } : {}),
       load: this.#loadFor(report),
       lent: this.#lender.lend(
         this.#demandTracker.hostCount,
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -20,6 +20,7 @@
 import * as hostDrain from "./host_drain.ts";
 import * as leaderSync from "./leader_sync.ts";
 import * as requestHandler from "./request_handler.ts";
+import * as rateGate from "./rate_gate.ts";
 import * as retryBudgets from "./retry_budgets.ts";
 import * as serverProber from "./server_prober.ts";
 import * as serverSelector from "./server_selector.ts";
@@ -60,6 +61,8 @@
   /** Fleet addresses of the control hosts to contact first. */
   seeds(): readonly string[];
   readonly retryBudget: core.gateway.FleetRetryBudget;
+  /** How far the usage of workspaces may exceed their rates. */
+  readonly rateTolerance?: core.gateway.RateTolerance | undefined;
   /**
    * Age of a configuration from which on no request is admitted or refused by it
    * unconfirmed, in milliseconds.
@@ -78,9 +81,7 @@
   readonly #serverTracker = new serverTracker.ServerTracker(() =>
     this.#hasNews = true
   );
-  readonly #rateLimiter = new core.gateway.SharedRateLimiter(
-    PROCESS_STARTED_AT,
-  );
+  readonly #rateLimiter: core.gateway.SharedRateLimiter;
   readonly #usageFreshness = new core.gateway.Freshness();
   readonly #unitBorrower = new unitBorrower.UnitBorrower(() =>
     this.#reportSoon()
@@ -125,6 +126,10 @@
     const { dialect, host, maxConfigurationAgeMs, rpcClient, seeds } = options;
     this.#metrics = options.metrics;
     this.drain = this.#resources.use(new hostDrain.HostDrain());
+    this.#rateLimiter = new core.gateway.SharedRateLimiter(
+      PROCESS_STARTED_AT,
+      options.rateTolerance,
+    );
     this.#rateLimiter.setHostCount(Infinity);
     const leaderClient = new fleet.LeaderClient(rpcClient, seeds);
     this.#stateConfirmer = this.#resources.use(
@@ -212,8 +217,12 @@
       confirmConfiguration: () => this.#stateConfirmer.confirm(),
       onUnconfirmed: () => options.metrics.unconfirmedAdmissions.inc(),
       onLimitedAdmission: () => this.#reportSoon(),
-      usageAgeMs: () => this.#usageFreshness.ageMs(clocks.readClocks()),
-      refreshUsage: () => this.#leaderSync.refresh(USAGE_REFRESH_TIMEOUT_MS),
+      rateGate: new rateGate.RateGate({
+        view: this.view,
+        rateLimiter: this.#rateLimiter,
+        usageAgeMs: () => this.#usageFreshness.ageMs(clocks.readClocks()),
+        refreshUsage: () => this.#leaderSync.refresh(USAGE_REFRESH_TIMEOUT_MS),
+      }),
       isCallerPresent: (request) =>
         this.#stallDetector.isCallerPresent(request),
       onArrival: (context) => this.#countArrival(context),
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -279,10 +279,15 @@
         gateway.ReportResponse,
         await leader.call(gateway.METHODS.report, params, REPORT_LIMITS),
       );
-      if (response.term === view.term) this.#reportedTerm = response.term;
+      const { isMissingPresumed = false } = response;
+      if (response.term === view.term && !isMissingPresumed) {
+        this.#reportedTerm = response.term;
+      }
       view.acknowledgeReport(servers, response.term);
       const { hostCount, term, usageRevision } = response;
-      this.#acknowledged = { term, usageRevision };
+      this.#acknowledged = isMissingPresumed
+        ? { term: 0, usageRevision: 0 }
+        : { term, usageRevision };
       this.#reportIntervalMs = reportInterval(hostCount);
       const isFirst = answered.term === 0;
       onReportResponse(response, report, requestedAt, isFirst);
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -15,6 +15,7 @@
 import type * as dispatcher from "./dispatcher.ts";
 import type * as fleetView from "./fleet_view.ts";
 import type * as hostDrain from "./host_drain.ts";
+import type * as rateGate from "./rate_gate.ts";
 import * as requestIdentity from "./request_identity.ts";
 import * as responses from "./responses.ts";
 import type * as stateConfirmer from "./state_confirmer.ts";
@@ -38,36 +39,11 @@
  * at most, so that the caller has time to try another host.
  */
 const CONFIGURATION_WAIT_FRACTION = 0.5;
-/**
- * Fraction of a route's target time that a request waits for the rate of its
- * workspace at most; the rest is left for a server.
- */
-const RATE_WAIT_FRACTION = 0.5;
-/**
- * Age from which on the usage of the other hosts counts as unknown, in
- * milliseconds: the report interval of a fleet of up to a hundred hosts, and the
- * time for an answer.
- */
-const MAX_USAGE_AGE_MS = 350;
-/**
- * The same for workspaces near their rate, whose usage each request asks for: the
- * time that it waits for an answer.
- */
-const MAX_LIMITED_USAGE_AGE_MS = 100;
-/** Shortest wait for a rate, in milliseconds: two callers may need the same. */
-const MIN_RATE_WAIT_MS = 10;
-/**
- * Wait for a rate while the usage of the other hosts is unknown, in milliseconds.
- * A lost leader is usually replaced within it.
- */
-const UNKNOWN_USAGE_WAIT_MS = 1_000;
 /** Longest delay of a timer of Node.js, in ms; a longer one ends at once. */
 const MAX_TIMER_MS = 2 ** 31 - 1;
 const SECOND_MS = 1_000;
 /** Least urgent priority that backend servers distinguish. */
 const MAX_PRIORITY = 9;
-/** Limit of the retry delay in a refusal for an exceeded rate, in seconds. */
-const MAX_RETRY_AFTER_SECONDS = 10;
 /** Why a request is neither admitted nor refused by the configuration. */
 const UNCONFIRMED = "the configuration is not known to be in force";
 /** Retry delay in a refusal of a host that stops, in seconds. */
@@ -95,6 +71,7 @@
   readonly dispatcher: dispatcher.Dispatcher;
   readonly streamResolver: streamResolver.StreamResolver;
   readonly rateLimiter: core.gateway.SharedRateLimiter;
+  readonly rateGate: rateGate.RateGate;
   readonly drain: Pick<hostDrain.HostDrain, "onEnd">;
   readonly bodyBudget: bodyBudget.BodyBudget;
   /**
@@ -104,10 +81,6 @@
   readonly maxConfigurationAgeMs: number;
   /** Confirms the configuration, or replaces it by the one in force. */
   confirmConfiguration(): Promise<stateConfirmer.Confirmation>;
-  /** Age of what the leader has told of the other hosts' usage, in ms. */
-  usageAgeMs(): number;
-  /** Resolves when the leader has told the usage of all hosts, or in vain. */
-  refreshUsage(): Promise<void>;
   /**
    * Whether the caller of a request may still wait for its answer. A host that
    * was suspended reads requests whose callers have left.
@@ -138,11 +111,8 @@
   | {
     readonly kind: "rate-exceeded";
     readonly route: gateway.Route;
-    readonly workspace: string;
-    /** Whether all hosts together have used it up, or this host its part. */
-    readonly isUsageKnown: boolean;
-    /** Time until the rate allows the request, in milliseconds. */
-    readonly waitMs: number;
+    readonly workspace: gateway.Workspace;
+    readonly refusal: rateGate.RateRefusal;
   };
 
 /** Handles callers' requests, from their arrival to the response. */
@@ -231,7 +201,7 @@
     if (isAnswered(response)) return undefined;
     const admission = this.#requireConfirmation(
       await this.#waitForRate(
-        () => this.#admit(request, metadata, performance.now()),
+        (place) => this.#admit(request, metadata, place, performance.now()),
         metadata,
         response,
         arrivedAt,
@@ -243,7 +213,14 @@
       return undefined;
     }
     if (admission.kind !== "admitted") {
-      this.#refuse(response, metadata, refusalOf(admission));
+      const waitedMs = Math.round(performance.now() - arrivedAt);
+      this.#refuse(response, metadata, this.#refusalOf(admission), {
+        ...(admission.kind === "rate-exceeded"
+          ? { workspace: admission.workspace.name }
+          : {}),
+        tokens: metadata.tokens,
+        waited_ms: waitedMs,
+      });
       return undefined;
     }
     if (confirmation === "unknown") {
@@ -291,20 +268,33 @@
    * rate requires. A request that would be late then is refused at once.
    */
   async #waitForRate(
-    admit: () => Admission,
+    admit: (place: rateGate.Place | undefined) => Admission,
     metadata: types.RequestMetadata,
     response: http.ServerResponse,
     arrivedAt: number,
   ): Promise<Admission> {
-    while (true) {
-      const admission = admit();
-      if (admission.kind !== "rate-exceeded") return admission;
-      const { route, waitMs } = admission;
-      const admittedAt = performance.now() + waitMs;
-      const latestAt = arrivedAt + route.targetMs * RATE_WAIT_FRACTION;
-      if (admittedAt > latestAt || response.destroyed) return admission;
-      await sleepWhileOpen(response, Math.max(MIN_RATE_WAIT_MS, waitMs));
-      await this.#refreshLimitedUsage(metadata);
+    const { rateGate } = this.#options;
+    let place: rateGate.Place | undefined;
+    try {
+      while (true) {
+        const admission = admit(place);
+        if (admission.kind !== "rate-exceeded") return admission;
+        const { refusal, route } = admission;
+        const timeMs = Math.min(
+          metadata.deadlineMs ?? Infinity,
+          route.patienceMs ?? Infinity,
+          route.timeoutMs,
+        );
+        const latestAt = arrivedAt +
+          rateGate.longestWaitMs(refusal, route, timeMs);
+        const admittedAt = performance.now() + refusal.pollMs;
+        if (admittedAt > latestAt || response.destroyed) return admission;
+        place ??= rateGate.enter(refusal);
+        await sleepWhileOpen(response, refusal.pollMs);
+        await this.#refreshLimitedUsage(metadata);
+      }
+    } finally {
+      place?.[Symbol.dispose]();
     }
   }
 
@@ -361,22 +351,15 @@
     return ageMs <= maxConfigurationAgeMs;
   }
 
-  /**
-   * Asks the leader for the usage of a workspace that is near its rate, or whose
-   * request exceeds this host's part of the rate while the usage is unknown. What
-   * this host knows may be older than the requests that other hosts admitted.
-   */
   async #refreshLimitedUsage(metadata: types.RequestMetadata): Promise<void> {
-    const { rateLimiter, refreshUsage, view } = this.#options;
+    const { rateGate, view } = this.#options;
     const { key } = metadata;
     const workspace = key === undefined ? undefined : view.workspaceForKey(key);
     if (workspace === undefined) return;
-    const tokens = rateCost(metadata, workspace);
-    const { name } = workspace;
-    const isAdmissible = this.#isUsageKnown(name) ||
-      rateLimiter.fitsPart(name, tokens, performance.now());
-    if (isAdmissible && !view.isWorkspaceLimited(name)) return;
-    await refreshUsage();
+    await rateGate.refreshLimited(
+      workspace.name,
+      rateCost(metadata, workspace),
+    );
   }
 
   async #dispatch(
@@ -461,6 +444,7 @@
   #admit(
     request: http.IncomingMessage,
     metadata: types.RequestMetadata,
+    place: rateGate.Place | undefined,
     now: number,
   ): Admission {
     const { view } = this.#options;
@@ -489,48 +473,50 @@
       return refused(errors.NO_CAPACITY, "the route has no service");
     }
     const tokens = rateCost(metadata, workspace);
-    if (
-      workspace?.rate === undefined ||
-      this.#tryConsumeRate(workspace.name, tokens, now)
-    ) {
-      if (workspace !== undefined && view.isWorkspaceLimited(workspace.name)) {
-        this.#options.onLimitedAdmission();
-      }
-      return { kind: "admitted", route, service, workspace, tokens };
+    const refusal = workspace?.rate === undefined
+      ? undefined
+      : this.#options.rateGate.tryConsume(workspace.name, tokens, place, now);
+    if (workspace !== undefined && refusal !== undefined) {
+      return { kind: "rate-exceeded", route, workspace, refusal };
     }
-    const isUsageKnown = this.#isUsageKnown(workspace.name);
-    const minWaitMs = isUsageKnown ? 0 : UNKNOWN_USAGE_WAIT_MS;
-    const { rateLimiter } = this.#options;
-    const waitMs = rateLimiter.waitMs(workspace.name, tokens, now);
-    return {
-      kind: "rate-exceeded",
-      route,
-      workspace: workspace.name,
-      isUsageKnown,
-      waitMs: Math.max(minWaitMs, waitMs),
-    };
-  }
-
-  /** Whether the leader has told what the other hosts have used lately. */
-  #isUsageKnown(workspace: string): boolean {
-    const { usageAgeMs, view } = this.#options;
-    const maxAgeMs = view.isWorkspaceLimited(workspace)
-      ? MAX_LIMITED_USAGE_AGE_MS
-      : MAX_USAGE_AGE_MS;
-    return usageAgeMs() <= maxAgeMs;
+    if (workspace !== undefined && view.isWorkspaceLimited(workspace.name)) {
+      this.#options.onLimitedAdmission();
+    }
+    return { kind: "admitted", route, service, workspace, tokens };
   }
 
-  #tryConsumeRate(workspace: string, tokens: number, now: number): boolean {
-    const { rateLimiter } = this.#options;
-    return this.#isUsageKnown(workspace)
-      ? rateLimiter.tryConsume(workspace, tokens, now)
-      : rateLimiter.tryConsumePart(workspace, tokens, now, Math.random());
+  #refusalOf(
+    admission: Exclude<Admission, { kind: "admitted" }>,
+  ): errors.Refusal {
+    switch (admission.kind) {
+      case "not-current":
+      case "refused":
+        return admission.refusal;
+      case "rate-exceeded": {
+        const { refusal, workspace: { name, rate } } = admission;
+        const returnMs = this.#options.rateGate.returnMs(
+          refusal,
+          rate?.perSecond ?? 0,
+          performance.now(),
+        );
+        const detail = refusal.isUsageKnown
+          ? `workspace ${name} has used up its rate`
+          : `workspace ${name} has used up this host's part of its rate, and ` +
+            "the usage of other hosts is not known";
+        return new errors.Refusal(errors.RATE_EXCEEDED, detail, {
+          retryAfterSeconds: returnMs / SECOND_MS,
+        });
+      }
+      default:
+        return errors.assertNever(admission);
+    }
   }
 
   #refuse(
     response: http.ServerResponse,
     metadata: types.RequestMetadata,
     refusal: errors.Refusal,
+    details: log.Fields = {},
   ): void {
     const { view } = this.#options;
     const ageMs = view.configurationAgeMs(clocks.readClocks());
@@ -541,6 +527,7 @@
       version: view.configuration?.version,
       age_ms: Math.round(ageMs),
       term: view.term,
+      ...details,
     });
     responses.sendRefusal(
       response,
@@ -581,32 +568,6 @@
   };
 }
 
-function refusalOf(
-  admission: Exclude<Admission, { kind: "admitted" }>,
-): errors.Refusal {
-  switch (admission.kind) {
-    case "not-current":
-    case "refused":
-      return admission.refusal;
-    case "rate-exceeded":
-      return new errors.Refusal(
-        errors.RATE_EXCEEDED,
-        admission.isUsageKnown
-          ? `workspace ${admission.workspace} has used up its rate`
-          : `workspace ${admission.workspace} has used up this host's part of ` +
-            "its rate, and the usage of other hosts is not known",
-        {
-          retryAfterSeconds: Math.min(
-            admission.waitMs / SECOND_MS,
-            MAX_RETRY_AFTER_SECONDS,
-          ),
-        },
-      );
-    default:
-      return errors.assertNever(admission);
-  }
-}
-
 /** Waits until a time is over, the caller disconnects or `wakeUp` resolves. */
 async function sleepWhileOpen(
   response: http.ServerResponse,
--- a/packages/daemon/test/gateway/request_handler_test.ts
+++ b/packages/daemon/test/gateway/request_handler_test.ts
@@ -259,6 +259,16 @@
     expect(fixture.refreshes).to.equal(1);
   });
 
+  // It was refused at once, although it was within the rate.
+  it("waits for a leader a part of its time", async () => {
+    await using fixture = createFixture(1e9);
+    fixture.onRefresh = () => {
+      if (fixture.refreshes === 4) fixture.usageAgeMs = 0;
+    };
+    expect(await fixture.fetchStatus()).to.equal(200);
+    expect(fixture.refreshes).to.equal(4);
+  });
+
   it("is refused beyond that part while no leader answers", async () => {
     await using fixture = createFixture(1e9);
     expect(await fixture.fetchStatus()).to.equal(429);
--- a/packages/daemon/test/gateway/request_handling.ts
+++ b/packages/daemon/test/gateway/request_handling.ts
@@ -14,6 +14,7 @@
 import type * as dispatcher from "../../src/gateway/entry/dispatcher.ts";
 import * as fleetView from "../../src/gateway/entry/fleet_view.ts";
 import * as hostDrain from "../../src/gateway/entry/host_drain.ts";
+import * as rateGate from "../../src/gateway/entry/rate_gate.ts";
 import * as requestHandler from "../../src/gateway/entry/request_handler.ts";
 import type * as stateConfirmer from "../../src/gateway/entry/state_confirmer.ts";
 import type * as streamResolver from "../../src/gateway/entry/stream_resolver.ts";
@@ -115,12 +116,16 @@
         this.confirmations += 1;
         return this.onConfirm();
       },
-      usageAgeMs: () => this.usageAgeMs,
-      refreshUsage: () => {
-        this.refreshes += 1;
-        this.onRefresh();
-        return Promise.resolve();
-      },
+      rateGate: new rateGate.RateGate({
+        view: this.view,
+        rateLimiter: this.rateLimiter,
+        usageAgeMs: () => this.usageAgeMs,
+        refreshUsage: () => {
+          this.refreshes += 1;
+          this.onRefresh();
+          return Promise.resolve();
+        },
+      }),
       onUnconfirmed: () => this.unconfirmed += 1,
       onLimitedAdmission: () => this.limitedAdmissions += 1,
       isCallerPresent: () => Promise.resolve(this.isCallerPresent),
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -337,6 +337,12 @@
    * has not answered before. Workspaces that are not listed lack none.
    */
   missing: v.optional(v.array(WorkspaceUsage)),
+  /**
+   * Whether `missing` presumes more than may be missing, for a host that has just
+   * begun, because others may still tell the leader what they know. The host
+   * reports as one that was not answered until it isn't presumed.
+   */
+  isMissingPresumed: v.optional(v.boolean()),
   /**
    * Requests in progress over all hosts, on each server that the reported
    * demand and requests may use.
