--- a/packages/daemon/src/gateway/entry/rate_gate.ts
+++ b/packages/daemon/src/gateway/entry/rate_gate.ts
@@ -61,6 +61,60 @@
   readonly pollMs: number;
 };
 
+/** What a `RateHold` needs of the limiter, for one request. */
+type HoldOptions = {
+  refund(): void;
+  fits(now: number): boolean;
+  consume(now: number): boolean;
+  refresh(): Promise<void>;
+};
+
+/**
+ * Tokens of a request that was admitted. While it waits for a server, others of
+ * its workspace use them; it takes them again when it is sent.
+ */
+export class RateHold {
+  readonly #options: HoldOptions;
+  #isHeld = true;
+  #isSent = false;
+  #isRefreshing = false;
+
+  constructor(options: HoldOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the request may be sent, as far as known. */
+  fits(now: number): boolean {
+    return this.#isHeld || this.#options.fits(now);
+  }
+
+  /** Takes the tokens to send the request; returns whether it may be sent. */
+  take(now: number): boolean {
+    if (!this.#isHeld) this.#isHeld = this.#options.consume(now);
+    if (this.#isHeld) this.#isSent = true;
+    else void this.#refresh();
+    return this.#isHeld;
+  }
+
+  /** Lets others use the tokens, unless the request has been sent. */
+  release(): void {
+    if (!this.#isSent) this.refund();
+  }
+
+  /** Gives the tokens back for good, since no server ran the request. */
+  refund(): void {
+    if (this.#isHeld) this.#options.refund();
+    this.#isHeld = false;
+  }
+
+  async #refresh(): Promise<void> {
+    if (this.#isRefreshing) return;
+    this.#isRefreshing = true;
+    await this.#options.refresh();
+    this.#isRefreshing = false;
+  }
+}
+
 /** The place of a request that waits for a rate. */
 export type Place = ReturnType<core.gateway.RateQueue["enter"]>;
 
@@ -124,6 +178,28 @@
       : usualMs;
   }
 
+  /**
+   * Begins to hold the tokens of a request that has been admitted.
+   *
+   * @param onTaken called when the request has taken them again
+   */
+  hold(workspace: string, tokens: number, onTaken: () => void): RateHold {
+    const { rateLimiter } = this.#options;
+    return new RateHold({
+      refund: () => rateLimiter.refund(workspace, tokens),
+      fits: (now) => {
+        const ahead = this.#queue.tokensAhead(workspace);
+        return rateLimiter.waitMs(workspace, tokens, now, ahead) === 0;
+      },
+      consume: (now) => {
+        const refusal = this.tryConsume(workspace, tokens, undefined, now);
+        if (refusal === undefined) onTaken();
+        return refusal === undefined;
+      },
+      refresh: () => this.refreshLimited(workspace, tokens),
+    });
+  }
+
   /** Time after which a refused caller should come back, in milliseconds. */
   returnMs(
     { isUsageKnown, pollMs, tokens, workspace }: RateRefusal,
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -384,6 +384,7 @@
     response.on("close", () => abortController.abort());
     const withdraw = this.#options.drain.onEnd(() => abortController.abort());
     const patienceMs = route.patienceMs ?? Infinity;
+    const rateHold = this.#holdRate(admission);
     const context: types.RequestContext = {
       metadata,
       identity: new requestIdentity.RequestIdentity({
@@ -407,18 +408,30 @@
       isRetryable: route.kind === "safe" ||
         (route.kind === "streaming" && route.isResumable),
       signal: abortController.signal,
+      rateHold,
       failedServers: new Set(),
     };
     try {
       const exchange = { context, request, body, response };
       const mayHaveRun = await this.#serve(exchange);
-      if (!mayHaveRun) this.#refund(admission);
+      if (!mayHaveRun) rateHold?.refund();
     } finally {
       withdraw();
       clearTimeout(timer);
     }
   }
 
+  #holdRate(
+    { tokens, workspace }: Extract<Admission, { kind: "admitted" }>,
+  ): rateGate.RateHold | undefined {
+    if (workspace?.rate === undefined) return undefined;
+    const { name } = workspace;
+    const { onLimitedAdmission, rateGate, view } = this.#options;
+    return rateGate.hold(name, tokens, () => {
+      if (view.isWorkspaceLimited(name)) onLimitedAdmission();
+    });
+  }
+
   /** Gives back what an admission has taken of its workspace's rate. */
   #refund(admission: Admission): void {
     if (admission.kind !== "admitted") return;
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -138,8 +138,12 @@
     }
     const permission = suspects.permissionFor(context, now);
     if (permission.kind === "quarantined") return permission;
-    const server = this.#findServer(context, permission, now);
+    const isRateThere = context.rateHold?.fits(now) ?? true;
+    const server = isRateThere
+      ? this.#findServer(context, permission, now)
+      : undefined;
     if (server !== undefined) {
+      if (context.rateHold?.take(now) === false) return undefined;
       if (permission.kind === "admitted") suspects.recordStart(context);
       return { kind: "server", server };
     }
@@ -187,6 +191,7 @@
   }
 
   #enqueue(context: types.RequestContext): Promise<types.Selection> {
+    context.rateHold?.release();
     return new Promise((resolve) => {
       this.#queue.add({ context, resolve });
       this.#interval ??= timers.setInterval(
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -6,6 +6,7 @@
  */
 import type * as http from "node:http";
 import type { gateway } from "@ebonypath/protocol";
+import type * as rateGate from "./rate_gate.ts";
 import type * as requestIdentity from "./request_identity.ts";
 
 /** Metadata in the headers of a caller's request. */
@@ -138,6 +139,8 @@
   readonly isRetryable: boolean;
   /** Aborts when the caller disconnects or the time limit expires. */
   readonly signal: AbortSignal;
+  /** Its part of its workspace's rate; absent without a limit. */
+  readonly rateHold?: rateGate.RateHold | undefined;
   /** Servers that failed to serve it. */
   readonly failedServers: Set<string>;
 };
