Act on notices of removal at short notice

Servers that are removed at short notice report remaining_ms while they drain, which wasn't read: a request at a server that was gone without a reset waited for its caller's deadline, the server stayed listed, and a model that only it held was loaded elsewhere when the first request waited for it.

The earliest end that any report tells of a start stands, at the leader, at hosts and over changes of the leader. When it has come, the leader counts the server as ended and hosts break off what it still ran, so that what may run again goes on elsewhere. Until then hosts report the models of requests that it can't finish, by the run times of their routes, as needed at its end, and the planner loads a steadily used model elsewhere at once.

--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -86,6 +86,8 @@
   readonly #assigned = new Set<string>();
   /** Models with waiting requests. */
   readonly #requested: ReadonlySet<string>;
+  /** Models on servers that are about to leave. */
+  readonly #leavingModels: ReadonlySet<string>;
   /** Number of usable servers that hold or load each model. */
   readonly #replicas = new Map<string, number>();
   /** Number of adapter loads planned in this round, by server. */
@@ -112,6 +114,9 @@
     this.#requested = new Set(
       this.#demand.filter(hasWaiting).map(({ model }) => model),
     );
+    this.#leavingModels = new Set(
+      input.servers.filter(({ isLeaving }) => isLeaving).flatMap(modelNames),
+    );
     for (const server of input.servers.filter(({ isUsable }) => isUsable)) {
       for (const name of modelNames(server)) {
         this.#replicas.set(name, (this.#replicas.get(name) ?? 0) + 1);
@@ -124,7 +129,8 @@
     const resumed = this.#resumptions.filter(hasWaiting)
       .filter((demand) => !this.#isHeldAtVersion(demand))
       .map((demand) => this.#planLoad(demand));
-    const missing = this.#demandAtAnyVersion().filter(hasWaiting)
+    const missing = this.#demandAtAnyVersion()
+      .filter((demand) => hasWaiting(demand) || this.#isLosing(demand))
       .filter(({ model }) => this.#replicaCount(model) === 0);
     const short = this.#demand.filter((demand) => this.#isShort(demand));
     const loads = [...this.#sortByBenefit(missing), ...short]
@@ -135,6 +141,12 @@
     ];
   }
 
+  /** Whether a model is used steadily at a server that is about to leave. */
+  #isLosing(demand: types.AggregateDemand): boolean {
+    return this.#leavingModels.has(demand.model) &&
+      this.#targetReplicas(demand) > 0;
+  }
+
   #demandAtAnyVersion(): readonly types.AggregateDemand[] {
     return this.#resumptions.length === 0
       ? this.#demand
--- a/packages/core/src/gateway/load_planner_types.ts
+++ b/packages/core/src/gateway/load_planner_types.ts
@@ -10,6 +10,8 @@
   readonly models: readonly gateway.LoadedModel[];
   /** Whether it may get orders and requests. */
   readonly isUsable: boolean;
+  /** Whether it is about to shut down or to be removed. */
+  readonly isLeaving?: boolean;
   /** Time until its current order is complete, in ms; 0 if it has none. */
   readonly busyMs: number;
   /** Model that it is loading. */
--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -16,6 +16,7 @@
 export * from "./server_availability.ts";
 export * from "./server_balancer.ts";
 export * from "./server_registry.ts";
+export * from "./removal_notices.ts";
 export * from "./response_verdict.ts";
 export * from "./route_table.ts";
 export * from "./state.ts";
--- a/packages/core/src/gateway/server_registry.ts
+++ b/packages/core/src/gateway/server_registry.ts
@@ -1,5 +1,6 @@
 import type { gateway } from "@ebonypath/protocol";
 import { adapterKey } from "./load_planner_types.ts";
+import { RemovalNotices } from "./removal_notices.ts";
 
 /**
  * Time without a heartbeat after which entry hosts are told that a server is
@@ -16,6 +17,12 @@
  */
 const UNKNOWN_END_MS = 3_000;
 
+/**
+ * Earlier end of a server from which on entry hosts are told again, in
+ * milliseconds: about the time by which heartbeats in a row differ in transit.
+ */
+const REMOVAL_TOLERANCE_MS = 50;
+
 /** A server, with the state that the leader adds to its last heartbeat. */
 type Entry = {
   heartbeat: gateway.Heartbeat;
@@ -81,6 +88,7 @@
   readonly #unknownEnded = new Map<string, number>();
   /** Starts that have ended before they were known. */
   readonly #endedStarts = new Map<string, EndedStart>();
+  readonly #removals = new RemovalNotices();
   #revision = 1;
   #urgentRevision = 1;
 
@@ -119,8 +127,9 @@
       ...servers.map((server) => server.revision),
     );
     for (const { record, revision } of servers) {
-      const { leaving, silentMs: _, ...rest } = record;
-      const heartbeat = { ...rest, inMemory: [], onDisk: [] };
+      const { leaving } = record;
+      const heartbeat = toHeartbeat(record);
+      this.#recordRemoval(heartbeat, now);
       // This leader has no orders under way.
       const isSame = leaving.length === 0;
       this.#addUnheard(
@@ -181,13 +190,16 @@
       keepReportedModels(heartbeat, sameStart),
       isLeaving,
     );
-    const isSame = known !== undefined &&
+    const endsEarlier = this.#recordRemoval(heartbeat, now);
+    const isSame = known !== undefined && !endsEarlier &&
       isEqualContent(known.heartbeat, merged);
     const isSameState = sameStart?.heartbeat.state === merged.state;
     this.#entries.set(heartbeat.id, {
       heartbeat: merged,
       heartbeatAt: now,
-      revision: isSame ? known.revision : this.#nextRevision(!isSameState),
+      revision: isSame
+        ? known.revision
+        : this.#nextRevision(!isSameState || endsEarlier),
       unloading: sameStart?.unloading ?? new Set(),
       hasReport: sameStart?.hasReport ?? false,
       isHeard: isHeard || (sameStart?.isHeard ?? false),
@@ -204,15 +216,17 @@
    */
   mergeRecords(records: readonly gateway.ServerRecord[], now: number): void {
     // Hosts are told of changes only: their records age while servers are heard.
-    for (const { silentMs: _, leaving, ...record } of records) {
-      const heartbeat = { ...record, inMemory: [], onDisk: [] };
+    for (const record of records) {
+      const { leaving } = record;
+      const heartbeat = toHeartbeat(record);
       const known = this.#entries.get(heartbeat.id);
       if (known === undefined || isLater(heartbeat, known.heartbeat)) {
         this.#apply(heartbeat, now, false);
         continue;
       }
       this.#mergeState(heartbeat, known);
-      const isSame = leaving.length === 0 &&
+      const endsEarlier = this.#recordRemoval(heartbeat, now);
+      const isSame = leaving.length === 0 && !endsEarlier &&
         isEqualContent(heartbeat, known.heartbeat);
       if (!isSame) known.revision = this.#nextRevision(false);
     }
@@ -258,6 +272,20 @@
     return true;
   }
 
+  /** Returns whether a server will be gone earlier than was known. */
+  #recordRemoval(heartbeat: gateway.Heartbeat, now: number): boolean {
+    const { remainingMs } = heartbeat;
+    if (remainingMs === undefined) return false;
+    const knownEnd = this.#removals.endsAt(heartbeat) ?? Infinity;
+    const isEarlier = this.#removals.record(heartbeat, remainingMs, now);
+    return isEarlier && knownEnd - now - remainingMs > REMOVAL_TOLERANCE_MS;
+  }
+
+  /** When a start of a server will be gone; absent if nothing is known. */
+  removalAt(start: gateway.ServerStart): number | undefined {
+    return this.#removals.endsAt(start);
+  }
+
   #end(entry: Entry): void {
     if (entry.heartbeat.state === "ended") return;
     entry.heartbeat = { ...entry.heartbeat, state: "ended" };
@@ -302,10 +330,22 @@
    */
   applyReport(
     start: gateway.ServerStart,
-    report: Pick<gateway.EngineReport, "models" | "inMemory" | "onDisk">,
+    report: Pick<
+      gateway.EngineReport,
+      "models" | "inMemory" | "onDisk" | "remainingMs"
+    >,
+    now?: number,
   ): void {
     const entry = this.#entryOf(start);
     if (entry === undefined) return;
+    const { remainingMs } = report;
+    if (remainingMs !== undefined && now !== undefined) {
+      this.markLeaving(start);
+      const heartbeat = { ...entry.heartbeat, remainingMs };
+      if (this.#recordRemoval(heartbeat, now)) {
+        entry.revision = this.#nextRevision(true);
+      }
+    }
     const { models, inMemory, onDisk } = report;
     entry.hasReport = true;
     const heartbeat = { ...entry.heartbeat, models, inMemory, onDisk };
@@ -336,9 +376,14 @@
     return [...this.#entries.values()]
       .filter((entry) => entry.revision > revision)
       .map(({ heartbeat, heartbeatAt, unloading }) => {
-        const { inMemory: _, onDisk: __, ...record } = heartbeat;
+        const { inMemory: _, onDisk: __, remainingMs: ___, ...record } =
+          heartbeat;
+        const endsAt = this.#removals.endsAt(heartbeat);
         return {
           ...record,
+          ...(endsAt === undefined
+            ? {}
+            : { remainingMs: Math.max(0, endsAt - heartbeatAt) }),
           silentMs: Math.max(0, now - heartbeatAt),
           leaving: [...unloading],
         };
@@ -368,6 +413,7 @@
     const { revision } = this;
     for (const [id, entry] of this.#entries) {
       const silentMs = now - entry.heartbeatAt;
+      if (this.#removals.isOver(entry.heartbeat, now)) this.#end(entry);
       if (silentMs > REMOVE_MS) this.#entries.delete(id);
       else if (silentMs > LOST_MS) this.#markLost(entry);
     }
@@ -429,6 +475,20 @@
   return { ...heartbeat, models, inMemory, onDisk };
 }
 
+/** What a record says of a server, as if it had been heard now. */
+function toHeartbeat(
+  { leaving: _, silentMs, remainingMs, ...record }: gateway.ServerRecord,
+): gateway.Heartbeat {
+  return {
+    ...record,
+    ...(remainingMs === undefined
+      ? {}
+      : { remainingMs: Math.max(0, remainingMs - silentMs) }),
+    inMemory: [],
+    onDisk: [],
+  };
+}
+
 /** A server that leaves may announce itself as ready until it does so. */
 function withLeaving(
   heartbeat: gateway.Heartbeat,
@@ -467,6 +527,7 @@
       ...heartbeat,
       sequence: 0,
       coldMs: heartbeat.coldMs > 0,
+      remainingMs: 0,
       inMemory: [],
       onDisk: [],
     });
--- a/packages/core/test/gateway/load_planner_test.ts
+++ b/packages/core/test/gateway/load_planner_test.ts
@@ -25,6 +25,20 @@
     ]);
   });
 
+  it("loads a steadily used model elsewhere when its only server leaves", () => {
+    const leaving = { isUsable: false, isLeaving: true };
+    const ordersFor = (arrivalsPerSecond: number) =>
+      planOrders(input({
+        servers: [
+          server({ id: "s1", models: [heldModel("a")], ...leaving }),
+          server({ id: "s2", onDisk: new Set(["a"]) }),
+        ],
+        demand: [demand({ model: "a", slacksMs: [], arrivalsPerSecond })],
+      })).map(({ kind, server }) => `${kind} ${server}`);
+    expect(ordersFor(0.5)).to.deep.equal(["load s2"]);
+    expect(ordersFor(0)).to.deep.equal([]);
+  });
+
   it("waits for a busy server with the weights rather than use the store", () => {
     const servers = [
       server({ id: "s1" }),
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -268,9 +268,20 @@
     }
     if (this.#registry.revision === revision) return;
     this.#logServer(relayed);
+    if (relayed.kind === "heartbeat") this.#logRemoval(relayed.heartbeat);
     this.#onChange();
   }
 
+  #logRemoval({ born, id, remainingMs }: gateway.Heartbeat): void {
+    if (remainingMs === undefined) return;
+    this.#options.metrics.removalNotices.inc();
+    write("removal-notice", {
+      server: id,
+      born,
+      remaining_ms: Math.round(remainingMs),
+    });
+  }
+
   /** Hosts of earlier builds mean whichever start is known. */
   #endedStart({ born, id }: ServerEnd): number | null {
     return born === undefined ? this.startOf({ id }).born : born;
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -205,6 +205,7 @@
       softwareVersion: server.softwareVersion,
       models: server.models,
       isUsable: server.state === "ready" && hasHeartbeat && !isWithdrawn,
+      isLeaving: server.state === "draining",
       ...executor.status(server, now),
       inMemory: new Set(server.inMemory),
       onDisk: new Set(server.onDisk),
--- a/packages/daemon/src/gateway/control/order_executor.ts
+++ b/packages/daemon/src/gateway/control/order_executor.ts
@@ -272,7 +272,7 @@
   ): Promise<boolean> {
     if (orders.acceptedCount !== undefined) return true;
     const report = await this.#options.client.report(server);
-    this.#options.registry.applyReport(server, report);
+    this.#options.registry.applyReport(server, report, performance.now());
     if (report.isBusy || report.pendingAdapters > 0) return false;
     orders.acceptedCount = report.orders;
     return true;
@@ -379,7 +379,7 @@
       const isCurrent = report.orders === orders.acceptedCount &&
         !report.isBusy && report.pendingAdapters === 0;
       if (!isCurrent || !hasTakenEffect(order, report.models)) return false;
-      this.#options.registry.applyReport(server, report);
+      this.#options.registry.applyReport(server, report, performance.now());
       return true;
     } catch (error) {
       write("no-report", { server: server.id, error });
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -16,6 +16,7 @@
 import type * as crashSuspects from "./crash_suspects.ts";
 import * as eventRelay from "./event_relay.ts";
 import type * as hostDrain from "./host_drain.ts";
+import type * as removalWatch from "./removal_watch.ts";
 import * as responseBuffer from "./response_buffer.ts";
 import * as responses from "./responses.ts";
 import type * as retryBudgets from "./retry_budgets.ts";
@@ -83,6 +84,7 @@
    * because its model will be loaded then.
    */
   onReturnExpected(context: types.RequestContext, delayMs: number): void;
+  readonly removals: Pick<removalWatch.RemovalWatch, "watch">;
   /** Called when a server has said that it leaves. */
   onServerLeaving(): void;
   /** Called when a stream that may be resumed begins. */
@@ -390,6 +392,7 @@
       return { kind: "not-run", reason, hasArrived: false };
     }
     const serverMs = Math.floor(decision.serverDeadline - sentAt);
+    using run = this.#options.removals.watch(server, context);
     const result = await upstream.send({
       address: server.address,
       method: request.method ?? "GET",
@@ -410,7 +413,7 @@
       // the last attempt must not be lost to a connection that is out of step.
       isReusable: context.route.kind === "safe" &&
         context.metadata.id !== undefined && progress.possibleRuns === 0,
-      signal: context.signal,
+      signal: run.signal,
       headTimeoutMs: headTimeout(context, progress),
     });
     const { availability } = this.#options.tracker;
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -21,6 +21,7 @@
 import * as leaderSync from "./leader_sync.ts";
 import * as requestHandler from "./request_handler.ts";
 import * as rateGate from "./rate_gate.ts";
+import * as removalWatch from "./removal_watch.ts";
 import * as retryBudgets from "./retry_budgets.ts";
 import * as serverProber from "./server_prober.ts";
 import * as serverSelector from "./server_selector.ts";
@@ -105,6 +106,7 @@
     probe: connectionProbe.probe,
     onReachable: () => this.#serverSelector.processQueue(),
   });
+  readonly #removalWatch: removalWatch.RemovalWatch;
   readonly #serverSelector: serverSelector.ServerSelector;
   readonly #retryBudgets: retryBudgets.RetryBudgets;
   readonly #requestHandler: requestHandler.RequestHandler;
@@ -126,6 +128,13 @@
     const { dialect, host, maxConfigurationAgeMs, rpcClient, seeds } = options;
     this.#metrics = options.metrics;
     this.drain = this.#resources.use(new hostDrain.HostDrain());
+    this.#removalWatch = this.#resources.use(
+      new removalWatch.RemovalWatch({
+        view: this.view,
+        drain: this.drain,
+        metrics: options.metrics,
+      }),
+    );
     this.#rateLimiter = new core.gateway.SharedRateLimiter(
       PROCESS_STARTED_AT,
       options.rateTolerance,
@@ -194,6 +203,7 @@
         streams: this.#ownStreams,
         suspects: this.#crashSuspects,
         drain: this.drain,
+        removals: this.#removalWatch,
         metrics: options.metrics,
         onServerLeaving: () => this.#reportSoon(),
         onStreamBegun: (stream) => {
@@ -231,7 +241,10 @@
       "configuration",
       (configuration, ageMs) => this.#applyConfiguration(configuration, ageMs),
     );
-    this.view.on("change", () => this.#forgetRemovedServers());
+    this.view.on("change", () => {
+      this.#forgetRemovedServers();
+      this.#removalWatch.update();
+    });
   }
 
   start(): void {
@@ -477,6 +490,7 @@
         context,
         dueAt: at,
       })),
+      ...this.#removalWatch.moves(),
     ];
     for (const { context, dueAt } of waiting) {
       const { metadata, origin, service } = context;
--- a/packages/daemon/src/gateway/entry/fleet_view.ts
+++ b/packages/daemon/src/gateway/entry/fleet_view.ts
@@ -43,6 +43,8 @@
   #withdrawnDomains: ReadonlySet<string> = new Set();
   #limitedWorkspaces: ReadonlySet<string> = new Set();
   #servers = new Map<string, KnownServer>();
+  /** When servers will be gone that are removed at short notice. */
+  readonly removals = new core.gateway.RemovalNotices();
   #serversByService = new Map<string, KnownServer[]>();
   #term = 0;
   #revision = 0;
@@ -302,6 +304,9 @@
       this.#sentRevisions.set(id, revision);
       const lastHeartbeatAt = now - record.silentMs;
       this.#servers.set(id, { record, lastHeartbeatAt });
+      if (record.remainingMs !== undefined) {
+        this.removals.record(record, record.remainingMs, lastHeartbeatAt);
+      }
     }
     this.#serversByService = new Map();
     for (const server of this.#servers.values()) {
--- a/packages/daemon/src/gateway/entry/host_drain.ts
+++ b/packages/daemon/src/gateway/entry/host_drain.ts
@@ -54,6 +54,11 @@
     this.#runTimes.record(route.name, ms);
   }
 
+  /** Longest usual run time of a route, in milliseconds, if it is known. */
+  longestRunMs(route: string): number | undefined {
+    return this.#runTimes.longest(route);
+  }
+
   /** Forgets the run times of all routes but some. */
   retainRoutes(routes: ReadonlySet<string>): void {
     this.#runTimes.retain(routes);
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -64,6 +64,16 @@
     labelNames: ["reason"] as const,
     registers: [this.registry],
   });
+  readonly removalNotices = new prometheus.Counter({
+    name: "ebonypath_gateway_removal_notices_total",
+    help: "Notices that a server will be gone earlier than was known",
+    registers: [this.registry],
+  });
+  readonly removedRuns = new prometheus.Counter({
+    name: "ebonypath_gateway_removed_runs_total",
+    help: "Requests whose server was removed while it ran them",
+    registers: [this.registry],
+  });
   readonly serverCrashes = new prometheus.Counter({
     name: "ebonypath_gateway_server_crashes_total",
     help: "Requests under which a server's process ended",
--- a/packages/daemon/test/gateway/dispatching.ts
+++ b/packages/daemon/test/gateway/dispatching.ts
@@ -227,6 +227,9 @@
       recordSuccess: () => {},
     },
     drain,
+    removals: {
+      watch: (_server, { signal }) => ({ signal, [Symbol.dispose]: () => {} }),
+    },
     metrics: new GatewayMetrics(),
     onReturnExpected: () => {},
     onServerLeaving: () => {},
--- a/packages/protocol/src/gateway/server.ts
+++ b/packages/protocol/src/gateway/server.ts
@@ -13,6 +13,8 @@
 const MAX_LIST_LENGTH = 4_096;
 /** Most requests that a server may state that it runs at the same time. */
 const MAX_SLOTS = 100_000;
+/** Longest time until its removal that a server may state, in ms: a day. */
+export const MAX_REMAINING_MS = 86_400_000;
 /** Longest warm-up that a server may state, in milliseconds: a day. */
 const MAX_COLD_MS = 86_400_000;
 /**
@@ -67,6 +69,13 @@
   /** Time until its warm-up ends, in milliseconds. */
   coldMs: v.pipe(v.number(), v.minValue(0), v.maxValue(MAX_COLD_MS)),
   models: v.pipe(v.array(LoadedModel), v.maxLength(MAX_LIST_LENGTH)),
+  /**
+   * Time until it is gone, whatever it runs, in milliseconds; absent if it is not
+   * being removed at short notice.
+   */
+  remainingMs: v.optional(
+    v.pipe(v.number(), v.minValue(0), v.maxValue(MAX_REMAINING_MS)),
+  ),
   /** Models with a copy of their weights in its memory. */
   inMemory: Names,
   /** Models with a copy of their weights on its disk. */
@@ -85,6 +94,8 @@
   pendingAdapters: Count,
   inMemory: Names,
   onDisk: Names,
+  /** Time until it is gone, in milliseconds; see `Heartbeat`. */
+  remainingMs: v.optional(v.pipe(v.number(), v.minValue(0))),
 });
 export type EngineReport = v.InferOutput<typeof EngineReport>;
 
