--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -20,6 +20,8 @@
 import * as hostDrain from "./host_drain.ts";
 import * as leaderSync from "./leader_sync.ts";
 import * as requestHandler from "./request_handler.ts";
+import * as rateGate from "./rate_gate.ts";
+import * as removalWatch from "./removal_watch.ts";
 import * as retryBudgets from "./retry_budgets.ts";
 import * as serverProber from "./server_prober.ts";
 import * as serverSelector from "./server_selector.ts";
@@ -60,6 +62,8 @@
   /** Fleet addresses of the control hosts to contact first. */
   seeds(): readonly string[];
   readonly retryBudget: core.gateway.FleetRetryBudget;
+  /** How far the usage of workspaces may exceed their rates. */
+  readonly rateTolerance?: core.gateway.RateTolerance | undefined;
   /**
    * Age of a configuration from which on no request is admitted or refused by it
    * unconfirmed, in milliseconds.
@@ -78,9 +82,7 @@
   readonly #serverTracker = new serverTracker.ServerTracker(() =>
     this.#hasNews = true
   );
-  readonly #rateLimiter = new core.gateway.SharedRateLimiter(
-    PROCESS_STARTED_AT,
-  );
+  readonly #rateLimiter: core.gateway.SharedRateLimiter;
   readonly #usageFreshness = new core.gateway.Freshness();
   readonly #unitBorrower = new unitBorrower.UnitBorrower(() =>
     this.#reportSoon()
@@ -104,6 +106,7 @@
     probe: connectionProbe.probe,
     onReachable: () => this.#serverSelector.processQueue(),
   });
+  readonly #removalWatch: removalWatch.RemovalWatch;
   readonly #serverSelector: serverSelector.ServerSelector;
   readonly #retryBudgets: retryBudgets.RetryBudgets;
   readonly #requestHandler: requestHandler.RequestHandler;
@@ -125,6 +128,17 @@
     const { dialect, host, maxConfigurationAgeMs, rpcClient, seeds } = options;
     this.#metrics = options.metrics;
     this.drain = this.#resources.use(new hostDrain.HostDrain());
+    this.#removalWatch = this.#resources.use(
+      new removalWatch.RemovalWatch({
+        view: this.view,
+        drain: this.drain,
+        metrics: options.metrics,
+      }),
+    );
+    this.#rateLimiter = new core.gateway.SharedRateLimiter(
+      PROCESS_STARTED_AT,
+      options.rateTolerance,
+    );
     this.#rateLimiter.setHostCount(Infinity);
     const leaderClient = new fleet.LeaderClient(rpcClient, seeds);
     this.#stateConfirmer = this.#resources.use(
@@ -189,6 +203,7 @@
         streams: this.#ownStreams,
         suspects: this.#crashSuspects,
         drain: this.drain,
+        removals: this.#removalWatch,
         metrics: options.metrics,
         onServerLeaving: () => this.#reportSoon(),
         onStreamBegun: (stream) => {
@@ -212,8 +227,12 @@
       confirmConfiguration: () => this.#stateConfirmer.confirm(),
       onUnconfirmed: () => options.metrics.unconfirmedAdmissions.inc(),
       onLimitedAdmission: () => this.#reportSoon(),
-      usageAgeMs: () => this.#usageFreshness.ageMs(clocks.readClocks()),
-      refreshUsage: () => this.#leaderSync.refresh(USAGE_REFRESH_TIMEOUT_MS),
+      rateGate: new rateGate.RateGate({
+        view: this.view,
+        rateLimiter: this.#rateLimiter,
+        usageAgeMs: () => this.#usageFreshness.ageMs(clocks.readClocks()),
+        refreshUsage: () => this.#leaderSync.refresh(USAGE_REFRESH_TIMEOUT_MS),
+      }),
       isCallerPresent: (request) =>
         this.#stallDetector.isCallerPresent(request),
       onArrival: (context) => this.#countArrival(context),
@@ -222,7 +241,10 @@
       "configuration",
       (configuration, ageMs) => this.#applyConfiguration(configuration, ageMs),
     );
-    this.view.on("change", () => this.#forgetRemovedServers());
+    this.view.on("change", () => {
+      this.#forgetRemovedServers();
+      this.#removalWatch.update();
+    });
   }
 
   start(): void {
@@ -468,6 +490,7 @@
         context,
         dueAt: at,
       })),
+      ...this.#removalWatch.moves(),
     ];
     for (const { context, dueAt } of waiting) {
       const { metadata, origin, service } = context;
