Report how many requests of each workspace servers began

Entry hosts count the requests that servers began by window and workspace, the leader commits the content of a window before it is sent for the first time, and the holder of the duty repeats exactly that until it is accepted. A duty has a holder and a fence in the replicated state. It takes effect where the settings name the duty API and ask for the duty.

--- /dev/null
+++ b/packages/core/src/duties/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Duties that one host at a time performs for the whole fleet: who holds them,
+ * what is reported for a window of time, and when calls are made.
+ *
+ * @module
+ */
+export * from "./begun_counter.ts";
+export * from "./call_schedule.ts";
+export * from "./duty_state.ts";
+export * from "./fleet_clock.ts";
+export * from "./usage_windows.ts";
+export * from "./window_schedule.ts";
--- a/packages/core/src/gateway/state.ts
+++ b/packages/core/src/gateway/state.ts
@@ -1,4 +1,5 @@
 import { errors, type gateway, type state } from "@ebonypath/protocol";
+import * as duties from "../duties/mod.ts";
 import * as suspicion from "../suspicion/mod.ts";
 
 /**
@@ -27,6 +28,8 @@
   readonly domainRevision?: number;
   /** By id; missing in snapshots that early builds wrote. */
   readonly endedServers?: readonly (readonly [string, number])[];
+  /** Missing in snapshots that early builds wrote. */
+  readonly duties?: duties.DutySnapshot;
 };
 
 /**
@@ -53,6 +56,7 @@
   #domainRevision = 0;
   /** Births of the last starts that have ended, by the id of the server. */
   readonly #endedServers = new Map<string, number>();
+  #duties = new duties.DutyState();
 
   constructor(withdrawnDomains: readonly string[] = []) {
     this.#withdrawnDomains = new Set(withdrawnDomains);
@@ -105,6 +109,11 @@
     return born <= (this.#endedServers.get(id) ?? -1);
   }
 
+  /** Who performs which duty, and what is reported for it. */
+  get duties(): duties.DutyState {
+    return this.#duties;
+  }
+
   /** Requests that are not run for a time. */
   get quarantines(): state.Quarantine[] {
     return this.#quarantines.list();
@@ -181,6 +190,15 @@
         // The leader has told hosts by its list of servers.
         this.#endServer(command);
         return false;
+      case "hold-duty":
+        this.#duties.hold(command.duty, command.host);
+        return false;
+      case "close-window":
+        this.#duties.closeWindow(command);
+        return false;
+      case "window-delivered":
+        this.#duties.recordDelivery(command.window);
+        return false;
       case "barrier":
         return false;
       default:
@@ -200,6 +218,7 @@
       hostStateIndex: this.#hostStateIndex,
       domainRevision: this.#domainRevision,
       endedServers: [...this.#endedServers],
+      duties: this.#duties.toSnapshot(),
     };
     return JSON.stringify(snapshot);
   }
@@ -223,6 +242,7 @@
     for (const [id, born] of snapshot.endedServers ?? []) {
       state.#endedServers.set(id, born);
     }
+    state.#duties = new duties.DutyState(snapshot.duties);
     return state;
   }
 
@@ -302,6 +322,9 @@
     case "barrier":
     case "end-server":
     case "hold-orders":
+    case "hold-duty":
+    case "close-window":
+    case "window-delivered":
       return false;
     case "configure":
     case "withdraw-domain":
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * as deferred from "./deferred/mod.ts";
+export * as duties from "./duties/mod.ts";
 export * as gateway from "./gateway/mod.ts";
 export * as limits from "./limits/mod.ts";
 export * as placement from "./placement/mod.ts";
--- a/packages/daemon/src/gateway/control/control_host.ts
+++ b/packages/daemon/src/gateway/control/control_host.ts
@@ -16,6 +16,7 @@
 import type * as metrics from "../metrics.ts";
 import * as serverRecords from "../server_records.ts";
 import * as changeCommitter from "./change_committer.ts";
+import type * as dutyTypes from "./duty_types.ts";
 import * as entryConfiguration from "./entry_configuration.ts";
 import * as fleetCoordinator from "./fleet_coordinator.ts";
 import * as membershipManager from "./membership_manager.ts";
@@ -65,6 +66,8 @@
   readonly rpcServer: fleet.RpcServer;
   readonly rpcClient: fleet.RpcClient;
   readonly engineClient: types.EngineClient;
+  /** Duties that the leader performs; absent if the fleet has none. */
+  readonly duties?: dutyTypes.Duties | undefined;
   readonly metrics: metrics.GatewayMetrics;
   /** Called when the disk or the state machine failed; the process must end. */
   onFailure(error: unknown): void;
@@ -626,6 +629,7 @@
     if (!isCurrent) return;
     const {
       address,
+      duties,
       engineClient,
       metrics,
       name,
@@ -641,6 +645,7 @@
       metrics,
       orderTakeoverDelayMs,
       retryBudget,
+      duties,
       known: this.#serverListFollower.copy(),
       streamOrigins: this.#streamOrigins,
       commit: (command) => this.#commit(command),
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -9,6 +9,8 @@
 import { errors, type gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
 import type * as metrics from "../metrics.ts";
+import * as dutyPerformer from "./duty_performer.ts";
+import type * as dutyTypes from "./duty_types.ts";
 import * as entryConfiguration from "./entry_configuration.ts";
 import * as orderExecutor from "./order_executor.ts";
 import * as limitLender from "./limit_lender.ts";
@@ -100,6 +102,8 @@
   readonly known?: core.gateway.ServerListCopy | undefined;
   /** Where streams began, with the streams that an earlier leader told of. */
   readonly streamOrigins: core.gateway.StreamOrigins;
+  /** Duties that the leader performs; absent if the fleet has none. */
+  readonly duties?: dutyTypes.Duties | undefined;
   readonly state: () => core.gateway.GatewayState;
   readonly controlHosts: () => string[];
   hasLease(): boolean;
@@ -147,6 +151,7 @@
   readonly #addingVersions = new Set<string>();
   readonly #removingVersions = new Set<string>();
   readonly #quarantines: quarantineManager.QuarantineManager;
+  readonly #duties: dutyPerformer.DutyPerformer | undefined;
   /** Models that each host has requests for, as of its last report. */
   readonly #interests = new Map<string, core.gateway.HostInterest>();
   /** Number of the last report of each host. */
@@ -207,6 +212,14 @@
       commitChange: (request) => options.commitChange(request),
       onChange: () => this.#onChange(),
     });
+    this.#duties = options.duties && new dutyPerformer.DutyPerformer({
+      ...options,
+      ...options.duties,
+      holder: options.orderHolder,
+      takeoverDelayMs: options.orderTakeoverDelayMs,
+      isSettled: () => this.#isSettled,
+      isLeaseCertain: () => this.#isLeaseCertain(),
+    });
     if (options.known !== undefined) this.#restore(options.known);
     this.#restoreEnds();
     this.#beginRollout();
@@ -363,6 +376,7 @@
     if (this.#registry.revision !== revision) this.#onChange();
     this.#releaseWatchOf(report.host);
     this.#recordUsage(report, now);
+    const duties = this.#duties?.recordReport(report);
     if (report.demand.some(({ slacksMs }) => slacksMs.length > 0)) {
       await this.#scheduler.planned();
     }
@@ -385,6 +399,7 @@
       ),
       forecasts: this.#forecastsFor(report, performance.now()),
       ...suspects,
+      ...duties,
     };
   }
 
@@ -493,6 +508,7 @@
     timers.clearTimeout(this.#claimTimer);
     this.#scheduler[Symbol.dispose]();
     this.#quarantines[Symbol.dispose]();
+    this.#duties?.[Symbol.dispose]();
     for (const pending of [...this.#pendingWatches]) this.#release(pending);
     this.#options.metrics.leading.set(0);
     write("not-leading", { term: this.term });
--- a/packages/daemon/src/gateway/control/mod.ts
+++ b/packages/daemon/src/gateway/control/mod.ts
@@ -4,4 +4,5 @@
  * @module
  */
 export * from "./control_host.ts";
+export type * from "./duty_types.ts";
 export * from "./types.ts";
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -83,6 +83,15 @@
    * because its model will be loaded then.
    */
   onReturnExpected(context: types.RequestContext, delayMs: number): void;
+  /**
+   * Called when a server has begun to run a request.
+   *
+   * @param stream the answer, if it is a stream that has no event yet
+   */
+  onRequestBegun(
+    context: types.RequestContext,
+    stream?: http.IncomingMessage,
+  ): void;
   /** Called when a server has said that it leaves. */
   onServerLeaving(): void;
   /** Called when a stream that may be resumed begins. */
@@ -479,9 +488,12 @@
       case "not-run":
         return this.#handleNotRun(context, server.id, result, metadata);
       case "answer":
-        return metadata.isEventStream && status === OK_STATUS
-          ? await this.#relayStream(exchange, server, result, progress)
-          : await this.#forwardResponse(exchange, server, result, progress);
+        if (metadata.isEventStream && status === OK_STATUS) {
+          this.#options.onRequestBegun(context, result.message);
+          return await this.#relayStream(exchange, server, result, progress);
+        }
+        this.#options.onRequestBegun(context);
+        return await this.#forwardResponse(exchange, server, result, progress);
       default:
         return errors.assertNever(verdict);
     }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -28,6 +28,7 @@
 import * as streamResolver from "./stream_resolver.ts";
 import type * as types from "./types.ts";
 import * as unitBorrower from "./unit_borrower.ts";
+import * as usageCounter from "./usage_counter.ts";
 
 const write = log.createLog("entry");
 
@@ -36,6 +37,8 @@
  * usage, in milliseconds.
  */
 const USAGE_REFRESH_TIMEOUT_MS = 100;
+/** Longest time that the last report may take while the host ends, in ms. */
+const LAST_REPORT_TIMEOUT_MS = 200;
 /** Callers whose return is expected that are remembered. */
 const MAX_EXPECTED_RETURNS = 256;
 /** Time for which a model is kept for a caller after its return is due, in ms. */
@@ -67,6 +70,8 @@
   readonly maxConfigurationAgeMs: number;
   /** Age from which on the control hosts are asked about it, in milliseconds. */
   readonly confirmationAgeMs: number;
+  /** Length of a window whose usage is reported, in ms; absent if none is. */
+  readonly usageWindowMs?: number | undefined;
   readonly metrics: metrics.GatewayMetrics;
 }
 
@@ -109,6 +114,7 @@
   readonly #requestHandler: requestHandler.RequestHandler;
   readonly #leaderSync: leaderSync.LeaderSync;
   readonly #stateConfirmer: stateConfirmer.StateConfirmer;
+  readonly #usageCounter: usageCounter.UsageCounter;
   readonly #metrics: metrics.GatewayMetrics;
   readonly #resources = new resources.ResourceStack();
   readonly #stallDetector = this.#resources.use(
@@ -124,6 +130,7 @@
   constructor(options: EntryHostOptions) {
     const { dialect, host, maxConfigurationAgeMs, rpcClient, seeds } = options;
     this.#metrics = options.metrics;
+    this.#usageCounter = new usageCounter.UsageCounter(options.usageWindowMs);
     this.drain = this.#resources.use(new hostDrain.HostDrain());
     this.#rateLimiter.setHostCount(Infinity);
     const leaderClient = new fleet.LeaderClient(rpcClient, seeds);
@@ -148,6 +155,7 @@
         hasNews: () =>
           this.#hasNews || this.#unitBorrower.isWaiting ||
           this.#serverSelector.isWaiting || this.#crashSuspects.hasNews ||
+          this.#usageCounter.hasNews ||
           this.#ownStreams.hasNews(this.view.term, performance.now()),
         collectReport: () => this.#collectReport(),
         missingTokens: () => this.#rateLimiter.missing(performance.now()),
@@ -190,6 +198,8 @@
         suspects: this.#crashSuspects,
         drain: this.drain,
         metrics: options.metrics,
+        onRequestBegun: (context, stream) =>
+          this.#usageCounter.recordBegun(context, stream),
         onServerLeaving: () => this.#reportSoon(),
         onStreamBegun: (stream) => {
           if (!this.#ownStreams.isNews(stream, this.view.term)) return;
@@ -285,6 +295,9 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    if (this.#usageCounter.hasChanges(this.view.term)) {
+      await this.#leaderSync.refresh(LAST_REPORT_TIMEOUT_MS);
+    }
     await this.#resources[Symbol.asyncDispose]();
   }
 
@@ -337,6 +350,11 @@
     this.#serverTracker.applyFleetLoad(response.load, now);
     this.#unitBorrower.onLent(response.lent, requestedAt);
     this.#crashSuspects.onReportResponse(response);
+    this.#usageCounter.onReportResponse(
+      response,
+      report,
+      requestedAt.monotonicMs,
+    );
     this.#serverSelector.processQueue();
     this.#serverSelector.applyForecasts(response.forecasts);
   }
@@ -393,6 +411,7 @@
       requests: this.#collectRequests(),
       wanted: this.#unitBorrower.collectWanted(),
       streams: this.#ownStreams.collect(this.view.term, performance.now()),
+      ...this.#usageCounter.collect(this.view.term),
       ...(suspicions.length === 0 ? {} : { suspicions }),
       ...(leaving.length === 0 ? {} : { leaving }),
     };
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -124,6 +124,17 @@
     labelNames: ["order", "answer"] as const,
     registers: [this.registry],
   });
+  readonly dutyCalls = new prometheus.Counter({
+    name: "ebonypath_gateway_duty_calls_total",
+    help: "Calls to the party that duties are for, by duty and outcome",
+    labelNames: ["duty", "outcome"] as const,
+    registers: [this.registry],
+  });
+  readonly undeliveredWindows = new prometheus.Gauge({
+    name: "ebonypath_gateway_undelivered_windows",
+    help: "Closed windows whose usage has not been accepted, at the leader",
+    registers: [this.registry],
+  });
   readonly leading = new prometheus.Gauge({
     name: "ebonypath_gateway_leading",
     help: "Whether this host leads",
--- a/packages/daemon/test/gateway/dispatching.ts
+++ b/packages/daemon/test/gateway/dispatching.ts
@@ -229,6 +229,7 @@
     drain,
     metrics: new GatewayMetrics(),
     onReturnExpected: () => {},
+    onRequestBegun: () => {},
     onServerLeaving: () => {},
     onStreamBegun: () => {},
     onStreamBroken: () => {},
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -7,6 +7,7 @@
 import * as state from "../state/mod.ts";
 import * as suspicion from "../suspicion/mod.ts";
 import * as configuration from "./configuration.ts";
+import * as duties from "./duties.ts";
 import { Name } from "./name.ts";
 import * as server from "./server.ts";
 
@@ -318,6 +319,12 @@
    * it wants them.
    */
   servers: v.pipe(v.array(ServerRecord), v.maxLength(MAX_RECORDS)),
+  /** Counts that have changed since the last answer in the same term. */
+  begun: v.optional(
+    v.pipe(v.array(duties.WindowCount), v.maxLength(MAX_RECORDS)),
+  ),
+  /** Time of day at the host, in milliseconds since 1970. */
+  wallMs: v.optional(Amount),
 });
 export type ReportRequest = v.InferOutput<typeof ReportRequest>;
 
@@ -348,6 +355,10 @@
   /** Suspects that run only isolated, and their revision. */
   watched: v.optional(v.array(suspicion.WatchedFingerprint)),
   suspectRevision: v.optional(Count),
+  /** Time of day at most hosts, in milliseconds since 1970. */
+  fleetTimeMs: v.optional(Amount),
+  /** Windows up to this one are closed: nothing more is counted to them. */
+  closedWindow: v.optional(Count),
 });
 export type ReportResponse = v.InferOutput<typeof ReportResponse>;
 
@@ -391,6 +402,12 @@
   v.object({ kind: v.literal("quarantine"), ...state.Quarantine.entries }),
   // A start of a server, and all earlier ones, have ended.
   v.object({ kind: v.literal("end-server"), id: Name, born: Count }),
+  // Makes a control host the only one that may perform a duty.
+  v.object({ kind: v.literal("hold-duty"), duty: duties.Duty, host: Name }),
+  // Fixes what is reported for a window, before it is sent for the first time.
+  v.object({ kind: v.literal("close-window"), ...duties.WindowUsage.entries }),
+  // The report for a window has been accepted.
+  v.object({ kind: v.literal("window-delivered"), window: Count }),
   // Changes nothing: once it is committed, a read of the state is linearizable.
   v.object({ kind: v.literal("barrier") }),
 ]);
--- a/packages/protocol/src/gateway/mod.ts
+++ b/packages/protocol/src/gateway/mod.ts
@@ -6,5 +6,6 @@
  */
 export * from "./validation.ts";
 export * from "./configuration.ts";
+export * from "./duties.ts";
 export * from "./messages.ts";
 export * from "./server.ts";
