Take the time of day from entry hosts alone

A leader whose clock was stepped counted as one more and told the first hosts that report in its term a wrong time. Now its own time counts only while it has heard no host.

--- a/packages/core/src/duties/fleet_clock.ts
+++ b/packages/core/src/duties/fleet_clock.ts
@@ -9,9 +9,10 @@
 };
 
 /**
- * Time of day as most hosts have it. A host whose clock was stepped, the one
- * that asks included, doesn't change it. Readings count from their arrival, so
- * the result lies behind by the way of a message, some milliseconds.
+ * Time of day as most hosts have it. A host whose clock was stepped doesn't
+ * change it, nor does the own one, which counts only while no other is known.
+ * Readings count from their arrival, so the result lies behind by the way of a
+ * message, some milliseconds.
  *
  * @example
  * ```ts
@@ -40,7 +41,7 @@
   /**
    * Time of day in milliseconds since 1970.
    *
-   * @param own both clocks of this host, whose time of day counts as one more
+   * @param own both clocks of this host
    */
   timeMs(
     own: { readonly monotonicMs: number; readonly wallMs: number },
@@ -50,10 +51,9 @@
       if (now - readAt > MAX_SILENCE_MS) this.#hosts.delete(host);
     }
     const offsets = [...this.#hosts.values()].map(({ offsetMs }) => offsetMs);
-    offsets.push(own.wallMs - now);
     offsets.sort((a, b) => a - b);
     // Of two in the middle the earlier one: a window must not be closed early.
-    const median = offsets[Math.floor((offsets.length - 1) / 2)] ?? 0;
-    return now + median;
+    const median = offsets[Math.floor((offsets.length - 1) / 2)];
+    return median === undefined ? own.wallMs : now + median;
   }
 }
