--- a/packages/daemon/test/gateway/dispatching.ts
+++ b/packages/daemon/test/gateway/dispatching.ts
@@ -232,6 +232,7 @@
     },
     metrics: new GatewayMetrics(),
     onReturnExpected: () => {},
+    onRequestBegun: () => {},
     onServerLeaving: () => {},
     onStreamBegun: () => {},
     onStreamBroken: () => {},
