--- a/packages/core/src/gateway/rate_queue.ts
+++ b/packages/core/src/gateway/rate_queue.ts
@@ -1,4 +1,8 @@
+import * as suspicion from "../suspicion/mod.ts";
+
 const SECOND_MS = 1_000;
+/** Workspaces of which the last return is kept. */
+const MAX_WORKSPACES = 10_000;
 /**
  * Longest time after which a caller is told to come back, in milliseconds. Most
  * loads that exceed a rate many times are over then.
@@ -26,12 +30,6 @@
   /** Monotonic times at which the last callers are due, in milliseconds. */
   readonly #returns = new Map<string, number>();
 
-  /** Number of requests that wait. */
-  get size(): number {
-    return [...this.#waiting.values()]
-      .reduce((sum, { size }) => sum + size, 0);
-  }
-
   /** Lets a request wait until the returned place is disposed. */
   enter(workspace: string, tokens: number): WaitingRequest & Disposable {
     const waiting = this.#waiting.get(workspace) ?? new Set();
@@ -84,14 +82,7 @@
       : MAX_RETURN_MS;
     const at = Math.max(now + waitMs, previousAt + intervalMs);
     const returnAt = Math.min(at, now + MAX_RETURN_MS);
-    this.#returns.set(workspace, returnAt);
+    suspicion.setNewest(this.#returns, workspace, returnAt, MAX_WORKSPACES);
     return returnAt - now;
   }
-
-  /** Forgets the returns of all workspaces but these. */
-  retainWorkspaces(workspaces: ReadonlySet<string>): void {
-    for (const name of this.#returns.keys()) {
-      if (!workspaces.has(name)) this.#returns.delete(name);
-    }
-  }
 }
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -251,6 +251,11 @@
         progress.reason =
           "no server has the software version that began the stream";
       }
+      const isRateUsedUp = selection.kind === "expired" &&
+        context.rateHold?.fits(performance.now()) === false;
+      if (isRateUsedUp) {
+        progress.reason = "the workspace used up its rate while this waited";
+      }
       if (selection.kind === "hopeless") {
         progress.retryAfterMs = retryDelay(selection.readyMs, context);
         progress.reason = `the model is ready in ${
--- a/packages/daemon/test/gateway/server_selector_test.ts
+++ b/packages/daemon/test/gateway/server_selector_test.ts
@@ -117,6 +117,26 @@
 }
 
 describe("gateway server selector", () => {
+  it("lets others use the rate of a request while it waits for a server", async () => {
+    using fixture = new Fixture([record("s1")]);
+    const calls: string[] = [];
+    let isThere = true;
+    const rateHold = {
+      fits: () => isThere,
+      take: () => calls.push("take") > 0,
+      release: () => calls.push("release"),
+    } as unknown as types.RequestContext["rateHold"];
+    const waiting = { ...fixture.context("absent", 100), rateHold };
+    expect((await fixture.selector.select(waiting)).kind).to.equal("expired");
+    expect(calls).to.deep.equal(["release"]);
+    const held = { ...fixture.context("m1", 100), rateHold };
+    expect((await fixture.selector.select(held)).kind).to.equal("server");
+    expect(calls).to.deep.equal(["release", "take"]);
+    isThere = false;
+    const beyond = { ...fixture.context("m1", 100), rateHold };
+    expect((await fixture.selector.select(beyond)).kind).to.equal("expired");
+  });
+
   it("selects no server that leaves, though the leader deems it ready", async () => {
     using fixture = new Fixture([record("s1"), record("s2")]);
     fixture.tracker.availability.recordLeaving(record("s1"));
