Choose servers of models by observed capacity, and order the queue by time left

Callers saw late first events beside servers with room: hosts took the server with the fewest requests a slot, whatever its speed, the prompts it had yet to read and where it is. Long prompts of patient requests were read beside short ones.

Hosts now report first events against the time that they expected; the leader makes a pace of each server of them and tells it with tokens unread and in memory. A host takes the better of two servers by the expected time to the first event: the one that has probably read the shared parts, and one drawn by speed; near ones first. Patient requests wait while a server reads prompts for others, for a quarter of their objective at most. Of what waits, those go first that have to start now.

--- a/packages/benchmark/src/experiments/mod.ts
+++ b/packages/benchmark/src/experiments/mod.ts
@@ -14,6 +14,7 @@
 import * as idleHours from "./idle_hours.ts";
 import * as overhead from "./overhead.ts";
 import * as rate from "./rate.ts";
+import * as serverChoice from "./server_choice.ts";
 import * as streams from "./streams.ts";
 
 /** In the order in which they are listed. */
@@ -29,6 +30,7 @@
   claims.claims,
   idleHours.idleHours,
   feedSharing.feedSharing,
+  serverChoice.serverChoice,
 ];
 
 /** Finds an experiment. */
--- a/packages/core/src/gateway/demand_tracker.ts
+++ b/packages/core/src/gateway/demand_tracker.ts
@@ -41,6 +41,8 @@
 /** Requests in progress on one server. */
 type ServerRecord = {
   total: number;
+  unreadTokens: number;
+  reservedTokens: number;
   /** By model and by `model/adapter`. */
   readonly byModel: Map<string, number>;
 };
@@ -116,6 +118,13 @@
     return this.#servers.get(server)?.total ?? 0;
   }
 
+  /** Prompt tokens to read and tokens in use on a server, over all hosts. */
+  tokensOn(server: string): { unreadTokens: number; reservedTokens: number } {
+    const { reservedTokens = 0, unreadTokens = 0 } =
+      this.#servers.get(server) ?? {};
+    return { unreadTokens, reservedTokens };
+  }
+
   /** Requests in progress on a server, by model and by `model/adapter`. */
   runningOn(server: string): ReadonlyMap<string, number> {
     return this.#servers.get(server)?.byModel ?? new Map();
@@ -155,14 +164,17 @@
   }
 
   #addLoad(
-    { adapter, model, running, server }: gateway.ServerLoad,
+    { adapter, model, running, server, ...tokens }: gateway.ServerLoad,
     sign: 1 | -1,
   ): void {
+    const byModel = new Map<string, number>();
     const record = this.#servers.get(server) ??
-      { total: 0, byModel: new Map<string, number>() };
+      { total: 0, unreadTokens: 0, reservedTokens: 0, byModel };
     this.#servers.set(server, record);
     const change = sign * running;
     record.total += change;
+    record.unreadTokens += sign * (tokens.unreadTokens ?? 0);
+    record.reservedTokens += sign * (tokens.reservedTokens ?? 0);
     if (model !== undefined) {
       addCount(record.byModel, model, change);
       if (adapter !== undefined) {
--- a/packages/core/src/routing/rendezvous.ts
+++ b/packages/core/src/routing/rendezvous.ts
@@ -20,6 +20,23 @@
     .map(({ item }) => item);
 }
 
+/** The item that `rank` puts first, without sorting the others. */
+export function highest<Item>(
+  key: string,
+  items: readonly Item[],
+  nameOf: (item: Item) => string,
+): Item | undefined {
+  let best: Item | undefined;
+  let bestScore = -1;
+  for (const item of items) {
+    const score = hash(`${key}\0${nameOf(item)}`);
+    if (score <= bestScore) continue;
+    best = item;
+    bestScore = score;
+  }
+  return best;
+}
+
 /** FNV-1a with the MurmurHash3 finalizer, which mixes the high bits well. */
 function hash(text: string): number {
   let value = FNV_OFFSET;
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -16,6 +16,7 @@
 import * as limitLender from "./limit_lender.ts";
 import * as loadScheduler from "./load_scheduler.ts";
 import * as quarantineManager from "./quarantine_manager.ts";
+import * as serverPace from "./server_pace.ts";
 import type * as types from "./types.ts";
 
 const write = log.createLog("directory");
@@ -140,6 +141,7 @@
   readonly #options: FleetCoordinatorOptions;
   readonly #registry = new core.gateway.ServerRegistry();
   readonly #demandTracker = new core.gateway.DemandTracker();
+  readonly #paces = new serverPace.ServerPaceKeeper();
   readonly #usageTracker = new core.gateway.UsageTracker();
   readonly #limitedWorkspaces: core.gateway.LimitedWorkspaces;
   readonly #lender: limitLender.LimitLender;
@@ -387,6 +389,7 @@
       this.#registry.markLeaving(server);
     }
     this.#demandTracker.addReport(report, now);
+    this.#paces.record(report, this.#registry, now);
     this.#interests.set(report.host, interestOf(report));
     if (this.#registry.revision !== revision) this.#onChange();
     this.#releaseWatchOf(report.host);
@@ -406,7 +409,7 @@
       usageRevision: this.#usageTracker.revision,
       ...(term === this.term ? {} : { missing: this.#missingFor(term) }),
       ...(term === 0 && !this.#isSettled ? { isMissingPresumed: true } : {}),
-      load: this.#loadFor(report),
+      load: this.#loadFor(report, now),
       lent: this.#lender.lend(
         this.#demandTracker.hostCount,
         report.requests,
@@ -672,6 +675,7 @@
   /** Load of the servers that may take the requests of a report. */
   #loadFor(
     { demand, load, requests }: gateway.ReportRequest,
+    now: number,
   ): gateway.ServerLoad[] {
     const models = new Set(demand.map(({ model }) => model));
     const services = new Set(requests.map(({ service }) => service));
@@ -683,9 +687,16 @@
           ? services.has(server.service)
           : server.models.some(({ name }) => models.has(name));
       })
-      .map(({ id }) => ({
-        server: id,
-        running: this.#demandTracker.loadOf(id),
+      .map((server) => ({
+        server: server.id,
+        running: this.#demandTracker.loadOf(server.id),
+        ...(this.#serviceOf(server.service)?.engine === undefined
+          ? {}
+          : this.#paces.describe(
+            server,
+            this.#demandTracker.tokensOn(server.id),
+            now,
+          )),
       }));
   }
 
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -356,8 +356,8 @@
   ): Promise<AttemptResult> {
     const { drain, tracker } = this.#options;
     const { context } = exchange;
-    const endRequest = tracker.startRequest(server.id, context);
     const startedAt = performance.now();
+    const endRequest = tracker.startRequest(server.id, context, startedAt);
     progress.sentAt = startedAt;
     try {
       const result = await this.#send(exchange, server, progress);
@@ -492,6 +492,8 @@
         return this.#handleNotRun(context, server.id, result, metadata);
       case "answer":
         if (metadata.isEventStream && status === OK_STATUS) {
+          const { tracker } = this.#options;
+          tracker.recordFirstEvent(server, context, performance.now());
           this.#options.onRequestBegun(context, result.message);
           return await this.#relayStream(exchange, server, result, progress);
         }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -60,6 +60,8 @@
 export interface EntryHostOptions {
   /** Name and incarnation of this host. */
   readonly host: string;
+  /** Failure domain of this host; absent if all servers are as near. */
+  readonly failureDomain?: string;
   readonly dialect: types.Dialect;
   readonly rpcClient: fleet.RpcClient;
   /** Fleet addresses of the control hosts to contact first. */
@@ -185,6 +187,7 @@
       new serverSelector.ServerSelector({
         view: this.view,
         tracker: this.#serverTracker,
+        failureDomain: options.failureDomain,
         borrower: this.#unitBorrower,
         suspects: this.#crashSuspects,
         drain: this.drain,
@@ -291,6 +294,7 @@
     this.#metrics.waitingRequests.set(
       [...this.#serverSelector.queuedRequests()].length,
     );
+    this.#metrics.heldRequests.set(this.#serverSelector.heldCount);
     this.#updateServersOut();
     this.#metrics.quarantinedRequests.set(this.view.quarantineCount);
     this.#metrics.configurationVersion.set(configuration?.version ?? 0);
@@ -429,7 +433,7 @@
     return {
       demand: this.#collectDemand(arrivals),
       usage: this.#rateLimiter.usage(),
-      load: this.#serverTracker.ownLoad(),
+      load: this.#serverTracker.takeLoad(),
       requests: this.#collectRequests(),
       wanted: this.#unitBorrower.collectWanted(),
       streams: this.#ownStreams.collect(this.view.term, performance.now()),
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -6,7 +6,8 @@
  */
 import * as timers from "node:timers";
 import * as core from "@ebonypath/core";
-import type { gateway } from "@ebonypath/protocol";
+import { errors, type gateway } from "@ebonypath/protocol";
+import * as engineChoice from "./engine_choice.ts";
 import type * as crashSuspects from "./crash_suspects.ts";
 import type * as fleetView from "./fleet_view.ts";
 import type * as hostDrain from "./host_drain.ts";
@@ -38,6 +39,8 @@
 export interface ServerSelectorOptions {
   readonly view: fleetView.FleetView;
   readonly tracker: serverTracker.ServerTracker;
+  /** Failure domain of this host; absent if all servers are as near. */
+  readonly failureDomain?: string | undefined;
   readonly borrower: Pick<unitBorrower.UnitBorrower, "tryTake" | "want">;
   readonly suspects: Pick<
     crashSuspects.CrashSuspects,
@@ -55,17 +58,31 @@
 /** Selects servers and holds the queue of requests that wait for one. */
 export class ServerSelector implements Disposable {
   readonly #options: ServerSelectorOptions;
+  readonly #engineChoice: engineChoice.EngineChoice;
   readonly #queue = new Set<QueuedRequest>();
   #interval: NodeJS.Timeout | undefined;
 
   constructor(options: ServerSelectorOptions) {
     this.#options = options;
+    const { failureDomain, tracker, view } = options;
+    this.#engineChoice = new engineChoice.EngineChoice({
+      failureDomain,
+      tracker,
+      view,
+    });
     options.view.on("change", () => this.processQueue());
   }
 
-  /** Requests that wait for a server. */
+  /** Requests that wait for a server, other than those held back. */
   *queuedRequests(): Generator<types.RequestContext> {
-    for (const { context } of this.#queue) yield context;
+    for (const { context } of this.#queue) {
+      if (!this.#engineChoice.isHeld(context)) yield context;
+    }
+  }
+
+  /** Number of requests that wait although a server has room. */
+  get heldCount(): number {
+    return this.#engineChoice.heldCount;
   }
 
   /**
@@ -113,11 +130,7 @@
       return;
     }
     const now = performance.now();
-    const ordered = [...this.#queue].sort((one, other) =>
-      one.context.priority - other.context.priority ||
-      one.context.arrivedAt - other.context.arrivedAt
-    );
-    for (const queued of ordered) {
+    for (const queued of this.#orderedQueue(now)) {
       const { context } = queued;
       const isExpired = now >= context.queueDeadline || context.signal.aborted;
       const selection = isExpired
@@ -127,6 +140,22 @@
     }
   }
 
+  #orderedQueue(now: number): QueuedRequest[] {
+    const queue = [...this.#queue];
+    const plain = queue.filter(({ context }) =>
+      context.service.engine === undefined
+    ).sort((one, other) =>
+      one.context.priority - other.context.priority ||
+      one.context.arrivedAt - other.context.arrivedAt
+    );
+    const engine = core.gateway.orderWaiting(
+      queue.filter(({ context }) => context.service.engine !== undefined),
+      ({ context }) => this.#engineChoice.describe(context),
+      now,
+    );
+    return [...plain, ...engine];
+  }
+
   /** Decides on a request, unless it has to wait. */
   #trySelect(
     context: types.RequestContext,
@@ -180,6 +209,7 @@
 
   #dequeue(queued: QueuedRequest, selection: types.Selection): void {
     this.#queue.delete(queued);
+    this.#engineChoice.forget(queued.context);
     this.#options.onDequeued();
     queued.resolve(selection);
   }
@@ -222,8 +252,27 @@
       }))
       .filter(({ utilization }) => utilization < maxUtilization);
     const warm = candidates.filter((one) => !one.isCold);
-    return selectCandidate(context, warm)?.record ??
-      this.#selectCold(context, candidates);
+    if (context.service.engine === undefined) {
+      return selectCandidate(context, warm)?.record ??
+        this.#selectCold(context, candidates);
+    }
+    const withMemory = warm.filter(({ id }) =>
+      this.#engineChoice.hasMemory(id, context, now)
+    );
+    const choice = this.#engineChoice.choose(context, withMemory, now);
+    switch (choice.kind) {
+      case "server":
+        return choice.candidate.record;
+      case "hold":
+        return undefined;
+      case "none":
+        return this.#selectCold(
+          context,
+          candidates.filter((one) => one.isCold),
+        );
+      default:
+        return errors.assertNever(choice);
+    }
   }
 
   /**
--- a/packages/daemon/src/gateway/entry/server_tracker.ts
+++ b/packages/daemon/src/gateway/entry/server_tracker.ts
@@ -6,6 +6,7 @@
  */
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
+import * as serverTokens from "./server_tokens.ts";
 import type * as types from "./types.ts";
 
 /** Time for which the first failure ejects a server, in milliseconds. */
@@ -49,6 +50,8 @@
 export class ServerTracker {
   /** Servers that want no requests or can't be reached. */
   readonly availability = new core.gateway.ServerAvailability();
+  /** Prompts to read, memory in use and paces of servers of models. */
+  readonly tokens = new serverTokens.ServerTokens();
   readonly #onLoadChange: () => void;
   readonly #failureRecords = new Map<string, FailureRecord>();
   /** Requests of this host by server, model and adapter. */
@@ -68,9 +71,15 @@
   /** Counts a request as in flight until the returned function is called. */
   startRequest(
     server: string,
-    { metadata }: types.RequestContext,
+    context: types.RequestContext,
+    now: number,
   ): () => void {
+    const { metadata, service } = context;
     const { adapter, model } = metadata;
+    const isEngine = service.engine !== undefined;
+    if (isEngine) {
+      this.tokens.start(server, context, this.loadOf(server, now), now);
+    }
     const key = modelKey(server, metadata);
     const inFlight = this.#inFlight.get(key) ??
       { server, model, adapter, count: 0 };
@@ -82,6 +91,7 @@
     return () => {
       if (isEnded) return;
       isEnded = true;
+      if (isEngine) this.tokens.end(server, context);
       inFlight.count -= 1;
       if (inFlight.count === 0) this.#inFlight.delete(key);
       this.#onLoadChange();
@@ -89,14 +99,29 @@
     };
   }
 
-  /** Requests of this host by server and model. */
-  ownLoad(): gateway.ServerLoad[] {
-    return [...this.#inFlight.values()].map((one) => ({
+  /** Records that a server has begun to answer a request. */
+  recordFirstEvent(
+    server: gateway.ServerRecord,
+    context: types.RequestContext,
+    now: number,
+  ): void {
+    if (context.service.engine === undefined) return;
+    this.tokens.recordFirstEvent(server, context, now);
+    this.#onLoadChange();
+  }
+
+  /**
+   * Requests of this host by server and model, and what is told of servers of
+   * models besides.
+   */
+  takeLoad(): gateway.ServerLoad[] {
+    const running = [...this.#inFlight.values()].map((one) => ({
       server: one.server,
       running: one.count,
       ...(one.model === undefined ? {} : { model: one.model }),
       ...(one.adapter === undefined ? {} : { adapter: one.adapter }),
     }));
+    return [...running, ...this.tokens.takeLoad()];
   }
 
   /** Models and adapters with requests in flight. */
@@ -108,6 +133,7 @@
 
   /** Applies the leader's counts of the requests of all hosts. */
   applyFleetLoad(load: readonly gateway.ServerLoad[], now: number): void {
+    this.tokens.applyFleetLoad(load, now);
     for (const { running, server } of load) {
       const own = this.#ownLoad.get(server) ?? 0;
       const others = Math.max(0, running - own);
@@ -172,6 +198,7 @@
    * its requests have ended.
    */
   retain(servers: ReadonlySet<string>): void {
+    this.tokens.retain(servers);
     for (const server of this.#failureRecords.keys()) {
       if (!servers.has(server)) this.#failureRecords.delete(server);
     }
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -21,6 +21,10 @@
   readonly adapter: string | undefined;
   /** Prompt tokens plus the limit of output tokens; absent when not stated. */
   readonly tokens: number | undefined;
+  /** Prompt tokens; absent when not stated. */
+  readonly promptTokens?: number | undefined;
+  /** Tokens of the parts of the prompt that other requests may share. */
+  readonly sharedTokens?: number | undefined;
   /** Identifies the part of the prompt that is shared with other requests. */
   readonly prefixKey: string | undefined;
   /** Ids of the parts of the prompt that other requests may share, in order. */
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -46,6 +46,11 @@
     help: "Requests that wait for a server",
     registers: [this.registry],
   });
+  readonly heldRequests = new prometheus.Gauge({
+    name: "ebonypath_gateway_held_requests",
+    help: "Patient requests that wait until a server has read other prompts",
+    registers: [this.registry],
+  });
   readonly attempts = new prometheus.Counter({
     name: "ebonypath_gateway_attempts_total",
     help: "Requests sent to servers by what became of them",
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -218,6 +218,19 @@
   model: v.optional(Name),
   adapter: v.optional(Name),
   running: Count,
+  /** Prompt tokens of those that have not begun to answer; 0 if absent. */
+  unreadTokens: v.optional(Count),
+  /** Prompt and output tokens of all of them; 0 if absent. */
+  reservedTokens: v.optional(Count),
+  /**
+   * In reports: first events since the previous one, with the sum of the
+   * logarithms of their times relative to the expected ones.
+   */
+  observed: v.optional(
+    v.object({ count: Count, logRatio: v.pipe(v.number(), v.finite()) }),
+  ),
+  /** In answers: time that the server takes relative to the usual one. */
+  pace: v.optional(Amount),
 });
 export type ServerLoad = v.InferOutput<typeof ServerLoad>;
 
