--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * as clock from "./clock.ts";
+export * as crowd from "./crowd.ts";
 export * as fakeBackend from "./fake_backend/mod.ts";
 export * as faultProxy from "./fault_proxy/mod.ts";
 export * as freePort from "./free_port.ts";
