Take no status outside 200 to 599 for an answer

A server's whole, sealed answer of status 600 or 999 was passed on to the caller, and one that also said that it had not run counted as not run. One function in core decides now, for answers, streams, resumed streams, orders, reports and the daemon's own clients: such an answer proves nothing, and its request may have run.

The new cases of the verdict failed before (12 of 35); those of the daemon's client were written with the change and were not run without it. After it, the verdict's, the client's and the platform's unit tests pass; "reports of servers are read on a connection only until bytes come unasked" failed once beside a crowd's test at load 35 and passed in three runs after that.

--- a/packages/core/src/gateway/response_verdict.ts
+++ b/packages/core/src/gateway/response_verdict.ts
@@ -11,6 +11,10 @@
 /** Statuses by which callers conclude that a request has not run. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Lowest and highest status of an answer (RFC 9110, section 15). */
+const MIN_STATUS = 200;
+const MAX_STATUS = 599;
+
 /** What is known of a response when its head has arrived. */
 export type ResponseFacts = {
   readonly status: number;
@@ -30,6 +34,11 @@
   | { readonly kind: "not-run" }
   /** The response answers the request. */
   | { readonly kind: "answer" }
+  /**
+   * Its status is that of no answer: neither what it says of the request nor its
+   * signature is believed. The server may have run the request.
+   */
+  | { readonly kind: "no-answer" }
   /** It may belong to another request, and the server may run this one. */
   | { readonly kind: "foreign" }
   /** It looks like a success, but is none of the server's. */
@@ -40,6 +49,19 @@
    */
   | { readonly kind: "unconfirmed-refusal" };
 
+/**
+ * Whether a status is that of an answer. Interim statuses are not: they precede
+ * one.
+ *
+ * @example
+ * ```ts
+ * isAnswerStatus(600); // false
+ * ```
+ */
+export function isAnswerStatus(status: number): boolean {
+  return status >= MIN_STATUS && status <= MAX_STATUS;
+}
+
 /**
  * Returns what a response proves about the request that was sent before it.
  *
@@ -61,6 +83,7 @@
   const isForeign = identity === "other" ||
     (identity === "none" && isConnectionReused);
   if (isForeign) return { kind: "foreign" };
+  if (!isAnswerStatus(status)) return { kind: "no-answer" };
   if (isNotRun) return { kind: "not-run" };
   if (REFUSAL_STATUSES.has(status)) return { kind: "unconfirmed-refusal" };
   return { kind: isSuccess(status) && !isSigned ? "unsigned" : "answer" };
--- a/packages/core/test/gateway/response_verdict_test.ts
+++ b/packages/core/test/gateway/response_verdict_test.ts
@@ -39,6 +39,24 @@
       isSigned: false,
     }, kind]);
   }
+  for (const status of [0, 99, 101, 199, 600, 999]) {
+    for (const isNotRun of [false, true]) {
+      cases.push([{
+        status,
+        identity: "own",
+        isConnectionReused: false,
+        isNotRun,
+        isSigned: true,
+      }, "no-answer"]);
+    }
+  }
+  cases.push([{
+    status: 599,
+    identity: "own",
+    isConnectionReused: false,
+    isNotRun: false,
+    isSigned: true,
+  }, "answer"]);
   for (const [facts, kind] of cases) {
     it(`is ${kind} for ${JSON.stringify(facts)}`, () => {
       expect(gateway.judgeResponse(facts).kind).to.equal(kind);
--- a/packages/daemon/src/backend/exchange.ts
+++ b/packages/daemon/src/backend/exchange.ts
@@ -7,6 +7,7 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 import * as stream from "node:stream";
+import * as core from "@ebonypath/core";
 import { errors } from "@ebonypath/protocol";
 import type * as undici from "undici";
 import * as headers from "./headers.ts";
@@ -142,6 +143,7 @@
     status: number,
     responseHeaders: http.IncomingHttpHeaders,
   ): types.DispatchFault | undefined {
+    if (!core.gateway.isAnswerStatus(status)) return "malformed";
     const echoed = responseHeaders[headers.REQUEST_ID_HEADER];
     const { isConnectionReused, requestId, requiresRequestId } = this.#options;
     // A repeated refusal would let a request that runs be sent again.
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -487,6 +487,9 @@
     switch (verdict.kind) {
       case "foreign":
         return rejectResponse(result, "the answer to another request");
+      case "no-answer":
+        this.#recordFailure(context, server.id);
+        return rejectResponse(result, `status ${status}, which is none`);
       case "unsigned":
         this.#recordFailure(context, server.id);
         return rejectResponse(result, `status ${status} without a signature`);
--- a/packages/daemon/test/backend/inference_client_test.ts
+++ b/packages/daemon/test/backend/inference_client_test.ts
@@ -175,6 +175,12 @@
       close: true,
       fault: "malformed",
     },
+    ...[600, 999].map((status) => ({
+      title: `a refusal of status ${status}`,
+      response: `HTTP/1.1 ${status} No\r\nx-request-id: r1\r\n` +
+        "x-ebonypath-not-started: true\r\ncontent-length: 0\r\n\r\n",
+      fault: "malformed" as const,
+    })),
     {
       title: "response headers that are too large",
       response: `HTTP/1.1 200 OK\r\nx-a: ${"a".repeat(2 ** 16)}\r\n\r\n`,
