Bound what clients hold at a listener, whatever they send

Callers saw hosts end by out-of-memory: node:http makes objects of all requests and chunks of a read before anything else runs. Bodies are joined instead of kept as chunks, and reads of many small chunks take turns. 408, 431 and 503 are written only where no request of the connection is complete.

--- /dev/null
+++ b/packages/core/src/clients/limits.ts
@@ -0,0 +1,74 @@
+/** Bounds of what the clients of one listener hold at a host. */
+export type ClientLimits = {
+  /** Connections. */
+  readonly maxConnections: number;
+  /** Requests sent ahead on a connection, before the answer to an earlier one. */
+  readonly maxRequestsAhead: number;
+  /** The same on all connections together. */
+  readonly maxRequestsAheadInAll: number;
+  /** Bodies that are on their way, all together, in bytes. */
+  readonly maxBodyBytes: number;
+  /** Answers that are not read, all together, in bytes. */
+  readonly maxUnreadBytes: number;
+  /** Time from the first byte of a request to its last, in milliseconds. */
+  readonly bodyTimeoutMs: number;
+};
+
+/**
+ * Limits of a listener, but for its connections. No client inside the pages'
+ * limits meets them: these send a request when they have the answer to the one
+ * before. Twelve bodies of 4 MiB may be on their way at once, and a body may come
+ * at 35 KB/s; what is held is less than a heap of 200 MB.
+ */
+export const DEFAULT_LIMITS: Omit<ClientLimits, "maxConnections"> = {
+  maxRequestsAhead: 16,
+  maxRequestsAheadInAll: 512,
+  maxBodyBytes: 48 * 1024 * 1024,
+  maxUnreadBytes: 64 * 1024 * 1024,
+  bodyTimeoutMs: 120_000,
+};
+
+/** Why a client's connection is closed. */
+export type ClientFault =
+  | "connections"
+  | "requests-ahead"
+  | "body-bytes"
+  | "unread-bytes"
+  | "timeout";
+
+/** Descriptors of a host that are kept for files (users' pages). */
+const FILE_DESCRIPTORS = 200;
+/** Part of the others that callers get; the rest is for backend servers. */
+const CALLERS_FRACTION = 0.75;
+/** Part of the others that each listener for other processes gets. */
+const PROCESSES_FRACTION = 0.4;
+/** Connections per MB of memory: one that is idle takes 14 KB (Node.js 20.19). */
+const CONNECTIONS_PER_MB = 10;
+
+/** What a host has for its listeners. */
+export type HostCapacity = {
+  /** Open descriptors that it may have. */
+  readonly descriptors: number;
+  /** Memory, in MB. */
+  readonly memoryMb: number;
+};
+
+/**
+ * Returns how many connections a listener may have.
+ *
+ * @example
+ * ```ts
+ * connectionLimit("callers", { descriptors: 4_100, memoryMb: 250 }); // 2500
+ * ```
+ */
+export function connectionLimit(
+  use: "callers" | "processes",
+  { descriptors, memoryMb }: HostCapacity,
+): number {
+  const fraction = use === "callers" ? CALLERS_FRACTION : PROCESSES_FRACTION;
+  const byDescriptors = (descriptors - FILE_DESCRIPTORS) * fraction;
+  return Math.max(
+    1,
+    Math.floor(Math.min(byDescriptors, memoryMb * CONNECTIONS_PER_MB)),
+  );
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * as clients from "./clients/mod.ts";
 export * as deferred from "./deferred/mod.ts";
 export * as duties from "./duties/mod.ts";
 export * as gateway from "./gateway/mod.ts";
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -397,6 +397,8 @@
       limits: this.#loaded.settings.limits,
       certificate: this.#loaded.certificates.get(name),
       handler,
+      onFault: (listener, fault) =>
+        this.#metrics.clientFaults.inc({ listener, fault }),
     });
     this.#resources.use(started);
     this.#listeners.set(name, started);
--- a/packages/daemon/src/fleet/rpc_server.ts
+++ b/packages/daemon/src/fleet/rpc_server.ts
@@ -8,6 +8,7 @@
 import { Buffer } from "node:buffer";
 import * as jsonRpc from "json-rpc-2.0";
 import * as v from "valibot";
+import * as httpBody from "../http_body/mod.ts";
 import * as security from "../security/mod.ts";
 import * as log from "../log/mod.ts";
 import * as bodyEncoding from "./body_encoding.ts";
@@ -245,21 +246,12 @@
 async function readJson(
   request: http.IncomingMessage,
 ): Promise<unknown | "lost"> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of request) {
-      bytes += (chunk as Buffer).length;
-      if (bytes > MAX_REQUEST_BYTES) return undefined;
-      chunks.push(chunk as Buffer);
-    }
-  } catch {
-    // Reading fails only when the connection is lost; the caller logs it.
-    return "lost";
-  }
+  const body = await httpBody.collectBody(request, MAX_REQUEST_BYTES);
+  if (body === "broken") return "lost";
+  if (body === "too-large") return undefined;
   try {
     const text = bodyEncoding.decodeBody(
-      Buffer.concat(chunks),
+      body,
       request.headers["content-encoding"],
       MAX_REQUEST_BYTES,
     );
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -4,11 +4,12 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import * as timers from "node:timers/promises";
 import * as core from "@ebonypath/core";
 import { errors, type gateway } from "@ebonypath/protocol";
+import * as httpBody from "../../http_body/mod.ts";
 import * as log from "../../log/mod.ts";
 import type * as bodyBudget from "./body_budget.ts";
 import * as clocks from "./clocks.ts";
@@ -617,13 +618,13 @@
 ): Promise<Buffer | undefined | "too-large" | "no-memory" | "broken"> {
   const hasBody = request.headers["content-length"] !== undefined ||
     request.headers["transfer-encoding"] !== undefined;
-  let parts: Buffer[] = [];
+  const body = new httpBody.BodyCollector();
   let bytes = 0;
   let isRefused = false;
   return new Promise((resolve) => {
     const refuse = (reason: "too-large" | "no-memory") => {
       isRefused = true;
-      parts = [];
+      body.clear();
       reservation[Symbol.dispose]();
       resolve(reason);
     };
@@ -632,11 +633,11 @@
       if (isRefused) return;
       if (bytes > limit) refuse("too-large");
       else if (!reservation.tryAdd(part.length)) refuse("no-memory");
-      else parts.push(part);
+      else body.append(part);
     });
     request.on(
       "end",
-      () => resolve(hasBody ? Buffer.concat(parts) : undefined),
+      () => resolve(hasBody ? body.take() : undefined),
     );
     request.on("close", () => resolve("broken"));
     request.on("error", () => resolve("broken"));
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -150,6 +150,12 @@
     help: "Closed windows whose usage has not been accepted, at the leader",
     registers: [this.registry],
   });
+  readonly clientFaults = new prometheus.Counter({
+    name: "ebonypath_gateway_client_faults_total",
+    help: "Clients' connections closed for what they held, by limit",
+    labelNames: ["listener", "fault"] as const,
+    registers: [this.registry],
+  });
   readonly leading = new prometheus.Gauge({
     name: "ebonypath_gateway_leading",
     help: "Whether this host leads",
--- a/packages/daemon/src/http_body/mod.ts
+++ b/packages/daemon/src/http_body/mod.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
+export * from "./body_collector.ts";
 export * from "./read.ts";
--- a/packages/daemon/src/http_body/read.ts
+++ b/packages/daemon/src/http_body/read.ts
@@ -1,6 +1,7 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import * as protocol from "@ebonypath/protocol";
+import { BodyCollector } from "./body_collector.ts";
 
 /** Size limit and timeout for a request body. */
 export interface BodyLimits {
@@ -25,8 +26,7 @@
   limits: BodyLimits,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = new BodyCollector();
     const timer = setTimeout(() => fail(tooSlow(limits)), limits.timeoutMs);
 
     const onClose = () => fail(truncated(undefined));
@@ -35,13 +35,13 @@
       clearTimeout(timer);
       request.off("data", onData);
       request.pause();
+      body.clear();
       reject(refusal);
     }
 
     function onData(chunk: Buffer): void {
-      bytes += chunk.length;
-      if (bytes > limits.maxBytes) return fail(tooLarge(limits));
-      chunks.push(chunk);
+      body.append(chunk);
+      if (body.length > limits.maxBytes) return fail(tooLarge(limits));
     }
 
     function onEnd(): void {
@@ -49,7 +49,7 @@
       // The `close` event that follows is expected. Creating an error for it
       // would cost time.
       request.off("close", onClose);
-      resolve(Buffer.concat(chunks));
+      resolve(body.take());
     }
 
     const contentLength = Number(request.headers["content-length"] ?? 0);
--- a/packages/daemon/src/listener/mod.ts
+++ b/packages/daemon/src/listener/mod.ts
@@ -6,12 +6,15 @@
 import * as http from "node:http";
 import * as https from "node:https";
 import * as net from "node:net";
+import * as core from "@ebonypath/core";
 import * as protocol from "@ebonypath/protocol";
 import * as log from "../log/mod.ts";
 import type * as settings from "../settings/mod.ts";
+import * as clientGuard from "./client_guard.ts";
 import { closeIdleConnections } from "./idle_connections.ts";
 import { StallDetector } from "./stall_detector.ts";
 
+export * from "./client_guard.ts";
 export { isCallerWaiting } from "./caller_connection.ts";
 export { closeIdleConnections } from "./idle_connections.ts";
 export { StallDetector } from "./stall_detector.ts";
@@ -40,6 +43,8 @@
   readonly limits: protocol.settings.Limits;
   readonly certificate: settings.Certificate | undefined;
   readonly handler: Handler;
+  /** Called with each connection that is closed for what its client holds. */
+  onFault?(listener: string, fault: core.clients.ClientFault): void;
 }
 
 /** A listening HTTP server. */
@@ -71,9 +76,7 @@
 export async function listen(options: ListenerOptions): Promise<Listener> {
   const stalls = new StallDetector();
   const server = createServer(options, stalls);
-  server.maxConnections = options.limits.maxConnections;
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-  server.on("clientError", handleClientError);
   await bind(server, options);
   const address = protocol.settings.renderEndpoint(boundEndpoint(server));
   write("listening", { listener: options.name, address });
@@ -102,27 +105,48 @@
 function createServer(
   options: ListenerOptions,
   stalls: StallDetector,
-): http.Server | https.Server {
+): http.Server {
   const limits = {
     maxHeaderSize: options.limits.maxHeaderBytes,
     headersTimeout: options.limits.headerTimeoutMs,
-    requestTimeout: Math.max(
-      options.limits.headerTimeoutMs,
-      options.limits.bodyTimeoutMs,
-    ),
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     noDelay: true,
   };
   const requestListener = createRequestListener(options, stalls);
-  if (options.certificate === undefined) {
-    return http.createServer(limits, requestListener);
-  }
-  return https.createServer(
-    { ...limits, ...tlsOptions(options.certificate) },
+  const { certificate } = options;
+  return clientGuard.createGuardedServer(
+    guardOptions(options),
+    limits,
     requestListener,
+    certificate === undefined
+      ? undefined
+      : (guarded, handler) =>
+        https.createServer({
+          ...guarded,
+          ...tlsOptions(certificate),
+          handshakeTimeout: options.limits.headerTimeoutMs,
+        }, handler),
+    handleClientError,
   );
 }
 
+function guardOptions(
+  { limits, name, onFault }: ListenerOptions,
+): clientGuard.GuardOptions {
+  return {
+    name,
+    limits: {
+      maxConnections: limits.maxConnections,
+      maxRequestsAhead: limits.maxRequestsAhead,
+      maxRequestsAheadInAll: core.clients.DEFAULT_LIMITS.maxRequestsAheadInAll,
+      maxBodyBytes: limits.maxReceivingBytes,
+      maxUnreadBytes: limits.maxUnreadBytes,
+      bodyTimeoutMs: limits.bodyTimeoutMs,
+    },
+    ...(onFault === undefined ? {} : { onFault }),
+  };
+}
+
 function tlsOptions(certificate: settings.Certificate): {
   cert: string;
   key: string;
--- a/packages/daemon/src/metrics/mod.ts
+++ b/packages/daemon/src/metrics/mod.ts
@@ -36,6 +36,13 @@
     registers: [this.registry],
   });
 
+  readonly clientFaults = new prometheus.Counter({
+    name: "ebonypath_client_faults_total",
+    help: "Clients' connections closed for what they held, by limit",
+    labelNames: ["listener", "fault"],
+    registers: [this.registry],
+  });
+
   readonly queueWait = new prometheus.Histogram({
     name: "ebonypath_queue_wait_seconds",
     help: "Time from a request's arrival to its dispatch",
--- a/packages/protocol/src/settings/types.ts
+++ b/packages/protocol/src/settings/types.ts
@@ -170,6 +170,15 @@
   ),
   /** Maximum number of connections per listener. */
   maxConnections: v.optional(integerBetween(1, 100_000), 10_000),
+  /** Maximum number of requests sent ahead on a connection. */
+  maxRequestsAhead: v.optional(integerBetween(0, 1_000), 16),
+  /** Maximum size of bodies on their way to a listener, all together. */
+  maxReceivingBytes: v.optional(
+    integerBetween(MIB, 64 * 1_024 * MIB),
+    64 * MIB,
+  ),
+  /** Maximum size of answers of a listener that are not read, all together. */
+  maxUnreadBytes: v.optional(integerBetween(MIB, 64 * 1_024 * MIB), 64 * MIB),
   /** Maximum number of requests in the queue of the host. */
   maxQueue: v.optional(integerBetween(1, 1_000_000), 10_000),
   /** Maximum size of a response that is stored for replay, in bytes. */
