--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -408,7 +408,9 @@
       ),
       usageRevision: this.#usageTracker.revision,
       ...(term === this.term ? {} : { missing: this.#missingFor(term) }),
-      ...(term === 0 && !this.#isSettled ? { isMissingPresumed: true } : {}),
+      ...(term === 0 && !this.#isSettled
+        ? { missingPresumedMs: this.#settlesInMs }
+        : {}),
       load: this.#loadFor(report, now),
       lent: this.#lender.lend(
         this.#demandTracker.hostCount,
@@ -575,7 +577,11 @@
   }
 
   get #isSettled(): boolean {
-    return performance.now() - this.#startedAt >= SETTLE_MS;
+    return this.#settlesInMs === 0;
+  }
+
+  get #settlesInMs(): number {
+    return Math.max(0, this.#startedAt + SETTLE_MS - performance.now());
   }
 
   #expire(): void {
--- a/packages/daemon/src/gateway/entry/leader_sync.ts
+++ b/packages/daemon/src/gateway/entry/leader_sync.ts
@@ -85,6 +85,8 @@
   #areServersWanted = false;
   /** Term and usage revision of the last response to a report. */
   #acknowledged = { term: 0, usageRevision: 0 };
+  /** Monotonic time until which missing tokens are presumed, in milliseconds. */
+  #presumedUntil = Infinity;
   #reportIntervalMs = MIN_REPORT_INTERVAL_MS;
   /** Number of reports. */
   #sequence = 0;
@@ -242,7 +244,8 @@
 
   get #isReportDue(): boolean {
     const { hasNews, view } = this.#options;
-    return hasNews() || view.term !== this.#reportedTerm;
+    return hasNews() || view.term !== this.#reportedTerm ||
+      performance.now() >= this.#presumedUntil;
   }
 
   async #sendReport(): Promise<void> {
@@ -279,13 +282,12 @@
         gateway.ReportResponse,
         await leader.call(gateway.METHODS.report, params, REPORT_LIMITS),
       );
-      const { isMissingPresumed = false } = response;
-      if (response.term === view.term && !isMissingPresumed) {
-        this.#reportedTerm = response.term;
-      }
+      if (response.term === view.term) this.#reportedTerm = response.term;
       view.acknowledgeReport(servers, response.term);
-      const { hostCount, term, usageRevision } = response;
-      this.#acknowledged = isMissingPresumed
+      const { hostCount, missingPresumedMs, term, usageRevision } = response;
+      const isPresumed = missingPresumedMs !== undefined;
+      this.#presumedUntil = isPresumed ? now + missingPresumedMs : Infinity;
+      this.#acknowledged = isPresumed
         ? { term: 0, usageRevision: 0 }
         : { term, usageRevision };
       this.#reportIntervalMs = reportInterval(hostCount);
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -358,11 +358,11 @@
    */
   missing: v.optional(v.array(WorkspaceUsage)),
   /**
-   * Whether `missing` presumes more than may be missing, for a host that has just
-   * begun, because others may still tell the leader what they know. The host
-   * reports as one that was not answered until it isn't presumed.
+   * Time for which `missing` presumes more than may be missing, in milliseconds:
+   * others may still tell the leader what they know. A host that has just begun
+   * reports as one that was not answered until then, and once after it.
    */
-  isMissingPresumed: v.optional(v.boolean()),
+  missingPresumedMs: v.optional(Amount),
   /**
    * Requests in progress over all hosts, on each server that the reported
    * demand and requests may use.
