Let go of refused connections, and pace bodies that nobody reads

The crowds' tests left connections behind: of 60 with requests ahead, all 60 stayed after their clients were gone, until the listener had none left for ordinary callers (a trial with the guard alone, in a process of its own). Node.js detaches from a connection whose request it takes for an upgrade; it is now closed in the next turn.

Bodies in chunks of a byte were not paced at all: the parser of a server runs the tick after each chunk, so that each counted as a read of its own; it is counted by turns of the event loop now. Node.js also took the rest of a body that was answered early without asking the message, and so without rests.

--- a/packages/daemon/src/listener/client_guard.ts
+++ b/packages/daemon/src/listener/client_guard.ts
@@ -159,9 +159,10 @@
   readonly #connection: Connection | undefined;
   #bytes = 0;
   #isDiscarded = false;
-  /** Chunks of the read that the parser goes through, and when it began. */
+  /** Chunks of this turn of the event loop, and when they began and ended. */
   #chunks = 0;
   #readAt = 0;
+  #readUntil = 0;
   #isResting = false;
 
   constructor(socket: net.Socket) {
@@ -172,6 +173,9 @@
     connection.hasSentRequest = true;
     connection.progressAt = performance.now();
     this[REFUSED] = !connection.guard.admits(connection);
+    // Node.js lets go of the connection, and doesn't notice its end if answers
+    // before this request are unread.
+    if (this[REFUSED]) setImmediate(() => socket.destroy());
   }
 
   /**
@@ -187,14 +191,26 @@
   }
 
   override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
-    if (chunk === null) this.#endBody();
-    else {
-      this.#count(chunk.length);
-      this.#countChunk();
+    if (chunk === null) {
+      this.#endBody();
+      return super.push(chunk, encoding);
     }
+    this.#countChunk();
+    if (this.#isDiscarded) return true;
+    this.#count(chunk.length);
     return super.push(chunk, encoding);
   }
 
+  /**
+   * Node.js calls this when the answer is sent, and would take the chunks that
+   * are left without a call of `push`, which lets others have the event loop.
+   */
+  _dump(): void {
+    this.discardRest();
+    this.removeAllListeners("data");
+    this.resume();
+  }
+
   /** Node.js asks for more whenever a chunk was taken. */
   override _read(size: number): void {
     if (!this.#isResting) super._read(size);
@@ -217,11 +233,14 @@
   }
 
   #countChunk(): void {
+    const now = performance.now();
     if (this.#chunks === 0) {
-      this.#readAt = performance.now();
-      // Runs when the parser has gone through all that was read.
-      process.nextTick(() => this.#rest());
+      this.#readAt = now;
+      // A tick runs after each chunk that the parser of a server comes upon; this
+      // runs when it has gone through all that was read.
+      setImmediate(() => this.#rest());
     }
+    this.#readUntil = now;
     this.#chunks += 1;
   }
 
@@ -229,8 +248,8 @@
   #rest(): void {
     const chunks = this.#chunks;
     this.#chunks = 0;
-    const now = performance.now();
-    const delayMs = pacer.delayMs({ chunks, tookMs: now - this.#readAt }, now);
+    const tookMs = this.#readUntil - this.#readAt;
+    const delayMs = pacer.delayMs({ chunks, tookMs }, performance.now());
     if (delayMs <= 0 || this.complete || this.destroyed) return;
     this.#isResting = true;
     this.socket.pause();
@@ -241,7 +260,6 @@
   }
 
   #count(length: number): void {
-    if (this.#isDiscarded) return;
     // A reader that takes each chunk at once is expected to join them.
     const bytes = this.readableFlowing === true
       ? length
