--- a/packages/core/src/clients/limits.ts
+++ b/packages/core/src/clients/limits.ts
@@ -24,10 +24,39 @@
   maxRequestsAhead: 16,
   maxRequestsAheadInAll: 512,
   maxBodyBytes: 48 * 1024 * 1024,
-  maxUnreadBytes: 64 * 1024 * 1024,
+  maxUnreadBytes: 48 * 1024 * 1024,
   bodyTimeoutMs: 120_000,
 };
 
+/**
+ * Part of the heap that bodies on their way may take, and the same for unread
+ * answers. A read of all connections may add as much before any is closed.
+ */
+const HEAP_FRACTION = 1 / 4;
+
+/**
+ * Returns limits that a process with this heap can bear. A heap of 200 MB bears the
+ * usual ones.
+ *
+ * @param heapBytes size up to which the heap may grow, in bytes
+ *
+ * @example
+ * ```ts
+ * withinHeap(limits, 67_108_864).maxBodyBytes; // 16_777_216
+ * ```
+ */
+export function withinHeap(
+  limits: ClientLimits,
+  heapBytes: number,
+): ClientLimits {
+  const maxBytes = Math.floor(heapBytes * HEAP_FRACTION);
+  return {
+    ...limits,
+    maxBodyBytes: Math.min(limits.maxBodyBytes, maxBytes),
+    maxUnreadBytes: Math.min(limits.maxUnreadBytes, maxBytes),
+  };
+}
+
 /** Why a client's connection is closed. */
 export type ClientFault =
   | "connections"
--- a/packages/core/test/clients/clients_test.ts
+++ b/packages/core/test/clients/clients_test.ts
@@ -9,6 +9,16 @@
 };
 
 describe("limits of clients", () => {
+  it("leave three quarters of a small heap, and are as set in a large one", () => {
+    const limits = { ...clients.DEFAULT_LIMITS, maxConnections: 10 };
+    expect(clients.withinHeap(limits, 64_000_000)).to.deep.equal({
+      ...limits,
+      maxBodyBytes: 16_000_000,
+      maxUnreadBytes: 16_000_000,
+    });
+    expect(clients.withinHeap(limits, 209_715_200)).to.deep.equal(limits);
+  });
+
   it("leave descriptors and memory to the rest of a host", () => {
     const capacity = { descriptors: 4_100, memoryMb: 1_000 };
     expect(clients.connectionLimit("callers", capacity)).to.equal(2_925);
--- a/packages/daemon/src/listener/client_guard.ts
+++ b/packages/daemon/src/listener/client_guard.ts
@@ -13,6 +13,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import process from "node:process";
+import * as v8 from "node:v8";
 import * as core from "@ebonypath/core";
 import * as log from "../log/mod.ts";
 
@@ -323,6 +324,7 @@
 /** The clients of one listener. */
 class ClientGuard {
   readonly #options: GuardOptions;
+  readonly #limits: core.clients.ClientLimits;
   readonly #connections = new Set<Connection>();
   readonly #faults = new Map<core.clients.ClientFault, number>();
   #logTimer: NodeJS.Timeout | undefined;
@@ -333,6 +335,8 @@
 
   constructor(options: GuardOptions) {
     this.#options = options;
+    const { heap_size_limit: heapBytes } = v8.getHeapStatistics();
+    this.#limits = core.clients.withinHeap(options.limits, heapBytes);
   }
 
   add(socket: net.Socket): void {
@@ -348,7 +352,7 @@
   }
 
   admits({ responses }: Connection): boolean {
-    const { maxRequestsAhead, maxRequestsAheadInAll } = this.#options.limits;
+    const { maxRequestsAhead, maxRequestsAheadInAll } = this.#limits;
     const isAdmitted = responses.size === 0 ||
       (responses.size <= maxRequestsAhead &&
         this.#requestsAhead < maxRequestsAheadInAll);
@@ -362,7 +366,7 @@
 
   addBody(bytes: number): void {
     this.#bodyBytes += bytes;
-    if (bytes <= 0 || this.#bodyBytes <= this.#options.limits.maxBodyBytes) {
+    if (bytes <= 0 || this.#bodyBytes <= this.#limits.maxBodyBytes) {
       return;
     }
     this.#close(
@@ -374,7 +378,7 @@
   addUnread(bytes: number): void {
     this.#unreadBytes += bytes;
     if (
-      bytes <= 0 || this.#unreadBytes <= this.#options.limits.maxUnreadBytes
+      bytes <= 0 || this.#unreadBytes <= this.#limits.maxUnreadBytes
     ) {
       return;
     }
@@ -406,7 +410,7 @@
 
   /** Closes a connection before the limit makes the host refuse new ones. */
   #makeRoom(): void {
-    const { maxConnections } = this.#options.limits;
+    const { maxConnections } = this.#limits;
     const crowded = Math.floor(maxConnections * CROWDED_FRACTION);
     if (this.#connections.size < crowded) return;
     const chosen = core.clients.chooseSuperfluous(this.#connections);
