--- a/packages/daemon/src/listener/client_guard.ts
+++ b/packages/daemon/src/listener/client_guard.ts
@@ -119,6 +119,8 @@
 
   close(fault: core.clients.ClientFault): void {
     this.release();
+    // Their handlers may keep the requests for longer than this turn.
+    for (const { req } of this.responses) req.dropBody();
     if (this.socket.destroyed) return;
     this.guard.recordFault(fault);
     // A request whose body is not complete has not run, and never will.
@@ -217,6 +219,13 @@
     if (!this.#isResting) super._read(size);
   }
 
+  /** Drops what has come of the body and what is left of it. */
+  dropBody(): void {
+    this.#isDiscarded = true;
+    this.#endBody();
+    if (this.readableFlowing !== true) this.read();
+  }
+
   /** Drops what is left of the body, which nobody needs any more. */
   discardRest(): void {
     if (this.complete || this.#isDiscarded) return;
