State the encoding of bodies between hosts in one place

The size from which a body is compressed stood in two constants, and three callers each made the header of an encoded body. Both are in body_encoding now, with the check of the offer; behaviour is the same. The test of the limit reads the encoding from the headers; its assertion is as it was. 29 tests of the fleet and the replication transport pass, and late_leader_test and stale_admission_test.

--- a/packages/daemon/src/fleet/body_encoding.ts
+++ b/packages/daemon/src/fleet/body_encoding.ts
@@ -15,7 +15,7 @@
  * Size from which a body is compressed, in bytes. Smaller ones fit a packet, or
  * save less than the headers and the time to compress them.
  */
-const MIN_BYTES = 1_024;
+export const MIN_COMPRESSED_BYTES = 1_024;
 /**
  * Size up to which a body is compressed, in bytes. Compressing is synchronous, and
  * this takes some 10 ms; larger ones are snapshots, which are rare.
@@ -27,8 +27,8 @@
 /** A body as it is sent. */
 export type EncodedBody = {
   readonly bytes: Buffer;
-  /** Value of `content-encoding`; undefined if it is sent as it is. */
-  readonly encoding: typeof ENCODING | undefined;
+  /** Headers that state its encoding; none if it is sent as it is. */
+  readonly headers: { readonly "content-encoding"?: typeof ENCODING };
 };
 
 /**
@@ -38,16 +38,27 @@
  *
  * @example
  * ```ts
- * const { bytes, encoding } = encodeBody(Buffer.from(text), true);
+ * const { bytes, headers } = encodeBody(Buffer.from(text), true);
  * ```
  */
 export function encodeBody(
   bytes: Buffer,
   isUnderstood: boolean,
 ): EncodedBody {
-  const isWorthIt = bytes.length >= MIN_BYTES && bytes.length <= MAX_BYTES;
-  if (!isUnderstood || !isWorthIt) return { bytes, encoding: undefined };
-  return { bytes: zlib.deflateSync(bytes, OPTIONS), encoding: ENCODING };
+  const isWorthIt = bytes.length >= MIN_COMPRESSED_BYTES &&
+    bytes.length <= MAX_BYTES;
+  if (!isUnderstood || !isWorthIt) return { bytes, headers: {} };
+  return {
+    bytes: zlib.deflateSync(bytes, OPTIONS),
+    headers: { "content-encoding": ENCODING },
+  };
+}
+
+/** Whether the sender of these headers can read compressed bodies. */
+export function acceptsEncoding(
+  headers: { readonly "accept-encoding"?: string | string[] | undefined },
+): boolean {
+  return headers["accept-encoding"] === ENCODING;
 }
 
 /**
--- a/packages/daemon/src/fleet/rpc_client.ts
+++ b/packages/daemon/src/fleet/rpc_client.ts
@@ -154,7 +154,7 @@
     body: unknown,
     signal: AbortSignal,
   ): Promise<string> {
-    const { bytes, encoding } = bodyEncoding.encodeBody(
+    const { bytes, headers } = bodyEncoding.encodeBody(
       Buffer.from(JSON.stringify(body)),
       this.#offers.has(peer),
     );
@@ -164,7 +164,7 @@
       headers: {
         ...this.#headers(),
         "accept-encoding": bodyEncoding.ENCODING,
-        ...(encoding === undefined ? {} : { "content-encoding": encoding }),
+        ...headers,
         [rpcServer.METHOD_HEADER]: method,
       },
       body: bytes,
@@ -186,7 +186,7 @@
     peer: string,
     { body, headers }: undici.Dispatcher.ResponseData,
   ): Promise<string> {
-    if (rpcServer.acceptsEncoding(headers)) this.#offers.add(peer);
+    if (bodyEncoding.acceptsEncoding(headers)) this.#offers.add(peer);
     const encoding = headers["content-encoding"]?.toString();
     return bodyEncoding.decodeBody(
       Buffer.from(await body.arrayBuffer()),
--- a/packages/daemon/src/fleet/rpc_server.ts
+++ b/packages/daemon/src/fleet/rpc_server.ts
@@ -19,9 +19,6 @@
 /** Maximum size of a request body, in bytes. */
 const MAX_REQUEST_BYTES = 16 * 1024 * 1024;
 
-/** Size of a request from which its client is told of the encoding, in bytes. */
-const OFFER_BYTES = 1_024;
-
 /**
  * Request header with the name of the called method, so that a call can be
  * refused before its body is read.
@@ -174,7 +171,12 @@
     }
     offerEncoding(request, response);
     if (rpcResponse === null) return sendJson(response, 204, undefined);
-    sendJson(response, 200, rpcResponse, acceptsEncoding(request.headers));
+    sendJson(
+      response,
+      200,
+      rpcResponse,
+      bodyEncoding.acceptsEncoding(request.headers),
+    );
   }
 
   #countRefusal(method: string): void {
@@ -182,13 +184,6 @@
   }
 }
 
-/** Whether the sender of these headers can read compressed bodies. */
-export function acceptsEncoding(
-  headers: { readonly "accept-encoding"?: string | string[] | undefined },
-): boolean {
-  return headers["accept-encoding"] === bodyEncoding.ENCODING;
-}
-
 /**
  * Tells a client that its requests may be compressed. Only large requests that
  * are not are answered so: the header would be most of a small answer.
@@ -199,7 +194,7 @@
 ): void {
   const isCompressed = headers["content-encoding"] !== undefined;
   const bytes = Number(headers["content-length"] ?? 0);
-  if (isCompressed || bytes < OFFER_BYTES) return;
+  if (isCompressed || bytes < bodyEncoding.MIN_COMPRESSED_BYTES) return;
   response.setHeader("accept-encoding", bodyEncoding.ENCODING);
 }
 
@@ -279,13 +274,13 @@
     response.writeHead(status).end();
     return;
   }
-  const { bytes, encoding } = bodyEncoding.encodeBody(
+  const { bytes, headers } = bodyEncoding.encodeBody(
     Buffer.from(JSON.stringify(body)),
     isEncodingAccepted,
   );
   response.writeHead(status, {
     "content-length": bytes.length,
-    ...(encoding === undefined ? {} : { "content-encoding": encoding }),
+    ...headers,
   });
   response.end(bytes);
 }
--- a/packages/daemon/src/replication/transport.ts
+++ b/packages/daemon/src/replication/transport.ts
@@ -154,7 +154,7 @@
     const timeoutMs = this.#options.requestTimeoutMs ??
       DEFAULT_REQUEST_TIMEOUT_MS;
     const client = this.#openClient();
-    const { bytes, encoding } = fleet.encodeBody(
+    const { bytes, headers } = fleet.encodeBody(
       this.#encodeRequest(batch),
       this.#isEncodingOffered,
     );
@@ -164,7 +164,7 @@
         method: "POST",
         headers: {
           "authorization": `Bearer ${this.#options.secret}`,
-          ...(encoding === undefined ? {} : { "content-encoding": encoding }),
+          ...headers,
         },
         body: bytes,
         signal: AbortSignal.timeout(timeoutMs),
--- a/packages/daemon/test/fleet/rpc_test.ts
+++ b/packages/daemon/test/fleet/rpc_test.ts
@@ -86,11 +86,12 @@
   });
 
   it("refuses a body that grows beyond the limit", () => {
-    const { bytes, encoding } = fleet.encodeBody(
+    const { bytes, headers } = fleet.encodeBody(
       Buffer.from("a".repeat(100_000)),
       true,
     );
-    expect(() => fleet.decodeBody(bytes, encoding, 10_000)).to.throw();
+    expect(() => fleet.decodeBody(bytes, headers["content-encoding"], 10_000))
+      .to.throw();
   });
 
   it("sends only the content-length header and keeps the connection open", async () => {
