Read connections to servers in parts of 16 KiB

Beside 40 answers in such chunks the first sound request waited 1.0 to 1.7 s on a calm machine, and with four test files at once for all of the 3 s that the test plays.

Cause: a read of 64 KiB holds 10,900 chunks. Connections that become readable together are all read once in the same turn of the event loop, before a rest can pause any of them, so 40 of them blocked the host for a second.

Change: connections to servers are read in parts of 16 KiB, from a buffer that they share. Also for requests that must not share a connection, which had Node.js's own agent.

--- a/packages/daemon/src/gateway/entry/upstream.ts
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -79,6 +79,7 @@
   timeout: IDLE_TIMEOUT_MS,
   scheduling: "lifo",
 });
+const singleUseAgent = new guardedAgent.GuardedAgent();
 
 /**
  * Sends a request and waits for the head of its response.
@@ -142,7 +143,7 @@
       headers,
       setHost: false,
       maxHeaderSize: MAX_HEAD_BYTES,
-      agent: isReusable ? keepAliveAgent : false,
+      agent: isReusable ? keepAliveAgent : singleUseAgent,
     });
     this.#client = client;
     const { headTimeoutMs } = this.#request;
