Tell where a request would go now, without sending it

What operators saw: `status` shows the fleet, and the log what became of past requests. Nothing told where a given request would go now, and why.

Change: `ebonypath explain TARGET`, and `GET /v1/explanation` at each host: tier, latest start, what is left of the workspace's rate there, each backend server with what speaks against it, and what would follow (sent, waits for what, refused with which status and Retry-After). The decision is core/routing/explanation, over the shares, queue and servers that a request would meet; nothing is reserved, queued or sent. Unknown keys, models, routes and tiers are refused, and so is the question at a host without callers.

Not known to it: what depends on a body (quarantine, prompts read before).

--- a/packages/cli/src/cli/mod.ts
+++ b/packages/cli/src/cli/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as audit from "./audit/mod.ts";
+import * as explain from "./explain/mod.ts";
 import * as failureDomain from "./failure_domain/mod.ts";
 import * as key from "./key/mod.ts";
 import * as members from "./members/mod.ts";
@@ -26,6 +27,7 @@
   ...failureDomain.FAILURE_DOMAIN_COMMANDS,
   ...members.MEMBERS_COMMANDS,
   status.STATUS,
+  explain.EXPLAIN,
   audit.AUDIT,
   ...quarantine.QUARANTINE_COMMANDS,
   version.VERSION,
--- a/packages/cli/test/daemon_test.ts
+++ b/packages/cli/test/daemon_test.ts
@@ -114,6 +114,43 @@
     }
   });
 
+  it("explains a request and takes nothing of its rate", async () => {
+    const { document: key } = await run(0, "key", "grant", "web-shop");
+    const argv = ["explain", "advice/assistant-small", "--key", key.id];
+    const first = await run(0, ...argv, "--tokens", "20000");
+    expect(first.exit, JSON.stringify(first.document)).to.equal(0);
+    const second = await run(0, ...argv, "--tokens", "20000");
+    expect(second.document.rate.availableTokens)
+      .to.be.at.least(first.document.rate.availableTokens);
+    expect(second.document.rate.tokensAhead).to.equal(0);
+  });
+
+  it("tells what a request beyond the burst would be answered", async () => {
+    const { document: key } = await run(0, "key", "grant", "web-shop");
+    const argv = ["explain", "advice/assistant-small", "--key", key.id];
+    const { document } = await run(1, ...argv, "--tokens", "20001");
+    expect(document.forecast).to.deep.equal({
+      kind: "refused",
+      for: "burst",
+      status: 413,
+      retryAfterSeconds: null,
+    });
+  });
+
+  const UNKNOWN: readonly (readonly [argv: string[], says: RegExp])[] = [
+    [["advice/none", "--key", "k"], /no model or service advice\/none/],
+    [["orders", "--method", "PUT"], /orders has no route PUT/],
+    [["advice/assistant-small", "--key", "none"], /there is no key none/],
+    [["advice/assistant-small"], /name the key of a caller/],
+  ];
+  for (const [argv, says] of UNKNOWN) {
+    it(`explains nothing for ${argv.join(" ")}`, async () => {
+      const { document, exit } = await run(2, "explain", ...argv);
+      expect(exit).to.equal(1);
+      expect(JSON.stringify(document)).to.match(says);
+    });
+  }
+
   it("takes a failure domain out and brings it back", async () => {
     const changes: [action: string, withdrawn: string[]][] = [
       ["withdraw", ["fd-2"]],
--- a/packages/cli/test/program_test.ts
+++ b/packages/cli/test/program_test.ts
@@ -2,7 +2,7 @@
 import * as fs from "node:fs/promises";
 import * as os from "node:os";
 import * as path from "node:path";
-import { serviceFile } from "@ebonypath/protocol";
+import { type operators, serviceFile } from "@ebonypath/protocol";
 import * as testing from "@ebonypath/testing";
 import { expect } from "chai";
 import * as program from "../src/program.ts";
@@ -22,6 +22,34 @@
   current: true,
   silentMs: 1,
 };
+const EXPLANATION: operators.Explanation = {
+  host: { name: "host-1", incarnation: "i-1", failureDomain: "fd-1" },
+  version: 5,
+  target: "advice/last",
+  workspace: "web-shop",
+  tier: {
+    name: "now",
+    maxWaitMs: 5_000,
+    priceFactor: 1,
+    delivery: "connected",
+  },
+  tokens: 300,
+  rate: {
+    availableTokens: 900,
+    tokensPerSecond: 100,
+    tokensAhead: 0,
+    burst: 2_000,
+  },
+  latestStartMs: 4_000,
+  candidates: [{
+    server: "e-1",
+    failureDomain: "fd-1",
+    freeSlots: 0,
+    running: 4,
+    obstacles: ["no-free-slot"],
+  }],
+  forecast: { kind: "waits", for: "slot", expectedMs: 400 },
+};
 const HOSTS: fake.FakeAnswer = [200, { hosts: [HOST] }];
 const EMPTY = { workspaces: [], services: [] };
 const IN_FORCE: fake.FakeAnswer = [200, published(5, EMPTY)];
@@ -96,6 +124,14 @@
     exit: 2,
     says: /not a fingerprint/,
   },
+  {
+    title: "explains where a request would go",
+    argv: ["explain", "advice/last", "--key", "k-1"],
+    answers: { "GET /v1/explanation": [[200, EXPLANATION]] },
+    exit: 0,
+    says:
+      /e-1 +fd-1 +0 +4 +no-free-slot[^]*waits for a free slot, some 0\.40 s/,
+  },
   {
     title: "tells a refusal with its hint",
     argv: ["key", "list"],
--- a/packages/core/src/routing/mod.ts
+++ b/packages/core/src/routing/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./explanation.ts";
 export * from "./outlier_detector.ts";
 export * from "./prefix_hints.ts";
 export * from "./retry.ts";
--- a/packages/core/src/state/fleet_view_cache.ts
+++ b/packages/core/src/state/fleet_view_cache.ts
@@ -72,6 +72,11 @@
     return workspace === undefined ? undefined : key;
   }
 
+  /** Finds a granted API key by its id. */
+  keyById(id: string): protocol.state.Key | undefined {
+    return this.#keyById.get(id);
+  }
+
   isFailureDomainWithdrawn(failureDomain: string): boolean {
     return this.#withdrawn.has(failureDomain);
   }
--- a/packages/daemon/src/daemon/daemon.ts
+++ b/packages/daemon/src/daemon/daemon.ts
@@ -257,6 +257,7 @@
         state: this.state,
         renderMetrics: () => this.#renderMetrics(),
         isCurrent: () => this.state.isCurrent(performance.now()),
+        explainer: this.#entry?.explainer,
       }),
     );
     this.#follow();
--- a/packages/daemon/src/daemon/entry_role.ts
+++ b/packages/daemon/src/daemon/entry_role.ts
@@ -38,6 +38,7 @@
   readonly callers: entry.CallerHandler;
   readonly atMostOnce: entry.AtMostOnce;
   readonly deferred: entry.DeferredRequests;
+  readonly explainer: entry.Explainer;
   readonly #admission: entry.Admission;
   readonly #placement: entry.PlacementQueue;
   readonly #clock = new entry.StallAwareClock();
@@ -96,6 +97,13 @@
       this.#placement,
       this.#dispatcher,
     );
+    this.explainer = new entry.Explainer({
+      identity,
+      state,
+      shares,
+      admission: this.#admission,
+      placement: this.#placement,
+    });
     const run = this.#run.bind(this);
     const { maxAnswerBytes } = limits;
     this.atMostOnce = new entry.AtMostOnce({
--- a/packages/daemon/src/daemon/operators_role.ts
+++ b/packages/daemon/src/daemon/operators_role.ts
@@ -5,6 +5,7 @@
  */
 import * as protocol from "@ebonypath/protocol";
 import * as v from "valibot";
+import type * as entry from "../entry/mod.ts";
 import type * as fleet from "../fleet/mod.ts";
 import * as host from "../host/mod.ts";
 import type * as listener from "../listener/mod.ts";
@@ -32,6 +33,8 @@
   /** Renders the metrics in the text format of Prometheus. */
   renderMetrics(): Promise<string>;
   isCurrent(): boolean;
+  /** Absent at a host that takes no requests of callers. */
+  readonly explainer: Pick<entry.Explainer, "explain"> | undefined;
 }
 
 /** Creates the handler of the operators' listener. */
@@ -122,6 +125,18 @@
     };
   }
 
+  async explain(
+    question: protocol.operators.Question,
+  ): Promise<protocol.operators.Explanation> {
+    const { explainer, identity } = this.#options;
+    await Promise.resolve();
+    if (explainer !== undefined) return explainer.explain(question);
+    throw new protocol.errors.Refusal(
+      protocol.errors.NO_SUCH_ITEM,
+      `host ${identity.name} takes no requests of callers: ask an entry host`,
+    );
+  }
+
   async auditPage(
     after: number,
     limit: number,
--- a/packages/daemon/src/entry/admission.ts
+++ b/packages/daemon/src/entry/admission.ts
@@ -8,9 +8,6 @@
 import * as waitRefusals from "./wait_refusals.ts";
 import type * as types from "./types.ts";
 
-/** Smallest retry delay that a refusal suggests to its caller, in seconds. */
-const RETRY_AFTER_S = 1;
-
 /** The part of {@link core.limits.HostShares} that admission uses. */
 export type TokenShares = Pick<
   core.limits.HostShares,
@@ -53,6 +50,12 @@
     this.#now = options.now ?? (() => performance.now());
   }
 
+  /** Tokens for which requests of a workspace wait. */
+  waitingTokens(workspace: string): number {
+    const queue = this.#queues.get(workspace);
+    return queue === undefined ? 0 : tokensOf(queue);
+  }
+
   /** Iterates over the work that waits for tokens. */
   *waiting(): Generator<types.Work> {
     for (const queue of this.#queues.values()) {
@@ -192,7 +195,10 @@
     workspace: string,
   ): protocol.errors.Refusal {
     if (this.#options.isCurrent()) return rateExceeded(work, workspace, 0);
-    return waitRefusals.noLeaderRefusal("reserve", RETRY_AFTER_S);
+    return waitRefusals.noLeaderRefusal(
+      "reserve",
+      waitRefusals.RATE_RETRY_AFTER_S,
+    );
   }
 
   #queueOf(workspace: string, now: number): WorkspaceQueue {
@@ -254,7 +260,10 @@
     `workspace ${workspace} has no ${work.tokens} tokens left in time`,
     {
       step: "reserve",
-      retryAfterSeconds: Math.max(RETRY_AFTER_S, lateMs / 1_000),
+      retryAfterSeconds: Math.max(
+        waitRefusals.RATE_RETRY_AFTER_S,
+        lateMs / 1_000,
+      ),
     },
   );
 }
--- a/packages/daemon/src/entry/mod.ts
+++ b/packages/daemon/src/entry/mod.ts
@@ -12,6 +12,7 @@
 export * from "./demand_report.ts";
 export * from "./dispatcher.ts";
 export * from "./expected_slots.ts";
+export * from "./explainer.ts";
 export * from "./lingering.ts";
 export * from "./placement.ts";
 export * from "./resolve.ts";
--- a/packages/daemon/src/entry/placement.ts
+++ b/packages/daemon/src/entry/placement.ts
@@ -213,6 +213,17 @@
     throw waitRefusals.queueRefusal(work, "too-late", now - admissionDeadline);
   }
 
+  /** Time for which a first attempt would wait for a slot now, in ms. */
+  expectedWaitMs(work: types.Work): number {
+    const now = this.#now();
+    const request = this.#requestOf(
+      work,
+      this.dispatchDeadline(work, now),
+      now,
+    );
+    return this.#expectedWaitMs(work, request, now);
+  }
+
   /** Places waiting requests, after shares or servers have changed. */
   placeWaiting(): void {
     const now = this.#now();
--- a/packages/daemon/src/entry/resolve.ts
+++ b/packages/daemon/src/entry/resolve.ts
@@ -295,6 +295,76 @@
   };
 }
 
+/**
+ * Resolves a question about a request to the work that it would be.
+ *
+ * @throws {protocol.errors.Refusal} no such key, model, route or tier
+ *
+ * @example
+ * ```ts
+ * const work = resolveQuestion({ target: "advice/last", key: "k-1" }, context);
+ * ```
+ */
+export function resolveQuestion(
+  question: protocol.operators.Question,
+  { now, requestId, view }: ResolutionContext,
+): types.Work {
+  const { key: keyId, method = "GET", path = "/", target } = question;
+  const { catalogue } = view;
+  const model = catalogue.resolveModel(target);
+  const route = catalogue.resolveRoute(target, method, path)?.route;
+  const service = model?.service.name ?? target;
+  if (model === undefined && route === undefined) {
+    throw noSuchItem(
+      catalogue.service(target) === undefined
+        ? `there is no model or service ${target}`
+        : `service ${target} has no route ${method} ${path}`,
+    );
+  }
+  const key = keyId === undefined ? undefined : view.keyById(keyId);
+  if (keyId !== undefined && key === undefined) {
+    throw noSuchItem(`there is no key ${keyId}`);
+  }
+  const isOpen = route?.open === true;
+  if (key === undefined && !isOpen) {
+    throw noSuchItem(`${target} is not open: name the key of a caller`);
+  }
+  const workspace = isOpen ? null : key?.workspace ?? null;
+  if (workspace !== null && !catalogue.isAllowed(service, workspace)) {
+    throw noSuchItem(`workspace ${workspace} may not use ${service}`);
+  }
+  const tier = catalogue.tier(service, question.tier);
+  if (tier === undefined) {
+    throw noSuchItem(`${service} has no tier ${question.tier}`);
+  }
+  return {
+    requestId,
+    workspace,
+    keyDigest: key?.digest ?? null,
+    service,
+    target,
+    method: model === undefined ? method : "POST",
+    path,
+    headers: {},
+    priority: priorityOf(tier),
+    body: Buffer.alloc(0),
+    stream: false,
+    idempotent: route?.idempotent ?? true,
+    tokens: question.tokens ?? route?.cost ?? model?.model.defaultMaxTokens ??
+      0,
+    tier,
+    deadline: now + tier.maxWaitMs,
+    fingerprint: "",
+    affinity: null,
+  };
+}
+
+function noSuchItem(detail: string): protocol.errors.Refusal {
+  return new protocol.errors.Refusal(protocol.errors.NO_SUCH_ITEM, detail, {
+    step: "explain",
+  });
+}
+
 function reservedTokens(
   stored: protocol.state.StoredRequest,
   body: Buffer,
--- a/packages/daemon/src/entry/wait_refusals.ts
+++ b/packages/daemon/src/entry/wait_refusals.ts
@@ -9,6 +9,8 @@
 
 /** Smallest retry delay that a refusal suggests to its caller, in seconds. */
 const RETRY_AFTER_S = 2;
+/** The same for a refusal under a workspace's rate, in seconds. */
+export const RATE_RETRY_AFTER_S = 1;
 
 /**
  * Returns the refusal of a request that got no slot in time.
@@ -51,6 +53,42 @@
   );
 }
 
+/**
+ * Returns what a caller is told whose request is refused at once.
+ *
+ * @param lateMs Time by which the request would have missed its deadline.
+ *
+ * @example
+ * ```ts
+ * answerTo("slot", 3_500); // { status: 503, retryAfterSeconds: 3.5 }
+ * ```
+ */
+export function answerTo(
+  reason: "burst" | "tokens" | "slot",
+  lateMs: number,
+): { readonly status: number; readonly retryAfterSeconds: number | null } {
+  const lateSeconds = lateMs / 1_000;
+  switch (reason) {
+    case "burst":
+      return {
+        status: protocol.errors.TOO_LARGE.status,
+        retryAfterSeconds: null,
+      };
+    case "tokens":
+      return {
+        status: protocol.errors.RATE_EXCEEDED.status,
+        retryAfterSeconds: Math.max(RATE_RETRY_AFTER_S, lateSeconds),
+      };
+    case "slot":
+      return {
+        status: protocol.errors.NO_CAPACITY.status,
+        retryAfterSeconds: Math.max(RETRY_AFTER_S, lateSeconds),
+      };
+    default:
+      return protocol.errors.assertNever(reason);
+  }
+}
+
 /**
  * Returns the refusal of a request that the queue rejected.
  *
--- a/packages/daemon/src/operators/control_access.ts
+++ b/packages/daemon/src/operators/control_access.ts
@@ -44,6 +44,10 @@
   hosts(): Promise<readonly protocol.operators.Host[]>;
   /** Returns the fleet status as this host sees it; needs no leader. */
   status(): Promise<protocol.operators.Status>;
+  /** Explains where a request would go from this host; needs no leader. */
+  explain(
+    question: protocol.operators.Question,
+  ): Promise<protocol.operators.Explanation>;
   /** Returns up to `limit` audit entries with an index above `after`. */
   auditPage(
     after: number,
--- a/packages/daemon/src/operators/routes.ts
+++ b/packages/daemon/src/operators/routes.ts
@@ -64,6 +64,7 @@
     "/v1/hosts",
     async ({ control }) => ({ hosts: await control.hosts() }),
   ),
+  readRoute("/v1/explanation", explain),
   readRoute("/v1/audit", readAudit),
   readRoute("/v1/quarantine", listQuarantines),
   changeRoute(
@@ -229,6 +230,13 @@
   });
 }
 
+function explain(call: Call): Promise<protocol.operators.Explanation> {
+  const question = v.safeParse(api.Question, Object.fromEntries(call.query));
+  if (question.success) return call.control.explain(question.output);
+  const [issue] = question.issues;
+  throw body.invalidRequest(`${v.getDotPath(issue)}: ${issue.message}`);
+}
+
 async function readAudit(call: Call): Promise<protocol.operators.AuditPage> {
   const after = Number(call.query.get("after") ?? 0);
   if (!Number.isSafeInteger(after) || after < 0) {
--- a/packages/daemon/test/operators/fake_control.ts
+++ b/packages/daemon/test/operators/fake_control.ts
@@ -45,6 +45,10 @@
     return this.#respond(this.memberResult);
   }
 
+  explain(): Promise<protocol.operators.Explanation> {
+    return Promise.reject(new Error("nothing to explain"));
+  }
+
   hosts() {
     return this.#respond([]);
   }
--- a/packages/daemon/test/operators/handler_test.ts
+++ b/packages/daemon/test/operators/handler_test.ts
@@ -76,6 +76,18 @@
     status: 400,
     detail: /not JSON/,
   },
+  {
+    title: "a question without a target",
+    path: "/v1/explanation",
+    status: 400,
+    detail: /target/,
+  },
+  {
+    title: "a question with tokens that are no number",
+    path: "/v1/explanation?target=a/b&tokens=many",
+    status: 400,
+    detail: /tokens/,
+  },
   { title: "no body", method: "POST", path: "/v1/keys", status: 400 },
   {
     title: "wrong types",
--- a/packages/protocol/src/operators/mod.ts
+++ b/packages/protocol/src/operators/mod.ts
@@ -5,3 +5,4 @@
  */
 export * from "./responses.ts";
 export * from "./requests.ts";
+export * from "./explanation.ts";
