Order the number of servers of each failure domain

The second duty of one host: the leader decides how many servers of a service each failure domain has, commits the order and sends it with its fence. The parts of the first duty are in a module of their own.

--- a/packages/core/src/duties/duty_state.ts
+++ b/packages/core/src/duties/duty_state.ts
@@ -6,12 +6,20 @@
  */
 export const MAX_UNDELIVERED_WINDOWS = 256;
 
+/**
+ * Most subjects of orders for servers. A writer of false heartbeats can't let the
+ * replicated state grow beyond.
+ */
+export const MAX_SERVER_ORDERS = 1_024;
+
 /** Content of a snapshot. */
 export type DutySnapshot = {
   readonly assignments: readonly gateway.DutyAssignment[];
   readonly closedWindow: number | null;
   readonly undelivered: readonly gateway.WindowUsage[];
   readonly droppedWindows: number;
+  /** Missing in snapshots of builds that ordered no servers. */
+  readonly serverOrders?: readonly gateway.ServerOrder[];
 };
 
 /**
@@ -28,6 +36,8 @@
 export class DutyState {
   readonly #assignments = new Map<gateway.Duty, gateway.DutyAssignment>();
   readonly #undelivered = new Map<number, gateway.WindowUsage>();
+  /** The last order of each service and failure domain. */
+  readonly #serverOrders = new Map<string, gateway.ServerOrder>();
   #closedWindow: number | null = null;
   #droppedWindows = 0;
 
@@ -38,6 +48,9 @@
     for (const usage of snapshot?.undelivered ?? []) {
       this.#undelivered.set(usage.window, usage);
     }
+    for (const order of snapshot?.serverOrders ?? []) {
+      this.#serverOrders.set(subjectOf(order), order);
+    }
     this.#closedWindow = snapshot?.closedWindow ?? null;
     this.#droppedWindows = snapshot?.droppedWindows ?? 0;
   }
@@ -62,6 +75,11 @@
     return this.#droppedWindows;
   }
 
+  /** The last order of each service and failure domain. */
+  get serverOrders(): gateway.ServerOrder[] {
+    return [...this.#serverOrders.values()];
+  }
+
   /** Assigns a duty. The holder keeps its fence when it claims it again. */
   hold(duty: gateway.Duty, holder: string): void {
     const previous = this.#assignments.get(duty);
@@ -87,12 +105,33 @@
     this.#undelivered.delete(window);
   }
 
+  /**
+   * Fixes an order, or records that it was accepted. That of an order which was
+   * replaced meanwhile changes nothing.
+   */
+  orderServers(
+    { count, domain, isAccepted, service }: gateway.ServerOrder,
+  ): void {
+    const order = { service, domain, count, isAccepted };
+    const subject = subjectOf(order);
+    const known = this.#serverOrders.get(subject);
+    if (isAccepted && known?.count !== count) return;
+    const isFull = this.#serverOrders.size >= MAX_SERVER_ORDERS;
+    if (known === undefined && isFull) return;
+    this.#serverOrders.set(subject, order);
+  }
+
   toSnapshot(): DutySnapshot {
     return {
       assignments: [...this.#assignments.values()],
       closedWindow: this.#closedWindow,
       undelivered: this.undelivered,
       droppedWindows: this.#droppedWindows,
+      serverOrders: this.serverOrders,
     };
   }
 }
+
+function subjectOf({ domain, service }: gateway.ServerOrder): string {
+  return JSON.stringify([service, domain]);
+}
--- a/packages/core/src/gateway/state.ts
+++ b/packages/core/src/gateway/state.ts
@@ -199,6 +199,9 @@
       case "window-delivered":
         this.#duties.recordDelivery(command.window);
         return false;
+      case "order-servers":
+        this.#duties.orderServers(command);
+        return false;
       case "barrier":
         return false;
       default:
@@ -325,6 +328,7 @@
     case "hold-duty":
     case "close-window":
     case "window-delivered":
+    case "order-servers":
       return false;
     case "configure":
     case "withdraw-domain":
--- a/packages/daemon/src/gateway/control/duty_performer.ts
+++ b/packages/daemon/src/gateway/control/duty_performer.ts
@@ -7,8 +7,9 @@
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
-import type * as metrics from "../metrics.ts";
 import type * as dutyTypes from "./duty_types.ts";
+import * as serverOrderer from "./server_orderer.ts";
+import * as usageReporter from "./usage_reporter.ts";
 
 const write = log.createLog("duty");
 
@@ -18,8 +19,10 @@
 const CLAIM_RETRY_MS = 200;
 
 /** Options of a duty performer. */
-export interface DutyPerformerOptions {
-  readonly settings: dutyTypes.DutySettings;
+export interface DutyPerformerOptions
+  extends
+    usageReporter.UsageReporterOptions,
+    serverOrderer.ServerOrdererOptions {
   readonly client: dutyTypes.DutyClient;
   /** Name of this host in calls. */
   readonly host: string;
@@ -30,24 +33,11 @@
    * two hosts must not alternate.
    */
   readonly takeoverDelayMs: number;
-  readonly metrics: metrics.GatewayMetrics;
-  readonly state: () => core.gateway.GatewayState;
-  /** Whether all entry hosts have had the time to tell what they know. */
-  isSettled(): boolean;
-  /** Whether no other host can lead now. */
-  isLeaseCertain(): boolean;
-  /**
-   * Commits a command to the replicated state; resolves when it is applied.
-   *
-   * @throws {Error} the command may not be committed
-   */
-  commit(command: gateway.Command): Promise<unknown>;
 }
 
 /**
- * Holds the duties of the fleet during one term of leadership, closes windows of
- * usage and makes the calls. All that must outlast the term is in the replicated
- * state.
+ * Holds the duties of the fleet during one term of leadership and makes the
+ * calls. All that must outlast the term is in the replicated state.
  *
  * @example
  * ```ts
@@ -57,24 +47,25 @@
  */
 export class DutyPerformer implements Disposable {
   readonly #options: DutyPerformerOptions;
-  readonly #clock = new core.duties.FleetClock();
-  readonly #windows = new core.duties.UsageWindows();
+  readonly #usageReporter: usageReporter.UsageReporter | undefined;
+  readonly #serverOrderer: serverOrderer.ServerOrderer | undefined;
   readonly #schedule: core.duties.CallSchedule;
   readonly #checkTimer: NodeJS.Timeout;
   readonly #claimTimers = new Map<gateway.Duty, NodeJS.Timeout>();
-  /** Windows whose report was accepted while that is being committed. */
-  readonly #accepted = new Set<number>();
-  #isClosing = false;
   #isCalling = false;
-  #loggedLate = 0;
   #isDisposed = false;
 
   constructor(options: DutyPerformerOptions) {
     this.#options = options;
-    this.#schedule = new core.duties.CallSchedule(
-      options.settings.callsPerSecond,
-    );
-    for (const duty of options.settings.duties) this.#takeOver(duty);
+    const { callsPerSecond, duties } = options.settings;
+    this.#schedule = new core.duties.CallSchedule(callsPerSecond);
+    if (duties.includes("usage")) {
+      this.#usageReporter = new usageReporter.UsageReporter(options);
+    }
+    if (duties.includes("scaling")) {
+      this.#serverOrderer = new serverOrderer.ServerOrderer(options);
+    }
+    for (const duty of duties) this.#takeOver(duty);
     this.#checkTimer = timers.setInterval(
       () => this.#check(),
       CHECK_INTERVAL_MS,
@@ -83,22 +74,9 @@
 
   /** Records what a host tells of the requests that servers began for it. */
   recordReport(
-    { begun = [], host, wallMs }: gateway.ReportRequest,
+    report: gateway.ReportRequest,
   ): Pick<gateway.ReportResponse, "fleetTimeMs" | "closedWindow"> {
-    if (!this.#reportsUsage) return {};
-    if (wallMs !== undefined) {
-      this.#clock.record(host, wallMs, performance.now());
-    }
-    const { closedWindow } = this.#options.state().duties;
-    const { usageWindowMs } = this.#options.settings;
-    const fleetTimeMs = this.#fleetTimeMs();
-    const currentWindow = Math.floor(fleetTimeMs / usageWindowMs);
-    this.#windows.record(host, begun, currentWindow, closedWindow);
-    this.#logLate();
-    return {
-      ...(this.#options.isLeaseCertain() ? { fleetTimeMs } : {}),
-      ...(closedWindow === null ? {} : { closedWindow }),
-    };
+    return this.#usageReporter?.recordReport(report) ?? {};
   }
 
   [Symbol.dispose](): void {
@@ -107,34 +85,20 @@
     for (const timer of this.#claimTimers.values()) timers.clearTimeout(timer);
   }
 
-  get #reportsUsage(): boolean {
-    return this.#options.settings.duties.includes("usage");
-  }
-
-  #fleetTimeMs(): number {
-    return this.#clock.timeMs({
-      monotonicMs: performance.now(),
-      wallMs: Date.now(),
-    });
-  }
-
   /** Calls of the previous holder may still be on their way. */
   #takeOver(duty: gateway.Duty): void {
-    const { holder, state, takeoverDelayMs } = this.#options;
-    const assignment = state().duties.assignmentOf(duty);
-    if (assignment?.holder === holder) return;
-    this.#claim(duty, assignment === undefined ? 0 : takeoverDelayMs);
+    const { state, takeoverDelayMs } = this.#options;
+    if (this.#fenceOf(duty) !== undefined) return;
+    const isHeld = state().duties.assignmentOf(duty) !== undefined;
+    this.#claim(duty, isHeld ? takeoverDelayMs : 0);
   }
 
   /** Makes this host the holder after a delay, and retries on failure. */
   #claim(duty: gateway.Duty, delayMs: number): void {
-    const { commit, holder, state } = this.#options;
+    const { commit, holder } = this.#options;
     const claim = () => {
       commit({ kind: "hold-duty", duty, host: holder }).then(
-        () => {
-          const fence = state().duties.assignmentOf(duty)?.fence;
-          write("held", { duty, fence });
-        },
+        () => write("held", { duty, fence: this.#fenceOf(duty) }),
         (error: unknown) => {
           write("not-held", { duty, error });
           if (!this.#isDisposed) this.#claim(duty, CLAIM_RETRY_MS);
@@ -144,96 +108,59 @@
     this.#claimTimers.set(duty, timers.setTimeout(claim, delayMs));
   }
 
+  /** The fence of a duty that this host holds. */
+  #fenceOf(duty: gateway.Duty): number | undefined {
+    const { holder, state } = this.#options;
+    const assignment = state().duties.assignmentOf(duty);
+    return assignment?.holder === holder ? assignment.fence : undefined;
+  }
+
   #check(): void {
     if (!this.#options.isLeaseCertain()) {
-      // Readings from before a suspension would put the present too early.
-      this.#clock.reset();
+      this.#usageReporter?.reset();
+      this.#serverOrderer?.reset();
       return;
     }
-    if (!this.#reportsUsage) return;
-    this.#closeNextWindow();
+    this.#usageReporter?.closeNextWindow();
+    this.#serverOrderer?.decide(performance.now());
     this.#makeNextCall();
   }
 
-  /** Fixes what is reported for a window before anything is sent. */
-  #closeNextWindow(): void {
-    const { commit, isSettled, settings, state } = this.#options;
-    if (this.#isClosing || !isSettled()) return;
-    // This host's own clock alone may have been stepped.
-    if (this.#clock.hostCount === 0) return;
-    if (state().configuration === null) return;
-    const { closedWindow } = state().duties;
-    const window = core.duties.nextWindow({
-      timeMs: this.#fleetTimeMs(),
-      windowMs: settings.usageWindowMs,
-      dueMs: settings.usageDueMs,
-      closedWindow,
-    });
-    if (window === undefined) return;
-    if (closedWindow !== null && window > closedWindow + 1) {
-      write("windows-skipped", { from: closedWindow + 1, to: window - 1 });
-    }
-    const counts = this.#windows.countsOf(window);
-    this.#isClosing = true;
-    commit({ kind: "close-window", window, counts }).then(
-      () => this.#onClosed(window, counts),
-      (error: unknown) => write("window-not-closed", { window, error }),
-    ).finally(() => this.#isClosing = false);
-  }
-
-  #onClosed(window: number, counts: readonly gateway.WorkspaceCount[]): void {
-    const { droppedWindows, undelivered } = this.#options.state().duties;
-    this.#windows.removeThrough(window);
-    this.#options.metrics.undeliveredWindows.set(undelivered.length);
-    write("window-closed", {
-      window,
-      workspaces: counts.length,
-      requests: counts.reduce((sum, { count }) => sum + count, 0),
-      undelivered: undelivered.length,
-      ...(droppedWindows === 0 ? {} : { dropped: droppedWindows }),
-    });
-  }
-
   #makeNextCall(): void {
-    const { client, holder, host, isLeaseCertain, state } = this.#options;
-    const { duties } = state();
-    const assignment = duties.assignmentOf("usage");
-    if (this.#isCalling || assignment?.holder !== holder) return;
-    const waiting = duties.undelivered
-      .filter(({ window }) => !this.#accepted.has(window));
+    if (this.#isCalling) return;
+    const calls = [
+      ...this.#usageReporter?.pendingCalls() ?? [],
+      ...this.#serverOrderer?.pendingCalls() ?? [],
+    ].filter(({ duty }) => this.#fenceOf(duty) !== undefined);
     const now = performance.now();
-    const key = this.#schedule.next(
-      waiting.map(({ window }) => String(window)),
-      now,
-    );
-    const usage = waiting.find(({ window }) => String(window) === key);
-    if (usage === undefined || !isLeaseCertain()) return;
-    const { fence } = assignment;
+    const key = this.#schedule.next(calls.map((call) => call.key), now);
+    const call = calls.find((one) => one.key === key);
+    const fence = call && this.#fenceOf(call.duty);
+    if (call === undefined || fence === undefined) return;
+    const { client, host, isLeaseCertain } = this.#options;
+    if (!isLeaseCertain()) return;
     this.#isCalling = true;
-    client.reportUsage(usage, { holder: host, fence }).then(
-      (answer) => this.#onAnswer(usage, answer, fence, now),
+    call.send(client, { holder: host, fence }).then(
+      (answer) => this.#onAnswer(call, answer, fence, now),
       // Nothing is known of the call, so the same one is made again.
       (error: unknown) => {
         const detail = String(error);
-        this.#onAnswer(usage, { kind: "unavailable", detail }, fence, now);
+        this.#onAnswer(call, { kind: "unavailable", detail }, fence, now);
       },
     ).finally(() => this.#isCalling = false);
   }
 
   #onAnswer(
-    { window }: gateway.WindowUsage,
+    { duty, event, fields, key, onAnswer }: dutyTypes.DutyCall,
     answer: dutyTypes.CallAnswer,
     fence: number,
     sentAt: number,
   ): void {
     const now = performance.now();
-    this.#schedule.record(String(window), answer, now);
-    this.#options.metrics.dutyCalls.inc({
-      duty: "usage",
-      outcome: answer.kind,
-    });
-    write("usage-sent", {
-      window,
+    this.#schedule.record(key, answer, now);
+    this.#options.metrics.dutyCalls.inc({ duty, outcome: answer.kind });
+    write(event, {
+      ...fields,
       fence,
       outcome: answer.kind,
       detail: answer.detail,
@@ -242,26 +169,6 @@
         ? {}
         : { failed: this.#schedule.failures }),
     });
-    if (answer.kind === "accepted") this.#recordDelivery(window);
-  }
-
-  /** If this fails, the same call is made again: it changes nothing. */
-  #recordDelivery(window: number): void {
-    this.#accepted.add(window);
-    this.#options.commit({ kind: "window-delivered", window }).then(
-      () => {
-        const { undelivered } = this.#options.state().duties;
-        this.#options.metrics.undeliveredWindows.set(undelivered.length);
-      },
-      (error: unknown) => write("delivery-not-recorded", { window, error }),
-    ).finally(() => this.#accepted.delete(window));
-  }
-
-  /** Tells of requests that no report contains. */
-  #logLate(): void {
-    const { late, refused } = this.#windows;
-    if (late + refused === this.#loggedLate) return;
-    this.#loggedLate = late + refused;
-    write("counts-late", { requests: late, implausible: refused });
+    onAnswer(answer);
   }
 }
--- a/packages/daemon/src/gateway/control/entry_configuration.ts
+++ b/packages/daemon/src/gateway/control/entry_configuration.ts
@@ -1,8 +1,9 @@
 import type { gateway } from "@ebonypath/protocol";
 
 /**
- * The configuration that entry hosts get: without the models of the engines. Only
- * the leader uses them, and they are most of a document.
+ * The configuration that entry hosts get: without the models of the engines and
+ * the limits of scaling. Only the leader uses them, and the models are most of a
+ * document.
  */
 export class EntryConfiguration {
   #current: gateway.Configuration | undefined;
@@ -12,7 +13,7 @@
     if (this.#current?.version !== configuration.version) {
       this.#current = {
         ...configuration,
-        services: configuration.services.map((service) =>
+        services: configuration.services.map(({ scaling: _, ...service }) =>
           service.engine === undefined
             ? service
             : { ...service, engine: { ...service.engine, models: [] } }
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -12,6 +12,7 @@
 import * as dutyPerformer from "./duty_performer.ts";
 import type * as dutyTypes from "./duty_types.ts";
 import * as entryConfiguration from "./entry_configuration.ts";
+import * as hostInterest from "./host_interest.ts";
 import * as orderExecutor from "./order_executor.ts";
 import * as limitLender from "./limit_lender.ts";
 import * as loadScheduler from "./load_scheduler.ts";
@@ -79,10 +80,6 @@
 /** Interval of the checks for silent servers and hosts, in milliseconds. */
 const EXPIRY_CHECK_INTERVAL_MS = 1_000;
 const SECOND_MS = 1_000;
-const NO_INTEREST: core.gateway.HostInterest = {
-  waiting: new Set(),
-  used: new Set(),
-};
 
 /** Options of a fleet coordinator. */
 export interface FleetCoordinatorOptions {
@@ -221,6 +218,8 @@
     this.#duties = options.duties && new dutyPerformer.DutyPerformer({
       ...options,
       ...options.duties,
+      registry: this.#registry,
+      demandTracker: this.#demandTracker,
       holder: options.orderHolder,
       takeoverDelayMs: options.orderTakeoverDelayMs,
       isSettled: () => this.#isSettled,
@@ -390,7 +389,7 @@
     }
     this.#demandTracker.addReport(report, now);
     this.#paces.record(report, this.#registry, now);
-    this.#interests.set(report.host, interestOf(report));
+    this.#interests.set(report.host, hostInterest.interestOf(report));
     if (this.#registry.revision !== revision) this.#onChange();
     this.#releaseWatchOf(report.host);
     this.#recordUsage(report, now);
@@ -841,7 +840,7 @@
       this.#quarantines.hasNewsFor(request) ||
       (version !== null && version > (configuration ?? -1)) ||
       this.#registry.concerns(
-        this.#interests.get(host) ?? NO_INTEREST,
+        this.#interests.get(host) ?? hostInterest.NO_INTEREST,
         revision,
       );
   }
@@ -958,16 +957,3 @@
 function isBorn({ born }: Pick<gateway.Heartbeat, "born">): boolean {
   return born <= Date.now() + MAX_BIRTH_AHEAD_MS;
 }
-
-function interestOf(
-  { demand }: gateway.ReportRequest,
-): core.gateway.HostInterest {
-  const waiting = demand.filter(({ slacksMs }) => slacksMs.length > 0)
-    .map(({ adapter, model }) =>
-      adapter === undefined ? model : core.gateway.adapterKey(model, adapter)
-    );
-  return {
-    waiting: new Set(waiting),
-    used: new Set(demand.map(({ model }) => model)),
-  };
-}
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -150,6 +150,17 @@
     help: "Closed windows whose usage has not been accepted, at the leader",
     registers: [this.registry],
   });
+  readonly orderedServers = new prometheus.Gauge({
+    name: "ebonypath_gateway_ordered_servers",
+    help: "Servers last ordered by service and failure domain, at the leader",
+    labelNames: ["service", "domain"] as const,
+    registers: [this.registry],
+  });
+  readonly unusableScaling = new prometheus.Gauge({
+    name: "ebonypath_gateway_unusable_scaling_services",
+    help: "Services whose limits of scaling can't be used, at the leader",
+    registers: [this.registry],
+  });
   readonly clientFaults = new prometheus.Counter({
     name: "ebonypath_gateway_client_faults_total",
     help: "Clients' connections closed for what they held, by limit",
--- a/packages/daemon/test/gateway/duty_performer_test.ts
+++ b/packages/daemon/test/gateway/duty_performer_test.ts
@@ -38,9 +38,12 @@
         callsPerSecond: 50,
         usageWindowMs: WINDOW_MS,
         usageDueMs: DUE_MS,
+        toleratedDomains: 1,
+        domains: [],
         ...settings,
       },
       client: {
+        orderServers: () => Promise.reject(new Error("no orders")),
         reportUsage: (usage, { fence }) => {
           this.calls.push({ usage, fence });
           if (this.answer === "lost") return Promise.reject(new Error("lost"));
@@ -51,6 +54,8 @@
       holder: OWN,
       takeoverDelayMs: TAKEOVER_DELAY_MS,
       metrics: new GatewayMetrics(),
+      registry: new core.gateway.ServerRegistry(),
+      demandTracker: new core.gateway.DemandTracker(),
       state: () => state,
       isSettled: () => true,
       isLeaseCertain: () => this.hasLease,
--- a/packages/protocol/src/gateway/configuration.ts
+++ b/packages/protocol/src/gateway/configuration.ts
@@ -43,6 +43,19 @@
 });
 export type Engine = v.InferOutput<typeof Engine>;
 
+/**
+ * Limits within which the number of a service's servers may be ordered, as far as
+ * they can be read. Whether they can be used is for the orders to decide.
+ */
+export const Scaling = v.object({
+  /** Fewest and most servers in a failure domain. */
+  min: v.optional(v.number()),
+  max: v.optional(v.number()),
+  /** Time from an order until a new server serves, in milliseconds. */
+  bootMs: v.optional(v.number()),
+});
+export type Scaling = v.InferOutput<typeof Scaling>;
+
 /** A group of interchangeable backend servers. */
 export const Service = v.object({
   name: Name,
@@ -55,6 +68,8 @@
   coldRequestsPerSecond: Amount,
   /** Absent for a plain service, which has no models. */
   engine: v.optional(Engine),
+  /** Absent if the number of its servers is not ordered. */
+  scaling: v.optional(Scaling),
 });
 export type Service = v.InferOutput<typeof Service>;
 
--- a/packages/protocol/src/gateway/duties.ts
+++ b/packages/protocol/src/gateway/duties.ts
@@ -40,6 +40,16 @@
 });
 export type WindowUsage = v.InferOutput<typeof WindowUsage>;
 
+/** How many servers of a service a failure domain is to have. */
+export const ServerOrder = v.object({
+  service: Name,
+  domain: Name,
+  count: Count,
+  /** Whether the outside party has accepted the order. */
+  isAccepted: v.boolean(),
+});
+export type ServerOrder = v.InferOutput<typeof ServerOrder>;
+
 /** Who performs a duty. */
 export const DutyAssignment = v.object({
   duty: Duty,
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -427,6 +427,8 @@
   v.object({ kind: v.literal("close-window"), ...duties.WindowUsage.entries }),
   // The report for a window has been accepted.
   v.object({ kind: v.literal("window-delivered"), window: Count }),
+  // Fixes an order before it is sent for the first time, or tells of its end.
+  v.object({ kind: v.literal("order-servers"), ...duties.ServerOrder.entries }),
   // Changes nothing: once it is committed, a read of the state is linearizable.
   v.object({ kind: v.literal("barrier") }),
 ]);
