--- a/packages/core/test/duties/server_count_test.ts
+++ b/packages/core/test/duties/server_count_test.ts
@@ -177,6 +177,13 @@
     expect(deployment.run(MINUTE_MS - 2_000)).to.deep.equal([]);
   });
 
+  it("takes a suspension for no calm, though the clock stood still", () => {
+    const deployment = new Deployment(8);
+    deployment.run(MINUTE_MS - 2_000);
+    deployment.count.reset();
+    expect(deployment.run(MINUTE_MS - 2_000)).to.deep.equal([]);
+  });
+
   it("orders missing servers once more after two boots", () => {
     const deployment = new Deployment(8);
     deployment.use = USED;
