--- a/packages/core/test/duties/server_count_test.ts
+++ b/packages/core/test/duties/server_count_test.ts
@@ -91,7 +91,8 @@
     deployment.use = USED;
     deployment.run(2 * STEP_MS);
     deployment.use = IDLE;
-    expect(deployment.run(2_000)).to.deep.equal([]);
+    deployment.run(2_000);
+    expect(deployment.orders).to.deep.equal([]);
   });
 
   it("rises ahead of a need that grows", () => {
--- a/packages/daemon/src/gateway/control/server_orderer.ts
+++ b/packages/daemon/src/gateway/control/server_orderer.ts
@@ -30,6 +30,12 @@
  * Decides during one term of leadership how many servers to order, and commits
  * an order before it is sent. An order that is on its way is repeated until it is
  * accepted; a new one for its subject waits for that.
+ *
+ * @example
+ * ```ts
+ * orderer.decide(performance.now());
+ * const calls = orderer.pendingCalls();
+ * ```
  */
 export class ServerOrderer {
   readonly #options: ServerOrdererOptions;
--- a/packages/daemon/src/gateway/control/usage_reporter.ts
+++ b/packages/daemon/src/gateway/control/usage_reporter.ts
@@ -19,6 +19,13 @@
 /**
  * Sums during one term of leadership what hosts counted, and commits the content
  * of each window before anything is sent.
+ *
+ * @example
+ * ```ts
+ * reporter.recordReport(report);
+ * reporter.closeNextWindow();
+ * const calls = reporter.pendingCalls();
+ * ```
  */
 export class UsageReporter {
   readonly #options: UsageReporterOptions;
--- a/packages/daemon/test/gateway/server_orderer_test.ts
+++ b/packages/daemon/test/gateway/server_orderer_test.ts
@@ -8,7 +8,7 @@
 import * as performing from "./duty_performing.ts";
 import * as fixtures from "./fixtures.ts";
 
-const { CALL_MARGIN_MS, OTHER } = performing;
+const { CALL_MARGIN_MS, OTHER, OWN } = performing;
 /** Time within which an order would have been sent, in milliseconds. */
 const NO_CALL_MS = 400;
 const PENDING = { service: "advice", domain: "a", count: 3, isAccepted: false };
@@ -36,6 +36,14 @@
   return state;
 }
 
+/** A state with an order of this host that is above new limits. */
+function createOutdatedState(): core.gateway.GatewayState {
+  const state = createState(LIMITS);
+  state.apply({ kind: "hold-duty", duty: "scaling", host: OWN });
+  state.apply({ kind: "order-servers", ...PENDING });
+  return state;
+}
+
 /** A state in which another host has decided on an order, and died. */
 function createInheritedState(): core.gateway.GatewayState {
   const state = createState({ min: 0, max: 9, bootMs: 1 });
@@ -79,6 +87,20 @@
     expect(fixture.orders[1]).to.deep.equal(fixture.orders[0]);
   });
 
+  it("decides on no other order while the answer is lost", async () => {
+    using fixture = createFixture(createOutdatedState());
+    fixture.answer = "lost";
+    await wait.waitFor("the repetition", () => fixture.orders.length > 1);
+    expect(fixture.orders.map(({ count }) => count)).to.deep.equal([3, 3]);
+  });
+
+  it("replaces an order that is refused", async () => {
+    using fixture = createFixture(createOutdatedState());
+    fixture.answer = "refused";
+    await wait.waitFor("the new order", () => fixture.orders.length > 1);
+    expect(fixture.orders.map(({ count }) => count)).to.deep.equal([3, 1]);
+  });
+
   it("waits after 429 and then orders the same", async () => {
     using fixture = createFixture();
     fixture.answer = "unavailable";
