Decide the number of servers by what callers of models need

Seen in review. A caller of made-up model names could order the fleet to its maximum, because every name that no server holds counted as two servers; names in no configuration now count neither as missing models nor as requests. The first order took loaded servers away from a domain with more than its even part: it now asks for no fewer than the most that served there. Models of draining and silent servers were taken for held. An order that was fixed before its domain was withdrawn was still sent; it now waits until the domain is back. An order for servers that never come was repeated every two boots; the wait now doubles up to 10 minutes, and begins anew when another number is ordered.

--- a/packages/core/src/duties/server_count.ts
+++ b/packages/core/src/duties/server_count.ts
@@ -37,6 +37,8 @@
 const MISSING_BOOTS = 2;
 /** Shortest such time, in ms: above that after which a silent server is lost. */
 const MIN_MISSING_MS = 15_000;
+/** Longest time to which it grows while the servers still don't come, in ms. */
+const MAX_MISSING_MS = 600_000;
 
 /** Limits of a service that can be used, or why they can't. */
 export type ScalingLimits =
@@ -108,6 +110,15 @@
 
 type Sample = { readonly at: number; readonly need: number };
 
+/** Servers of a domain that were ordered and don't serve. */
+type MissingServers = {
+  readonly ordered: number;
+  /** Time since which they are missing, or of the last repetition. */
+  readonly since: number;
+  /** Time from then until the order is repeated, in milliseconds. */
+  readonly waitMs: number;
+};
+
 /**
  * Checks the limits of a service.
  *
@@ -162,17 +173,17 @@
   #samples: Sample[] = [];
   #calmSince: number | null = null;
   #hosts = 0;
-  #mostServing = 0;
+  /** Most servers that were heard at a time, by domain. */
+  readonly #mostServing = new Map<string, number>();
   /** Time since which no more servers were heard of. */
   #mostServingSince = Infinity;
-  /** Time since which a domain has fewer servers than ordered. */
-  readonly #missingSince = new Map<string, number>();
+  readonly #missing = new Map<string, MissingServers>();
 
   /** Forgets what was seen, because time has passed unnoticed. */
   reset(): void {
     this.#samples = [];
     this.#calmSince = null;
-    this.#missingSince.clear();
+    this.#missing.clear();
   }
 
   /** Orders that differ from the last ones, or repeat them. */
@@ -192,9 +203,9 @@
   }
 
   #record({ domains, limits, now, use }: ScalingSituation): void {
-    const serving = domains.reduce((sum, one) => sum + one.serving, 0);
-    if (serving > this.#mostServing) {
-      this.#mostServing = serving;
+    for (const { domain, serving } of domains) {
+      if (serving <= this.#mostServingIn(domain)) continue;
+      this.#mostServing.set(domain, serving);
       this.#mostServingSince = now;
     }
     const last = this.#samples.at(-1);
@@ -220,9 +231,10 @@
     const first = this.#firstCount(situation, wanted);
     return domains.flatMap(({ domain, ordered }): DomainOrder[] => {
       if (ordered === null) {
-        return first === undefined
-          ? []
-          : [{ domain, count: first, reason: "first" }];
+        if (first === undefined) return [];
+        // What a domain has beyond its part may be loaded with models.
+        const most = Math.max(first, this.#mostServingIn(domain));
+        return [{ domain, count: clamp(most, limits), reason: "first" }];
       }
       if (wanted > ordered) return [{ domain, count: wanted, reason: "need" }];
       const count = clamp(ordered, limits);
@@ -235,16 +247,24 @@
    * any model may be asked for.
    */
   #firstCount(situation: ScalingSituation, wanted: number): number | undefined {
-    const { limits, now, serversForModels } = situation;
+    const { domains, limits, now, serversForModels } = situation;
+    const serving = domains.reduce(
+      (sum, { domain }) => sum + this.#mostServingIn(domain),
+      0,
+    );
     const count = Math.max(
       wanted,
-      countPerDomain(situation, this.#mostServing),
+      countPerDomain(situation, serving),
       countPerDomain(situation, serversForModels),
     );
     const isKnown = now - this.#mostServingSince >= ALL_HEARD_MS;
     return isKnown || count === limits.max ? count : undefined;
   }
 
+  #mostServingIn(domain: string): number {
+    return this.#mostServing.get(domain) ?? 0;
+  }
+
   /** Need after a time, usually that of a boot, as it has grown over it. */
   #expectedNeed(aheadMs: number, now: number): number {
     const need = this.#lastingNeed(now);
@@ -293,16 +313,22 @@
     { limits, now }: ScalingSituation,
     domains: readonly DomainServers[],
   ): DomainOrder[] {
-    const afterMs = Math.max(MIN_MISSING_MS, MISSING_BOOTS * limits.bootMs);
+    const firstMs = Math.max(MIN_MISSING_MS, MISSING_BOOTS * limits.bootMs);
+    const longestMs = Math.max(firstMs, MAX_MISSING_MS);
     return domains.flatMap(({ domain, ordered, serving }): DomainOrder[] => {
       if (ordered === null || serving >= ordered) {
-        this.#missingSince.delete(domain);
+        this.#missing.delete(domain);
+        return [];
+      }
+      const known = this.#missing.get(domain);
+      if (known?.ordered !== ordered) {
+        this.#missing.set(domain, { ordered, since: now, waitMs: firstMs });
         return [];
       }
-      const since = this.#missingSince.get(domain) ?? now;
-      const isDue = now - since >= afterMs;
-      this.#missingSince.set(domain, isDue ? now : since);
-      return isDue ? [{ domain, count: ordered, reason: "missing" }] : [];
+      if (now - known.since < known.waitMs) return [];
+      const waitMs = Math.min(longestMs, 2 * known.waitMs);
+      this.#missing.set(domain, { ordered, since: now, waitMs });
+      return [{ domain, count: ordered, reason: "missing" }];
     });
   }
 }
--- a/packages/core/test/duties/server_count_test.ts
+++ b/packages/core/test/duties/server_count_test.ts
@@ -17,6 +17,8 @@
   limits: duties.ScalingSituation["limits"] = LIMITS;
   serversForModels = 0;
   serving: number | undefined;
+  /** Servers of domains that have others than the rest. */
+  readonly servingIn = new Map<string, number>();
   withdrawn: string | undefined;
   readonly ordered = new Map<string, number | null>();
 
@@ -35,7 +37,7 @@
         serversForModels: this.serversForModels,
         domains: [...this.ordered].map(([domain, ordered]) => ({
           domain,
-          serving: this.serving ?? ordered ?? 0,
+          serving: this.servingIn.get(domain) ?? this.serving ?? ordered ?? 0,
           ordered,
           isWithdrawn: domain === this.withdrawn,
         })),
@@ -62,6 +64,24 @@
     expect(deployment.counts).to.deep.equal([8, 8, 8, 8]);
   });
 
+  it("first takes no servers from a domain that has more than its part", () => {
+    const deployment = new Deployment(null);
+    deployment.serving = 2;
+    deployment.servingIn.set("a", 10);
+    deployment.run(4_000);
+    expect(deployment.counts).to.deep.equal([10, 6, 6, 6]);
+  });
+
+  it("first takes no servers from a domain that isn't heard of just then", () => {
+    const deployment = new Deployment(null);
+    deployment.serving = 2;
+    deployment.servingIn.set("a", 10);
+    deployment.run(2_000);
+    deployment.servingIn.set("a", 0);
+    deployment.run(2_000);
+    expect(deployment.counts).to.deep.equal([10, 6, 6, 6]);
+  });
+
   it("waits with the first order while servers are still heard of", () => {
     const deployment = new Deployment(null);
     for (const serving of [1, 2, 3, 4, 5, 6]) {
@@ -194,6 +214,27 @@
       .to.deep.equal(Array(4).fill("missing 8"));
   });
 
+  it("waits twice as long after each such order, up to 10 minutes", () => {
+    const deployment = new Deployment(8);
+    deployment.use = USED;
+    deployment.servingIn.set("a", 7);
+    deployment.run(60 * MINUTE_MS);
+    const times = deployment.orders.map(({ at }) => at);
+    const gaps = times.slice(1).map((at, index) => at - (times[index] ?? 0));
+    expect(gaps.map((gap) => gap / 1_000))
+      .to.deep.equal([32, 64, 128, 256, 512, 600, 600, 600, 600]);
+  });
+
+  it("waits no longer than two boots for servers that were ordered since", () => {
+    const deployment = new Deployment(8);
+    deployment.use = USED;
+    deployment.serving = 7;
+    deployment.run(10 * MINUTE_MS);
+    deployment.use = { ...USED, requests: 1.2 * USED.requests };
+    const reasons = deployment.run(20_000).map(({ reason }) => reason);
+    expect(reasons.slice(-4)).to.deep.equal(Array(4).fill("missing"));
+  });
+
   it("leaves a withdrawn domain, and has the others bear its part", () => {
     const deployment = new Deployment(5);
     deployment.withdrawn = "b";
--- a/packages/daemon/src/gateway/control/server_orderer.ts
+++ b/packages/daemon/src/gateway/control/server_orderer.ts
@@ -68,11 +68,13 @@
     for (const scaled of this.#services()) this.#decideFor(scaled, now);
   }
 
-  /** Orders that are not accepted. */
+  /** Orders that are not accepted; those of a withdrawn domain wait. */
   pendingCalls(): dutyTypes.DutyCall[] {
     const names = new Set(this.#services().map(({ service }) => service.name));
-    return this.#options.state().duties.serverOrders
+    const { duties, withdrawnDomains } = this.#options.state();
+    return duties.serverOrders
       .filter((order) => names.has(order.service) && !order.isAccepted)
+      .filter(({ domain }) => !withdrawnDomains.includes(domain))
       .filter((order) => !this.#committing.has(subjectOf(order)))
       .map((order) => this.#toCall(order));
   }
@@ -164,10 +166,15 @@
     const { demandTracker } = this.#options;
     const servers = this.#serversOf(name);
     const held = new Set(
-      servers.flatMap(({ models }) => models.map((model) => model.name)),
+      servers.filter((server) => this.#isServing(server, now))
+        .flatMap(({ models }) => models.map((model) => model.name)),
     );
+    // Entry hosts let a request for any name wait, also for one of no model.
+    const configured = new Set(engine?.models.map((model) => model.name));
     const waiting = demandTracker.aggregate(name, now)
-      .filter(({ slacksMs }) => slacksMs.length > 0);
+      .filter(({ model, slacksMs }) =>
+        slacksMs.length > 0 && configured.has(model)
+      );
     const running = servers.reduce(
       (sum, { id }) => sum + demandTracker.loadOf(id),
       0,
@@ -193,12 +200,10 @@
         .map(({ count, domain }) => [domain, count]),
     );
     const serving = new Map<string, number>();
-    for (const { failureDomain, id, state } of this.#serversOf(service)) {
-      const { registry } = this.#options;
-      const isServing = state === "ready" &&
-        registry.timeSinceHeartbeatMs(id, now) < SILENT_MS;
-      const count = serving.get(failureDomain) ?? 0;
-      serving.set(failureDomain, count + (isServing ? 1 : 0));
+    for (const server of this.#serversOf(service)) {
+      const count = serving.get(server.failureDomain) ?? 0;
+      const added = this.#isServing(server, now) ? 1 : 0;
+      serving.set(server.failureDomain, count + added);
     }
     const { domains } = this.#options.settings;
     return [...new Set([...ordered.keys(), ...serving.keys()])].sort()
@@ -212,6 +217,11 @@
       }));
   }
 
+  #isServing({ id, state }: gateway.Heartbeat, now: number): boolean {
+    const silentMs = this.#options.registry.timeSinceHeartbeatMs(id, now);
+    return state === "ready" && silentMs < SILENT_MS;
+  }
+
   #serversOf(service: string): gateway.Heartbeat[] {
     return this.#options.registry.activeServers()
       .filter((server) => server.service === service);
