Test servers ordered for demand, and no speed of the machine

Two tests slept 150 ms and expected no call within 250 ms, which a slow machine breaks. They now compare the times of the calls with the whole 250 ms, so they are stricter.

--- a/packages/daemon/test/gateway/duty_performing.ts
+++ b/packages/daemon/test/gateway/duty_performing.ts
@@ -23,11 +23,14 @@
 export class DutyFixture implements Disposable {
   readonly calls: UsageCall[] = [];
   readonly orders: OrderCall[] = [];
+  /** Monotonic times of the orders, in milliseconds. */
+  readonly orderedAt: number[] = [];
   /** What the party answers; `lost` takes the call and loses the answer. */
   answer: dutyTypes.CallAnswer["kind"] | "lost" = "accepted";
   hasLease = true;
   canCommit = true;
   readonly registry = new core.gateway.ServerRegistry();
+  readonly demandTracker = new core.gateway.DemandTracker();
   readonly metrics = new GatewayMetrics();
   readonly performer: dutyPerformer.DutyPerformer;
 
@@ -52,6 +55,7 @@
         },
         orderServers: (order, { fence }) => {
           this.orders.push({ ...order, fence });
+          this.orderedAt.push(performance.now());
           return this.#answerCall();
         },
       },
@@ -60,7 +64,7 @@
       takeoverDelayMs: TAKEOVER_DELAY_MS,
       metrics: this.metrics,
       registry: this.registry,
-      demandTracker: new core.gateway.DemandTracker(),
+      demandTracker: this.demandTracker,
       state: () => state,
       isSettled: () => true,
       isLeaseCertain: () => this.hasLease,
