Tell operators of orders for servers that can't be made

The metrics of orders stayed at a former leader; they are taken back at the end of its term. When 1,024 subjects have orders, nothing was said of further ones: `event=orders-full` tells it once a term. No test covers `orders-full`.

--- a/packages/daemon/src/gateway/control/duty_performer.ts
+++ b/packages/daemon/src/gateway/control/duty_performer.ts
@@ -83,6 +83,7 @@
     this.#isDisposed = true;
     timers.clearInterval(this.#checkTimer);
     for (const timer of this.#claimTimers.values()) timers.clearTimeout(timer);
+    this.#serverOrderer?.[Symbol.dispose]();
   }
 
   /** Calls of the previous holder may still be on their way. */
--- a/packages/daemon/src/gateway/control/server_orderer.ts
+++ b/packages/daemon/src/gateway/control/server_orderer.ts
@@ -33,11 +33,12 @@
  *
  * @example
  * ```ts
+ * using orderer = new ServerOrderer(options);
  * orderer.decide(performance.now());
  * const calls = orderer.pendingCalls();
  * ```
  */
-export class ServerOrderer {
+export class ServerOrderer implements Disposable {
   readonly #options: ServerOrdererOptions;
   readonly #counts = new Map<string, core.duties.ServerCount>();
   /** Orders that the other side won't take; new ones may replace them. */
@@ -46,11 +47,18 @@
   readonly #committing = new Set<string>();
   #checkedVersion: number | undefined;
   #nextDecisionAt = -Infinity;
+  #hasLoggedFull = false;
 
   constructor(options: ServerOrdererOptions) {
     this.#options = options;
   }
 
+  /** Takes back the metrics, which are the leader's. */
+  [Symbol.dispose](): void {
+    this.#options.metrics.orderedServers.reset();
+    this.#options.metrics.unusableScaling.set(0);
+  }
+
   /** Forgets the calm, because time has passed unnoticed. */
   reset(): void {
     for (const count of this.#counts.values()) count.reset();
@@ -61,9 +69,10 @@
     if (now < this.#nextDecisionAt || !this.#options.isSettled()) return;
     this.#nextDecisionAt = now + DECISION_INTERVAL_MS;
     this.#logUnusable();
-    for (const order of this.#options.state().duties.serverOrders) {
-      const { count, domain, service } = order;
-      this.#options.metrics.orderedServers.set({ service, domain }, count);
+    const { metrics, state } = this.#options;
+    metrics.orderedServers.reset();
+    for (const { count, domain, service } of state().duties.serverOrders) {
+      metrics.orderedServers.set({ service, domain }, count);
     }
     for (const scaled of this.#services()) this.#decideFor(scaled, now);
   }
@@ -143,7 +152,9 @@
     const { serverOrders } = this.#options.state().duties;
     const last = serverOrders.find((one) => subjectOf(one) === subject);
     if (last === undefined) {
-      return serverOrders.length < core.duties.MAX_SERVER_ORDERS;
+      const isFull = serverOrders.length >= core.duties.MAX_SERVER_ORDERS;
+      if (isFull) this.#logFull(order);
+      return !isFull;
     }
     return last.isAccepted || (last.count !== order.count &&
       this.#refused.has(this.#toCall(last).key));
@@ -159,6 +170,14 @@
       .finally(() => this.#committing.delete(subject));
   }
 
+  /** Tells once in a term that there are too many subjects, and the first. */
+  #logFull({ domain, service }: gateway.ServerOrder): void {
+    if (this.#hasLoggedFull) return;
+    this.#hasLoggedFull = true;
+    const limit = core.duties.MAX_SERVER_ORDERS;
+    write("orders-full", { limit, service, domain });
+  }
+
   #useOf(
     { engine, name }: gateway.Service,
     now: number,
--- a/packages/daemon/test/gateway/server_orderer_test.ts
+++ b/packages/daemon/test/gateway/server_orderer_test.ts
@@ -180,6 +180,14 @@
     expect(await unusableServices(fixture.metrics)).to.equal(1);
   });
 
+  it("takes its metrics back at the end of the term", async () => {
+    using fixture = createFixture(createState({ min: 2, max: 1, bootMs: 1 }));
+    const count = () => unusableServices(fixture.metrics);
+    await wait.waitFor("the count", async () => await count() === 1);
+    fixture[Symbol.dispose]();
+    expect(await count()).to.equal(0);
+  });
+
   it("orders nothing for a service without scaling", async () => {
     using fixture = createFixture(createState());
     await timers.setTimeout(NO_CALL_MS);
