Read little of a response at first, and more if there is more

What callers saw: beside 40 answers in chunks of a byte, the first sound request waited for up to 7 s on a busy machine.

Cause, in the product: a first read of 16 KiB holds 2,730 chunks; 40 connections that become readable together are read before one can be paused. At load 29 the host's event loop stood still for 1.1 to 2.1 s at a time, with 120 to 300 ms of processor time in it. In the test: the faulty servers filled all buffers of 40 connections in one turn of the event loop that the sound server and its callers share, which stood still for 0.8 to 1.4 s.

Change: a connection's first read takes 2 KiB; each read that is filled doubles the next, up to 16 KiB, and one that is not begins anew, so the next response on the connection starts small.

--- a/packages/daemon/src/gateway/guarded_agent.ts
+++ b/packages/daemon/src/gateway/guarded_agent.ts
@@ -4,18 +4,43 @@
 import type * as stream from "node:stream";
 
 /**
- * Bytes that one read of a connection takes at most. Connections that become
+ * Bytes that the first read of a response takes at most. Connections that become
  * readable together are all read once before any can be paused, so this bounds
  * how many small chunks hold up everything else.
  */
-const READ_BYTES = 16_384;
+const MIN_READ_BYTES = 2_048;
+/**
+ * Bytes that any read takes at most. A read of all that it may take doubles the
+ * next; one of less has read all that was there, as the last of a response.
+ */
+const MAX_READ_BYTES = 16_384;
 /** Shared by all connections, since what is read is copied at once. */
-const readBuffer = Buffer.allocUnsafeSlow(READ_BYTES);
+const readBuffer = Buffer.allocUnsafeSlow(MAX_READ_BYTES);
+
+/** How many bytes of a connection are read at once. */
+class ReadSize {
+  #bytes = MIN_READ_BYTES;
+
+  /** The buffer for the next read. */
+  get buffer(): Buffer {
+    return readBuffer.subarray(0, this.#bytes);
+  }
+
+  /** Takes note of a read, and returns a copy of what it read. */
+  take(bytesRead: number): Buffer {
+    const copy = Buffer.from(readBuffer.subarray(0, bytesRead));
+    const isFilled = bytesRead === this.#bytes;
+    this.#bytes = isFilled
+      ? Math.min(MAX_READ_BYTES, 2 * this.#bytes)
+      : MIN_READ_BYTES;
+    return copy;
+  }
+}
 
 /**
  * Agent that closes an idle connection when its server sends bytes on it. They
  * answer no request, and the connection would stay in use for as long as they
- * arrive. Connections are read in small parts.
+ * arrive. Connections are read in small parts, which grow with a response.
  *
  * @example
  * ```ts
@@ -24,9 +49,10 @@
  */
 export class GuardedAgent extends http.Agent {
   override createConnection(options: net.NetConnectOpts): net.Socket {
+    const size = new ReadSize();
     const onRead = (bytesRead: number): boolean =>
-      socket.push(Buffer.from(readBuffer.subarray(0, bytesRead)));
-    const onread = { buffer: readBuffer, callback: onRead };
+      socket.push(size.take(bytesRead));
+    const onread = { buffer: () => size.buffer, callback: onRead };
     const socket: net.Socket = net.createConnection({ ...options, onread });
     return socket;
   }
--- a/packages/daemon/test/gateway/guarded_agent_test.ts
+++ b/packages/daemon/test/gateway/guarded_agent_test.ts
@@ -19,17 +19,31 @@
 
   after(() => server.close());
 
-  it("reads a connection in parts of 16 KiB at most, and whole", async () => {
+  /** Sizes of the parts that a response is read in, and its body. */
+  async function read(agent: http.Agent) {
     const parts: number[] = [];
-    const agent = new guardedAgent.GuardedAgent();
+    const onPart = (part: Buffer) => parts.push(part.length);
     const request = http.get({ agent, host: "127.0.0.1", port });
-    request.on("socket", (socket) => {
-      socket.on("data", (part: Buffer) => parts.push(part.length));
-    });
+    request.on("socket", (socket) => socket.on("data", onPart));
     const [response] = await once(request, "response");
     const chunks: Buffer[] = [];
     for await (const chunk of response) chunks.push(chunk);
-    expect(Buffer.concat(chunks).equals(BODY)).to.equal(true);
+    request.socket?.off("data", onPart);
+    return { parts, body: Buffer.concat(chunks), request };
+  }
+
+  it("reads a connection in parts of 16 KiB at most, and whole", async () => {
+    const { body, parts } = await read(new guardedAgent.GuardedAgent());
+    expect(body.equals(BODY)).to.equal(true);
     expect(Math.max(...parts)).to.be.at.most(16_384);
   });
+
+  it("reads 2 KiB of each response at first, as others wait for that", async () => {
+    const agent = new guardedAgent.GuardedAgent({ keepAlive: true });
+    const first = await read(agent);
+    const second = await read(agent);
+    agent.destroy();
+    expect(second.request.reusedSocket).to.equal(true);
+    expect([first.parts[0], second.parts[0]]).to.deep.equal([2_048, 2_048]);
+  });
 });
