Tell the log again that a pool is closed if it was not told

Since a leadership goes on over a short lapse of its lease, one of four copies of slots_after_leader_death_test waited 45 s in vain for the pools to be closed (load 15). A pool without use is closed at the leader first and in the log then; if the lease lapses in between, the proposal is refused and nothing proposed it again, so that the next leader would wait out shares that do not exist. The same held for any commit that failed; a new leadership read the log and so hid it.

The driver keeps such pools and proposes them again a second later, unless they have been opened since or are about to be.

--- a/packages/core/src/limits/share_allocator.ts
+++ b/packages/core/src/limits/share_allocator.ts
@@ -186,6 +186,18 @@
     };
   }
 
+  /** Returns those of some pools of which no shares may be granted. */
+  closedOf({ buckets, servers }: grantable.PoolNames): grantable.PoolNames {
+    return {
+      buckets: buckets.filter((name) =>
+        !this.#grantableBuckets.isGrantable(name)
+      ),
+      servers: servers.filter((name) =>
+        !this.#grantableServers.isGrantable(name)
+      ),
+    };
+  }
+
   /** Makes pools grantable. The change must be committed to the log first. */
   enablePools({ buckets, servers }: grantable.PoolNames, now: number): void {
     this.#grantableBuckets.enable(buckets, now);
--- a/packages/daemon/src/control/grant_driver.ts
+++ b/packages/daemon/src/control/grant_driver.ts
@@ -34,6 +34,11 @@
   /** Pools that exchanges wait for. */
   readonly #buckets = new Set<string>();
   readonly #servers = new Set<string>();
+  /** Pools without use that the log may still name. */
+  readonly #unclosed = {
+    buckets: new Set<string>(),
+    servers: new Set<string>(),
+  };
   #opening: Promise<void> | undefined;
   #closedAt = -Infinity;
 
@@ -56,8 +61,34 @@
   run(now: number): void {
     if (now - this.#closedAt < CLOSING_INTERVAL_MS) return;
     this.#closedAt = now;
-    const names = this.#options.shares.disableIdlePools(now);
-    for (const part of partsOf(names)) void this.#set(part, false);
+    const idle = this.#options.shares.disableIdlePools(now);
+    const unclosed = this.#takeUnclosed();
+    const names = {
+      buckets: [...idle.buckets, ...unclosed.buckets],
+      servers: [...idle.servers, ...unclosed.servers],
+    };
+    for (const part of partsOf(names)) void this.#close(part);
+  }
+
+  /** Tells the log again what it was not told, or may not have been told. */
+  async #close(names: core.limits.PoolNames): Promise<void> {
+    if (await this.#set(names, false)) return;
+    for (const name of names.buckets) this.#unclosed.buckets.add(name);
+    for (const name of names.servers) this.#unclosed.servers.add(name);
+  }
+
+  /** What has been opened since, or is about to be, stays open. */
+  #takeUnclosed(): core.limits.PoolNames {
+    const { buckets, servers } = this.#options.shares.closedOf({
+      buckets: [...this.#unclosed.buckets],
+      servers: [...this.#unclosed.servers],
+    });
+    this.#unclosed.buckets.clear();
+    this.#unclosed.servers.clear();
+    return {
+      buckets: buckets.filter((name) => !this.#buckets.has(name)),
+      servers: servers.filter((name) => !this.#servers.has(name)),
+    };
   }
 
   /** What is wanted during one commit is opened by the next. */
--- a/packages/daemon/test/control/grant_driver_test.ts
+++ b/packages/daemon/test/control/grant_driver_test.ts
@@ -1,3 +1,4 @@
+import * as timers from "node:timers/promises";
 import * as core from "@ebonypath/core";
 import type * as protocol from "@ebonypath/protocol";
 import { wait } from "@ebonypath/testing";
@@ -113,6 +114,33 @@
     expect(slotsFor(again)).to.equal(1);
   });
 
+  /** Opens the pool, and tells the log after a while that it is closed. */
+  async function close(): Promise<void> {
+    const opened = driver.openFor(report());
+    proposals[0]?.commit();
+    await opened;
+    driver.run(performance.now() + UNUSED_MS);
+    proposals[1]?.fail();
+    await timers.setImmediate();
+  }
+
+  it("are told again to be closed after a commit that failed", async () => {
+    await close();
+    driver.run(performance.now() + 2 * UNUSED_MS);
+    expect(proposals[2]?.command).to.deep.equal(proposals[1]?.command);
+  });
+
+  it("are not told to be closed while the pool is opened again", async () => {
+    await close();
+    const opened = driver.openFor(report());
+    driver.run(performance.now() + 2 * UNUSED_MS);
+    expect(proposals.length).to.equal(3);
+    proposals[2]?.commit();
+    await opened;
+    driver.run(performance.now());
+    expect(proposals.length).to.equal(3);
+  });
+
   it("end before the log is told that the pool is closed", async () => {
     const opened = driver.openFor(report());
     proposals[0]?.commit();
