--- a/packages/core/src/gateway/response_verdict.ts
+++ b/packages/core/src/gateway/response_verdict.ts
@@ -15,6 +15,12 @@
 const MIN_STATUS = 200;
 const MAX_STATUS = 599;
 
+/** Lowest status at all: interim ones begin with it (RFC 9110, section 15.2). */
+const MIN_INTERIM_STATUS = 100;
+
+/** Limit of interim responses before a response; few servers send two. */
+export const MAX_INTERIM_RESPONSES = 16;
+
 /** What is known of a response when its head has arrived. */
 export type ResponseFacts = {
   readonly status: number;
@@ -62,6 +68,19 @@
   return status >= MIN_STATUS && status <= MAX_STATUS;
 }
 
+/**
+ * Whether a status is that of a response that precedes an answer.
+ *
+ * @example
+ * ```ts
+ * isInterimStatus(103); // true
+ * isInterimStatus(99); // false
+ * ```
+ */
+export function isInterimStatus(status: number): boolean {
+  return status >= MIN_INTERIM_STATUS && status < MIN_STATUS;
+}
+
 /**
  * Returns what a response proves about the request that was sent before it.
  *
--- a/packages/daemon/src/backend/exchange.ts
+++ b/packages/daemon/src/backend/exchange.ts
@@ -62,6 +62,7 @@
   #endServerCloseWait: ((isConfirmed: boolean) => void) | undefined;
   #timer: NodeJS.Timeout | undefined;
   #bytesSent = false;
+  #interimResponses = 0;
   #isFinished = false;
 
   constructor(options: ExchangeOptions) {
@@ -97,7 +98,8 @@
     status: number,
     responseHeaders: http.IncomingHttpHeaders,
   ): void {
-    if (status < 200 || this.#isFinished) return;
+    if (this.#isFinished) return;
+    if (core.gateway.isInterimStatus(status)) return this.#countInterim();
     const fault = this.#validateHead(status, responseHeaders);
     if (fault !== undefined) return this.#fail(fault, `${fault} answer`);
     const body = this.#createBody();
@@ -139,6 +141,12 @@
     if (!this.#isFinished) this.#fail("connect", cause.message, cause);
   }
 
+  #countInterim(): void {
+    this.#interimResponses += 1;
+    if (this.#interimResponses <= core.gateway.MAX_INTERIM_RESPONSES) return;
+    this.#fail("malformed", "too many interim answers");
+  }
+
   #validateHead(
     status: number,
     responseHeaders: http.IncomingHttpHeaders,
--- a/packages/daemon/src/gateway/entry/upstream.ts
+++ b/packages/daemon/src/gateway/entry/upstream.ts
@@ -24,8 +24,6 @@
 const MAX_HEAD_BYTES = 32 * 1_024;
 /** Limit of a response's head with all interim responses before it, in bytes. */
 const MAX_BYTES_BEFORE_BODY = 4 * MAX_HEAD_BYTES;
-/** Limit of interim responses before a response; few servers send two. */
-const MAX_INTERIM_RESPONSES = 16;
 
 /** A request to a backend server. */
 export interface UpstreamRequest {
@@ -105,7 +103,6 @@
   /** Whether the response is delimited by the end of its connection. */
   #isCloseDelimited = false;
   #failure: Error | undefined;
-  #interimResponses = 0;
   /** Resolves when it is known whether the connection ended by a reset. */
   #resetProbe: Promise<void> = Promise.resolve();
   /** Removes the limit of what precedes the response's body. */
@@ -155,7 +152,7 @@
     }
     signal.addEventListener("abort", this.#cancel);
     client.on("socket", (socket) => this.#onSocket(socket));
-    client.on("information", () => this.#limitInterimResponses());
+    guardedAgent.limitInterimResponses(client);
     client.on("response", (message) => this.#onResponse(message));
     client.on("error", (error) => this.#onError(error));
     client.on("close", () => this.#onClose());
@@ -233,12 +230,6 @@
     this.#endHeadLimit = () => socket.off("data", onData);
   }
 
-  #limitInterimResponses(): void {
-    this.#interimResponses += 1;
-    if (this.#interimResponses !== MAX_INTERIM_RESPONSES + 1) return;
-    this.#client?.destroy(new Error("too many interim responses"));
-  }
-
   #setKeepConnection(isKept: boolean): void {
     if (this.#client !== undefined) this.#client.shouldKeepAlive = isKept;
   }
--- a/packages/daemon/src/gateway/guarded_agent.ts
+++ b/packages/daemon/src/gateway/guarded_agent.ts
@@ -2,6 +2,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import type * as stream from "node:stream";
+import * as core from "@ebonypath/core";
 
 /**
  * Bytes that the first read of a response takes at most. Connections that become
@@ -72,6 +73,23 @@
   }
 }
 
+/**
+ * Fails a request whose server sends interim responses again and again.
+ *
+ * @example
+ * ```ts
+ * limitInterimResponses(http.request(options));
+ * ```
+ */
+export function limitInterimResponses(request: http.ClientRequest): void {
+  let count = 0;
+  request.on("information", () => {
+    count += 1;
+    if (count !== core.gateway.MAX_INTERIM_RESPONSES + 1) return;
+    request.destroy(new Error("too many interim responses"));
+  });
+}
+
 function closeOnData(this: net.Socket): void {
   this.destroy();
 }
--- a/packages/daemon/test/backend/inference_client_test.ts
+++ b/packages/daemon/test/backend/inference_client_test.ts
@@ -175,7 +175,12 @@
       close: true,
       fault: "malformed",
     },
-    ...[600, 999].map((status) => ({
+    {
+      title: "interim responses without an end",
+      response: "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(17),
+      fault: "malformed",
+    },
+    ...["000", "099", "600", "999"].map((status) => ({
       title: `a refusal of status ${status}`,
       response: `HTTP/1.1 ${status} No\r\nx-request-id: r1\r\n` +
         "x-ebonypath-not-started: true\r\ncontent-length: 0\r\n\r\n",
--- a/packages/daemon/test/backend/order_client_test.ts
+++ b/packages/daemon/test/backend/order_client_test.ts
@@ -90,6 +90,10 @@
       title: "an error status",
       response: httpResponse('{"kind":"done"}', "500 X"),
     },
+    {
+      title: "a status that is none",
+      response: httpResponse('{"kind":"done"}', "600 X"),
+    },
     { title: "a response that is not HTTP", response: "garbage" },
     { title: "a truncated body", response: httpResponse("{}").slice(0, -1) },
     { title: "a missing response", response: "" },
