Report when callers that were told to come back are due

Hosts counted such callers as waiting ones, so the planner could not tell them apart. Each demand now has the time until each of them comes back, aged by the tracker and dropped 2 s after it was due. They stay among the slacks too, for leaders of earlier builds; nothing uses the new field yet.

--- a/packages/core/src/gateway/demand_tracker.ts
+++ b/packages/core/src/gateway/demand_tracker.ts
@@ -8,6 +8,8 @@
 const REPORT_LIFETIME_MS = 3_000;
 /** Arrival rate below which an idle model is forgotten, per second. */
 const NEGLIGIBLE_PER_SECOND = 0.001;
+/** Time after which a caller that is overdue is not expected any more, in ms. */
+const OVERDUE_MS = 2_000;
 
 /** The parts of a report that describe demand. */
 export type DemandReport = Pick<
@@ -16,7 +18,11 @@
 >;
 
 /** Waiting requests of one host, as of its last report. */
-type WaitingRequests = { readonly slacksMs: readonly number[]; at: number };
+type WaitingRequests = {
+  readonly slacksMs: readonly number[];
+  readonly returningMs: readonly number[];
+  readonly at: number;
+};
 
 /** Demand for one model or adapter. */
 type DemandRecord = {
@@ -77,13 +83,13 @@
     if (previous !== undefined) this.#remove(previous, now);
     this.#hosts.set(report.host, { report, heardAt: now });
     for (const demand of report.demand) {
-      const { arrivals, running, slacksMs } = demand;
+      const { arrivals, returningMs = [], running, slacksMs } = demand;
       const record = this.#recordFor(demand, now);
       this.#average(record, now);
       record.arrivalsPerSecond += arrivals * SECOND_MS / AVERAGE_MS;
       record.running += running;
       if (slacksMs.length > 0) {
-        record.waiting.set(report.host, { slacksMs, at: now });
+        record.waiting.set(report.host, { slacksMs, returningMs, at: now });
       }
       if (slacksMs.length + running + arrivals === 0) continue;
       this.lastRequestedAt.set(demand.model, now);
@@ -144,6 +150,7 @@
         adapter: record.adapter,
         softwareVersion: record.softwareVersion,
         slacksMs: currentSlacks(record, now),
+        returningMs: currentReturns(record, now),
         arrivalsPerSecond: record.arrivalsPerSecond,
         concurrency: record.concurrency,
       });
@@ -230,6 +237,15 @@
   return slacks;
 }
 
+/** Times until callers come back, less the time since they were reported. */
+function currentReturns({ waiting }: DemandRecord, now: number): number[] {
+  return [...waiting.values()]
+    .flatMap(({ at, returningMs }) =>
+      returningMs.map((dueMs) => dueMs - (now - at))
+    )
+    .filter((dueMs) => dueMs > -OVERDUE_MS);
+}
+
 function addCount(
   counts: Map<string, number>,
   key: string,
--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -496,6 +496,7 @@
           adapter: undefined,
           softwareVersion: undefined,
           slacksMs: [...previous.slacksMs, ...demand.slacksMs],
+          returningMs: [...previous.returningMs, ...demand.returningMs],
           arrivalsPerSecond: previous.arrivalsPerSecond +
             demand.arrivalsPerSecond,
           concurrency: previous.concurrency + demand.concurrency,
--- a/packages/core/src/gateway/load_planner_types.ts
+++ b/packages/core/src/gateway/load_planner_types.ts
@@ -34,6 +34,11 @@
   readonly softwareVersion: string | undefined;
   /** Time until each waiting request is late, in milliseconds. */
   readonly slacksMs: readonly number[];
+  /**
+   * Time until each caller that was told to come back does so, in milliseconds;
+   * negative once it is overdue. Each is among `slacksMs` too.
+   */
+  readonly returningMs: readonly number[];
   /** Recent arrival rate. */
   readonly arrivalsPerSecond: number;
   /** Average number of running and waiting requests. */
--- a/packages/core/test/gateway/demand_tracker_test.ts
+++ b/packages/core/test/gateway/demand_tracker_test.ts
@@ -40,6 +40,19 @@
       .to.deep.equal([-100, -50, 300]);
   });
 
+  it("expects callers that were told to come back until they are overdue", () => {
+    const tracker = new core.DemandTracker();
+    const { demand: [waiting] } = report("h1", 0, [1_500]);
+    if (waiting === undefined) throw new Error("no demand");
+    const demand = [{ ...waiting, returningMs: [1_500] }];
+    tracker.addReport({ host: "h1", demand, load: [] }, 0);
+    const dueAt = (now: number) =>
+      tracker.aggregate(SERVICE, now)[0]?.returningMs;
+    expect(dueAt(500)).to.deep.equal([1_000]);
+    expect(dueAt(2_000)).to.deep.equal([-500]);
+    expect(dueAt(4_000)).to.deep.equal([]);
+  });
+
   it("keeps a report as long as its host is heard of", () => {
     const tracker = new core.DemandTracker();
     tracker.addReport(report("h1", 2, [500]), 0);
--- a/packages/core/test/gateway/fixtures.ts
+++ b/packages/core/test/gateway/fixtures.ts
@@ -80,6 +80,7 @@
     adapter: undefined,
     softwareVersion: undefined,
     slacksMs: [1_000],
+    returningMs: [],
     arrivalsPerSecond: 0.1,
     concurrency: 0.1,
     ...overrides,
--- a/packages/core/test/gateway/load_forecast_test.ts
+++ b/packages/core/test/gateway/load_forecast_test.ts
@@ -13,6 +13,7 @@
     adapter: undefined,
     softwareVersion: undefined,
     slacksMs,
+    returningMs: [],
     arrivalsPerSecond: 0,
     concurrency: 0,
   };
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -508,14 +508,19 @@
       ...[...this.#serverSelector.queuedRequests()].map((context) => ({
         context,
         dueAt: context.arrivedAt + context.route.targetMs,
+        isReturning: false,
       })),
       ...this.#expectedReturns.map(({ at, context }) => ({
         context,
         dueAt: at,
+        isReturning: true,
+      })),
+      ...[...this.#removalWatch.moves()].map((move) => ({
+        ...move,
+        isReturning: false,
       })),
-      ...this.#removalWatch.moves(),
     ];
-    for (const { context, dueAt } of waiting) {
+    for (const { context, dueAt, isReturning } of waiting) {
       const { metadata, origin, service } = context;
       if (metadata.model === undefined || service.engine === undefined) {
         continue;
@@ -526,7 +531,9 @@
         metadata.adapter,
         origin?.softwareVersion ?? undefined,
       );
-      demand.slacksMs.push(Math.round(dueAt - now));
+      const dueMs = Math.round(dueAt - now);
+      demand.slacksMs.push(dueMs);
+      if (isReturning) (demand.returningMs ??= []).push(dueMs);
     }
     for (
       const { adapter, count, model, server } of this.#serverTracker
--- a/packages/daemon/test/gateway/order_executor_test.ts
+++ b/packages/daemon/test/gateway/order_executor_test.ts
@@ -178,6 +178,7 @@
     adapter,
     softwareVersion: undefined,
     slacksMs: [500],
+    returningMs: [],
     arrivalsPerSecond: 0.1,
     concurrency: 0,
   };
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -190,6 +190,15 @@
     v.array(v.pipe(v.number(), v.finite())),
     v.maxLength(MAX_RECORDS),
   ),
+  /**
+   * Time until each caller that was told to come back does so, in milliseconds;
+   * negative once it is overdue. For leaders of earlier builds, each is among
+   * `slacksMs` too. Hosts of earlier builds send none.
+   */
+  returningMs: v.optional(v.pipe(
+    v.array(v.pipe(v.number(), v.finite())),
+    v.maxLength(MAX_RECORDS),
+  )),
   /** Requests in progress. */
   running: Count,
   /** Requests received since the previous report. */
