Know other leaders' orders and learn the store's bound faster

A new leader took servers that still executed its predecessor's orders as free. It now counts such a server as busy for half of the longest load and asks it once a second.

The bound of loads from the store grew by one a load, counted what ran at the end of a load instead of during it, and fell by any order that a server carried out late. It now doubles with a load at full speed until one is slow, counts the mean number during the load, ignores a slow load while more than that number run at full speed, and counts one that doesn't end.

--- a/packages/core/test/gateway/load_forecast_test.ts
+++ b/packages/core/test/gateway/load_forecast_test.ts
@@ -97,6 +97,14 @@
 });
 
 describe("gateway store concurrency", () => {
+  function storeLoad(
+    durationMs: number,
+    concurrency: number,
+    at: number,
+  ): core.StoreLoad {
+    return { durationMs, expectedMs: 10_000, concurrency, at };
+  }
+
   /** Plays loads of 10 s on a store that serves `atOnce` at full speed. */
   function play(atOnce: number, rounds: number): core.StoreConcurrency {
     const concurrency = new core.StoreConcurrency();
@@ -104,7 +112,7 @@
       const running = concurrency.limit;
       const durationMs = 10_000 * Math.max(1, running / atOnce);
       for (let load = 0; load < running; load += 1) {
-        concurrency.recordLoad(durationMs, 10_000, running);
+        concurrency.recordLoad(storeLoad(durationMs, running, round * 1e6));
       }
     }
     return concurrency;
@@ -122,8 +130,28 @@
   it("does not grow while it is not used", () => {
     const concurrency = new core.StoreConcurrency();
     for (let load = 0; load < 50; load += 1) {
-      concurrency.recordLoad(10_000, 10_000, 1);
+      concurrency.recordLoad(storeLoad(10_000, 1, load * 10_000));
     }
     expect(concurrency.limit).to.equal(new core.StoreConcurrency().limit);
   });
+
+  it("doubles while the store bears it", () => {
+    expect(play(64, 3).limit).to.equal(32);
+  });
+
+  it("blames a server, not the store, for a load slower than its neighbours", () => {
+    const concurrency = new core.StoreConcurrency();
+    concurrency.recordLoad(storeLoad(10_000, 4, 10_000));
+    const { limit } = concurrency;
+    concurrency.recordLoad(storeLoad(16_000, 4, 16_000));
+    expect(concurrency.limit).to.equal(limit);
+  });
+
+  it("measures how many loads ran at once", () => {
+    const meter = new core.ConcurrencyMeter();
+    const first = meter.begin(1_000);
+    const second = meter.begin(1_500);
+    expect(meter.end(first, 2_000)).to.equal(1.5);
+    expect(meter.end(second, 3_500)).to.equal(1.25);
+  });
 });
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -191,8 +191,7 @@
       metrics: options.metrics,
       canSendOrders: () => this.#canSendOrders(),
       engineOf: (service) => this.#serviceOf(service)?.engine,
-      onStoreLoad: (durationMs, expectedMs, running) =>
-        this.#scheduler.recordStoreLoad(durationMs, expectedMs, running),
+      onStoreLoad: (load) => this.#scheduler.recordStoreLoad(load),
       onOrderFinished: () => this.#onChange(),
     });
     this.#scheduler = new loadScheduler.LoadScheduler({
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -6,8 +6,11 @@
 import * as timers from "node:timers";
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
+import * as log from "../../log/mod.ts";
 import type * as orderExecutor from "./order_executor.ts";
 
+const write = log.createLog("orders");
+
 /** Interval of planning rounds without a change, in milliseconds. */
 const PLAN_INTERVAL_MS = 250;
 /** Time over which changes are collected before planning, in milliseconds. */
@@ -76,12 +79,17 @@
   }
 
   /** Records a completed load from the weight store. */
-  recordStoreLoad(
-    durationMs: number,
-    expectedMs: number,
-    running: number,
-  ): void {
-    this.#storeConcurrency.recordLoad(durationMs, expectedMs, running);
+  recordStoreLoad(load: core.gateway.StoreLoad): void {
+    const { limit } = this.#storeConcurrency;
+    this.#storeConcurrency.recordLoad(load);
+    if (this.#storeConcurrency.limit === limit) return;
+    write("store-concurrency", {
+      limit: this.#storeConcurrency.limit,
+      before: limit,
+      concurrency: Math.round(load.concurrency),
+      took_ms: Math.round(load.durationMs),
+      expected_ms: Math.round(load.expectedMs),
+    });
   }
 
   /**
--- a/packages/daemon/src/gateway/control/order_executor.ts
+++ b/packages/daemon/src/gateway/control/order_executor.ts
@@ -29,6 +29,11 @@
 const ADAPTER_LOAD_MS = 45;
 /** Pause after a failed request to a server, in milliseconds. */
 const FAILURE_PAUSE_MS = 500;
+/**
+ * Interval of the polls whether a server has ended an order of another leader, in
+ * milliseconds. A poll is a request to the server.
+ */
+const FOREIGN_POLL_MS = 1_000;
 /** Expected time of an unload in ms; it is immediate once no request runs. */
 const EXPECTED_UNLOAD_MS = 30;
 
@@ -42,6 +47,13 @@
   isAccepted = false;
   /** Monotonic time of its acceptance, in milliseconds. */
   acceptedAt = 0;
+  /**
+   * Monotonic time since which it executes an order that this leader doesn't
+   * know, in milliseconds: of another leader, or one without an answer.
+   */
+  foreignSince: number | undefined;
+  /** Beginning of the current load, if it is from the weight store. */
+  storeMark: core.gateway.ConcurrencyMark | undefined;
   /**
    * Monotonic time at which the current order should be complete or the pause
    * before the next one ends, in milliseconds.
@@ -70,12 +82,8 @@
   canSendOrders(): boolean;
   /** Capacity and models of the servers of a service. */
   engineOf(service: string): gateway.Engine | undefined;
-  /**
-   * Called when a load from the weight store is complete.
-   *
-   * @param running loads from the store that were in progress, including it
-   */
-  onStoreLoad(durationMs: number, expectedMs: number, running: number): void;
+  /** Called when a load from the weight store is complete. */
+  onStoreLoad(load: core.gateway.StoreLoad): void;
   /** Called when an order has ended, with or without success. */
   onOrderFinished(): void;
 }
@@ -84,6 +92,7 @@
 export class OrderExecutor {
   readonly #options: OrderExecutorOptions;
   readonly #servers = new Map<string, ServerOrders>();
+  readonly #storeLoads = new core.gateway.ConcurrencyMeter();
   /** Monotonic load time of each `server model`, in milliseconds. */
   readonly loadedAt = new Map<string, number>();
 
@@ -100,16 +109,36 @@
   } {
     const orders = this.#ordersOf(server);
     const { current } = orders;
+    const remainingMs = Math.max(
+      orders.busyUntil - now,
+      this.#foreignMs(server, orders, now),
+    );
     return {
-      busyMs: current === undefined
-        ? Math.max(0, orders.busyUntil - now)
-        : Math.max(1, orders.busyUntil - now),
+      busyMs: Math.max(current === undefined ? 0 : 1, remainingMs),
       loading: current?.kind === "load" ? current.model : undefined,
       pendingAdapters: orders.pendingAdapters,
       unloadingAdapters: orders.unloadingAdapters,
     };
   }
 
+  /**
+   * Expected remaining time of an order that isn't known: half of the longest
+   * load, less the time since it was noticed.
+   */
+  #foreignMs(
+    { service }: gateway.Heartbeat,
+    { foreignSince }: ServerOrders,
+    now: number,
+  ): number {
+    if (foreignSince === undefined) return 0;
+    const { models = [] } = this.#options.engineOf(service) ?? {};
+    const longestMs = Math.max(
+      0,
+      ...models.map(({ storeLoadMs }) => storeLoadMs),
+    );
+    return Math.max(FOREIGN_POLL_MS, longestMs / 2 - (now - foreignSince));
+  }
+
   /** Completes the current order if a heartbeat shows its effect. */
   handleHeartbeat(heartbeat: gateway.Heartbeat): void {
     const orders = this.#ordersOf(heartbeat);
@@ -273,11 +302,45 @@
     if (orders.acceptedCount !== undefined) return true;
     const report = await this.#options.client.report(server);
     this.#options.registry.applyReport(server, report, performance.now());
+    if (report.isBusy) void this.#awaitForeignOrder(server, orders);
     if (report.isBusy || report.pendingAdapters > 0) return false;
     orders.acceptedCount = report.orders;
     return true;
   }
 
+  /** Polls a server until an order that this leader doesn't know has ended. */
+  async #awaitForeignOrder(
+    server: gateway.Heartbeat,
+    orders: ServerOrders,
+  ): Promise<void> {
+    if (orders.foreignSince !== undefined) return;
+    const since = performance.now();
+    orders.foreignSince = since;
+    let isBusy = true;
+    while (isBusy && performance.now() - since < ORDER_TIMEOUT_MS) {
+      await timers.setTimeout(FOREIGN_POLL_MS);
+      if (!this.#isRunning(server) || !this.#options.canSendOrders()) break;
+      isBusy = await this.#isBusy(server);
+    }
+    orders.foreignSince = undefined;
+    write("foreign-order-done", {
+      server: server.id,
+      took_ms: Math.round(performance.now() - since),
+    });
+    this.#options.onOrderFinished();
+  }
+
+  async #isBusy(server: gateway.Heartbeat): Promise<boolean> {
+    try {
+      const report = await this.#options.client.report(server);
+      this.#options.registry.applyReport(server, report, performance.now());
+      return report.isBusy;
+    } catch (error) {
+      write("no-report", { server: server.id, error });
+      return true;
+    }
+  }
+
   #trackAccepted(
     server: gateway.Heartbeat,
     orders: ServerOrders,
@@ -285,6 +348,9 @@
   ): void {
     switch (order.kind) {
       case "load":
+        if (order.source === "store") {
+          orders.storeMark = this.#storeLoads.begin(performance.now());
+        }
         void this.#awaitModelOrder(server, orders, order, order.expectedMs);
         return;
       case "unload":
@@ -343,6 +409,8 @@
       await timers.setTimeout(POLL_MS);
     }
     orders.acceptedCount = undefined;
+    // A load that doesn't end in time shows a slow store as well.
+    if (this.#isRunning(server)) this.#recordDuration(orders, order);
     write("order-lost", { server: server.id, model: order.model });
     this.#finish(server, orders, order);
   }
@@ -353,11 +421,7 @@
     order: core.gateway.ModelOrder,
     from: "heartbeat" | "report",
   ): void {
-    const durationMs = performance.now() - orders.acceptedAt;
-    if (order.kind === "load" && order.source === "store") {
-      const { activeStoreLoads } = this;
-      this.#options.onStoreLoad(durationMs, order.expectedMs, activeStoreLoads);
-    }
+    const durationMs = this.#recordDuration(orders, order);
     write("order-done", {
       server: server.id,
       order: order.kind,
@@ -416,6 +480,7 @@
     pauseMs = 0,
   ): void {
     if (orders.current === order) {
+      this.#endStoreLoad(orders, performance.now());
       orders.current = undefined;
       orders.busyUntil = 0;
     }
@@ -436,6 +501,28 @@
     this.#options.onOrderFinished();
   }
 
+  /** Duration of an order so far, recorded if it is a load from the store. */
+  #recordDuration(
+    orders: ServerOrders,
+    order: core.gateway.ModelOrder,
+  ): number {
+    const at = performance.now();
+    const durationMs = at - orders.acceptedAt;
+    const concurrency = this.#endStoreLoad(orders, at);
+    if (order.kind === "load" && concurrency !== undefined) {
+      const { expectedMs } = order;
+      this.#options.onStoreLoad({ durationMs, expectedMs, concurrency, at });
+    }
+    return durationMs;
+  }
+
+  /** Loads from the store in progress during the one that ends, if it is one. */
+  #endStoreLoad(orders: ServerOrders, now: number): number | undefined {
+    const { storeMark } = orders;
+    orders.storeMark = undefined;
+    return storeMark && this.#storeLoads.end(storeMark, now);
+  }
+
   #isRunning({ born, id }: gateway.Heartbeat): boolean {
     const known = this.#options.registry.get(id);
     return known?.born === born && known.state !== "ended";
--- a/packages/daemon/test/gateway/order_executor_test.ts
+++ b/packages/daemon/test/gateway/order_executor_test.ts
@@ -233,6 +233,32 @@
     expect(fixture.engine.overfilled).to.equal(0);
   });
 
+  it("waits for the end of another leader's order without asking all the time", async () => {
+    const fixture = new Fixture();
+    let reports = 0;
+    fixture.onReport = () => reports += 1;
+    const end = fixture.engine.begin("a", undefined);
+    fixture.engine.order({
+      isLoad: false,
+      model: "a",
+      adapter: undefined,
+      expected: 0,
+    });
+    const isHeld = () => fixture.server.models.some(({ name }) => name === "d");
+    const startedAt = performance.now();
+    while (performance.now() - startedAt < 900) {
+      fixture.plan([demandFor("d")]);
+      await timers.setTimeout(10);
+    }
+    // The first report may be from before the order.
+    expect(reports).to.be.at.most(2);
+    end?.();
+    await until(() => {
+      fixture.plan([demandFor("d")]);
+      return isHeld();
+    }, "the load");
+  });
+
   it("sends no order if the lease ends while it requests the state", async () => {
     const fixture = new Fixture();
     fixture.onReport = () => {
