Weigh loads by what they block and evict, and bound the age of demand

Loads from the store went to any server, though it can't load from its disk for 8 to 16 s then.

The planner now - lets no load from the store begin where more requests would wait for the server's disk than it serves, nor on more than a third of the servers at once, nor for a model that a free server has on its disk; a load from a disk may begin beside a longer one from the store; - lets one for many requests begin beyond the store's bound; - takes replicas as a sign of demand for the first 8 s; - evicts an idle model that callers wait for if three times as many wait for another one, and no running one for callers who only may come back; - loads what was not served for 8 s first, on a quarter of the servers at most; - weighs spare replicas of models in steady demand with the other loads.

--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -9,7 +9,9 @@
  */
 import type { gateway } from "@ebonypath/protocol";
 import { usedMb } from "./capacity.ts";
+import { CopyNeeds } from "./copy_needs.ts";
 import { loadBenefit } from "./load_benefit.ts";
+import * as loadDemand from "./load_demand.ts";
 import * as types from "./load_planner_types.ts";
 
 /** Share of a server's slots that running requests of one model may use. */
@@ -40,6 +42,60 @@
  */
 const RECENCY_MS = 1_000;
 
+/**
+ * Time without a served request from which a model goes before others, in
+ * milliseconds. Callers who asked again several times meanwhile give up.
+ */
+const MAX_UNSERVED_MS = 8_000;
+/**
+ * Part of the servers that may load such models at once. The other ones load
+ * what serves most requests.
+ */
+const MAX_UNSERVED_SHARE = 0.25;
+/** Shortest time that such a model stays for callers that come back, in ms. */
+const UNSERVED_RESIDENCE_MS = 3_000;
+
+/**
+ * Time for which the replicas of a model tell of its demand, in milliseconds.
+ * Until then, a leader hasn't seen enough requests to know better.
+ */
+const UNKNOWN_DEMAND_MS = 8_000;
+/**
+ * Cost of a store load at a server for each copy in demand on it that other
+ * servers have as well, in milliseconds. It only decides between servers that
+ * are equally good otherwise.
+ */
+const SPARE_COPY_MS = 10;
+
+/**
+ * Requests that a load must serve, relative to those for the model that it
+ * evicts, to evict one that requests wait for. Less would let two models evict
+ * each other by turns.
+ */
+const OUTWEIGH_FACTOR = 3;
+/** Shortest time that a model with waiting requests stays loaded, in ms. */
+const REQUESTED_RESIDENCE_MS = 3_000;
+/** Time of expected arrivals that count as much as waiting requests, in s. */
+const EXPECTED_SECONDS = 4;
+/**
+ * Time for which requests wait for a server that has a copy of their model
+ * before it is loaded from the store elsewhere, in milliseconds.
+ */
+const MAX_AT_HAND_WAIT_MS = 5_000;
+/**
+ * Requests that a load from the store must serve, relative to the mean of the
+ * loads in progress, to begin beyond the store's bound. It delays them all by a
+ * part of their time.
+ */
+const OVERLOAD_FACTOR = 2;
+/** Least such requests. */
+const MIN_OVERLOAD_REQUESTS = 4;
+/**
+ * Probability that the only server of a model is lost while a spare replica
+ * would stay loaded. A server crash every few minutes is about that.
+ */
+const LOSS_PROBABILITY = 0.05;
+
 /** Most adapter loads in progress on one server. */
 const MAX_PENDING_ADAPTERS = 4;
 
@@ -94,7 +150,16 @@
   readonly #addedAdapters = new Map<string, number>();
   /** Servers with an adapter unload planned in this round. */
   readonly #unloadingAdapter = new Set<string>();
+  readonly #copyNeeds: CopyNeeds;
+  /** Time since the first request that was not served, by model, in ms. */
+  readonly #unservedMs: ReadonlyMap<string, number>;
   #canLoadFromStore: boolean;
+  /** Models that are loaded by orders of this round. */
+  readonly #ordered = new Set<string>();
+  /** Whether a model is missing that no server has at hand. */
+  #isStoreInDemand = false;
+  /** Requests from which a load may begin beyond the store's bound. */
+  #overloadRequests: number;
 
   constructor(input: types.PlannerInput) {
     this.#input = input;
@@ -106,17 +171,22 @@
       0,
       ...input.engine.models.map((model) => model.adapterMb),
     );
-    this.#demand = mergeAdapters(input.demand);
-    this.#resumptions = mergeVersions(input.demand);
+    this.#demand = loadDemand.mergeAdapters(input.demand);
+    this.#resumptions = loadDemand.mergeVersions(input.demand);
     this.#demandByModel = new Map(
       this.#demand.map((demand) => [demand.model, demand]),
     );
     this.#requested = new Set(
-      this.#demand.filter(hasWaiting).map(({ model }) => model),
+      this.#demand.filter(loadDemand.hasWaiting).map(({ model }) => model),
     );
     this.#leavingModels = new Set(
       input.servers.filter(({ isLeaving }) => isLeaving).flatMap(modelNames),
     );
+    this.#unservedMs = loadDemand.unservedAges(input);
+    this.#overloadRequests = input.canOverloadStore
+      ? this.#meanLoadingRequests() * OVERLOAD_FACTOR
+      : Infinity;
+    this.#copyNeeds = new CopyNeeds(input.servers, this.#demand);
     for (const server of input.servers.filter(({ isUsable }) => isUsable)) {
       for (const name of modelNames(server)) {
         this.#replicas.set(name, (this.#replicas.get(name) ?? 0) + 1);
@@ -126,14 +196,33 @@
 
   plan(): types.ModelOrder[] {
     const adapters = this.#planAdapters();
-    const resumed = this.#resumptions.filter(hasWaiting)
+    const resumed = this.#resumptions.filter(loadDemand.hasWaiting)
       .filter((demand) => !this.#isHeldAtVersion(demand))
       .map((demand) => this.#planLoad(demand));
     const missing = this.#demandAtAnyVersion()
-      .filter((demand) => hasWaiting(demand) || this.#isLosing(demand))
-      .filter(({ model }) => this.#replicaCount(model) === 0);
+      .filter((demand) =>
+        loadDemand.hasWaiting(demand) || this.#isLosing(demand) ||
+        this.#isUnserved(demand.model)
+      )
+      .filter(({ model }) => this.#isMissing(model));
+    this.#isStoreInDemand = missing.some(({ model }) =>
+      !this.#copyNeeds.isAtHand(model)
+    );
+    const oldest = this.#oldestUnserved(missing);
+    const others = missing.filter((demand) => !oldest.includes(demand))
+      .filter((demand) =>
+        loadDemand.hasWaiting(demand) || this.#isLosing(demand)
+      );
     const short = this.#demand.filter((demand) => this.#isShort(demand));
-    const loads = [...this.#sortByBenefit(missing), ...short]
+    const spares = short.filter(({ model }) =>
+      this.#replicaCount(model) === 1 && this.#copyNeeds.isElsewhere(model)
+    );
+    const more = short.filter((demand) => !spares.includes(demand));
+    const loads = [
+      ...oldest,
+      ...this.#sortByBenefit([...others, ...spares]),
+      ...more,
+    ]
       .map((demand) => this.#planLoad(demand));
     return [
       ...adapters,
@@ -141,6 +230,22 @@
     ];
   }
 
+  /** Models that go first, as many as there are servers for them. */
+  #oldestUnserved(
+    missing: readonly types.AggregateDemand[],
+  ): types.AggregateDemand[] {
+    const usable = this.#input.servers.filter(({ isUsable }) => isUsable);
+    const loading = usable.filter((server) =>
+      server.loading !== undefined && this.#isUnserved(server.loading)
+    );
+    const servers = Math.ceil(usable.length * MAX_UNSERVED_SHARE);
+    const ageOf = ({ model }: types.AggregateDemand) =>
+      this.#unservedMs.get(model) ?? 0;
+    return missing.filter(({ model }) => this.#isUnserved(model))
+      .sort((one, other) => ageOf(other) - ageOf(one))
+      .slice(0, Math.max(0, servers - loading.length));
+  }
+
   /** Whether a model is used steadily at a server that is about to leave. */
   #isLosing(demand: types.AggregateDemand): boolean {
     return this.#leavingModels.has(demand.model) &&
@@ -150,13 +255,15 @@
   #demandAtAnyVersion(): readonly types.AggregateDemand[] {
     return this.#resumptions.length === 0
       ? this.#demand
-      : mergeAdapters(this.#input.demand.filter(isForAnyVersion));
+      : loadDemand.mergeAdapters(
+        this.#input.demand.filter(loadDemand.isForAnyVersion),
+      );
   }
 
   /** Whether a server that may continue the streams has their model soon. */
   #isHeldAtVersion(demand: types.AggregateDemand): boolean {
     return this.#input.servers.some((server) =>
-      server.isUsable && mayServe(server, demand) &&
+      server.isUsable && loadDemand.mayServe(server, demand) &&
       modelNames(server).includes(demand.model)
     );
   }
@@ -173,7 +280,50 @@
 
   #benefitRate(demand: types.AggregateDemand): number {
     const costMs = this.#bestOption(demand)?.costMs;
-    return costMs === undefined ? 0 : loadBenefit(demand, costMs) / costMs;
+    if (costMs === undefined) return 0;
+    const benefit = this.#isMissing(demand.model)
+      ? loadBenefit(demand, costMs)
+      : this.#spareBenefit(demand);
+    return benefit / costMs;
+  }
+
+  /**
+   * Benefit of a second replica: requests that would wait for another one if
+   * the only server that holds the model were lost.
+   */
+  #spareBenefit({ arrivalsPerSecond, model }: types.AggregateDemand): number {
+    const { diskLoadMs = 0 } = this.#models.get(model) ?? {};
+    return LOSS_PROBABILITY * arrivalsPerSecond * diskLoadMs / 1_000;
+  }
+
+  /** Whether no server holds a model or will soon. */
+  #isMissing(model: string): boolean {
+    const { diskLoadMs = 0 } = this.#models.get(model) ?? {};
+    return this.#replicaCount(model) === 0 ||
+      !this.#ordered.has(model) &&
+        !this.#input.servers.some((server) =>
+          server.isUsable && (heldModel(server, model) !== undefined ||
+            server.loading === model && server.busyMs <= diskLoadMs)
+        );
+  }
+
+  /** Mean number of requests for the models that are being loaded. */
+  #meanLoadingRequests(): number {
+    const loading = this.#input.servers.map((server) => server.loading)
+      .filter((model) => model !== undefined);
+    const requests = loading.map((model) => this.#requestsFor(model));
+    const sum = requests.reduce((total, count) => total + count, 0);
+    return Math.max(
+      MIN_OVERLOAD_REQUESTS / OVERLOAD_FACTOR,
+      sum / Math.max(1, loading.length),
+    );
+  }
+
+  /** Requests for a model that wait or are expected soon. */
+  #requestsFor(model: string): number {
+    const { arrivalsPerSecond = 0, slacksMs = [] } =
+      this.#demandByModel.get(model) ?? {};
+    return slacksMs.length + arrivalsPerSecond * EXPECTED_SECONDS;
   }
 
   /** Whether a loaded model has fewer replicas than its demand requires. */
@@ -215,25 +365,51 @@
   #bestOption(demand: types.AggregateDemand): LoadOption | undefined {
     const model = this.#models.get(demand.model);
     if (model === undefined) return undefined;
-    const isRequested = hasWaiting(demand);
-    const mayEvictRunning = minSlack(demand) < -EVICT_RUNNING_LATE_MS;
+    const isRequested = loadDemand.hasWaiting(demand);
+    const mayEvictRunning =
+      loadDemand.minWaitingSlack(demand) < -EVICT_RUNNING_LATE_MS;
     return this.#input.servers
-      .filter((server) => mayServe(server, demand))
+      .filter((server) => loadDemand.mayServe(server, demand))
       .filter((server) => this.#canLoad(server, demand.model))
       .map((server) =>
         this.#loadOption(server, model, isRequested, mayEvictRunning)
       )
       .filter((option) => option !== undefined)
+      .map((option) => this.#addBlockedCost(option, demand))
+      .filter((option) => option !== undefined)
       .sort((one, other) => one.costMs - other.costMs)[0];
   }
 
+  /**
+   * Adds the waits that a load from the store causes, because its server can't
+   * load from its disk meanwhile. There is no option where more requests would
+   * wait for that disk than the load serves.
+   */
+  #addBlockedCost(
+    option: LoadOption,
+    demand: types.AggregateDemand,
+  ): LoadOption | undefined {
+    const { costMs, loadMs, server, source } = option;
+    if (source !== "store") return option;
+    const blocked = this.#copyNeeds.blockedRequests(server, loadMs);
+    const mayBlock = this.#isUnserved(demand.model) ||
+      blocked <= loadBenefit(demand, costMs);
+    if (!mayBlock) return undefined;
+    const spare = this.#copyNeeds.neededCopies(server) * SPARE_COPY_MS;
+    return { ...option, costMs: costMs + blocked * loadMs + spare };
+  }
+
   #createOrder(option: LoadOption, model: string): types.ModelOrder {
     const { loadMs, server, source, victim } = option;
     if (victim !== undefined) {
       return { kind: "unload", server: server.id, model: victim };
     }
     this.#replicas.set(model, this.#replicaCount(model) + 1);
-    if (source === "store") this.#canLoadFromStore = false;
+    this.#ordered.add(model);
+    if (source === "store") {
+      this.#canLoadFromStore = false;
+      this.#overloadRequests = Infinity;
+    }
     return {
       kind: "load",
       server: server.id,
@@ -255,19 +431,46 @@
     mayEvictRunning: boolean,
   ): LoadOption | undefined {
     const source = weightSource(server, model.name);
-    if (source === "store" && !this.#canLoadFromStore) return undefined;
+    if (source === "store" && !this.#mayLoadFromStore(model.name)) {
+      return undefined;
+    }
     const loadMs = loadDuration(model, source);
     const readyMs = server.busyMs + loadMs;
     if (this.#freeMb(server) >= model.weightsMb) {
       return { server, source, loadMs, victim: undefined, costMs: readyMs };
     }
-    const victim = this.#cheapestVictim(server, isRequested);
+    const victim = this.#cheapestVictim(server, model.name, isRequested);
     if (victim === undefined) return undefined;
     if (victim.isRunning && !mayEvictRunning) return undefined;
     const costMs = readyMs + victim.costMs;
     return { server, source, loadMs, victim: victim.name, costMs };
   }
 
+  /**
+   * Whether a load from the store may begin. One under way isn't doubled, and
+   * one of a model that a server has at hand waits for that server. Additional
+   * replicas come from the store only while nothing else is needed from it.
+   */
+  #mayLoadFromStore(model: string): boolean {
+    const isBound = !this.#canLoadFromStore &&
+      this.#requestsFor(model) < this.#overloadRequests;
+    if (isBound) return false;
+    if (this.#replicaCount(model) > 0) {
+      return !this.#isStoreInDemand && !this.#isMissing(model);
+    }
+    return !this.#copyNeeds.isAtHand(model) ||
+      this.#isUnservedFor(model, MAX_AT_HAND_WAIT_MS);
+  }
+
+  #isUnserved(model: string): boolean {
+    return this.#isUnservedFor(model, MAX_UNSERVED_MS);
+  }
+
+  /** Whether no request for a model was served for a time in milliseconds. */
+  #isUnservedFor(model: string, leastMs: number): boolean {
+    return (this.#unservedMs.get(model) ?? 0) >= leastMs;
+  }
+
   #freeMb(server: types.PlannerServer): number {
     const addedMb = (this.#addedAdapters.get(server.id) ?? 0) *
       this.#largestAdapterMb;
@@ -286,10 +489,14 @@
   /** The model with the cheapest eviction, if any may be evicted. */
   #cheapestVictim(
     server: types.PlannerServer,
+    forModel: string,
     isRequested: boolean,
   ): Victim | undefined {
     return server.models
-      .filter(({ name }) => this.#mayEvict(server, name, isRequested))
+      .filter(({ name }) =>
+        this.#mayEvict(server, name, isRequested) ||
+        this.#isOutweighed(server, name, forModel)
+      )
       .map(({ name }) => ({
         name,
         isRunning: (server.running.get(name) ?? 0) > 0,
@@ -306,7 +513,10 @@
   ): boolean {
     const { loadedAt, now } = this.#input;
     const age = now - (loadedAt.get(`${server.id} ${model}`) ?? -Infinity);
-    if (age < MIN_RESIDENCE_MS) return false;
+    const residenceMs = this.#isUnserved(model)
+      ? UNSERVED_RESIDENCE_MS
+      : MIN_RESIDENCE_MS;
+    if (age < residenceMs) return false;
     const replicas = this.#replicaCount(model);
     if (this.#requested.has(model) && replicas <= 1) return false;
     const demand = this.#demandByModel.get(model);
@@ -319,6 +529,22 @@
       (demand?.arrivalsPerSecond ?? 0) === 0;
   }
 
+  /**
+   * Whether far more requests are for another model than for an idle one. Those
+   * that wait for the idle one are mostly callers that were told to come back.
+   */
+  #isOutweighed(
+    server: types.PlannerServer,
+    model: string,
+    other: string,
+  ): boolean {
+    const { loadedAt, now } = this.#input;
+    const age = now - (loadedAt.get(`${server.id} ${model}`) ?? -Infinity);
+    return age >= REQUESTED_RESIDENCE_MS && !server.running.get(model) &&
+      this.#requestsFor(other) >
+        OUTWEIGH_FACTOR * Math.max(1, this.#requestsFor(model));
+  }
+
   /**
    * Cost of an eviction, in milliseconds: the wait for running requests, the
    * expected waits for a reload of the model, and a term for its recent use.
@@ -336,17 +562,40 @@
     const idleMs = now - (lastRequestedAt.get(name) ?? -Infinity);
     // Among models without recent demand, the least recently used is evicted.
     const recency = RECENCY_MS / (1 + Math.min(idleMs, 1e6) / 1_000);
-    return runMs + reloadMs * (demand?.arrivalsPerSecond ?? 0) + recency;
+    const waiting = demand?.slacksMs.length ?? 0;
+    const lost = waiting + (demand?.arrivalsPerSecond ?? 0);
+    return runMs + reloadMs * lost + recency +
+      this.#unknownDemandMs(name);
+  }
+
+  /**
+   * Part of the cost of an eviction while the demand is not known yet: a model
+   * on several servers was placed there because it is asked for often.
+   */
+  #unknownDemandMs(name: string): number {
+    const unknown = 1 - this.#input.observedMs / UNKNOWN_DEMAND_MS;
+    const replicas = Math.max(1, this.#replicaCount(name));
+    return RECENCY_MS * Math.max(0, unknown) * (1 - 1 / replicas);
   }
 
   #planAdapters(): types.ModelOrder[] {
     return this.#input.demand
-      .filter((demand) => demand.adapter !== undefined && hasWaiting(demand))
-      .sort((one, other) => minSlack(one) - minSlack(other))
+      .filter((demand) =>
+        demand.adapter !== undefined &&
+        (loadDemand.hasWaiting(demand) || this.#isAdapterUnserved(demand))
+      )
+      .sort((one, other) =>
+        loadDemand.minSlack(one) - loadDemand.minSlack(other)
+      )
       .map((demand) => this.#planAdapter(demand))
       .filter((order) => order !== undefined);
   }
 
+  #isAdapterUnserved({ adapter, model }: types.AggregateDemand): boolean {
+    const key = types.demandKey(model, adapter);
+    return (this.#input.unservedMs.get(key) ?? 0) >= MAX_UNSERVED_MS;
+  }
+
   #planAdapter(
     demand: types.AggregateDemand,
   ): types.ModelOrder | undefined {
@@ -354,7 +603,7 @@
     if (adapter === undefined) return undefined;
     const key = types.adapterKey(model, adapter);
     const candidates = this.#input.servers.filter((server) =>
-      server.isUsable && mayServe(server, demand) &&
+      server.isUsable && loadDemand.mayServe(server, demand) &&
       heldModel(server, model) !== undefined
     );
     if (candidates.some((server) => hasAdapter(server, key))) return undefined;
@@ -412,7 +661,7 @@
   ): { readonly model: string; readonly adapter: string } | undefined {
     const { lastRequestedAt } = this.#input;
     const requested = new Set(
-      this.#input.demand.filter(hasWaiting)
+      this.#input.demand.filter(loadDemand.hasWaiting)
         .map(({ adapter, model }) => types.adapterKey(model, adapter ?? "")),
     );
     return server.models
@@ -432,80 +681,6 @@
   }
 }
 
-/** Whether a server has the software version that requests need. */
-function mayServe(
-  server: types.PlannerServer,
-  { softwareVersion }: types.AggregateDemand,
-): boolean {
-  return softwareVersion === undefined ||
-    softwareVersion === server.softwareVersion;
-}
-
-function isForAnyVersion(
-  { softwareVersion }: types.AggregateDemand,
-): boolean {
-  return softwareVersion === undefined;
-}
-
-function hasWaiting({ slacksMs }: types.AggregateDemand): boolean {
-  return slacksMs.length > 0;
-}
-
-function minSlack({ slacksMs }: types.AggregateDemand): number {
-  return Math.min(Infinity, ...slacksMs);
-}
-
-/**
- * The demand of resumed streams for models, with that for their adapters: one
- * entry for each model and software version.
- */
-function mergeVersions(
-  demands: readonly types.AggregateDemand[],
-): types.AggregateDemand[] {
-  const versions = new Set(
-    demands.map(({ softwareVersion }) => softwareVersion),
-  );
-  versions.delete(undefined);
-  return [...versions].flatMap((softwareVersion) =>
-    mergeAdapters(
-      demands.filter((demand) => demand.softwareVersion === softwareVersion),
-    ).map((demand) => ({ ...demand, softwareVersion }))
-  );
-}
-
-/**
- * Adds the demand for adapters to the demand for their models, at any version.
- *
- * @example
- * ```ts
- * mergeAdapters(demand).find(({ model }) => model === "advice");
- * ```
- */
-export function mergeAdapters(
-  demands: readonly types.AggregateDemand[],
-): types.AggregateDemand[] {
-  const merged = new Map<string, types.AggregateDemand>();
-  for (const demand of demands) {
-    const previous = merged.get(demand.model);
-    merged.set(
-      demand.model,
-      previous === undefined
-        ? { ...demand, adapter: undefined, softwareVersion: undefined }
-        : {
-          model: demand.model,
-          adapter: undefined,
-          softwareVersion: undefined,
-          slacksMs: [...previous.slacksMs, ...demand.slacksMs],
-          returningMs: [...previous.returningMs, ...demand.returningMs],
-          arrivalsPerSecond: previous.arrivalsPerSecond +
-            demand.arrivalsPerSecond,
-          concurrency: previous.concurrency + demand.concurrency,
-        },
-    );
-  }
-  return [...merged.values()];
-}
-
 function heldModel(
   server: types.PlannerServer,
   model: string,
--- a/packages/core/src/gateway/load_planner_types.ts
+++ b/packages/core/src/gateway/load_planner_types.ts
@@ -69,8 +69,17 @@
   readonly demand: readonly AggregateDemand[];
   /** Whether a load from the weight store may start now. */
   readonly canLoadFromStore: boolean;
+  /** Whether one may start beyond the store's bound, if it serves many. */
+  readonly canOverloadStore: boolean;
   /** Time of the last demand for each model, by model and `model/adapter`. */
   readonly lastRequestedAt: ReadonlyMap<string, number>;
+  /**
+   * Time since the first request for each model and `model/adapter` that was not
+   * served, in milliseconds.
+   */
+  readonly unservedMs: ReadonlyMap<string, number>;
+  /** Time for which demand has been observed, in milliseconds. */
+  readonly observedMs: number;
   /** Load time of each `server model`, in monotonic milliseconds. */
   readonly loadedAt: ReadonlyMap<string, number>;
   readonly now: number;
@@ -87,3 +96,16 @@
 export function adapterKey(model: string, adapter: string): string {
   return `${model}/${adapter}`;
 }
+
+/**
+ * Key of a model or of one of its adapters.
+ *
+ * @example
+ * ```ts
+ * demandKey("advice", undefined); // "advice"
+ * demandKey("advice", "a3"); // "advice/a3"
+ * ```
+ */
+export function demandKey(model: string, adapter: string | undefined): string {
+  return adapter === undefined ? model : adapterKey(model, adapter);
+}
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -26,6 +26,17 @@
 const ADAPTER_CONCURRENCY = 4;
 /** Bound of the loads from the store at once, whatever is measured. */
 const MAX_STORE_LOADS = 64;
+/**
+ * Part of a service's servers that may load from the store at once. A load from
+ * the store takes about seven times as long as one from a disk, and demand may
+ * move meanwhile to models that are only on the disk of its server.
+ */
+const MAX_STORE_SHARE = 1 / 3;
+/**
+ * How far loads that serve many requests may exceed the loads that the store
+ * serves at full speed: each takes twice its time at most.
+ */
+const MAX_OVERLOAD = 2;
 /** Age from which a forecast is not used, in milliseconds. */
 const FORECAST_LIFETIME_MS = 1_000;
 
@@ -52,6 +63,10 @@
   /** Resolve when the next round is planned. */
   #planned: (() => void)[] = [];
   readonly #storeLimiters = new Map<string, core.placement.StoreLoadLimiter>();
+  /** By service. */
+  readonly #unserved = new Map<string, core.gateway.UnservedModels>();
+  /** Monotonic time of the first demand, in milliseconds. */
+  #demandSince: number | undefined;
   #collectTimer: NodeJS.Timeout | undefined;
   /** Monotonic time before which no round is planned, in milliseconds. */
   #nextPlanAt = -Infinity;
@@ -149,14 +164,27 @@
     const limiter = this.#storeLimiterOf(service, engine, now);
     const plannerServers = () =>
       servers.map((server) => this.#toPlannerServer(server, now));
+    const planned = plannerServers();
+    const unserved = this.#unserved.get(service) ??
+      new core.gateway.UnservedModels();
+    this.#unserved.set(service, unserved);
+    unserved.update(demand, planned, demandTracker.lastRequestedAt, now);
+    this.#demandSince ??= now;
+    const maxLoads = Math.ceil(usableCount(planned) * MAX_STORE_SHARE);
+    const { limit } = this.#storeConcurrency;
+    const storeLimit = Math.min(limit, maxLoads);
+    const admits = limiter.admitsModelLoad(executor.activeStoreLoads, now);
     const orders = core.gateway.planOrders({
       engine,
-      servers: plannerServers(),
+      servers: planned,
       demand,
-      canLoadFromStore:
-        executor.activeStoreLoads < this.#storeConcurrency.limit &&
-        limiter.admitsModelLoad(executor.activeStoreLoads, now),
+      canLoadFromStore: admits && executor.activeStoreLoads < storeLimit,
+      canOverloadStore: admits &&
+        executor.activeStoreLoads <
+          Math.min(limit * MAX_OVERLOAD, maxLoads),
       lastRequestedAt: demandTracker.lastRequestedAt,
+      unservedMs: unserved.ages(now),
+      observedMs: now - this.#demandSince,
       loadedAt: executor.loadedAt,
       now,
     });
@@ -173,7 +201,7 @@
       servers: plannerServers(),
       demand: core.gateway.mergeAdapters(demand),
       storeLoadsMs: executor.storeLoadsMs(now),
-      storeConcurrency: this.#storeConcurrency.limit,
+      storeConcurrency: storeLimit,
     });
     for (const [model, readyMs] of forecasts) {
       // No server is known yet, or all are out: nothing to foresee.
@@ -221,3 +249,7 @@
     };
   }
 }
+
+function usableCount(servers: readonly core.gateway.PlannerServer[]): number {
+  return servers.filter(({ isUsable }) => isUsable).length;
+}
--- a/packages/daemon/test/gateway/order_executor_test.ts
+++ b/packages/daemon/test/gateway/order_executor_test.ts
@@ -111,7 +111,10 @@
       }],
       demand,
       canLoadFromStore: true,
+      canOverloadStore: false,
       lastRequestedAt: new Map(),
+      unservedMs: new Map(),
+      observedMs: Infinity,
       loadedAt: new Map(),
       now: performance.now(),
     });
