Tell callers when their model is ready, and keep room for their return

The log named no inputs, so that a model that no server was loading looked like one that was. Retry-After was cut down to a third of the time left, earlier than the model could be there.

Cause: the forecast of a model that nothing loads was told like a promise, and a caller that had come back was served like a new one.

Change: the decision to wait or to come back is a module of its own. Without a load under way, callers stay away for as long as they do; those that come back are recognized by the time that they have left, at any host, and go before new ones of their priority. The leader tells hosts how many slots are kept for those that all hosts expect, an eighth of a server at most, for a second; requests that would be late don't leave them. The line of a refusal has its cause, the copies known, the orders under way and the ages of forecast and view; a metric counts refusals by reason.

213 tests of the parts concerned pass. Changed: the selector's test of a forecast that is too late compares the whole forecast and the time told.

--- a/packages/core/src/gateway/queue_order.ts
+++ b/packages/core/src/gateway/queue_order.ts
@@ -16,6 +16,8 @@
   readonly queueDeadline: number;
   /** Time from its start to its first event, in milliseconds. */
   readonly expectedMs: number;
+  /** Whether its caller has been refused before and has come back. */
+  readonly isReturning?: boolean;
 };
 
 /**
@@ -43,6 +45,9 @@
  * request passes an urgent one only when that one can wait, and a short one
  * passes a long one only while that costs it nothing.
  *
+ * Of the same priority, callers that come back after a refusal go first: they
+ * have waited before, and are not told to come back for ever.
+ *
  * A request that has waited for half of the time that it may wait goes before all
  * of these: later ones of its priority no longer pass it.
  *
@@ -84,7 +89,8 @@
   one: Placed<unknown>,
   other: Placed<unknown>,
 ): number {
-  const byClass = one.rank - other.rank || one.priority - other.priority;
+  const byClass = one.rank - other.rank || one.priority - other.priority ||
+    Number(other.isReturning ?? false) - Number(one.isReturning ?? false);
   if (byClass !== 0) return byClass;
   const byArrival = one.arrivedAt - other.arrivedAt;
   switch (PRESSURES[one.rank]) {
--- a/packages/core/test/gateway/queue_order_test.ts
+++ b/packages/core/test/gateway/queue_order_test.ts
@@ -41,6 +41,23 @@
     expect(order([patient, urgent], 10)).to.equal("urgent patient");
   });
 
+  it("lets callers that come back go before new ones of their priority", () => {
+    const back = queued("back", {
+      arrivedAt: 5,
+      expectedMs: 150,
+      isReturning: true,
+    });
+    const urgent = queued("urgent", { priority: 0, arrivedAt: 6 });
+    expect(order([queued("new"), back, urgent], 10))
+      .to.equal("urgent back new");
+  });
+
+  it("lets a new caller that has waited for half of its time go first", () => {
+    const aged = queued("aged", { arrivedAt: -6_000 });
+    const back = queued("back", { isReturning: true });
+    expect(order([back, aged], 2_100)).to.equal("aged back");
+  });
+
   it("lets short requests go first while the long one can wait", () => {
     const long = queued("long", { expectedMs: 150 });
     const short = queued("short", { arrivedAt: 5 });
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -13,8 +13,10 @@
 import type * as dutyTypes from "./duty_types.ts";
 import * as entryConfiguration from "./entry_configuration.ts";
 import * as orderExecutor from "./order_executor.ts";
+import * as keptRoom from "./kept_room.ts";
 import * as limitLender from "./limit_lender.ts";
 import * as loadScheduler from "./load_scheduler.ts";
+import * as reportedForecasts from "./reported_forecasts.ts";
 import * as quarantineManager from "./quarantine_manager.ts";
 import * as serverPace from "./server_pace.ts";
 import type * as types from "./types.ts";
@@ -160,6 +162,8 @@
   readonly #reportSequences = new Map<string, number>();
   readonly #executor: orderExecutor.OrderExecutor;
   readonly #scheduler: loadScheduler.LoadScheduler;
+  readonly #keptRoom: keptRoom.KeptRoom;
+  readonly #forecasts: reportedForecasts.ReportedForecasts;
   readonly #startedAt = performance.now();
   readonly #pendingWatches = new Set<PendingWatch>();
   readonly #expiryTimer: NodeJS.Timeout;
@@ -203,6 +207,12 @@
       withdrawnDomains: () => options.state().withdrawnDomains,
       canSendOrders: () => this.#canSendOrders(),
     });
+    this.#keptRoom = new keptRoom.KeptRoom(this.#demandTracker, this.#registry);
+    this.#forecasts = new reportedForecasts.ReportedForecasts({
+      scheduler: this.#scheduler,
+      executor: this.#executor,
+      registry: this.#registry,
+    });
     this.#limitedWorkspaces = new core.gateway.LimitedWorkspaces(
       performance.now(),
       options.rateTolerance,
@@ -418,7 +428,7 @@
         report.wanted,
         now,
       ),
-      forecasts: this.#forecastsFor(report, performance.now()),
+      forecasts: this.#forecasts.answer(report, performance.now()),
       ...suspects,
       ...duties,
     };
@@ -696,30 +706,17 @@
       .map((server) => ({
         server: server.id,
         running: this.#demandTracker.loadOf(server.id),
-        ...(this.#serviceOf(server.service)?.engine === undefined
-          ? {}
-          : this.#paces.describe(
+        ...(this.#serviceOf(server.service)?.engine === undefined ? {} : {
+          ...this.#keptRoom.describe(server, now),
+          ...this.#paces.describe(
             server,
             this.#demandTracker.tokensOn(server.id),
             now,
-          )),
+          ),
+        }),
       }));
   }
 
-  #forecastsFor(
-    { demand }: gateway.ReportRequest,
-    now: number,
-  ): gateway.LoadForecast[] {
-    const forecasts = new Map<string, gateway.LoadForecast>();
-    for (const { model, service, slacksMs } of demand) {
-      if (slacksMs.length === 0) continue;
-      const readyMs = this.#scheduler.readyMs(service, model, now);
-      if (readyMs === undefined) continue;
-      forecasts.set(`${service} ${model}`, { service, model, readyMs });
-    }
-    return [...forecasts.values()];
-  }
-
   #coldRequestsPerSecond(id: string): number {
     const service = this.#registry.get(id)?.service;
     return service === undefined
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -15,7 +15,9 @@
 import * as bodyReader from "./body_reader.ts";
 import type * as crashSuspects from "./crash_suspects.ts";
 import * as eventRelay from "./event_relay.ts";
+import type * as expectedReturns from "./expected_returns.ts";
 import type * as hostDrain from "./host_drain.ts";
+import * as refusals from "./refusals.ts";
 import type * as removalWatch from "./removal_watch.ts";
 import * as responseBuffer from "./response_buffer.ts";
 import * as responses from "./responses.ts";
@@ -40,14 +42,6 @@
 const MAX_BUFFERED_BYTES = 48 * 1024 * 1024;
 /** Limit of a refusal's body, in bytes: it is not passed on. */
 const MAX_REFUSAL_BYTES = 64 * 1024;
-/** Retry delay in a refusal for lack of capacity, in seconds. */
-const RETRY_AFTER_SECONDS = 0.25;
-/** Retry delay in a refusal of a host that stops, in ms: others take it at once. */
-const STOPPING_RETRY_MS = 100;
-/** Part of the time left that a caller may be told to stay away. */
-const RETRY_DELAY_FRACTION = 1 / 3;
-/** Time over which the returns of callers are spread, in milliseconds. */
-const RETRY_SPREAD_MS = 150;
 const SECOND_MS = 1_000;
 /** Status of a response that may be a stream. */
 const OK_STATUS = 200;
@@ -79,11 +73,9 @@
   >;
   readonly drain: Pick<hostDrain.HostDrain, "decideStart" | "recordRun">;
   readonly metrics: metrics.GatewayMetrics;
-  /**
-   * Called when a caller is told to come back after a delay, in milliseconds,
-   * because its model will be loaded then.
-   */
-  onReturnExpected(context: types.RequestContext, delayMs: number): void;
+  readonly returns: Pick<expectedReturns.ExpectedReturns, "schedule">;
+  /** What the refusal of a request follows from, for its log line. */
+  refusalInputs(context: types.RequestContext): log.Fields;
   readonly removals: Pick<removalWatch.RemovalWatch, "watch">;
   /**
    * Called when a server has begun to run a request.
@@ -166,8 +158,6 @@
   relay: eventRelay.EventRelay | undefined;
   /** The same stream, if another server may continue it. */
   stream: core.gateway.OwnStream | undefined;
-  /** Whether no server may continue the stream. */
-  isVersionGone: boolean;
   /** Monotonic time of the last attempt, in milliseconds. */
   sentAt: number;
   /** Ids of the servers that the request was sent to. */
@@ -178,10 +168,8 @@
   headMs: number | undefined;
   /** Whether the caller has received a server's response. */
   hasServerResponse: boolean;
-  /** When the caller should come back after a refusal, in milliseconds. */
-  retryAfterMs: number | undefined;
-  /** Whether it is not to be run, because it crashed servers. */
-  isQuarantined: boolean;
+  /** Why no server was selected for it. */
+  cause: refusals.Cause | undefined;
 };
 
 /** Dispatches requests to backend servers. */
@@ -212,14 +200,12 @@
       errorResponse: undefined,
       relay: undefined,
       stream: undefined,
-      isVersionGone: false,
       sentAt: 0,
       servers: [],
       waitedMs: undefined,
       headMs: undefined,
       hasServerResponse: false,
-      retryAfterMs: undefined,
-      isQuarantined: false,
+      cause: undefined,
     };
     const outcome = await this.#runAttempts(exchange, progress);
     progress.relay?.[Symbol.dispose]();
@@ -245,47 +231,36 @@
       took_ms: roundMs(performance.now() - context.arrivedAt),
       outcome,
       reason: progress.reason === "none" ? undefined : progress.reason,
+      ...this.#describeRefusal(context, progress),
     });
     return progress.possibleRuns > 0 || progress.hasServerResponse;
   }
 
+  /** Fields that tell why no server was selected, if none was. */
+  #describeRefusal(
+    context: types.RequestContext,
+    { cause }: Progress,
+  ): log.Fields {
+    if (cause === undefined) return {};
+    return {
+      cause: cause.kind,
+      retry_after_ms: Math.round(cause.retryAfterMs),
+      ...this.#options.refusalInputs(context),
+    };
+  }
+
   async #runAttempts(exchange: Exchange, progress: Progress): Promise<string> {
     const { retryBudgets, selector } = this.#options;
     const { context } = exchange;
     const service = context.service.name;
     while (true) {
       const selection = await selector.select(this.#direct(context, progress));
-      if (selection.kind === "version-gone") {
-        progress.isVersionGone = true;
-        progress.reason =
-          "no server has the software version that began the stream";
-      }
-      const isRateUsedUp = selection.kind === "expired" &&
-        context.rateHold?.fits(performance.now()) === false;
-      if (isRateUsedUp) {
-        progress.reason = "the workspace used up its rate while this waited";
-      }
-      if (selection.kind === "hopeless") {
-        progress.retryAfterMs = retryDelay(selection.readyMs, context);
-        progress.reason = `the model is ready in ${
-          Math.round(selection.readyMs)
-        } ms`;
-        this.#options.onReturnExpected(context, progress.retryAfterMs);
-      }
-      if (selection.kind === "quarantined") {
-        progress.isQuarantined = true;
-        progress.retryAfterMs = selection.remainingMs;
-        progress.reason = "servers crashed while running the request";
-      }
-      if (selection.kind === "stopping") {
-        progress.retryAfterMs = STOPPING_RETRY_MS;
-        progress.reason = "this host stops";
-      }
-      if (selection.kind === "closed") {
-        progress.retryAfterMs = selection.remainingMs;
-        progress.reason = "all servers want no requests for now";
-      }
       if (selection.kind !== "server") {
+        const { returns } = this.#options;
+        const now = performance.now();
+        const cause = refusals.causeOf(selection, context, returns, now);
+        progress.cause = cause;
+        progress.reason = cause.reason ?? progress.reason;
         return this.#respondWithFailure(exchange, progress);
       }
       const { server } = selection;
@@ -706,14 +681,22 @@
       responses.sendResponse(response, status, headers, body);
       return `answered ${status}`;
     }
-    const refusal = createRefusal(context, progress);
+    const refusal = refusals.createRefusal(
+      context,
+      progress,
+      performance.now(),
+    );
+    const { definition } = refusal;
+    const cause = progress.possibleRuns === 0 ? progress.cause : undefined;
+    const reason = cause?.kind ?? definition.name;
+    this.#options.metrics.refusals.inc({ reason });
     responses.sendRefusal(
       response,
       this.#options.dialect,
       context.metadata.id,
       refusal,
     );
-    return `refused ${refusal.definition.status}`;
+    return `refused ${definition.status}`;
   }
 }
 
@@ -737,20 +720,6 @@
   return Math.min(remainingMs * HEAD_TIMEOUT_FRACTION, usualMs);
 }
 
-/**
- * Delay after which a caller should come back, in milliseconds: when its model
- * is loaded, or earlier so that it still has the time to wait for it. Callers
- * that come back at once are spread.
- */
-function retryDelay(
-  readyMs: number,
-  { deadline }: types.RequestContext,
-): number {
-  const remainingMs = Math.max(0, deadline - performance.now());
-  const longestMs = remainingMs * RETRY_DELAY_FRACTION;
-  return Math.min(readyMs + Math.random() * RETRY_SPREAD_MS, longestMs);
-}
-
 /** Id of the last event that the caller has received of a stream it resumes. */
 function callersLastEventId(
   { metadata, route }: types.RequestContext,
@@ -785,41 +754,6 @@
   return { kind: "unknown", reason: errorMessage(error), isConnectionLost };
 }
 
-/** States that a request has not run only if that is certain. */
-function createRefusal(
-  context: types.RequestContext,
-  progress: Progress,
-): errors.Refusal {
-  const { isQuarantined, isVersionGone, possibleRuns, reason, retryAfterMs } =
-    progress;
-  if (possibleRuns === 0 && isQuarantined && retryAfterMs !== undefined) {
-    const retryAfterSeconds = Math.ceil(retryAfterMs / SECOND_MS);
-    return new errors.Refusal(errors.QUARANTINED_UNTIL, reason, {
-      retryAfterSeconds,
-    });
-  }
-  if (possibleRuns === 0 && isVersionGone) {
-    return new errors.Refusal(errors.STREAM_NOT_RESUMABLE, reason);
-  }
-  if (possibleRuns === 0) {
-    return new errors.Refusal(
-      errors.NO_CAPACITY,
-      `no server took the request in time: ${reason}`,
-      {
-        retryAfterSeconds: retryAfterMs === undefined
-          ? RETRY_AFTER_SECONDS
-          : retryAfterMs / SECOND_MS,
-      },
-    );
-  }
-  const isExpired = context.signal.aborted ||
-    performance.now() >= context.deadline;
-  const definition = isExpired
-    ? errors.DEADLINE_EXCEEDED
-    : errors.BACKEND_FAILED;
-  return new errors.Refusal(definition, reason);
-}
-
 /** Logs an attempt that may have run, and which request it was. */
 function logBrokenAttempt(
   context: types.RequestContext,
--- a/packages/daemon/src/gateway/entry/engine_choice.ts
+++ b/packages/daemon/src/gateway/entry/engine_choice.ts
@@ -40,6 +40,9 @@
   #shortestObjectives = new Map<string, number>();
   /** Requests that wait although a server has room. */
   readonly #held = new Set<types.RequestContext>();
+  readonly #statedTimes = new core.gateway.StatedTimes();
+  /** Requests whose callers come back after a refusal. */
+  readonly #returning = new WeakSet<types.RequestContext>();
 
   constructor(options: EngineChoiceOptions) {
     this.#options = options;
@@ -59,6 +62,27 @@
     this.#held.delete(context);
   }
 
+  /** Notes whether the caller of a request comes back after a refusal. */
+  recordArrival(context: types.RequestContext, now: number): void {
+    const { arrivedAt, deadline, route, service } = context;
+    if (service.engine === undefined) return;
+    const statedMs = deadline - arrivedAt;
+    if (this.#statedTimes.isReturning(route.name, statedMs, now)) {
+      this.#returning.add(context);
+    }
+  }
+
+  /**
+   * Whether a request may use the slots that are kept for callers that come
+   * back. One that can wait leaves them until its latest start.
+   */
+  mayUseKeptRoom(context: types.RequestContext, now: number): boolean {
+    const isPlain = context.service.engine === undefined;
+    if (isPlain || this.#returning.has(context)) return true;
+    const { arrivedAt, expectedMs, objectiveMs } = this.describe(context);
+    return arrivedAt + objectiveMs - now <= 2 * expectedMs;
+  }
+
   /** Whether a server has memory for a request; an idle one does. */
   hasMemory(
     server: string,
@@ -126,6 +150,7 @@
     return {
       arrivedAt,
       priority,
+      isReturning: this.#returning.has(context),
       queueDeadline,
       objectiveMs: objectiveMs(context),
       expectedMs: estimate.expectedMs(reading),
@@ -135,6 +160,8 @@
   #shortestObjectiveMs(service: string): number {
     const { configuration } = this.#options.view;
     if (configuration !== this.#configuration) {
+      const routes = configuration?.routes ?? [];
+      this.#statedTimes.retain(new Set(routes.map(({ name }) => name)));
       this.#configuration = configuration;
       this.#shortestObjectives = shortestObjectives(configuration);
     }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -16,7 +16,9 @@
 import * as connectionProbe from "./connection_probe.ts";
 import * as crashSuspects from "./crash_suspects.ts";
 import * as dispatcher from "./dispatcher.ts";
+import * as expectedReturns from "./expected_returns.ts";
 import * as fleetView from "./fleet_view.ts";
+import * as forecastView from "./forecast_view.ts";
 import * as hostDrain from "./host_drain.ts";
 import * as leaderSync from "./leader_sync.ts";
 import * as requestHandler from "./request_handler.ts";
@@ -41,10 +43,6 @@
 const USAGE_REFRESH_TIMEOUT_MS = 100;
 /** Longest time that the last report may take while the host ends, in ms. */
 const LAST_REPORT_TIMEOUT_MS = 200;
-/** Callers whose return is expected that are remembered. */
-const MAX_EXPECTED_RETURNS = 256;
-/** Time for which a model is kept for a caller after its return is due, in ms. */
-const RETURN_MARGIN_MS = 500;
 /** Most workspaces that one log line names. */
 const MAX_LOGGED_WORKSPACES = 10;
 /**
@@ -128,7 +126,10 @@
   /** Admitted requests since the last report, by service, model and adapter. */
   #arrivals = new Map<string, ArrivalCount>();
   /** Callers that were told to come back when their model is loaded. */
-  #expectedReturns: ExpectedReturn[] = [];
+  readonly #expectedReturns = new expectedReturns.ExpectedReturns(
+    this.#serverTracker.tokens,
+  );
+  readonly #forecasts = new forecastView.ForecastView();
   /** Whether anything has changed since the last report. */
   #hasNews = false;
 
@@ -227,8 +228,9 @@
           if (!this.#ownStreams.isNews(stream, this.view.term)) return;
           this.#leaderSync.reportSoon();
         },
-        onReturnExpected: (context, delayMs) =>
-          this.#expectReturn(context, delayMs),
+        returns: this.#expectedReturns,
+        refusalInputs: (context) =>
+          this.#forecasts.describe(context, this.view, performance.now()),
       }),
       streamResolver: new streamResolver.StreamResolver({
         streams: this.#ownStreams,
@@ -238,6 +240,7 @@
       }),
       maxConfigurationAgeMs,
       confirmConfiguration: () => this.#stateConfirmer.confirm(),
+      onRefused: (reason) => options.metrics.refusals.inc({ reason }),
       onUnconfirmed: () => options.metrics.unconfirmedAdmissions.inc(),
       onLimitedAdmission: () => this.#reportSoon(),
       rateGate: new rateGate.RateGate({
@@ -295,6 +298,9 @@
       [...this.#serverSelector.queuedRequests()].length,
     );
     this.#metrics.heldRequests.set(this.#serverSelector.heldCount);
+    this.#metrics.expectedReturns.set(
+      this.#expectedReturns.due(performance.now()).length,
+    );
     this.#updateServersOut();
     this.#metrics.quarantinedRequests.set(this.view.quarantineCount);
     this.#metrics.configurationVersion.set(configuration?.version ?? 0);
@@ -382,6 +388,7 @@
       requestedAt.monotonicMs,
     );
     this.#serverSelector.processQueue();
+    this.#forecasts.apply(response.forecasts, requestedAt.monotonicMs);
     this.#serverSelector.applyForecasts(response.forecasts);
   }
 
@@ -402,16 +409,6 @@
     });
   }
 
-  /** Counts a caller that was told to come back as waiting until it does. */
-  #expectReturn(context: types.RequestContext, delayMs: number): void {
-    const at = performance.now() + delayMs;
-    this.#expectedReturns = [
-      ...this.#expectedReturns.slice(1 - MAX_EXPECTED_RETURNS),
-      { context, at },
-    ];
-    this.#hasNews = true;
-  }
-
   #countArrival({ metadata, service }: types.RequestContext): void {
     const { adapter, model } = metadata;
     if (service.engine === undefined || model === undefined) return;
@@ -427,7 +424,7 @@
     const arrivals = this.#arrivals;
     this.#arrivals = new Map();
     // Demand that expires has to be reported as gone.
-    this.#hasNews = this.#expectedReturns.length > 0;
+    this.#hasNews = this.#expectedReturns.count > 0;
     const suspicions = this.#crashSuspects.takeReports();
     const leaving = this.#collectLeaving();
     return {
@@ -502,17 +499,14 @@
     for (const { adapter, count, model, service } of arrivals.values()) {
       demandOf(service, model, adapter).arrivals += count;
     }
-    this.#expectedReturns = this.#expectedReturns
-      .filter(({ at }) => now < at + RETURN_MARGIN_MS);
     const waiting = [
       ...[...this.#serverSelector.queuedRequests()].map((context) => ({
         context,
         dueAt: context.arrivedAt + context.route.targetMs,
         isReturning: false,
       })),
-      ...this.#expectedReturns.map(({ at, context }) => ({
-        context,
-        dueAt: at,
+      ...this.#expectedReturns.due(now).map((one) => ({
+        ...one,
         isReturning: true,
       })),
       ...[...this.#removalWatch.moves()].map((move) => ({
@@ -547,12 +541,6 @@
   }
 }
 
-/** A caller that was told to come back, and the monotonic time of that. */
-type ExpectedReturn = {
-  readonly context: types.RequestContext;
-  readonly at: number;
-};
-
 /** Number of requests that arrived for a model. */
 type ArrivalCount = {
   readonly service: string;
--- a/packages/daemon/src/gateway/entry/request_handler.ts
+++ b/packages/daemon/src/gateway/entry/request_handler.ts
@@ -18,6 +18,7 @@
 import type * as hostDrain from "./host_drain.ts";
 import type * as rateGate from "./rate_gate.ts";
 import * as requestIdentity from "./request_identity.ts";
+import * as refusals from "./refusals.ts";
 import * as responses from "./responses.ts";
 import type * as stateConfirmer from "./state_confirmer.ts";
 import type * as streamResolver from "./stream_resolver.ts";
@@ -47,8 +48,6 @@
 const MAX_PRIORITY = 9;
 /** Why a request is neither admitted nor refused by the configuration. */
 const UNCONFIRMED = "the configuration is not known to be in force";
-/** Retry delay in a refusal of a host that stops, in seconds. */
-const STOPPING_RETRY_SECONDS = 0.1;
 /** Retry delay in a refusal for which the host lacks memory, in seconds. */
 const NO_MEMORY_RETRY_SECONDS = 1;
 /** Limit of a body while no configuration is known, in bytes. */
@@ -89,6 +88,8 @@
   isCallerPresent(request: http.IncomingMessage): Promise<boolean>;
   /** Called with each request that is admitted by an unconfirmed configuration. */
   onUnconfirmed(): void;
+  /** Called with the name of a refusal by the configuration or this host. */
+  onRefused(reason: string): void;
   /** Called with each request that is admitted for a workspace near its rate. */
   onLimitedAdmission(): void;
   /** Called with each request that is admitted. */
@@ -141,7 +142,7 @@
     const metadata = this.#options.dialect.readRequest(request);
     using reservation = this.#options.bodyBudget.open();
     const withdraw = this.#options.drain.onEnd(() =>
-      this.#refuse(response, metadata, stopping())
+      this.#refuse(response, metadata, refusals.stopping())
     );
     try {
       const dispatch = await this.#receive(
@@ -532,7 +533,8 @@
     refusal: errors.Refusal,
     details: log.Fields = {},
   ): void {
-    const { view } = this.#options;
+    const { onRefused, view } = this.#options;
+    onRefused(refusal.definition.name);
     const ageMs = view.configurationAgeMs(clocks.readClocks());
     write("refused", {
       id: metadata.id,
@@ -564,12 +566,6 @@
   return { kind: "refused", refusal: new errors.Refusal(definition, detail) };
 }
 
-function stopping(): errors.Refusal {
-  return new errors.Refusal(errors.NO_CAPACITY, "this host stops", {
-    retryAfterSeconds: STOPPING_RETRY_SECONDS,
-  });
-}
-
 /** Whether a response has begun, or its caller has disconnected. */
 function isAnswered(response: http.ServerResponse): boolean {
   return response.headersSent || response.destroyed;
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -12,6 +12,7 @@
 import type * as fleetView from "./fleet_view.ts";
 import type * as hostDrain from "./host_drain.ts";
 import type * as serverTracker from "./server_tracker.ts";
+import * as serverTokens from "./server_tokens.ts";
 import type * as types from "./types.ts";
 import type * as unitBorrower from "./unit_borrower.ts";
 
@@ -96,6 +97,7 @@
   async select(context: types.RequestContext): Promise<types.Selection> {
     if (context.signal.aborted) return { kind: "expired" };
     const now = performance.now();
+    this.#engineChoice.recordArrival(context, now);
     const selection = this.#trySelect(context, now);
     if (selection !== undefined) return selection;
     if (now >= context.queueDeadline) return { kind: "expired" };
@@ -107,17 +109,19 @@
     return this.#queue.size > 0;
   }
 
-  /** Gives up the requests whose models will be loaded too late. */
+  /** Gives up the requests that should not wait for their models. */
   applyForecasts(forecasts: readonly gateway.LoadForecast[]): void {
     const now = performance.now();
-    for (const { model, readyMs, service } of forecasts) {
+    for (const forecast of forecasts) {
       for (const queued of this.#queue) {
-        const { metadata, queueDeadline } = queued.context;
-        if (queued.context.service.name !== service) continue;
-        if (metadata.model !== model || now + readyMs <= queueDeadline) {
-          continue;
-        }
-        this.#dequeue(queued, { kind: "hopeless", readyMs });
+        const { metadata, service } = queued.context;
+        const isForIt = service.name === forecast.service &&
+          metadata.model === forecast.model;
+        if (!isForIt) continue;
+        const decision = decideWait(forecast, queued.context, now);
+        if (decision.kind === "wait") continue;
+        const returnMs = decision.afterMs;
+        this.#dequeue(queued, { kind: "hopeless", returnMs, forecast });
       }
     }
   }
@@ -134,7 +138,7 @@
       const { context } = queued;
       const isExpired = now >= context.queueDeadline || context.signal.aborted;
       const selection = isExpired
-        ? { kind: "expired" as const }
+        ? this.#expire(context, now)
         : this.#trySelect(context, now);
       if (selection !== undefined) this.#dequeue(queued, selection);
     }
@@ -156,6 +160,24 @@
     return [...plain, ...engine];
   }
 
+  /** Gives up a request, and estimates when there is room for it. */
+  #expire(context: types.RequestContext, now: number): types.Selection {
+    const { engine, name } = context.service;
+    const servers = this.#capableServers(context, now).length;
+    if (engine === undefined || servers === 0) return { kind: "expired" };
+    const { tokens } = this.#options.tracker;
+    const waiting = [...this.#queue].filter((queued) =>
+      queued.context.service.name === name &&
+      queued.context.metadata.model === context.metadata.model
+    );
+    const unreadTokens = waiting.reduce(
+      (sum, queued) => sum + serverTokens.tokensOf(queued.context).unreadTokens,
+      0,
+    );
+    const { msPerToken } = tokens.estimateOf(name);
+    return { kind: "expired", roomMs: unreadTokens * msPerToken / servers };
+  }
+
   /** Decides on a request, unless it has to wait. */
   #trySelect(
     context: types.RequestContext,
@@ -243,14 +265,16 @@
       !tracker.isEjected(id, now) && !context.failedServers.has(id)
     );
     const maxUtilization = context.service.engine ? 1 : MAX_PLAIN_UTILIZATION;
+    const mayUseKept = this.#engineChoice.mayUseKeptRoom(context, now);
     const candidates = (healthy.length > 0 ? healthy : eligible)
       .map((known) => ({
         id: known.record.id,
         record: known.record,
         utilization: this.#utilization(known.record, now),
+        kept: mayUseKept ? 0 : this.#keptPart(known.record, now),
         isCold: isCold(known, context, now),
       }))
-      .filter(({ utilization }) => utilization < maxUtilization);
+      .filter(({ kept, utilization }) => utilization + kept < maxUtilization);
     const warm = candidates.filter((one) => !one.isCold);
     if (context.service.engine === undefined) {
       return selectCandidate(context, warm)?.record ??
@@ -349,12 +373,29 @@
     return undefined;
   }
 
+  /** Part of a server's slots that is kept for callers that come back. */
+  #keptPart({ id, slots }: gateway.ServerRecord, now: number): number {
+    return this.#options.tracker.keptSlots(id, now) / Math.max(1, slots);
+  }
+
   /** Requests in flight per slot. */
   #utilization({ id, slots }: gateway.ServerRecord, now: number): number {
     return this.#options.tracker.loadOf(id, now) / Math.max(1, slots);
   }
 }
 
+function decideWait(
+  { copies, readyMs }: gateway.LoadForecast,
+  { deadline, queueDeadline }: types.RequestContext,
+  now: number,
+): core.gateway.WaitDecision {
+  const isUnderWay = copies === undefined ? undefined : copies.loading > 0;
+  return core.gateway.decideWait({ readyMs, isUnderWay }, {
+    leftMs: deadline - now,
+    patienceMs: queueDeadline - now,
+  });
+}
+
 /** A server that may take a request. */
 type Candidate = core.gateway.BalancedServer & {
   readonly record: gateway.ServerRecord;
--- a/packages/daemon/src/gateway/entry/server_tracker.ts
+++ b/packages/daemon/src/gateway/entry/server_tracker.ts
@@ -42,6 +42,8 @@
 /** Requests of other hosts at one server. */
 type FleetLoad = {
   readonly others: number;
+  /** Slots kept for callers that were told to come back. */
+  readonly kept: number;
   /** Monotonic time at which the leader told it, in milliseconds. */
   readonly toldAt: number;
 };
@@ -134,10 +136,10 @@
   /** Applies the leader's counts of the requests of all hosts. */
   applyFleetLoad(load: readonly gateway.ServerLoad[], now: number): void {
     this.tokens.applyFleetLoad(load, now);
-    for (const { running, server } of load) {
+    for (const { kept = 0, running, server } of load) {
       const own = this.#ownLoad.get(server) ?? 0;
       const others = Math.max(0, running - own);
-      this.#fleetLoad.set(server, { others, toldAt: now });
+      this.#fleetLoad.set(server, { others, kept, toldAt: now });
     }
   }
 
@@ -147,11 +149,23 @@
    * full says so; one that counts as full for ever would get none.
    */
   loadOf(server: string, now: number): number {
+    const others = this.#told(server, now)?.others ?? 0;
+    return (this.#ownLoad.get(server) ?? 0) + others;
+  }
+
+  /**
+   * Slots of a server that are kept for callers that were told to come back; 0 if
+   * the leader has not told lately.
+   */
+  keptSlots(server: string, now: number): number {
+    return this.#told(server, now)?.kept ?? 0;
+  }
+
+  #told(server: string, now: number): FleetLoad | undefined {
     const told = this.#fleetLoad.get(server);
     const isCurrent = told !== undefined &&
       now - told.toldAt <= MAX_FLEET_LOAD_AGE_MS;
-    const others = isCurrent ? told.others : 0;
-    return (this.#ownLoad.get(server) ?? 0) + others;
+    return isCurrent ? told : undefined;
   }
 
   /** Ends the ejection of a server and resets its failure count. */
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -94,7 +94,14 @@
   /** This host stops, and the request might not end before. */
   | { readonly kind: "stopping" }
   /** No server has taken the request until its queue deadline. */
-  | { readonly kind: "expired" }
+  | {
+    readonly kind: "expired";
+    /**
+     * Time until the prompts that wait before it for its model are read, in
+     * milliseconds; absent if no server has the model.
+     */
+    readonly roomMs?: number;
+  }
   /** The request is not to be run, because it crashed servers. */
   | {
     readonly kind: "quarantined";
@@ -109,11 +116,13 @@
   }
   /** No server has the software version that began the stream. */
   | { readonly kind: "version-gone" }
-  /** No server will have the model in time. */
+  /** No server will have the model in time, or it should not wait for that. */
   | {
     readonly kind: "hopeless";
-    /** Time until the model can be loaded at the earliest, in milliseconds. */
-    readonly readyMs: number;
+    /** Time until the caller should come back, in milliseconds. */
+    readonly returnMs: number;
+    /** The leader's forecast that this follows from. */
+    readonly forecast: gateway.LoadForecast;
   };
 
 /** State of a request that an entry host is handling. */
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -51,6 +51,17 @@
     help: "Patient requests that wait until a server has read other prompts",
     registers: [this.registry],
   });
+  readonly refusals = new prometheus.Counter({
+    name: "ebonypath_gateway_refusals_total",
+    help: "Refusals by reason: why no server took the request, or their name",
+    labelNames: ["reason"] as const,
+    registers: [this.registry],
+  });
+  readonly expectedReturns = new prometheus.Gauge({
+    name: "ebonypath_gateway_expected_returns",
+    help: "Callers that this host has told to come back and that have not yet",
+    registers: [this.registry],
+  });
   readonly attempts = new prometheus.Counter({
     name: "ebonypath_gateway_attempts_total",
     help: "Requests sent to servers by what became of them",
--- a/packages/daemon/test/gateway/request_handling.ts
+++ b/packages/daemon/test/gateway/request_handling.ts
@@ -126,6 +126,7 @@
           return Promise.resolve();
         },
       }),
+      onRefused: () => {},
       onUnconfirmed: () => this.unconfirmed += 1,
       onLimitedAdmission: () => this.limitedAdmissions += 1,
       isCallerPresent: () => Promise.resolve(this.isCallerPresent),
--- a/packages/daemon/test/gateway/server_selector_test.ts
+++ b/packages/daemon/test/gateway/server_selector_test.ts
@@ -241,10 +241,10 @@
     const startedAt = performance.now();
     const selection = fixture.select("m2", 2_000);
     const patient = fixture.select("m2", 9_000);
-    fixture.selector.applyForecasts([
-      { service: SERVICE.name, model: "m2", readyMs: 5_000 },
-    ]);
-    expect(await selection).to.deep.equal({ kind: "hopeless", readyMs: 5_000 });
+    const forecast = { service: SERVICE.name, model: "m2", readyMs: 5_000 };
+    fixture.selector.applyForecasts([forecast]);
+    expect(await selection)
+      .to.deep.equal({ kind: "hopeless", returnMs: 5_000, forecast });
     expect(performance.now() - startedAt).to.be.below(500);
     // The other request has the time, and waits on.
     expect(fixture.selector.isWaiting).to.equal(true);
@@ -252,6 +252,50 @@
     expect(await patient).to.deep.equal({ kind: "expired" });
   });
 
+  it("keeps room for callers that come back, from those that can wait", async () => {
+    using fixture = new Fixture([record("s1")]);
+    const told = { server: "s1", running: 7, kept: 1 };
+    fixture.tracker.applyFleetLoad([told], performance.now());
+    const patient = fixture.select("m1", 9_000);
+    expect(fixture.selector.isWaiting).to.equal(true);
+    const back = fixture.context("m1", 9_000);
+    const selected = await fixture.selector.select({
+      ...back,
+      deadline: back.deadline - 4_000,
+    });
+    expect(selected.kind).to.equal("server");
+    // It takes the room when it would be late otherwise.
+    expect((await patient).kind).to.equal("server");
+  });
+
+  it("lets a request that can not wait have the room that is kept", async () => {
+    using fixture = new Fixture([record("s1")]);
+    const told = { server: "s1", running: 7, kept: 1 };
+    fixture.tracker.applyFleetLoad([told], performance.now());
+    const context = fixture.context("m1", 9_000);
+    const urgent = { ...context, arrivedAt: context.arrivedAt - 500 };
+    expect((await fixture.selector.select(urgent)).kind).to.equal("server");
+    expect(fixture.selector.isWaiting).to.equal(false);
+  });
+
+  it("keeps no room that a leader told of before it was lost", async () => {
+    using fixture = new Fixture([record("s1")]);
+    const told = { server: "s1", running: 7, kept: 1 };
+    fixture.tracker.applyFleetLoad([told], performance.now() - 2_100);
+    expect((await fixture.select("m1", 9_000)).kind).to.equal("server");
+  });
+
+  it("tells when a request that found no room may find it", async () => {
+    using fixture = new Fixture([record("s1"), record("s2")]);
+    const load = ["s1", "s2"].map((server) => ({ server, running: 8 }));
+    fixture.tracker.applyFleetLoad(load, performance.now());
+    const context = fixture.context("m1", 60);
+    const metadata = { ...context.metadata, promptTokens: 100_000 };
+    const selection = await fixture.selector.select({ ...context, metadata });
+    // A token takes 0.05 ms as long as no answer has been seen.
+    expect(selection).to.deep.equal({ kind: "expired", roomMs: 2_500 });
+  });
+
   it("lets requests for other models and services wait", () => {
     using fixture = new Fixture([record("s1")]);
     void fixture.select("m2", 2_000);
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -238,6 +238,8 @@
   observed: v.optional(
     v.object({ count: Count, logRatio: v.pipe(v.number(), v.finite()) }),
   ),
+  /** In answers: slots kept for callers that were told to come back, if any. */
+  kept: v.optional(Count),
   /** In answers: time that the server takes relative to the usual one. */
   pace: v.optional(Amount),
 });
@@ -288,12 +290,27 @@
 export const StreamResponse = v.object({ origin: v.nullable(StreamOrigin) });
 export type StreamResponse = v.InferOutput<typeof StreamResponse>;
 
+/** Number of servers that have a model, or are about to. */
+export const ModelCopies = v.object({
+  /** They can serve it. */
+  loaded: Count,
+  /** They keep a copy of its weights in memory. */
+  inMemory: Count,
+  /** They keep a copy of its weights on disk. */
+  onDisk: Count,
+  /** They have been ordered to load it. */
+  loading: Count,
+});
+export type ModelCopies = v.InferOutput<typeof ModelCopies>;
+
 /** When a model that requests wait for can be loaded at the earliest. */
 export const LoadForecast = v.object({
   service: Name,
   model: Name,
   /** Time until then, in milliseconds. */
   readyMs: Amount,
+  /** What that follows from; leaders of earlier builds tell none. */
+  copies: v.optional(ModelCopies),
 });
 export type LoadForecast = v.InferOutput<typeof LoadForecast>;
 
