Tell a late model, a late adapter and no room apart

What callers saw: nothing new.

Change: the causes model-late, adapter-late and given-up; the number of servers with the adapter; no cause on lines of requests that were answered. Callers whose model or adapter was late are expected back, so that the leader still counts them.

The logs show two causes in the plan of loads, not changed here: with 7 to 11 loads from the store at once each takes up to 15.6 s where 7.8 are forecast, and the forecast stays at 1 ms meanwhile; and a server takes no adapter while it loads a model, so that a loaded model's adapter was not there for 7 s.

61 tests of refusals, selector and dispatcher pass. Changed: the selector's test of the queue deadline compares what was missing too.

--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -231,7 +231,9 @@
       took_ms: roundMs(performance.now() - context.arrivedAt),
       outcome,
       reason: progress.reason === "none" ? undefined : progress.reason,
-      ...this.#describeRefusal(context, progress),
+      ...(outcome.startsWith("refused")
+        ? this.#describeRefusal(context, progress)
+        : {}),
     });
     return progress.possibleRuns > 0 || progress.hasServerResponse;
   }
--- a/packages/daemon/src/gateway/entry/forecast_view.ts
+++ b/packages/daemon/src/gateway/entry/forecast_view.ts
@@ -46,7 +46,7 @@
    * as this host and the leader know them, and the ages of that knowledge.
    */
   describe(
-    { metadata: { model }, service }: types.RequestContext,
+    { metadata: { adapter, model }, service }: types.RequestContext,
     view: fleetView.FleetView,
     now: number,
   ): log.Fields {
@@ -54,12 +54,15 @@
       ? undefined
       : this.of(service.name, model);
     const ready = view.readyServers(service.name);
-    const holders = ready.filter(({ record }) =>
-      record.models.some(({ name }) => name === model)
+    const loaded = ready.flatMap(({ record }) =>
+      record.models.filter(({ name }) => name === model)
     );
     return {
       servers_ready: ready.length,
-      loaded: service.engine === undefined ? undefined : holders.length,
+      loaded: service.engine === undefined ? undefined : loaded.length,
+      with_adapter: adapter === undefined
+        ? undefined
+        : loaded.filter(({ adapters }) => adapters.includes(adapter)).length,
       in_memory: known?.forecast.copies?.inMemory,
       on_disk: known?.forecast.copies?.onDisk,
       loading: known?.forecast.copies?.loading,
--- a/packages/daemon/src/gateway/entry/refusals.ts
+++ b/packages/daemon/src/gateway/entry/refusals.ts
@@ -18,6 +18,9 @@
 export type Cause = {
   readonly kind:
     | "no-room"
+    | "given-up"
+    | "model-late"
+    | "adapter-late"
     | "rate-used-up"
     | "model-loading"
     | "model-not-planned"
@@ -55,16 +58,8 @@
   now: number,
 ): Cause {
   switch (selection.kind) {
-    case "expired": {
-      const retryAfterMs = Math.max(MIN_ROOM_RETRY_MS, selection.roomMs ?? 0);
-      return context.rateHold?.fits(now) === false
-        ? {
-          kind: "rate-used-up",
-          reason: "the workspace used up its rate while this waited",
-          retryAfterMs,
-        }
-        : { kind: "no-room", reason: undefined, retryAfterMs };
-    }
+    case "expired":
+      return causeOfExpiry(selection, context, returns, now);
     case "hopeless": {
       const { forecast: { copies, readyMs }, returnMs } = selection;
       return {
@@ -102,6 +97,32 @@
   }
 }
 
+/** Why no server has taken a request until it stopped waiting. */
+function causeOfExpiry(
+  { missing, roomMs = 0 }: Extract<types.Selection, { kind: "expired" }>,
+  context: types.RequestContext,
+  returns: Pick<expectedReturns.ExpectedReturns, "schedule">,
+  now: number,
+): Cause {
+  const retryAfterMs = Math.max(MIN_ROOM_RETRY_MS, roomMs);
+  if (context.signal.aborted) {
+    return { kind: "given-up", reason: undefined, retryAfterMs };
+  }
+  if (context.rateHold?.fits(now) === false) {
+    const reason = "the workspace used up its rate while this waited";
+    return { kind: "rate-used-up", reason, retryAfterMs };
+  }
+  if (missing === undefined) {
+    return { kind: "no-room", reason: undefined, retryAfterMs };
+  }
+  return {
+    kind: `${missing}-late`,
+    reason: `no server had the ${missing} in time`,
+    // A load may end at any moment: the rest of the caller's time is its wait.
+    retryAfterMs: returns.schedule(context, retryAfterMs, now),
+  };
+}
+
 /** The refusal of a request that arrives at a host which stops. */
 export function stopping(): errors.Refusal {
   return new errors.Refusal(errors.NO_CAPACITY, "this host stops", {
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -100,7 +100,7 @@
     this.#engineChoice.recordArrival(context, now);
     const selection = this.#trySelect(context, now);
     if (selection !== undefined) return selection;
-    if (now >= context.queueDeadline) return { kind: "expired" };
+    if (now >= context.queueDeadline) return this.#expire(context, now);
     return await this.#enqueue(context);
   }
 
@@ -163,8 +163,13 @@
   /** Gives up a request, and estimates when there is room for it. */
   #expire(context: types.RequestContext, now: number): types.Selection {
     const { engine, name } = context.service;
+    if (engine === undefined) return { kind: "expired" };
     const servers = this.#capableServers(context, now).length;
-    if (engine === undefined || servers === 0) return { kind: "expired" };
+    if (servers === 0) {
+      const isLoaded = this.#options.view.readyServers(name)
+        .some(({ record }) => holds(record, context.metadata.model));
+      return { kind: "expired", missing: isLoaded ? "adapter" : "model" };
+    }
     const { tokens } = this.#options.tracker;
     const waiting = [...this.#queue].filter((queued) =>
       queued.context.service.name === name &&
@@ -421,6 +426,14 @@
     now - lastHeartbeatAt <= record.coldMs;
 }
 
+/** Whether a server has a model loaded. */
+function holds(
+  { models }: gateway.ServerRecord,
+  model: string | undefined,
+): boolean {
+  return models.some(({ name }) => name === model);
+}
+
 /** Whether a server may continue the stream that a request resumes, if any. */
 function hasVersion(
   { softwareVersion }: gateway.ServerRecord,
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -98,9 +98,11 @@
     readonly kind: "expired";
     /**
      * Time until the prompts that wait before it for its model are read, in
-     * milliseconds; absent if no server has the model.
+     * milliseconds; absent if no server has the model and adapter.
      */
     readonly roomMs?: number;
+    /** What no server had; absent if some had all. */
+    readonly missing?: "model" | "adapter";
   }
   /** The request is not to be run, because it crashed servers. */
   | {
--- a/packages/daemon/test/gateway/refusals_test.ts
+++ b/packages/daemon/test/gateway/refusals_test.ts
@@ -48,10 +48,25 @@
     expect(of({ kind: "expired" })).to.deep.equal(["no-room", 250]);
     expect(of({ kind: "expired", roomMs: 2_500 }))
       .to.deep.equal(["no-room", 2_500]);
+    expect(of({ kind: "expired", missing: "model" }))
+      .to.deep.equal(["model-late", 250]);
+    expect(of({ kind: "expired", missing: "adapter" }))
+      .to.deep.equal(["adapter-late", 250]);
     expect(of({ kind: "closed", remainingMs: 700 }))
       .to.deep.equal(["closed", 700]);
   });
 
+  it("is not put down to servers if the caller has left", () => {
+    const signal = AbortSignal.abort();
+    const { kind } = refusals.causeOf(
+      { kind: "expired", missing: "model" },
+      { ...context(), signal },
+      returns,
+      performance.now(),
+    );
+    expect(kind).to.equal("given-up");
+  });
+
   it("says that a request has not run only if no attempt may have", () => {
     const cause = { kind: "no-room", reason: "r", retryAfterMs: 9 } as const;
     const of = (possibleRuns: number) =>
--- a/packages/daemon/test/gateway/server_selector_test.ts
+++ b/packages/daemon/test/gateway/server_selector_test.ts
@@ -320,7 +320,12 @@
 
   it("gives up at the queue deadline", async () => {
     using fixture = new Fixture([record("s1")]);
-    expect(await fixture.select("m2", 60)).to.deep.equal({ kind: "expired" });
+    expect(await fixture.select("m2", 60))
+      .to.deep.equal({ kind: "expired", missing: "model" });
+    const context = fixture.context("m1", 60);
+    const metadata = { ...context.metadata, adapter: "a1" };
+    expect(await fixture.selector.select({ ...context, metadata }))
+      .to.deep.equal({ kind: "expired", missing: "adapter" });
   });
 
   it("sends to a cold server with a borrowed unit only", async () => {
