Tell callers to come back as before, and read loads under way from the planner

A caller whose model was forecast in 1 or 2 s was told to stay away for a third of its time, and counted as demand until then; callers that gave up for a late model or adapter counted as well. The cause in the log said that nothing loads a model that a server was about to load.

Callers are told the forecast again, a third of their time at most, and late ones aren't expected. The prompts ahead of a caller are those that are due before, divided by the servers; a request without room doesn't wait for itself. The planner tells which models are about to be loaded, and copies are counted once for all models, after each of its rounds. What is remembered of a caller is small, and the latest are dropped first if there are too many.

--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -62,18 +62,25 @@
 
 /**
  * Plans the orders to send now: at most one load or unload of a model for each
- * server, and loads or unloads of adapters in addition.
+ * server, and loads or unloads of adapters in addition. Tells which models are
+ * about to be loaded, too: also those for which another one is unloaded first,
+ * or whose server is still busy.
  *
  * @example
  * ```ts
- * for (const order of planOrders(input)) executor.execute(server, order);
+ * const { orders } = planRound(input);
+ * for (const order of orders) executor.execute(server, order);
  * ```
  */
-export function planOrders(input: types.PlannerInput): types.ModelOrder[] {
-  return new PlanningRound(input).plan();
+export function planRound(input: types.PlannerInput): types.PlannedRound {
+  const round = new PlanningRound(input);
+  const orders = round.plan();
+  return { orders, planned: round.planned };
 }
 
 class PlanningRound {
+  /** Models for which a server has been chosen in this round. */
+  readonly planned = new Set<string>();
   readonly #input: types.PlannerInput;
   readonly #models: ReadonlyMap<string, gateway.Model>;
   readonly #largestAdapterMb: number;
@@ -205,6 +212,7 @@
     const best = this.#bestOption(demand);
     if (best === undefined) return undefined;
     this.#assigned.add(best.server.id);
+    this.planned.add(demand.model);
     // A server that is busy now may still have the model ready before an idle
     // one. It is reserved without an order.
     return best.server.busyMs > 0
--- a/packages/core/src/gateway/load_planner_types.ts
+++ b/packages/core/src/gateway/load_planner_types.ts
@@ -76,6 +76,14 @@
   readonly now: number;
 };
 
+/** What a planning round has decided. */
+export type PlannedRound = {
+  /** Orders to send now. */
+  readonly orders: readonly ModelOrder[];
+  /** Models for which a server has been chosen, also without an order yet. */
+  readonly planned: ReadonlySet<string>;
+};
+
 /**
  * Key of an adapter together with its model.
  *
--- a/packages/core/src/gateway/model_copies.ts
+++ b/packages/core/src/gateway/model_copies.ts
@@ -1,5 +1,13 @@
 import type { gateway } from "@ebonypath/protocol";
 
+/** The copies of a model that no server has. */
+export const NO_COPIES: gateway.ModelCopies = {
+  loaded: 0,
+  inMemory: 0,
+  onDisk: 0,
+  loading: 0,
+};
+
 /** What the copies of a model are counted by. */
 export type CopyHolder =
   & Pick<gateway.Heartbeat, "inMemory" | "models" | "onDisk">
@@ -9,24 +17,29 @@
   };
 
 /**
- * Counts the servers that have a model: what a refusal for want of it follows
- * from.
+ * Counts the servers that have each model, or are ordered to load it: what a
+ * refusal for want of it follows from.
  *
  * @example
  * ```ts
- * countCopies(servers, "advice-7"); // { loaded: 0, inMemory: 0, onDisk: 2, … }
+ * countCopies(servers).get("advice-7"); // { loaded: 0, inMemory: 0, onDisk: 2, … }
  * ```
  */
 export function countCopies(
   servers: readonly CopyHolder[],
-  model: string,
-): gateway.ModelCopies {
-  const count = (has: (server: CopyHolder) => boolean) =>
-    servers.filter(has).length;
-  return {
-    loaded: count(({ models }) => models.some(({ name }) => name === model)),
-    inMemory: count(({ inMemory }) => inMemory.includes(model)),
-    onDisk: count(({ onDisk }) => onDisk.includes(model)),
-    loading: count(({ loading }) => loading === model),
+): Map<string, gateway.ModelCopies> {
+  const copies = new Map<string, gateway.ModelCopies>();
+  const add = (models: Iterable<string>, kind: keyof gateway.ModelCopies) => {
+    for (const model of models) {
+      const known = copies.get(model) ?? NO_COPIES;
+      copies.set(model, { ...known, [kind]: known[kind] + 1 });
+    }
   };
+  for (const { inMemory, loading, models, onDisk } of servers) {
+    add(models.map(({ name }) => name), "loaded");
+    add(inMemory, "inMemory");
+    add(onDisk, "onDisk");
+    add(loading === undefined ? [] : [loading], "loading");
+  }
+  return copies;
 }
--- a/packages/core/test/gateway/load_planner_test.ts
+++ b/packages/core/test/gateway/load_planner_test.ts
@@ -1,10 +1,16 @@
 import { expect } from "chai";
 import fastCheck from "fast-check";
-import { type PlannerServer, planOrders } from "../../src/gateway/mod.ts";
+import {
+  type PlannerInput,
+  type PlannerServer,
+  planRound,
+} from "../../src/gateway/mod.ts";
 import * as fixtures from "./fixtures.ts";
 
 const { demand, heldModel, input, server } = fixtures;
 
+const planOrders = (one: PlannerInput) => planRound(one).orders;
+
 describe("gateway load planner", () => {
   it("loads a requested model on the server that has its weights", () => {
     const servers = [
@@ -48,6 +54,18 @@
     expect(planOrders(input({ servers, demand: demands }))).to.deep.equal([]);
   });
 
+  it("tells that a model is about to be loaded before it is ordered", () => {
+    const plannedAt = (one: PlannerServer) =>
+      planRound(input({ servers: [one], demand: [demand({ model: "a" })] }))
+        .planned.has("a");
+    const onDisk = new Set(["a"]);
+    expect(plannedAt(server({ id: "s1", onDisk, busyMs: 500 }))).to.equal(true);
+    expect(plannedAt(server({ id: "s1", onDisk, isUsable: false })))
+      .to.equal(false);
+    const models = [heldModel("b"), heldModel("c"), heldModel("d")];
+    expect(plannedAt(server({ id: "s1", onDisk, models }))).to.equal(true);
+  });
+
   it("loads the model of a resumed stream at a server of its software version", () => {
     const servers = [
       server({ id: "s1", softwareVersion: "v1", models: [heldModel("a")] }),
--- a/packages/core/test/gateway/refusals_and_returns_test.ts
+++ b/packages/core/test/gateway/refusals_and_returns_test.ts
@@ -1,35 +1,7 @@
 import { expect } from "chai";
 import * as core from "../../src/gateway/mod.ts";
 
-describe("a request whose model is not ready", () => {
-  const time = { leftMs: 15_000, patienceMs: 2_400 };
-
-  it("waits if the model can be ready in time", () => {
-    for (const isUnderWay of [true, false, undefined]) {
-      const decision = core.decideWait({ readyMs: 2_400, isUnderWay }, time);
-      expect(decision).to.deep.equal({ kind: "wait" });
-    }
-  });
-
-  it("comes back when the load under way is complete, not earlier", () => {
-    expect(core.decideWait({ readyMs: 3_000, isUnderWay: true }, time))
-      .to.deep.equal({ kind: "return", afterMs: 3_000 });
-    expect(core.decideWait({ readyMs: 9_000, isUnderWay: true }, time))
-      .to.deep.equal({ kind: "return", afterMs: 9_000 });
-  });
-
-  it("stays away for as long as it does if no load is under way", () => {
-    expect(core.decideWait({ readyMs: 3_000, isUnderWay: false }, time))
-      .to.deep.equal({ kind: "return", afterMs: 5_000 });
-    expect(core.decideWait({ readyMs: 9_000, isUnderWay: false }, time))
-      .to.deep.equal({ kind: "return", afterMs: 9_000 });
-  });
-
-  it("comes back at the forecast of a leader that tells no orders", () => {
-    expect(core.decideWait({ readyMs: 3_000, isUnderWay: undefined }, time))
-      .to.deep.equal({ kind: "return", afterMs: 3_000 });
-  });
-
+describe("a caller whose model is not ready", () => {
   it("is expected after a third of its time, if it is told to stay away longer", () => {
     expect(core.awayMs(9_000, 15_000)).to.equal(5_000);
     expect(core.awayMs(2_000, 15_000)).to.equal(2_000);
@@ -91,7 +63,9 @@
       holder({ onDisk: ["a"], loading: "a" }),
       holder({ onDisk: ["b"], loading: "b" }),
     ];
-    expect(core.countCopies(servers, "a"))
+    const copies = core.countCopies(servers);
+    expect(copies.get("a"))
       .to.deep.equal({ loaded: 1, inMemory: 1, onDisk: 2, loading: 1 });
+    expect(copies.get("c")).to.equal(undefined);
   });
 });
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -46,6 +46,10 @@
   readonly #storeConcurrency = new core.gateway.StoreConcurrency();
   /** Forecasts by service and model. */
   #forecasts = new Map<string, Forecast>();
+  /** Models that the last round has chosen a server for, by service. */
+  #plannedModels = new Map<string, ReadonlySet<string>>();
+  /** Number of rounds so far: orders to load follow from these alone. */
+  round = 0;
   /** Resolve when the next round is planned. */
   #planned: (() => void)[] = [];
   readonly #storeLimiters = new Map<string, core.placement.StoreLoadLimiter>();
@@ -96,6 +100,14 @@
     return Math.max(0, forecast.at + forecast.readyMs - now);
   }
 
+  /**
+   * Whether the last round has chosen a server for a model that is not loaded,
+   * also one that is busy or has to unload another model first.
+   */
+  isPlanned(service: string, model: string): boolean {
+    return this.#plannedModels.get(service)?.has(model) ?? false;
+  }
+
   [Symbol.dispose](): void {
     timers.clearInterval(this.#interval);
     timers.clearTimeout(this.#collectTimer);
@@ -118,6 +130,8 @@
 
   #planServices(): void {
     this.#forecasts = new Map();
+    this.#plannedModels = new Map();
+    this.round += 1;
     const now = performance.now();
     for (const service of this.#options.configuration()?.services ?? []) {
       if (service.engine === undefined) continue;
@@ -141,7 +155,7 @@
     const limiter = this.#storeLimiterOf(service, engine, now);
     const plannerServers = () =>
       servers.map((server) => this.#toPlannerServer(server, now));
-    const orders = core.gateway.planOrders({
+    const { orders, planned } = core.gateway.planRound({
       engine,
       servers: plannerServers(),
       demand,
@@ -152,6 +166,7 @@
       loadedAt: executor.loadedAt,
       now,
     });
+    this.#plannedModels.set(service, planned);
     for (const order of orders) {
       const server = registry.get(order.server);
       if (server === undefined) continue;
--- a/packages/daemon/src/gateway/control/reported_forecasts.ts
+++ b/packages/daemon/src/gateway/control/reported_forecasts.ts
@@ -17,22 +17,30 @@
 
 /** What the forecasts are made from. */
 export interface ForecastSources {
-  readonly scheduler: Pick<loadScheduler.LoadScheduler, "readyMs">;
+  readonly scheduler: Pick<
+    loadScheduler.LoadScheduler,
+    "isPlanned" | "readyMs" | "round"
+  >;
   readonly executor: Pick<orderExecutor.OrderExecutor, "status">;
   readonly registry: Pick<core.gateway.ServerRegistry, "activeServers">;
 }
 
-/** Copies of models as they were counted at a monotonic time, in ms. */
+/** Copies of all models as they were counted at a monotonic time, in ms. */
 type CountedCopies = {
   readonly countedAt: number;
-  readonly byModel: Map<string, gateway.ModelCopies>;
+  /** Round of the planner after which they were: it orders loads. */
+  readonly round: number;
+  /** By service and model. */
+  readonly byModel: ReadonlyMap<
+    string,
+    ReadonlyMap<string, gateway.ModelCopies>
+  >;
 };
 
 /** Forecasts for the models that hosts' requests wait for. */
 export class ReportedForecasts {
   readonly #sources: ForecastSources;
-  /** By service. */
-  readonly #counted = new Map<string, CountedCopies>();
+  #counted: CountedCopies | undefined;
 
   constructor(sources: ForecastSources) {
     this.#sources = sources;
@@ -54,29 +62,33 @@
     return [...forecasts.values()];
   }
 
-  #copiesOf(
-    service: string,
-    model: string,
-    now: number,
-  ): gateway.ModelCopies {
-    const last = this.#counted.get(service);
-    const isCurrent = last !== undefined &&
-      now - last.countedAt < MAX_COUNT_AGE_MS;
-    const { byModel } = isCurrent
-      ? last
-      : { byModel: new Map<string, gateway.ModelCopies>() };
-    if (!isCurrent) this.#counted.set(service, { countedAt: now, byModel });
-    const known = byModel.get(model);
-    if (known !== undefined) return known;
-    const { executor, registry } = this.#sources;
-    const holders = registry.activeServers()
-      .filter((server) => server.service === service)
-      .map((server) => ({
-        ...server,
-        loading: executor.status(server, now).loading,
-      }));
-    const copies = core.gateway.countCopies(holders, model);
-    byModel.set(model, copies);
-    return copies;
+  #copiesOf(service: string, model: string, now: number): gateway.ModelCopies {
+    const { scheduler } = this.#sources;
+    const copies = this.#count(now).get(service)?.get(model) ??
+      core.gateway.NO_COPIES;
+    const planned = scheduler.isPlanned(service, model) ? 1 : 0;
+    return { ...copies, loading: Math.max(copies.loading, planned) };
+  }
+
+  #count(now: number): CountedCopies["byModel"] {
+    const { executor, registry, scheduler: { round } } = this.#sources;
+    const isCurrent = this.#counted?.round === round &&
+      now - this.#counted.countedAt < MAX_COUNT_AGE_MS;
+    if (this.#counted !== undefined && isCurrent) return this.#counted.byModel;
+    const holders = new Map<string, core.gateway.CopyHolder[]>();
+    for (const server of registry.activeServers()) {
+      const { inMemory, models, onDisk, service } = server;
+      const { loading } = executor.status(server, now);
+      const known = holders.get(service) ?? [];
+      known.push({ inMemory, models, onDisk, loading });
+      holders.set(service, known);
+    }
+    const byModel = new Map(
+      [...holders].map(([service, of]) =>
+        [service, core.gateway.countCopies(of)] as const
+      ),
+    );
+    this.#counted = { countedAt: now, round, byModel };
+    return byModel;
   }
 }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -499,22 +499,23 @@
     for (const { adapter, count, model, service } of arrivals.values()) {
       demandOf(service, model, adapter).arrivals += count;
     }
+    const returning = this.#expectedReturns.due(now);
+    for (
+      const { adapter, dueAt, model, service, softwareVersion } of returning
+    ) {
+      const demand = demandOf(service, model, adapter, softwareVersion);
+      const dueMs = Math.round(dueAt - now);
+      demand.slacksMs.push(dueMs);
+      (demand.returningMs ??= []).push(dueMs);
+    }
     const waiting = [
       ...[...this.#serverSelector.queuedRequests()].map((context) => ({
         context,
         dueAt: context.arrivedAt + context.route.targetMs,
-        isReturning: false,
-      })),
-      ...this.#expectedReturns.due(now).map((one) => ({
-        ...one,
-        isReturning: true,
-      })),
-      ...[...this.#removalWatch.moves()].map((move) => ({
-        ...move,
-        isReturning: false,
       })),
+      ...this.#removalWatch.moves(),
     ];
-    for (const { context, dueAt, isReturning } of waiting) {
+    for (const { context, dueAt } of waiting) {
       const { metadata, origin, service } = context;
       if (metadata.model === undefined || service.engine === undefined) {
         continue;
@@ -525,9 +526,7 @@
         metadata.adapter,
         origin?.softwareVersion ?? undefined,
       );
-      const dueMs = Math.round(dueAt - now);
-      demand.slacksMs.push(dueMs);
-      if (isReturning) (demand.returningMs ??= []).push(dueMs);
+      demand.slacksMs.push(Math.round(dueAt - now));
     }
     for (
       const { adapter, count, model, server } of this.#serverTracker
--- a/packages/daemon/src/gateway/entry/expected_returns.ts
+++ b/packages/daemon/src/gateway/entry/expected_returns.ts
@@ -18,12 +18,27 @@
 /** Time over which callers of several hosts are spread, in milliseconds. */
 const SPREAD_MS = 150;
 
-/** A caller that was told to come back, and the monotonic time of that, in ms. */
+/** What is remembered of a caller that was told to come back. */
 export type ExpectedReturn = {
-  readonly context: types.RequestContext;
+  readonly service: string;
+  readonly model: string;
+  readonly adapter: string | undefined;
+  /** Software version that it needs; undefined unless it continues a stream. */
+  readonly softwareVersion: string | undefined;
+  readonly unreadTokens: number;
+  /** Monotonic time at which it comes back, in milliseconds. */
   readonly dueAt: number;
 };
 
+/** The model of a caller, when it is ready, and where. */
+export type ExpectedModel = {
+  readonly model: string;
+  /** Time until then, in milliseconds. */
+  readonly readyMs: number;
+  /** Servers that have it or are about to. */
+  readonly holders: number;
+};
+
 /**
  * Says when callers should come back, and remembers them until then. They may
  * come back to any host under another id, so a return can't be matched: one that
@@ -31,7 +46,8 @@
  *
  * @example
  * ```ts
- * const retryAfterMs = returns.schedule(context, 4_000, performance.now());
+ * const model = { model: "advice-7", readyMs: 4_000, holders: 1 };
+ * const retryAfterMs = returns.schedule(context, model, performance.now());
  * ```
  */
 export class ExpectedReturns {
@@ -49,31 +65,35 @@
 
   /**
    * Expects a caller after its model is ready, and after the prompts of those
-   * that were told to come back for it before have been read.
+   * that come back for it before have been read.
    *
-   * @param afterMs time until the model is ready, in milliseconds
    * @returns time after which the caller should come back, in milliseconds
    */
   schedule(
     context: types.RequestContext,
-    afterMs: number,
+    { holders, model, readyMs }: ExpectedModel,
     now: number,
   ): number {
-    const ahead = [...this.due(now)].filter((one) =>
-      isForSameModel(one.context, context)
-    );
-    const { msPerToken } = this.#tokens.estimateOf(context.service.name);
-    const aheadMs = ahead.reduce(
-      (sum, one) => sum + tokens.tokensOf(one.context).unreadTokens,
-      0,
-    ) * msPerToken;
-    const returnMs = afterMs + aheadMs + Math.random() * SPREAD_MS;
-    const awayMs = core.gateway.awayMs(returnMs, context.deadline - now);
+    const { deadline, metadata: { adapter }, origin } = context;
+    const service = context.service.name;
+    const leftMs = deadline - now;
+    const readyAt = now + core.gateway.awayMs(readyMs, leftMs);
+    const aheadTokens = this.due(now)
+      .filter((one) => one.service === service && one.model === model)
+      .filter(({ dueAt }) => dueAt < readyAt)
+      .reduce((sum, { unreadTokens }) => sum + unreadTokens, 0);
+    const { msPerToken } = this.#tokens.estimateOf(service);
+    const aheadMs = aheadTokens * msPerToken / Math.max(1, holders);
+    const spreadMs = Math.random() * SPREAD_MS;
+    const awayMs = core.gateway.awayMs(readyMs + aheadMs + spreadMs, leftMs);
+    const { unreadTokens } = tokens.tokensOf(context);
+    const softwareVersion = origin?.softwareVersion ?? undefined;
+    const dueAt = now + awayMs;
     this.#returns = [
-      ...this.#returns.slice(1 - MAX_RETURNS),
-      { context, dueAt: now + awayMs },
-    ];
-    return returnMs;
+      ...this.#returns,
+      { service, model, adapter, softwareVersion, unreadTokens, dueAt },
+    ].sort((one, other) => one.dueAt - other.dueAt).slice(0, MAX_RETURNS);
+    return awayMs;
   }
 
   /** Callers that have not come back yet, as far as can be told. */
@@ -84,11 +104,3 @@
     return this.#returns;
   }
 }
-
-function isForSameModel(
-  one: types.RequestContext,
-  other: types.RequestContext,
-): boolean {
-  return one.service.name === other.service.name &&
-    one.metadata.model === other.metadata.model;
-}
--- a/packages/daemon/src/gateway/entry/refusals.ts
+++ b/packages/daemon/src/gateway/entry/refusals.ts
@@ -44,7 +44,7 @@
 
 /**
  * Why a request is refused that no server was selected for. A caller whose model
- * is not ready is expected to come back.
+ * is forecast to be ready later is expected to come back.
  *
  * @example
  * ```ts
@@ -59,13 +59,18 @@
 ): Cause {
   switch (selection.kind) {
     case "expired":
-      return causeOfExpiry(selection, context, returns, now);
+      return causeOfExpiry(selection, context, now);
     case "hopeless": {
-      const { forecast: { copies, readyMs }, returnMs } = selection;
+      const { copies, model, readyMs } = selection.forecast;
+      const holders = (copies?.loaded ?? 0) + (copies?.loading ?? 0);
       return {
         kind: copies?.loading === 0 ? "model-not-planned" : "model-loading",
         reason: `the model is ready in ${Math.round(readyMs)} ms`,
-        retryAfterMs: returns.schedule(context, returnMs, now),
+        retryAfterMs: returns.schedule(
+          context,
+          { model, readyMs, holders },
+          now,
+        ),
       };
     }
     case "quarantined":
@@ -101,7 +106,6 @@
 function causeOfExpiry(
   { missing, roomMs = 0 }: Extract<types.Selection, { kind: "expired" }>,
   context: types.RequestContext,
-  returns: Pick<expectedReturns.ExpectedReturns, "schedule">,
   now: number,
 ): Cause {
   const retryAfterMs = Math.max(MIN_ROOM_RETRY_MS, roomMs);
@@ -119,7 +123,7 @@
     kind: `${missing}-late`,
     reason: `no server had the ${missing} in time`,
     // A load may end at any moment: the rest of the caller's time is its wait.
-    retryAfterMs: returns.schedule(context, retryAfterMs, now),
+    retryAfterMs,
   };
 }
 
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -100,7 +100,9 @@
     this.#engineChoice.recordArrival(context, now);
     const selection = this.#trySelect(context, now);
     if (selection !== undefined) return selection;
-    if (now >= context.queueDeadline) return this.#expire(context, now);
+    if (now >= context.queueDeadline) {
+      return this.#expire(context, [...this.#queue], now);
+    }
     return await this.#enqueue(context);
   }
 
@@ -109,19 +111,16 @@
     return this.#queue.size > 0;
   }
 
-  /** Gives up the requests that should not wait for their models. */
+  /** Gives up the requests whose models will be loaded too late. */
   applyForecasts(forecasts: readonly gateway.LoadForecast[]): void {
     const now = performance.now();
     for (const forecast of forecasts) {
       for (const queued of this.#queue) {
-        const { metadata, service } = queued.context;
-        const isForIt = service.name === forecast.service &&
-          metadata.model === forecast.model;
-        if (!isForIt) continue;
-        const decision = decideWait(forecast, queued.context, now);
-        if (decision.kind === "wait") continue;
-        const returnMs = decision.afterMs;
-        this.#dequeue(queued, { kind: "hopeless", returnMs, forecast });
+        const { metadata, queueDeadline, service } = queued.context;
+        if (service.name !== forecast.service) continue;
+        const isInTime = now + forecast.readyMs <= queueDeadline;
+        if (metadata.model !== forecast.model || isInTime) continue;
+        this.#dequeue(queued, { kind: "hopeless", forecast });
       }
     }
   }
@@ -134,11 +133,12 @@
       return;
     }
     const now = performance.now();
-    for (const queued of this.#orderedQueue(now)) {
+    const ordered = this.#orderedQueue(now);
+    for (const [index, queued] of ordered.entries()) {
       const { context } = queued;
       const isExpired = now >= context.queueDeadline || context.signal.aborted;
       const selection = isExpired
-        ? this.#expire(context, now)
+        ? this.#expire(context, ordered.slice(0, index), now)
         : this.#trySelect(context, now);
       if (selection !== undefined) this.#dequeue(queued, selection);
     }
@@ -160,8 +160,16 @@
     return [...plain, ...engine];
   }
 
-  /** Gives up a request, and estimates when there is room for it. */
-  #expire(context: types.RequestContext, now: number): types.Selection {
+  /**
+   * Gives up a request, and estimates when there is room for it.
+   *
+   * @param earlier requests that went before it, of which some still wait
+   */
+  #expire(
+    context: types.RequestContext,
+    earlier: readonly QueuedRequest[],
+    now: number,
+  ): types.Selection {
     const { engine, name } = context.service;
     if (engine === undefined) return { kind: "expired" };
     const servers = this.#capableServers(context, now).length;
@@ -171,8 +179,8 @@
       return { kind: "expired", missing: isLoaded ? "adapter" : "model" };
     }
     const { tokens } = this.#options.tracker;
-    const waiting = [...this.#queue].filter((queued) =>
-      queued.context.service.name === name &&
+    const waiting = earlier.filter((queued) =>
+      this.#queue.has(queued) && queued.context.service.name === name &&
       queued.context.metadata.model === context.metadata.model
     );
     const unreadTokens = waiting.reduce(
@@ -389,18 +397,6 @@
   }
 }
 
-function decideWait(
-  { copies, readyMs }: gateway.LoadForecast,
-  { deadline, queueDeadline }: types.RequestContext,
-  now: number,
-): core.gateway.WaitDecision {
-  const isUnderWay = copies === undefined ? undefined : copies.loading > 0;
-  return core.gateway.decideWait({ readyMs, isUnderWay }, {
-    leftMs: deadline - now,
-    patienceMs: queueDeadline - now,
-  });
-}
-
 /** A server that may take a request. */
 type Candidate = core.gateway.BalancedServer & {
   readonly record: gateway.ServerRecord;
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -118,11 +118,9 @@
   }
   /** No server has the software version that began the stream. */
   | { readonly kind: "version-gone" }
-  /** No server will have the model in time, or it should not wait for that. */
+  /** No server will have the model in time. */
   | {
     readonly kind: "hopeless";
-    /** Time until the caller should come back, in milliseconds. */
-    readonly returnMs: number;
     /** The leader's forecast that this follows from. */
     readonly forecast: gateway.LoadForecast;
   };
--- a/packages/daemon/test/gateway/dispatching.ts
+++ b/packages/daemon/test/gateway/dispatching.ts
@@ -231,7 +231,7 @@
       watch: (_server, { signal }) => ({ signal, [Symbol.dispose]: () => {} }),
     },
     metrics: new GatewayMetrics(),
-    returns: { schedule: (_context, afterMs) => afterMs },
+    returns: { schedule: (_context, { readyMs }) => readyMs },
     refusalInputs: () => ({}),
     onRequestBegun: () => {},
     onServerLeaving: () => {},
--- a/packages/daemon/test/gateway/order_executor_test.ts
+++ b/packages/daemon/test/gateway/order_executor_test.ts
@@ -97,7 +97,7 @@
   /** Plans once for this demand and executes the orders, as the leader does. */
   plan(demand: readonly core.gateway.AggregateDemand[]): void {
     const { inMemory, models, onDisk } = this.server;
-    const orders = core.gateway.planOrders({
+    const orders = core.gateway.planRound({
       engine: ENGINE,
       servers: [{
         id: "s1",
@@ -114,7 +114,7 @@
       lastRequestedAt: new Map(),
       loadedAt: new Map(),
       now: performance.now(),
-    });
+    }).orders;
     for (const order of orders) this.executor.execute(this.server, order);
   }
 
--- a/packages/daemon/test/gateway/refusals_test.ts
+++ b/packages/daemon/test/gateway/refusals_test.ts
@@ -22,7 +22,10 @@
 /** Spread of the returns of callers, in milliseconds. */
 const SPREAD_MS = 150;
 const returns = {
-  schedule: (_context: types.RequestContext, afterMs: number) => afterMs,
+  schedule: (
+    _context: types.RequestContext,
+    { readyMs }: expectedReturns.ExpectedModel,
+  ) => readyMs,
 };
 
 function context(promptTokens = 0): types.RequestContext {
@@ -39,7 +42,7 @@
         .causeOf(selection, context(), returns, now);
       return [kind, retryAfterMs];
     };
-    const hopeless = { kind: "hopeless", returnMs: 4_000 } as const;
+    const hopeless = { kind: "hopeless" } as const;
     expect(of({ ...hopeless, forecast: FORECAST }))
       .to.deep.equal(["model-loading", 4_000]);
     const copies = { ...FORECAST.copies, loading: 0 };
@@ -114,23 +117,52 @@
   const create = () =>
     new expectedReturns.ExpectedReturns(new serverTokens.ServerTokens());
 
-  it("come back after those that were told before", () => {
+  const ready = { model: "m1", readyMs: 4_000, holders: 1 };
+
+  it("come back after the prompts of those that are due before", () => {
     const expected = create();
     const now = performance.now();
-    const first = expected.schedule(context(20_000), 4_000, now);
-    const second = expected.schedule(context(), 4_000, now);
+    const first = expected.schedule(context(20_000), ready, now);
+    const later = { ...ready, readyMs: 4_500, holders: 2 };
+    const second = expected.schedule(context(), later, now);
     expect(first).to.be.within(4_000, 4_000 + SPREAD_MS);
-    // 20,000 tokens of 0.05 ms each are read first.
+    // 20,000 tokens of 0.05 ms each are read first, on two servers.
     expect(second).to.be.within(5_000, 5_000 + SPREAD_MS);
   });
 
+  it("don't wait for those that are due later", () => {
+    const expected = create();
+    const now = performance.now();
+    expected.schedule(context(20_000), { ...ready, readyMs: 9_000 }, now);
+    expect(expected.schedule(context(), ready, now))
+      .to.be.within(4_000, 4_000 + SPREAD_MS);
+  });
+
+  it("are told no more than a third of the time that they have left", () => {
+    const now = performance.now();
+    const away = { ...ready, readyMs: 20_000 };
+    expect(create().schedule(context(), away, now)).to.be.within(9_900, 10_001);
+  });
+
   it("are forgotten if they never come back", () => {
     const expected = create();
     const now = performance.now();
-    expected.schedule(context(), 4_000, now);
+    expected.schedule(context(), ready, now);
     expect(expected.due(now + 4_000)).to.have.length(1);
     expect(expected.due(now + 4_000 + SPREAD_MS + 501)).to.have.length(0);
   });
+
+  it("are forgotten from the latest on, if there are too many", () => {
+    const expected = create();
+    const now = performance.now();
+    for (let count = 0; count < 300; count += 1) {
+      const readyMs = count === 0 ? 1_000 : 4_000;
+      expected.schedule(context(), { ...ready, readyMs }, now);
+    }
+    const due = expected.due(now);
+    expect(due).to.have.length(256);
+    expect(due[0]?.dueAt).to.be.below(now + 1_200);
+  });
 });
 
 describe("what a leader tells hosts of callers that come back", () => {
@@ -176,24 +208,46 @@
     expect(room.describe(server, 0).kept).to.equal(1);
   });
 
+  const forecasting = (
+    loading: string | undefined,
+    planned: string | undefined,
+  ) => {
+    const scheduler = {
+      round: 0,
+      readyMs: () => 4_000,
+      isPlanned: (_service: string, model: string) => model === planned,
+    };
+    const idle = { busyMs: 4_000, pendingAdapters: new Set<string>() };
+    const status = { ...idle, loading, unloadingAdapters: new Set<string>() };
+    const executor = { status: () => status };
+    const held = fixtures.heartbeat("s1", { onDisk: ["m1"] });
+    const registry = { activeServers: () => [held] };
+    return { scheduler, executor, registry, status };
+  };
+  const copies = { loaded: 0, inMemory: 0, onDisk: 1, loading: 1 };
+
   it("tells which copies and orders a forecast follows from", () => {
-    const forecasts = new reportedForecasts.ReportedForecasts({
-      scheduler: { readyMs: () => 4_000 },
-      executor: {
-        status: () => ({
-          busyMs: 4_000,
-          loading: "m1",
-          pendingAdapters: new Set(),
-          unloadingAdapters: new Set(),
-        }),
-      },
-      registry: {
-        activeServers: () => [fixtures.heartbeat("s1", { onDisk: ["m1"] })],
-      },
-    });
-    expect(forecasts.answer(report(100, 3), 0)).to.deep.equal([{
-      ...FORECAST,
-      copies: { loaded: 0, inMemory: 0, onDisk: 1, loading: 1 },
-    }]);
+    const forecasts = new reportedForecasts.ReportedForecasts(
+      forecasting("m1", undefined),
+    );
+    expect(forecasts.answer(report(100, 3), 0))
+      .to.deep.equal([{ ...FORECAST, copies }]);
+  });
+
+  it("counts a load for which its server is not free yet", () => {
+    const forecasts = new reportedForecasts.ReportedForecasts(
+      forecasting(undefined, "m1"),
+    );
+    expect(forecasts.answer(report(100), 0)[0]?.copies).to.deep.equal(copies);
+  });
+
+  it("counts a load as soon as a round of the planner has ordered it", () => {
+    const sources = forecasting(undefined, undefined);
+    const forecasts = new reportedForecasts.ReportedForecasts(sources);
+    const loading = () => forecasts.answer(report(100), 0)[0]?.copies?.loading;
+    expect(loading()).to.equal(0);
+    sources.status.loading = "m1";
+    sources.scheduler.round = 1;
+    expect(loading()).to.equal(1);
   });
 });
--- a/packages/daemon/test/gateway/server_selector_test.ts
+++ b/packages/daemon/test/gateway/server_selector_test.ts
@@ -244,7 +244,7 @@
     const forecast = { service: SERVICE.name, model: "m2", readyMs: 5_000 };
     fixture.selector.applyForecasts([forecast]);
     expect(await selection)
-      .to.deep.equal({ kind: "hopeless", returnMs: 5_000, forecast });
+      .to.deep.equal({ kind: "hopeless", forecast });
     expect(performance.now() - startedAt).to.be.below(500);
     // The other request has the time, and waits on.
     expect(fixture.selector.isWaiting).to.equal(true);
@@ -285,13 +285,27 @@
     expect((await fixture.select("m1", 9_000)).kind).to.equal("server");
   });
 
-  it("tells when a request that found no room may find it", async () => {
+  it("does not let a request that found no room wait for itself", async () => {
     using fixture = new Fixture([record("s1"), record("s2")]);
     const load = ["s1", "s2"].map((server) => ({ server, running: 8 }));
     fixture.tracker.applyFleetLoad(load, performance.now());
     const context = fixture.context("m1", 60);
     const metadata = { ...context.metadata, promptTokens: 100_000 };
     const selection = await fixture.selector.select({ ...context, metadata });
+    expect(selection).to.deep.equal({ kind: "expired", roomMs: 0 });
+  });
+
+  it("tells how long the prompts take that wait before a request", async () => {
+    using fixture = new Fixture([record("s1"), record("s2")]);
+    const load = ["s1", "s2"].map((server) => ({ server, running: 8 }));
+    fixture.tracker.applyFleetLoad(load, performance.now());
+    const patient = fixture.context("m1", 9_000);
+    const metadata = { ...patient.metadata, promptTokens: 100_000 };
+    const arrivedAt = performance.now() - 20_000;
+    const waiting = { ...patient, metadata, arrivedAt };
+    void fixture.selector.select({ ...waiting, priority: 0 });
+    void fixture.selector.select({ ...waiting, priority: 9 });
+    const selection = await fixture.select("m1", 60);
     // A token takes 0.05 ms as long as no answer has been seen.
     expect(selection).to.deep.equal({ kind: "expired", roomMs: 2_500 });
   });
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -298,7 +298,7 @@
   inMemory: Count,
   /** They keep a copy of its weights on disk. */
   onDisk: Count,
-  /** They have been ordered to load it. */
+  /** They have been ordered to load it, or are about to be. */
   loading: Count,
 });
 export type ModelCopies = v.InferOutput<typeof ModelCopies>;
