Keep room for those who still come, and recognise them where that is sure

On routes whose callers state different times, all but those who state the longest counted as coming back: they took kept room and went before pressed requests. A patient new request left a free slot until it was late, since its latest start was that at an idle server; servers with few slots kept one of them; and room was kept on for a caller that had come.

Pressed requests go by their slack. Kept room is left until the latest start at a full server, servers with less than eight slots keep none, and hosts report how many came back.

--- a/packages/core/src/gateway/demand_tracker.ts
+++ b/packages/core/src/gateway/demand_tracker.ts
@@ -11,6 +11,9 @@
 /** Time after which a caller that is overdue is not expected any more, in ms. */
 const OVERDUE_MS = 2_000;
 
+/** Time for which a caller that came back counts as one of those due, in ms. */
+const CAME_MS = 1_000;
+
 /** The parts of a report that describe demand. */
 export type DemandReport = Pick<
   gateway.ReportRequest,
@@ -24,8 +27,12 @@
   readonly at: number;
 };
 
+/** Callers that came back, and the monotonic time at which that was told. */
+type CameBack = { readonly count: number; readonly at: number };
+
 /** Demand for one model or adapter. */
 type DemandRecord = {
+  cameBack: readonly CameBack[];
   readonly service: string;
   readonly model: string;
   readonly adapter: string | undefined;
@@ -83,11 +90,18 @@
     if (previous !== undefined) this.#remove(previous, now);
     this.#hosts.set(report.host, { report, heardAt: now });
     for (const demand of report.demand) {
-      const { arrivals, returningMs = [], running, slacksMs } = demand;
+      const { arrivals, returned, returningMs = [], running, slacksMs } =
+        demand;
       const record = this.#recordFor(demand, now);
       this.#average(record, now);
       record.arrivalsPerSecond += arrivals * SECOND_MS / AVERAGE_MS;
       record.running += running;
+      if (returned !== undefined) {
+        record.cameBack = [
+          ...lately(record.cameBack, now),
+          { count: returned, at: now },
+        ];
+      }
       if (slacksMs.length > 0) {
         record.waiting.set(report.host, { slacksMs, returningMs, at: now });
       }
@@ -202,6 +216,7 @@
         model,
         adapter,
         softwareVersion,
+        cameBack: [],
         waiting: new Map(),
         running: 0,
         arrivalsPerSecond: 0,
@@ -237,13 +252,27 @@
   return slacks;
 }
 
-/** Times until callers come back, less the time since they were reported. */
-function currentReturns({ waiting }: DemandRecord, now: number): number[] {
+/**
+ * Times until callers come back, less the time since they were reported. Those
+ * that came lately were due first.
+ */
+function currentReturns(
+  { cameBack, waiting }: DemandRecord,
+  now: number,
+): number[] {
+  const came = lately(cameBack, now)
+    .reduce((sum, { count }) => sum + count, 0);
   return [...waiting.values()]
     .flatMap(({ at, returningMs }) =>
       returningMs.map((dueMs) => dueMs - (now - at))
     )
-    .filter((dueMs) => dueMs > -OVERDUE_MS);
+    .filter((dueMs) => dueMs > -OVERDUE_MS)
+    .sort((one, other) => one - other)
+    .slice(came);
+}
+
+function lately(cameBack: readonly CameBack[], now: number): CameBack[] {
+  return cameBack.filter(({ at }) => now - at < CAME_MS);
 }
 
 function addCount(
--- a/packages/core/src/gateway/kept_slots.ts
+++ b/packages/core/src/gateway/kept_slots.ts
@@ -1,4 +1,4 @@
-/** Part of a server's slots that is kept at most, one slot at least. */
+/** Part of a server's slots that is kept at most: none of less than eight. */
 const MAX_KEPT_FRACTION = 1 / 8;
 
 /**
@@ -26,6 +26,6 @@
       sum + (due.get(model) ?? 0) / Math.max(1, holders.get(model) ?? 1),
     0,
   );
-  const most = Math.max(1, Math.floor(slots * MAX_KEPT_FRACTION));
+  const most = Math.floor(slots * MAX_KEPT_FRACTION);
   return Math.min(Math.ceil(expected), most);
 }
--- a/packages/core/src/gateway/queue_order.ts
+++ b/packages/core/src/gateway/queue_order.ts
@@ -45,8 +45,9 @@
  * request passes an urgent one only when that one can wait, and a short one
  * passes a long one only while that costs it nothing.
  *
- * Of the same priority, callers that come back after a refusal go first: they
- * have waited before, and are not told to come back for ever.
+ * Of the same priority, callers that come back after a refusal go first among
+ * those that can wait and those that are late: they have waited before, and are
+ * not told to come back for ever. Among the pressed they do with equal slack.
  *
  * A request that has waited for half of the time that it may wait goes before all
  * of these: later ones of its priority no longer pass it.
@@ -89,15 +90,18 @@
   one: Placed<unknown>,
   other: Placed<unknown>,
 ): number {
-  const byClass = one.rank - other.rank || one.priority - other.priority ||
-    Number(other.isReturning ?? false) - Number(one.isReturning ?? false);
+  const byClass = one.rank - other.rank || one.priority - other.priority;
   if (byClass !== 0) return byClass;
+  const byReturn = Number(other.isReturning ?? false) -
+    Number(one.isReturning ?? false);
   const byArrival = one.arrivedAt - other.arrivedAt;
   switch (PRESSURES[one.rank]) {
     case "pressed":
-      return one.slackMs - other.slackMs || byArrival;
+      return one.slackMs - other.slackMs || byReturn || byArrival;
     case "free":
-      return one.expectedMs - other.expectedMs || byArrival;
+      return byReturn || one.expectedMs - other.expectedMs || byArrival;
+    case "late":
+      return byReturn || byArrival;
     default:
       return byArrival;
   }
--- a/packages/core/test/gateway/demand_tracker_test.ts
+++ b/packages/core/test/gateway/demand_tracker_test.ts
@@ -53,6 +53,20 @@
     expect(dueAt(4_000)).to.deep.equal([]);
   });
 
+  it("doesn't expect callers that have come, at any host", () => {
+    const tracker = new core.DemandTracker();
+    const [waiting] = report("h1", 0, [300, 900]).demand;
+    if (waiting === undefined) throw new Error("no demand");
+    const expected = { ...waiting, returningMs: [900, 300] };
+    tracker.addReport({ host: "h1", demand: [expected], load: [] }, 0);
+    const came = { ...waiting, slacksMs: [], arrivals: 1, returned: 1 };
+    tracker.addReport({ host: "h2", demand: [came], load: [] }, 200);
+    const dueAt = (now: number) =>
+      tracker.aggregate(SERVICE, now)[0]?.returningMs;
+    expect(dueAt(200)).to.deep.equal([700]);
+    expect(dueAt(1_199)).to.deep.equal([-299]);
+  });
+
   it("keeps a report as long as its host is heard of", () => {
     const tracker = new core.DemandTracker();
     tracker.addReport(report("h1", 2, [500]), 0);
--- a/packages/core/test/gateway/queue_order_test.ts
+++ b/packages/core/test/gateway/queue_order_test.ts
@@ -52,6 +52,12 @@
       .to.equal("urgent back new");
   });
 
+  it("lets pressed callers go by their slack, whether new or not", () => {
+    const pressed = queued("pressed", { arrivedAt: -400 });
+    const back = queued("back", { arrivedAt: -380, isReturning: true });
+    expect(order([back, pressed], 0)).to.equal("pressed back");
+  });
+
   it("lets a new caller that has waited for half of its time go first", () => {
     const aged = queued("aged", { arrivedAt: -6_000 });
     const back = queued("back", { isReturning: true });
--- a/packages/daemon/src/gateway/control/kept_room.ts
+++ b/packages/daemon/src/gateway/control/kept_room.ts
@@ -61,6 +61,9 @@
     if (known !== undefined && now - known.countedAt < MAX_COUNT_AGE_MS) {
       return known;
     }
+    for (const [name, { countedAt }] of this.#counts) {
+      if (now - countedAt >= MAX_COUNT_AGE_MS) this.#counts.delete(name);
+    }
     const due = new Map<string, number>();
     for (const one of this.#demand.aggregate(service, now)) {
       const count = one.returningMs.filter((dueMs) =>
--- a/packages/daemon/src/gateway/entry/engine_choice.ts
+++ b/packages/daemon/src/gateway/entry/engine_choice.ts
@@ -6,6 +6,7 @@
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import type * as fleetView from "./fleet_view.ts";
+import type * as returningCallers from "./returning_callers.ts";
 import type * as serverTracker from "./server_tracker.ts";
 import * as serverTokens from "./server_tokens.ts";
 import type * as types from "./types.ts";
@@ -14,6 +15,7 @@
 export interface EngineChoiceOptions {
   readonly view: fleetView.FleetView;
   readonly tracker: serverTracker.ServerTracker;
+  readonly callers: Pick<returningCallers.ReturningCallers, "isReturning">;
   /** Failure domain of this host; absent if all servers are as near. */
   readonly failureDomain: string | undefined;
 }
@@ -40,9 +42,6 @@
   #shortestObjectives = new Map<string, number>();
   /** Requests that wait although a server has room. */
   readonly #held = new Set<types.RequestContext>();
-  readonly #statedTimes = new core.gateway.StatedTimes();
-  /** Requests whose callers come back after a refusal. */
-  readonly #returning = new WeakSet<types.RequestContext>();
 
   constructor(options: EngineChoiceOptions) {
     this.#options = options;
@@ -62,25 +61,20 @@
     this.#held.delete(context);
   }
 
-  /** Notes whether the caller of a request comes back after a refusal. */
-  recordArrival(context: types.RequestContext, now: number): void {
-    const { arrivedAt, deadline, route, service } = context;
-    if (service.engine === undefined) return;
-    const statedMs = deadline - arrivedAt;
-    if (this.#statedTimes.isReturning(route.name, statedMs, now)) {
-      this.#returning.add(context);
-    }
-  }
-
   /**
    * Whether a request may use the slots that are kept for callers that come
    * back. One that can wait leaves them until its latest start.
    */
   mayUseKeptRoom(context: types.RequestContext, now: number): boolean {
+    const { callers, tracker } = this.#options;
     const isPlain = context.service.engine === undefined;
-    if (isPlain || this.#returning.has(context)) return true;
-    const { arrivedAt, expectedMs, objectiveMs } = this.describe(context);
-    return arrivedAt + objectiveMs - now <= 2 * expectedMs;
+    if (isPlain || callers.isReturning(context)) return true;
+    const { unreadTokens } = serverTokens.tokensOf(context);
+    // Room is kept on servers that are nearly full.
+    const expectedMs = tracker.tokens.estimateOf(context.service.name)
+      .expectedMs({ tokens: unreadTokens, utilization: 1 });
+    const latestAt = context.arrivedAt + objectiveMs(context);
+    return latestAt - now <= 2 * expectedMs;
   }
 
   /** Whether a server has memory for a request; an idle one does. */
@@ -150,7 +144,7 @@
     return {
       arrivedAt,
       priority,
-      isReturning: this.#returning.has(context),
+      isReturning: this.#options.callers.isReturning(context),
       queueDeadline,
       objectiveMs: objectiveMs(context),
       expectedMs: estimate.expectedMs(reading),
@@ -160,8 +154,6 @@
   #shortestObjectiveMs(service: string): number {
     const { configuration } = this.#options.view;
     if (configuration !== this.#configuration) {
-      const routes = configuration?.routes ?? [];
-      this.#statedTimes.retain(new Set(routes.map(({ name }) => name)));
       this.#configuration = configuration;
       this.#shortestObjectives = shortestObjectives(configuration);
     }
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -25,6 +25,7 @@
 import * as rateGate from "./rate_gate.ts";
 import * as removalWatch from "./removal_watch.ts";
 import * as retryBudgets from "./retry_budgets.ts";
+import * as returningCallers from "./returning_callers.ts";
 import * as serverProber from "./server_prober.ts";
 import * as serverSelector from "./server_selector.ts";
 import * as serverTracker from "./server_tracker.ts";
@@ -129,6 +130,7 @@
   readonly #expectedReturns = new expectedReturns.ExpectedReturns(
     this.#serverTracker.tokens,
   );
+  readonly #returningCallers = new returningCallers.ReturningCallers(this.view);
   readonly #forecasts = new forecastView.ForecastView();
   /** Whether anything has changed since the last report. */
   #hasNews = false;
@@ -188,6 +190,7 @@
       new serverSelector.ServerSelector({
         view: this.view,
         tracker: this.#serverTracker,
+        callers: this.#returningCallers,
         failureDomain: options.failureDomain,
         borrower: this.#unitBorrower,
         suspects: this.#crashSuspects,
@@ -409,13 +412,16 @@
     });
   }
 
-  #countArrival({ metadata, service }: types.RequestContext): void {
-    const { adapter, model } = metadata;
+  #countArrival(context: types.RequestContext): void {
+    const { metadata: { adapter, model }, service } = context;
     if (service.engine === undefined || model === undefined) return;
     const key = demandKey(service.name, model, adapter);
     const arrivals = this.#arrivals.get(key) ??
-      { service: service.name, model, adapter, count: 0 };
+      { service: service.name, model, adapter, count: 0, returned: 0 };
     arrivals.count += 1;
+    if (this.#returningCallers.recordArrival(context, performance.now())) {
+      arrivals.returned += 1;
+    }
     this.#arrivals.set(key, arrivals);
     this.#hasNews = true;
   }
@@ -496,8 +502,11 @@
       demands.set(key, demand);
       return demand;
     };
-    for (const { adapter, count, model, service } of arrivals.values()) {
-      demandOf(service, model, adapter).arrivals += count;
+    for (const arrived of arrivals.values()) {
+      const { adapter, count, model, returned, service } = arrived;
+      const demand = demandOf(service, model, adapter);
+      demand.arrivals += count;
+      if (returned > 0) demand.returned = returned;
     }
     const returning = this.#expectedReturns.due(now);
     for (
@@ -546,6 +555,8 @@
   readonly model: string;
   readonly adapter: string | undefined;
   count: number;
+  /** How many of them came back. */
+  returned: number;
 };
 
 function demandKey(
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -11,6 +11,7 @@
 import type * as crashSuspects from "./crash_suspects.ts";
 import type * as fleetView from "./fleet_view.ts";
 import type * as hostDrain from "./host_drain.ts";
+import type * as returningCallers from "./returning_callers.ts";
 import type * as serverTracker from "./server_tracker.ts";
 import * as serverTokens from "./server_tokens.ts";
 import type * as types from "./types.ts";
@@ -40,6 +41,7 @@
 export interface ServerSelectorOptions {
   readonly view: fleetView.FleetView;
   readonly tracker: serverTracker.ServerTracker;
+  readonly callers: Pick<returningCallers.ReturningCallers, "isReturning">;
   /** Failure domain of this host; absent if all servers are as near. */
   readonly failureDomain?: string | undefined;
   readonly borrower: Pick<unitBorrower.UnitBorrower, "tryTake" | "want">;
@@ -65,8 +67,9 @@
 
   constructor(options: ServerSelectorOptions) {
     this.#options = options;
-    const { failureDomain, tracker, view } = options;
+    const { callers, failureDomain, tracker, view } = options;
     this.#engineChoice = new engineChoice.EngineChoice({
+      callers,
       failureDomain,
       tracker,
       view,
@@ -97,7 +100,6 @@
   async select(context: types.RequestContext): Promise<types.Selection> {
     if (context.signal.aborted) return { kind: "expired" };
     const now = performance.now();
-    this.#engineChoice.recordArrival(context, now);
     const selection = this.#trySelect(context, now);
     if (selection !== undefined) return selection;
     if (now >= context.queueDeadline) {
--- a/packages/daemon/test/gateway/server_selection_property_test.ts
+++ b/packages/daemon/test/gateway/server_selection_property_test.ts
@@ -57,6 +57,7 @@
     this.selector = new serverSelector.ServerSelector({
       view: this.view,
       tracker: this.tracker,
+      callers: { isReturning: () => false },
       borrower: { tryTake: () => true, want: () => {} },
       suspects: new crashSuspects.CrashSuspects({
         view: this.view,
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -203,6 +203,8 @@
   running: Count,
   /** Requests received since the previous report. */
   arrivals: Count,
+  /** Those of them whose callers came back; hosts of earlier builds tell none. */
+  returned: v.optional(Count),
 });
 export type ModelDemand = v.InferOutput<typeof ModelDemand>;
 
