--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -11,6 +11,7 @@
 import * as log from "../../log/mod.ts";
 import * as resources from "../../resources/mod.ts";
 import type * as metrics from "../metrics.ts";
+import * as arrivalCounts from "./arrival_counts.ts";
 import * as bodyBudget from "./body_budget.ts";
 import * as clocks from "./clocks.ts";
 import * as connectionProbe from "./connection_probe.ts";
@@ -125,7 +126,7 @@
     new listener.StallDetector(),
   );
   /** Admitted requests since the last report, by service, model and adapter. */
-  #arrivals = new Map<string, ArrivalCount>();
+  readonly #arrivals = new arrivalCounts.ArrivalCounts();
   /** Callers that were told to come back when their model is loaded. */
   readonly #expectedReturns = new expectedReturns.ExpectedReturns(
     this.#serverTracker.tokens,
@@ -413,22 +414,13 @@
   }
 
   #countArrival(context: types.RequestContext): void {
-    const { metadata: { adapter, model }, service } = context;
-    if (service.engine === undefined || model === undefined) return;
-    const key = demandKey(service.name, model, adapter);
-    const arrivals = this.#arrivals.get(key) ??
-      { service: service.name, model, adapter, count: 0, returned: 0 };
-    arrivals.count += 1;
-    if (this.#returningCallers.recordArrival(context, performance.now())) {
-      arrivals.returned += 1;
-    }
-    this.#arrivals.set(key, arrivals);
-    this.#hasNews = true;
+    const now = performance.now();
+    const isReturning = this.#returningCallers.recordArrival(context, now);
+    if (this.#arrivals.add(context, isReturning)) this.#hasNews = true;
   }
 
   #collectReport(): leaderSync.LocalReport {
-    const arrivals = this.#arrivals;
-    this.#arrivals = new Map();
+    const arrivals = this.#arrivals.take();
     // Demand that expires has to be reported as gone.
     this.#hasNews = this.#expectedReturns.count > 0;
     const suspicions = this.#crashSuspects.takeReports();
@@ -476,7 +468,7 @@
 
   /** Demand of this host by service, model and adapter. */
   #collectDemand(
-    arrivals: ReadonlyMap<string, ArrivalCount>,
+    arrivals: readonly arrivalCounts.ArrivalCount[],
   ): gateway.ModelDemand[] {
     const now = performance.now();
     const demands = new Map<string, gateway.ModelDemand>();
@@ -502,7 +494,7 @@
       demands.set(key, demand);
       return demand;
     };
-    for (const arrived of arrivals.values()) {
+    for (const arrived of arrivals) {
       const { adapter, count, model, returned, service } = arrived;
       const demand = demandOf(service, model, adapter);
       demand.arrivals += count;
@@ -549,16 +541,6 @@
   }
 }
 
-/** Number of requests that arrived for a model. */
-type ArrivalCount = {
-  readonly service: string;
-  readonly model: string;
-  readonly adapter: string | undefined;
-  count: number;
-  /** How many of them came back. */
-  returned: number;
-};
-
 function demandKey(
   service: string,
   model: string,
--- a/packages/protocol/src/gateway/messages.ts
+++ b/packages/protocol/src/gateway/messages.ts
@@ -192,8 +192,8 @@
   ),
   /**
    * Time until each caller that was told to come back does so, in milliseconds;
-   * negative once it is overdue. For leaders of earlier builds, each is among
-   * `slacksMs` too. Hosts of earlier builds send none.
+   * negative once it is overdue. Each is among `slacksMs` too, which alone
+   * models are loaded by. Hosts of earlier builds send none.
    */
   returningMs: v.optional(v.pipe(
     v.array(v.pipe(v.number(), v.finite())),
