--- a/packages/core/test/gateway/copy_needs_test.ts
+++ b/packages/core/test/gateway/copy_needs_test.ts
@@ -1,8 +1,10 @@
 import { expect } from "chai";
 import { CopyNeeds } from "../../src/gateway/copy_needs.ts";
-import { planOrders } from "../../src/gateway/mod.ts";
+import { type PlannerInput, planRound } from "../../src/gateway/mod.ts";
 import * as fixtures from "./fixtures.ts";
 
+const planOrders = (one: PlannerInput) => planRound(one).orders;
+
 const { demand, heldModel, input, server } = fixtures;
 const LOAD_MS = 6_000;
 
--- a/packages/core/test/gateway/unserved_bound_test.ts
+++ b/packages/core/test/gateway/unserved_bound_test.ts
@@ -71,7 +71,7 @@
     const views = servers.map((server) => server.view(now));
     const requestedAt = new Map(MODELS.map((name) => [name, now]));
     unserved.update(demand, views, requestedAt, now);
-    const orders = core.planOrders(fixtures.input({
+    const { orders } = core.planRound(fixtures.input({
       engine: fixtures.engine(MODELS),
       servers: views,
       demand,
--- a/packages/core/test/gateway/unserved_models_test.ts
+++ b/packages/core/test/gateway/unserved_models_test.ts
@@ -1,7 +1,13 @@
 import { expect } from "chai";
-import { planOrders, UnservedModels } from "../../src/gateway/mod.ts";
+import {
+  type PlannerInput,
+  planRound,
+  UnservedModels,
+} from "../../src/gateway/mod.ts";
 import * as fixtures from "./fixtures.ts";
 
+const planOrders = (one: PlannerInput) => planRound(one).orders;
+
 const { demand, heldModel, input, server } = fixtures;
 
 describe("gateway unserved models", () => {
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -60,6 +60,10 @@
   readonly #storeConcurrency = new core.gateway.StoreConcurrency();
   /** Forecasts by service and model. */
   #forecasts = new Map<string, Forecast>();
+  /** Models that the last round has chosen a server for, by service. */
+  #plannedModels = new Map<string, ReadonlySet<string>>();
+  /** Number of rounds so far: orders to load follow from these alone. */
+  round = 0;
   /** Resolve when the next round is planned. */
   #planned: (() => void)[] = [];
   readonly #storeLimiters = new Map<string, core.placement.StoreLoadLimiter>();
@@ -119,6 +123,14 @@
     return Math.max(0, forecast.at + forecast.readyMs - now);
   }
 
+  /**
+   * Whether the last round has chosen a server for a model that is not loaded,
+   * also one that is busy or has to unload another model first.
+   */
+  isPlanned(service: string, model: string): boolean {
+    return this.#plannedModels.get(service)?.has(model) ?? false;
+  }
+
   [Symbol.dispose](): void {
     timers.clearInterval(this.#interval);
     timers.clearTimeout(this.#collectTimer);
@@ -141,6 +153,8 @@
 
   #planServices(): void {
     this.#forecasts = new Map();
+    this.#plannedModels = new Map();
+    this.round += 1;
     const now = performance.now();
     for (const service of this.#options.configuration()?.services ?? []) {
       if (service.engine === undefined) continue;
@@ -164,19 +178,19 @@
     const limiter = this.#storeLimiterOf(service, engine, now);
     const plannerServers = () =>
       servers.map((server) => this.#toPlannerServer(server, now));
-    const planned = plannerServers();
+    const view = plannerServers();
     const unserved = this.#unserved.get(service) ??
       new core.gateway.UnservedModels();
     this.#unserved.set(service, unserved);
-    unserved.update(demand, planned, demandTracker.lastRequestedAt, now);
+    unserved.update(demand, view, demandTracker.lastRequestedAt, now);
     this.#demandSince ??= now;
-    const maxLoads = Math.ceil(usableCount(planned) * MAX_STORE_SHARE);
+    const maxLoads = Math.ceil(usableCount(view) * MAX_STORE_SHARE);
     const { limit } = this.#storeConcurrency;
     const storeLimit = Math.min(limit, maxLoads);
     const admits = limiter.admitsModelLoad(executor.activeStoreLoads, now);
-    const orders = core.gateway.planOrders({
+    const { orders, planned } = core.gateway.planRound({
       engine,
-      servers: planned,
+      servers: view,
       demand,
       canLoadFromStore: admits && executor.activeStoreLoads < storeLimit,
       canOverloadStore: admits &&
@@ -188,6 +202,7 @@
       loadedAt: executor.loadedAt,
       now,
     });
+    this.#plannedModels.set(service, planned);
     for (const order of orders) {
       const server = registry.get(order.server);
       if (server === undefined) continue;
--- a/packages/daemon/src/gateway/entry/engine_choice.ts
+++ b/packages/daemon/src/gateway/entry/engine_choice.ts
@@ -6,6 +6,7 @@
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import type * as fleetView from "./fleet_view.ts";
+import type * as returningCallers from "./returning_callers.ts";
 import type * as serverTracker from "./server_tracker.ts";
 import * as serverTokens from "./server_tokens.ts";
 import type * as types from "./types.ts";
@@ -14,6 +15,7 @@
 export interface EngineChoiceOptions {
   readonly view: fleetView.FleetView;
   readonly tracker: serverTracker.ServerTracker;
+  readonly callers: Pick<returningCallers.ReturningCallers, "isReturning">;
   /** Failure domain of this host; absent if all servers are as near. */
   readonly failureDomain: string | undefined;
 }
@@ -59,6 +61,22 @@
     this.#held.delete(context);
   }
 
+  /**
+   * Whether a request may use the slots that are kept for callers that come
+   * back. One that can wait leaves them until its latest start.
+   */
+  mayUseKeptRoom(context: types.RequestContext, now: number): boolean {
+    const { callers, tracker } = this.#options;
+    const isPlain = context.service.engine === undefined;
+    if (isPlain || callers.isReturning(context)) return true;
+    const { unreadTokens } = serverTokens.tokensOf(context);
+    // Room is kept on servers that are nearly full.
+    const expectedMs = tracker.tokens.estimateOf(context.service.name)
+      .expectedMs({ tokens: unreadTokens, utilization: 1 });
+    const latestAt = context.arrivedAt + objectiveMs(context);
+    return latestAt - now <= 2 * expectedMs;
+  }
+
   /** Whether a server has memory for a request; an idle one does. */
   hasMemory(
     server: string,
@@ -126,6 +144,7 @@
     return {
       arrivedAt,
       priority,
+      isReturning: this.#options.callers.isReturning(context),
       queueDeadline,
       objectiveMs: objectiveMs(context),
       expectedMs: estimate.expectedMs(reading),
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -11,18 +11,22 @@
 import * as log from "../../log/mod.ts";
 import * as resources from "../../resources/mod.ts";
 import type * as metrics from "../metrics.ts";
+import * as arrivalCounts from "./arrival_counts.ts";
 import * as bodyBudget from "./body_budget.ts";
 import * as clocks from "./clocks.ts";
 import * as connectionProbe from "./connection_probe.ts";
 import * as crashSuspects from "./crash_suspects.ts";
 import * as dispatcher from "./dispatcher.ts";
+import * as expectedReturns from "./expected_returns.ts";
 import * as fleetView from "./fleet_view.ts";
+import * as forecastView from "./forecast_view.ts";
 import * as hostDrain from "./host_drain.ts";
 import * as leaderSync from "./leader_sync.ts";
 import * as requestHandler from "./request_handler.ts";
 import * as rateGate from "./rate_gate.ts";
 import * as removalWatch from "./removal_watch.ts";
 import * as retryBudgets from "./retry_budgets.ts";
+import * as returningCallers from "./returning_callers.ts";
 import * as serverProber from "./server_prober.ts";
 import * as serverSelector from "./server_selector.ts";
 import * as serverTracker from "./server_tracker.ts";
@@ -41,10 +45,6 @@
 const USAGE_REFRESH_TIMEOUT_MS = 100;
 /** Longest time that the last report may take while the host ends, in ms. */
 const LAST_REPORT_TIMEOUT_MS = 200;
-/** Callers whose return is expected that are remembered. */
-const MAX_EXPECTED_RETURNS = 256;
-/** Time for which a model is kept for a caller after its return is due, in ms. */
-const RETURN_MARGIN_MS = 500;
 /** Most workspaces that one log line names. */
 const MAX_LOGGED_WORKSPACES = 10;
 /**
@@ -126,9 +126,13 @@
     new listener.StallDetector(),
   );
   /** Admitted requests since the last report, by service, model and adapter. */
-  #arrivals = new Map<string, ArrivalCount>();
+  readonly #arrivals = new arrivalCounts.ArrivalCounts();
   /** Callers that were told to come back when their model is loaded. */
-  #expectedReturns: ExpectedReturn[] = [];
+  readonly #expectedReturns = new expectedReturns.ExpectedReturns(
+    this.#serverTracker.tokens,
+  );
+  readonly #returningCallers = new returningCallers.ReturningCallers(this.view);
+  readonly #forecasts = new forecastView.ForecastView();
   /** Whether anything has changed since the last report. */
   #hasNews = false;
 
@@ -187,6 +191,7 @@
       new serverSelector.ServerSelector({
         view: this.view,
         tracker: this.#serverTracker,
+        callers: this.#returningCallers,
         failureDomain: options.failureDomain,
         borrower: this.#unitBorrower,
         suspects: this.#crashSuspects,
@@ -227,8 +232,9 @@
           if (!this.#ownStreams.isNews(stream, this.view.term)) return;
           this.#leaderSync.reportSoon();
         },
-        onReturnExpected: (context, delayMs) =>
-          this.#expectReturn(context, delayMs),
+        returns: this.#expectedReturns,
+        refusalInputs: (context) =>
+          this.#forecasts.describe(context, this.view, performance.now()),
       }),
       streamResolver: new streamResolver.StreamResolver({
         streams: this.#ownStreams,
@@ -238,6 +244,7 @@
       }),
       maxConfigurationAgeMs,
       confirmConfiguration: () => this.#stateConfirmer.confirm(),
+      onRefused: (reason) => options.metrics.refusals.inc({ reason }),
       onUnconfirmed: () => options.metrics.unconfirmedAdmissions.inc(),
       onLimitedAdmission: () => this.#reportSoon(),
       rateGate: new rateGate.RateGate({
@@ -295,6 +302,9 @@
       [...this.#serverSelector.queuedRequests()].length,
     );
     this.#metrics.heldRequests.set(this.#serverSelector.heldCount);
+    this.#metrics.expectedReturns.set(
+      this.#expectedReturns.due(performance.now()).length,
+    );
     this.#updateServersOut();
     this.#metrics.quarantinedRequests.set(this.view.quarantineCount);
     this.#metrics.configurationVersion.set(configuration?.version ?? 0);
@@ -382,6 +392,7 @@
       requestedAt.monotonicMs,
     );
     this.#serverSelector.processQueue();
+    this.#forecasts.apply(response.forecasts, requestedAt.monotonicMs);
     this.#serverSelector.applyForecasts(response.forecasts);
   }
 
@@ -402,32 +413,16 @@
     });
   }
 
-  /** Counts a caller that was told to come back as waiting until it does. */
-  #expectReturn(context: types.RequestContext, delayMs: number): void {
-    const at = performance.now() + delayMs;
-    this.#expectedReturns = [
-      ...this.#expectedReturns.slice(1 - MAX_EXPECTED_RETURNS),
-      { context, at },
-    ];
-    this.#hasNews = true;
-  }
-
-  #countArrival({ metadata, service }: types.RequestContext): void {
-    const { adapter, model } = metadata;
-    if (service.engine === undefined || model === undefined) return;
-    const key = demandKey(service.name, model, adapter);
-    const arrivals = this.#arrivals.get(key) ??
-      { service: service.name, model, adapter, count: 0 };
-    arrivals.count += 1;
-    this.#arrivals.set(key, arrivals);
-    this.#hasNews = true;
+  #countArrival(context: types.RequestContext): void {
+    const now = performance.now();
+    const isReturning = this.#returningCallers.recordArrival(context, now);
+    if (this.#arrivals.add(context, isReturning)) this.#hasNews = true;
   }
 
   #collectReport(): leaderSync.LocalReport {
-    const arrivals = this.#arrivals;
-    this.#arrivals = new Map();
+    const arrivals = this.#arrivals.take();
     // Demand that expires has to be reported as gone.
-    this.#hasNews = this.#expectedReturns.length > 0;
+    this.#hasNews = this.#expectedReturns.count > 0;
     const suspicions = this.#crashSuspects.takeReports();
     const leaving = this.#collectLeaving();
     return {
@@ -473,7 +468,7 @@
 
   /** Demand of this host by service, model and adapter. */
   #collectDemand(
-    arrivals: ReadonlyMap<string, ArrivalCount>,
+    arrivals: readonly arrivalCounts.ArrivalCount[],
   ): gateway.ModelDemand[] {
     const now = performance.now();
     const demands = new Map<string, gateway.ModelDemand>();
@@ -499,28 +494,29 @@
       demands.set(key, demand);
       return demand;
     };
-    for (const { adapter, count, model, service } of arrivals.values()) {
-      demandOf(service, model, adapter).arrivals += count;
+    for (const arrived of arrivals) {
+      const { adapter, count, model, returned, service } = arrived;
+      const demand = demandOf(service, model, adapter);
+      demand.arrivals += count;
+      if (returned > 0) demand.returned = returned;
+    }
+    const returning = this.#expectedReturns.due(now);
+    for (
+      const { adapter, dueAt, model, service, softwareVersion } of returning
+    ) {
+      const demand = demandOf(service, model, adapter, softwareVersion);
+      const dueMs = Math.round(dueAt - now);
+      demand.slacksMs.push(dueMs);
+      (demand.returningMs ??= []).push(dueMs);
     }
-    this.#expectedReturns = this.#expectedReturns
-      .filter(({ at }) => now < at + RETURN_MARGIN_MS);
     const waiting = [
       ...[...this.#serverSelector.queuedRequests()].map((context) => ({
         context,
         dueAt: context.arrivedAt + context.route.targetMs,
-        isReturning: false,
-      })),
-      ...this.#expectedReturns.map(({ at, context }) => ({
-        context,
-        dueAt: at,
-        isReturning: true,
-      })),
-      ...[...this.#removalWatch.moves()].map((move) => ({
-        ...move,
-        isReturning: false,
       })),
+      ...this.#removalWatch.moves(),
     ];
-    for (const { context, dueAt, isReturning } of waiting) {
+    for (const { context, dueAt } of waiting) {
       const { metadata, origin, service } = context;
       if (metadata.model === undefined || service.engine === undefined) {
         continue;
@@ -531,9 +527,7 @@
         metadata.adapter,
         origin?.softwareVersion ?? undefined,
       );
-      const dueMs = Math.round(dueAt - now);
-      demand.slacksMs.push(dueMs);
-      if (isReturning) (demand.returningMs ??= []).push(dueMs);
+      demand.slacksMs.push(Math.round(dueAt - now));
     }
     for (
       const { adapter, count, model, server } of this.#serverTracker
@@ -547,20 +541,6 @@
   }
 }
 
-/** A caller that was told to come back, and the monotonic time of that. */
-type ExpectedReturn = {
-  readonly context: types.RequestContext;
-  readonly at: number;
-};
-
-/** Number of requests that arrived for a model. */
-type ArrivalCount = {
-  readonly service: string;
-  readonly model: string;
-  readonly adapter: string | undefined;
-  count: number;
-};
-
 function demandKey(
   service: string,
   model: string,
--- a/packages/daemon/src/gateway/entry/server_selector.ts
+++ b/packages/daemon/src/gateway/entry/server_selector.ts
@@ -11,7 +11,9 @@
 import type * as crashSuspects from "./crash_suspects.ts";
 import type * as fleetView from "./fleet_view.ts";
 import type * as hostDrain from "./host_drain.ts";
+import type * as returningCallers from "./returning_callers.ts";
 import type * as serverTracker from "./server_tracker.ts";
+import * as serverTokens from "./server_tokens.ts";
 import type * as types from "./types.ts";
 import type * as unitBorrower from "./unit_borrower.ts";
 
@@ -39,6 +41,7 @@
 export interface ServerSelectorOptions {
   readonly view: fleetView.FleetView;
   readonly tracker: serverTracker.ServerTracker;
+  readonly callers: Pick<returningCallers.ReturningCallers, "isReturning">;
   /** Failure domain of this host; absent if all servers are as near. */
   readonly failureDomain?: string | undefined;
   readonly borrower: Pick<unitBorrower.UnitBorrower, "tryTake" | "want">;
@@ -64,8 +67,9 @@
 
   constructor(options: ServerSelectorOptions) {
     this.#options = options;
-    const { failureDomain, tracker, view } = options;
+    const { callers, failureDomain, tracker, view } = options;
     this.#engineChoice = new engineChoice.EngineChoice({
+      callers,
       failureDomain,
       tracker,
       view,
@@ -98,7 +102,9 @@
     const now = performance.now();
     const selection = this.#trySelect(context, now);
     if (selection !== undefined) return selection;
-    if (now >= context.queueDeadline) return { kind: "expired" };
+    if (now >= context.queueDeadline) {
+      return this.#expire(context, [...this.#queue], now);
+    }
     return await this.#enqueue(context);
   }
 
@@ -110,14 +116,13 @@
   /** Gives up the requests whose models will be loaded too late. */
   applyForecasts(forecasts: readonly gateway.LoadForecast[]): void {
     const now = performance.now();
-    for (const { model, readyMs, service } of forecasts) {
+    for (const forecast of forecasts) {
       for (const queued of this.#queue) {
-        const { metadata, queueDeadline } = queued.context;
-        if (queued.context.service.name !== service) continue;
-        if (metadata.model !== model || now + readyMs <= queueDeadline) {
-          continue;
-        }
-        this.#dequeue(queued, { kind: "hopeless", readyMs });
+        const { metadata, queueDeadline, service } = queued.context;
+        if (service.name !== forecast.service) continue;
+        const isInTime = now + forecast.readyMs <= queueDeadline;
+        if (metadata.model !== forecast.model || isInTime) continue;
+        this.#dequeue(queued, { kind: "hopeless", forecast });
       }
     }
   }
@@ -130,11 +135,12 @@
       return;
     }
     const now = performance.now();
-    for (const queued of this.#orderedQueue(now)) {
+    const ordered = this.#orderedQueue(now);
+    for (const [index, queued] of ordered.entries()) {
       const { context } = queued;
       const isExpired = now >= context.queueDeadline || context.signal.aborted;
       const selection = isExpired
-        ? { kind: "expired" as const }
+        ? this.#expire(context, ordered.slice(0, index), now)
         : this.#trySelect(context, now);
       if (selection !== undefined) this.#dequeue(queued, selection);
     }
@@ -156,6 +162,37 @@
     return [...plain, ...engine];
   }
 
+  /**
+   * Gives up a request, and estimates when there is room for it.
+   *
+   * @param earlier requests that went before it, of which some still wait
+   */
+  #expire(
+    context: types.RequestContext,
+    earlier: readonly QueuedRequest[],
+    now: number,
+  ): types.Selection {
+    const { engine, name } = context.service;
+    if (engine === undefined) return { kind: "expired" };
+    const servers = this.#capableServers(context, now).length;
+    if (servers === 0) {
+      const isLoaded = this.#options.view.readyServers(name)
+        .some(({ record }) => holds(record, context.metadata.model));
+      return { kind: "expired", missing: isLoaded ? "adapter" : "model" };
+    }
+    const { tokens } = this.#options.tracker;
+    const waiting = earlier.filter((queued) =>
+      this.#queue.has(queued) && queued.context.service.name === name &&
+      queued.context.metadata.model === context.metadata.model
+    );
+    const unreadTokens = waiting.reduce(
+      (sum, queued) => sum + serverTokens.tokensOf(queued.context).unreadTokens,
+      0,
+    );
+    const { msPerToken } = tokens.estimateOf(name);
+    return { kind: "expired", roomMs: unreadTokens * msPerToken / servers };
+  }
+
   /** Decides on a request, unless it has to wait. */
   #trySelect(
     context: types.RequestContext,
@@ -243,14 +280,16 @@
       !tracker.isEjected(id, now) && !context.failedServers.has(id)
     );
     const maxUtilization = context.service.engine ? 1 : MAX_PLAIN_UTILIZATION;
+    const mayUseKept = this.#engineChoice.mayUseKeptRoom(context, now);
     const candidates = (healthy.length > 0 ? healthy : eligible)
       .map((known) => ({
         id: known.record.id,
         record: known.record,
         utilization: this.#utilization(known.record, now),
+        kept: mayUseKept ? 0 : this.#keptPart(known.record, now),
         isCold: isCold(known, context, now),
       }))
-      .filter(({ utilization }) => utilization < maxUtilization);
+      .filter(({ kept, utilization }) => utilization + kept < maxUtilization);
     const warm = candidates.filter((one) => !one.isCold);
     if (context.service.engine === undefined) {
       return selectCandidate(context, warm)?.record ??
@@ -349,6 +388,11 @@
     return undefined;
   }
 
+  /** Part of a server's slots that is kept for callers that come back. */
+  #keptPart({ id, slots }: gateway.ServerRecord, now: number): number {
+    return this.#options.tracker.keptSlots(id, now) / Math.max(1, slots);
+  }
+
   /** Requests in flight per slot. */
   #utilization({ id, slots }: gateway.ServerRecord, now: number): number {
     return this.#options.tracker.loadOf(id, now) / Math.max(1, slots);
@@ -380,6 +424,14 @@
     now - lastHeartbeatAt <= record.coldMs;
 }
 
+/** Whether a server has a model loaded. */
+function holds(
+  { models }: gateway.ServerRecord,
+  model: string | undefined,
+): boolean {
+  return models.some(({ name }) => name === model);
+}
+
 /** Whether a server may continue the stream that a request resumes, if any. */
 function hasVersion(
   { softwareVersion }: gateway.ServerRecord,
--- a/packages/daemon/src/gateway/entry/types.ts
+++ b/packages/daemon/src/gateway/entry/types.ts
@@ -94,7 +94,16 @@
   /** This host stops, and the request might not end before. */
   | { readonly kind: "stopping" }
   /** No server has taken the request until its queue deadline. */
-  | { readonly kind: "expired" }
+  | {
+    readonly kind: "expired";
+    /**
+     * Time until the prompts that wait before it for its model are read, in
+     * milliseconds; absent if no server has the model and adapter.
+     */
+    readonly roomMs?: number;
+    /** What no server had; absent if some had all. */
+    readonly missing?: "model" | "adapter";
+  }
   /** The request is not to be run, because it crashed servers. */
   | {
     readonly kind: "quarantined";
@@ -112,8 +121,8 @@
   /** No server will have the model in time. */
   | {
     readonly kind: "hopeless";
-    /** Time until the model can be loaded at the earliest, in milliseconds. */
-    readonly readyMs: number;
+    /** The leader's forecast that this follows from. */
+    readonly forecast: gateway.LoadForecast;
   };
 
 /** State of a request that an entry host is handling. */
--- a/packages/daemon/test/gateway/server_selector_test.ts
+++ b/packages/daemon/test/gateway/server_selector_test.ts
@@ -39,10 +39,14 @@
     onNews: () => {},
   });
 
+  /** Deadline of a request whose caller comes back. */
+  returning: number | undefined;
+
   constructor(servers: gateway.ServerRecord[]) {
     this.selector = new serverSelector.ServerSelector({
       view: this.view,
       tracker: this.tracker,
+      callers: { isReturning: ({ deadline }) => deadline === this.returning },
       borrower: {
         tryTake: () => {
           if (this.units === 0) return false;
@@ -241,10 +245,10 @@
     const startedAt = performance.now();
     const selection = fixture.select("m2", 2_000);
     const patient = fixture.select("m2", 9_000);
-    fixture.selector.applyForecasts([
-      { service: SERVICE.name, model: "m2", readyMs: 5_000 },
-    ]);
-    expect(await selection).to.deep.equal({ kind: "hopeless", readyMs: 5_000 });
+    const forecast = { service: SERVICE.name, model: "m2", readyMs: 5_000 };
+    fixture.selector.applyForecasts([forecast]);
+    expect(await selection)
+      .to.deep.equal({ kind: "hopeless", forecast });
     expect(performance.now() - startedAt).to.be.below(500);
     // The other request has the time, and waits on.
     expect(fixture.selector.isWaiting).to.equal(true);
@@ -252,6 +256,78 @@
     expect(await patient).to.deep.equal({ kind: "expired" });
   });
 
+  it("keeps room for callers that come back, from those that can wait", async () => {
+    using fixture = new Fixture([record("s1")]);
+    const told = { server: "s1", running: 7, kept: 1 };
+    fixture.tracker.applyFleetLoad([told], performance.now());
+    const patient = fixture.select("m1", 9_000);
+    expect(fixture.selector.isWaiting).to.equal(true);
+    const back = fixture.context("m1", 9_000);
+    fixture.returning = back.deadline;
+    const selected = await fixture.selector.select(back);
+    expect(selected.kind).to.equal("server");
+    // It takes the room when it would be late otherwise.
+    expect((await patient).kind).to.equal("server");
+  });
+
+  it("lets a request that can not wait have the room that is kept", async () => {
+    using fixture = new Fixture([record("s1")]);
+    const told = { server: "s1", running: 7, kept: 1 };
+    fixture.tracker.applyFleetLoad([told], performance.now());
+    const context = fixture.context("m1", 9_000);
+    const urgent = { ...context, arrivedAt: context.arrivedAt - 500 };
+    expect((await fixture.selector.select(urgent)).kind).to.equal("server");
+    expect(fixture.selector.isWaiting).to.equal(false);
+  });
+
+  it("leaves kept room no longer than a full server lets it", async () => {
+    using fixture = new Fixture([record("s1")]);
+    const told = { server: "s1", running: 7, kept: 1 };
+    fixture.tracker.applyFleetLoad([told], performance.now());
+    const context = fixture.context("m1", 9_000);
+    const { tokens } = fixture.tracker;
+    const estimate = tokens.estimateOf(context.service.name);
+    const expectedMs = (utilization: number) =>
+      estimate.expectedMs({ tokens: 0, utilization });
+    expect(expectedMs(0)).to.be.below(expectedMs(1));
+    const leftMs = expectedMs(0) + expectedMs(1);
+    const arrivedAt = context.arrivedAt + leftMs - context.route.targetMs;
+    const selection = await fixture.selector.select({ ...context, arrivedAt });
+    expect(selection.kind).to.equal("server");
+  });
+
+  it("keeps no room that a leader told of before it was lost", async () => {
+    using fixture = new Fixture([record("s1")]);
+    const told = { server: "s1", running: 7, kept: 1 };
+    fixture.tracker.applyFleetLoad([told], performance.now() - 2_100);
+    expect((await fixture.select("m1", 9_000)).kind).to.equal("server");
+  });
+
+  it("does not let a request that found no room wait for itself", async () => {
+    using fixture = new Fixture([record("s1"), record("s2")]);
+    const load = ["s1", "s2"].map((server) => ({ server, running: 8 }));
+    fixture.tracker.applyFleetLoad(load, performance.now());
+    const context = fixture.context("m1", 60);
+    const metadata = { ...context.metadata, promptTokens: 100_000 };
+    const selection = await fixture.selector.select({ ...context, metadata });
+    expect(selection).to.deep.equal({ kind: "expired", roomMs: 0 });
+  });
+
+  it("tells how long the prompts take that wait before a request", async () => {
+    using fixture = new Fixture([record("s1"), record("s2")]);
+    const load = ["s1", "s2"].map((server) => ({ server, running: 8 }));
+    fixture.tracker.applyFleetLoad(load, performance.now());
+    const patient = fixture.context("m1", 9_000);
+    const metadata = { ...patient.metadata, promptTokens: 100_000 };
+    const arrivedAt = performance.now() - 20_000;
+    const waiting = { ...patient, metadata, arrivedAt };
+    void fixture.selector.select({ ...waiting, priority: 0 });
+    void fixture.selector.select({ ...waiting, priority: 9 });
+    const selection = await fixture.select("m1", 60);
+    // A token takes 0.05 ms as long as no answer has been seen.
+    expect(selection).to.deep.equal({ kind: "expired", roomMs: 2_500 });
+  });
+
   it("lets requests for other models and services wait", () => {
     using fixture = new Fixture([record("s1")]);
     void fixture.select("m2", 2_000);
@@ -276,7 +352,12 @@
 
   it("gives up at the queue deadline", async () => {
     using fixture = new Fixture([record("s1")]);
-    expect(await fixture.select("m2", 60)).to.deep.equal({ kind: "expired" });
+    expect(await fixture.select("m2", 60))
+      .to.deep.equal({ kind: "expired", missing: "model" });
+    const context = fixture.context("m1", 60);
+    const metadata = { ...context.metadata, adapter: "a1" };
+    expect(await fixture.selector.select({ ...context, metadata }))
+      .to.deep.equal({ kind: "expired", missing: "adapter" });
   });
 
   it("sends to a cold server with a borrowed unit only", async () => {
