Pace all bodies from one place, and state defaults and offers once

Leftovers of a review:

- Two pacers each allowed bodies in small chunks a quarter of one event loop, those of clients and those of servers.
They share one now, in http_body.
- The RPC client and the replication link each remembered which peers read compressed bodies.
EncodingOffers does, for both.
A peer that refuses a request but offers the encoding is believed now by the RPC client, too, as by the link.
- The defaults of bodies on their way and unread answers are stated once, in protocol/settings: 48 MiB for both programs, as a heap of 200 MB bears it. ebonypathd had 64 MiB.
- What dropBody and discardRest of a guarded request share is one method.
The rest of them differs: one drops what has come, too, and _dump is Node.js's own.

--- a/packages/core/src/clients/limits.ts
+++ b/packages/core/src/clients/limits.ts
@@ -1,3 +1,7 @@
+import * as protocol from "@ebonypath/protocol";
+
+const { maxHeldBytes, maxRequestsAhead } = protocol.settings.CLIENT_DEFAULTS;
+
 /** Bounds of what the clients of one listener hold at a host. */
 export type ClientLimits = {
   /** Connections. */
@@ -21,10 +25,10 @@
  * at 35 KB/s; what is held is less than a heap of 200 MB.
  */
 export const DEFAULT_LIMITS: Omit<ClientLimits, "maxConnections"> = {
-  maxRequestsAhead: 16,
+  maxRequestsAhead,
   maxRequestsAheadInAll: 512,
-  maxBodyBytes: 48 * 1024 * 1024,
-  maxUnreadBytes: 48 * 1024 * 1024,
+  maxBodyBytes: maxHeldBytes,
+  maxUnreadBytes: maxHeldBytes,
   bodyTimeoutMs: 120_000,
 };
 
--- a/packages/daemon/src/fleet/body_encoding.ts
+++ b/packages/daemon/src/fleet/body_encoding.ts
@@ -8,6 +8,7 @@
  */
 import { Buffer } from "node:buffer";
 import * as zlib from "node:zlib";
+import type * as undici from "undici";
 
 /** Value of the headers that offer and state the encoding. */
 export const ENCODING = "deflate";
@@ -24,6 +25,9 @@
 /** Fastest level: the higher ones save a tenth more and take twice as long. */
 const OPTIONS: zlib.ZlibOptions = { level: zlib.constants.Z_BEST_SPEED };
 
+/** Lowest status of a request that was not handled. */
+const MIN_ERROR_STATUS = 300;
+
 /** A body as it is sent. */
 export type EncodedBody = {
   readonly bytes: Buffer;
@@ -54,6 +58,40 @@
   };
 }
 
+/** Remembers which peers have offered to read compressed bodies. */
+export class EncodingOffers {
+  readonly #peers = new Set<string>();
+
+  /**
+   * Compresses a body if that is worth it and the peer can read it.
+   *
+   * @example
+   * ```ts
+   * const { bytes, headers } = offers.encode("127.0.0.1:7001", body);
+   * ```
+   */
+  encode(peer: string, body: Buffer): EncodedBody {
+    return encodeBody(body, this.#peers.has(peer));
+  }
+
+  /**
+   * Takes note of a response. A refusal without an offer may be that of a host of
+   * an earlier build that has taken over the address.
+   */
+  record(
+    peer: string,
+    { headers, statusCode }: undici.Dispatcher.ResponseData,
+  ): void {
+    if (acceptsEncoding(headers)) this.#peers.add(peer);
+    else if (statusCode >= MIN_ERROR_STATUS) this.forget(peer);
+  }
+
+  /** Sends plain bodies to a peer until it offers to read others again. */
+  forget(peer: string): void {
+    this.#peers.delete(peer);
+  }
+}
+
 /** Whether the sender of these headers can read compressed bodies. */
 export function acceptsEncoding(
   headers: { readonly "accept-encoding"?: string | string[] | undefined },
--- a/packages/daemon/src/fleet/rpc_client.ts
+++ b/packages/daemon/src/fleet/rpc_client.ts
@@ -37,8 +37,7 @@
 export class RpcClient {
   readonly #options: linkOptions.LinkOptions;
   readonly #pools = new Map<string, undici.Pool>();
-  /** Peers that have offered to read compressed requests. */
-  readonly #offers = new Set<string>();
+  readonly #offers = new bodyEncoding.EncodingOffers();
   #nextId = 1;
 
   constructor(options: linkOptions.LinkOptions) {
@@ -154,9 +153,9 @@
     body: unknown,
     signal: AbortSignal,
   ): Promise<string> {
-    const { bytes, headers } = bodyEncoding.encodeBody(
+    const { bytes, headers } = this.#offers.encode(
+      peer,
       Buffer.from(JSON.stringify(body)),
-      this.#offers.has(peer),
     );
     const response = await this.#pool(peer).request({
       path: "/rpc",
@@ -170,10 +169,9 @@
       body: bytes,
       signal,
     });
-    const text = await this.#readBody(peer, response);
+    this.#offers.record(peer, response);
+    const text = await readBody(response);
     if (response.statusCode === 200) return text;
-    // A host of an earlier build may have taken over the address.
-    this.#offers.delete(peer);
     throw new errors.RemoteError(
       method,
       peer,
@@ -182,19 +180,6 @@
     );
   }
 
-  async #readBody(
-    peer: string,
-    { body, headers }: undici.Dispatcher.ResponseData,
-  ): Promise<string> {
-    if (bodyEncoding.acceptsEncoding(headers)) this.#offers.add(peer);
-    const encoding = headers["content-encoding"]?.toString();
-    return bodyEncoding.decodeBody(
-      Buffer.from(await body.arrayBuffer()),
-      encoding,
-      MAX_RESPONSE_BYTES,
-    );
-  }
-
   #headers(): Record<string, string> {
     return { "authorization": `Bearer ${this.#options.secret}` };
   }
@@ -222,7 +207,7 @@
   #replacePool(peer: string): void {
     const pool = this.#pools.get(peer);
     this.#pools.delete(peer);
-    this.#offers.delete(peer);
+    this.#offers.forget(peer);
     pool?.close().catch(() => undefined);
   }
 }
@@ -274,3 +259,14 @@
   }
   return new errors.RemoteError(method, peer, message, code);
 }
+
+async function readBody(
+  { body, headers }: undici.Dispatcher.ResponseData,
+): Promise<string> {
+  const encoding = headers["content-encoding"]?.toString();
+  return bodyEncoding.decodeBody(
+    Buffer.from(await body.arrayBuffer()),
+    encoding,
+    MAX_RESPONSE_BYTES,
+  );
+}
--- a/packages/daemon/src/gateway/entry/body_reader.ts
+++ b/packages/daemon/src/gateway/entry/body_reader.ts
@@ -6,11 +6,9 @@
 import { Buffer } from "node:buffer";
 import type * as http from "node:http";
 import process from "node:process";
-import * as core from "@ebonypath/core";
+import * as httpBody from "../../http_body/mod.ts";
 
 const EMPTY = Buffer.alloc(0);
-/** Shared by all responses, since they share the event loop. */
-const pacer = new core.gateway.ReadPacer();
 
 /**
  * Reads the body of a response, with rests if it comes in small chunks. The
@@ -106,7 +104,8 @@
     this.#chunks = 0;
     onRead(bytes);
     const now = performance.now();
-    const delayMs = pacer.delayMs({ chunks, tookMs: now - this.#readAt }, now);
+    const tookMs = now - this.#readAt;
+    const delayMs = httpBody.readPacer.delayMs({ chunks, tookMs }, now);
     if (delayMs <= 0 || this.#message.destroyed) return;
     setTimeout(this.hold(), delayMs);
   }
--- a/packages/daemon/src/listener/client_guard.ts
+++ b/packages/daemon/src/listener/client_guard.ts
@@ -15,6 +15,7 @@
 import process from "node:process";
 import * as v8 from "node:v8";
 import * as core from "@ebonypath/core";
+import * as httpBody from "../http_body/mod.ts";
 import * as log from "../log/mod.ts";
 
 const write = log.createLog("clients");
@@ -54,8 +55,6 @@
   socket: net.Socket,
 ) => void;
 
-/** Shared by all requests, since they share the event loop. */
-const pacer = new core.gateway.ReadPacer();
 const connections = new WeakMap<net.Socket, Connection>();
 const REFUSED = Symbol("refused");
 const UPGRADE = Symbol("upgrade");
@@ -221,16 +220,14 @@
 
   /** Drops what has come of the body and what is left of it. */
   dropBody(): void {
-    this.#isDiscarded = true;
-    this.#endBody();
+    this.#discard();
     if (this.readableFlowing !== true) this.read();
   }
 
   /** Drops what is left of the body, which nobody needs any more. */
   discardRest(): void {
     if (this.complete || this.#isDiscarded) return;
-    this.#isDiscarded = true;
-    this.#endBody();
+    this.#discard();
     if (this.readableFlowing === null) this.resume();
   }
 
@@ -242,6 +239,11 @@
     super._destroy(error, callback);
   }
 
+  #discard(): void {
+    this.#isDiscarded = true;
+    this.#endBody();
+  }
+
   #countChunk(): void {
     const now = performance.now();
     if (this.#chunks === 0) {
@@ -259,7 +261,10 @@
     const chunks = this.#chunks;
     this.#chunks = 0;
     const tookMs = this.#readUntil - this.#readAt;
-    const delayMs = pacer.delayMs({ chunks, tookMs }, performance.now());
+    const delayMs = httpBody.readPacer.delayMs(
+      { chunks, tookMs },
+      performance.now(),
+    );
     if (delayMs <= 0 || this.complete || this.destroyed) return;
     this.#isResting = true;
     this.socket.pause();
--- a/packages/daemon/src/replication/transport.ts
+++ b/packages/daemon/src/replication/transport.ts
@@ -93,8 +93,7 @@
   readonly peer: replication.Member;
   #options: HttpTransportOptions;
   #client: undici.Client | null = null;
-  /** Whether the peer has offered to read compressed requests. */
-  #isEncodingOffered = false;
+  readonly #offers = new fleet.EncodingOffers();
   #queue: string[] = [];
   #queuedBytes = 0;
   #isSending = false;
@@ -154,9 +153,10 @@
     const timeoutMs = this.#options.requestTimeoutMs ??
       DEFAULT_REQUEST_TIMEOUT_MS;
     const client = this.#openClient();
-    const { bytes, headers } = fleet.encodeBody(
+    const { id } = this.peer;
+    const { bytes, headers } = this.#offers.encode(
+      id,
       this.#encodeRequest(batch),
-      this.#isEncodingOffered,
     );
     try {
       const response = await client.request({
@@ -171,15 +171,11 @@
       });
       await response.body.dump();
       const isWorking = response.statusCode < 300;
-      if (fleet.acceptsEncoding(response.headers)) {
-        this.#isEncodingOffered = true;
-      } else if (!isWorking) {
-        this.#isEncodingOffered = false;
-      }
+      this.#offers.record(id, response);
       this.#logStateChange(isWorking, `status ${response.statusCode}`);
     } catch (error) {
       this.#client = null;
-      this.#isEncodingOffered = false;
+      this.#offers.forget(id);
       this.#logStateChange(
         false,
         error instanceof Error ? error.message : "unknown",
--- a/packages/protocol/src/settings/types.ts
+++ b/packages/protocol/src/settings/types.ts
@@ -152,6 +152,17 @@
 });
 export type Backends = v.InferOutput<typeof Backends>;
 
+/**
+ * What the clients of a listener may hold unless the settings say otherwise, for
+ * both programs. A heap of 200 MB bears it.
+ */
+export const CLIENT_DEFAULTS = {
+  /** Requests sent ahead on a connection. */
+  maxRequestsAhead: 16,
+  /** Bodies on their way, and answers that are not read, each in bytes. */
+  maxHeldBytes: 48 * MIB,
+} as const;
+
 /** Limits on what the host accepts and stores. */
 export const Limits = v.strictObject({
   /** Maximum body size of a request by a caller, in bytes. */
@@ -171,14 +182,20 @@
   /** Maximum number of connections per listener. */
   maxConnections: v.optional(integerBetween(1, 100_000), 10_000),
   /** Maximum number of requests sent ahead on a connection. */
-  maxRequestsAhead: v.optional(integerBetween(0, 1_000), 16),
+  maxRequestsAhead: v.optional(
+    integerBetween(0, 1_000),
+    CLIENT_DEFAULTS.maxRequestsAhead,
+  ),
   /** Maximum size of bodies on their way to a listener, all together. */
   maxReceivingBytes: v.optional(
     integerBetween(MIB, 64 * 1_024 * MIB),
-    64 * MIB,
+    CLIENT_DEFAULTS.maxHeldBytes,
   ),
   /** Maximum size of answers of a listener that are not read, all together. */
-  maxUnreadBytes: v.optional(integerBetween(MIB, 64 * 1_024 * MIB), 64 * MIB),
+  maxUnreadBytes: v.optional(
+    integerBetween(MIB, 64 * 1_024 * MIB),
+    CLIENT_DEFAULTS.maxHeldBytes,
+  ),
   /** Maximum number of requests in the queue of the host. */
   maxQueue: v.optional(integerBetween(1, 1_000_000), 10_000),
   /** Maximum size of a response that is stored for replay, in bytes. */
