Let the test of rolling restarts find an order that ran twice at the end

The check compared the first orders alone, so that one which ran again after the last answered one passed. All runs of answered orders count now, and at most one order may have run that is not answered.

--- a/packages/daemon/test/integration/rolling_restart_test.ts
+++ b/packages/daemon/test/integration/rolling_restart_test.ts
@@ -128,7 +128,9 @@
     expect(orders.length).to.be.greaterThan(HOSTS);
     const [plain] = scenario.plains;
     const executed = plain?.journal.executions.map(({ id }) => id) ?? [];
+    const ids = new Set(orders);
+    expect(executed.filter((id) => ids.has(id))).to.deep.equal(orders);
     // One more may have run that is not answered yet.
-    expect(executed.slice(0, orders.length)).to.deep.equal(orders);
+    expect(executed.length).to.be.at.most(orders.length + 1);
   });
 });
