Let a service load beside others, and mend what a review of loads found

- A service with few servers began no load from the store while another one had any: its own limit was compared with the loads of all services.
- A load that took over 30 s was given up and begun elsewhere, where twice the store's bound let each take up to 32 s.
It may take three times its usual duration now.
- A second replica of a busy model could evict the last one of another.
- Callers that came back, or were overdue, stayed among the waiting ones for up to a second, and passed as 2.5 s late when their host fell silent.
- Streams that need one version waited for copies at other versions.
- Servers without copies don't count towards the share that may load at once.

--- a/packages/core/src/gateway/demand_tracker.ts
+++ b/packages/core/src/gateway/demand_tracker.ts
@@ -159,12 +159,13 @@
       const isNegligible = record.running + record.waiting.size === 0 &&
         record.arrivalsPerSecond < NEGLIGIBLE_PER_SECOND;
       if (isNegligible) this.#records.delete(key);
+      const returningMs = currentReturns(record, now);
       aggregates.push({
         model: record.model,
         adapter: record.adapter,
         softwareVersion: record.softwareVersion,
-        slacksMs: currentSlacks(record, now),
-        returningMs: currentReturns(record, now),
+        slacksMs: [...currentSlacks(record, now), ...returningMs],
+        returningMs,
         arrivalsPerSecond: record.arrivalsPerSecond,
         concurrency: record.concurrency,
       });
@@ -243,11 +244,22 @@
   return count;
 }
 
-/** Slacks of all waiting requests, less the time since they were reported. */
+/**
+ * Slacks of waiting requests, less the time since they were reported. Hosts name
+ * callers that come back among them, too, for leaders of earlier builds.
+ */
 function currentSlacks({ waiting }: DemandRecord, now: number): number[] {
   const slacks: number[] = [];
-  for (const { at, slacksMs } of waiting.values()) {
-    for (const slackMs of slacksMs) slacks.push(slackMs - (now - at));
+  for (const { at, returningMs, slacksMs } of waiting.values()) {
+    const returning = new Map<number, number>();
+    for (const dueMs of returningMs) {
+      returning.set(dueMs, (returning.get(dueMs) ?? 0) + 1);
+    }
+    for (const slackMs of slacksMs) {
+      const count = returning.get(slackMs) ?? 0;
+      if (count > 0) returning.set(slackMs, count - 1);
+      else slacks.push(slackMs - (now - at));
+    }
   }
   return slacks;
 }
--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -373,15 +373,12 @@
   #bestOption(demand: types.AggregateDemand): LoadOption | undefined {
     const model = this.#models.get(demand.model);
     if (model === undefined) return undefined;
-    const isRequested = loadDemand.hasWaiting(demand);
     const mayEvictRunning =
       loadDemand.minWaitingSlack(demand) < -EVICT_RUNNING_LATE_MS;
     return this.#input.servers
       .filter((server) => loadDemand.mayServe(server, demand))
       .filter((server) => this.#canLoad(server, demand.model))
-      .map((server) =>
-        this.#loadOption(server, model, isRequested, mayEvictRunning)
-      )
+      .map((server) => this.#loadOption(server, model, demand, mayEvictRunning))
       .filter((option) => option !== undefined)
       .map((option) => this.#addBlockedCost(option, demand))
       .filter((option) => option !== undefined)
@@ -435,13 +432,12 @@
   #loadOption(
     server: types.PlannerServer,
     model: gateway.Model,
-    isRequested: boolean,
+    demand: types.AggregateDemand,
     mayEvictRunning: boolean,
   ): LoadOption | undefined {
+    const isRequested = loadDemand.hasWaiting(demand);
     const source = weightSource(server, model.name);
-    if (source === "store" && !this.#mayLoadFromStore(model.name)) {
-      return undefined;
-    }
+    if (source === "store" && !this.#mayLoadFromStore(demand)) return undefined;
     const loadMs = loadDuration(model, source);
     const readyMs = server.busyMs + loadMs;
     if (this.#freeMb(server) >= model.weightsMb) {
@@ -458,11 +454,15 @@
    * Whether a load from the store may begin. One under way isn't doubled, and
    * one of a model that a server has at hand waits for that server. Additional
    * replicas come from the store only while nothing else is needed from it.
+   * Neither holds for streams that only servers of one version can continue.
    */
-  #mayLoadFromStore(model: string): boolean {
+  #mayLoadFromStore(
+    { model, softwareVersion }: types.AggregateDemand,
+  ): boolean {
     const isBound = !this.#canLoadFromStore &&
       this.#requestsFor(model) < this.#overloadRequests;
     if (isBound) return false;
+    if (softwareVersion !== undefined) return true;
     if (this.#replicaCount(model) > 0) {
       return !this.#isStoreInDemand && !this.#isMissing(model);
     }
@@ -503,7 +503,7 @@
     return server.models
       .filter(({ name }) =>
         this.#mayEvict(server, name, isRequested) ||
-        this.#isOutweighed(server, name, forModel)
+        isRequested && this.#isOutweighed(server, name, forModel)
       )
       .map(({ name }) => ({
         name,
@@ -538,8 +538,9 @@
   }
 
   /**
-   * Whether far more requests are for another model than for an idle one. Those
-   * that wait for the idle one are mostly callers that were told to come back.
+   * Whether far more requests are for a model that no server holds than for an
+   * idle one. Those that wait for the idle one are mostly callers that were told
+   * to come back.
    */
   #isOutweighed(
     server: types.PlannerServer,
@@ -549,6 +550,7 @@
     const { loadedAt, now } = this.#input;
     const age = now - (loadedAt.get(`${server.id} ${model}`) ?? -Infinity);
     return age >= REQUESTED_RESIDENCE_MS && !server.running.get(model) &&
+      this.#replicaCount(other) === 0 &&
       this.#requestsFor(other) >
         OUTWEIGH_FACTOR * Math.max(1, this.#requestsFor(model));
   }
--- a/packages/core/test/gateway/demand_tracker_test.ts
+++ b/packages/core/test/gateway/demand_tracker_test.ts
@@ -53,6 +53,18 @@
     expect(dueAt(4_000)).to.deep.equal([]);
   });
 
+  it("counts callers that come back among the waiting ones as long", () => {
+    const tracker = new core.DemandTracker();
+    const [waiting] = report("h1", 0, [400, 1_500]).demand;
+    if (waiting === undefined) throw new Error("no demand");
+    const expected = { ...waiting, returningMs: [1_500] };
+    tracker.addReport({ host: "h1", demand: [expected], load: [] }, 0);
+    const slacksAt = (now: number) =>
+      tracker.aggregate(SERVICE, now)[0]?.slacksMs;
+    expect(slacksAt(500)).to.deep.equal([-100, 1_000]);
+    expect(slacksAt(3_600)).to.deep.equal([-3_200]);
+  });
+
   it("doesn't expect callers that have come, at any host", () => {
     const tracker = new core.DemandTracker();
     const [waiting] = report("h1", 0, [300, 900]).demand;
--- a/packages/core/test/gateway/unserved_models_test.ts
+++ b/packages/core/test/gateway/unserved_models_test.ts
@@ -123,6 +123,27 @@
     expect(victim(8_000)).to.deep.equal(["c"]);
   });
 
+  it("evicts no last replica for a second one of a busy model", () => {
+    const full = server({
+      id: "s1",
+      models: ["c", "d", "e"].map((name) => heldModel(name)),
+      onDisk: new Set(["b"]),
+    });
+    const holder = server({
+      id: "s2",
+      models: [heldModel("b")],
+      busyMs: 9_000,
+    });
+    const orders = planOrders(input({
+      servers: [full, holder],
+      demand: [
+        ...["c", "d", "e"].map((model) => demand({ model, slacksMs: [] })),
+        demand({ model: "b", slacksMs: [], arrivalsPerSecond: 10 }),
+      ],
+    }));
+    expect(orders).to.deep.equal([]);
+  });
+
   it("evicts a model that callers wait for only for far more requests", () => {
     const full = server({
       id: "s1",
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -184,7 +184,9 @@
     this.#unserved.set(service, unserved);
     unserved.update(demand, view, demandTracker.lastRequestedAt, now);
     this.#demandSince ??= now;
-    const maxLoads = Math.ceil(usableCount(view) * MAX_STORE_SHARE);
+    const ownLoads = executor.storeLoadsAt(servers);
+    const othersLoads = executor.activeStoreLoads - ownLoads;
+    const maxLoads = othersLoads + maxOwnStoreLoads(view);
     const { limit } = this.#storeConcurrency;
     const storeLimit = Math.min(limit, maxLoads);
     const admits = limiter.admitsModelLoad(executor.activeStoreLoads, now);
@@ -265,6 +267,17 @@
   }
 }
 
-function usableCount(servers: readonly core.gateway.PlannerServer[]): number {
-  return servers.filter(({ isUsable }) => isUsable).length;
+/**
+ * Loads from the store that the servers of one service may execute at once. A
+ * server without copies has nothing that its load could put out of reach.
+ */
+function maxOwnStoreLoads(
+  servers: readonly core.gateway.PlannerServer[],
+): number {
+  const usable = servers.filter(({ isUsable }) => isUsable);
+  const withCopies = usable.filter(({ inMemory, models, onDisk }) =>
+    onDisk.size + inMemory.size + models.length > 0
+  );
+  return usable.length - withCopies.length +
+    Math.ceil(withCopies.length * MAX_STORE_SHARE);
 }
--- a/packages/daemon/src/gateway/control/order_executor.ts
+++ b/packages/daemon/src/gateway/control/order_executor.ts
@@ -21,6 +21,11 @@
 const POLL_MS = 250;
 /** Time after which an accepted order counts as lost, in milliseconds. */
 const ORDER_TIMEOUT_MS = 30_000;
+/**
+ * Duration of a load, in expected durations, after which it counts as lost. With
+ * twice the loads that a store serves at full speed, each takes twice as long.
+ */
+const MAX_LOAD_STRETCH = 3;
 /** Pause after an order that a server did not accept, in milliseconds. */
 const CONFLICT_PAUSE_MS = 120;
 /** Pause after an order without an answer, in milliseconds. */
@@ -163,6 +168,13 @@
     return [...this.#servers.values()].filter(isLoadingFromStore).length;
   }
 
+  /** Number of these servers that load from the weight store. */
+  storeLoadsAt(servers: readonly gateway.Heartbeat[]): number {
+    return servers.filter((server) =>
+      isLoadingFromStore(this.#ordersOf(server))
+    ).length;
+  }
+
   /** Time until each load from the store should be complete, in ms. */
   storeLoadsMs(now: number): number[] {
     return [...this.#servers.values()].filter(isLoadingFromStore)
@@ -397,8 +409,12 @@
   ): Promise<void> {
     orders.isAccepted = true;
     orders.acceptedAt = performance.now();
+    const timeoutMs = Math.max(
+      ORDER_TIMEOUT_MS,
+      MAX_LOAD_STRETCH * expectedMs,
+    );
     await timers.setTimeout(expectedMs + FIRST_POLL_MS);
-    while (performance.now() - orders.acceptedAt < ORDER_TIMEOUT_MS) {
+    while (performance.now() - orders.acceptedAt < timeoutMs) {
       if (orders.current !== order) return;
       if (!this.#isRunning(server)) break;
       const isDone = await this.#hasCompleted(server, orders, order);
