Divide a workspace's rate by where it is used

Callers of a busy failure domain got 429 while no leader answered, though the other domains used next to nothing of the rate: each host had an equal part of it. Callers that were refused at a busy host were told to come back as far apart as if all hosts refused as many: 10 s with 85 hosts.

Half of a host's part is equal now, the other half follows the workspace's usage at this host lately.

--- a/packages/daemon/src/gateway/entry/rate_gate.ts
+++ b/packages/daemon/src/gateway/entry/rate_gate.ts
@@ -209,10 +209,10 @@
     const waitMs = isUsageKnown
       ? pollMs
       : Math.max(UNKNOWN_USAGE_WAIT_MS, pollMs);
-    const { hostCount } = this.#options.rateLimiter;
+    const fraction = this.#options.rateLimiter.partFraction(workspace);
     return this.#queue.scheduleReturn(
       workspace,
-      { tokens, perSecond, hostCount, waitMs },
+      { tokens, perSecond, fraction, waitMs },
       now,
     );
   }
