Lend retries to hosts that have used up their share

In fleets where each host has a share of the retries, a host that most requests come to could use a ninth of the slack while the others used none.

The leader lends from a reserve of a quarter of what is divided to hosts that have used up their share. At most 0.75 of the budget is used with it.

--- a/packages/core/src/gateway/shared_limits.ts
+++ b/packages/core/src/gateway/shared_limits.ts
@@ -74,6 +74,32 @@
   return retryAllowance(budget).burst < hostCount;
 }
 
+/**
+ * Retries that the leader lends to hosts which have used up their own share, while
+ * others may have all of theirs: a quarter of what is divided. With it, 0.75 of the
+ * budget is used at most.
+ */
+const RESERVE_FRACTION = 0.25;
+
+/**
+ * Pool of the retries that the leader lends.
+ *
+ * @example
+ * ```ts
+ * const budget = { ratio: 0.2, slack: 100, windowMs: 10_000 };
+ * retryPool(budget, 195); // all of them: { perSecond: 3, burst: 30 }
+ * retryPool(budget, 9); // a reserve: { perSecond: 0.75, burst: 7.5 }
+ * ```
+ */
+export function retryPool(
+  budget: FleetRetryBudget,
+  hostCount: number,
+): LendingPoolOptions {
+  const { burst, perSecond } = retryAllowance(budget);
+  const fraction = areRetriesLent(budget, hostCount) ? 1 : RESERVE_FRACTION;
+  return { burst: burst * fraction, perSecond: perSecond * fraction };
+}
+
 /**
  * Pool of the requests per second that all hosts may send to a cold server.
  *
--- a/packages/daemon/src/gateway/control/limit_lender.ts
+++ b/packages/daemon/src/gateway/control/limit_lender.ts
@@ -52,23 +52,31 @@
       this.#options.retryBudget,
       hostCount,
     );
+    const pool = core.gateway.retryPool(this.#options.retryBudget, hostCount);
     for (const { count, service } of requests) {
-      this.#retryPool(service, now).deposit(count * this.#allowance.perRequest);
+      const retries = this.#retryPool(service, pool, now);
+      // Hosts with a share of their own add to it with each request.
+      if (areRetriesLent) retries.deposit(count * this.#allowance.perRequest);
     }
     return wanted
       .map(({ limit, name, units }) => ({
         limit,
         name,
         units: limit === "retries"
-          ? areRetriesLent ? this.#retryPool(name, now).lend(units, now) : 0
+          ? this.#retryPool(name, pool, now).lend(units, now)
           : this.#lendColdRequests(name, units, now),
       }))
       .filter(({ units }) => units > 0);
   }
 
-  #retryPool(service: string, now: number): core.gateway.LendingPool {
+  #retryPool(
+    service: string,
+    options: core.gateway.LendingPoolOptions,
+    now: number,
+  ): core.gateway.LendingPool {
     const pool = this.#retries.get(service) ??
-      new core.gateway.LendingPool(this.#allowance, now);
+      new core.gateway.LendingPool(options, now);
+    pool.setOptions(options, now);
     this.#retries.set(service, pool);
     return pool;
   }
--- a/packages/daemon/src/gateway/entry/retry_budgets.ts
+++ b/packages/daemon/src/gateway/entry/retry_budgets.ts
@@ -1,8 +1,9 @@
 /**
  * Limits the retries of this host to its part of the fleet's retry budget.
  *
- * In a small fleet each host has a share of its own. Where a share would be less
- * than one retry, hosts borrow retries from the leader.
+ * In a small fleet each host has a share of its own, and borrows from a reserve
+ * of the leader when it has used it up. Where a share would be less than one
+ * retry, hosts borrow all of them.
  *
  * @module
  */
@@ -79,13 +80,14 @@
     return !this.#isLent && this.#budgetOf(service, now).tryWithdraw(now);
   }
 
-  /** Takes a retry, borrowed where hosts have no share of their own. */
+  /** Takes a retry of this host's share, or a borrowed one if that is used up. */
   async takeRetry(
     service: string,
     now: number,
     remainingMs: number,
   ): Promise<boolean> {
-    if (!this.#isLent) return this.tryRetry(service, now);
+    if (this.tryRetry(service, now)) return true;
+    if (this.#hostCount === 1) return false;
     const timeoutMs = Math.min(BORROW_TIMEOUT_MS, remainingMs);
     if (timeoutMs <= 0) return false;
     return await this.#borrower.take("retries", service, timeoutMs);
--- a/packages/daemon/test/gateway/retry_budgets_test.ts
+++ b/packages/daemon/test/gateway/retry_budgets_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import * as limitLender from "../../src/gateway/control/limit_lender.ts";
 import * as retryBudgets from "../../src/gateway/entry/retry_budgets.ts";
 import * as retryBudgetProperty from "./retry_budget_property.ts";
 
@@ -51,6 +52,29 @@
     }
   });
 
+  it("let a host that gets most of the requests use more than its part", async () => {
+    const lender = new limitLender.LimitLender({
+      retryBudget: FLEET_BUDGET,
+      coldRequestsPerSecond: () => 0,
+    });
+    lender.lend(SMALL_FLEET, [{ service: SERVICE, count: 1 }], [], 0);
+    let now = 0;
+    const budgets = new retryBudgets.RetryBudgets(FLEET_BUDGET, {
+      take: (limit, name) => {
+        const wanted = [{ limit, name, units: 1 }];
+        const lent = lender.lend(SMALL_FLEET, [], wanted, now);
+        return Promise.resolve(lent.length > 0);
+      },
+    });
+    budgets.setHostCount(SMALL_FLEET, 0);
+    let allowed = 0;
+    // A server fails at the requests of one host.
+    for (now = 60_000; now < 61_000; now += 100) {
+      if (await budgets.takeRetry(SERVICE, now, 1_000)) allowed += 1;
+    }
+    expect(allowed).to.be.within(4, 6);
+  });
+
   it("borrow until the number of hosts is known", async () => {
     const lender = borrower(false);
     const budgets = new retryBudgets.RetryBudgets(FLEET_BUDGET, lender);
