Let an entry host near a limit of its own take less

A weak host that is near its processor, memory, connections or link went on taking new callers until they were late, and refused nothing. Its memory for bodies and answers, 208 MB, was that of a host of 250 MB or more.

A host measures each second what it uses. Near a limit its readiness probe fails for 5 s at most, so that new callers come to other hosts; at the limit it refuses part of the requests before they run, with Retry-After. Hosts with less than 250 MB get less memory for bodies and answers; others are as before.

--- a/packages/core/src/clients/limits.ts
+++ b/packages/core/src/clients/limits.ts
@@ -57,6 +57,47 @@
   };
 }
 
+/** Memory of a host that bears the usual limits, in MB. */
+const USUAL_MEMORY_MB = 250;
+/** Memory that a process takes beside what its clients hold, in MB. */
+const PROCESS_MEMORY_MB = 90;
+/** Least fraction of the usual limits, on however small a host. */
+const MIN_MEMORY_FRACTION = 0.1;
+
+/**
+ * Returns the fraction of the usual limits of memory that a host bears; 1 for
+ * hosts with the usual memory or more.
+ *
+ * @example
+ * ```ts
+ * memoryFraction(210); // 0.75
+ * ```
+ */
+export function memoryFraction(memoryMb: number): number {
+  const fraction = (memoryMb - PROCESS_MEMORY_MB) /
+    (USUAL_MEMORY_MB - PROCESS_MEMORY_MB);
+  return Math.min(1, Math.max(MIN_MEMORY_FRACTION, fraction));
+}
+
+/**
+ * Returns limits that a host with this memory can bear.
+ *
+ * @example
+ * ```ts
+ * withinMemory(limits, 210).maxBodyBytes; // 37_748_736
+ * ```
+ */
+export function withinMemory<
+  Limits extends Pick<ClientLimits, "maxBodyBytes" | "maxUnreadBytes">,
+>(limits: Limits, memoryMb: number): Limits {
+  const fraction = memoryFraction(memoryMb);
+  return {
+    ...limits,
+    maxBodyBytes: Math.floor(limits.maxBodyBytes * fraction),
+    maxUnreadBytes: Math.floor(limits.maxUnreadBytes * fraction),
+  };
+}
+
 /** Why a client's connection is closed. */
 export type ClientFault =
   | "connections"
--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -9,6 +9,7 @@
 export * from "./freshness.ts";
 export * from "./demand_tracker.ts";
 export * from "./membership_change.ts";
+export * from "./host_load.ts";
 export * from "./load_forecast.ts";
 export * from "./load_planner.ts";
 export * from "./load_planner_types.ts";
--- a/packages/core/test/clients/clients_test.ts
+++ b/packages/core/test/clients/clients_test.ts
@@ -19,6 +19,14 @@
     expect(clients.withinHeap(limits, 209_715_200)).to.deep.equal(limits);
   });
 
+  it("leave a host of little memory some for its process", () => {
+    const limits = { ...clients.DEFAULT_LIMITS, maxConnections: 10 };
+    const { maxBodyBytes, maxUnreadBytes } = clients.withinMemory(limits, 160);
+    const buffers = (64 + 48) * 1024 * 1024 * clients.memoryFraction(160);
+    expect((maxBodyBytes + maxUnreadBytes + buffers) / 1e6).to.be.below(110);
+    expect(clients.withinMemory(limits, 250)).to.deep.equal(limits);
+  });
+
   it("leave descriptors and memory to the rest of a host", () => {
     const capacity = { descriptors: 4_100, memoryMb: 1_000 };
     expect(clients.connectionLimit("callers", capacity)).to.equal(2_925);
--- /dev/null
+++ b/packages/core/test/gateway/host_load_test.ts
@@ -0,0 +1,94 @@
+import { expect } from "chai";
+import { HostLoad, type HostUse } from "../../src/gateway/mod.ts";
+
+const CALM = { processor: 0.3, memory: 0, connections: 0.1, link: 0.1 };
+const RESOURCES = ["processor", "memory", "connections", "link"] as const;
+
+/** Lets a host use this much for some seconds, and returns what it did in each. */
+function play(load: HostLoad, use: Partial<HostUse>, from: number, to: number) {
+  const states = [];
+  for (let second = from; second < to; second += 1) {
+    load.update({ ...CALM, ...use }, second * 1_000);
+    states.push(load.state);
+  }
+  return states;
+}
+
+function calmHost(): HostLoad {
+  const load = new HostLoad();
+  play(load, {}, 0, 5);
+  return load;
+}
+
+function admittedOf(load: HostLoad, requests: number): number {
+  return Array.from({ length: requests }, () => load.tryAdmit())
+    .filter((isAdmitted) => isAdmitted).length;
+}
+
+describe("a host's load", () => {
+  it("changes nothing on an ordinary day", () => {
+    const load = calmHost();
+    for (const { admitted, isHandingOn } of play(load, { link: 0.8 }, 5, 60)) {
+      expect({ admitted, isHandingOn }).to.deep.equal({
+        admitted: 1,
+        isHandingOn: false,
+      });
+    }
+    expect(admittedOf(load, 100)).to.equal(100);
+  });
+
+  for (const resource of RESOURCES) {
+    it(`makes it hand on new connections near the limit of its ${resource}`, () => {
+      const load = calmHost();
+      const [, last] = play(load, { [resource]: 0.9 }, 5, 7);
+      expect(last).to.include({ isHandingOn: true, admitted: 1, resource });
+    });
+
+    it(`makes it refuse a part at the limit of its ${resource}`, () => {
+      const load = calmHost();
+      play(load, { [resource]: 1 }, 5, 10);
+      expect(admittedOf(load, 100)).to.be.within(20, 50);
+    });
+  }
+
+  it("is not judged by one busy second", () => {
+    const load = calmHost();
+    play(load, { processor: 1 }, 5, 6);
+    expect(load.state).to.include({ isHandingOn: false, admitted: 1 });
+  });
+
+  it("is not judged by the time of a suspension", () => {
+    const load = calmHost();
+    play(load, { processor: 1 }, 5, 6);
+    play(load, { processor: 1 }, 20, 21);
+    expect(load.state).to.include({ isHandingOn: false, admitted: 1 });
+  });
+
+  it("lets it hand on for a third of the time at most", () => {
+    const states = play(calmHost(), { processor: 0.9 }, 5, 155);
+    const handingOn = states.filter(({ isHandingOn }) => isHandingOn);
+    expect(handingOn.length / states.length).to.be.within(0.25, 0.35);
+  });
+
+  it("does not change with each swing about a threshold", () => {
+    const load = calmHost();
+    play(load, { processor: 0.9 }, 5, 7);
+    const states = [0.8, 0.9, 0.7].flatMap((processor, at) =>
+      play(load, { processor }, 7 + at, 8 + at)
+    );
+    expect(states.every(({ isHandingOn }) => isHandingOn)).to.equal(true);
+  });
+
+  it("lets it admit all again once it is relieved", () => {
+    const load = calmHost();
+    play(load, { memory: 1 }, 5, 30);
+    play(load, {}, 30, 40);
+    expect(load.state).to.include({ isHandingOn: false, admitted: 1 });
+  });
+
+  it("always lets it admit some", () => {
+    const load = calmHost();
+    play(load, { processor: 1 }, 5, 600);
+    expect(admittedOf(load, 100)).to.be.at.least(19);
+  });
+});
--- a/packages/daemon/src/gateway/entry/body_budget.ts
+++ b/packages/daemon/src/gateway/entry/body_budget.ts
@@ -22,6 +22,11 @@
     return this.#bytes;
   }
 
+  /** Fraction of the limit that is used, from 0 to 1. */
+  get use(): number {
+    return this.#bytes / this.#maxBytes;
+  }
+
   /** Begins a body, which the caller must dispose of. */
   open(): BodyReservation {
     return new BodyReservation((bytes) => {
--- a/packages/daemon/src/gateway/entry/dispatcher.ts
+++ b/packages/daemon/src/gateway/entry/dispatcher.ts
@@ -33,11 +33,6 @@
  * is complete, so that the request can still go to another server.
  */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
-/**
- * Limit of all responses and partial events that are buffered at the same time,
- * in bytes. It leaves a host of 250 MB the memory for everything else.
- */
-const MAX_BUFFERED_BYTES = 48 * 1024 * 1024;
 /** Limit of a refusal's body, in bytes: it is not passed on. */
 const MAX_REFUSAL_BYTES = 64 * 1024;
 /** Retry delay in a refusal for lack of capacity, in seconds. */
@@ -69,6 +64,8 @@
 /** Dependencies of a dispatcher. */
 export interface DispatcherOptions {
   readonly dialect: types.Dialect;
+  /** Limit of all responses and partial events that are buffered, in bytes. */
+  readonly maxBufferedBytes: number;
   readonly selector: serverSelector.ServerSelector;
   readonly tracker: serverTracker.ServerTracker;
   readonly retryBudgets: retryBudgets.RetryBudgets;
@@ -187,10 +184,11 @@
 /** Dispatches requests to backend servers. */
 export class Dispatcher {
   readonly #options: DispatcherOptions;
-  readonly #budget = new responseBuffer.BufferBudget(MAX_BUFFERED_BYTES);
+  readonly #budget: responseBuffer.BufferBudget;
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
+    this.#budget = new responseBuffer.BufferBudget(options.maxBufferedBytes);
   }
 
   /** Memory of the responses and partial events that are held, in bytes. */
@@ -198,6 +196,11 @@
     return this.#budget.bytes;
   }
 
+  /** Fraction of the memory for them that is used, from 0 to 1. */
+  get bufferUse(): number {
+    return this.#budget.use;
+  }
+
   /**
    * Serves a request, or refuses it if no server can. Resolves when the response
    * has been sent, to whether a server may have run the request.
--- a/packages/daemon/src/gateway/entry/entry_host.ts
+++ b/packages/daemon/src/gateway/entry/entry_host.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as http from "node:http";
+import type * as net from "node:net";
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import * as fleet from "../../fleet/mod.ts";
@@ -13,11 +14,13 @@
 import type * as metrics from "../metrics.ts";
 import * as bodyBudget from "./body_budget.ts";
 import * as clocks from "./clocks.ts";
+import * as connectionMeter from "./connection_meter.ts";
 import * as connectionProbe from "./connection_probe.ts";
 import * as crashSuspects from "./crash_suspects.ts";
 import * as dispatcher from "./dispatcher.ts";
 import * as fleetView from "./fleet_view.ts";
 import * as hostDrain from "./host_drain.ts";
+import * as hostLoadWatch from "./host_load_watch.ts";
 import * as leaderSync from "./leader_sync.ts";
 import * as requestHandler from "./request_handler.ts";
 import * as rateGate from "./rate_gate.ts";
@@ -48,10 +51,12 @@
 /** Most workspaces that one log line names. */
 const MAX_LOGGED_WORKSPACES = 10;
 /**
- * Limit of all request bodies that are held at the same time, in bytes. Beside
- * the buffered responses it leaves a host of 250 MB the memory for the rest.
+ * Limits of all request bodies that are held at the same time, and of all
+ * responses that are not streams, in bytes. They leave a host of 250 MB the memory
+ * for the rest; hosts with less get less.
  */
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
+const MAX_RESPONSE_BYTES = 48 * 1024 * 1024;
 /** Monotonic time at which the process started, in milliseconds. */
 const PROCESS_STARTED_AT = 0;
 const SECOND_MS = 1_000;
@@ -76,6 +81,11 @@
   readonly maxConfigurationAgeMs: number;
   /** Age from which on the control hosts are asked about it, in milliseconds. */
   readonly confirmationAgeMs: number;
+  /**
+   * Fraction of the usual memory for bodies and responses that this host has;
+   * 1 by default.
+   */
+  readonly memoryFraction?: number;
   /** Length of a window whose usage is reported, in ms; absent if none is. */
   readonly usageWindowMs?: number | undefined;
   readonly metrics: metrics.GatewayMetrics;
@@ -116,7 +126,11 @@
   readonly #removalWatch: removalWatch.RemovalWatch;
   readonly #serverSelector: serverSelector.ServerSelector;
   readonly #retryBudgets: retryBudgets.RetryBudgets;
+  readonly #bodyBudget: bodyBudget.BodyBudget;
+  readonly #dispatcher: dispatcher.Dispatcher;
+  readonly #dialect: types.Dialect;
   readonly #requestHandler: requestHandler.RequestHandler;
+  #loadWatch: hostLoadWatch.HostLoadWatch | undefined;
   readonly #leaderSync: leaderSync.LeaderSync;
   readonly #stateConfirmer: stateConfirmer.StateConfirmer;
   readonly #usageCounter: usageCounter.UsageCounter;
@@ -134,7 +148,12 @@
 
   constructor(options: EntryHostOptions) {
     const { dialect, host, maxConfigurationAgeMs, rpcClient, seeds } = options;
+    const { memoryFraction = 1 } = options;
     this.#metrics = options.metrics;
+    this.#dialect = dialect;
+    this.#bodyBudget = new bodyBudget.BodyBudget(
+      Math.floor(MAX_BODY_BYTES * memoryFraction),
+    );
     this.#usageCounter = new usageCounter.UsageCounter(options.usageWindowMs);
     this.drain = this.#resources.use(new hostDrain.HostDrain());
     this.#removalWatch = this.#resources.use(
@@ -200,36 +219,38 @@
       options.retryBudget,
       this.#unitBorrower,
     );
+    this.#dispatcher = new dispatcher.Dispatcher({
+      dialect,
+      maxBufferedBytes: Math.floor(MAX_RESPONSE_BYTES * memoryFraction),
+      selector: this.#serverSelector,
+      tracker: this.#serverTracker,
+      retryBudgets: this.#retryBudgets,
+      streams: this.#ownStreams,
+      suspects: this.#crashSuspects,
+      drain: this.drain,
+      removals: this.#removalWatch,
+      metrics: options.metrics,
+      onRequestBegun: (context, stream) =>
+        this.#usageCounter.recordBegun(context, stream),
+      onServerLeaving: () => this.#reportSoon(),
+      onStreamBegun: (stream) => {
+        if (!this.#ownStreams.isNews(stream, this.view.term)) return;
+        this.#leaderSync.reportIfDue();
+      },
+      onStreamBroken: (stream) => {
+        if (!this.#ownStreams.isNews(stream, this.view.term)) return;
+        this.#leaderSync.reportSoon();
+      },
+      onReturnExpected: (context, delayMs) =>
+        this.#expectReturn(context, delayMs),
+    });
     this.#requestHandler = new requestHandler.RequestHandler({
       dialect,
       view: this.view,
       rateLimiter: this.#rateLimiter,
       drain: this.drain,
-      bodyBudget: new bodyBudget.BodyBudget(MAX_BODY_BYTES),
-      dispatcher: new dispatcher.Dispatcher({
-        dialect,
-        selector: this.#serverSelector,
-        tracker: this.#serverTracker,
-        retryBudgets: this.#retryBudgets,
-        streams: this.#ownStreams,
-        suspects: this.#crashSuspects,
-        drain: this.drain,
-        removals: this.#removalWatch,
-        metrics: options.metrics,
-        onRequestBegun: (context, stream) =>
-          this.#usageCounter.recordBegun(context, stream),
-        onServerLeaving: () => this.#reportSoon(),
-        onStreamBegun: (stream) => {
-          if (!this.#ownStreams.isNews(stream, this.view.term)) return;
-          this.#leaderSync.reportIfDue();
-        },
-        onStreamBroken: (stream) => {
-          if (!this.#ownStreams.isNews(stream, this.view.term)) return;
-          this.#leaderSync.reportSoon();
-        },
-        onReturnExpected: (context, delayMs) =>
-          this.#expectReturn(context, delayMs),
-      }),
+      bodyBudget: this.#bodyBudget,
+      dispatcher: this.#dispatcher,
       streamResolver: new streamResolver.StreamResolver({
         streams: this.#ownStreams,
         metrics: options.metrics,
@@ -267,10 +288,29 @@
 
   /**
    * Whether the host can serve requests. The configuration may come from any
-   * control host, the servers and the parts of rates only from the leader.
+   * control host, the servers and the parts of rates only from the leader. A host
+   * that is near a limit of its own hands on new callers.
    */
   get isReady(): boolean {
-    return this.view.configuration !== null && this.view.term > 0;
+    return this.view.configuration !== null && this.view.term > 0 &&
+      this.#loadWatch?.isHandingOn !== true;
+  }
+
+  /**
+   * Begins to watch the load that callers of a listener cause, which must not have
+   * any connections yet.
+   */
+  watchLoad(callers: net.Server, limits: hostLoadWatch.HostLimits): void {
+    this.#loadWatch = this.#resources.use(
+      new hostLoadWatch.HostLoadWatch({
+        limits,
+        meter: new connectionMeter.ConnectionMeter(callers),
+        dialect: this.#dialect,
+        metrics: this.#metrics,
+        memoryUse: () =>
+          Math.max(this.#bodyBudget.use, this.#dispatcher.bufferUse),
+      }),
+    );
   }
 
   /** Number of requests that are being handled. */
@@ -279,11 +319,12 @@
   }
 
   /** Handles a caller's request. */
-  handle(
+  async handle(
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    return this.#requestHandler.handle(request, response);
+    if (this.#loadWatch?.refuses(request, response) === true) return;
+    await this.#requestHandler.handle(request, response);
   }
 
   /** Updates the gauges; to be called before each scrape. */
--- a/packages/daemon/src/gateway/entry/response_buffer.ts
+++ b/packages/daemon/src/gateway/entry/response_buffer.ts
@@ -56,6 +56,11 @@
     return this.#bytes;
   }
 
+  /** Fraction of the limit that is used, from 0 to 1. */
+  get use(): number {
+    return this.#bytes / this.#maxBytes;
+  }
+
   /** Opens an empty buffer, which the caller must release. */
   open(options: ResponseBufferOptions): ResponseBuffer {
     const buffer = new ResponseBuffer(options, (bytes) => {
--- a/packages/daemon/src/gateway/entry/responses.ts
+++ b/packages/daemon/src/gateway/entry/responses.ts
@@ -22,7 +22,7 @@
  */
 export function sendRefusal(
   response: http.ServerResponse,
-  dialect: types.Dialect,
+  dialect: Pick<types.Dialect, "refusalHeaders">,
   requestId: string | undefined,
   refusal: errors.Refusal,
 ): void {
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -156,6 +156,28 @@
     labelNames: ["listener", "fault"] as const,
     registers: [this.registry],
   });
+  readonly hostUse = new prometheus.Gauge({
+    name: "ebonypath_gateway_host_use",
+    help: "Fraction that this host uses of what it has, by resource",
+    labelNames: ["resource"] as const,
+    registers: [this.registry],
+  });
+  readonly handingOn = new prometheus.Gauge({
+    name: "ebonypath_gateway_handing_on",
+    help: "Whether this host is not ready because of its load",
+    registers: [this.registry],
+  });
+  readonly admittedFraction = new prometheus.Gauge({
+    name: "ebonypath_gateway_admitted_fraction",
+    help: "Fraction of the requests that this host's load lets it admit",
+    registers: [this.registry],
+  });
+  readonly loadRefusals = new prometheus.Counter({
+    name: "ebonypath_gateway_load_refusals_total",
+    help: "Requests refused for this host's load, by what it is short of",
+    labelNames: ["resource"] as const,
+    registers: [this.registry],
+  });
   readonly leading = new prometheus.Gauge({
     name: "ebonypath_gateway_leading",
     help: "Whether this host leads",
--- a/packages/daemon/test/gateway/dispatching.ts
+++ b/packages/daemon/test/gateway/dispatching.ts
@@ -213,6 +213,7 @@
   budgets.setHostCount(1, performance.now());
   return new dispatcher.Dispatcher({
     dialect: DIALECT,
+    maxBufferedBytes: 48 * 1024 * 1024,
     selector,
     tracker: new serverTracker.ServerTracker(() => {}),
     retryBudgets: budgets,
