Wait for a borrowed retry for half of the time left

A request whose host had used up its retries waited for a borrowed one up to its time limit, and was answered just after it if none came. Now it waits for half of the time left, 300 ms at most as before, and a borrowed retry has the rest.

--- a/packages/daemon/src/gateway/entry/retry_budgets.ts
+++ b/packages/daemon/src/gateway/entry/retry_budgets.ts
@@ -13,6 +13,8 @@
 
 /** Longest wait for a borrowed retry, in milliseconds. */
 const BORROW_TIMEOUT_MS = 300;
+/** Part of a request's time left that it waits at most; the retry needs the rest. */
+const BORROW_TIME_FRACTION = 0.5;
 
 /** Retry budgets of one host, by service. */
 export class RetryBudgets {
@@ -88,7 +90,10 @@
   ): Promise<boolean> {
     if (this.tryRetry(service, now)) return true;
     if (this.#hostCount === 1) return false;
-    const timeoutMs = Math.min(BORROW_TIMEOUT_MS, remainingMs);
+    const timeoutMs = Math.min(
+      BORROW_TIMEOUT_MS,
+      remainingMs * BORROW_TIME_FRACTION,
+    );
     if (timeoutMs <= 0) return false;
     return await this.#borrower.take("retries", service, timeoutMs);
   }
--- a/packages/daemon/test/gateway/retry_budgets_test.ts
+++ b/packages/daemon/test/gateway/retry_budgets_test.ts
@@ -75,6 +75,18 @@
     expect(allowed).to.be.within(4, 6);
   });
 
+  it("wait for a borrowed one while there is time to use it", async () => {
+    let timeoutMs = 0;
+    const budgets = new retryBudgets.RetryBudgets(FLEET_BUDGET, {
+      take: (_limit, _name, longestMs) => {
+        timeoutMs = longestMs;
+        return Promise.resolve(false);
+      },
+    });
+    await budgets.takeRetry(SERVICE, 0, 100);
+    expect(timeoutMs).to.equal(50);
+  });
+
   it("borrow until the number of hosts is known", async () => {
     const lender = borrower(false);
     const budgets = new retryBudgets.RetryBudgets(FLEET_BUDGET, lender);
