Read the body of a request that is refused for the host's load

The host closes the connection of such a request. Closed before its body has been read it is reset, and a caller that still sends may not get the refusal.

--- a/packages/daemon/src/gateway/entry/host_load_watch.ts
+++ b/packages/daemon/src/gateway/entry/host_load_watch.ts
@@ -111,7 +111,8 @@
 
   /**
    * Refuses a request if the host has too much to do already. Its connection is
-   * closed, so that the caller's next one may be sent to another host.
+   * closed, so that the caller's next one may be sent to another host; to close
+   * it before the body has been read would reset it, and lose the refusal.
    *
    * @returns whether the request was refused
    */
@@ -131,7 +132,10 @@
     metrics.loadRefusals.inc({ resource });
     write("refused", { id, status: refusal.definition.status, resource });
     response.shouldKeepAlive = false;
-    responses.sendRefusal(response, dialect, id, refusal);
+    request.once("end", () => {
+      responses.sendRefusal(response, dialect, id, refusal);
+    });
+    request.resume();
     return true;
   }
 
--- a/packages/daemon/test/gateway/host_load_watch_test.ts
+++ b/packages/daemon/test/gateway/host_load_watch_test.ts
@@ -8,6 +8,8 @@
 import { EMPTY_METADATA } from "./request_metadata.ts";
 
 const SECOND_MS = 1_000;
+/** More than a caller can send before it reads. */
+const BODY_BYTES = 8_000_000;
 
 /** A server whose host has little to serve with. */
 class Fixture implements AsyncDisposable {
@@ -19,7 +21,7 @@
   readonly #server = http.createServer((request, response) => {
     if (this.watch.refuses(request, response)) return;
     this.served += 1;
-    response.end("x".repeat(1_000));
+    request.resume().once("end", () => response.end("ok"));
   });
   readonly watch: hostLoadWatch.HostLoadWatch;
 
@@ -59,7 +61,10 @@
       await once(this.#server, "listening");
     }
     const { port } = this.#server.address() as net.AddressInfo;
-    const response = await fetch(`http://127.0.0.1:${port}/`);
+    const response = await fetch(`http://127.0.0.1:${port}/`, {
+      method: "POST",
+      body: "x".repeat(BODY_BYTES),
+    });
     await response.arrayBuffer();
     return response;
   }
