Leave out parts of a rate by usage

A busy failure domain that was cut off went on with its part of the rate, which was larger than an equal one, while the other hosts used all of it.

--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -38,7 +38,6 @@
 export * from "./server_paces.ts";
 export * from "./shared_limits.ts";
 export * from "./tolerated_rate.ts";
-export * from "./usage_share.ts";
 export * from "./usage_tracker.ts";
 export * from "./version_activity.ts";
 export * from "./shared_rate_limiter.ts";
--- a/packages/core/src/gateway/rate_part.ts
+++ b/packages/core/src/gateway/rate_part.ts
@@ -4,9 +4,8 @@
 
 /**
  * Part of a workspace's rate that one host may use while it does not know what
- * the other hosts use: a fraction of the tokens that were last known to be
- * available and of those that are added since. The fractions of all hosts add up
- * to 1.
+ * the other hosts use: an equal part for each host, of the tokens that were last
+ * known to be available and of those that are added since.
  *
  * In a large fleet that part may be less than one request a second. A request
  * that is larger than what has accrued is admitted with a probability equal to
@@ -16,14 +15,13 @@
  * @example
  * ```ts
  * const part = new RatePart(rate, now);
- * part.setFraction(1 / 9);
- * part.reset(availableTokens, now);
+ * part.reset(availableTokens / 9, now);
  * if (part.tryConsume(1_600, now, Math.random())) serve();
  * ```
  */
 export class RatePart {
   #rate: gateway.RateLimit;
-  #fraction = 1;
+  #hostCount = 1;
   #level: number;
   #refilledAt: number;
 
@@ -37,18 +35,15 @@
     this.#rate = rate;
   }
 
-  /**
-   * Begins anew with this host's part of the tokens that the usage of all hosts
-   * leaves.
-   */
-  reset(availableTokens: number, now: number): void {
-    this.#level = Math.max(0, availableTokens * this.#fraction);
+  /** Sets the tokens of this host's part, as the usage of all hosts allows. */
+  reset(tokens: number, now: number): void {
+    this.#level = Math.max(0, tokens);
     this.#refilledAt = now;
   }
 
-  /** Sets the fraction of the rate that this host may use, from 0 to 1. */
-  setFraction(fraction: number): void {
-    this.#fraction = fraction;
+  /** Sets the number of hosts that the rate is divided among, this one included. */
+  setHostCount(hostCount: number): void {
+    this.#hostCount = Math.max(1, hostCount);
   }
 
   /** Whether what has accrued is enough for a whole request. */
@@ -84,8 +79,8 @@
   #refill(tokens: number, now: number): void {
     const { burst, perSecond } = this.#rate;
     const elapsedMs = Math.max(0, now - this.#refilledAt);
-    const added = elapsedMs / SECOND_MS * perSecond * this.#fraction;
-    const capacity = Math.max(burst * this.#fraction, tokens);
+    const added = elapsedMs / SECOND_MS * perSecond / this.#hostCount;
+    const capacity = Math.max(burst / this.#hostCount, tokens);
     this.#level = Math.min(capacity, this.#level + added);
     this.#refilledAt = now;
   }
--- a/packages/core/src/gateway/rate_queue.ts
+++ b/packages/core/src/gateway/rate_queue.ts
@@ -61,25 +61,24 @@
 
   /**
    * Time after which a refused caller should come back, in milliseconds: after
-   * those that were told before. The other hosts tell theirs meanwhile.
+   * those that were told before. Other hosts tell as many, as far as known.
    *
-   * @param fraction of the rate that is this host's part; 0 if it is unknown
    * @param waitMs time until the tokens are there if nobody else comes back
    */
   scheduleReturn(
     workspace: string,
-    { fraction, perSecond, tokens, waitMs }: {
+    { hostCount, perSecond, tokens, waitMs }: {
       readonly tokens: number;
       readonly perSecond: number;
-      readonly fraction: number;
+      readonly hostCount: number;
       readonly waitMs: number;
     },
     now: number,
   ): number {
     const previousAt = this.#returns.get(workspace) ?? -Infinity;
-    const ownPerSecond = perSecond * (fraction > 0 ? fraction : 1);
-    const intervalMs = ownPerSecond > 0
-      ? tokens / ownPerSecond * SECOND_MS
+    const hosts = Number.isFinite(hostCount) ? hostCount : 1;
+    const intervalMs = perSecond > 0
+      ? tokens * hosts / perSecond * SECOND_MS
       : MAX_RETURN_MS;
     const at = Math.max(now + waitMs, previousAt + intervalMs);
     const returnAt = Math.min(at, now + MAX_RETURN_MS);
--- a/packages/core/src/gateway/shared_rate_limiter.ts
+++ b/packages/core/src/gateway/shared_rate_limiter.ts
@@ -2,19 +2,8 @@
 import * as suspicion from "../suspicion/mod.ts";
 import { RatePart } from "./rate_part.ts";
 import * as toleratedRate from "./tolerated_rate.ts";
-import { UsageShare } from "./usage_share.ts";
 
 const SECOND_MS = 1_000;
-/**
- * Usage that is presumed to be spread equally over the hosts, in seconds of the
- * rate, until more is known.
- */
-const PRESUMED_SECONDS = 1;
-/**
- * Fraction of a rate that is divided equally among the hosts. The rest follows
- * their usage lately; demand may move to other hosts meanwhile.
- */
-const EQUAL_FRACTION = 0.5;
 /** Workspaces without a limit at present whose shortages are kept. */
 const MAX_SHORTAGES = 10_000;
 /** Token bucket of one workspace. */
@@ -25,8 +14,6 @@
   refilledAt: number;
   /** What this host may use without knowing the usage of the others. */
   readonly part: RatePart;
-  /** This host's fraction of the usage lately. */
-  readonly share: UsageShare;
 };
 
 /** Tokens used at this host since it started. */
@@ -95,6 +82,11 @@
     this.#tolerance = tolerance;
   }
 
+  /** Number of hosts that use the rates, this one included. */
+  get hostCount(): number {
+    return this.#hostCount;
+  }
+
   /** Limits the workspaces that have a rate, and no others. */
   setRates(workspaces: readonly gateway.Workspace[], now: number): void {
     const limited = workspaces.filter(({ rate }) => rate !== undefined);
@@ -115,10 +107,9 @@
     if (bucket === undefined) {
       const level = this.#initialLevel(workspace, rate, now);
       const part = new RatePart(rate, now);
-      const share = new UsageShare(now);
-      const added = { rate, level, refilledAt: now, part, share };
-      this.#buckets.set(workspace, added);
-      this.#resetPart(added, now);
+      part.setHostCount(this.#hostCount);
+      part.reset(level / this.#hostCount, now);
+      this.#buckets.set(workspace, { rate, level, refilledAt: now, part });
       return;
     }
     this.#refill(bucket, now);
@@ -148,20 +139,7 @@
    */
   setHostCount(hostCount: number): void {
     this.#hostCount = hostCount;
-    for (const bucket of this.#buckets.values()) {
-      bucket.part.setFraction(this.#partFraction(bucket));
-    }
-  }
-
-  /**
-   * Fraction of a workspace's rate that is this host's part, from 0 to 1. Those
-   * of all hosts add up to 1. It is 0 until the number of hosts is known.
-   */
-  partFraction(workspace: string): number {
-    const bucket = this.#buckets.get(workspace);
-    return bucket === undefined
-      ? 1 / this.#hostCount
-      : this.#partFraction(bucket);
+    for (const { part } of this.#buckets.values()) part.setHostCount(hostCount);
   }
 
   /** Fraction of a workspace's burst that is available now; 1 without a limit. */
@@ -219,7 +197,7 @@
       const level = bucket.rate.burst - (lacked.get(workspace) ?? 0) -
         this.#unreportedTokens(workspace);
       bucket.level = isFirst ? level : Math.min(bucket.level, level);
-      this.#resetPart(bucket, now);
+      bucket.part.reset(bucket.level / this.#hostCount, now);
     }
     for (const [workspace, tokens] of lacked) {
       if (this.#buckets.has(workspace)) continue;
@@ -318,9 +296,7 @@
   /** Records that a leader has answered a report. */
   acknowledgeUsage(reported: readonly gateway.ReportedUsage[]): void {
     for (const { tokens, workspace } of reported) {
-      const counter = this.#localCounter(workspace);
-      this.#buckets.get(workspace)?.share.addOwn(tokens - counter.acknowledged);
-      counter.acknowledged = tokens;
+      this.#localCounter(workspace).acknowledged = tokens;
     }
   }
 
@@ -346,27 +322,14 @@
     for (const { tokens, workspace } of usage) {
       const previous = known.tokens.get(workspace) ?? (isFirst ? tokens : 0);
       known.tokens.set(workspace, tokens);
-      this.#buckets.get(workspace)?.share.addOthers(tokens - previous);
       this.#deduct(workspace, tokens - previous, now);
     }
     for (const bucket of this.#buckets.values()) {
       this.#refill(bucket, now);
-      bucket.share.advance(now);
-      this.#resetPart(bucket, now);
+      bucket.part.reset(bucket.level / this.#hostCount, now);
     }
   }
 
-  #partFraction({ rate, share }: TokenBucket): number {
-    const presumed = rate.perSecond * PRESUMED_SECONDS;
-    return EQUAL_FRACTION / this.#hostCount +
-      (1 - EQUAL_FRACTION) * share.fraction(this.#hostCount, presumed);
-  }
-
-  #resetPart(bucket: TokenBucket, now: number): void {
-    bucket.part.setFraction(this.#partFraction(bucket));
-    bucket.part.reset(bucket.level, now);
-  }
-
   /** Level of a workspace that has no bucket at present. */
   #initialLevel(
     workspace: string,
--- a/packages/core/test/gateway/rate_load_test.ts
+++ b/packages/core/test/gateway/rate_load_test.ts
@@ -104,7 +104,7 @@
 
   it("spreads the callers that it tells to come back at the rate", () => {
     const queue = new RateQueue();
-    const one = { tokens: 500, perSecond: 1_000, fraction: 0.5, waitMs: 300 };
+    const one = { tokens: 500, perSecond: 1_000, hostCount: 2, waitMs: 300 };
     expect(queue.scheduleReturn("shop", one, 0)).to.equal(300);
     expect(queue.scheduleReturn("shop", one, 0)).to.equal(1_300);
     expect(queue.scheduleReturn("shop", one, 1_000)).to.equal(1_300);
@@ -113,7 +113,7 @@
 
   it("tells no caller to stay away for longer than ten seconds", () => {
     const queue = new RateQueue();
-    const one = { tokens: 500, perSecond: 0, fraction: 0.5, waitMs: Infinity };
+    const one = { tokens: 500, perSecond: 0, hostCount: 2, waitMs: Infinity };
     expect(queue.scheduleReturn("shop", one, 0)).to.equal(10_000);
     expect(queue.scheduleReturn("shop", one, 0)).to.equal(10_000);
   });
--- a/packages/daemon/src/gateway/entry/rate_gate.ts
+++ b/packages/daemon/src/gateway/entry/rate_gate.ts
@@ -209,10 +209,10 @@
     const waitMs = isUsageKnown
       ? pollMs
       : Math.max(UNKNOWN_USAGE_WAIT_MS, pollMs);
-    const fraction = this.#options.rateLimiter.partFraction(workspace);
+    const { hostCount } = this.#options.rateLimiter;
     return this.#queue.scheduleReturn(
       workspace,
-      { tokens, perSecond, fraction, waitMs },
+      { tokens, perSecond, hostCount, waitMs },
       now,
     );
   }
