Don't hand on connections unless load.hand_on is set

Each host decided alone whether its readiness probe fails for its load. At a crest of demand all hosts pass two busy windows in the same second, and a balancer that sends nothing to unready hosts would have served nobody. Refusals stay, and more is admitted again below a fixed 0.85, as with the earlier default.

--- a/packages/core/src/gateway/host_load.ts
+++ b/packages/core/src/gateway/host_load.ts
@@ -22,7 +22,8 @@
 const PAUSE_MS = 10_000;
 /** Factor of what is admitted, after each window in which the host is full. */
 const BACKOFF_FACTOR = 0.7;
-/** What is admitted more, after each window in which it is not. */
+/** Use below which more is admitted, and how much after each window. */
+const RECOVERED_USE = 0.85;
 const RECOVERY_STEP = 0.1;
 /** Fraction of the requests that are admitted however full the host is. */
 const MIN_ADMITTED = 0.2;
@@ -50,8 +51,12 @@
   readonly refuse: number;
 };
 
+/**
+ * Hosts don't hand on unless they are told to: each decides by itself, so that at
+ * a crest all of them would at the same time.
+ */
 export const DEFAULT_LOAD_THRESHOLDS: LoadThresholds = {
-  handOn: 0.85,
+  handOn: Infinity,
   refuse: 0.95,
 };
 
@@ -68,8 +73,8 @@
 
 /**
  * Decides what a host does that is near a limit of its own: first it hands on new
- * connections, then it refuses part of the requests at once, and less of them step
- * by step when it is relieved.
+ * connections if it is told to, then it refuses part of the requests at once, and
+ * less of them step by step when it is relieved.
  *
  * @example
  * ```ts
@@ -162,7 +167,7 @@
     if (this.#fullWindows >= REFUSE_WINDOWS) {
       return Math.max(MIN_ADMITTED, admitted * BACKOFF_FACTOR);
     }
-    return use < this.#thresholds.handOn
+    return use < Math.min(RECOVERED_USE, this.#thresholds.refuse)
       ? Math.min(1, admitted + RECOVERY_STEP)
       : admitted;
   }
