Refuse no requests for idle connections

A host whose processor was idle refused up to 80 % of its requests while 95 % of its callers' connections were open, though idle ones cost next to nothing and refusals free none. Connections are measured, and hand on where that is set, but refuse nothing. A log line of a refusal names what it was refused for.

Refused callers were told to come back in a second, all of them, while a fifth of them was admitted. It is a second divided by the admitted part now, 4 s at most.

--- a/packages/core/src/gateway/host_load.ts
+++ b/packages/core/src/gateway/host_load.ts
@@ -28,6 +28,9 @@
 /** Fraction of the requests that are admitted however full the host is. */
 const MIN_ADMITTED = 0.2;
 
+/** Longest time after which a refused caller should come back, in ms. */
+const MAX_RETURN_MS = 4_000;
+
 /** Fractions that a host uses of what it has, from 0 to 1. */
 export type HostUse = {
   /** Time in which the process did anything. */
@@ -69,6 +72,8 @@
   /** What the host uses most of, and how much. */
   readonly resource: HostResource;
   readonly use: number;
+  /** What requests are refused for, if any are. */
+  readonly fullest: HostResource;
 };
 
 /**
@@ -90,6 +95,7 @@
     admitted: 1,
     resource: "processor",
     use: 0,
+    fullest: "processor",
   };
   #updatedAt = -Infinity;
   /** Windows in a row with a use above each threshold. */
@@ -117,6 +123,8 @@
    */
   update(use: HostUse, now: number): boolean {
     const [resource, most] = scarcest(use);
+    // Connections may be idle, and refusals wouldn't free any.
+    const [fullest, full] = scarcest({ ...use, connections: 0 });
     const { handOn, refuse } = this.#thresholds;
     if (now - this.#updatedAt > MAX_GAP_MS) {
       this.#nearWindows = 0;
@@ -127,13 +135,14 @@
     }
     this.#updatedAt = now;
     this.#nearWindows = most >= handOn ? this.#nearWindows + 1 : 0;
-    this.#fullWindows = most >= refuse ? this.#fullWindows + 1 : 0;
+    this.#fullWindows = full >= refuse ? this.#fullWindows + 1 : 0;
     const { admitted, isHandingOn } = this.#state;
     this.#state = {
       isHandingOn: this.#decideHandingOn(most, now),
-      admitted: this.#decideAdmitted(most),
+      admitted: this.#decideAdmitted(full),
       resource,
       use: most,
+      fullest,
     };
     return isHandingOn !== this.#state.isHandingOn ||
       admitted !== this.#state.admitted;
@@ -149,6 +158,15 @@
     return true;
   }
 
+  /**
+   * Time after which a refused caller should come back, in milliseconds: the
+   * longer, the less is admitted, and 4 s at most.
+   */
+  get returnMs(): number {
+    const { admitted } = this.#state;
+    return Math.min(MAX_RETURN_MS, Math.ceil(LOAD_WINDOW_MS / admitted));
+  }
+
   #decideHandingOn(use: number, now: number): boolean {
     if (this.#state.isHandingOn) {
       const isOver = now - this.#handingOnSince >= MAX_HANDING_ON_MS;
--- a/packages/core/test/gateway/host_load_test.ts
+++ b/packages/core/test/gateway/host_load_test.ts
@@ -48,14 +48,31 @@
       const [, last] = play(load, { [resource]: 0.9 }, 5, 7);
       expect(last).to.include({ isHandingOn: true, admitted: 1, resource });
     });
+  }
 
+  for (const resource of ["processor", "memory", "link"] as const) {
     it(`makes it refuse a part at the limit of its ${resource}`, () => {
       const load = calmHost();
       play(load, { [resource]: 1 }, 5, 10);
       expect(admittedOf(load, 100)).to.be.within(20, 50);
+      expect(load.state.fullest).to.equal(resource);
     });
   }
 
+  it("makes it refuse nothing while it has many connections", () => {
+    const load = calmHost();
+    play(load, { connections: 1 }, 5, 60);
+    expect(admittedOf(load, 100)).to.equal(100);
+  });
+
+  it("tells callers to come back later the less it admits", () => {
+    const load = calmHost();
+    play(load, { processor: 1 }, 5, 8);
+    expect(load.returnMs).to.be.within(1_400, 1_500);
+    play(load, { processor: 1 }, 8, 60);
+    expect(load.returnMs).to.equal(4_000);
+  });
+
   it("doesn't make it hand on unless it is told to", () => {
     const load = calmHost(DEFAULT_LOAD_THRESHOLDS);
     const states = play(load, { processor: 1 }, 5, 60);
--- a/packages/daemon/src/gateway/entry/host_load_watch.ts
+++ b/packages/daemon/src/gateway/entry/host_load_watch.ts
@@ -17,11 +17,6 @@
 
 const write = log.createLog("load");
 
-/**
- * Time after which a refused caller should come back, in seconds: the host has
- * measured its load anew by then. The balancer may choose another host.
- */
-const RETRY_AFTER_SECONDS = core.gateway.LOAD_WINDOW_MS / 1_000;
 const BITS_PER_BYTE = 8;
 const SECOND_MS = 1_000;
 
@@ -122,12 +117,12 @@
   ): boolean {
     if (this.#load.tryAdmit()) return false;
     const { dialect, metrics } = this.#options;
-    const { resource } = this.#load.state;
+    const { fullest: resource } = this.#load.state;
     const { id } = dialect.readRequest(request);
     const refusal = new errors.Refusal(
       errors.NO_CAPACITY,
       `this host is at the limit of its ${resource}`,
-      { retryAfterSeconds: RETRY_AFTER_SECONDS },
+      { retryAfterSeconds: this.#load.returnMs / SECOND_MS },
     );
     metrics.loadRefusals.inc({ resource });
     write("refused", { id, status: refusal.definition.status, resource });
