Refuse a retry at once where none can be borrowed

A host that had used up its share of the retries waited up to 300 ms for one of the leader's reserve also where that is less than one retry (a burst under 4), and so never lends, and while no leader answered. Its callers were refused that much later; before they were at once. It asks only if the reserve saves up a retry, and the leader answered within 2.5 s. Fleets that borrow all retries ask as before.

The test of a host with most of the requests tells the number of hosts again before the retries, a minute after the first time, as each answer of a leader does.

--- a/packages/core/src/gateway/shared_limits.ts
+++ b/packages/core/src/gateway/shared_limits.ts
@@ -100,6 +100,25 @@
   return { burst: burst * fraction, perSecond: perSecond * fraction };
 }
 
+/**
+ * Whether a host that has used up its own share of the retries can get one from
+ * the leader: of a reserve of less than one, none is ever lent.
+ *
+ * @example
+ * ```ts
+ * const budget = { ratio: 0.2, slack: 10, windowMs: 10_000 };
+ * canBorrowRetries(budget, 3); // false; a reserve of 0.75
+ * canBorrowRetries(budget, 9); // true; all of them are lent
+ * ```
+ */
+export function canBorrowRetries(
+  budget: FleetRetryBudget,
+  hostCount: number,
+): boolean {
+  return areRetriesLent(budget, hostCount) ||
+    retryPool(budget, hostCount).burst >= 1;
+}
+
 /**
  * Pool of the requests per second that all hosts may send to a cold server.
  *
--- a/packages/daemon/src/gateway/entry/retry_budgets.ts
+++ b/packages/daemon/src/gateway/entry/retry_budgets.ts
@@ -13,6 +13,11 @@
 
 /** Longest wait for a borrowed retry, in milliseconds. */
 const BORROW_TIMEOUT_MS = 300;
+/**
+ * Time after the leader's last answer from which on there is nothing to borrow
+ * of its reserve, in milliseconds: hosts report every 2 s or more often.
+ */
+const MAX_LEADER_SILENCE_MS = 2_500;
 /** Part of a request's time left that it waits at most; the retry needs the rest. */
 const BORROW_TIME_FRACTION = 0.5;
 
@@ -26,6 +31,8 @@
   /** Numbers of hosts that were told within the last window. */
   #hostCounts: { readonly count: number; readonly at: number }[] = [];
   #hostCount = Infinity;
+  /** Time of the leader's last answer. */
+  #toldAt = -Infinity;
 
   constructor(
     fleetBudget: core.gateway.FleetRetryBudget,
@@ -36,11 +43,13 @@
   }
 
   /**
-   * Sets the number of hosts that share the fleet's budget. A smaller number
+   * Sets the number of hosts that share the fleet's budget, as each answer of the
+   * leader tells it. A smaller number
    * takes effect after a window: a new leader has not heard of all hosts yet.
    */
   setHostCount(count: number, now: number): void {
     if (count < 1) return;
+    this.#toldAt = now;
     const oldest = now - this.#fleetBudget.windowMs;
     this.#hostCounts = [
       ...this.#hostCounts.filter((told) =>
@@ -89,7 +98,7 @@
     remainingMs: number,
   ): Promise<boolean> {
     if (this.tryRetry(service, now)) return true;
-    if (this.#hostCount === 1) return false;
+    if (!this.#canBorrow(now)) return false;
     const timeoutMs = Math.min(
       BORROW_TIMEOUT_MS,
       remainingMs * BORROW_TIME_FRACTION,
@@ -98,6 +107,13 @@
     return await this.#borrower.take("retries", service, timeoutMs);
   }
 
+  #canBorrow(now: number): boolean {
+    if (this.#hostCount === 1) return false;
+    if (this.#isLent) return true;
+    return now - this.#toldAt <= MAX_LEADER_SILENCE_MS &&
+      core.gateway.canBorrowRetries(this.#fleetBudget, this.#hostCount);
+  }
+
   get #isLent(): boolean {
     return core.gateway.areRetriesLent(this.#fleetBudget, this.#hostCount);
   }
--- a/packages/daemon/test/gateway/retry_budgets_test.ts
+++ b/packages/daemon/test/gateway/retry_budgets_test.ts
@@ -68,6 +68,7 @@
     });
     budgets.setHostCount(SMALL_FLEET, 0);
     let allowed = 0;
+    budgets.setHostCount(SMALL_FLEET, 60_000);
     // A server fails at the requests of one host.
     for (now = 60_000; now < 61_000; now += 100) {
       if (await budgets.takeRetry(SERVICE, now, 1_000)) allowed += 1;
@@ -75,6 +76,25 @@
     expect(allowed).to.be.within(4, 6);
   });
 
+  it("refuse at once where the leader has no reserve", async () => {
+    const lender = borrower(false);
+    const budget = { ratio: 0.2, slack: 13, windowMs: 10_000 };
+    const budgets = new retryBudgets.RetryBudgets(budget, lender);
+    budgets.setHostCount(3, 0);
+    while (budgets.tryRetry(SERVICE, 0));
+    expect(await budgets.takeRetry(SERVICE, 0, 1_000)).to.equal(false);
+    expect(lender.asked).to.equal(0);
+  });
+
+  it("refuse at once while no leader answers that could lend", async () => {
+    const lender = borrower(false);
+    const budgets = new retryBudgets.RetryBudgets(FLEET_BUDGET, lender);
+    budgets.setHostCount(SMALL_FLEET, 0);
+    while (budgets.tryRetry(SERVICE, 3_000));
+    expect(await budgets.takeRetry(SERVICE, 3_000, 1_000)).to.equal(false);
+    expect(lender.asked).to.equal(0);
+  });
+
   it("wait for a borrowed one while there is time to use it", async () => {
     let timeoutMs = 0;
     const budgets = new retryBudgets.RetryBudgets(FLEET_BUDGET, {
