--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -12,6 +12,7 @@
 export { mergeAdapters } from "./load_demand.ts";
 export * from "./model_copies.ts";
 export * from "./kept_slots.ts";
+export * from "./host_load.ts";
 export * from "./load_forecast.ts";
 export * from "./load_planner.ts";
 export * from "./load_planner_types.ts";
--- a/packages/core/src/gateway/shared_limits.ts
+++ b/packages/core/src/gateway/shared_limits.ts
@@ -74,6 +74,51 @@
   return retryAllowance(budget).burst < hostCount;
 }
 
+/**
+ * Retries that the leader lends to hosts which have used up their own share, while
+ * others may have all of theirs: a quarter of what is divided. With it, 0.75 of the
+ * budget is used at most.
+ */
+const RESERVE_FRACTION = 0.25;
+
+/**
+ * Pool of the retries that the leader lends.
+ *
+ * @example
+ * ```ts
+ * const budget = { ratio: 0.2, slack: 100, windowMs: 10_000 };
+ * retryPool(budget, 195); // all of them: { perSecond: 3, burst: 30 }
+ * retryPool(budget, 9); // a reserve: { perSecond: 0.75, burst: 7.5 }
+ * ```
+ */
+export function retryPool(
+  budget: FleetRetryBudget,
+  hostCount: number,
+): LendingPoolOptions {
+  const { burst, perSecond } = retryAllowance(budget);
+  const fraction = areRetriesLent(budget, hostCount) ? 1 : RESERVE_FRACTION;
+  return { burst: burst * fraction, perSecond: perSecond * fraction };
+}
+
+/**
+ * Whether a host that has used up its own share of the retries can get one from
+ * the leader: of a reserve of less than one, none is ever lent.
+ *
+ * @example
+ * ```ts
+ * const budget = { ratio: 0.2, slack: 10, windowMs: 10_000 };
+ * canBorrowRetries(budget, 3); // false; a reserve of 0.75
+ * canBorrowRetries(budget, 9); // true; all of them are lent
+ * ```
+ */
+export function canBorrowRetries(
+  budget: FleetRetryBudget,
+  hostCount: number,
+): boolean {
+  return areRetriesLent(budget, hostCount) ||
+    retryPool(budget, hostCount).burst >= 1;
+}
+
 /**
  * Pool of the requests per second that all hosts may send to a cold server.
  *
