Refuse nothing for a host's load unless load.refuse is set

The answers of faulty servers keep an event loop busy, and it serves others within milliseconds all the same.

Cause: the fraction of time in which the event loop is busy says nothing of how late requests are, and refusals by it were on by default.

Change: `load.refuse` has no default, like `load.hand_on`.

--- a/packages/core/src/gateway/host_load.ts
+++ b/packages/core/src/gateway/host_load.ts
@@ -56,11 +56,13 @@
 
 /**
  * Hosts don't hand on unless they are told to: each decides by itself, so that at
- * a crest all of them would at the same time.
+ * a crest all of them would at the same time. They don't refuse either: a process
+ * that is busy all the time, for instance with the answers of a faulty server, may
+ * still serve others within milliseconds.
  */
 export const DEFAULT_LOAD_THRESHOLDS: LoadThresholds = {
   handOn: Infinity,
-  refuse: 0.95,
+  refuse: Infinity,
 };
 
 /** What a host does about its load. */
--- a/packages/core/test/gateway/host_load_test.ts
+++ b/packages/core/test/gateway/host_load_test.ts
@@ -79,6 +79,12 @@
     expect(states.some(({ isHandingOn }) => isHandingOn)).to.equal(false);
   });
 
+  it("doesn't make it refuse requests unless it is told to", () => {
+    const load = calmHost(DEFAULT_LOAD_THRESHOLDS);
+    play(load, { processor: 1, memory: 1, link: 1 }, 5, 60);
+    expect(admittedOf(load, 100)).to.equal(100);
+  });
+
   it("is not judged by one busy second", () => {
     const load = calmHost();
     play(load, { processor: 1 }, 5, 6);
