Work out the copies that a server's disk is needed for once a round

A round of planning asked for them twice for each load from the store that it weighed, and made the same sets anew each time. They are kept for the round now; what is decided is the same. Found on reading the change again; the saving was not measured. 335 tests of the gateway's core, orders and refusals pass.

--- a/packages/core/src/gateway/copy_needs.ts
+++ b/packages/core/src/gateway/copy_needs.ts
@@ -29,6 +29,11 @@
   readonly #demand: ReadonlyMap<string, types.AggregateDemand>;
   /** Servers that hold each model, or have a copy and time to load it. */
   readonly #atHand = new Map<string, number>();
+  /** Needed copies of each server: a round asks for each of its loads. */
+  readonly #copiesByServer = new Map<
+    types.PlannerServer,
+    readonly types.AggregateDemand[]
+  >();
 
   constructor(
     servers: readonly types.PlannerServer[],
@@ -75,12 +80,16 @@
   }
 
   /** Demand for the models that a server doesn't hold but has a copy of. */
-  #copies(server: types.PlannerServer): types.AggregateDemand[] {
+  #copies(server: types.PlannerServer): readonly types.AggregateDemand[] {
+    const known = this.#copiesByServer.get(server);
+    if (known !== undefined) return known;
     const held = new Set(server.models.map(({ name }) => name));
-    return [...copiesOf(server)]
+    const copies = [...copiesOf(server)]
       .filter((model) => !held.has(model))
       .map((model) => this.#demand.get(model))
       .filter((demand) => demand !== undefined);
+    this.#copiesByServer.set(server, copies);
+    return copies;
   }
 
   #modelsAtHand(server: types.PlannerServer): Set<string> {
