--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,33 +1,34 @@
-/** One client asks for models that nobody has: do the processes of the core live? */
-import * as net from "node:net";
+/**
+ * A caller whose requests name no model, and then a machine that is killed: do the
+ * streams of other callers go on at another machine?
+ */
 import * as path from "node:path";
 import * as url from "node:url";
 import * as config from "../stand-ins-2/config.mjs";
 import * as harness from "../stand-ins-2/harness.mjs";
 
 const FOLDER = path.dirname(url.fileURLToPath(import.meta.url));
-/** Connections of the client; each sends a request when it has its answer. */
-const CONNECTIONS = 40;
-/** Length of a name; heads stay below `max_header_bytes`. */
-const NAME_LENGTH = 15_000;
-const DURATION_MS = 95_000;
-/** Delay after which the platform starts a process that has ended, in ms. */
-const RESTART_MS = 500;
-/** Ends of processes of the core from which on the rule is broken. */
-const MAX_ENDS = 3;
+const STREAMS = 16;
+const EVENTS = 40;
+const EVENT_INTERVAL_MS = 200;
+/** Time from the first odd request until the streams begin, in milliseconds. */
+const SETTLE_MS = 2_000;
+/** Time from their begin until the machine is killed, in milliseconds. */
+const KILL_AFTER_MS = 3_000;
+const DEADLINE_MS = 25_000;
+const MAX_ATTEMPTS = 3;
 
 await harness.runCase(FOLDER, async ({ createFleet, onCleanUp, record }) => {
   const fleet = createFleet();
-  await fleet.start(3, 1);
+  await fleet.start(3, 2);
   const answer = await fleet.operate(
     "PUT",
     "/config",
     config.configuration(1, {
       routes: [
-        config.route("advice", "streaming", "advisor"),
-        config.route("read", "safe", "desk"),
+        config.route("advice", "streaming", "advisor", { resumable: true }),
       ],
-      services: [config.engineService("advisor"), config.plainService("desk")],
+      services: [config.engineService("advisor")],
       tenants: [
         config.tenant("tenant-a", "key-a"),
         config.tenant("tenant-b", "key-b"),
@@ -35,99 +36,153 @@
     }),
   );
   if (answer.status !== 200) throw new Error("the configuration was refused");
-  const runner = new harness.Runner(fleet, {
-    id: "i-1",
-    service: "desk",
-    slots: 6,
-    serve: (request, socket) =>
-      harness.reply(socket, request, 200, "OK", "read", {
-        "Response-Seal": "seal",
-      }),
-  });
-  await runner.start();
-  onCleanUp(() => runner.stop());
-  await fleet.waitUntilReady();
-  await harness.sleep(3_000);
+  const [first, second] = fleet.front;
 
-  let isOver = false;
-  // The platform starts a process again that has ended.
-  for (const machine of fleet.core) {
-    void (async () => {
-      while (!isOver) {
-        await machine.exited;
-        if (isOver) return;
-        const tail = machine.lines.filter((line) => /FATAL|heap/.test(line));
-        record.write(`${machine.name} said: ${tail.slice(-2).join(" | ")}`);
-        await harness.sleep(RESTART_MS);
-        if (!isOver) fleet.startProcess(machine, false);
+  /** Events from the one after the last that the caller has. */
+  const serve = async (request, socket, runner) => {
+    const { headers } = request;
+    const id = headers["request-id"];
+    const last = Number(headers["last-event-id"] ?? 0);
+    const { version } = runner.options;
+    // "A request for a model or adapter that isn't present receives 421."
+    if (headers.model !== config.MODEL) {
+      record.write(`runner ${runner.options.id} doesn't run ${id}: 421`);
+      return harness.reply(socket, request, 421, "Misdirected Request", "");
+    }
+    record.write(`runner ${runner.options.id} begins ${id} after ${last}`);
+    socket.write(
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+        `Request-Id: ${id}\r\nResponse-Seal: seal-${id}\r\n` +
+        "Transfer-Encoding: chunked\r\n\r\n",
+    );
+    for (let number = last + 1; number <= EVENTS; number += 1) {
+      if (socket.destroyed) {
+        record.write(`runner ${runner.options.id} breaks off ${id}`);
+        return;
       }
-    })();
-  }
-  const address = fleet.address(fleet.front[0], "callers");
-  const [host, port] = address.split(":");
-  const counts = { odd: 0, sound: 0, answered: 0 };
-  const statuses = new Map();
-  const name = (index) => {
-    const distinct = index.toString(36).padStart(8, "0");
-    return harness.IS_TROUBLED
-      ? distinct + "m".repeat(NAME_LENGTH)
-      : config.MODEL;
+      const event = `id: ${number}\ndata: ${version} ${number}\n\n`;
+      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+      await harness.sleep(EVENT_INTERVAL_MS);
+    }
+    record.write(`runner ${runner.options.id} ends ${id}`);
+    socket.write("0\r\n\r\n");
   };
-  for (let index = 0; index < CONNECTIONS; index += 1) {
-    const socket = net.connect({ host, port: Number(port) });
-    socket.on("error", () => {});
-    const sendNext = () => {
-      if (isOver) return socket.destroy();
-      counts.odd += 1;
-      socket.write(
-        "GET /advice/1 HTTP/1.1\r\n" +
-          `Host: ${config.HOST}\r\nRequest-Id: ${harness.newRequestId()}\r\n` +
-          "Deadline-Ms: 100\r\nApi-Key: key-b\r\n" +
-          `Model: ${name(counts.odd)}\r\nToken-Usage: 1,1\r\n\r\n`,
-      );
-    };
-    socket.on("data", (part) => {
-      const status = /^HTTP\/1.1 (\d+)/.exec(part.toString("latin1"))?.[1];
-      if (status === undefined) return;
-      statuses.set(status, (statuses.get(status) ?? 0) + 1);
-      sendNext();
+  // "Runners of several `version` may serve side by side in one service."
+  for (
+    const [id, version] of [
+      ["i-1", "v1"],
+      ["i-2", "v1"],
+      ["i-3", "v2"],
+      ["i-4", "v2"],
+    ]
+  ) {
+    const runner = new harness.Runner(fleet, {
+      id,
+      service: "advisor",
+      version,
+      models: [config.MODEL],
+      serve,
     });
-    socket.on("connect", sendNext);
+    await runner.start();
+    onCleanUp(() => runner.stop());
   }
-  const ends = () => fleet.core.flatMap((machine) => machine.ends).length;
-  const endedMachines = () =>
-    fleet.core.filter((machine) => machine.ends.length > 0).length;
-  const until = performance.now() + DURATION_MS;
-  while (performance.now() < until) {
-    // An ordinary caller.
-    counts.sound += 1;
-    const { status } = await harness.send(address, {
-      method: "GET",
-      path: "/read/1",
-      headers: {
-        "Host": config.HOST,
-        "Request-Id": harness.newRequestId(),
-        "Deadline-Ms": 2_500,
-        "Api-Key": "key-a",
-      },
-    });
-    if (status === 200) counts.answered += 1;
-    await harness.sleep(100);
-    if (counts.sound % 50 === 0) {
+  await fleet.waitUntilReady();
+  await harness.sleep(4_000);
+
+  const requestOf = (id, fields, signal) => ({
+    path: "/advice/1",
+    body: "a question",
+    signal,
+    headers: {
+      "Host": config.HOST,
+      "Request-Id": id,
+      "Deadline-Ms": DEADLINE_MS,
+      "Api-Key": "key-a",
+      "Model": config.MODEL,
+      "Token-Usage": "100,120",
+      "Prompt-Prefix": `aa01:50,${id}:50`,
+      ...fields,
+    },
+  });
+  const addressOf = (machine) => fleet.address(machine, "callers");
+
+  // One connection after the other, as long as the machine lives.
+  const oddClient = async () => {
+    while (harness.IS_TROUBLED && first.isRunning) {
+      const id = harness.newRequestId();
+      record.write(`odd client ${id} with an empty Model`);
+      const { ending, status } = await harness.send(
+        addressOf(first),
+        requestOf(id, { "Api-Key": "key-b", "Model": "" }),
+      );
+      record.write(`odd client ${id} status=${status} ended=${ending}`);
+    }
+  };
+  const odd = oddClient();
+  await harness.sleep(SETTLE_MS);
+
+  const idsOf = (body) =>
+    [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+  const versionsOf = (body) =>
+    new Set([...body.matchAll(/^data: (\S+)/gm)].map(([, one]) => one));
+
+  const streams = Array.from({ length: STREAMS }, async (_, index) => {
+    await harness.sleep(index * 60);
+    const id = harness.newRequestId();
+    const begun = await harness.send(addressOf(first), requestOf(id, {}));
+    const got = idsOf(begun.body);
+    record.write(
+      `client ${id} status=${begun.status} events=${got.length} ` +
+        `versions=${[...versionsOf(begun.body)]} ended=${begun.ending}`,
+    );
+    if (begun.status !== 200 || got.length === 0) return undefined;
+    const last = got.at(-1);
+    // It takes the stream up at another machine.
+    for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
+      const next = harness.newRequestId();
+      const fields = { "Resumes": id, "Last-Event-Id": String(last) };
+      const answer = await harness.send(
+        addressOf(second),
+        requestOf(next, fields),
+      );
+      const more = idsOf(answer.body);
       record.write(
-        `client of odd models: ${counts.odd} sent, answers ` +
-          `${JSON.stringify([...statuses])}; ordinary caller: ` +
-          `${counts.sound} sent, ${counts.answered} answered`,
+        `client ${next} resumes ${id} after ${last}: ` +
+          `status=${answer.status} events=${more.length} ` +
+          `versions=${[...versionsOf(answer.body)]} ended=${answer.ending} ` +
+          `${answer.status === 200 ? "" : answer.body.slice(0, 200)}`,
       );
+      if (more[0] === last + 1) return { goesOn: true };
+      const retryAfter = Number(answer.headers["retry-after"] ?? NaN);
+      if (answer.status !== 503 && answer.status !== 429) break;
+      await harness.sleep(1_000 * (Number.isNaN(retryAfter) ? 1 : retryAfter));
     }
-    if (ends() >= MAX_ENDS && endedMachines() >= 2) break;
-  }
-  isOver = true;
+    return { goesOn: false };
+  });
+  await harness.sleep(KILL_AFTER_MS);
+  record.write("front-a-1 is killed");
+  first.child.kill("SIGKILL");
+  // New streams meanwhile, at the other machine.
+  const news = Array.from({ length: STREAMS }, async (_, index) => {
+    await harness.sleep(index * 60);
+    const id = harness.newRequestId();
+    const answer = await harness.send(addressOf(second), requestOf(id, {}));
+    record.write(
+      `client ${id} status=${answer.status} ` +
+        `events=${idsOf(answer.body).length} new`,
+    );
+    return answer.status === 200 && idsOf(answer.body).length > 0;
+  });
+  await odd;
+  const taken = (await Promise.all(streams)).filter((one) => one !== undefined);
+  const begun = await Promise.all(news);
+  if (taken.length < 12) throw new Error("fewer than 12 streams were taken up");
+  const goOn = taken.filter((one) => one.goesOn).length;
+  const share = goOn / taken.length;
+  const newShare = begun.filter(Boolean).length / begun.length;
   return {
-    isBroken: ends() >= MAX_ENDS && endedMachines() >= 2,
-    detail: `${ends()} ends by themselves of processes on ` +
-      `${endedMachines()} of ${fleet.core.length} machines of the core; ` +
-      `${counts.odd} requests of the client, ${counts.answered} of ` +
-      `${counts.sound} of the ordinary caller answered`,
+    isBroken: share < newShare / 2,
+    detail: `${goOn} of ${taken.length} streams that were taken up go on, ` +
+      `${begun.filter(Boolean).length} of ${begun.length} new ones begin`,
   };
 });
