--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,22 +1,21 @@
-/**
- * A caller whose requests name no model, and then a machine that is killed: do the
- * streams of other callers go on at another machine?
- */
+/** A part deep in long prompts crashes runners: is it told apart? */
 import * as path from "node:path";
 import * as url from "node:url";
 import * as config from "../stand-ins-2/config.mjs";
 import * as harness from "../stand-ins-2/harness.mjs";
 
 const FOLDER = path.dirname(url.fileURLToPath(import.meta.url));
-const STREAMS = 16;
-const EVENTS = 40;
-const EVENT_INTERVAL_MS = 200;
-/** Time from the first odd request until the streams begin, in milliseconds. */
-const SETTLE_MS = 2_000;
-/** Time from their begin until the machine is killed, in milliseconds. */
-const KILL_AFTER_MS = 3_000;
-const DEADLINE_MS = 25_000;
-const MAX_ATTEMPTS = 3;
+/** Parts that all requests share, as the turns of a long conversation. */
+const SHARED_PARTS = 30;
+const RUNNERS = 6;
+const BACK_MS = 3_000;
+const CONTACT_MS = 3_000;
+const DURATION_MS = 32_000;
+const CRASHING_INTERVAL_MS = 400;
+const SOUND_INTERVAL_MS = 150;
+const EVENTS = 6;
+/** Requests of each kind from which on their shares are compared. */
+const MIN_SOUND = 20;
 
 await harness.runCase(FOLDER, async ({ createFleet, onCleanUp, record }) => {
   const fleet = createFleet();
@@ -25,62 +24,58 @@
     "PUT",
     "/config",
     config.configuration(1, {
-      routes: [
-        config.route("advice", "streaming", "advisor", { resumable: true }),
-      ],
-      services: [config.engineService("advisor")],
-      tenants: [
-        config.tenant("tenant-a", "key-a"),
-        config.tenant("tenant-b", "key-b"),
-      ],
+      routes: [config.route("advice", "streaming", "advisor")],
+      services: [config.engineService("advisor", 0)],
+      tenants: [config.tenant("tenant-a", "key-a", { rate_per_s: 0 })],
     }),
   );
   if (answer.status !== 200) throw new Error("the configuration was refused");
-  const [first, second] = fleet.front;
-
-  /** Events from the one after the last that the caller has. */
+  const crashes = [];
+  const arrivals = [];
+  let isOver = false;
   const serve = async (request, socket, runner) => {
     const { headers } = request;
     const id = headers["request-id"];
-    const last = Number(headers["last-event-id"] ?? 0);
-    const { version } = runner.options;
-    // "A request for a model or adapter that isn't present receives 421."
-    if (headers.model !== config.MODEL) {
-      record.write(`runner ${runner.options.id} doesn't run ${id}: 421`);
+    const runnerId = runner.options.id;
+    if (!runner.models.includes(headers.model)) {
       return harness.reply(socket, request, 421, "Misdirected Request", "");
     }
-    record.write(`runner ${runner.options.id} begins ${id} after ${last}`);
+    const isCrashing = headers["prompt-prefix"].includes("bad1:");
+    if (isCrashing) arrivals.push(performance.now());
+    record.write(`runner ${runnerId} begins ${id} crashing=${isCrashing}`);
+    await harness.sleep(30);
     socket.write(
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
         `Request-Id: ${id}\r\nResponse-Seal: seal-${id}\r\n` +
         "Transfer-Encoding: chunked\r\n\r\n",
     );
-    for (let number = last + 1; number <= EVENTS; number += 1) {
-      if (socket.destroyed) {
-        record.write(`runner ${runner.options.id} breaks off ${id}`);
-        return;
-      }
-      const event = `id: ${number}\ndata: ${version} ${number}\n\n`;
+    if (isCrashing) {
+      if (runner.isDown) return;
+      runner.isDown = true;
+      crashes.push(performance.now());
+      record.write(`runner ${runnerId} crashes under ${id}`);
+      runner.crash();
+      await harness.sleep(BACK_MS);
+      if (isOver) return;
+      await runner.restart();
+      runner.isDown = false;
+      record.write(`runner ${runnerId} is back`);
+      return;
+    }
+    for (let number = 1; number <= EVENTS; number += 1) {
+      if (socket.destroyed) return;
+      const event = `id: ${number}\ndata: ${number}\n\n`;
       socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
-      await harness.sleep(EVENT_INTERVAL_MS);
+      await harness.sleep(30);
     }
-    record.write(`runner ${runner.options.id} ends ${id}`);
-    socket.write("0\r\n\r\n");
+    if (!socket.destroyed) socket.write("0\r\n\r\n");
   };
-  // "Runners of several `version` may serve side by side in one service."
-  for (
-    const [id, version] of [
-      ["i-1", "v1"],
-      ["i-2", "v1"],
-      ["i-3", "v2"],
-      ["i-4", "v2"],
-    ]
-  ) {
+  for (let index = 1; index <= RUNNERS; index += 1) {
     const runner = new harness.Runner(fleet, {
-      id,
+      id: `i-${index}`,
       service: "advisor",
-      version,
       models: [config.MODEL],
+      loadMs: 300,
       serve,
     });
     await runner.start();
@@ -89,100 +84,91 @@
   await fleet.waitUntilReady();
   await harness.sleep(4_000);
 
-  const requestOf = (id, fields, signal) => ({
-    path: "/advice/1",
-    body: "a question",
-    signal,
-    headers: {
-      "Host": config.HOST,
-      "Request-Id": id,
-      "Deadline-Ms": DEADLINE_MS,
-      "Api-Key": "key-a",
-      "Model": config.MODEL,
-      "Token-Usage": "100,120",
-      "Prompt-Prefix": `aa01:50,${id}:50`,
-      ...fields,
-    },
-  });
-  const addressOf = (machine) => fleet.address(machine, "callers");
-
-  // One connection after the other, as long as the machine lives.
-  const oddClient = async () => {
-    while (harness.IS_TROUBLED && first.isRunning) {
-      const id = harness.newRequestId();
-      record.write(`odd client ${id} with an empty Model`);
-      const { ending, status } = await harness.send(
-        addressOf(first),
-        requestOf(id, { "Api-Key": "key-b", "Model": "" }),
-      );
-      record.write(`odd client ${id} status=${status} ended=${ending}`);
-    }
-  };
-  const odd = oddClient();
-  await harness.sleep(SETTLE_MS);
-
-  const idsOf = (body) =>
-    [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
-  const versionsOf = (body) =>
-    new Set([...body.matchAll(/^data: (\S+)/gm)].map(([, one]) => one));
-
-  const streams = Array.from({ length: STREAMS }, async (_, index) => {
-    await harness.sleep(index * 60);
+  const shared = Array.from(
+    { length: SHARED_PARTS },
+    (_, index) => `5c${index.toString(16).padStart(4, "0")}:20`,
+  );
+  let count = 0;
+  const sound = { before: [0, 0], after: [0, 0] };
+  const fifthAt = () => crashes[4] ?? Infinity;
+  let troubleAt = Infinity;
+  /** "The fifth crash (the last, if there are fewer)", as far as known. */
+  const judgedFrom = () =>
+    (harness.IS_TROUBLED ? crashes[4] ?? crashes.at(-1) : troubleAt) +
+    2 * CONTACT_MS;
+  const send = async (isCrashing) => {
+    count += 1;
     const id = harness.newRequestId();
-    const begun = await harness.send(addressOf(first), requestOf(id, {}));
-    const got = idsOf(begun.body);
-    record.write(
-      `client ${id} status=${begun.status} events=${got.length} ` +
-        `versions=${[...versionsOf(begun.body)]} ended=${begun.ending}`,
+    const machine = fleet.front[count % fleet.front.length];
+    const parts = [
+      ...shared,
+      // No two are alike.
+      `60${id.slice(-6)}:20`,
+      ...(isCrashing ? ["bad1:20"] : []),
+      `${id}:20`,
+    ];
+    const sentAt = performance.now();
+    const { body, ending, status } = await harness.send(
+      fleet.address(machine, "callers"),
+      {
+        path: "/advice/1",
+        body: `question ${id}`,
+        headers: {
+          "Host": config.HOST,
+          "Request-Id": id,
+          "Deadline-Ms": 8_000,
+          "Api-Key": "key-a",
+          "Model": config.MODEL,
+          "Token-Usage": `${parts.length * 20},40`,
+          "Prompt-Prefix": parts.join(","),
+        },
+      },
     );
-    if (begun.status !== 200 || got.length === 0) return undefined;
-    const last = got.at(-1);
-    // It takes the stream up at another machine.
-    for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
-      const next = harness.newRequestId();
-      const fields = { "Resumes": id, "Last-Event-Id": String(last) };
-      const answer = await harness.send(
-        addressOf(second),
-        requestOf(next, fields),
-      );
-      const more = idsOf(answer.body);
-      record.write(
-        `client ${next} resumes ${id} after ${last}: ` +
-          `status=${answer.status} events=${more.length} ` +
-          `versions=${[...versionsOf(answer.body)]} ended=${answer.ending} ` +
-          `${answer.status === 200 ? "" : answer.body.slice(0, 200)}`,
-      );
-      if (more[0] === last + 1) return { goesOn: true };
-      const retryAfter = Number(answer.headers["retry-after"] ?? NaN);
-      if (answer.status !== 503 && answer.status !== 429) break;
-      await harness.sleep(1_000 * (Number.isNaN(retryAfter) ? 1 : retryAfter));
-    }
-    return { goesOn: false };
-  });
-  await harness.sleep(KILL_AFTER_MS);
-  record.write("front-a-1 is killed");
-  first.child.kill("SIGKILL");
-  // New streams meanwhile, at the other machine.
-  const news = Array.from({ length: STREAMS }, async (_, index) => {
-    await harness.sleep(index * 60);
-    const id = harness.newRequestId();
-    const answer = await harness.send(addressOf(second), requestOf(id, {}));
     record.write(
-      `client ${id} status=${answer.status} ` +
-        `events=${idsOf(answer.body).length} new`,
+      `client ${id} crashing=${isCrashing} status=${status} ended=${ending} ` +
+        (status === 503 ? body.slice(0, 220) : ""),
     );
-    return answer.status === 200 && idsOf(answer.body).length > 0;
-  });
-  await odd;
-  const taken = (await Promise.all(streams)).filter((one) => one !== undefined);
-  const begun = await Promise.all(news);
-  if (taken.length < 12) throw new Error("fewer than 12 streams were taken up");
-  const goOn = taken.filter((one) => one.goesOn).length;
-  const share = goOn / taken.length;
-  const newShare = begun.filter(Boolean).length / begun.length;
+    if (isCrashing) return;
+    const phase = sentAt < troubleAt
+      ? sound.before
+      : sentAt > judgedFrom()
+      ? sound.after
+      : undefined;
+    if (phase === undefined) return;
+    phase[0] += 1;
+    if (body.includes("id: 1")) phase[1] += 1;
+  };
+  const sent = [];
+  const play = async (durationMs, isTroubled) => {
+    const until = performance.now() + durationMs;
+    let nextCrashing = performance.now();
+    while (performance.now() < until) {
+      if (isTroubled && performance.now() >= nextCrashing) {
+        nextCrashing += CRASHING_INTERVAL_MS;
+        sent.push(send(true));
+      }
+      sent.push(send(false));
+      await harness.sleep(SOUND_INTERVAL_MS);
+    }
+  };
+  await play(6_000, false);
+  await Promise.all(sent);
+  troubleAt = performance.now();
+  await play(DURATION_MS, harness.IS_TROUBLED);
+  await Promise.all(sent);
+  isOver = true;
+  const late = arrivals.filter((at) => at > fifthAt() + CONTACT_MS).length;
+  record.write(`sound: ${JSON.stringify(sound)}`);
+  const share = ([all, begun]) => begun / all;
+  if (sound.before[0] < MIN_SOUND || sound.after[0] < MIN_SOUND) {
+    throw new Error("too few sound requests to compare");
+  }
   return {
-    isBroken: share < newShare / 2,
-    detail: `${goOn} of ${taken.length} streams that were taken up go on, ` +
-      `${begun.filter(Boolean).length} of ${begun.length} new ones begin`,
+    isBroken: share(sound.after) < share(sound.before) / 2,
+    detail: `${sound.after[1]} of ${sound.after[0]} sound requests begin ` +
+      `from ${2 * CONTACT_MS} ms after the fifth crash on, ` +
+      `${sound.before[1]} of ${sound.before[0]} before; ${crashes.length} ` +
+      `crashes in all, ${late} requests with the crashing part reached ` +
+      `runners later than ${CONTACT_MS} ms after the fifth`,
   };
 });
--- a/review/stand-ins-2/harness.mjs
+++ b/review/stand-ins-2/harness.mjs
@@ -321,14 +321,21 @@
   state = "ready";
   address;
   options;
+  /** Names of the models that it holds. */
+  models;
+  /** Whether it carries out an order, and how many it has accepted. */
+  #isBusy = false;
+  #orders = 0;
 
   /**
    * @param options `id`, `service`, `slots`, `models`, `version`,
-   * `coldLeftMs()`, and `serve(request, socket)`, which answers a request
+   * `coldLeftMs()`, `loadMs` (it carries out orders, in this time), and
+   * `serve(request, socket)`, which answers a request
    */
   constructor(fleet, options) {
     this.fleet = fleet;
     this.options = options;
+    this.models = options.models;
   }
 
   async start() {
@@ -353,8 +360,8 @@
   }
 
   async #sendBeat() {
-    const { coldLeftMs, id, models, service, slots = 64, version } =
-      this.options;
+    const { coldLeftMs, id, service, slots = 64, version } = this.options;
+    const { models } = this;
     this.#sequence += 1;
     const coldMs = Math.round(coldLeftMs?.() ?? 0);
     const body = JSON.stringify({
@@ -370,7 +377,7 @@
       ...(models === undefined ? {} : {
         stage: "both",
         models: models.map((name) => ({ name, version: 1, adapters: [] })),
-        at_hand: { in_memory: models, on_disk: models },
+        at_hand: this.#atHand,
       }),
     });
     const addresses = [
@@ -394,6 +401,44 @@
     return false;
   }
 
+  /** Copies of weights that outlast a restart. */
+  get #atHand() {
+    const { models } = this.options;
+    return { in_memory: [], on_disk: models };
+  }
+
+  /** Starts again after a crash, under its id and address, and holds nothing. */
+  async restart() {
+    this.models = this.options.models && [];
+    this.#isBusy = false;
+    this.#orders = 0;
+    this.#heartbeatAddress = undefined;
+    await this.start();
+  }
+
+  /** Carries out an order as the pages say; returns the status. */
+  #carryOut({ expected, holder, fencing_token: fence, model, op_type: kind }) {
+    const { loadMs, models } = this.options;
+    if (holder === undefined || fence === undefined) return 400;
+    if (loadMs === undefined) return 409;
+    if (this.#isBusy) return 409;
+    if (expected !== undefined && expected !== this.#orders) return 409;
+    const isLoad = kind === "model_load";
+    if (!models.includes(model)) return 400;
+    if (this.models.includes(model) === isLoad) return 200;
+    this.#orders += 1;
+    this.#isBusy = true;
+    const born = this.born;
+    setTimeout(() => {
+      if (this.born !== born || !this.#isBusy) return;
+      this.#isBusy = false;
+      this.models = this.models.filter((one) => one !== model);
+      if (isLoad) this.models.push(model);
+      void this.beat();
+    }, loadMs);
+    return 202;
+  }
+
   /** Ends as a process that is killed. */
   crash() {
     clearInterval(this.#timer);
@@ -427,7 +472,8 @@
   #serve(request, socket) {
     const { headers, method, path } = request;
     const expected = headers["expect-instance"];
-    const { id, models = [] } = this.options;
+    const { id } = this.options;
+    const { models = [] } = this;
     if (expected !== undefined && expected !== id) {
       return reply(socket, request, 421, "Misdirected Request", "", {
         "Instance-Id": id,
@@ -437,23 +483,28 @@
       const body = JSON.stringify({
         stage: "both",
         models: models.map((name) => ({ name, version: 1, adapters: [] })),
-        busy: false,
-        seq: 0,
+        busy: this.#isBusy,
+        seq: this.#orders,
         queued: 0,
         running: 0,
         kv_used: 0,
         kv_total: 100_000,
         handles: 0,
         state: this.state,
-        at_hand: { in_memory: models, on_disk: models },
+        at_hand: this.#atHand,
         pending: [],
       });
       return reply(socket, request, 200, "OK", body, {
         "Content-Type": "application/json",
       });
     }
-    // Another order is in progress: the page allows it at any time.
-    if (path === "/order") return reply(socket, request, 409, "Conflict", "");
+    if (path === "/order") {
+      const status = this.#carryOut(JSON.parse(request.body.toString()));
+      this.fleet.record.write(
+        `runner ${id} order ${request.body.toString().slice(0, 200)} ${status}`,
+      );
+      return reply(socket, request, status, "Order", "");
+    }
     if (headers["request-id"] === undefined) {
       return reply(socket, request, 400, "Bad Request", "", {
         "Not-Executed": "1",
