--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -10,56 +10,23 @@
 import type { gateway } from "@ebonypath/protocol";
 import { usedMb } from "./capacity.ts";
 import { CopyNeeds } from "./copy_needs.ts";
+import * as evictions from "./evictions.ts";
 import { loadBenefit } from "./load_benefit.ts";
 import * as loadDemand from "./load_demand.ts";
+import * as modelDemand from "./model_demand.ts";
 import * as types from "./load_planner_types.ts";
 
-/** Share of a server's slots that running requests of one model may use. */
-const TARGET_SLOT_USE = 0.4;
-/** Arrival rate from which a model is kept on two servers, per second. */
-const TWO_REPLICAS_PER_SECOND = 1;
-/**
- * Arrival rate from which one replica of a model is kept even without waiting
- * requests, per second.
- */
-const KEEP_PER_SECOND = 0.5;
-/**
- * Shortest time that a model stays loaded, in milliseconds. Within it the entry
- * hosts learn of the load, send requests and report that they run.
- */
-const MIN_RESIDENCE_MS = 1_000;
-/** Expected remaining time of the requests that an unload waits for, in ms. */
-const REMAINING_RUN_MS = 3_000;
 /**
  * Lateness of a request from which a model with running requests is evicted for
  * it, in milliseconds. An unload that waits for running requests blocks all
  * other orders to its server, so it is better to wait for an idle model first.
  */
 const EVICT_RUNNING_LATE_MS = 2_500;
-/**
- * Largest recency term in the cost of an eviction, in milliseconds. It is lower
- * than the cost of waiting for running requests.
- */
-const RECENCY_MS = 1_000;
-
-/**
- * Time without a served request from which a model goes before others, in
- * milliseconds. Callers who asked again several times meanwhile give up.
- */
-const MAX_UNSERVED_MS = 8_000;
 /**
  * Part of the servers that may load such models at once. The other ones load
  * what serves most requests.
  */
 const MAX_UNSERVED_SHARE = 0.25;
-/** Shortest time that such a model stays for callers that come back, in ms. */
-const UNSERVED_RESIDENCE_MS = 3_000;
-
-/**
- * Time for which the replicas of a model tell of its demand, in milliseconds.
- * Until then, a leader hasn't seen enough requests to know better.
- */
-const UNKNOWN_DEMAND_MS = 8_000;
 /**
  * Cost of a store load at a server for each copy in demand on it that other
  * servers have as well, in milliseconds. It only decides between servers that
@@ -67,16 +34,6 @@
  */
 const SPARE_COPY_MS = 10;
 
-/**
- * Requests that a load must serve, relative to those for the model that it
- * evicts, to evict one that requests wait for. Less would let two models evict
- * each other by turns.
- */
-const OUTWEIGH_FACTOR = 3;
-/** Shortest time that a model with waiting requests stays loaded, in ms. */
-const REQUESTED_RESIDENCE_MS = 3_000;
-/** Time of expected arrivals that count as much as waiting requests, in s. */
-const EXPECTED_SECONDS = 4;
 /**
  * Time for which requests wait for a server that has a copy of their model
  * before it is loaded from the store elsewhere, in milliseconds.
@@ -99,13 +56,6 @@
 /** Most adapter loads in progress on one server. */
 const MAX_PENDING_ADAPTERS = 4;
 
-/** A model that may be evicted, and the cost of its eviction. */
-type Victim = {
-  readonly name: string;
-  readonly isRunning: boolean;
-  readonly costMs: number;
-};
-
 /** A server that could load a model, and the cost of the load. */
 type LoadOption = {
   readonly server: types.PlannerServer;
@@ -140,26 +90,19 @@
   readonly #input: types.PlannerInput;
   readonly #models: ReadonlyMap<string, gateway.Model>;
   readonly #largestAdapterMb: number;
-  /** Demand by model, including the demand for its adapters. */
-  readonly #demand: readonly types.AggregateDemand[];
-  readonly #demandByModel: ReadonlyMap<string, types.AggregateDemand>;
+  readonly #demand: modelDemand.ModelDemand;
+  readonly #evictions: evictions.Evictions;
   /** Demand of resumed streams, by model and software version. */
   readonly #resumptions: readonly types.AggregateDemand[];
   /** Servers with an order of this round, or reserved for a load. */
   readonly #assigned = new Set<string>();
-  /** Models with waiting requests. */
-  readonly #requested: ReadonlySet<string>;
   /** Models on servers that are about to leave. */
   readonly #leavingModels: ReadonlySet<string>;
-  /** Number of usable servers that hold or load each model. */
-  readonly #replicas = new Map<string, number>();
   /** Number of adapter loads planned in this round, by server. */
   readonly #addedAdapters = new Map<string, number>();
   /** Servers with an adapter unload planned in this round. */
   readonly #unloadingAdapter = new Set<string>();
   readonly #copyNeeds: CopyNeeds;
-  /** Time since the first request that was not served, by model, in ms. */
-  readonly #unservedMs: ReadonlyMap<string, number>;
   #canLoadFromStore: boolean;
   /** Models that are loaded by orders of this round. */
   readonly #ordered = new Set<string>();
@@ -178,27 +121,18 @@
       0,
       ...input.engine.models.map((model) => model.adapterMb),
     );
-    this.#demand = loadDemand.mergeAdapters(input.demand);
+    this.#demand = new modelDemand.ModelDemand(input);
+    this.#evictions = new evictions.Evictions(input, this.#demand);
     this.#resumptions = loadDemand.mergeVersions(input.demand);
-    this.#demandByModel = new Map(
-      this.#demand.map((demand) => [demand.model, demand]),
-    );
-    this.#requested = new Set(
-      this.#demand.filter(loadDemand.hasWaiting).map(({ model }) => model),
-    );
     this.#leavingModels = new Set(
-      input.servers.filter(({ isLeaving }) => isLeaving).flatMap(modelNames),
+      input.servers.filter(({ isLeaving }) => isLeaving).flatMap(
+        types.modelNames,
+      ),
     );
-    this.#unservedMs = loadDemand.unservedAges(input);
     this.#overloadRequests = input.canOverloadStore
       ? this.#meanLoadingRequests() * OVERLOAD_FACTOR
       : Infinity;
-    this.#copyNeeds = new CopyNeeds(input.servers, this.#demand);
-    for (const server of input.servers.filter(({ isUsable }) => isUsable)) {
-      for (const name of modelNames(server)) {
-        this.#replicas.set(name, (this.#replicas.get(name) ?? 0) + 1);
-      }
-    }
+    this.#copyNeeds = new CopyNeeds(input.servers, this.#demand.all);
   }
 
   plan(): types.ModelOrder[] {
@@ -209,7 +143,7 @@
     const missing = this.#demandAtAnyVersion()
       .filter((demand) =>
         loadDemand.hasWaiting(demand) || this.#isLosing(demand) ||
-        this.#isUnserved(demand.model)
+        this.#demand.isUnserved(demand.model)
       )
       .filter(({ model }) => this.#isMissing(model));
     this.#isStoreInDemand = missing.some(({ model }) =>
@@ -220,9 +154,10 @@
       .filter((demand) =>
         loadDemand.hasWaiting(demand) || this.#isLosing(demand)
       );
-    const short = this.#demand.filter((demand) => this.#isShort(demand));
+    const short = this.#demand.all.filter((demand) => this.#isShort(demand));
     const spares = short.filter(({ model }) =>
-      this.#replicaCount(model) === 1 && this.#copyNeeds.isElsewhere(model)
+      this.#demand.replicaCount(model) === 1 &&
+      this.#copyNeeds.isElsewhere(model)
     );
     const more = short.filter((demand) => !spares.includes(demand));
     const loads = [
@@ -243,12 +178,12 @@
   ): types.AggregateDemand[] {
     const usable = this.#input.servers.filter(({ isUsable }) => isUsable);
     const loading = usable.filter((server) =>
-      server.loading !== undefined && this.#isUnserved(server.loading)
+      server.loading !== undefined && this.#demand.isUnserved(server.loading)
     );
     const servers = Math.ceil(usable.length * MAX_UNSERVED_SHARE);
     const ageOf = ({ model }: types.AggregateDemand) =>
-      this.#unservedMs.get(model) ?? 0;
-    return missing.filter(({ model }) => this.#isUnserved(model))
+      this.#demand.unservedMs(model);
+    return missing.filter(({ model }) => this.#demand.isUnserved(model))
       .sort((one, other) => ageOf(other) - ageOf(one))
       .slice(0, Math.max(0, servers - loading.length));
   }
@@ -256,12 +191,12 @@
   /** Whether a model is used steadily at a server that is about to leave. */
   #isLosing(demand: types.AggregateDemand): boolean {
     return this.#leavingModels.has(demand.model) &&
-      this.#targetReplicas(demand) > 0;
+      this.#demand.targetReplicas(demand) > 0;
   }
 
   #demandAtAnyVersion(): readonly types.AggregateDemand[] {
     return this.#resumptions.length === 0
-      ? this.#demand
+      ? this.#demand.all
       : loadDemand.mergeAdapters(
         this.#input.demand.filter(loadDemand.isForAnyVersion),
       );
@@ -271,7 +206,7 @@
   #isHeldAtVersion(demand: types.AggregateDemand): boolean {
     return this.#input.servers.some((server) =>
       server.isUsable && loadDemand.mayServe(server, demand) &&
-      modelNames(server).includes(demand.model)
+      types.modelNames(server).includes(demand.model)
     );
   }
 
@@ -306,7 +241,7 @@
   /** Whether no server holds a model or will soon. */
   #isMissing(model: string): boolean {
     const { diskLoadMs = 0 } = this.#models.get(model) ?? {};
-    return this.#replicaCount(model) === 0 ||
+    return this.#demand.replicaCount(model) === 0 ||
       !this.#ordered.has(model) &&
         !this.#input.servers.some((server) =>
           server.isUsable && (heldModel(server, model) !== undefined ||
@@ -318,7 +253,7 @@
   #meanLoadingRequests(): number {
     const loading = this.#input.servers.map((server) => server.loading)
       .filter((model) => model !== undefined);
-    const requests = loading.map((model) => this.#requestsFor(model));
+    const requests = loading.map((model) => this.#demand.requestsFor(model));
     const sum = requests.reduce((total, count) => total + count, 0);
     return Math.max(
       MIN_OVERLOAD_REQUESTS / OVERLOAD_FACTOR,
@@ -326,36 +261,10 @@
     );
   }
 
-  /** Requests for a model that wait or are expected soon. */
-  #requestsFor(model: string): number {
-    const { arrivalsPerSecond = 0, slacksMs = [] } =
-      this.#demandByModel.get(model) ?? {};
-    return slacksMs.length + arrivalsPerSecond * EXPECTED_SECONDS;
-  }
-
   /** Whether a loaded model has fewer replicas than its demand requires. */
   #isShort(demand: types.AggregateDemand): boolean {
-    const replicas = this.#replicaCount(demand.model);
-    return replicas > 0 && replicas < this.#targetReplicas(demand);
-  }
-
-  #targetReplicas(
-    { arrivalsPerSecond, concurrency }: types.AggregateDemand,
-  ): number {
-    const { slots } = this.#input.engine;
-    const byConcurrency = Math.ceil(
-      concurrency / Math.max(1, slots * TARGET_SLOT_USE),
-    );
-    const byArrivals = arrivalsPerSecond >= TWO_REPLICAS_PER_SECOND
-      ? 2
-      : arrivalsPerSecond >= KEEP_PER_SECOND
-      ? 1
-      : 0;
-    return Math.max(byConcurrency > 1 ? byConcurrency : 0, byArrivals);
-  }
-
-  #replicaCount(model: string): number {
-    return this.#replicas.get(model) ?? 0;
+    const replicas = this.#demand.replicaCount(demand.model);
+    return replicas > 0 && replicas < this.#demand.targetReplicas(demand);
   }
 
   #planLoad(demand: types.AggregateDemand): types.ModelOrder | undefined {
@@ -397,7 +306,7 @@
     const { costMs, loadMs, server, source } = option;
     if (source !== "store") return option;
     const blocked = this.#copyNeeds.blockedRequests(server, loadMs);
-    const mayBlock = this.#isUnserved(demand.model) ||
+    const mayBlock = this.#demand.isUnserved(demand.model) ||
       blocked <= loadBenefit(demand, costMs);
     if (!mayBlock) return undefined;
     const spare = this.#copyNeeds.neededCopies(server) * SPARE_COPY_MS;
@@ -409,7 +318,7 @@
     if (victim !== undefined) {
       return { kind: "unload", server: server.id, model: victim };
     }
-    this.#replicas.set(model, this.#replicaCount(model) + 1);
+    this.#demand.addReplica(model);
     this.#ordered.add(model);
     if (source === "store") {
       this.#canLoadFromStore = false;
@@ -426,7 +335,7 @@
 
   #canLoad(server: types.PlannerServer, model: string): boolean {
     return server.isUsable && !this.#assigned.has(server.id) &&
-      !modelNames(server).includes(model);
+      !types.modelNames(server).includes(model);
   }
 
   #loadOption(
@@ -443,7 +352,11 @@
     if (this.#freeMb(server) >= model.weightsMb) {
       return { server, source, loadMs, victim: undefined, costMs: readyMs };
     }
-    const victim = this.#cheapestVictim(server, model.name, isRequested);
+    const victim = this.#evictions.cheapestVictim(
+      server,
+      model.name,
+      isRequested,
+    );
     if (victim === undefined) return undefined;
     if (victim.isRunning && !mayEvictRunning) return undefined;
     const costMs = readyMs + victim.costMs;
@@ -460,23 +373,14 @@
     { model, softwareVersion }: types.AggregateDemand,
   ): boolean {
     const isBound = !this.#canLoadFromStore &&
-      this.#requestsFor(model) < this.#overloadRequests;
+      this.#demand.requestsFor(model) < this.#overloadRequests;
     if (isBound) return false;
     if (softwareVersion !== undefined) return true;
-    if (this.#replicaCount(model) > 0) {
+    if (this.#demand.replicaCount(model) > 0) {
       return !this.#isStoreInDemand && !this.#isMissing(model);
     }
     return !this.#copyNeeds.isAtHand(model) ||
-      this.#isUnservedFor(model, MAX_AT_HAND_WAIT_MS);
-  }
-
-  #isUnserved(model: string): boolean {
-    return this.#isUnservedFor(model, MAX_UNSERVED_MS);
-  }
-
-  /** Whether no request for a model was served for a time in milliseconds. */
-  #isUnservedFor(model: string, leastMs: number): boolean {
-    return (this.#unservedMs.get(model) ?? 0) >= leastMs;
+      this.#demand.unservedMs(model) >= MAX_AT_HAND_WAIT_MS;
   }
 
   #freeMb(server: types.PlannerServer): number {
@@ -494,100 +398,6 @@
     return this.#models.get(model)?.adapterMb ?? 0;
   }
 
-  /** The model with the cheapest eviction, if any may be evicted. */
-  #cheapestVictim(
-    server: types.PlannerServer,
-    forModel: string,
-    isRequested: boolean,
-  ): Victim | undefined {
-    return server.models
-      .filter(({ name }) =>
-        this.#mayEvict(server, name, isRequested) ||
-        isRequested && this.#isOutweighed(server, name, forModel)
-      )
-      .map(({ name }) => ({
-        name,
-        isRunning: (server.running.get(name) ?? 0) > 0,
-        costMs: this.#evictionCost(server, name),
-      }))
-      .sort((one, other) => one.costMs - other.costMs)[0];
-  }
-
-  /** @param isRequested whether requests wait for the model to be loaded */
-  #mayEvict(
-    server: types.PlannerServer,
-    model: string,
-    isRequested: boolean,
-  ): boolean {
-    const { loadedAt, now } = this.#input;
-    const age = now - (loadedAt.get(`${server.id} ${model}`) ?? -Infinity);
-    const residenceMs = this.#isUnserved(model)
-      ? UNSERVED_RESIDENCE_MS
-      : MIN_RESIDENCE_MS;
-    if (age < residenceMs) return false;
-    const replicas = this.#replicaCount(model);
-    if (this.#requested.has(model) && replicas <= 1) return false;
-    const demand = this.#demandByModel.get(model);
-    if (demand !== undefined && replicas <= this.#targetReplicas(demand)) {
-      return false;
-    }
-    // An additional replica of one model doesn't evict the last replica of
-    // another one that still has arrivals.
-    return isRequested || replicas > 1 ||
-      (demand?.arrivalsPerSecond ?? 0) === 0;
-  }
-
-  /**
-   * Whether far more requests are for a model that no server holds than for an
-   * idle one. Those that wait for the idle one are mostly callers that were told
-   * to come back.
-   */
-  #isOutweighed(
-    server: types.PlannerServer,
-    model: string,
-    other: string,
-  ): boolean {
-    const { loadedAt, now } = this.#input;
-    const age = now - (loadedAt.get(`${server.id} ${model}`) ?? -Infinity);
-    return age >= REQUESTED_RESIDENCE_MS && !server.running.get(model) &&
-      this.#replicaCount(other) === 0 &&
-      this.#requestsFor(other) >
-        OUTWEIGH_FACTOR * Math.max(1, this.#requestsFor(model));
-  }
-
-  /**
-   * Cost of an eviction, in milliseconds: the wait for running requests, the
-   * expected waits for a reload of the model, and a term for its recent use.
-   */
-  #evictionCost(server: types.PlannerServer, name: string): number {
-    const { lastRequestedAt, now } = this.#input;
-    const running = server.running.get(name) ?? 0;
-    const runMs = running > 0 ? REMAINING_RUN_MS : 0;
-    const demand = this.#demandByModel.get(name);
-    const hasOtherReplica = this.#replicaCount(name) > 1;
-    const model = this.#models.get(name);
-    const reloadMs = hasOtherReplica || model === undefined
-      ? 0
-      : model.diskLoadMs;
-    const idleMs = now - (lastRequestedAt.get(name) ?? -Infinity);
-    // Among models without recent demand, the least recently used is evicted.
-    const recency = RECENCY_MS / (1 + Math.min(idleMs, 1e6) / 1_000);
-    const waiting = demand?.slacksMs.length ?? 0;
-    const lost = waiting + (demand?.arrivalsPerSecond ?? 0);
-    return runMs + reloadMs * lost + recency +
-      this.#unknownDemandMs(name);
-  }
-
-  /**
-   * Part of the cost of an eviction while the demand is not known yet: a model
-   * on several servers was placed there because it is asked for often.
-   */
-  #unknownDemandMs(name: string): number {
-    const unknown = 1 - this.#input.observedMs / UNKNOWN_DEMAND_MS;
-    const replicas = Math.max(1, this.#replicaCount(name));
-    return RECENCY_MS * Math.max(0, unknown) * (1 - 1 / replicas);
-  }
-
   #planAdapters(): types.ModelOrder[] {
     return this.#input.demand
       .filter((demand) =>
@@ -603,7 +413,8 @@
 
   #isAdapterUnserved({ adapter, model }: types.AggregateDemand): boolean {
     const key = types.demandKey(model, adapter);
-    return (this.#input.unservedMs.get(key) ?? 0) >= MAX_UNSERVED_MS;
+    return (this.#input.unservedMs.get(key) ?? 0) >=
+      modelDemand.MAX_UNSERVED_MS;
   }
 
   #planAdapter(
@@ -698,12 +509,6 @@
   return server.models.find(({ name }) => name === model);
 }
 
-/** Models that a server holds, and the one that it is loading. */
-function modelNames({ loading, models }: types.PlannerServer): string[] {
-  const names = models.map(({ name }) => name);
-  return loading === undefined ? names : [...names, loading];
-}
-
 /** Whether a server holds an adapter or has been ordered to load it. */
 function hasAdapter(
   { models, pendingAdapters }: types.PlannerServer,
--- a/packages/core/src/gateway/load_planner_types.ts
+++ b/packages/core/src/gateway/load_planner_types.ts
@@ -117,3 +117,9 @@
 export function demandKey(model: string, adapter: string | undefined): string {
   return adapter === undefined ? model : adapterKey(model, adapter);
 }
+
+/** Models that a server holds, and the one that it is loading. */
+export function modelNames({ loading, models }: PlannerServer): string[] {
+  const names = models.map(({ name }) => name);
+  return loading === undefined ? names : [...names, loading];
+}
