Log and count unserved models by what keeps them from a server

The log of a refusal says that no load is planned and not why, and nothing tells how long a model has not been served. The planner now tells for each model that is asked for what the server that was closest to a load lacks; the leader logs it for models and adapters past 8 s, when it changes, and counts them by reason. No decision changes.

--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -58,6 +58,7 @@
 
 /** A server that could load a model, and the cost of the load. */
 type LoadOption = {
+  readonly kind: "option";
   readonly server: types.PlannerServer;
   readonly source: types.WeightSource;
   readonly loadMs: number;
@@ -66,6 +67,21 @@
   readonly costMs: number;
 };
 
+/** Why a server can't load a model. */
+type NoOption = { readonly kind: "none"; readonly obstacle: types.Obstacle };
+
+/** Obstacles from the least to the most particular one. */
+const OBSTACLES: readonly types.Obstacle[] = [
+  "out-of-turn",
+  "no-free-server",
+  "store-bound",
+  "copy-elsewhere",
+  "no-victim",
+  "victims-run",
+  "copies-needed",
+  "server-busy",
+];
+
 /**
  * Plans the orders to send now: at most one load or unload of a model for each
  * server, and loads or unloads of adapters in addition. Tells which models are
@@ -81,12 +97,14 @@
 export function planRound(input: types.PlannerInput): types.PlannedRound {
   const round = new PlanningRound(input);
   const orders = round.plan();
-  return { orders, planned: round.planned };
+  return { orders, planned: round.planned, obstacles: round.obstacles };
 }
 
 class PlanningRound {
   /** Models for which a server has been chosen in this round. */
   readonly planned = new Set<string>();
+  /** Why models have no order, though a server was sought for them. */
+  readonly obstacles = new Map<string, types.Obstacle>();
   readonly #input: types.PlannerInput;
   readonly #models: ReadonlyMap<string, gateway.Model>;
   readonly #largestAdapterMb: number;
@@ -150,6 +168,7 @@
       !this.#copyNeeds.isAtHand(model)
     );
     const oldest = this.#oldestUnserved(missing);
+    for (const { model } of missing) this.obstacles.set(model, "out-of-turn");
     const others = missing.filter((demand) => !oldest.includes(demand))
       .filter((demand) =>
         loadDemand.hasWaiting(demand) || this.#isLosing(demand)
@@ -221,8 +240,9 @@
   }
 
   #benefitRate(demand: types.AggregateDemand): number {
-    const costMs = this.#bestOption(demand)?.costMs;
-    if (costMs === undefined) return 0;
+    const best = this.#bestOption(demand);
+    if (best.kind === "none") return 0;
+    const { costMs } = best;
     const benefit = this.#isMissing(demand.model)
       ? loadBenefit(demand, costMs)
       : this.#spareBenefit(demand);
@@ -269,29 +289,37 @@
 
   #planLoad(demand: types.AggregateDemand): types.ModelOrder | undefined {
     const best = this.#bestOption(demand);
-    if (best === undefined) return undefined;
+    if (best.kind === "none") {
+      this.obstacles.set(demand.model, best.obstacle);
+      return undefined;
+    }
     this.#assigned.add(best.server.id);
     this.planned.add(demand.model);
     // A server that is busy now may still have the model ready before an idle
     // one. It is reserved without an order.
-    return best.server.busyMs > 0
-      ? undefined
-      : this.#createOrder(best, demand.model);
+    if (best.server.busyMs > 0) {
+      this.obstacles.set(demand.model, "server-busy");
+      return undefined;
+    }
+    this.obstacles.delete(demand.model);
+    return this.#createOrder(best, demand.model);
   }
 
-  #bestOption(demand: types.AggregateDemand): LoadOption | undefined {
+  #bestOption(demand: types.AggregateDemand): LoadOption | NoOption {
     const model = this.#models.get(demand.model);
-    if (model === undefined) return undefined;
+    if (model === undefined) return none("no-free-server");
     const mayEvictRunning =
       loadDemand.minWaitingSlack(demand) < -EVICT_RUNNING_LATE_MS;
-    return this.#input.servers
+    const results = this.#input.servers
       .filter((server) => loadDemand.mayServe(server, demand))
       .filter((server) => this.#canLoad(server, demand.model))
       .map((server) => this.#loadOption(server, model, demand, mayEvictRunning))
-      .filter((option) => option !== undefined)
-      .map((option) => this.#addBlockedCost(option, demand))
-      .filter((option) => option !== undefined)
-      .sort((one, other) => one.costMs - other.costMs)[0];
+      .map((result) =>
+        result.kind === "none" ? result : this.#addBlockedCost(result, demand)
+      );
+    return results.filter((result) => result.kind === "option")
+      .sort((one, other) => one.costMs - other.costMs)[0] ??
+      mostParticular(results.filter((result) => result.kind === "none"));
   }
 
   /**
@@ -302,13 +330,13 @@
   #addBlockedCost(
     option: LoadOption,
     demand: types.AggregateDemand,
-  ): LoadOption | undefined {
+  ): LoadOption | NoOption {
     const { costMs, loadMs, server, source } = option;
     if (source !== "store") return option;
     const blocked = this.#copyNeeds.blockedRequests(server, loadMs);
     const mayBlock = this.#demand.isUnserved(demand.model) ||
       blocked <= loadBenefit(demand, costMs);
-    if (!mayBlock) return undefined;
+    if (!mayBlock) return none("copies-needed");
     const spare = this.#copyNeeds.neededCopies(server) * SPARE_COPY_MS;
     return { ...option, costMs: costMs + blocked * loadMs + spare };
   }
@@ -343,44 +371,59 @@
     model: gateway.Model,
     demand: types.AggregateDemand,
     mayEvictRunning: boolean,
-  ): LoadOption | undefined {
+  ): LoadOption | NoOption {
     const isRequested = loadDemand.hasWaiting(demand);
     const source = weightSource(server, model.name);
-    if (source === "store" && !this.#mayLoadFromStore(demand)) return undefined;
+    const storeObstacle = source === "store"
+      ? this.#storeObstacle(demand)
+      : undefined;
+    if (storeObstacle !== undefined) return none(storeObstacle);
     const loadMs = loadDuration(model, source);
     const readyMs = server.busyMs + loadMs;
     if (this.#freeMb(server) >= model.weightsMb) {
-      return { server, source, loadMs, victim: undefined, costMs: readyMs };
+      const victim = undefined;
+      return {
+        kind: "option",
+        server,
+        source,
+        loadMs,
+        victim,
+        costMs: readyMs,
+      };
     }
     const victim = this.#evictions.cheapestVictim(
       server,
       model.name,
       isRequested,
     );
-    if (victim === undefined) return undefined;
-    if (victim.isRunning && !mayEvictRunning) return undefined;
+    if (victim === undefined) return none("no-victim");
+    if (victim.isRunning && !mayEvictRunning) return none("victims-run");
     const costMs = readyMs + victim.costMs;
-    return { server, source, loadMs, victim: victim.name, costMs };
+    const { name } = victim;
+    return { kind: "option", server, source, loadMs, victim: name, costMs };
   }
 
   /**
-   * Whether a load from the store may begin. One under way isn't doubled, and
-   * one of a model that a server has at hand waits for that server. Additional
-   * replicas come from the store only while nothing else is needed from it.
-   * Neither holds for streams that only servers of one version can continue.
+   * Why no load from the store may begin, if none may. One under way isn't
+   * doubled, and one of a model that a server has at hand waits for that server.
+   * Additional replicas come from the store only while nothing else is needed
+   * from it. Neither holds for streams that only servers of one version can
+   * continue.
    */
-  #mayLoadFromStore(
+  #storeObstacle(
     { model, softwareVersion }: types.AggregateDemand,
-  ): boolean {
+  ): types.Obstacle | undefined {
     const isBound = !this.#canLoadFromStore &&
       this.#demand.requestsFor(model) < this.#overloadRequests;
-    if (isBound) return false;
-    if (softwareVersion !== undefined) return true;
+    if (isBound) return "store-bound";
+    if (softwareVersion !== undefined) return undefined;
     if (this.#demand.replicaCount(model) > 0) {
-      return !this.#isStoreInDemand && !this.#isMissing(model);
+      const isAllowed = !this.#isStoreInDemand && !this.#isMissing(model);
+      return isAllowed ? undefined : "store-bound";
     }
-    return !this.#copyNeeds.isAtHand(model) ||
+    const isAllowed = !this.#copyNeeds.isAtHand(model) ||
       this.#demand.unservedMs(model) >= MAX_AT_HAND_WAIT_MS;
+    return isAllowed ? undefined : "copy-elsewhere";
   }
 
   #freeMb(server: types.PlannerServer): number {
@@ -502,6 +545,17 @@
   }
 }
 
+function none(obstacle: types.Obstacle): NoOption {
+  return { kind: "none", obstacle };
+}
+
+/** What keeps the server from a load that is closest to one. */
+function mostParticular(results: readonly NoOption[]): NoOption {
+  const rankOf = ({ obstacle }: NoOption) => OBSTACLES.indexOf(obstacle);
+  return results.toSorted((one, other) => rankOf(other) - rankOf(one))[0] ??
+    none("no-free-server");
+}
+
 function heldModel(
   server: types.PlannerServer,
   model: string,
--- a/packages/core/src/gateway/load_planner_types.ts
+++ b/packages/core/src/gateway/load_planner_types.ts
@@ -85,12 +85,37 @@
   readonly now: number;
 };
 
+/**
+ * Why a model that is asked for has no order to load it:
+ *
+ * - `out-of-turn`: nobody waits for it, and others that nobody waits for either
+ *   go first
+ * - `no-free-server`: all servers are out or were chosen for other models
+ * - `store-bound`: the weight store serves as many loads as it may
+ * - `copy-elsewhere`: it waits for a server that has a copy
+ * - `no-victim`: no server has a model that it may evict
+ * - `victims-run`: the models that it may evict run requests
+ * - `copies-needed`: more requests wait for copies on the servers' disks
+ * - `server-busy`: the server that was chosen for it executes another order
+ */
+export type Obstacle =
+  | "out-of-turn"
+  | "no-free-server"
+  | "store-bound"
+  | "copy-elsewhere"
+  | "no-victim"
+  | "victims-run"
+  | "copies-needed"
+  | "server-busy";
+
 /** What a planning round has decided. */
 export type PlannedRound = {
   /** Orders to send now. */
   readonly orders: readonly ModelOrder[];
   /** Models for which a server has been chosen, also without an order yet. */
   readonly planned: ReadonlySet<string>;
+  /** Why models that are asked for have no order. */
+  readonly obstacles: ReadonlyMap<string, Obstacle>;
 };
 
 /**
--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -15,6 +15,7 @@
 export * from "./host_load.ts";
 export * from "./load_forecast.ts";
 export * from "./load_planner.ts";
+export { MAX_UNSERVED_MS } from "./model_demand.ts";
 export * from "./load_planner_types.ts";
 export * from "./capacity.ts";
 export * from "./server_availability.ts";
--- a/packages/core/src/gateway/unserved_models.ts
+++ b/packages/core/src/gateway/unserved_models.ts
@@ -3,6 +3,13 @@
 /** Time after the last request for a model at which it is forgotten, in ms. */
 const FORGET_MS = 10_000;
 
+/** A model or adapter that is unserved no more, and why. */
+export type UnservedEnd = {
+  readonly key: string;
+  readonly ageMs: number;
+  readonly outcome: "served" | "forgotten";
+};
+
 /**
  * Remembers since when requests for each model and adapter were not served. A
  * caller that is refused leaves no waiting request behind, so the age of waiting
@@ -21,6 +28,9 @@
   readonly #since = new Map<string, number>();
 
   /**
+   * Adds the demand of a round; returns what was served or forgotten since the
+   * last one.
+   *
    * @param lastRequestedAt by model and `model/adapter`, in monotonic ms
    * @param now monotonic time, in milliseconds
    */
@@ -29,20 +39,21 @@
     servers: readonly types.PlannerServer[],
     lastRequestedAt: ReadonlyMap<string, number>,
     now: number,
-  ): void {
+  ): UnservedEnd[] {
     for (const { adapter, model } of demand) {
       const key = types.demandKey(model, adapter);
       if (!this.#since.has(key)) this.#since.set(key, now);
     }
-    for (const { running } of servers) {
-      for (const [key, count] of running) {
-        if (count > 0) this.#since.delete(key);
-      }
-    }
-    for (const key of this.#since.keys()) {
-      const requestedAt = lastRequestedAt.get(key) ?? -Infinity;
-      if (now - requestedAt > FORGET_MS) this.#since.delete(key);
-    }
+    const served = servers.flatMap(({ running }) =>
+      [...running].filter(([, count]) => count > 0).map(([key]) => key)
+    );
+    const forgotten = [...this.#since.keys()].filter((key) =>
+      now - (lastRequestedAt.get(key) ?? -Infinity) > FORGET_MS
+    );
+    return [
+      ...this.#end(served, "served", now),
+      ...this.#end(forgotten, "forgotten", now),
+    ];
   }
 
   /** Time since the first request that was not served, in milliseconds. */
@@ -51,4 +62,19 @@
       [...this.#since].map(([key, since]) => [key, now - since]),
     );
   }
+
+  #end(
+    keys: readonly string[],
+    outcome: UnservedEnd["outcome"],
+    now: number,
+  ): UnservedEnd[] {
+    const ends: UnservedEnd[] = [];
+    for (const key of keys) {
+      const since = this.#since.get(key);
+      if (since === undefined) continue;
+      this.#since.delete(key);
+      ends.push({ key, ageMs: now - since, outcome });
+    }
+    return ends;
+  }
 }
--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -199,6 +199,7 @@
       executor: this.#executor,
       registry: this.#registry,
       demandTracker: this.#demandTracker,
+      metrics: options.metrics,
       configuration: () => options.state().configuration,
       withdrawnDomains: () => options.state().withdrawnDomains,
       canSendOrders: () => this.#canSendOrders(),
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -7,7 +7,9 @@
 import * as core from "@ebonypath/core";
 import type { gateway } from "@ebonypath/protocol";
 import * as log from "../../log/mod.ts";
+import type * as metrics from "../metrics.ts";
 import type * as orderExecutor from "./order_executor.ts";
+import * as unservedReport from "./unserved_report.ts";
 
 const write = log.createLog("orders");
 
@@ -45,6 +47,7 @@
   readonly executor: orderExecutor.OrderExecutor;
   readonly registry: core.gateway.ServerRegistry;
   readonly demandTracker: core.gateway.DemandTracker;
+  readonly metrics: metrics.GatewayMetrics;
   configuration(): gateway.Configuration | null;
   withdrawnDomains(): readonly string[];
   canSendOrders(): boolean;
@@ -69,6 +72,7 @@
   readonly #storeLimiters = new Map<string, core.placement.StoreLoadLimiter>();
   /** By service. */
   readonly #unserved = new Map<string, core.gateway.UnservedModels>();
+  readonly #unservedReport: unservedReport.UnservedReport;
   /** Monotonic time of the first demand, in milliseconds. */
   #demandSince: number | undefined;
   #collectTimer: NodeJS.Timeout | undefined;
@@ -77,6 +81,7 @@
 
   constructor(options: LoadSchedulerOptions) {
     this.#options = options;
+    this.#unservedReport = new unservedReport.UnservedReport(options.metrics);
     this.#interval = timers.setInterval(
       () => this.requestPlan(),
       PLAN_INTERVAL_MS,
@@ -182,7 +187,13 @@
     const unserved = this.#unserved.get(service) ??
       new core.gateway.UnservedModels();
     this.#unserved.set(service, unserved);
-    unserved.update(demand, view, demandTracker.lastRequestedAt, now);
+    const ends = unserved.update(
+      demand,
+      view,
+      demandTracker.lastRequestedAt,
+      now,
+    );
+    const ages = unserved.ages(now);
     this.#demandSince ??= now;
     const ownLoads = executor.storeLoadsAt(servers);
     const othersLoads = executor.activeStoreLoads - ownLoads;
@@ -190,7 +201,7 @@
     const { limit } = this.#storeConcurrency;
     const storeLimit = Math.min(limit, maxLoads);
     const admits = limiter.admitsModelLoad(executor.activeStoreLoads, now);
-    const { orders, planned } = core.gateway.planRound({
+    const { obstacles, orders, planned } = core.gateway.planRound({
       engine,
       servers: view,
       demand,
@@ -199,12 +210,16 @@
         executor.activeStoreLoads <
           Math.min(limit * MAX_OVERLOAD, maxLoads),
       lastRequestedAt: demandTracker.lastRequestedAt,
-      unservedMs: unserved.ages(now),
+      unservedMs: ages,
       observedMs: now - this.#demandSince,
       loadedAt: executor.loadedAt,
       now,
     });
     this.#plannedModels.set(service, planned);
+    this.#unservedReport.add(
+      { service, ages, ends, obstacles, orders, servers: view },
+      now,
+    );
     for (const order of orders) {
       const server = registry.get(order.server);
       if (server === undefined) continue;
--- a/packages/daemon/src/gateway/metrics.ts
+++ b/packages/daemon/src/gateway/metrics.ts
@@ -150,6 +150,18 @@
     labelNames: ["order", "answer"] as const,
     registers: [this.registry],
   });
+  readonly unservedModels = new prometheus.Gauge({
+    name: "ebonypath_gateway_unserved_models",
+    help: "Models and adapters that are asked for and were not served for " +
+      "long, at the leader, by what keeps them from a server",
+    labelNames: ["reason"] as const,
+    registers: [this.registry],
+  });
+  readonly unservedOldest = new prometheus.Gauge({
+    name: "ebonypath_gateway_unserved_oldest_seconds",
+    help: "Longest time for which one of them was not served",
+    registers: [this.registry],
+  });
   readonly dutyCalls = new prometheus.Counter({
     name: "ebonypath_gateway_duty_calls_total",
     help: "Calls to the party that duties are for, by duty and outcome",
--- a/packages/daemon/test/gateway/load_scheduler_test.ts
+++ b/packages/daemon/test/gateway/load_scheduler_test.ts
@@ -2,6 +2,7 @@
 import * as core from "@ebonypath/core";
 import { expect } from "chai";
 import * as loadScheduler from "../../src/gateway/control/load_scheduler.ts";
+import * as metrics from "../../src/gateway/metrics.ts";
 import type * as orderExecutor from "../../src/gateway/control/order_executor.ts";
 
 /** Time that a round of planning takes, in milliseconds. */
@@ -18,6 +19,7 @@
       executor: {} as orderExecutor.OrderExecutor,
       registry: new core.gateway.ServerRegistry(),
       demandTracker: new core.gateway.DemandTracker(),
+      metrics: new metrics.GatewayMetrics(),
       configuration: () => {
         rounds += 1;
         const until = performance.now() + ROUND_MS;
