--- a/packages/core/src/gateway/mod.ts
+++ b/packages/core/src/gateway/mod.ts
@@ -29,6 +29,7 @@
 export * from "./stream_origins.ts";
 export * from "./stated_times.ts";
 export * from "./store_concurrency.ts";
+export * from "./store_share.ts";
 export * from "./suspension_detector.ts";
 export * from "./borrowed_units.ts";
 export * from "./lending_pool.ts";
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -28,12 +28,6 @@
 const ADAPTER_CONCURRENCY = 4;
 /** Bound of the loads from the store at once, whatever is measured. */
 const MAX_STORE_LOADS = 64;
-/**
- * Part of a service's servers that may load from the store at once. A load from
- * the store takes about seven times as long as one from a disk, and demand may
- * move meanwhile to models that are only on the disk of its server.
- */
-const MAX_STORE_SHARE = 1 / 3;
 /**
  * How far loads that serve many requests may exceed the loads that the store
  * serves at full speed: each takes twice its time at most.
@@ -197,7 +191,7 @@
     this.#demandSince ??= now;
     const ownLoads = executor.storeLoadsAt(servers);
     const othersLoads = executor.activeStoreLoads - ownLoads;
-    const maxLoads = othersLoads + maxOwnStoreLoads(view);
+    const maxLoads = othersLoads + core.gateway.maxStoreLoads(view);
     const { limit } = this.#storeConcurrency;
     const storeLimit = Math.min(limit, maxLoads);
     const admits = limiter.admitsModelLoad(executor.activeStoreLoads, now);
@@ -281,18 +275,3 @@
     };
   }
 }
-
-/**
- * Loads from the store that the servers of one service may execute at once. A
- * server without copies has nothing that its load could put out of reach.
- */
-function maxOwnStoreLoads(
-  servers: readonly core.gateway.PlannerServer[],
-): number {
-  const usable = servers.filter(({ isUsable }) => isUsable);
-  const withCopies = usable.filter(({ inMemory, models, onDisk }) =>
-    onDisk.size + inMemory.size + models.length > 0
-  );
-  return usable.length - withCopies.length +
-    Math.ceil(withCopies.length * MAX_STORE_SHARE);
-}
