Find the store's bound where a load keeps the speed of its start

What callers saw: with more servers loading from the weight store than it serves at full speed, loads took up to twice their time, and callers gave up before the end.

Cause: the leader takes the mean of the loads that ran beside a load for what the store bore.

A load at full speed now shows no more than the number that it began beside, one at seven sixths of its time isn't at full speed, and while loads are overdue the search for the bound goes no further.

The new test of such a store fails on the code before with 5, 13 and 32 loads at once where it serves 2, 6 and 16.

--- a/packages/core/src/gateway/store_concurrency.ts
+++ b/packages/core/src/gateway/store_concurrency.ts
@@ -3,7 +3,7 @@
 /** Most loads at once, whatever the store serves. */
 const MAX_LIMIT = 64;
 /** Duration of a load, in expected durations, up to which it is at full speed. */
-const FULL_SPEED_STRETCH = 1.2;
+export const FULL_SPEED_STRETCH = 1.1;
 /** Duration of a load, in expected durations, from which the store is slow. */
 const SLOW_STRETCH = 1.4;
 /**
@@ -22,6 +22,8 @@
   readonly expectedMs: number;
   /** Loads in progress meanwhile, on average, including it. */
   readonly concurrency: number;
+  /** Loads in progress when it began, including it. */
+  readonly concurrencyAtStart: number;
   /** Monotonic time of its completion, in milliseconds. */
   readonly at: number;
 };
@@ -32,7 +34,8 @@
  * the first ones. A load at full speed raises the limit to twice the number of
  * loads that ran meanwhile, or by less once loads were slow; a slow load lowers
  * it to the number that would have run at full speed. A load that is slow while
- * another one runs at full speed waits for its server, not for the store.
+ * one that began beside as many runs at full speed waits for its server, not for
+ * the store.
  *
  * Answers demand that moves to models that no server has a copy of.
  *
@@ -42,6 +45,7 @@
  *   durationMs: 11_800,
  *   expectedMs: 11_700,
  *   concurrency: 4,
+ *   concurrencyAtStart: 3,
  *   at: performance.now(),
  * });
  * if (running < concurrency.limit) startLoad();
@@ -49,6 +53,8 @@
  */
 export class StoreConcurrency {
   #limit = INITIAL_LIMIT;
+  /** Loads at once that were at full speed, as far as is known. */
+  #borne = INITIAL_LIMIT;
   #growth = SEARCH_GROWTH;
   /** The last load at full speed. */
   #fullSpeed: StoreLoad | undefined;
@@ -58,6 +64,16 @@
     return this.#limit;
   }
 
+  /**
+   * Loads that may be in progress at once beside some that take longer than at
+   * full speed already: the search for the bound goes no further meanwhile.
+   */
+  limitBeside(overdueLoads: number): number {
+    return overdueLoads === 0
+      ? this.#limit
+      : Math.min(this.#limit, this.#borne);
+  }
+
   recordLoad(load: StoreLoad): void {
     const stretch = load.durationMs / load.expectedMs;
     if (stretch <= FULL_SPEED_STRETCH) this.#raise(load);
@@ -66,27 +82,37 @@
 
   #raise(load: StoreLoad): void {
     this.#fullSpeed = load;
-    const highest = Math.ceil(load.concurrency * this.#growth);
+    // A store may decide on a load's speed when it begins, so that loads that
+    // began after it don't show in its duration.
+    const borne = Math.min(load.concurrency, load.concurrencyAtStart);
+    this.#borne = Math.max(this.#borne, Math.floor(borne));
+    const highest = Math.ceil(borne * this.#growth);
     this.#limit = Math.max(this.#limit, Math.min(MAX_LIMIT, highest));
   }
 
   #lower(load: StoreLoad, stretch: number): void {
     const bound = Math.max(1, Math.round(load.concurrency / stretch));
-    if (this.#isRefuted(load, bound)) return;
+    if (this.#isRefuted(load)) return;
     this.#growth = CAREFUL_GROWTH;
+    this.#borne = Math.min(this.#borne, bound);
     this.#limit = Math.min(this.#limit, bound);
   }
 
-  /** Whether more loads than a bound ran at full speed at the same time. */
-  #isRefuted({ at, durationMs }: StoreLoad, bound: number): boolean {
+  /** Whether one that began beside as many ran at full speed meanwhile. */
+  #isRefuted({ at, concurrencyAtStart, durationMs }: StoreLoad): boolean {
     const known = this.#fullSpeed;
     return known !== undefined && known.at >= at - durationMs / 2 &&
-      known.concurrency > bound;
+      known.concurrencyAtStart >= concurrencyAtStart;
   }
 }
 
 /** Mark of the beginning of an interval, see {@link ConcurrencyMeter}. */
-export type ConcurrencyMark = { readonly at: number; readonly loadMs: number };
+export type ConcurrencyMark = {
+  readonly at: number;
+  readonly loadMs: number;
+  /** Loads in progress then, including the one that begins. */
+  readonly concurrency: number;
+};
 
 /**
  * Measures how many loads were in progress on average during each of them.
@@ -108,7 +134,7 @@
   begin(now: number): ConcurrencyMark {
     this.#advance(now);
     this.#active += 1;
-    return { at: now, loadMs: this.#loadMs };
+    return { at: now, loadMs: this.#loadMs, concurrency: this.#active };
   }
 
   /** Ends a load; returns the loads in progress meanwhile, including it. */
--- a/packages/core/test/gateway/archive_fleet.ts
+++ b/packages/core/test/gateway/archive_fleet.ts
@@ -83,6 +83,11 @@
     return this.order?.kind === "load" && this.order.source === "store";
   }
 
+  isOverdue(now: number): boolean {
+    return this.order?.kind === "load" &&
+      now - this.orderedAt > this.order.expectedMs * core.FULL_SPEED_STRETCH;
+  }
+
   /** Ends the order if it is complete; returns it then. */
   advance(now: number): core.ModelOrder | undefined {
     const { order } = this;
@@ -189,6 +194,7 @@
         durationMs: now - server.orderedAt,
         expectedMs: order.expectedMs,
         concurrency: this.#storeMeter.end(server.storeMark, now),
+        concurrencyAtStart: server.storeMark.concurrency,
         at: now,
       });
       server.storeMark = undefined;
@@ -285,7 +291,8 @@
     const { lastRequestedAt } = this.#tracker;
     this.#unserved.update(demand, views, lastRequestedAt, now);
     const loading = this.#servers.filter((server) => server.loadsFromStore);
-    const { limit } = this.#storeConcurrency;
+    const overdue = loading.filter((server) => server.isOverdue(now));
+    const limit = this.#storeConcurrency.limitBeside(overdue.length);
     const maxLoads = Math.min(limit, core.maxStoreLoads(views));
     const { orders } = core.planRound(fixtures.input({
       engine: this.#engine,
--- a/packages/core/test/gateway/load_forecast_test.ts
+++ b/packages/core/test/gateway/load_forecast_test.ts
@@ -102,7 +102,47 @@
     concurrency: number,
     at: number,
   ): core.StoreLoad {
-    return { durationMs, expectedMs: 10_000, concurrency, at };
+    const concurrencyAtStart = concurrency;
+    return {
+      durationMs,
+      expectedMs: 10_000,
+      concurrency,
+      concurrencyAtStart,
+      at,
+    };
+  }
+
+  /**
+   * Highest number of loads at once in the last minutes of plays on a store that
+   * decides on the speed of a load when it begins.
+   */
+  function playDecidedAtStart(atOnce: number): number {
+    const concurrency = new core.StoreConcurrency();
+    const meter = new core.ConcurrencyMeter();
+    let loads: { mark: core.ConcurrencyMark; endsAt: number }[] = [];
+    let highest = 0;
+    for (let now = 0; now < 600_000; now += 250) {
+      for (const { mark } of loads.filter(({ endsAt }) => endsAt <= now)) {
+        concurrency.recordLoad({
+          durationMs: now - mark.at,
+          expectedMs: 10_000,
+          concurrency: meter.end(mark, now),
+          concurrencyAtStart: mark.concurrency,
+          at: now,
+        });
+      }
+      loads = loads.filter(({ endsAt }) => endsAt > now);
+      const overdue = loads.filter(({ mark }) =>
+        now - mark.at > 10_000 * core.FULL_SPEED_STRETCH
+      );
+      if (loads.length < concurrency.limitBeside(overdue.length)) {
+        const mark = meter.begin(now);
+        const stretch = Math.max(1, mark.concurrency / atOnce);
+        loads.push({ mark, endsAt: now + 10_000 * stretch });
+      }
+      if (now >= 300_000) highest = Math.max(highest, loads.length);
+    }
+    return highest;
   }
 
   /** Plays loads of 10 s on a store that serves `atOnce` at full speed. */
@@ -127,6 +167,22 @@
     });
   }
 
+  for (const atOnce of [2, 4, 6, 16, 40]) {
+    it(`finds ${atOnce} at once where a load keeps the speed of its start`, () => {
+      expect(playDecidedAtStart(atOnce)).to.be.within(
+        atOnce * 0.7,
+        atOnce * 1.5 + 1,
+      );
+    });
+  }
+
+  it("searches no further while loads take longer than at full speed", () => {
+    const concurrency = new core.StoreConcurrency();
+    concurrency.recordLoad(storeLoad(10_000, 4, 10_000));
+    expect(concurrency.limitBeside(0)).to.equal(8);
+    expect(concurrency.limitBeside(1)).to.equal(4);
+  });
+
   it("does not grow while it is not used", () => {
     const concurrency = new core.StoreConcurrency();
     for (let load = 0; load < 50; load += 1) {
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -105,6 +105,7 @@
       limit: this.#storeConcurrency.limit,
       before: limit,
       concurrency: Math.round(load.concurrency),
+      at_start: load.concurrencyAtStart,
       took_ms: Math.round(load.durationMs),
       expected_ms: Math.round(load.expectedMs),
     });
@@ -192,7 +193,9 @@
     const ownLoads = executor.storeLoadsAt(servers);
     const othersLoads = executor.activeStoreLoads - ownLoads;
     const maxLoads = othersLoads + core.gateway.maxStoreLoads(view);
-    const { limit } = this.#storeConcurrency;
+    const limit = this.#storeConcurrency.limitBeside(
+      executor.overdueStoreLoads(now),
+    );
     const storeLimit = Math.min(limit, maxLoads);
     const admits = limiter.admitsModelLoad(executor.activeStoreLoads, now);
     const { obstacles, orders, planned } = core.gateway.planRound({
--- a/packages/daemon/src/gateway/control/order_executor.ts
+++ b/packages/daemon/src/gateway/control/order_executor.ts
@@ -181,6 +181,16 @@
       .map(({ busyUntil }) => Math.max(0, busyUntil - now));
   }
 
+  /** Number of loads from the store that take longer than at full speed. */
+  overdueStoreLoads(now: number): number {
+    return [...this.#servers.values()].filter(isLoadingFromStore)
+      .filter(({ acceptedAt, current, isAccepted }) =>
+        isAccepted && current?.kind === "load" &&
+        now - acceptedAt - FIRST_POLL_MS >
+          current.expectedMs * core.gateway.FULL_SPEED_STRETCH
+      ).length;
+  }
+
   /** Sends an order; its effect shows in the server registry. */
   execute(server: gateway.Heartbeat, order: core.gateway.ModelOrder): void {
     const orders = this.#ordersOf(server);
@@ -524,10 +534,19 @@
   ): number {
     const at = performance.now();
     const durationMs = at - orders.acceptedAt;
+    const { storeMark } = orders;
     const concurrency = this.#endStoreLoad(orders, at);
-    if (order.kind === "load" && concurrency !== undefined) {
-      const { expectedMs } = order;
-      this.#options.onStoreLoad({ durationMs, expectedMs, concurrency, at });
+    if (
+      order.kind === "load" && concurrency !== undefined &&
+      storeMark !== undefined
+    ) {
+      this.#options.onStoreLoad({
+        durationMs,
+        expectedMs: order.expectedMs,
+        concurrency,
+        concurrencyAtStart: storeMark.concurrency,
+        at,
+      });
     }
     return durationMs;
   }
