Give a load's place at the store back when its server is gone

What callers saw: models that were asked for all along had no load, while the store had places.

Cause: a load whose server ends without a word was polled for 30 s, and kept its place at the store and among the servers that may load from it all that time.

A load ends now when its server doesn't answer and hasn't been heard of for 4 s. One that is heard of is waited for as before. If the server comes back, its state is asked before its next order, as after every lost one.

The new test fails on the code before ('expected 1 to equal 0').

--- a/packages/daemon/src/gateway/control/order_executor.ts
+++ b/packages/daemon/src/gateway/control/order_executor.ts
@@ -32,6 +32,11 @@
 const UNKNOWN_PAUSE_MS = 400;
 /** Time in which a server loads an adapter, in milliseconds. */
 const ADAPTER_LOAD_MS = 45;
+/**
+ * Time without a heartbeat after which a server that doesn't answer either counts
+ * as gone, in milliseconds. Heartbeats come about once a second.
+ */
+const GONE_MS = 4_000;
 /** Pause after a failed request to a server, in milliseconds. */
 const FAILURE_PAUSE_MS = 500;
 /**
@@ -401,7 +406,8 @@
     while (performance.now() - startedAt < ORDER_TIMEOUT_MS) {
       await timers.setTimeout(POLL_MS);
       if (!this.#isRunning(server)) return;
-      if (await this.#hasCompleted(server, orders, order)) {
+      const progress = await this.#fetchProgress(server, orders, order);
+      if (progress === "complete") {
         this.#complete(server, orders, order);
         return;
       }
@@ -427,16 +433,19 @@
     while (performance.now() - orders.acceptedAt < timeoutMs) {
       if (orders.current !== order) return;
       if (!this.#isRunning(server)) break;
-      const isDone = await this.#hasCompleted(server, orders, order);
+      const progress = await this.#fetchProgress(server, orders, order);
       if (orders.current !== order) return;
-      if (isDone) {
+      if (progress === "complete") {
         return this.#completeModelOrder(server, orders, order, "report");
       }
+      if (progress === "no-report" && this.#isSilent(server)) break;
       await timers.setTimeout(POLL_MS);
     }
     orders.acceptedCount = undefined;
     // A load that doesn't end in time shows a slow store as well.
-    if (this.#isRunning(server)) this.#recordDuration(orders, order);
+    if (this.#isRunning(server) && !this.#isSilent(server)) {
+      this.#recordDuration(orders, order);
+    }
     write("order-lost", { server: server.id, model: order.model });
     this.#finish(server, orders, order);
   }
@@ -458,22 +467,22 @@
     this.#complete(server, orders, order);
   }
 
-  async #hasCompleted(
+  async #fetchProgress(
     server: gateway.Heartbeat,
     orders: ServerOrders,
     order: core.gateway.ModelOrder,
-  ): Promise<boolean> {
+  ): Promise<"complete" | "pending" | "no-report"> {
     try {
       const report = await this.#options.client.report(server);
       // An outdated report lacks the orders that were accepted since.
       const isCurrent = report.orders === orders.acceptedCount &&
         !report.isBusy && report.pendingAdapters === 0;
-      if (!isCurrent || !hasTakenEffect(order, report.models)) return false;
+      if (!isCurrent || !hasTakenEffect(order, report.models)) return "pending";
       this.#options.registry.applyReport(server, report, performance.now());
-      return true;
+      return "complete";
     } catch (error) {
       write("no-report", { server: server.id, error });
-      return false;
+      return "no-report";
     }
   }
 
@@ -563,6 +572,11 @@
     return known?.born === born && known.state !== "ended";
   }
 
+  #isSilent({ id }: gateway.Heartbeat): boolean {
+    const { registry } = this.#options;
+    return registry.timeSinceHeartbeatMs(id, performance.now()) >= GONE_MS;
+  }
+
   #ordersOf({ born, id }: gateway.Heartbeat): ServerOrders {
     const known = this.#servers.get(id);
     if (known?.born === born) return known;
--- a/packages/daemon/test/gateway/order_executor_test.ts
+++ b/packages/daemon/test/gateway/order_executor_test.ts
@@ -200,6 +200,24 @@
   }
 }
 
+/** Begins a load of "d" from the store; returns once it is accepted. */
+async function beginStoreLoad({ executor, server, statuses }: Fixture) {
+  executor.execute(server, { kind: "unload", server: "s1", model: "a" });
+  const isIdle = () => executor.status(server, performance.now()).busyMs === 0;
+  await until(isIdle, "the unload");
+  executor.execute(server, {
+    kind: "load",
+    server: "s1",
+    model: "d",
+    source: "store",
+    expectedMs: SIZE.storeMs,
+  });
+  await until(() => statuses.length > 1, "the answer");
+}
+
+/** Time without heartbeats after which a server without answers is gone, in ms. */
+const GONE_MS = 4_000;
+
 describe("gateway order executor", () => {
   it("unloads one model, loads another and reports when it is held", async () => {
     const fixture = new Fixture();
@@ -293,6 +311,36 @@
       .to.deep.equal(["b", "c"]);
   });
 
+  it("gives a load's place at the store back when its server is gone", async () => {
+    const fixture = new Fixture();
+    await beginStoreLoad(fixture);
+    fixture.onReport = () => {
+      throw new Error("connect ECONNREFUSED");
+    };
+    expect(fixture.executor.activeStoreLoads).to.equal(1);
+    await timers.setTimeout(GONE_MS + 1_000);
+    expect(fixture.executor.activeStoreLoads).to.equal(0);
+  });
+
+  it("waits for a load whose server is heard of but doesn't answer", async () => {
+    const fixture = new Fixture();
+    await beginStoreLoad(fixture);
+    fixture.onReport = () => {
+      throw new Error("connect ETIMEDOUT");
+    };
+    const startedAt = performance.now();
+    for (let sequence = 2; performance.now() - startedAt < GONE_MS + 1_000;) {
+      const { server } = fixture;
+      fixture.registry.applyHeartbeat(
+        { ...server, sequence },
+        performance.now(),
+      );
+      sequence += 1;
+      await timers.setTimeout(500);
+    }
+    expect(fixture.executor.activeStoreLoads).to.equal(1);
+  });
+
   for (const seed of [1, 2, 3]) {
     it(`never overfills a server if answers are lost, seed ${seed}`, async () => {
       const fixture = new Fixture();
