Unserved models go first only while asked for, and leave turns they can't use

What callers saw: models that were asked for all along were never loaded, while loads began for models whose callers had left long ago.

Cause: the planner took the oldest models up to a quarter of the servers before it looked whether a server could load them at all, so that one that waits for the store kept others with copies on free disks from their turn.

Turns now pass to the next model, in the order of ages as before. A model is due while callers wait, come back or have just asked; its age is remembered for 60 s. The bound on the age of a model that is asked for stays, and its test.

The three new tests fail on the code before (undefined instead of 50000, [] instead of b, b instead of []).

--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -56,6 +56,12 @@
 /** Most adapter loads in progress on one server. */
 const MAX_PENDING_ADAPTERS = 4;
 
+/**
+ * Time after a request for which its caller may not have been told yet whether
+ * to wait or to come back, in milliseconds.
+ */
+const JUST_ASKED_MS = 2_000;
+
 /** A server that could load a model, and the cost of the load. */
 type LoadOption = {
   readonly kind: "option";
@@ -161,15 +167,15 @@
     const missing = this.#demandAtAnyVersion()
       .filter((demand) =>
         loadDemand.hasWaiting(demand) || this.#isLosing(demand) ||
-        this.#demand.isUnserved(demand.model)
+        this.#isDue(demand)
       )
       .filter(({ model }) => this.#isMissing(model));
     this.#isStoreInDemand = missing.some(({ model }) =>
       !this.#copyNeeds.isAtHand(model)
     );
-    const oldest = this.#oldestUnserved(missing);
     for (const { model } of missing) this.obstacles.set(model, "out-of-turn");
-    const others = missing.filter((demand) => !oldest.includes(demand))
+    const unserved = this.#planUnserved(missing);
+    const others = missing.filter(({ model }) => !this.planned.has(model))
       .filter((demand) =>
         loadDemand.hasWaiting(demand) || this.#isLosing(demand)
       );
@@ -179,32 +185,52 @@
       this.#copyNeeds.isElsewhere(model)
     );
     const more = short.filter((demand) => !spares.includes(demand));
-    const loads = [
-      ...oldest,
-      ...this.#sortByBenefit([...others, ...spares]),
-      ...more,
-    ]
+    const loads = [...this.#sortByBenefit([...others, ...spares]), ...more]
       .map((demand) => this.#planLoad(demand));
     return [
       ...adapters,
-      ...[...resumed, ...loads].filter((order) => order !== undefined),
+      ...[...resumed, ...unserved, ...loads]
+        .filter((order) => order !== undefined),
     ];
   }
 
-  /** Models that go first, as many as there are servers for them. */
-  #oldestUnserved(
+  /**
+   * Plans loads of the models that go first, the oldest ones first, as many as
+   * there are servers for them. One that no server can load now leaves its turn
+   * to the next.
+   */
+  #planUnserved(
     missing: readonly types.AggregateDemand[],
-  ): types.AggregateDemand[] {
+  ): (types.ModelOrder | undefined)[] {
     const usable = this.#input.servers.filter(({ isUsable }) => isUsable);
     const loading = usable.filter((server) =>
       server.loading !== undefined && this.#demand.isUnserved(server.loading)
     );
-    const servers = Math.ceil(usable.length * MAX_UNSERVED_SHARE);
+    const servers = Math.ceil(usable.length * MAX_UNSERVED_SHARE) -
+      loading.length;
+    const plannedBefore = this.planned.size;
     const ageOf = ({ model }: types.AggregateDemand) =>
       this.#demand.unservedMs(model);
-    return missing.filter(({ model }) => this.#demand.isUnserved(model))
+    return missing.filter((demand) => this.#isDue(demand))
       .sort((one, other) => ageOf(other) - ageOf(one))
-      .slice(0, Math.max(0, servers - loading.length));
+      .map((demand) =>
+        this.planned.size - plannedBefore < servers
+          ? this.#planLoad(demand)
+          : undefined
+      );
+  }
+
+  /**
+   * Whether a model goes before others: it was not served for long, and callers
+   * wait for it, are to come back, or have just asked. A load for callers who
+   * have left would be in vain.
+   */
+  #isDue(demand: types.AggregateDemand): boolean {
+    const { lastRequestedAt, now } = this.#input;
+    const { model } = demand;
+    const askedMs = now - (lastRequestedAt.get(model) ?? now);
+    return this.#demand.isUnserved(model) &&
+      (loadDemand.hasWaiting(demand) || askedMs <= JUST_ASKED_MS);
   }
 
   /** Whether a model is used steadily at a server that is about to leave. */
--- a/packages/core/src/gateway/unserved_models.ts
+++ b/packages/core/src/gateway/unserved_models.ts
@@ -1,7 +1,10 @@
 import * as types from "./load_planner_types.ts";
 
-/** Time after the last request for a model at which it is forgotten, in ms. */
-const FORGET_MS = 10_000;
+/**
+ * Time after the last request for a model at which it is forgotten, in
+ * milliseconds. Callers of a rare model come far apart.
+ */
+const FORGET_MS = 60_000;
 
 /** A model or adapter that is unserved no more, and why. */
 export type UnservedEnd = {
--- a/packages/core/test/gateway/unserved_models_test.ts
+++ b/packages/core/test/gateway/unserved_models_test.ts
@@ -39,6 +39,16 @@
     expect(ages).to.deep.equal([0, 4_000, 8_000]);
   });
 
+  it("are remembered until callers ask again that come far apart", () => {
+    const unserved = new UnservedModels();
+    for (const now of [0, 25_000, 50_000]) {
+      const requestedAt = new Map([["a", now]]);
+      unserved.update([demand({ model: "a" })], [], requestedAt, now);
+      unserved.update([], [], requestedAt, now + 24_000);
+    }
+    expect(unserved.ages(50_000).get("a")).to.equal(50_000);
+  });
+
   it("are forgotten when a request runs", () => {
     expect(ageAfter(3, 1)).to.equal(0);
   });
@@ -75,6 +85,30 @@
     expect(loaded(8_000, { slacksMs: [] })).to.deep.equal(["load b"]);
   });
 
+  it("leaves the turn of a model that no server can load to the next", () => {
+    const orders = planOrders(input({
+      servers: ["s1", "s2", "s3", "s4"].map((id) =>
+        server({ id, onDisk: new Set(["b"]) })
+      ),
+      demand: ["a", "b"].map((model) => demand({ model, slacksMs: [] })),
+      canLoadFromStore: false,
+      unservedMs: new Map([["a", 20_000], ["b", 9_000]]),
+    }));
+    expect(orders.map(({ model }) => model)).to.deep.equal(["b"]);
+  });
+
+  it("loads no model whose callers have all left", () => {
+    const orders = (askedMs: number) =>
+      planOrders(input({
+        servers,
+        demand: [demand({ model: "b", slacksMs: [] })],
+        unservedMs: new Map([["b", 20_000]]),
+        lastRequestedAt: new Map([["b", 100_000 - askedMs]]),
+      })).map(({ model }) => model);
+    expect(orders(1_000)).to.deep.equal(["b"]);
+    expect(orders(3_000)).to.deep.equal([]);
+  });
+
   it("doesn't give such models more than a quarter of the servers", () => {
     const names = ["a", "b", "c", "d", "e", "f"];
     const many = names.map((model) => demand({ model, slacksMs: [] }));
