--- a/packages/core/test/gateway/archive_fleet.ts
+++ b/packages/core/test/gateway/archive_fleet.ts
@@ -123,6 +123,33 @@
   }
 }
 
+/** Requests, and the time over which they come, from which a model counts. */
+const MIN_REQUESTS = 4;
+const MIN_SPAN_MS = 8_000;
+/** Models that may be left without service: one, and a tenth of all. */
+const NEVER_SERVED = 1;
+const NEVER_SERVED_SHARE = 0.1;
+
+/** Plays an archive; counts the models that are asked for all along. */
+export function countNeverServed(
+  archive: Archive,
+  seed: number,
+): { readonly asked: number; readonly never: number } {
+  const fleet = new ArchiveFleet(archive, seed);
+  fleet.play();
+  const asked = [...fleet.outcomes.values()].filter(({ requestedAt }) => {
+    const spanMs = (requestedAt.at(-1) ?? 0) - (requestedAt[0] ?? 0);
+    return requestedAt.length >= MIN_REQUESTS && spanMs >= MIN_SPAN_MS;
+  });
+  const never = asked.filter(({ servedAt }) => servedAt.length === 0);
+  return { asked: asked.length, never: never.length };
+}
+
+/** Models of those asked for all along that may be left without service. */
+export function mayBeNeverServed(asked: number): number {
+  return NEVER_SERVED + NEVER_SERVED_SHARE * asked;
+}
+
 /**
  * Plays servers whose memory is too small for the models that callers ask for:
  * the planner decides what they load, and callers wait, come back or give up as
