A leader that takes over asks for loads under way before it begins others

What callers saw: after a change of the leader, loads from the store took 19 to 30 s instead of 7.8 s, so that nearly none ended while its callers were there.

Cause: a new leader doesn't know the loads that the one before began, takes the store for idle and begins four more.

A leader that takes over now asks each server with models once for its state, eight at a time, before it begins a load from the store; its first order to a server had to ask for that anyway. A server that executes an unknown order counts as one that loads from the store, in the number at once and in what is measured. Where it doesn't answer and hasn't been heard of for 4 s, the order counts as ended, as for own orders.

--- a/packages/daemon/src/gateway/control/fleet_coordinator.ts
+++ b/packages/daemon/src/gateway/control/fleet_coordinator.ts
@@ -549,12 +549,23 @@
     return state().orderHolder === orderHolder;
   }
 
+  #surveyServers(): void {
+    const servers = this.#registry.activeServers().filter(({ service }) =>
+      this.#serviceOf(service)?.engine !== undefined
+    );
+    void this.#executor.survey(servers);
+  }
+
   /** Makes this host the order holder after a delay, and retries on failure. */
   #claimOrders(delayMs: number): void {
     const host = this.#options.orderHolder;
+    const { orderHolder: previous } = this.#options.state();
     this.#claimTimer = timers.setTimeout(() => {
       this.#options.commit({ kind: "hold-orders", host }).then(
-        () => write("holds-orders", { term: this.term }),
+        () => {
+          write("holds-orders", { term: this.term });
+          if (previous !== null) this.#surveyServers();
+        },
         (error: unknown) => {
           write("holds-no-orders", { term: this.term, error });
           if (!this.#isDisposed) this.#claimOrders(CLAIM_RETRY_MS);
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -197,7 +197,8 @@
       executor.overdueStoreLoads(now),
     );
     const storeLimit = Math.min(limit, maxLoads);
-    const admits = limiter.admitsModelLoad(executor.activeStoreLoads, now);
+    const admits = !executor.isSurveying(now) &&
+      limiter.admitsModelLoad(executor.activeStoreLoads, now);
     const { obstacles, orders, planned } = core.gateway.planRound({
       engine,
       servers: view,
--- a/packages/daemon/src/gateway/control/order_executor.ts
+++ b/packages/daemon/src/gateway/control/order_executor.ts
@@ -44,6 +44,10 @@
  * milliseconds. A poll is a request to the server.
  */
 const FOREIGN_POLL_MS = 1_000;
+/** Servers that a survey asks at once. */
+const SURVEYED_AT_ONCE = 8;
+/** Time after which a survey holds up no load any more, in milliseconds. */
+const MAX_SURVEY_MS = 2_000;
 /** Expected time of an unload in ms; it is immediate once no request runs. */
 const EXPECTED_UNLOAD_MS = 30;
 
@@ -105,6 +109,8 @@
   readonly #storeLoads = new core.gateway.ConcurrencyMeter();
   /** Monotonic load time of each `server model`, in milliseconds. */
   readonly loadedAt = new Map<string, number>();
+  /** Monotonic time until which a survey is in progress, in milliseconds. */
+  #surveyUntil = -Infinity;
 
   constructor(options: OrderExecutorOptions) {
     this.#options = options;
@@ -168,16 +174,52 @@
     this.#completeModelOrder(heartbeat, orders, order, "heartbeat");
   }
 
-  /** Number of loads from the weight store in progress. */
+  /**
+   * Asks servers whether they execute orders of another leader, so that loads
+   * from the store that it began are known.
+   */
+  async survey(servers: readonly gateway.Heartbeat[]): Promise<void> {
+    this.#surveyUntil = performance.now() + MAX_SURVEY_MS;
+    const remaining = [...servers];
+    const surveyNext = async () => {
+      for (let one = remaining.pop(); one; one = remaining.pop()) {
+        await this.#surveyServer(one);
+      }
+    };
+    await Promise.all(Array.from({ length: SURVEYED_AT_ONCE }, surveyNext));
+    this.#surveyUntil = -Infinity;
+    write("survey", {
+      servers: servers.length,
+      busy: this.storeLoadsAt(servers),
+    });
+    this.#options.onOrderFinished();
+  }
+
+  async #surveyServer(server: gateway.Heartbeat): Promise<void> {
+    try {
+      await this.#fetchAcceptedCount(server, this.#ordersOf(server));
+    } catch (error) {
+      write("no-report", { server: server.id, error });
+    }
+  }
+
+  /** Whether loads of another leader may be in progress that aren't known yet. */
+  isSurveying(now: number): boolean {
+    return now < this.#surveyUntil;
+  }
+
+  /**
+   * Number of loads from the weight store in progress. Unknown orders of other
+   * leaders count as such.
+   */
   get activeStoreLoads(): number {
-    return [...this.#servers.values()].filter(isLoadingFromStore).length;
+    return [...this.#servers.values()].filter(mayLoadFromStore).length;
   }
 
   /** Number of these servers that load from the weight store. */
   storeLoadsAt(servers: readonly gateway.Heartbeat[]): number {
-    return servers.filter((server) =>
-      isLoadingFromStore(this.#ordersOf(server))
-    ).length;
+    return servers.filter((server) => mayLoadFromStore(this.#ordersOf(server)))
+      .length;
   }
 
   /** Time until each load from the store should be complete, in ms. */
@@ -343,6 +385,7 @@
     if (orders.foreignSince !== undefined) return;
     const since = performance.now();
     orders.foreignSince = since;
+    const storeMark = this.#storeLoads.begin(since);
     let isBusy = true;
     while (isBusy && performance.now() - since < ORDER_TIMEOUT_MS) {
       await timers.setTimeout(FOREIGN_POLL_MS);
@@ -350,6 +393,7 @@
       isBusy = await this.#isBusy(server);
     }
     orders.foreignSince = undefined;
+    this.#storeLoads.end(storeMark, performance.now());
     write("foreign-order-done", {
       server: server.id,
       took_ms: Math.round(performance.now() - since),
@@ -364,7 +408,7 @@
       return report.isBusy;
     } catch (error) {
       write("no-report", { server: server.id, error });
-      return true;
+      return !this.#isSilent(server);
     }
   }
 
@@ -590,6 +634,10 @@
   return current?.kind === "load" && current.source === "store";
 }
 
+function mayLoadFromStore(orders: ServerOrders): boolean {
+  return orders.foreignSince !== undefined || isLoadingFromStore(orders);
+}
+
 type AdapterOrder = Extract<
   core.gateway.ModelOrder,
   { readonly kind: "load-adapter" | "unload-adapter" }
--- a/packages/daemon/test/gateway/order_executor_test.ts
+++ b/packages/daemon/test/gateway/order_executor_test.ts
@@ -280,6 +280,26 @@
     }, "the load");
   });
 
+  it("counts loads that another leader began as loads from the store", async () => {
+    const fixture = new Fixture();
+    const end = fixture.engine.begin("a", undefined);
+    fixture.engine.order({
+      isLoad: false,
+      model: "a",
+      adapter: undefined,
+      expected: 0,
+    });
+    await timers.setTimeout(100);
+    const survey = fixture.executor.survey([fixture.server]);
+    expect(fixture.executor.isSurveying(performance.now())).to.equal(true);
+    await survey;
+    expect(fixture.executor.isSurveying(performance.now())).to.equal(false);
+    expect(fixture.executor.activeStoreLoads).to.equal(1);
+    end?.();
+    const isOver = () => fixture.executor.activeStoreLoads === 0;
+    await until(isOver, "the end of the order");
+  });
+
   it("sends no order if the lease ends while it requests the state", async () => {
     const fixture = new Fixture();
     fixture.onReport = () => {
