--- a/packages/core/src/gateway/unserved_models.ts
+++ b/packages/core/src/gateway/unserved_models.ts
@@ -6,6 +6,12 @@
  */
 const FORGET_MS = 60_000;
 
+/**
+ * Most models and adapters that are remembered: callers may ask for any names.
+ * About the number of adapters of a large deployment.
+ */
+const MAX_MODELS = 16_384;
+
 /** A model or adapter that is unserved no more, and why. */
 export type UnservedEnd = {
   readonly key: string;
@@ -45,7 +51,8 @@
   ): UnservedEnd[] {
     for (const { adapter, model } of demand) {
       const key = types.demandKey(model, adapter);
-      if (!this.#since.has(key)) this.#since.set(key, now);
+      const isNew = !this.#since.has(key) && this.#since.size < MAX_MODELS;
+      if (isNew) this.#since.set(key, now);
     }
     const served = servers.flatMap(({ running }) =>
       [...running].filter(([, count]) => count > 0).map(([key]) => key)
--- a/packages/core/test/gateway/unserved_models_test.ts
+++ b/packages/core/test/gateway/unserved_models_test.ts
@@ -49,6 +49,23 @@
     expect(unserved.ages(50_000).get("a")).to.equal(50_000);
   });
 
+  it("are a bounded number, whatever names callers make up", () => {
+    const unserved = new UnservedModels();
+    for (let round = 0; round < 20; round += 1) {
+      const names = Array.from(
+        { length: 1_000 },
+        (_, index) => `made-up-${round}-${index}`,
+      );
+      unserved.update(
+        names.map((model) => demand({ model })),
+        [],
+        new Map(names.map((name) => [name, round])),
+        round,
+      );
+    }
+    expect(unserved.ages(20).size).to.be.at.most(16_384);
+  });
+
   it("are forgotten when a request runs", () => {
     expect(ageAfter(3, 1)).to.equal(0);
   });
--- a/packages/daemon/src/gateway/control/load_scheduler.ts
+++ b/packages/daemon/src/gateway/control/load_scheduler.ts
@@ -134,6 +134,7 @@
   [Symbol.dispose](): void {
     timers.clearInterval(this.#interval);
     timers.clearTimeout(this.#collectTimer);
+    this.#unservedReport[Symbol.dispose]();
     this.#resolvePlanned();
   }
 
--- a/packages/daemon/src/gateway/control/unserved_report.ts
+++ b/packages/daemon/src/gateway/control/unserved_report.ts
@@ -27,8 +27,8 @@
 /** Why a model or adapter has not been served. */
 type Reason = core.gateway.Obstacle | "ordered" | "loading" | "held";
 
-/** Logs when a reason changes, and keeps the metrics. */
-export class UnservedReport {
+/** Logs when a reason changes, and keeps the metrics of the leader. */
+export class UnservedReport implements Disposable {
   readonly #metrics: Pick<
     metrics.GatewayMetrics,
     "unservedModels" | "unservedOldest"
@@ -71,6 +71,12 @@
     this.#setMetrics();
   }
 
+  [Symbol.dispose](): void {
+    this.#counts.clear();
+    this.#oldestMs.clear();
+    this.#setMetrics();
+  }
+
   #logEnds({ ends, service }: UnservedRound): void {
     for (const { ageMs, key, outcome } of ends) {
       this.#reasons.delete(`${service} ${key}`);
--- a/packages/daemon/test/gateway/unserved_report_test.ts
+++ b/packages/daemon/test/gateway/unserved_report_test.ts
@@ -64,4 +64,15 @@
     const oldest = await gatewayMetrics.unservedOldest.get();
     expect(oldest.values[0]?.value).to.equal(0);
   });
+
+  it("leaves no counts behind when its host leads no more", async () => {
+    const gatewayMetrics = new metrics.GatewayMetrics();
+    {
+      using report = new unservedReport.UnservedReport(gatewayMetrics);
+      report.add(round([["a", 9_000]], [["a", "no-victim"]]), 0);
+    }
+    expect((await gatewayMetrics.unservedModels.get()).values).to.be.empty;
+    const oldest = await gatewayMetrics.unservedOldest.get();
+    expect(oldest.values[0]?.value).to.equal(0);
+  });
 });
