--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -226,11 +226,14 @@
    * have left would be in vain.
    */
   #isDue(demand: types.AggregateDemand): boolean {
+    return this.#demand.isUnserved(demand.model) &&
+      (loadDemand.hasWaiting(demand) || this.#isJustAskedFor(demand.model));
+  }
+
+  /** @param key name of a model, or of an adapter with its model */
+  #isJustAskedFor(key: string): boolean {
     const { lastRequestedAt, now } = this.#input;
-    const { model } = demand;
-    const askedMs = now - (lastRequestedAt.get(model) ?? now);
-    return this.#demand.isUnserved(model) &&
-      (loadDemand.hasWaiting(demand) || askedMs <= JUST_ASKED_MS);
+    return now - (lastRequestedAt.get(key) ?? now) <= JUST_ASKED_MS;
   }
 
   /** Whether a model is used steadily at a server that is about to leave. */
@@ -471,7 +474,7 @@
     return this.#input.demand
       .filter((demand) =>
         demand.adapter !== undefined &&
-        (loadDemand.hasWaiting(demand) || this.#isAdapterUnserved(demand))
+        (loadDemand.hasWaiting(demand) || this.#isAdapterDue(demand))
       )
       .sort((one, other) =>
         loadDemand.minSlack(one) - loadDemand.minSlack(other)
@@ -480,10 +483,11 @@
       .filter((order) => order !== undefined);
   }
 
-  #isAdapterUnserved({ adapter, model }: types.AggregateDemand): boolean {
+  /** Whether an adapter was not served for long, and a caller has just asked. */
+  #isAdapterDue({ adapter, model }: types.AggregateDemand): boolean {
     const key = types.demandKey(model, adapter);
     return (this.#input.unservedMs.get(key) ?? 0) >=
-      modelDemand.MAX_UNSERVED_MS;
+        modelDemand.MAX_UNSERVED_MS && this.#isJustAskedFor(key);
   }
 
   #planAdapter(
--- a/packages/core/test/gateway/unserved_models_test.ts
+++ b/packages/core/test/gateway/unserved_models_test.ts
@@ -126,6 +126,19 @@
     expect(orders(3_000)).to.deep.equal([]);
   });
 
+  it("loads no adapter whose callers have all left", () => {
+    const holder = server({ id: "s1", models: [heldModel("a")] });
+    const orders = (askedMs: number) =>
+      planOrders(input({
+        servers: [holder],
+        demand: [demand({ model: "a", adapter: "a1", slacksMs: [] })],
+        unservedMs: new Map([["a/a1", 20_000]]),
+        lastRequestedAt: new Map([["a/a1", 100_000 - askedMs]]),
+      })).map(({ kind }) => kind);
+    expect(orders(1_000)).to.deep.equal(["load-adapter"]);
+    expect(orders(3_000)).to.deep.equal([]);
+  });
+
   it("doesn't give such models more than a quarter of the servers", () => {
     const names = ["a", "b", "c", "d", "e", "f"];
     const many = names.map((model) => demand({ model, slacksMs: [] }));
