--- a/packages/core/test/gateway/archive_fleet.ts
+++ b/packages/core/test/gateway/archive_fleet.ts
@@ -2,7 +2,7 @@
 import * as fixtures from "./fixtures.ts";
 
 /** Interval of planning rounds and of the host's reports. */
-export const ROUND_MS = 250;
+const ROUND_MS = 250;
 const STORE_LOAD_MS = 8_000;
 const RUN_MS = 1_500;
 /** Latency objective of the first event. */
@@ -15,6 +15,8 @@
 const DISK_PLACES = 18;
 const HOST = "h1";
 const SERVICE = "advice";
+/** Models on one disk each, that are asked for once demand has moved. */
+const OTHER = "other";
 
 /** Models that are asked for, and how often. */
 export type Archive = {
@@ -145,6 +147,17 @@
   return { asked: asked.length, never: never.length };
 }
 
+/** Plays an archive; returns the share of requests served after demand moved. */
+export function shareServedAfterShift(archive: Archive, seed: number): number {
+  const fleet = new ArchiveFleet(archive, seed);
+  fleet.play();
+  const moved = [...fleet.outcomes].filter(([name]) => name.startsWith(OTHER))
+    .map(([, outcome]) => outcome);
+  const requested = moved.flatMap(({ requestedAt }) => requestedAt);
+  const served = moved.flatMap(({ servedAt }) => servedAt);
+  return served.length / requested.length;
+}
+
 /** Models of those asked for all along that may be left without service. */
 export function mayBeNeverServed(asked: number): number {
   return NEVER_SERVED + NEVER_SERVED_SHARE * asked;
@@ -176,7 +189,7 @@
     this.#archive = archive;
     this.#random = randomOf(seed);
     const popular = names("popular", archive.popular);
-    const other = names("other", archive.servers * DISK_PLACES);
+    const other = names(OTHER, archive.servers * DISK_PLACES);
     this.#popular = popular;
     this.#popularLater = popular.map((_, index) =>
       other[index * DISK_PLACES] ?? ""
--- a/packages/core/test/gateway/rare_models_test.ts
+++ b/packages/core/test/gateway/rare_models_test.ts
@@ -14,6 +14,9 @@
   untilMs: 48_000,
 };
 
+/** Each caller is served when it comes back, if not at its first request. */
+const MIN_SERVED_SHARE = 1 / 2;
+
 describe("rare models, while half of the servers may load them", () => {
   for (const seed of SEEDS) {
     it(`are hardly ever without any service, seed ${seed}`, () => {
@@ -21,4 +24,12 @@
       expect(never).to.be.at.most(archiveFleet.mayBeNeverServed(asked));
     });
   }
+
+  for (const seed of SEEDS.slice(0, 3)) {
+    it(`leave disks to demand that moves there, seed ${seed}`, () => {
+      const archive = { ...ARCHIVE, shiftsAt: 24_000 };
+      expect(archiveFleet.shareServedAfterShift(archive, seed))
+        .to.be.at.least(MIN_SERVED_SHARE);
+    });
+  }
 });
