Work out the reasons of unserved models once a report, not once a model

Once a second the report went through all servers for each model and adapter, of which 16,384 may be remembered: some four million steps of the leader with 90 servers. The reasons by model are now made once from the round; which one goes before another is as before. The planner finds the closest obstacle without sorting those of all servers, in each round for each model without an option.

--- a/packages/core/src/gateway/load_planner.ts
+++ b/packages/core/src/gateway/load_planner.ts
@@ -581,9 +581,11 @@
 
 /** What keeps the server from a load that is closest to one. */
 function mostParticular(results: readonly NoOption[]): NoOption {
-  const rankOf = ({ obstacle }: NoOption) => OBSTACLES.indexOf(obstacle);
-  return results.toSorted((one, other) => rankOf(other) - rankOf(one))[0] ??
-    none("no-free-server");
+  const rank = Math.max(
+    -1,
+    ...results.map(({ obstacle }) => OBSTACLES.indexOf(obstacle)),
+  );
+  return none(OBSTACLES[rank] ?? "no-free-server");
 }
 
 function heldModel(
--- a/packages/daemon/src/gateway/control/unserved_report.ts
+++ b/packages/daemon/src/gateway/control/unserved_report.ts
@@ -58,8 +58,10 @@
     const long = [...round.ages].filter(([, ageMs]) =>
       ageMs >= core.gateway.MAX_UNSERVED_MS
     );
+    const reasons = reasonsOf(round);
     for (const [key, ageMs] of long) {
-      const reason = reasonOf(key, round);
+      const [model = key] = key.split("/", 1);
+      const reason = reasons.get(model) ?? "ordered";
       counts.set(reason, (counts.get(reason) ?? 0) + 1);
       this.#logReason(round.service, key, reason, ageMs);
     }
@@ -115,18 +117,20 @@
   }
 }
 
-function reasonOf(
-  key: string,
+/** Why models have not been served; one without a reason has just been chosen. */
+function reasonsOf(
   { obstacles, orders, servers }: UnservedRound,
-): Reason {
-  const [model = key] = key.split("/", 1);
+): ReadonlyMap<string, Reason> {
+  const reasons = new Map<string, Reason>(obstacles);
+  for (const order of orders) {
+    if (order.kind === "load") reasons.set(order.model, "ordered");
+  }
   const usable = servers.filter(({ isUsable }) => isUsable);
-  if (usable.some(({ models }) => models.some(({ name }) => name === model))) {
-    return "held";
+  for (const { loading } of usable) {
+    if (loading !== undefined) reasons.set(loading, "loading");
+  }
+  for (const { models } of usable) {
+    for (const { name } of models) reasons.set(name, "held");
   }
-  if (usable.some(({ loading }) => loading === model)) return "loading";
-  const isOrdered = orders.some((order) =>
-    order.kind === "load" && order.model === model
-  );
-  return isOrdered ? "ordered" : obstacles.get(model) ?? "ordered";
+  return reasons;
 }
